--- /dev/null
+++ b/ward/config.go
@@ -0,0 +1,148 @@
+package ward
+
+import "time"
+
+// Tier is the rank of a request. TierTop is shed last; 0 means not given.
+type Tier uint8
+
+// Tiers.
+const (
+	TierTop    Tier = 1
+	TierBottom Tier = 4
+	// TierCount is the number of tiers.
+	TierCount = 4
+)
+
+// UpstreamKind tells a model engine from a plain service.
+type UpstreamKind string
+
+// Kinds of upstream.
+const (
+	KindEngine  UpstreamKind = "engine"
+	KindService UpstreamKind = "service"
+)
+
+// Config is the folded configuration: the whole state that accepted tickets
+// have put in force. Lists are sorted by name.
+type Config struct {
+	// Fleet names the fleet; messages of another fleet are refused.
+	Fleet string `json:"fleet"`
+	// Revision grows by one with every accepted ticket.
+	Revision uint64 `json:"revision"`
+	// Ticket is the number of the ticket accepted last, Attempt the id of the
+	// submission that was accepted.
+	Ticket    uint64     `json:"ticket"`
+	Attempt   string     `json:"attempt,omitempty"`
+	Accepted  time.Time  `json:"accepted"`
+	Upstreams []Upstream `json:"upstreams"`
+	Routes    []Route    `json:"routes"`
+	Teams     []Team     `json:"teams"`
+	Moves     []Move     `json:"moves"`
+}
+
+// Upstream is the configuration of one replica of a model or service.
+type Upstream struct {
+	Name string `json:"name"`
+	// Ticket is the number of the ticket that set this object. A ticket file
+	// leaves it out.
+	Ticket uint64       `json:"ticket,omitempty"`
+	Kind   UpstreamKind `json:"kind"`
+	// Serves is the model or service that the replica offers.
+	Serves  string `json:"serves"`
+	Version string `json:"version"`
+	// Address is an IP number and port.
+	Address    string `json:"address"`
+	DataCentre string `json:"data-centre"`
+	// Generation is the hardware generation, from 1.
+	Generation int `json:"generation,omitempty"`
+	// ChecksFence says that the upstream refuses orders with an old fencing
+	// number.
+	ChecksFence bool `json:"checks-fence,omitempty"`
+	// ChecksIdempotency says that the upstream itself runs an idempotency key at
+	// most once.
+	ChecksIdempotency bool `json:"checks-idempotency,omitempty"`
+	// Leaving says that the upstream gets no new work.
+	Leaving bool `json:"leaving,omitempty"`
+	// Removed takes the object out of the configuration.
+	Removed bool `json:"removed,omitempty"`
+}
+
+// Route is a class of requests to one model or service: what it serves, at
+// which tier and within which time.
+type Route struct {
+	Name   string       `json:"name"`
+	Ticket uint64       `json:"ticket,omitempty"`
+	Kind   UpstreamKind `json:"kind"`
+	// Serves is the model or service that the route leads to.
+	Serves string `json:"serves"`
+	// Version is the version that serves the route when no move is under way.
+	Version string `json:"version"`
+	// Methods and PathPrefix select the calls of a service that belong to the
+	// route; empty selects all. The longest prefix goes first.
+	Methods    []string `json:"methods,omitempty"`
+	PathPrefix string   `json:"path-prefix,omitempty"`
+	// Tier is the tier of a request that names none, MaxTier the highest that a
+	// request may ask for.
+	Tier    Tier `json:"tier"`
+	MaxTier Tier `json:"max-tier,omitempty"`
+	// Deadline is the time to the last token of a request that names none.
+	Deadline Duration `json:"deadline"`
+	// FirstToken is the time to the first token that counts as in time.
+	FirstToken Duration `json:"first-token,omitempty"`
+	// NonIdempotent says that a call may not be repeated: it needs an
+	// idempotency key.
+	NonIdempotent bool `json:"non-idempotent,omitempty"`
+	// MaxOutput bounds the output tokens of one request.
+	MaxOutput int  `json:"max-output,omitempty"`
+	Removed   bool `json:"removed,omitempty"`
+}
+
+// Team is one team of callers and its limits. A zero limit means none.
+type Team struct {
+	Name   string `json:"name"`
+	Ticket uint64 `json:"ticket,omitempty"`
+	// Weight is the team's share among teams of a tier; 0 means 1.
+	Weight int `json:"weight,omitempty"`
+	// TokensPerSecond bounds prompt and output tokens over the fleet.
+	TokensPerSecond int `json:"tokens-per-second,omitempty"`
+	// InFlight bounds the team's running requests over the fleet.
+	InFlight int `json:"in-flight,omitempty"`
+	// MaxTier is the highest tier that the team may ask for; 0 means any.
+	MaxTier Tier `json:"max-tier,omitempty"`
+	// KeyHash is the hex SHA-256 of the team's API key; empty means that the
+	// team needs none.
+	KeyHash string `json:"key-hash,omitempty"`
+	Removed bool   `json:"removed,omitempty"`
+}
+
+// Move takes the traffic of a model or service from one version to another.
+type Move struct {
+	Name   string `json:"name"`
+	Ticket uint64 `json:"ticket,omitempty"`
+	// Serves is the model or service that moves; all its routes move together
+	// unless Routes names some.
+	Serves string   `json:"serves"`
+	Routes []string `json:"routes,omitempty"`
+	From   string   `json:"from"`
+	To     string   `json:"to"`
+	// Start is when the first step may be made; zero means at once.
+	Start time.Time `json:"start,omitzero"`
+	// Deadline is when the whole traffic is on To, or back on From.
+	Deadline time.Time `json:"deadline"`
+	// Load lists the upstreams that get an order to load To before the move.
+	Load []string `json:"load,omitempty"`
+	// Cancelled asks for the move to be taken back.
+	Cancelled bool `json:"cancelled,omitempty"`
+	Removed   bool `json:"removed,omitempty"`
+}
+
+// Ticket is one numbered change: the whole new state of each object it names.
+type Ticket struct {
+	Number    uint64     `json:"number"`
+	Operator  string     `json:"operator"`
+	Reason    string     `json:"reason,omitempty"`
+	Upstreams []Upstream `json:"upstreams,omitempty"`
+	Routes    []Route    `json:"routes,omitempty"`
+	Teams     []Team     `json:"teams,omitempty"`
+	Moves     []Move     `json:"moves,omitempty"`
+}
--- /dev/null
+++ b/ward/peer.go
@@ -0,0 +1,135 @@
+package ward
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrNotConnected says that a connection was never made: no byte of the request
+// can have reached the other side.
+var ErrNotConnected = errors.New("not connected")
+
+// Incarnation tells one run of an entry from the next one under the same name.
+// It is the start time in Unix nanoseconds.
+type Incarnation uint64
+
+// Brake is a quarantine of a version on a route (Route "" means on every
+// route). Brakes only grow: one is lifted by a ticket that puts another move in
+// force, never by time.
+type Brake struct {
+	Serves  string `json:"serves"`
+	Version string `json:"version"`
+	Route   string `json:"route,omitempty"`
+	// Move is the move that was convicted, Ticket the ticket that set it.
+	Move   string    `json:"move"`
+	Ticket uint64    `json:"ticket"`
+	Reason string    `json:"reason"`
+	By     string    `json:"by"`
+	At     time.Time `json:"at"`
+}
+
+// LatencyBuckets is the number of buckets in a latency histogram of Counts.
+const LatencyBuckets = 24
+
+// Counts are the outcome counts of one version on one route at one run of an
+// entry. They only grow, so merging takes the larger one.
+type Counts struct {
+	Serves      string      `json:"serves"`
+	Version     string      `json:"version"`
+	Route       string      `json:"route"`
+	Move        string      `json:"move"`
+	Entry       string      `json:"entry"`
+	Incarnation Incarnation `json:"incarnation"`
+	Succeeded   uint64      `json:"succeeded"`
+	Failed      uint64      `json:"failed"`
+	// Latency counts outcomes by time, normalized by size. Bucket bounds are
+	// those of the analysis.
+	Latency [LatencyBuckets]uint64 `json:"latency"`
+}
+
+// Demand is what an entry uses and wants of one upstream's budget.
+type Demand struct {
+	Upstream string `json:"upstream"`
+	// InFlight is the number of requests dispatched and not ended, Prefill the
+	// prompt tokens among them without a first token, Waiting the prompt tokens
+	// that wait in the entry.
+	InFlight int `json:"in-flight"`
+	Prefill  int `json:"prefill"`
+	Waiting  int `json:"waiting"`
+}
+
+// PeerState is what one entry tells others about itself. Seq grows with every
+// change of it within one incarnation.
+type PeerState struct {
+	Name        string      `json:"name"`
+	Address     string      `json:"address"`
+	Operator    string      `json:"operator"`
+	DataCentre  string      `json:"data-centre"`
+	Incarnation Incarnation `json:"incarnation"`
+	Seq         uint64      `json:"seq"`
+	Leaving     bool        `json:"leaving"`
+	// Revision is the configuration revision in force at the entry.
+	Revision uint64 `json:"revision"`
+	// Floor is the lowest tier the entry admits (TierBottom: sheds nothing), and
+	// Waiting counts its waiting requests by tier, from TierTop.
+	Floor   Tier           `json:"floor"`
+	Waiting [TierCount]int `json:"waiting"`
+	Demand  []Demand       `json:"demand,omitempty"`
+}
+
+// Exchange is one message between two entries, in both directions.
+type Exchange struct {
+	Fleet    string `json:"fleet"`
+	Protocol int    `json:"protocol"`
+	From     string `json:"from"`
+	// Revision is the sender's configuration revision; Config is set when the
+	// receiver is known to have a lower one.
+	Revision uint64  `json:"revision"`
+	Config   *Config `json:"config,omitempty"`
+	// States, Brakes and Counts are deltas; Digest sums up all that the sender
+	// knows, so that a difference can be repaired.
+	States []PeerState `json:"states,omitempty"`
+	Brakes []Brake     `json:"brakes,omitempty"`
+	Counts []Counts    `json:"counts,omitempty"`
+	Digest uint64      `json:"digest"`
+}
+
+// Peer reaches one other entry.
+type Peer interface {
+	// Exchange sends m and returns the answer of the entry at address.
+	Exchange(ctx context.Context, address string, m Exchange) (Exchange, error)
+}
+
+// EventKind names what an operator is told of.
+type EventKind string
+
+// Kinds of event.
+const (
+	EventTicketAccepted EventKind = "ticket-accepted"
+	EventMoveStarted    EventKind = "move-started"
+	EventMoveStep       EventKind = "move-step"
+	EventMoveDone       EventKind = "move-done"
+	EventMoveTakenBack  EventKind = "move-taken-back"
+	EventVersionBraked  EventKind = "version-braked"
+)
+
+// Event is one thing that operators are told. Its ID stays the same when it is
+// told again.
+type Event struct {
+	ID     string    `json:"id"`
+	Kind   EventKind `json:"kind"`
+	At     time.Time `json:"at"`
+	Ticket uint64    `json:"ticket,omitempty"`
+	Move   string    `json:"move,omitempty"`
+	Entry  string    `json:"entry"`
+	// Share is the share of traffic on the new version, from 0 to 1.
+	Share    float64  `json:"share"`
+	Text     string   `json:"text"`
+	Evidence []Counts `json:"evidence,omitempty"`
+}
+
+// Notifier tells operators of an event, at least once.
+type Notifier interface {
+	Notify(ctx context.Context, e Event) error
+}
