feat(measure): add the report of an experiment, splits and move states

Cause: the deciders of requests and of moves meet at the split of a route, and every experiment prints the same form. Change: ward.Split, ward.MoveState and the report package.

--- /dev/null
+++ b/internal/measure/report/report.go
@@ -0,0 +1,129 @@
+// Package report provides the result of an experiment and its printed forms.
+//
+// # Usage
+//
+//	var r report.Report
+//	r.Add(report.Result{Name: "goodput-top", Value: 0.97, Unit: "share"}.AtLeast(0.95))
+//	err := r.WriteTable(os.Stdout)
+package report
+
+import (
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+)
+
+// Result is one figure of an experiment.
+type Result struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+	// Baseline is the same figure of the best baseline in the same run.
+	Baseline *float64 `json:"baseline"`
+	// Target is the stated bound, such as ">= 0.95"; Met tells whether Value
+	// keeps it. Both are empty for a figure without a target.
+	Target string `json:"target"`
+	Met    *bool  `json:"met"`
+}
+
+// AtLeast sets a lower bound as the target.
+func (r Result) AtLeast(bound float64) Result {
+	return r.withTarget(fmt.Sprintf(">= %g", bound), r.Value >= bound)
+}
+
+// AtMost sets an upper bound as the target.
+func (r Result) AtMost(bound float64) Result {
+	return r.withTarget(fmt.Sprintf("<= %g", bound), r.Value <= bound)
+}
+
+// Against sets the figure of the best baseline.
+func (r Result) Against(baseline float64) Result {
+	r.Baseline = &baseline
+	return r
+}
+
+func (r Result) withTarget(target string, met bool) Result {
+	r.Target = target
+	r.Met = &met
+	return r
+}
+
+// Report is the outcome of one experiment at one seed.
+type Report struct {
+	Experiment string   `json:"experiment"`
+	Seed       uint64   `json:"seed"`
+	Results    []Result `json:"results"`
+}
+
+// Experiment is one measurement: real deciders, small fakes, virtual time.
+type Experiment interface {
+	// Name is what agateward measure calls it.
+	Name() string
+	// About is one sentence on what it shows.
+	About() string
+	// Run runs it with the seed. It calls progress now and then.
+	Run(ctx context.Context, seed uint64, progress func(text string)) (Report, error)
+}
+
+// Add adds figures to the report.
+func (r *Report) Add(results ...Result) { r.Results = append(r.Results, results...) }
+
+// Missed returns the number of targets that are not met.
+func (r Report) Missed() int {
+	n := 0
+	for _, x := range r.Results {
+		if x.Met != nil && !*x.Met {
+			n++
+		}
+	}
+	return n
+}
+
+// WriteTable writes the report for a reader.
+func (r Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "%s (seed %d)\nfigure\tvalue\tunit\tbaseline\ttarget\tmet\n", r.Experiment, r.Seed)
+	for _, x := range r.Results {
+		fmt.Fprintln(t, x.Name+"\t"+number(x.Value)+"\t"+x.Unit+"\t"+x.baseline()+"\t"+x.Target+"\t"+x.met())
+	}
+	return t.Flush()
+}
+
+// WriteCSV writes the report as comma-separated values with a heading.
+func (r Report) WriteCSV(w io.Writer) error {
+	c := csv.NewWriter(w)
+	rows := [][]string{{"experiment", "seed", "name", "value", "unit", "baseline", "target", "met"}}
+	seed := strconv.FormatUint(r.Seed, 10)
+	for _, x := range r.Results {
+		rows = append(rows, []string{r.Experiment, seed, x.Name, number(x.Value), x.Unit, x.baseline(), x.Target, x.met()})
+	}
+	return c.WriteAll(rows)
+}
+
+// WriteJSON writes the report as one object.
+func (r Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+func (r Result) baseline() string {
+	if r.Baseline == nil {
+		return ""
+	}
+	return number(*r.Baseline)
+}
+
+func (r Result) met() string {
+	if r.Met == nil {
+		return ""
+	}
+	return strconv.FormatBool(*r.Met)
+}
+
+// number prints four significant digits, which is more than any spread allows.
+func number(v float64) string { return strconv.FormatFloat(v, 'g', 4, 64) }
--- a/ward/config.go
+++ b/ward/config.go
@@ -146,3 +146,39 @@
 	Teams     []Team     `json:"teams,omitempty"`
 	Moves     []Move     `json:"moves,omitempty"`
 }
+
+// Split is how one route's traffic divides between two versions at one entry.
+type Split struct {
+	Route string `json:"route"`
+	// Version serves what Next does not get. Next is empty when no move is under
+	// way.
+	Version string `json:"version"`
+	Next    string `json:"next,omitempty"`
+	Move    string `json:"move,omitempty"`
+	// Share is the part of the requests that Next gets, from 0 to 1.
+	Share float64 `json:"share,omitempty"`
+	// MaxInFlight bounds the requests that this entry may have running on Next;
+	// 0 means no bound.
+	MaxInFlight int `json:"max-in-flight,omitempty"`
+	// Braked lists the versions that the route must not use.
+	Braked []string `json:"braked,omitempty"`
+}
+
+// MoveState is the state of a move as the store has accepted it. Entries hand
+// it on; a higher Revision replaces a lower one.
+type MoveState struct {
+	Move   string `json:"move"`
+	Ticket uint64 `json:"ticket"`
+	// Revision is the store's revision of the move's record.
+	Revision uint64 `json:"revision"`
+	// State is a state of the move chart, Step the number of steps made.
+	State  string    `json:"state"`
+	Step   int       `json:"step"`
+	Share  float64   `json:"share"`
+	Holder string    `json:"holder"`
+	Fence  uint64    `json:"fence"`
+	Since  time.Time `json:"since"`
+	Reason string    `json:"reason,omitempty"`
+	// Untold lists the events that operators were not yet told of.
+	Untold []Event `json:"untold,omitempty"`
+}
--- a/ward/peer.go
+++ b/ward/peer.go
@@ -92,6 +92,7 @@
 	States []PeerState `json:"states,omitempty"`
 	Brakes []Brake     `json:"brakes,omitempty"`
 	Counts []Counts    `json:"counts,omitempty"`
+	Moves  []MoveState `json:"moves,omitempty"`
 	Digest uint64      `json:"digest"`
 }
 
