--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -64,11 +64,25 @@
 	return c.kind.New(format, args...).WithProperty(propertyCode, c)
 }
 
-// Wrap returns an error with this code that keeps its cause.
+// Wrap returns an error with this code that keeps its cause: errors.Is and
+// errors.As find what err holds.
 func (c Code) Wrap(err error, format string, args ...any) error {
-	return c.kind.Wrap(err, format, args...).WithProperty(propertyCode, c)
+	return &wrapped{c.kind.Wrap(err, format, args...).WithProperty(propertyCode, c), err}
 }
 
+// wrapped shows the cause to errors.Is, which an errorx.Error hides.
+type wrapped struct {
+	coded *errorx.Error
+	cause error
+}
+
+// Error returns the text of the coded error.
+func (w *wrapped) Error() string { return w.coded.Error() }
+
+// Unwrap returns the coded error first, so that the outermost code is found
+// before one of the cause.
+func (w *wrapped) Unwrap() []error { return []error{w.coded, w.cause} }
+
 // Is tells whether err carries this code.
 func (c Code) Is(err error) bool { return err != nil && Of(err).Number == c.Number }
 
--- a/internal/result/code/code_test.go
+++ b/internal/result/code/code_test.go
@@ -58,3 +58,14 @@
 		t.Error("Text() shows the error's type")
 	}
 }
+
+func TestWrapKeepsCause(t *testing.T) {
+	cause := errors.New("cause")
+	err := fmt.Errorf("top: %w", RecordsDown.Wrap(fmt.Errorf("write: %w", cause), "key %q", "k"))
+	if !errors.Is(err, cause) {
+		t.Error("errors.Is does not find the cause")
+	}
+	if got := Of(err); got.Number != RecordsDown.Number {
+		t.Errorf("Of() = %s, want %s", got, RecordsDown)
+	}
+}
