feat(standin): add the model of a continuously batching engine

Cause: experiments on virtual time and the stand-in on a real port need the same engine. Change: internal/standin/batch, an event-driven model with chunked prefill, batch-dependent decode time, an LRU prefix cache, lagging reports, cache events with gaps and faults by version, route, time and load.

--- /dev/null
+++ b/internal/standin/batch/engine.go
@@ -0,0 +1,400 @@
+// Package batch models a model engine that batches continuously, on a given
+// clock. The stand-in engine runs it on a real port, and the experiments run it
+// on virtual time.
+//
+// One step of the engine generates one token for each sequence that decodes,
+// and takes in a chunk of the prompts that wait; both make the step longer.
+// Between two events the rates are constant, so the model computes when the
+// next one is due instead of going through the steps: an event costs O(log n).
+// It knows no priorities and starts jobs in order of arrival. A cached prompt
+// prefix is not computed again.
+//
+// # Usage
+//
+//	e := batch.New(batch.Profile{PrefillRate: 20_000})
+//	e.Admit(now, batch.Job{ID: "r1", Prompt: 800, Output: 120})
+//	for next := e.Next(); !next.IsZero(); next = e.Next() {
+//		for _, event := range e.Advance(next) {
+//			...
+//		}
+//	}
+//
+// Admit and Cancel advance the engine to their time first; the events that
+// were due before come with the next Advance. Times never go back.
+package batch
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"agateward/ward"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Job is one request for the engine.
+type Job struct {
+	ID      string
+	Route   string
+	Version string
+	// Prompt and Output are lengths in tokens.
+	Prompt int
+	Output int
+	// Prefix holds the hashes of the prompt's leading blocks, as ward.Request.
+	Prefix []uint64
+	// Resume is the number of output tokens that the caller already has; they
+	// are prefilled like prompt tokens.
+	Resume int
+}
+
+// EventKind says what became of a job.
+type EventKind string
+
+// Kinds of event.
+const (
+	FirstToken EventKind = "first-token"
+	Done       EventKind = "done"
+	Failed     EventKind = "failed"
+)
+
+// Event is a change of one job. Tokens is the number of output tokens so far,
+// Resume among them.
+type Event struct {
+	At     time.Time
+	ID     string
+	Kind   EventKind
+	Tokens int
+}
+
+// Stats are the running totals of an engine, in tokens and jobs.
+type Stats struct {
+	// Prefilled counts computed prompt tokens, Cached those that the prefix
+	// cache spared, Wasted those that were computed for a job that was cancelled
+	// or failed.
+	Prefilled float64
+	Cached    float64
+	Wasted    float64
+	Decoded   float64
+	Done      int
+	Failed    int
+	Cancelled int
+}
+
+// Engine is the model. It is not safe for concurrent use.
+type Engine struct {
+	p       Profile
+	now     time.Time
+	speed   float64
+	steps   float64
+	tasks   map[string]*task
+	waiting []*task
+	// waitingTokens are the prompt tokens of the waiting jobs.
+	waitingTokens int
+	prefill       []*task
+	decode        taskHeap
+	cache         prefixCache
+	due           []Event
+	stats         Stats
+	// visible is the report that can be read, pending the next one.
+	visible ward.LoadReport
+	pending ward.LoadReport
+	leaving bool
+}
+
+// New returns an idle engine.
+func New(p Profile) *Engine {
+	p = p.withDefaults()
+	e := &Engine{p: p, speed: 1, tasks: make(map[string]*task)}
+	e.cache.init(p)
+	return e
+}
+
+// Admit hands a job to the engine, which takes all that comes. A job with the
+// id of a running one is ignored.
+func (e *Engine) Admit(now time.Time, j Job) {
+	e.advance(now)
+	if e.tasks[j.ID] != nil {
+		return
+	}
+	t := &task{job: j, index: -1}
+	e.tasks[j.ID] = t
+	e.waiting = append(e.waiting, t)
+	e.waitingTokens += j.Prompt
+	e.start()
+}
+
+// Cancel ends a job; what was computed for it is wasted.
+func (e *Engine) Cancel(now time.Time, id string) {
+	e.advance(now)
+	t := e.tasks[id]
+	if t == nil {
+		return
+	}
+	e.stats.Cancelled++
+	e.stats.Wasted += t.computed()
+	e.stats.Decoded += e.decoded(t)
+	e.remove(t)
+	e.start()
+}
+
+// SetSpeed makes the whole engine run at factor times its speed, above 0.
+func (e *Engine) SetSpeed(now time.Time, factor float64) {
+	e.advance(now)
+	e.speed = factor
+}
+
+// SetLeaving sets the engine's own word that it wants no new work.
+func (e *Engine) SetLeaving(leaving bool) { e.leaving = leaving }
+
+// Next returns the time of the next event, and zero when none is due.
+func (e *Engine) Next() time.Time {
+	if len(e.due) > 0 {
+		return e.due[0].At
+	}
+	at, _ := e.next()
+	return at
+}
+
+// Advance moves the engine to now and returns the events since the last call,
+// in order. The slice is valid until the next call.
+func (e *Engine) Advance(now time.Time) []Event {
+	e.advance(now)
+	events := e.due
+	e.due = nil
+	return events
+}
+
+// Tokens returns the output tokens of a running job so far, Resume among them.
+func (e *Engine) Tokens(id string) int {
+	t := e.tasks[id]
+	if t == nil || t.index < 0 {
+		return 0
+	}
+	// The first token comes with the end of the prefill.
+	return min(t.job.Resume+1+int(e.decoded(t)+stepSlack), t.job.Output)
+}
+
+// Outstanding returns the jobs that wait or run.
+func (e *Engine) Outstanding() int { return len(e.tasks) }
+
+// Stats returns the running totals.
+func (e *Engine) Stats() Stats { return e.stats }
+
+// Report returns the load report that can be read now.
+func (e *Engine) Report(now time.Time) ward.LoadReport {
+	e.advance(now)
+	r := e.visible
+	r.Leaving = e.leaving
+	return r
+}
+
+// CacheEvents returns the cache events after a sequence number, as of the last
+// advance; the newest are not yet there and some are lost.
+func (e *Engine) CacheEvents(after uint64) []ward.CacheEvent {
+	return e.cache.events(after, e.now)
+}
+
+// stepSlack absorbs rounding when steps are turned into tokens.
+const stepSlack = 1e-6
+
+// advance goes through the events until now.
+func (e *Engine) advance(now time.Time) {
+	if e.now.IsZero() {
+		e.now = now
+	}
+	for {
+		at, apply := e.next()
+		if at.IsZero() || at.After(now) {
+			break
+		}
+		e.flow(at)
+		apply()
+		e.start()
+	}
+	if now.After(e.now) {
+		e.flow(now)
+	}
+	e.publish()
+}
+
+// next returns when the next event is due and what it does.
+func (e *Engine) next() (time.Time, func()) {
+	step, chunk := e.step()
+	if step == 0 {
+		return time.Time{}, nil
+	}
+	best := math.Inf(1)
+	var apply func()
+	if len(e.decode) > 0 {
+		best = (e.decode[0].finish - e.steps) * step
+		apply = e.finishDecode
+	}
+	if len(e.prefill) > 0 {
+		if wait := e.prefill[0].left / chunk * step; wait < best {
+			best = wait
+			apply = e.finishPrefill
+		}
+	}
+	return e.now.Add(time.Duration(math.Ceil(max(best, 0) * float64(time.Second)))), apply
+}
+
+// step returns the length of one step in seconds, 0 when idle, and the prompt
+// tokens that it takes in.
+func (e *Engine) step() (seconds, chunk float64) {
+	if n := len(e.decode); n > 0 {
+		seconds = (e.p.DecodeBase + time.Duration(n)*e.p.DecodePerSequence).Seconds()
+	}
+	if len(e.prefill) > 0 {
+		chunk = float64(e.p.Chunk)
+		seconds += chunk / e.p.PrefillRate
+	}
+	return seconds / e.speed, chunk
+}
+
+// flow moves the counters to a time before which no event is due.
+func (e *Engine) flow(to time.Time) {
+	step, chunk := e.step()
+	if step > 0 {
+		n := to.Sub(e.now).Seconds() / step
+		e.steps += n
+		if len(e.prefill) > 0 {
+			t := e.prefill[0]
+			work := min(n*chunk, t.left)
+			t.left -= work
+			e.stats.Prefilled += work / t.slow
+		}
+	}
+	e.now = to
+}
+
+// finishPrefill ends the prefill of the oldest job: it has its first token, or
+// fails.
+func (e *Engine) finishPrefill() {
+	t := e.prefill[0]
+	e.prefill = e.prefill[1:]
+	t.left = 0
+	if t.fails {
+		e.stats.Failed++
+		e.stats.Wasted += t.computed()
+		delete(e.tasks, t.job.ID)
+		e.emit(t, Failed, t.job.Resume)
+		return
+	}
+	e.cache.store(t.job.Prefix, e.now)
+	e.emit(t, FirstToken, t.job.Resume+1)
+	t.began = e.steps
+	t.finish = e.steps + t.slow*float64(max(t.job.Output-t.job.Resume-1, 0))
+	heap.Push(&e.decode, t)
+}
+
+// finishDecode ends the job that is done first.
+func (e *Engine) finishDecode() {
+	t := e.decode[0]
+	e.steps = max(e.steps, t.finish)
+	e.stats.Decoded += e.decoded(t)
+	e.stats.Done++
+	e.remove(t)
+	e.emit(t, Done, max(t.job.Output, t.job.Resume+1))
+}
+
+// start fills the batch in order of arrival.
+func (e *Engine) start() {
+	for len(e.waiting) > 0 && len(e.prefill)+len(e.decode) < e.p.MaxBatch {
+		t := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		if t.gone {
+			continue
+		}
+		e.begin(t)
+	}
+}
+
+// begin looks up the prefix and the faults of a job and queues its prefill.
+func (e *Engine) begin(t *task) {
+	t.slow = 1
+	e.waitingTokens -= t.job.Prompt
+	running := len(e.prefill) + len(e.decode)
+	for _, f := range e.p.Faults {
+		if !f.matches(t.job, running, e.now) {
+			continue
+		}
+		if f.Slow > 0 {
+			t.slow *= f.Slow
+		}
+		t.fails = t.fails || e.draw(t.job.ID) < f.FailShare
+	}
+	cached := min(e.cache.lookup(t.job.Prefix), max(t.job.Prompt-1, 0))
+	e.stats.Cached += float64(cached)
+	t.need = float64(max(t.job.Prompt-cached+t.job.Resume, 1))
+	t.left = t.need * t.slow
+	e.prefill = append(e.prefill, t)
+}
+
+// draw returns a number from 0 to 1 that hangs on the seed and the job alone.
+func (e *Engine) draw(id string) float64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(e.p.Seed)
+	_, _ = d.WriteString(id)
+	return float64(d.Sum64()>>11) / (1 << 53)
+}
+
+// decoded returns the tokens that were decoded for a job after its first.
+func (e *Engine) decoded(t *task) float64 {
+	if t.index < 0 {
+		return 0
+	}
+	return (min(e.steps, t.finish) - t.began) / t.slow
+}
+
+// remove takes a job out of wherever it is.
+func (e *Engine) remove(t *task) {
+	delete(e.tasks, t.job.ID)
+	if t.index >= 0 {
+		heap.Remove(&e.decode, t.index)
+		return
+	}
+	for i, x := range e.prefill {
+		if x == t {
+			e.prefill = append(e.prefill[:i:i], e.prefill[i+1:]...)
+			return
+		}
+	}
+	t.gone = true
+	e.waitingTokens -= t.job.Prompt
+}
+
+func (e *Engine) emit(t *task, kind EventKind, tokens int) {
+	e.due = append(e.due, Event{At: e.now, ID: t.job.ID, Kind: kind, Tokens: tokens})
+}
+
+// publish rolls the load reports on when the pending one is old enough.
+func (e *Engine) publish() {
+	if !e.pending.At.IsZero() && e.now.Sub(e.pending.At) < e.p.ReportLag {
+		return
+	}
+	e.visible = e.pending
+	if e.visible.At.IsZero() {
+		e.visible = ward.LoadReport{Upstream: e.p.Name, Version: e.p.Version, At: e.now, CacheSize: e.p.CacheTokens}
+	}
+	running := len(e.prefill) + len(e.decode)
+	e.pending = ward.LoadReport{
+		Upstream:      e.p.Name,
+		Version:       e.p.Version,
+		At:            e.now,
+		Running:       running,
+		Waiting:       len(e.tasks) - running,
+		PrefillQueued: e.queued(),
+		CacheUsed:     e.cache.len() * ward.PrefixBlockTokens,
+		CacheSize:     e.p.CacheTokens,
+	}
+}
+
+// queued returns the prompt tokens that are not yet prefilled.
+func (e *Engine) queued() int {
+	var sum float64
+	for _, t := range e.prefill {
+		sum += t.left
+	}
+	return int(sum) + e.waitingTokens
+}
