--- /dev/null
+++ b/internal/platform/memory/memory.go
@@ -0,0 +1,175 @@
+// Package memory provides the platform in memory: a ward.Store and ward.Roster
+// with injectable faults, for tests, the demo and the stand-in.
+//
+// # Usage
+//
+//	p := &memory.Platform{Clock: clock, Seed: 1}
+//	rec, err := p.CompareAndSwap(ctx, "config", 0, value)
+//	p.SetFaults(memory.Faults{LostAnswer: 0.1, WatchLag: ward.Duration(3 * time.Second)})
+//
+// The zero value is an empty platform on the machine's clock. All waiting goes
+// through the Clock, so that the same code runs on virtual time. Calls are
+// counted by family and kind, also those that a fault fails: the platform
+// counts every call that reaches it.
+//
+// It is a stand-in: nothing is kept when the process ends.
+package memory
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"agateward/internal/platform/family"
+	"agateward/ward"
+)
+
+// MaxValueBytes is the largest value that the store holds.
+const MaxValueBytes = 1 << 20
+
+// Faults are the faults in force. The zero value has none.
+type Faults struct {
+	// Down refuses every call of the store before it takes effect.
+	Down bool `json:"down,omitempty"`
+	// Hang never answers: a call ends with its context, without effect.
+	Hang bool `json:"hang,omitempty"`
+	// Slow is the time that a call takes; a write takes effect halfway.
+	Slow ward.Duration `json:"slow,omitempty"`
+	// LostAnswer is the probability that a write's answer is lost after it took
+	// effect, LostRequest that a write is lost before; both look the same.
+	LostAnswer  float64 `json:"lost-answer,omitempty"`
+	LostRequest float64 `json:"lost-request,omitempty"`
+	// LapseLeases makes every lease count as lapsed.
+	LapseLeases bool `json:"lapse-leases,omitempty"`
+	// WatchLag delays what a watch returns, which may then be out of date.
+	WatchLag ward.Duration `json:"watch-lag,omitempty"`
+	// ListDown fails the list of instances, ListLag returns an old one.
+	ListDown bool          `json:"list-down,omitempty"`
+	ListLag  ward.Duration `json:"list-lag,omitempty"`
+}
+
+// Platform is the platform's store and list in memory.
+type Platform struct {
+	// Clock is ward.SystemClock when nil.
+	Clock ward.Clock
+	// Seed seeds the random numbers of the faults.
+	Seed uint64
+
+	mu       sync.Mutex
+	faults   Faults
+	random   *rand.Rand
+	revision uint64
+	records  map[string]ward.Record
+	changed  map[string]chan struct{}
+	leases   map[string]ward.Lease
+	lists    []list
+	counts   map[family.Count]uint64
+}
+
+// SetFaults replaces the faults in force.
+func (p *Platform) SetFaults(f Faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+// Faults returns the faults in force.
+func (p *Platform) Faults() Faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// Calls returns the calls that reached the store, in the order of the families.
+func (p *Platform) Calls() []family.Count {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var calls []family.Count
+	for _, f := range family.All() {
+		for _, k := range []family.Kind{family.Read, family.Write} {
+			n := p.counts[family.Count{Family: f, Kind: k}]
+			calls = append(calls, family.Count{Family: f, Kind: k, Sent: n})
+		}
+	}
+	return calls
+}
+
+func (p *Platform) clock() ward.Clock {
+	if p.Clock == nil {
+		return ward.SystemClock{}
+	}
+	return p.Clock
+}
+
+// begin counts a call and brings about the faults that come before its effect.
+func (p *Platform) begin(ctx context.Context, f family.Family, k family.Kind) (Faults, error) {
+	p.mu.Lock()
+	if p.counts == nil {
+		p.counts = map[family.Count]uint64{}
+	}
+	p.counts[family.Count{Family: f, Kind: k}]++
+	faults := p.faults
+	lost := k == family.Write && p.chance(faults.LostRequest)
+	p.mu.Unlock()
+	switch {
+	case faults.Down:
+		return faults, fmt.Errorf("platform stand-in is down: %w", ward.ErrUnavailable)
+	case faults.Hang:
+		<-ctx.Done()
+		return faults, cut(k, ctx.Err())
+	case lost:
+		return faults, cut(k, nil)
+	}
+	if err := p.sleep(ctx, faults.Slow.Std()/2); err != nil {
+		return faults, cut(k, err)
+	}
+	return faults, nil
+}
+
+// end brings about the faults that come after the effect of a call.
+func (p *Platform) end(ctx context.Context, faults Faults, k family.Kind) error {
+	if err := p.sleep(ctx, faults.Slow.Std()/2); err != nil {
+		return cut(k, err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k == family.Write && p.chance(faults.LostAnswer) {
+		return cut(k, nil)
+	}
+	return nil
+}
+
+// cut is the error of a call whose answer never came. A read has no effect, so
+// that nothing about it is unknown.
+func cut(k family.Kind, cause error) error {
+	kind := ward.ErrOutcomeUnknown
+	if k == family.Read {
+		kind = ward.ErrUnavailable
+	}
+	if cause == nil {
+		return fmt.Errorf("answer lost: %w", kind)
+	}
+	return fmt.Errorf("answer not awaited: %w: %w", kind, cause)
+}
+
+// sleep waits for d; an ended context fails it also when d is 0.
+func (p *Platform) sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	return p.clock().Sleep(ctx, d)
+}
+
+// chance needs mu. It draws only for a fault that is set, so that switching one
+// on does not shift the draws of another.
+func (p *Platform) chance(probability float64) bool {
+	if probability <= 0 {
+		return false
+	}
+	if p.random == nil {
+		p.random = rand.New(rand.NewPCG(p.Seed, 0))
+	}
+	return p.random.Float64() < probability
+}
