--- /dev/null
+++ b/internal/request/breaker/breaker.go
@@ -0,0 +1,81 @@
+// Package breaker provides the circuit breaker of one upstream: connections
+// that fail in a row open it, and after a pause single probes find out whether
+// the upstream is back.
+//
+// # Usage
+//
+//	var b breaker.Breaker
+//	if b.Allow(now, entries) {
+//		// connect, then:
+//		b.Succeed() // or b.Fail(now, rng)
+//	}
+//
+// A Breaker is used by one goroutine at a time.
+package breaker
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Bounds of a breaker.
+const (
+	// failuresToOpen is the number of failed connections in a row that open it.
+	failuresToOpen = 3
+	firstPause     = 500 * time.Millisecond
+	longestPause   = 15 * time.Second
+	// probeTimeout frees a probe whose end was never told.
+	probeTimeout = 10 * time.Second
+	// fleetProbes is the number of probes that a fleet may send to an upstream
+	// in one pause; each of more entries than that waits longer in proportion.
+	fleetProbes = 4
+)
+
+// Breaker is closed as its zero value.
+type Breaker struct {
+	failures int
+	pause    time.Duration
+	until    time.Time
+	probing  bool
+}
+
+// Open tells whether connections are held back.
+func (b *Breaker) Open() bool { return b.failures >= failuresToOpen }
+
+// Ready tells whether Allow would let a request through.
+func (b *Breaker) Ready(now time.Time) bool { return !b.Open() || !now.Before(b.until) }
+
+// Allow tells whether a request may connect now. While the breaker is open it
+// lets one probe through after each pause.
+func (b *Breaker) Allow(now time.Time) bool {
+	if !b.Open() {
+		return true
+	}
+	if now.Before(b.until) {
+		return false
+	}
+	b.probing = true
+	b.until = now.Add(probeTimeout)
+	return true
+}
+
+// Succeed closes the breaker.
+func (b *Breaker) Succeed() { *b = Breaker{} }
+
+// Fail counts a connection that failed. The pause doubles with each probe that
+// fails, has jitter, and grows with the number of live entries beyond
+// fleetProbes, so that the probes of the whole fleet stay bounded.
+func (b *Breaker) Fail(now time.Time, entries int, rng *rand.Rand) {
+	b.failures++
+	if !b.Open() {
+		return
+	}
+	if !b.probing && now.Before(b.until) {
+		return
+	}
+	b.pause = min(max(2*b.pause, firstPause), longestPause)
+	b.probing = false
+	spread := max(1, float64(entries)/fleetProbes)
+	wait := float64(b.pause) * spread * (0.5 + rng.Float64())
+	b.until = now.Add(time.Duration(wait))
+}
--- /dev/null
+++ b/internal/request/budget/budget.go
@@ -0,0 +1,195 @@
+// Package budget provides what one upstream may hold at a time: requests in
+// flight and prompt tokens that wait for their prefill. It is found from the
+// rates that are observed, follows an upstream that slows down or recovers, and
+// is divided over the live entries without a coordinator.
+//
+// # Usage
+//
+//	var b budget.Budget
+//	b.Divide(now, mine, others, entries)
+//	if b.Fits(inFlight, prefill, r.PromptTokens) {
+//		// dispatch; then tell what came back:
+//		b.FirstToken(now, tokensAhead, took)
+//		b.Tokens(now, n, took)
+//	}
+//
+// Engines admit whatever arrives, so everything beyond the budget waits in the
+// entry, where order and cancellation still cost nothing.
+package budget
+
+import (
+	"math"
+	"time"
+
+	"agateward/ward"
+)
+
+// Values that an unknown upstream starts with, and bounds.
+const (
+	firstPrefillRate = 10_000 // tokens a second
+	firstTokenTime   = 30 * time.Millisecond
+	firstInFlight    = 64
+	leastInFlight    = 2
+	mostInFlight     = 512
+	// targetTokenTime is the time between tokens above which the batch is made
+	// smaller.
+	targetTokenTime = 60 * time.Millisecond
+	// prefillWindow is the prefill work that an upstream may hold.
+	prefillWindow = 400 * time.Millisecond
+	// leastPrefill lets an upstream take a few prompts at any rate.
+	leastPrefill = 1024 // tokens
+	// memory is the time after which an observation counts 1/e.
+	memory = 4 * time.Second
+	// growth is the part of the whole budget by which the parts of all entries
+	// together may grow in a second beyond what their views support.
+	growth = 0.5
+	// spread is what is divided evenly; the rest follows demand.
+	spread = 0.5
+)
+
+// Budget is the budget of one upstream at one entry. Its zero value is that of
+// an upstream which nothing is known of.
+type Budget struct {
+	prefill ratio // tokens over seconds
+	decode  ratio // seconds over tokens
+	limit   float64
+	part    float64
+	divided time.Time
+	adapted time.Time
+	slots   float64
+}
+
+// ratio is a quotient of two decaying sums.
+type ratio struct {
+	above, below float64
+	at           time.Time
+}
+
+func (r *ratio) add(now time.Time, above, below float64) {
+	if d := now.Sub(r.at); d > 0 {
+		keep := math.Exp(-float64(d) / float64(memory))
+		r.above *= keep
+		r.below *= keep
+		r.at = now
+	}
+	r.above += above
+	r.below += below
+}
+
+func (r *ratio) value(otherwise float64) float64 {
+	if r.below <= 0 || r.above <= 0 {
+		return otherwise
+	}
+	return r.above / r.below
+}
+
+// PrefillRate returns the observed prompt tokens a second.
+func (b *Budget) PrefillRate() float64 { return b.prefill.value(firstPrefillRate) }
+
+// TokenTime returns the observed time between two output tokens.
+func (b *Budget) TokenTime() time.Duration {
+	return time.Duration(b.decode.value(firstTokenTime.Seconds()) * float64(time.Second))
+}
+
+// FirstToken learns from a first token that took so long, with tokens of
+// prefill (its own among them) to be computed before it.
+func (b *Budget) FirstToken(now time.Time, tokens int, took time.Duration) {
+	b.prefill.add(now, float64(max(tokens, 1)), took.Seconds())
+}
+
+// Tokens learns from n output tokens that took so long.
+func (b *Budget) Tokens(now time.Time, n int, took time.Duration) {
+	if n > 0 {
+		b.decode.add(now, took.Seconds(), float64(n))
+	}
+}
+
+// Report learns the size of the batch from a load report: what waits inside the
+// upstream shows that its batch is full.
+func (b *Budget) Report(r ward.LoadReport) {
+	switch {
+	case r.Waiting > 0 && r.Running > 0:
+		b.slots = float64(r.Running)
+	case float64(r.Running) > b.slots && b.slots > 0:
+		b.slots = float64(r.Running)
+	}
+}
+
+// Adapt moves the limit of requests in flight towards what the observed time
+// between tokens supports. inFlight is the fleet's, as far as it is known.
+func (b *Budget) Adapt(now time.Time, inFlight int) {
+	const period = 250 * time.Millisecond
+	if b.limit == 0 {
+		b.limit = firstInFlight
+	}
+	if now.Sub(b.adapted) < period {
+		return
+	}
+	b.adapted = now
+	tokenTime := b.TokenTime()
+	switch {
+	case tokenTime > targetTokenTime:
+		b.limit = max(b.limit*0.95, float64(inFlight)*float64(targetTokenTime)/float64(tokenTime))
+	case float64(inFlight) > 0.8*b.limit:
+		b.limit *= 1.05
+	}
+	if b.slots > 0 {
+		b.limit = min(b.limit, b.slots)
+	}
+	b.limit = min(max(b.limit, leastInFlight), mostInFlight)
+}
+
+// Limit returns the requests that the whole fleet may have in flight.
+func (b *Budget) Limit() float64 {
+	if b.limit == 0 {
+		return firstInFlight
+	}
+	return b.limit
+}
+
+// PrefillLimit returns the prompt tokens that the whole fleet may have waiting
+// for their prefill in the upstream.
+func (b *Budget) PrefillLimit() float64 {
+	return max(leastPrefill, b.PrefillRate()*prefillWindow.Seconds())
+}
+
+// Part returns this entry's part of the budget, from 0 to 1.
+func (b *Budget) Part() float64 { return b.part }
+
+// Divide sets this entry's part from its own demand and that of all entries
+// together. A part shrinks at once and grows by at most growth/entries a
+// second: with views that are d old, all parts together stay below
+// 1 + growth*d.
+func (b *Budget) Divide(now time.Time, mine, all float64, entries int) {
+	n := float64(max(entries, 1))
+	want := 1 / n
+	if all > 0 {
+		want = spread/n + (1-spread)*min(1, mine/all)
+	}
+	if b.divided.IsZero() || n == 1 || want <= b.part {
+		b.part = want
+		b.divided = now
+		return
+	}
+	step := growth / n * now.Sub(b.divided).Seconds()
+	b.part = min(want, b.part+step)
+	b.divided = now
+}
+
+// Fits tells whether a prompt may be handed over when this entry has so many
+// requests in flight and prompt tokens waiting for prefill there.
+func (b *Budget) Fits(inFlight, prefill, prompt int) bool {
+	if inFlight == 0 {
+		return true
+	}
+	if float64(inFlight+1) > b.Limit()*b.part {
+		return false
+	}
+	return prefill == 0 || float64(prefill+prompt) <= b.PrefillLimit()*b.part
+}
+
+// FirstTokenIn returns the expected time to the first token with so many prompt
+// tokens to compute before it.
+func (b *Budget) FirstTokenIn(tokens float64) time.Duration {
+	return time.Duration(tokens / b.PrefillRate() * float64(time.Second))
+}
--- /dev/null
+++ b/internal/request/floor/floor.go
@@ -0,0 +1,142 @@
+// Package floor provides the fleet-wide shed threshold of one model or service.
+//
+// The floor is the lowest tier that is admitted. An entry that must shed a tier
+// first asks for a floor that sheds the tier below it, one step at a time, and
+// sheds the tier only after every live peer has shown that nothing lower waits
+// there any more. The floor in force is the highest-ranked one that any live
+// entry asks for, so it falls again when the last entry stops asking.
+//
+// # Usage
+//
+//	var f floor.Floor
+//	f.Hear(now, peers)
+//	if f.Shed(now, r.Tier, waiting) {
+//		// refuse r
+//	}
+//	f.Decay(now)
+//	if r.Tier > f.Level() {
+//		// refuse r: below the floor
+//	}
+//
+// While two groups of entries can't hear each other, each holds the order among
+// its own.
+package floor
+
+import (
+	"time"
+
+	"agateward/ward"
+)
+
+// Bounds of a floor.
+const (
+	// quiet is the time without a need to shed after which the floor falls by
+	// one tier; it doubles up to longestQuiet when the floor had to be raised
+	// again within flapping.
+	quiet        = 2 * time.Second
+	longestQuiet = 16 * time.Second
+	flapping     = 10 * time.Second
+	// Hold is the longest time that a request is kept waiting for the floor
+	// below it to be observed.
+	Hold = time.Second
+)
+
+// Floor is the threshold as one entry sees it. Its zero value sheds nothing.
+type Floor struct {
+	// steps are counted from ward.TierBottom upwards; 0 sheds nothing.
+	need    int
+	peers   int
+	pressed time.Time
+	fell    time.Time
+	quiet   time.Duration
+	// lowest is the lowest tier that waits at any live peer, highest the floor of
+	// the peer that admits most.
+	lowest  ward.Tier
+	highest ward.Tier
+}
+
+// Hear takes the newest states of the live peers.
+func (f *Floor) Hear(peers []ward.ServesFloor) {
+	f.peers = 0
+	f.lowest = 0
+	f.highest = 0
+	for i := range peers {
+		p := &peers[i]
+		f.peers = max(f.peers, steps(p.Need))
+		f.highest = max(f.highest, p.Floor)
+		for t := ward.TierBottom; t >= ward.TierTop; t-- {
+			if p.Waiting[t-ward.TierTop] > 0 {
+				f.lowest = max(f.lowest, t)
+				break
+			}
+		}
+	}
+}
+
+// Need returns the floor that this entry asks for.
+func (f *Floor) Need() ward.Tier { return ward.TierBottom - ward.Tier(f.need) }
+
+// Level returns the floor in force: a request of a lower tier is shed.
+func (f *Floor) Level() ward.Tier { return ward.TierBottom - ward.Tier(max(f.need, f.peers)) }
+
+// Shed tells whether a request of a tier may be shed for want of capacity. If
+// not yet, the entry asks for the next step of the floor. waiting counts this
+// entry's waiting requests by tier.
+func (f *Floor) Shed(now time.Time, tier ward.Tier, waiting [ward.TierCount]int) bool {
+	f.pressed = now
+	if tier >= ward.TierBottom {
+		return true
+	}
+	level := f.Level()
+	if level <= tier {
+		f.need = max(f.need, steps(tier))
+		return f.observed(tier, waiting)
+	}
+	if f.observed(level, waiting) {
+		f.raise(now, steps(level)+1)
+	}
+	return f.Level() <= tier && f.observed(tier, waiting)
+}
+
+// Decay lowers this entry's own need by a step after a quiet time, and tells
+// whether it changed.
+func (f *Floor) Decay(now time.Time) bool {
+	if f.need == 0 || now.Sub(f.pressed) < max(f.quiet, quiet) {
+		return false
+	}
+	f.need--
+	f.pressed = now
+	f.fell = now
+	return true
+}
+
+// raise asks for a higher floor, and makes the next fall slower when the last
+// one was too early.
+func (f *Floor) raise(now time.Time, n int) {
+	if n <= f.need {
+		return
+	}
+	f.need = n
+	if !f.fell.IsZero() && now.Sub(f.fell) < flapping {
+		f.quiet = min(2*max(f.quiet, quiet), longestQuiet)
+		return
+	}
+	f.quiet = quiet
+}
+
+// observed tells whether nothing below tier waits or is admitted anywhere.
+func (f *Floor) observed(tier ward.Tier, waiting [ward.TierCount]int) bool {
+	for t := tier + 1; t <= ward.TierBottom; t++ {
+		if waiting[t-ward.TierTop] > 0 {
+			return false
+		}
+	}
+	return f.lowest <= tier && f.highest <= tier
+}
+
+func steps(t ward.Tier) int {
+	if t < ward.TierTop || t > ward.TierBottom {
+		return 0
+	}
+	return int(ward.TierBottom - t)
+}
--- /dev/null
+++ b/internal/request/scheduler/scheduler_test.go
@@ -0,0 +1,148 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"agateward/internal/request/scheduler"
+	"agateward/internal/result/code"
+	"agateward/ward"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// config returns a configuration of n engines of version v1 and one of v2.
+func config(n int) *ward.Config {
+	c := &ward.Config{Fleet: "test", Revision: 1}
+	for i := range n {
+		c.Upstreams = append(c.Upstreams, ward.Upstream{
+			Name: fmt.Sprintf("e%d", i), Kind: ward.KindEngine, Serves: "m", Version: "v1",
+		})
+	}
+	c.Upstreams = append(c.Upstreams, ward.Upstream{Name: "new", Kind: ward.KindEngine, Serves: "m", Version: "v2"})
+	c.Routes = []ward.Route{{Name: "chat", Kind: ward.KindEngine, Serves: "m", Version: "v1", Tier: 2}}
+	return c
+}
+
+func request(id string, tier ward.Tier, now time.Time) *ward.Request {
+	return &ward.Request{
+		ID: id, Team: "a", Tier: tier, Route: "chat", Kind: ward.KindEngine, Serves: "m",
+		Arrived: now, Deadline: now.Add(20 * time.Second), PromptTokens: 400, ExpectOutput: 50,
+	}
+}
+
+func TestDispatchOrderAndCapacity(t *testing.T) {
+	s := scheduler.New(scheduler.Settings{Self: "a"}, 1)
+	s.Configure(start, config(1))
+	sent := 0
+	for i := range 200 {
+		for _, a := range s.Arrive(start, request(fmt.Sprint("low", i), 4, start)) {
+			if a.Kind == scheduler.Dispatch {
+				sent++
+			}
+		}
+	}
+	if sent == 0 || sent > 64 {
+		t.Fatalf("dispatched %d at once, want some and no more than the first limit of 64", sent)
+	}
+	s.Arrive(start, request("top", 1, start))
+	// Room for one is made: the top tier goes next.
+	now := start.Add(40 * time.Millisecond)
+	s.FirstToken(now, "low0")
+	for _, a := range s.End(now, "low0", ward.Outcome{OK: true, Connected: true, OutputTokens: 50}) {
+		if a.Kind == scheduler.Dispatch {
+			if a.ID != "top" {
+				t.Fatalf("dispatched %s before the top tier", a.ID)
+			}
+			return
+		}
+	}
+	t.Fatal("nothing was dispatched when room was made")
+}
+
+func TestBrakeAndShare(t *testing.T) {
+	s := scheduler.New(scheduler.Settings{Self: "a"}, 1)
+	s.Configure(start, config(2))
+	split := ward.Split{Route: "chat", Version: "v1", Next: "v2", Move: "m1", Share: 1, MaxInFlight: 2}
+	s.Splits(start, []ward.Split{split})
+	onNew := 0
+	for i := range 10 {
+		for _, a := range s.Arrive(start, request(fmt.Sprint("r", i), 2, start)) {
+			if a.Upstream.Version == "v2" {
+				onNew++
+			}
+		}
+	}
+	if onNew != 2 {
+		t.Fatalf("%d requests in flight on the next version, want its bound of 2", onNew)
+	}
+	split.MaxInFlight = 0
+	split.Braked = []string{"v2"}
+	s.Splits(start, []ward.Split{split})
+	for i := range 10 {
+		for _, a := range s.Arrive(start, request(fmt.Sprint("after", i), 2, start)) {
+			if a.Upstream.Version == "v2" {
+				t.Fatal("dispatched to a braked version")
+			}
+		}
+	}
+}
+
+func TestRetryOnlyWithoutConnection(t *testing.T) {
+	cases := []struct {
+		name      string
+		connected bool
+		want      scheduler.ActionKind
+	}{
+		{"never connected", false, scheduler.Dispatch},
+		{"connected", true, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := scheduler.New(scheduler.Settings{Self: "a"}, 1)
+			s.Configure(start, config(2))
+			first := s.Arrive(start, request("r", 1, start))
+			if len(first) != 1 || first[0].Kind != scheduler.Dispatch {
+				t.Fatalf("arrive: %+v, want one dispatch", first)
+			}
+			acts := s.End(start, "r", ward.Outcome{Connected: c.connected})
+			acts = append(acts, s.Tick(start.Add(time.Second))...)
+			if c.want == 0 {
+				if len(acts) != 0 {
+					t.Fatalf("acted on an ended request: %+v", acts)
+				}
+				return
+			}
+			if len(acts) != 1 || acts[0].Kind != c.want || acts[0].Upstream.Name == first[0].Upstream.Name {
+				t.Fatalf("got %+v, want a dispatch to the other upstream", acts)
+			}
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	s := scheduler.New(scheduler.Settings{Self: "a"}, 1)
+	s.Configure(start, config(1))
+	late := request("late", 1, start)
+	late.Deadline = start.Add(10 * time.Millisecond)
+	unknown := request("unknown", 1, start)
+	unknown.Route = "none"
+	cases := []struct {
+		r    *ward.Request
+		want code.Code
+	}{
+		{late, code.DeadlineUnreachable},
+		{unknown, code.UnknownRoute},
+	}
+	for _, c := range cases {
+		acts := s.Arrive(start, c.r)
+		if len(acts) != 1 || acts[0].Kind != scheduler.Refuse || acts[0].Code.Number != c.want.Number {
+			t.Errorf("%s: got %+v, want %s", c.r.ID, acts, c.want)
+		}
+	}
+	s.Stop(start)
+	if acts := s.Arrive(start, request("r", 1, start)); acts[0].Code.Number != code.Stopping.Number {
+		t.Errorf("while stopping: got %+v", acts)
+	}
+}
--- /dev/null
+++ b/internal/request/scheduler/state.go
@@ -0,0 +1,102 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"agateward/ward"
+)
+
+// State is what an entry tells its peers and its operators.
+type State struct {
+	// Floor is the highest-ranked floor in force for any model or service,
+	// Floors those that are not at rest.
+	Floor   ward.Tier
+	Floors  []ward.ServesFloor
+	Waiting [ward.TierCount]int
+	Running int
+	Demand  []ward.Demand
+	// Upstreams is the view of each upstream, by name.
+	Upstreams []UpstreamState
+}
+
+// UpstreamState is the view of one upstream, with the reason of its state.
+type UpstreamState struct {
+	Name     string
+	Version  string
+	Usable   bool
+	Reason   string
+	InFlight int
+	Others   int
+	Prefill  int
+	// Limit is the fleet's bound of requests in flight, Part this entry's part.
+	Limit       float64
+	Part        float64
+	PrefillRate float64
+	TokenTime   time.Duration
+}
+
+// State returns the state as of the last call.
+func (s *Scheduler) State() State {
+	st := State{Floor: ward.TierBottom}
+	for _, p := range s.order {
+		for i, n := range p.queue.Waiting() {
+			st.Waiting[i] += n
+		}
+	}
+	for _, u := range s.upstreams {
+		st.Running += u.inFlight
+		st.Upstreams = append(st.Upstreams, s.upstreamState(u))
+	}
+	for serves, f := range s.floors {
+		st.Floor = min(st.Floor, f.Level())
+		waiting := s.waitingFor(serves)
+		if f.Level() == ward.TierBottom && waiting == ([ward.TierCount]int{}) {
+			continue
+		}
+		st.Floors = append(st.Floors, ward.ServesFloor{Serves: serves, Need: f.Need(), Floor: f.Level(), Waiting: waiting})
+	}
+	st.Demand = s.demands()
+	slices.SortFunc(st.Upstreams, func(a, b UpstreamState) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(st.Floors, func(a, b ward.ServesFloor) int { return strings.Compare(a.Serves, b.Serves) })
+	return st
+}
+
+// demands lists the upstreams that this entry uses or wants, by name.
+func (s *Scheduler) demands() []ward.Demand {
+	var out []ward.Demand
+	for _, p := range s.order {
+		if len(p.upstreams) == 0 {
+			continue
+		}
+		waiting := int(p.queue.Cost()) / len(p.upstreams)
+		for _, u := range p.upstreams {
+			if u.inFlight == 0 && waiting == 0 {
+				continue
+			}
+			out = append(out, ward.Demand{Upstream: u.cfg.Name, InFlight: u.inFlight, Prefill: u.prefill, Waiting: waiting})
+		}
+	}
+	slices.SortFunc(out, func(a, b ward.Demand) int { return strings.Compare(a.Upstream, b.Upstream) })
+	return out
+}
+
+func (s *Scheduler) upstreamState(u *upstream) UpstreamState {
+	st := UpstreamState{
+		Name: u.cfg.Name, Version: u.cfg.Version, Usable: u.usable(), Reason: "takes work",
+		InFlight: u.inFlight, Others: u.othersFlight, Prefill: u.prefill,
+		Limit: u.budget.Limit(), Part: u.budget.Part(),
+		PrefillRate: u.budget.PrefillRate(), TokenTime: u.budget.TokenTime(),
+	}
+	switch {
+	case u.draining, u.cfg.Leaving:
+		st.Reason = "leaving by ticket or list"
+	case u.report.Leaving:
+		st.Reason = "leaving by its own word"
+	case u.breaker.Open():
+		st.Usable = false
+		st.Reason = "connections failed; the breaker is open"
+	}
+	return st
+}
--- a/ward/peer.go
+++ b/ward/peer.go
@@ -59,6 +59,17 @@
 	Waiting  int `json:"waiting"`
 }
 
+// ServesFloor is the shedding state of one model or service at one entry.
+type ServesFloor struct {
+	Serves string `json:"serves"`
+	// Need is the floor that the entry itself asks for, Floor the one in force
+	// there: requests of a tier below it are shed.
+	Need  Tier `json:"need"`
+	Floor Tier `json:"floor"`
+	// Waiting counts the entry's waiting requests by tier, from TierTop.
+	Waiting [TierCount]int `json:"waiting"`
+}
+
 // PeerState is what one entry tells others about itself. Seq grows with every
 // change of it within one incarnation.
 type PeerState struct {
@@ -75,7 +86,9 @@
 	// Waiting counts its waiting requests by tier, from TierTop.
 	Floor   Tier           `json:"floor"`
 	Waiting [TierCount]int `json:"waiting"`
-	Demand  []Demand       `json:"demand,omitempty"`
+	// Floors holds the floors by model or service, those at rest left out.
+	Floors []ServesFloor `json:"floors,omitempty"`
+	Demand []Demand      `json:"demand,omitempty"`
 }
 
 // Exchange is one message between two entries, in both directions.
