feat(ticket): read, check, fold and accept change tickets

Cause: the operators' surface needs tickets that are checked whole and accepted by one compare-and-swap.

--- /dev/null
+++ b/internal/ticket/document/check.go
@@ -0,0 +1,207 @@
+package document
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+	"time"
+
+	"agateward/internal/ticket/fold"
+	"agateward/ward"
+)
+
+const (
+	// MinWindow is the shortest time from now, or from a move's start, to its
+	// deadline.
+	MinWindow = 5 * time.Second
+	// maxName bounds the length of a name in bytes.
+	maxName = 100
+	// maxGeneration bounds the hardware generation.
+	maxGeneration = 100
+)
+
+var nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]*$`)
+
+// checker collects faults.
+type checker struct{ faults []Fault }
+
+func (k *checker) add(key, format string, args ...any) {
+	k.faults = append(k.faults, Fault{Key: key, Text: fmt.Sprintf(format, args...)})
+}
+
+// Check returns all faults of t against the configuration c in force at now. A
+// nil c checks the ticket by itself.
+func Check(t ward.Ticket, c *ward.Config, now time.Time) []Fault {
+	k := &checker{}
+	if t.Number == 0 {
+		k.add("number", "give a number from 1 up that no ticket has yet")
+	}
+	if strings.TrimSpace(t.Operator) == "" {
+		k.add("operator", "name who hands in the ticket")
+	}
+	if len(t.Upstreams)+len(t.Routes)+len(t.Teams)+len(t.Moves) == 0 {
+		k.add("", "the ticket changes nothing; give upstreams, routes, teams or moves")
+	}
+	k.upstreams(t.Upstreams)
+	k.routes(t.Routes)
+	k.teams(t.Teams)
+	k.moves(t.Moves, now)
+	if c == nil || len(k.faults) > 0 {
+		return k.faults
+	}
+	next, err := fold.Fold(*c, t, "", now)
+	if err != nil {
+		// The number and the size have codes of their own; acceptance reports them.
+		return nil
+	}
+	refs := references{checker: k, ticket: t, before: *c, after: next, now: now}
+	refs.check()
+	return k.faults
+}
+
+// object checks what all objects share and tells whether the rest of the
+// object is to be checked.
+func (k *checker) object(at, name string, ticket uint64, removed bool, seen map[string]bool) bool {
+	k.name(at+".name", name)
+	if seen[name] {
+		k.add(at+".name", "%q stands twice in the ticket; keep one", name)
+	}
+	seen[name] = true
+	if ticket != 0 {
+		k.add(at+".ticket", "leave the key out; it is set when the ticket is accepted")
+	}
+	return !removed
+}
+
+func (k *checker) name(at, name string) {
+	switch {
+	case name == "":
+		k.add(at, "give a name")
+	case len(name) > maxName || !nameForm.MatchString(name):
+		k.add(at, "%q: use up to %d letters, digits, '.', '_', ':' and '-', a letter or digit first", name, maxName)
+	}
+}
+
+func (k *checker) kind(at string, kind ward.UpstreamKind) {
+	if kind != ward.KindEngine && kind != ward.KindService {
+		k.add(at, "%q: allowed are %q and %q", kind, ward.KindEngine, ward.KindService)
+	}
+}
+
+func (k *checker) tier(at string, tier ward.Tier, optional bool) {
+	if tier == 0 && optional {
+		return
+	}
+	if tier < ward.TierTop || tier > ward.TierBottom {
+		k.add(at, "%d: allowed are %d (shed last) to %d", tier, ward.TierTop, ward.TierBottom)
+	}
+}
+
+func (k *checker) atLeast(at string, v, bound int) {
+	if v < bound {
+		k.add(at, "%d: give a number from %d up", v, bound)
+	}
+}
+
+func (k *checker) upstreams(list []ward.Upstream) {
+	seen := map[string]bool{}
+	for i, u := range list {
+		at := fmt.Sprintf("upstreams[%d]", i)
+		if !k.object(at, u.Name, u.Ticket, u.Removed, seen) {
+			continue
+		}
+		k.kind(at+".kind", u.Kind)
+		k.name(at+".serves", u.Serves)
+		k.name(at+".version", u.Version)
+		k.name(at+".data-centre", u.DataCentre)
+		if a, err := netip.ParseAddrPort(u.Address); err != nil || a.Port() == 0 {
+			k.add(at+".address", "%q: give an IP number with a port, such as 10.1.2.3:8000; host names are not allowed", u.Address)
+		}
+		if u.Generation < 0 || u.Generation > maxGeneration {
+			k.add(at+".generation", "%d: give a number from 1 to %d", u.Generation, maxGeneration)
+		}
+	}
+}
+
+func (k *checker) routes(list []ward.Route) {
+	seen := map[string]bool{}
+	for i, r := range list {
+		at := fmt.Sprintf("routes[%d]", i)
+		if !k.object(at, r.Name, r.Ticket, r.Removed, seen) {
+			continue
+		}
+		k.kind(at+".kind", r.Kind)
+		k.name(at+".serves", r.Serves)
+		k.name(at+".version", r.Version)
+		k.tier(at+".tier", r.Tier, false)
+		k.tier(at+".max-tier", r.MaxTier, true)
+		if r.MaxTier != 0 && r.MaxTier > r.Tier {
+			k.add(at+".max-tier", "%d is below the route's own tier %d; give %d or a smaller number", r.MaxTier, r.Tier, r.Tier)
+		}
+		if r.Deadline <= 0 {
+			k.add(at+".deadline", `give a time above 0, such as "30s"`)
+		}
+		if r.FirstToken < 0 || r.FirstToken > r.Deadline {
+			k.add(at+".first-token", "%s: give a time from 0 up to the deadline %s", r.FirstToken, r.Deadline)
+		}
+		k.atLeast(at+".max-output", r.MaxOutput, 0)
+		k.calls(at, r)
+	}
+}
+
+// calls checks the fields that only routes to services have.
+func (k *checker) calls(at string, r ward.Route) {
+	for j, m := range r.Methods {
+		if m == "" || m != strings.ToUpper(m) {
+			k.add(fmt.Sprintf("%s.methods[%d]", at, j), "%q: give a method in capitals, such as POST", m)
+		}
+	}
+	if r.PathPrefix != "" && !strings.HasPrefix(r.PathPrefix, "/") {
+		k.add(at+".path-prefix", "%q: begin with a slash", r.PathPrefix)
+	}
+	if r.Kind == ward.KindEngine && (r.PathPrefix != "" || len(r.Methods) > 0) {
+		k.add(at+".path-prefix", "an engine's route has no path-prefix and no methods")
+	}
+}
+
+func (k *checker) teams(list []ward.Team) {
+	seen := map[string]bool{}
+	for i, t := range list {
+		at := fmt.Sprintf("teams[%d]", i)
+		if !k.object(at, t.Name, t.Ticket, t.Removed, seen) {
+			continue
+		}
+		k.atLeast(at+".weight", t.Weight, 0)
+		k.atLeast(at+".tokens-per-second", t.TokensPerSecond, 0)
+		k.atLeast(at+".in-flight", t.InFlight, 0)
+		k.tier(at+".max-tier", t.MaxTier, true)
+		if b, err := hex.DecodeString(t.KeyHash); t.KeyHash != "" && (err != nil || len(b) != 32) {
+			k.add(at+".key-hash", "give the SHA-256 of the key as 64 hex digits")
+		}
+	}
+}
+
+func (k *checker) moves(list []ward.Move, now time.Time) {
+	seen := map[string]bool{}
+	for i, m := range list {
+		at := fmt.Sprintf("moves[%d]", i)
+		if !k.object(at, m.Name, m.Ticket, m.Removed, seen) {
+			continue
+		}
+		k.name(at+".serves", m.Serves)
+		k.name(at+".from", m.From)
+		k.name(at+".to", m.To)
+		if m.From == m.To && m.To != "" {
+			k.add(at+".to", "%q is also the version to move from; give another one", m.To)
+		}
+		begin := now
+		if m.Start.After(now) {
+			begin = m.Start
+		}
+		if !m.Cancelled && m.Deadline.Before(begin.Add(MinWindow)) {
+			k.add(at+".deadline", "give a time at least %s after now and after the start", MinWindow)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ticket/document/document.go
@@ -0,0 +1,122 @@
+// Package document reads a change ticket and checks it whole.
+//
+// A ticket is JSON with comments and kebab-case keys. It carries the whole new
+// state of each object that it names. All faults are found at once, each with
+// its line, its key and what is allowed, so that an operator corrects a ticket
+// in one go.
+//
+// # Usage
+//
+//	t, faults := document.Parse(b)
+//	if len(faults) > 0 {
+//		return document.Error(code.TicketSyntax, faults)
+//	}
+//	faults = document.Check(t, &cfg, now)
+//	if len(faults) > 0 {
+//		return document.Error(code.TicketInvalid, document.Locate(b, faults))
+//	}
+//
+// Keys of faults are paths such as "upstreams[0].address".
+package document
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"agateward/internal/result/code"
+	"agateward/ward"
+
+	"github.com/tailscale/hujson"
+)
+
+// MaxBytes bounds the size of a ticket.
+const MaxBytes = 256 << 10
+
+// Fault is one thing to correct in a ticket.
+type Fault struct {
+	// Line counts from 1; 0 means that it is not known.
+	Line int `json:"line,omitempty"`
+	// Key is the path of the value, such as "upstreams[0].address".
+	Key string `json:"key,omitempty"`
+	// Text says what is wrong and what is allowed.
+	Text string `json:"text"`
+}
+
+// String returns the fault as it is printed.
+func (f Fault) String() string {
+	var b strings.Builder
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", f.Line)
+	}
+	if f.Key != "" {
+		b.WriteString(f.Key + ": ")
+	}
+	b.WriteString(f.Text)
+	return b.String()
+}
+
+// Error returns one error of code c with all faults, one a line, and nil when
+// there are none.
+func Error(c code.Code, faults []Fault) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = f.String()
+	}
+	return c.New("%s", strings.Join(lines, "\n"))
+}
+
+// Parse reads a ticket. The faults are those of syntax: text that is no JSON
+// with comments, unknown or repeated keys, and values of a wrong kind.
+func Parse(b []byte) (ward.Ticket, []Fault) {
+	var t ward.Ticket
+	if len(b) > MaxBytes {
+		return t, []Fault{{Text: fmt.Sprintf("a ticket has at most %d bytes; split it", MaxBytes)}}
+	}
+	v, err := hujson.Parse(b)
+	if err != nil {
+		return t, []Fault{syntaxFault(err)}
+	}
+	w := walker{text: b}
+	w.walk(&v, reflect.TypeFor[ward.Ticket](), "")
+	if len(w.faults) > 0 {
+		return t, w.faults
+	}
+	v.Standardize()
+	if err := json.Unmarshal(v.Pack(), &t); err != nil {
+		return t, []Fault{{Text: err.Error()}}
+	}
+	return t, nil
+}
+
+// Locate fills in the lines of faults that Check found in the ticket b, and
+// sorts by them.
+func Locate(b []byte, faults []Fault) []Fault {
+	v, err := hujson.Parse(b)
+	if err != nil {
+		return faults
+	}
+	w := walker{text: b, lines: map[string]int{}}
+	w.walk(&v, reflect.TypeFor[ward.Ticket](), "")
+	located := make([]Fault, len(faults))
+	for i, f := range faults {
+		f.Line = w.lineOf(f.Key)
+		located[i] = f
+	}
+	slices.SortStableFunc(located, func(a, b Fault) int { return a.Line - b.Line })
+	return located
+}
+
+func syntaxFault(err error) Fault {
+	f := Fault{Text: strings.TrimPrefix(err.Error(), "hujson: ")}
+	var column int
+	if n, _ := fmt.Sscanf(f.Text, "line %d, column %d:", &f.Line, &column); n == 2 {
+		_, f.Text, _ = strings.Cut(f.Text, ": ")
+	}
+	return f
+}
--- /dev/null
+++ b/internal/ticket/fold/fold.go
@@ -0,0 +1,166 @@
+// Package fold puts a ticket into the folded configuration and shows what it
+// changes.
+//
+// The configuration is the whole state that accepted tickets have put in force.
+// Each object carries the number of the ticket that set it, and a ticket whose
+// number is not above the one in force for every object that it touches is
+// refused, so that nothing accepted reverts. An object that is removed leaves a
+// tombstone with the number. Tombstones are bounded: the oldest ones give way
+// to Config.NumberFloor, below which no new object is accepted.
+//
+// # Usage
+//
+//	next, err := fold.Fold(current, ticket, attempt, now)
+//	for _, line := range fold.Diff(current, next) {
+//		fmt.Println(line)
+//	}
+//
+// Fold does not check what the objects say; package document does.
+package fold
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+
+	"agateward/internal/result/code"
+	"agateward/ward"
+)
+
+const (
+	// MaxConfigBytes bounds the folded configuration as JSON. A value of the
+	// store holds one megabyte.
+	MaxConfigBytes = 900_000
+	// MaxTombstones bounds the list of removed objects.
+	MaxTombstones = 1000
+	// MaxRecent bounds the index of accepted tickets.
+	MaxRecent = 128
+)
+
+// Kinds of object in a tombstone.
+const (
+	kindUpstream = "upstream"
+	kindRoute    = "route"
+	kindTeam     = "team"
+	kindMove     = "move"
+)
+
+// meta are the fields that all objects share.
+type meta struct {
+	name    string
+	ticket  *uint64
+	removed bool
+}
+
+func upstreamMeta(u *ward.Upstream) meta { return meta{u.Name, &u.Ticket, u.Removed} }
+func routeMeta(r *ward.Route) meta       { return meta{r.Name, &r.Ticket, r.Removed} }
+func teamMeta(t *ward.Team) meta         { return meta{t.Name, &t.Ticket, t.Removed} }
+func moveMeta(m *ward.Move) meta         { return meta{m.Name, &m.Ticket, m.Removed} }
+
+// Fold returns the configuration that c becomes when t is accepted at now by
+// the submission attempt. It leaves c as it is.
+func Fold(c ward.Config, t ward.Ticket, attempt string, now time.Time) (ward.Config, error) {
+	f := folder{number: t.Number, tombstones: slices.Clone(c.Tombstones), floor: c.NumberFloor}
+	next := c
+	next.Upstreams = merge(&f, kindUpstream, c.Upstreams, t.Upstreams, upstreamMeta)
+	next.Routes = merge(&f, kindRoute, c.Routes, t.Routes, routeMeta)
+	next.Teams = merge(&f, kindTeam, c.Teams, t.Teams, teamMeta)
+	next.Moves = merge(&f, kindMove, c.Moves, t.Moves, moveMeta)
+	if len(f.low) > 0 {
+		return c, code.NumberTooLow.New("number %d is not above the number in force for %s", t.Number, strings.Join(f.low, ", "))
+	}
+	next.Tombstones, next.NumberFloor = f.prune()
+	next.Revision = c.Revision + 1
+	next.Ticket = t.Number
+	next.Attempt = attempt
+	next.Accepted = now
+	next.Recent = recent(c.Recent, ward.AcceptedTicket{
+		Number: t.Number, Revision: next.Revision, Attempt: attempt, Accepted: now, Operator: t.Operator,
+	})
+	b, err := json.Marshal(next)
+	if err != nil {
+		return c, code.Internal.Wrap(err, "encode the configuration")
+	}
+	if len(b) > MaxConfigBytes {
+		return c, code.ConfigTooLarge.New("the configuration would take %d bytes of at most %d", len(b), MaxConfigBytes)
+	}
+	return next, nil
+}
+
+func recent(have []ward.AcceptedTicket, a ward.AcceptedTicket) []ward.AcceptedTicket {
+	list := append([]ward.AcceptedTicket{a}, have...)
+	return list[:min(len(list), MaxRecent)]
+}
+
+// folder collects what the merges of the four lists share.
+type folder struct {
+	number     uint64
+	floor      uint64
+	tombstones []ward.Tombstone
+	low        []string
+}
+
+// inForce returns the number that a ticket must be above to set an object that
+// is not in the configuration, and drops its tombstone.
+func (f *folder) inForce(kind, name string) uint64 {
+	i := slices.IndexFunc(f.tombstones, func(t ward.Tombstone) bool { return t.Kind == kind && t.Name == name })
+	if i < 0 {
+		return f.floor
+	}
+	n := f.tombstones[i].Ticket
+	f.tombstones = slices.Delete(f.tombstones, i, i+1)
+	return max(n, f.floor)
+}
+
+// prune drops the lowest numbers beyond MaxTombstones and raises the floor to
+// them.
+func (f *folder) prune() ([]ward.Tombstone, uint64) {
+	slices.SortStableFunc(f.tombstones, func(a, b ward.Tombstone) int {
+		switch {
+		case a.Ticket > b.Ticket:
+			return -1
+		case a.Ticket < b.Ticket:
+			return 1
+		}
+		return strings.Compare(a.Kind+a.Name, b.Kind+b.Name)
+	})
+	if len(f.tombstones) > MaxTombstones {
+		f.floor = max(f.floor, f.tombstones[MaxTombstones].Ticket)
+		f.tombstones = f.tombstones[:MaxTombstones]
+	}
+	return f.tombstones, f.floor
+}
+
+// merge returns have with the objects of in put in, sorted by name.
+func merge[T any](f *folder, kind string, have, in []T, of func(*T) meta) []T {
+	list := slices.Clone(have)
+	for _, x := range in {
+		m := of(&x)
+		i := slices.IndexFunc(list, func(y T) bool { return of(&y).name == m.name })
+		var inForce uint64
+		if i >= 0 {
+			inForce = *of(&list[i]).ticket
+		} else {
+			inForce = f.inForce(kind, m.name)
+		}
+		if f.number <= inForce {
+			f.low = append(f.low, kind+" "+m.name)
+			continue
+		}
+		*m.ticket = f.number
+		switch {
+		case m.removed:
+			if i >= 0 {
+				list = slices.Delete(list, i, i+1)
+			}
+			f.tombstones = append(f.tombstones, ward.Tombstone{Kind: kind, Name: m.name, Ticket: f.number})
+		case i >= 0:
+			list[i] = x
+		default:
+			list = append(list, x)
+		}
+	}
+	slices.SortFunc(list, func(a, b T) int { return strings.Compare(of(&a).name, of(&b).name) })
+	return list
+}
--- a/ward/config.go
+++ b/ward/config.go
@@ -38,6 +38,30 @@
 	Routes    []Route    `json:"routes"`
 	Teams     []Team     `json:"teams"`
 	Moves     []Move     `json:"moves"`
+	// Tombstones keep the ticket number of objects that were removed, so that a
+	// lower-numbered ticket cannot bring one back. Numbers up to NumberFloor are
+	// refused for any object that is not in the configuration.
+	Tombstones  []Tombstone `json:"tombstones,omitempty"`
+	NumberFloor uint64      `json:"number-floor,omitempty"`
+	// Recent lists the tickets accepted last, the newest first.
+	Recent []AcceptedTicket `json:"recent,omitempty"`
+}
+
+// Tombstone is the number of the ticket that removed an object.
+type Tombstone struct {
+	// Kind is "upstream", "route", "team" or "move".
+	Kind   string `json:"kind"`
+	Name   string `json:"name"`
+	Ticket uint64 `json:"ticket"`
+}
+
+// AcceptedTicket is one line of the index of accepted tickets.
+type AcceptedTicket struct {
+	Number   uint64    `json:"number"`
+	Revision uint64    `json:"revision"`
+	Attempt  string    `json:"attempt"`
+	Accepted time.Time `json:"accepted"`
+	Operator string    `json:"operator,omitempty"`
 }
 
 // Upstream is the configuration of one replica of a model or service.
@@ -129,7 +153,8 @@
 	Start time.Time `json:"start,omitzero"`
 	// Deadline is when the whole traffic is on To, or back on From.
 	Deadline time.Time `json:"deadline"`
-	// Load lists the upstreams that get an order to load To before the move.
+	// Load lists the engines at version To that get an order to load it before
+	// the first step.
 	Load []string `json:"load,omitempty"`
 	// Cancelled asks for the move to be taken back.
 	Cancelled bool `json:"cancelled,omitempty"`
