--- /dev/null
+++ b/internal/upstream/engine/engine.go
@@ -0,0 +1,111 @@
+// Package engine reaches model engines over HTTP: OpenAI-compatible calls with
+// JSON or server-sent events, load reports, cache events and orders.
+//
+// Beside the customary protocol an engine echoes the field Agateward-Request.
+// One that can continue a stream from an offset echoes Agateward-Resume too.
+//
+// # Usage
+//
+//	var e engine.Engine
+//	a, err := e.Dispatch(ctx, upstream, request, 0)
+//	if err != nil {
+//		return err
+//	}
+//	defer a.Close()
+//
+// It implements ward.Backend. Nothing but the relay may call Dispatch.
+package engine
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+
+	"agateward/internal/result/code"
+	"agateward/internal/upstream/answer"
+	"agateward/internal/upstream/transport"
+	"agateward/ward"
+)
+
+// Paths of the control interface.
+const (
+	LoadPath        = "/agateward/load"
+	CacheEventsPath = "/agateward/cache-events"
+	OrdersPath      = "/agateward/orders"
+)
+
+// DefaultFirst bounds an answer that is no stream, in bytes.
+const DefaultFirst = 8 << 20
+
+// Engine reaches model engines. Its zero value is ready to use.
+type Engine struct {
+	Transport transport.Transport
+	Limits    answer.Limits
+}
+
+// Dispatch hands r to the engine.
+func (e *Engine) Dispatch(ctx context.Context, u ward.Upstream, r *ward.Request, resume int) (ward.Answer, error) {
+	c := transport.Call{Address: u.Address, ID: r.ID, Method: r.Method, Path: r.Path, Body: r.Body, Resume: transport.NoResume}
+	c.IdempotencyKey = r.IdempotencyKey
+	c.Header = r.Header.Clone()
+	if c.Header == nil {
+		c.Header = http.Header{}
+	}
+	// Events are read here, so they must come as plain text.
+	c.Header.Set("Accept-Encoding", "identity")
+	if r.Stream {
+		c.Resume = resume
+	}
+	reply, err := e.Transport.Send(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	limits := e.Limits
+	if limits.First == 0 {
+		limits.First = DefaultFirst
+	}
+	return &answer.Answer{Reply: reply, Limits: limits, Model: true, Resume: resume}, nil
+}
+
+// Report reads the engine's load report.
+func (e *Engine) Report(ctx context.Context, u ward.Upstream) (ward.LoadReport, error) {
+	var l ward.LoadReport
+	err := e.get(ctx, u, LoadPath, &l)
+	l.Upstream = u.Name
+	return l, err
+}
+
+// CacheEvents returns the engine's cache events after a sequence number.
+func (e *Engine) CacheEvents(ctx context.Context, u ward.Upstream, after uint64) ([]ward.CacheEvent, error) {
+	var events []ward.CacheEvent
+	err := e.get(ctx, u, CacheEventsPath+"?after="+strconv.FormatUint(after, 10), &events)
+	return events, err
+}
+
+func (e *Engine) get(ctx context.Context, u ward.Upstream, path string, out any) error {
+	status, err := e.Transport.Control(ctx, transport.Call{Address: u.Address, ID: "control", Method: http.MethodGet, Path: path}, nil, out)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return code.UpstreamFailed.New("%s of %s: status %d", path, u.Name, status)
+	}
+	return nil
+}
+
+// Order gives an order. It is sent at most once.
+func (e *Engine) Order(ctx context.Context, u ward.Upstream, o ward.Order) error {
+	status, err := e.Transport.Control(ctx, transport.Call{Address: u.Address, ID: o.ID, Method: http.MethodPost, Path: OrdersPath}, o, nil)
+	switch {
+	case errors.Is(err, ward.ErrNotConnected):
+		return err
+	case err != nil:
+		return errors.Join(ward.ErrOutcomeUnknown, err)
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusConflict:
+		return ward.ErrConflict
+	}
+	return code.UpstreamFailed.New("order %s to %s: status %d", o.Kind, u.Name, status)
+}
--- /dev/null
+++ b/internal/upstream/header/header.go
@@ -0,0 +1,93 @@
+// Package header keeps the header fields of one hop from leaking into the next:
+// hop-by-hop fields, fields named in Connection, and the internal fields of
+// this system are removed in both directions.
+//
+// A caller could otherwise set an internal field of its own, or name an
+// end-to-end field in Connection so that one side acts on it and the other does
+// not.
+//
+// # Usage
+//
+//	var f header.Filter
+//	r.Header = f.Request(req.Header)  // caller to upstream
+//	h := f.Answer(res.Header)         // upstream to caller
+//
+// Both return a copy. Internal fields are set by the adapters alone, after the
+// filter.
+package header
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+)
+
+// Internal fields between an entry and an upstream.
+const (
+	// Prefix starts the name of every internal field.
+	Prefix = "Agateward-"
+	// RequestID carries the request's id; the upstream echoes it.
+	RequestID = "Agateward-Request"
+	// Resume carries the number of output tokens that the caller already has. An
+	// engine that can continue from there echoes it.
+	Resume = "Agateward-Resume"
+)
+
+// IdempotencyKey is the customary field of a caller's idempotency key.
+const IdempotencyKey = "Idempotency-Key"
+
+// hopByHop lists the fields that belong to one connection (RFC 9110, 7.6.1),
+// with the customary ones that no upstream may act on.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Http2-Settings", "Content-Length", "Expect", "Host",
+}
+
+// Filter removes the fields that must not pass. Its zero value is ready to use.
+type Filter struct {
+	// KeepAuthorization lets Authorization pass to the upstream. It carries the
+	// team's key, which upstreams need not know.
+	KeepAuthorization bool
+}
+
+// Request returns the fields of a caller's request that an upstream gets.
+func (f Filter) Request(h http.Header) http.Header {
+	out := strip(h)
+	if !f.KeepAuthorization {
+		out.Del("Authorization")
+	}
+	return out
+}
+
+// Answer returns the fields of an upstream's answer that a caller gets.
+func (f Filter) Answer(h http.Header) http.Header { return strip(h) }
+
+func strip(h http.Header) http.Header {
+	drop := named(h)
+	out := make(http.Header, len(h))
+	for name, values := range h {
+		key := textproto.CanonicalMIMEHeaderKey(name)
+		if drop[key] || strings.HasPrefix(key, Prefix) {
+			continue
+		}
+		out[key] = append(out[key], values...)
+	}
+	for _, name := range hopByHop {
+		delete(out, name)
+	}
+	return out
+}
+
+// named returns the fields that Connection names.
+func named(h http.Header) map[string]bool {
+	drop := map[string]bool{}
+	for name, values := range h {
+		if textproto.CanonicalMIMEHeaderKey(name) != "Connection" {
+			continue
+		}
+		for _, field := range strings.Split(strings.Join(values, ","), ",") {
+			drop[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(field))] = true
+		}
+	}
+	return drop
+}
--- a/ward/request.go
+++ b/ward/request.go
@@ -58,6 +58,9 @@
 	Data []byte
 	// Tokens is the number of output tokens in Data.
 	Tokens int
+	// CanResume is set on the first chunk only: the upstream can continue this
+	// answer, at another replica of its version too, from an output token on.
+	CanResume bool
 	// Last says that the answer is whole and ends with this chunk.
 	Last bool
 }
