feat(standin): add the stand-in engine and service over HTTP

Cause: the demo, the load generator and trials by hand need upstreams on a real port. Conclusion: the same engine serves virtual time and a real port.

--- a/internal/standin/batch/engine.go
+++ b/internal/standin/batch/engine.go
@@ -25,7 +25,6 @@
 
 import (
 	"container/heap"
-	"math"
 	"time"
 
 	"agateward/ward"
@@ -178,96 +177,6 @@
 // Outstanding returns the jobs that wait or run.
 func (e *Engine) Outstanding() int { return len(e.tasks) }
 
-// Stats returns the running totals.
-func (e *Engine) Stats() Stats { return e.stats }
-
-// Report returns the load report that can be read now.
-func (e *Engine) Report(now time.Time) ward.LoadReport {
-	e.advance(now)
-	r := e.visible
-	r.Leaving = e.leaving
-	return r
-}
-
-// CacheEvents returns the cache events after a sequence number, as of the last
-// advance; the newest are not yet there and some are lost.
-func (e *Engine) CacheEvents(after uint64) []ward.CacheEvent {
-	return e.cache.events(after, e.now)
-}
-
-// stepSlack absorbs rounding when steps are turned into tokens.
-const stepSlack = 1e-6
-
-// advance goes through the events until now.
-func (e *Engine) advance(now time.Time) {
-	if e.now.IsZero() {
-		e.now = now
-	}
-	for {
-		at, apply := e.next()
-		if at.IsZero() || at.After(now) {
-			break
-		}
-		e.flow(at)
-		apply()
-		e.start()
-	}
-	if now.After(e.now) {
-		e.flow(now)
-	}
-	e.publish()
-}
-
-// next returns when the next event is due and what it does.
-func (e *Engine) next() (time.Time, func()) {
-	step, chunk := e.step()
-	if step == 0 {
-		return time.Time{}, nil
-	}
-	best := math.Inf(1)
-	var apply func()
-	if len(e.decode) > 0 {
-		best = (e.decode[0].finish - e.steps) * step
-		apply = e.finishDecode
-	}
-	if len(e.prefill) > 0 {
-		if wait := e.prefill[0].left / chunk * step; wait < best {
-			best = wait
-			apply = e.finishPrefill
-		}
-	}
-	return e.now.Add(time.Duration(math.Ceil(max(best, 0) * float64(time.Second)))), apply
-}
-
-// step returns the length of one step in seconds, 0 when idle, and the prompt
-// tokens that it takes in.
-func (e *Engine) step() (seconds, chunk float64) {
-	if n := len(e.decode); n > 0 {
-		seconds = (e.p.DecodeBase + time.Duration(n)*e.p.DecodePerSequence).Seconds()
-	}
-	if len(e.prefill) > 0 {
-		chunk = float64(e.p.Chunk)
-		seconds += chunk / e.p.PrefillRate
-	}
-	return seconds / e.speed, chunk
-}
-
-// flow moves the counters to a time before which no event is due.
-func (e *Engine) flow(to time.Time) {
-	step, chunk := e.step()
-	if step > 0 {
-		n := to.Sub(e.now).Seconds() / step
-		e.steps += n
-		if len(e.prefill) > 0 {
-			t := e.prefill[0]
-			work := min(n*chunk, t.left)
-			t.left -= work
-			e.stats.Prefilled += work / t.slow
-		}
-	}
-	e.now = to
-}
-
 // finishPrefill ends the prefill of the oldest job: it has its first token, or
 // fails.
 func (e *Engine) finishPrefill() {
@@ -367,34 +276,3 @@
 func (e *Engine) emit(t *task, kind EventKind, tokens int) {
 	e.due = append(e.due, Event{At: e.now, ID: t.job.ID, Kind: kind, Tokens: tokens})
 }
-
-// publish rolls the load reports on when the pending one is old enough.
-func (e *Engine) publish() {
-	if !e.pending.At.IsZero() && e.now.Sub(e.pending.At) < e.p.ReportLag {
-		return
-	}
-	e.visible = e.pending
-	if e.visible.At.IsZero() {
-		e.visible = ward.LoadReport{Upstream: e.p.Name, Version: e.p.Version, At: e.now, CacheSize: e.p.CacheTokens}
-	}
-	running := len(e.prefill) + len(e.decode)
-	e.pending = ward.LoadReport{
-		Upstream:      e.p.Name,
-		Version:       e.p.Version,
-		At:            e.now,
-		Running:       running,
-		Waiting:       len(e.tasks) - running,
-		PrefillQueued: e.queued(),
-		CacheUsed:     e.cache.len() * ward.PrefixBlockTokens,
-		CacheSize:     e.p.CacheTokens,
-	}
-}
-
-// queued returns the prompt tokens that are not yet prefilled.
-func (e *Engine) queued() int {
-	var sum float64
-	for _, t := range e.prefill {
-		sum += t.left
-	}
-	return int(sum) + e.waitingTokens
-}
--- /dev/null
+++ b/internal/standin/engine/complete.go
@@ -0,0 +1,258 @@
+package engine
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"agateward/internal/standin/batch"
+	"agateward/internal/standin/text"
+	"agateward/ward"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/julienschmidt/httprouter"
+)
+
+// errBadBody is the cause of a 400.
+var errBadBody = errors.New("bad body")
+
+// call is a parsed request body.
+type call struct {
+	Model               string          `json:"model"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []message       `json:"messages"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	IgnoreEOS           bool            `json:"ignore_eos"`
+	Stream              bool            `json:"stream"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type message struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+// parse reads the body of a call and returns it with its prompt.
+func parse(body []byte, s shape) (call, string, error) {
+	var c call
+	if err := json.Unmarshal(body, &c); err != nil {
+		return c, "", fmt.Errorf("%w: %w", errBadBody, err)
+	}
+	if c.MaxTokens < 0 || c.MaxCompletionTokens < 0 {
+		return c, "", fmt.Errorf("%w: max_tokens is below zero", errBadBody)
+	}
+	if !s.chat {
+		prompt, err := words(c.Prompt)
+		return c, prompt, err
+	}
+	if len(c.Messages) == 0 {
+		return c, "", fmt.Errorf("%w: messages is empty", errBadBody)
+	}
+	var b strings.Builder
+	for _, m := range c.Messages {
+		content, err := words(m.Content)
+		if err != nil {
+			return c, "", err
+		}
+		b.WriteString(m.Role + ": " + content + "\n")
+	}
+	return c, b.String(), nil
+}
+
+// words reads a string, or a list of strings or of parts with a text.
+func words(raw json.RawMessage) (string, error) {
+	var s string
+	if json.Unmarshal(raw, &s) == nil {
+		return s, nil
+	}
+	var list []string
+	if json.Unmarshal(raw, &list) == nil {
+		return strings.Join(list, "\n"), nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", fmt.Errorf("%w: prompt or content is no text", errBadBody)
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		b.WriteString(p.Text)
+	}
+	return b.String(), nil
+}
+
+// output returns the length of the answer in tokens and why it ends.
+func (c call) output(a text.Answer) (int, string) {
+	bound := max(c.MaxTokens, c.MaxCompletionTokens)
+	n := a.Natural()
+	if bound > 0 && (c.IgnoreEOS || bound < n) {
+		return bound, "length"
+	}
+	return n, "stop"
+}
+
+// complete answers one kind of completion.
+func (s *Server) complete(sh shape) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+		if err != nil {
+			fail(w, http.StatusRequestEntityTooLarge, err.Error())
+			return
+		}
+		c, prompt, err := parse(body, sh)
+		if err != nil {
+			fail(w, http.StatusBadRequest, err.Error())
+			return
+		}
+		resume := 0
+		if v := r.Header.Get(HeaderResume); v != "" {
+			if resume, err = strconv.Atoi(v); err != nil || resume < 0 {
+				fail(w, http.StatusBadRequest, HeaderResume+" is no number")
+				return
+			}
+		}
+		version, ok := s.version(r.Header.Get(HeaderVersion))
+		if !ok {
+			fail(w, http.StatusNotFound, "version "+r.Header.Get(HeaderVersion)+" is not loaded")
+			return
+		}
+		s.run(w, r, &reply{shape: sh, call: c, answer: text.Answer{Prompt: prompt}, resume: resume, version: version, model: c.Model})
+	}
+}
+
+// run hands the call to the engine and writes the answer.
+func (s *Server) run(w http.ResponseWriter, r *http.Request, p *reply) {
+	p.output, p.reason = p.call.output(p.answer)
+	if p.resume >= p.output {
+		p.resume = p.output - 1
+	}
+	id := r.Header.Get(HeaderRequest)
+	j := &job{id: s.jobID(id), answer: p.answer, stream: p.call.Stream, changed: make(chan struct{}, 1)}
+	p.id = id
+	if id == "" {
+		p.id = j.id
+	}
+	s.admit(j, batch.Job{
+		ID:      j.id,
+		Route:   r.Header.Get(HeaderRoute),
+		Version: p.version,
+		Prompt:  p.answer.PromptTokens(),
+		Output:  p.output,
+		Prefix:  prefix(p.answer.Prompt),
+		Resume:  p.resume,
+	})
+	defer s.drop(j)
+	if draw(j.id, "cross") < s.CrossShare {
+		p.id += "-crossed"
+	}
+	p.cut = draw(j.id, "cut") < s.CutShare
+	w.Header().Set(HeaderRequest, p.id)
+	w.Header().Set(HeaderVersion, p.version)
+	if p.call.Stream {
+		s.stream(w, r, p, j)
+		return
+	}
+	s.whole(w, r, p, j)
+}
+
+// jobID makes an id that is unique within the engine: a request may come a
+// second time when it is resumed.
+func (s *Server) jobID(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.nextID++
+	return id + "#" + strconv.Itoa(s.nextID)
+}
+
+// whole answers with one JSON object.
+func (s *Server) whole(w http.ResponseWriter, r *http.Request, p *reply, j *job) {
+	for seen := p.resume; ; {
+		at, err := s.wait(r.Context(), j, seen)
+		if err != nil {
+			return
+		}
+		if at.failed {
+			fail(w, http.StatusInternalServerError, "the version failed")
+			return
+		}
+		if at.done {
+			break
+		}
+		seen = at.tokens
+	}
+	body := p.whole()
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if p.cut {
+		_, _ = w.Write(body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(body)
+}
+
+// stream answers with server-sent events.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, p *reply, j *job) {
+	flush := http.NewResponseController(w)
+	sent := p.resume
+	for sent < p.output {
+		at, err := s.wait(r.Context(), j, sent)
+		if err != nil {
+			return
+		}
+		if at.failed {
+			fail(w, http.StatusInternalServerError, "the version failed")
+			return
+		}
+		if sent == p.resume {
+			w.Header().Set("Content-Type", "text/event-stream")
+		}
+		for ; sent < at.tokens; sent++ {
+			if _, err := w.Write(p.event(sent)); err != nil {
+				return
+			}
+		}
+		_ = flush.Flush()
+		if p.cut && sent >= (p.resume+p.output)/2 {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	_, _ = w.Write(p.end())
+}
+
+// prefix hashes the leading blocks of a prompt, as ward.Request.Prefix.
+func prefix(prompt string) []uint64 {
+	const block = ward.PrefixBlockTokens * 4
+	var out []uint64
+	for end := block; end <= len(prompt); end += block {
+		out = append(out, xxhash.Sum64String(prompt[:end]))
+	}
+	return out
+}
+
+// draw returns a number from 0 to 1 that hangs on its arguments.
+func draw(id, what string) float64 {
+	return float64(xxhash.Sum64String(what+id)>>11) / (1 << 53)
+}
+
+// fail writes an error as the OpenAI interface does.
+func fail(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(struct {
+		Error struct {
+			Message string `json:"message"`
+			Type    string `json:"type"`
+		} `json:"error"`
+	}{struct {
+		Message string `json:"message"`
+		Type    string `json:"type"`
+	}{text, "stand-in"}})
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,264 @@
+// Package engine provides a small stand-in for a model engine: an HTTP handler
+// over the model of package batch, for tests, the demo and trials by hand.
+//
+// It answers POST /v1/chat/completions and /v1/completions as JSON or as
+// server-sent events, one event a token, and GET /v1/models. It echoes the
+// header Agateward-Request, goes on after Agateward-Resume output tokens, and
+// cancels its work when the connection closes. The fields ignore_eos and
+// max_tokens set an exact length. For the scheduler it serves
+//
+//	GET  /agateward/load                 a ward.LoadReport, late
+//	GET  /agateward/cache-events?after=N a list of ward.CacheEvent, late, with gaps
+//	POST /agateward/orders               a ward.Order; 409 on an old fencing number
+//	GET  /agateward/kv?prefix=H,H        the cached part of a prefix
+//	POST /agateward/kv                   puts such a part into the cache
+//	POST /agateward/leaving              from now on the reports say leaving
+//	GET  /runs                           how often each prompt ran, by its hash
+//
+// # Usage
+//
+//	s := &engine.Server{Profile: batch.Profile{Name: "e1", Version: "v1"}}
+//	http.Serve(listener, s)
+//
+// The zero value works. Its text is that of package text.
+package engine
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"agateward/internal/standin/batch"
+	"agateward/internal/standin/text"
+	"agateward/ward"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// Headers between the scheduler and an upstream.
+const (
+	HeaderRequest = "Agateward-Request"
+	HeaderResume  = "Agateward-Resume"
+	HeaderRoute   = "Agateward-Route"
+	HeaderVersion = "Agateward-Version"
+)
+
+const (
+	// maxBody bounds a request, in bytes.
+	maxBody = 8 << 20
+	// flushEvery is the longest time that a generated token stays in the engine.
+	flushEvery = 5 * time.Millisecond
+	// defaultModel is what GET /v1/models lists when no model is set.
+	defaultModel = "stand-in"
+)
+
+// Server is the stand-in. Its fields are set before the first request.
+type Server struct {
+	Profile batch.Profile
+	// Clock is the machine's when nil.
+	Clock ward.Clock
+	// Model is the name of the model that it serves.
+	Model string
+	// LoadTime is how long an order to load takes.
+	LoadTime time.Duration
+	// ChecksFence refuses orders with an old fencing number.
+	ChecksFence bool
+	// CutShare is the share of streams that break off without an end mark, and
+	// CrossShare that of answers under another request's id, from 0 to 1.
+	CutShare   float64
+	CrossShare float64
+
+	once   sync.Once
+	router *httprouter.Router
+
+	mu      sync.Mutex
+	engine  *batch.Engine
+	jobs    map[string]*job
+	runs    map[string]int
+	driving bool
+	wake    context.CancelFunc
+	orders  orders
+	nextID  int
+}
+
+// ServeHTTP answers a request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.once.Do(s.init)
+	s.router.ServeHTTP(w, r)
+}
+
+// Stats returns the running totals of the engine.
+func (s *Server) Stats() batch.Stats {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.engine.Stats()
+}
+
+// SetSpeed makes the engine run at factor times its speed.
+func (s *Server) SetSpeed(factor float64) {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engine.SetSpeed(s.Clock.Now(), factor)
+}
+
+// Runs returns how often each prompt ran, by the hash of its text.Answer.
+func (s *Server) Runs() map[string]int {
+	s.once.Do(s.init)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]int, len(s.runs))
+	for k, n := range s.runs {
+		out[k] = n
+	}
+	return out
+}
+
+func (s *Server) init() {
+	if s.Clock == nil {
+		s.Clock = ward.SystemClock{}
+	}
+	if s.Model == "" {
+		s.Model = defaultModel
+	}
+	s.engine = batch.New(s.Profile)
+	s.jobs = make(map[string]*job)
+	s.runs = make(map[string]int)
+	s.orders.init(s.Profile.Version)
+	s.router = httprouter.New()
+	s.router.POST("/v1/chat/completions", s.complete(chat))
+	s.router.POST("/v1/completions", s.complete(plain))
+	s.router.GET("/v1/models", s.models)
+	s.router.GET("/agateward/load", s.load)
+	s.router.GET("/agateward/cache-events", s.cacheEvents)
+	s.router.POST("/agateward/orders", s.order)
+	s.router.GET("/agateward/kv", s.exportCache)
+	s.router.POST("/agateward/kv", s.importCache)
+	s.router.POST("/agateward/leaving", s.leave)
+	s.router.GET("/runs", s.listRuns)
+}
+
+// job is one request that is inside the engine.
+type job struct {
+	id     string
+	answer text.Answer
+	// stream says that every token is told, not only the end.
+	stream bool
+	// tokens, done and failed are guarded by Server.mu; changed holds one signal
+	// of a change.
+	tokens  int
+	done    bool
+	failed  bool
+	changed chan struct{}
+}
+
+// admit hands a job to the engine and makes sure that it is driven.
+func (s *Server) admit(j *job, b batch.Job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.jobs[j.id] = j
+	s.runs[j.answer.Hash()]++
+	s.engine.Admit(s.Clock.Now(), b)
+	if !s.driving {
+		s.driving = true
+		go s.drive()
+		return
+	}
+	s.wakeUp()
+}
+
+// drop takes a job out, and cancels what is left of it.
+func (s *Server) drop(j *job) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engine.Cancel(s.Clock.Now(), j.id)
+	delete(s.jobs, j.id)
+	s.wakeUp()
+}
+
+// wakeUp lets the engine be driven at once. The caller holds mu.
+func (s *Server) wakeUp() {
+	if s.wake != nil {
+		s.wake()
+	}
+}
+
+// drive advances the engine for as long as it has jobs.
+func (s *Server) drive() {
+	for {
+		ctx, cancel := context.WithCancel(context.Background())
+		s.mu.Lock()
+		wait, busy := s.step()
+		s.driving = busy
+		s.wake = cancel
+		s.mu.Unlock()
+		if !busy {
+			cancel()
+			return
+		}
+		_ = s.Clock.Sleep(ctx, wait)
+		cancel()
+	}
+}
+
+// step advances the engine, tells the jobs, and returns the time until it is
+// due again.
+func (s *Server) step() (time.Duration, bool) {
+	now := s.Clock.Now()
+	for _, e := range s.engine.Advance(now) {
+		j := s.jobs[e.ID]
+		if j == nil {
+			continue
+		}
+		j.tokens = e.Tokens
+		j.done = e.Kind == batch.Done
+		j.failed = e.Kind == batch.Failed
+		j.signal()
+	}
+	for _, j := range s.jobs {
+		if n := s.engine.Tokens(j.id); n > j.tokens {
+			j.tokens = n
+			if j.stream {
+				j.signal()
+			}
+		}
+	}
+	next := s.engine.Next()
+	if next.IsZero() {
+		return 0, s.engine.Outstanding() > 0
+	}
+	return min(max(next.Sub(now), 0), flushEvery), true
+}
+
+func (j *job) signal() {
+	select {
+	case j.changed <- struct{}{}:
+	default:
+	}
+}
+
+// wait waits for a change after the token that was seen last.
+func (s *Server) wait(ctx context.Context, j *job, seen int) (progress, error) {
+	for {
+		s.mu.Lock()
+		p := progress{tokens: j.tokens, done: j.done, failed: j.failed}
+		s.mu.Unlock()
+		if p.tokens > seen || p.done || p.failed {
+			return p, nil
+		}
+		select {
+		case <-ctx.Done():
+			return p, ctx.Err()
+		case <-j.changed:
+		}
+	}
+}
+
+// progress is how far a job is.
+type progress struct {
+	tokens int
+	done   bool
+	failed bool
+}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,177 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"agateward/internal/standin/batch"
+	"agateward/internal/standin/text"
+	"agateward/ward"
+)
+
+const chatBody = `{"model":"m","stream":%v,"ignore_eos":true,"max_tokens":20,"messages":[{"role":"user","content":"a menu"}]}`
+
+var chatAnswer = text.Answer{Prompt: "user: a menu\n"}
+
+// post runs one call on virtual time.
+func post(s *Server, path, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w
+}
+
+// streamed joins the tokens of a stream and tells whether its end mark came.
+func streamed(t *testing.T, r io.Reader) (string, bool) {
+	t.Helper()
+	var b strings.Builder
+	for sc := bufio.NewScanner(r); sc.Scan(); {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return b.String(), true
+		}
+		var c completion
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			t.Fatal(err)
+		}
+		for _, x := range c.Choices {
+			b.WriteString(x.Delta.Content)
+		}
+	}
+	return b.String(), false
+}
+
+func TestAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{}
+		w := post(s, "/v1/chat/completions", fmt.Sprintf(chatBody, false), HeaderRequest, "id1")
+		var c completion
+		if err := json.Unmarshal(w.Body.Bytes(), &c); err != nil {
+			t.Fatal(err)
+		}
+		if err := chatAnswer.Check(c.Choices[0].Message.Content, 20); err != nil || c.Usage.Completion != 20 {
+			t.Errorf("%v, usage %+v", err, c.Usage)
+		}
+		if w.Header().Get(HeaderRequest) != "id1" || c.ID != "id1" {
+			t.Errorf("id %q, header %v", c.ID, w.Header())
+		}
+		w = post(s, "/v1/chat/completions", fmt.Sprintf(chatBody, true))
+		got, whole := streamed(t, w.Body)
+		if err := chatAnswer.Check(got, 20); err != nil || !whole {
+			t.Errorf("stream %q: %v, whole %v", got, err, whole)
+		}
+		w = post(s, "/v1/chat/completions", fmt.Sprintf(chatBody, true), HeaderResume, "8")
+		if got, _ := streamed(t, w.Body); got != chatAnswer.Words(8, 20) {
+			t.Errorf("resumed stream %q", got)
+		}
+		if n := s.Runs()[chatAnswer.Hash()]; n != 3 {
+			t.Errorf("%d runs, want 3", n)
+		}
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name, path, body, header, value string
+		status                          int
+	}{
+		{"no JSON", "/v1/completions", "{", "", "", http.StatusBadRequest},
+		{"no messages", "/v1/chat/completions", "{}", "", "", http.StatusBadRequest},
+		{"bad content", "/v1/completions", `{"prompt":7}`, "", "", http.StatusBadRequest},
+		{"bad resume", "/v1/completions", `{"prompt":"a"}`, HeaderResume, "x", http.StatusBadRequest},
+		{"version not loaded", "/v1/completions", `{"prompt":"a"}`, HeaderVersion, "v9", http.StatusNotFound},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &Server{}
+			if w := post(s, tt.path, tt.body, tt.header, tt.value); w.Code != tt.status || len(s.Runs()) != 0 {
+				t.Errorf("status %d, runs %v", w.Code, s.Runs())
+			}
+		})
+	}
+}
+
+func TestDisconnectCancels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{Profile: batch.Profile{PrefillRate: 10}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(`{"prompt":"`+strings.Repeat("a", 400)+`"}`))
+		s.ServeHTTP(httptest.NewRecorder(), r.WithContext(ctx))
+		if st := s.Stats(); st.Cancelled != 1 || st.Wasted < 9 || st.Wasted > 11 {
+			t.Errorf("stats %+v, want one cancelled with 10 wasted tokens", st)
+		}
+	})
+}
+
+func TestOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &Server{Profile: batch.Profile{Version: "v1"}, LoadTime: time.Minute, ChecksFence: true}
+		give := func(o ward.Order) int {
+			b, _ := json.Marshal(o)
+			return post(s, "/agateward/orders", string(b)).Code
+		}
+		o := ward.Order{ID: "o1", Kind: ward.OrderLoadVersion, Version: "v2", Fence: 5}
+		if got := give(o); got != http.StatusOK {
+			t.Fatalf("order: status %d", got)
+		}
+		if v, _ := s.version(""); v != "v1" {
+			t.Errorf("serves %s before the load", v)
+		}
+		if got := give(ward.Order{ID: "o2", Kind: ward.OrderLoadVersion, Version: "v0", Fence: 4}); got != http.StatusConflict {
+			t.Errorf("old fence: status %d", got)
+		}
+		time.Sleep(2 * time.Minute)
+		if v, _ := s.version(""); v != "v2" {
+			t.Errorf("serves %s after the load", v)
+		}
+		if got := give(o); got != http.StatusOK || s.orders.coming != "" {
+			t.Errorf("repeated order: status %d, loading %q", got, s.orders.coming)
+		}
+	})
+}
+
+func TestFaults(t *testing.T) {
+	srv := httptest.NewServer(&Server{CutShare: 1, CrossShare: 1})
+	defer srv.Close()
+	r, _ := http.NewRequest(http.MethodPost, srv.URL+"/v1/chat/completions", strings.NewReader(fmt.Sprintf(chatBody, true)))
+	r.Header.Set(HeaderRequest, "id1")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, whole := streamed(t, resp.Body); whole || resp.Header.Get(HeaderRequest) == "id1" {
+		t.Errorf("whole %v, id %q", whole, resp.Header.Get(HeaderRequest))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(fmt.Sprintf(chatBody, true)), true)
+	f.Add([]byte(`{"prompt":["a","b"],"max_tokens":-1}`), false)
+	f.Add([]byte(`{"messages":[{"content":[{"text":"a"}]}]}`), true)
+	f.Fuzz(func(t *testing.T, body []byte, isChat bool) {
+		c, prompt, err := parse(body, shape{chat: isChat})
+		if err != nil {
+			return
+		}
+		if n, _ := c.output(text.Answer{Prompt: prompt}); n <= 0 {
+			t.Errorf("output of %d tokens", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/engine/reply.go
@@ -0,0 +1,129 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+
+	"agateward/internal/standin/text"
+)
+
+// shape tells the two interfaces apart.
+type shape struct {
+	chat   bool
+	object string
+}
+
+var (
+	chat  = shape{chat: true, object: "chat.completion"}
+	plain = shape{object: "text_completion"}
+)
+
+// endMark ends a stream that is whole.
+const endMark = "data: [DONE]\n\n"
+
+// reply is one answer that is being written.
+type reply struct {
+	shape
+	call    call
+	answer  text.Answer
+	id      string
+	model   string
+	version string
+	resume  int
+	output  int
+	reason  string
+	cut     bool
+}
+
+type usage struct {
+	Prompt     int `json:"prompt_tokens"`
+	Completion int `json:"completion_tokens"`
+	Total      int `json:"total_tokens"`
+}
+
+// usage counts the whole answer, also when only the rest of it is sent.
+func (p *reply) usage() usage {
+	n := p.answer.PromptTokens()
+	return usage{Prompt: n, Completion: p.output, Total: n + p.output}
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index   int     `json:"index"`
+	Message *delta  `json:"message,omitempty"`
+	Delta   *delta  `json:"delta,omitempty"`
+	Text    *string `json:"text,omitempty"`
+	Finish  *string `json:"finish_reason"`
+}
+
+type completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+// whole returns the answer as one object.
+func (p *reply) whole() []byte {
+	words := p.answer.Words(p.resume, p.output)
+	u := p.usage()
+	c := choice{Finish: &p.reason}
+	if p.chat {
+		c.Message = &delta{Role: "assistant", Content: words}
+	} else {
+		c.Text = &words
+	}
+	b, _ := json.Marshal(completion{ID: p.id, Object: p.object, Model: p.model, Choices: []choice{c}, Usage: &u})
+	return append(b, '\n')
+}
+
+// event returns the event of one token.
+func (p *reply) event(i int) []byte {
+	word := p.answer.Token(i)
+	var c choice
+	if p.chat {
+		c.Delta = &delta{Content: word}
+		if i == 0 {
+			c.Delta.Role = "assistant"
+		}
+	} else {
+		c.Text = &word
+	}
+	if i == p.output-1 {
+		c.Finish = &p.reason
+	}
+	return p.chunk([]choice{c}, nil)
+}
+
+// end returns the usage, where it was asked for, and the end mark.
+func (p *reply) end() []byte {
+	if !p.call.StreamOptions.IncludeUsage {
+		return []byte(endMark)
+	}
+	u := p.usage()
+	return append(p.chunk([]choice{}, &u), endMark...)
+}
+
+func (p *reply) chunk(choices []choice, u *usage) []byte {
+	object := p.object
+	if p.chat {
+		object += ".chunk"
+	}
+	b, _ := json.Marshal(completion{ID: p.id, Object: object, Model: p.model, Choices: choices, Usage: u})
+	var out bytes.Buffer
+	out.Grow(len(b) + len("data: \n\n"))
+	out.WriteString("data: ")
+	out.Write(b)
+	out.WriteString("\n\n")
+	return out.Bytes()
+}
+
+// versionNumber is used where no version is configured.
+func versionNumber(n int) string { return "v" + strconv.Itoa(n) }
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,256 @@
+// Package service provides a small stand-in for a plain booking or order
+// service, as an HTTP handler that counts how often each idempotency key ran.
+//
+// Every method and path is answered. A call that is not GET or HEAD runs: it is
+// counted under its Idempotency-Key, or under its reference when it has no key.
+// GET is a lookup of availability. The answer echoes the header
+// Agateward-Request and names the call's reference, which is the field
+// "reference" of the body or of the query. GET /runs gives the counts.
+//
+// # Usage
+//
+//	s := &service.Server{Name: "booking", Version: "v1", Latency: 5 * time.Millisecond}
+//	http.Serve(listener, s)
+//
+// The zero value works.
+package service
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"agateward/ward"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Headers of a call.
+const (
+	HeaderRequest = "Agateward-Request"
+	HeaderRoute   = "Agateward-Route"
+	HeaderVersion = "Agateward-Version"
+	HeaderKey     = "Idempotency-Key"
+)
+
+// maxBody bounds a call, in bytes.
+const maxBody = 1 << 20
+
+// seats is the number of seats that a lookup finds at most.
+const seats = 12
+
+// Fault makes the calls that it matches fail or run slowly. An empty field
+// matches every call.
+type Fault struct {
+	Route string
+	// From is when the fault begins, MinRunning the number of running calls from
+	// which on it shows.
+	From       time.Time
+	MinRunning int
+	// FailShare is the share of the matched calls that fail without having run,
+	// LoseShare that of calls that run and whose answer is lost, from 0 to 1.
+	FailShare float64
+	LoseShare float64
+	// Slow multiplies the latency; 0 means 1.
+	Slow float64
+}
+
+// Server is the stand-in. Its fields are set before the first call.
+type Server struct {
+	Name    string
+	Version string
+	// Clock is the machine's when nil.
+	Clock   ward.Clock
+	Latency time.Duration
+	Faults  []Fault
+	// ChecksIdempotency answers a key that ran before with the same result,
+	// without running it again.
+	ChecksIdempotency bool
+
+	mu      sync.Mutex
+	runs    map[string]int
+	results map[string]result
+	calls   int
+	running int
+	leaving bool
+}
+
+// result is what a call gives back.
+type result struct {
+	Service   string `json:"service"`
+	Version   string `json:"version"`
+	Method    string `json:"method"`
+	Key       string `json:"key,omitempty"`
+	Reference string `json:"reference"`
+	// Run is how often the key has run, with this call.
+	Run   int `json:"run,omitempty"`
+	Seats int `json:"seats,omitempty"`
+}
+
+// effect is what the faults do to one call.
+type effect struct {
+	latency time.Duration
+	fail    bool
+	lose    bool
+}
+
+// Runs returns how often each key or reference ran.
+func (s *Server) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.runs)
+}
+
+// SetFaults replaces the faults.
+func (s *Server) SetFaults(f ...Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Faults = f
+}
+
+// ServeHTTP answers a call.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/runs":
+		writeJSON(w, s.Runs())
+	case "/agateward/load":
+		writeJSON(w, s.report())
+	case "/agateward/leaving":
+		s.mu.Lock()
+		s.leaving = true
+		s.mu.Unlock()
+	default:
+		s.call(w, r)
+	}
+}
+
+func (s *Server) call(w http.ResponseWriter, r *http.Request) {
+	reference, err := readReference(w, r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
+	w.Header().Set(HeaderVersion, s.Version)
+	e := s.begin(r.Header.Get(HeaderRoute))
+	defer s.end()
+	if err := s.clock().Sleep(r.Context(), e.latency); err != nil && lookup(r.Method) {
+		return
+	}
+	if e.fail {
+		http.Error(w, "the service failed", http.StatusInternalServerError)
+		return
+	}
+	out := s.run(r.Method, r.Header.Get(HeaderKey), reference)
+	if e.lose {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, out)
+}
+
+// begin counts the call and finds what the faults do to it.
+func (s *Server) begin(route string) effect {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	s.running++
+	e := effect{latency: s.Latency}
+	now := s.clock().Now()
+	for i, f := range s.Faults {
+		if (f.Route != "" && f.Route != route) || s.running < f.MinRunning || now.Before(f.From) {
+			continue
+		}
+		if f.Slow > 0 {
+			e.latency = time.Duration(float64(e.latency) * f.Slow)
+		}
+		u := draw(fmt.Sprint(i, " ", s.calls))
+		e.fail = e.fail || u < f.FailShare
+		e.lose = e.lose || u >= f.FailShare && u < f.FailShare+f.LoseShare
+	}
+	return e
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+}
+
+// run runs a call, or looks up what an earlier run of its key gave.
+func (s *Server) run(method, key, reference string) result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := result{Service: s.Name, Version: s.Version, Method: method, Key: key, Reference: reference}
+	if lookup(method) {
+		out.Seats = int(xxhash.Sum64String(reference) % seats)
+		return out
+	}
+	name := key
+	if name == "" {
+		name = reference
+	}
+	if r, ok := s.results[name]; ok && s.ChecksIdempotency {
+		return r
+	}
+	if s.runs == nil {
+		s.runs = make(map[string]int)
+		s.results = make(map[string]result)
+	}
+	s.runs[name]++
+	out.Run = s.runs[name]
+	s.results[name] = out
+	return out
+}
+
+func (s *Server) report() ward.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return ward.LoadReport{Upstream: s.Name, Version: s.Version, At: s.clock().Now(), Running: s.running, Leaving: s.leaving}
+}
+
+func (s *Server) clock() ward.Clock {
+	if s.Clock == nil {
+		return ward.SystemClock{}
+	}
+	return s.Clock
+}
+
+// lookup tells the calls that change nothing.
+func lookup(method string) bool { return method == http.MethodGet || method == http.MethodHead }
+
+// readReference finds the call's reference in the query or the body.
+func readReference(w http.ResponseWriter, r *http.Request) (string, error) {
+	if v := r.URL.Query().Get("reference"); v != "" {
+		return v, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		return "", err
+	}
+	if len(body) == 0 {
+		return "", nil
+	}
+	var c struct {
+		Reference string `json:"reference"`
+	}
+	if err := json.Unmarshal(body, &c); err != nil {
+		return "", errors.New("the body is no JSON object")
+	}
+	return c.Reference, nil
+}
+
+// draw returns a number from 0 to 1 that hangs on its argument.
+func draw(s string) float64 { return float64(xxhash.Sum64String(s)>>11) / (1 << 53) }
+
+func writeJSON(w http.ResponseWriter, v any) {
+	body, _ := json.Marshal(v)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	_, _ = w.Write(append(body, '\n'))
+}
