--- a/ward/request.go
+++ b/ward/request.go
@@ -86,6 +86,8 @@
 
 // Outcome is how one dispatch ended, as the deciders learn from it.
 type Outcome struct {
+	// Request is the id of the request.
+	Request  string
 	Upstream string
 	Version  string
 	Route    string
