--- a/internal/upstream/answer/answer.go
+++ b/internal/upstream/answer/answer.go
@@ -162,6 +162,7 @@
 	a.step = inEvents
 	a.events = &sse.Reader{R: a.Reply, Max: a.Limits.Event}
 	a.model.offset = a.Resume
+	a.model.resumed = a.Resume > 0
 }
 
 // event returns the next event of a model's stream.
--- a/internal/upstream/answer/model.go
+++ b/internal/upstream/answer/model.go
@@ -15,6 +15,8 @@
 type model struct {
 	// offset is the number of output tokens so far.
 	offset int
+	// resumed says that the caller has the start of the answer.
+	resumed bool
 	// id is the answer's id in the model's own events.
 	id string
 }
@@ -32,8 +34,10 @@
 	Choices []struct {
 		Text  string `json:"text"`
 		Delta struct {
+			Role    string `json:"role"`
 			Content string `json:"content"`
 		} `json:"delta"`
+		Finish string `json:"finish_reason"`
 	} `json:"choices"`
 	Usage struct {
 		CompletionTokens int `json:"completion_tokens"`
@@ -64,7 +68,7 @@
 		return part{}, code.AnswerMismatch.New("an event of another answer came in the stream")
 	}
 	if !v.hasText() {
-		return part{}, nil
+		return part{repeated: m.resumed && v.opens()}, nil
 	}
 	return m.advance(e.ID), nil
 }
@@ -91,6 +95,16 @@
 	return false
 }
 
+// opens tells the event that names the role before any text.
+func (v event) opens() bool {
+	for _, c := range v.Choices {
+		if c.Delta.Role != "" && c.Finish == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // usage returns the output tokens that a whole answer states, 0 if none.
 func usage(body []byte) int {
 	var v event
--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -48,6 +48,8 @@
 func (e *Engine) Dispatch(ctx context.Context, u ward.Upstream, r *ward.Request, resume int) (ward.Answer, error) {
 	c := transport.Call{Address: u.Address, ID: r.ID, Method: r.Method, Path: r.Path, Body: r.Body, Resume: transport.NoResume}
 	c.IdempotencyKey = r.IdempotencyKey
+	c.Route = r.Route
+	c.Version = u.Version
 	c.Header = r.Header.Clone()
 	if c.Header == nil {
 		c.Header = http.Header{}
--- a/internal/upstream/header/header.go
+++ b/internal/upstream/header/header.go
@@ -31,6 +31,10 @@
 	// Resume carries the number of output tokens that the caller already has. An
 	// engine that can continue from there echoes it.
 	Resume = "Agateward-Resume"
+	// Route and Version carry the route of the request and the version that it
+	// was sent to.
+	Route   = "Agateward-Route"
+	Version = "Agateward-Version"
 )
 
 // IdempotencyKey is the customary field of a caller's idempotency key.
--- a/internal/upstream/service/service.go
+++ b/internal/upstream/service/service.go
@@ -39,6 +39,8 @@
 	c := transport.Call{Address: u.Address, ID: r.ID, Method: r.Method, Path: r.Path, Header: r.Header, Body: r.Body}
 	c.Resume = transport.NoResume
 	c.IdempotencyKey = r.IdempotencyKey
+	c.Route = r.Route
+	c.Version = u.Version
 	reply, err := s.Transport.Send(ctx, c)
 	if err != nil {
 		return nil, err
--- a/internal/upstream/transport/transport.go
+++ b/internal/upstream/transport/transport.go
@@ -51,6 +51,9 @@
 	Body   []byte
 	// Resume is the number of output tokens already had, or NoResume.
 	Resume int
+	// Route and Version are set as internal fields unless they are empty.
+	Route   string
+	Version string
 	// IdempotencyKey is set as the field of that name unless it is empty.
 	IdempotencyKey string
 }
@@ -144,9 +147,9 @@
 	if c.Resume != NoResume {
 		req.Header.Set(header.Resume, strconv.Itoa(c.Resume))
 	}
-	if c.IdempotencyKey != "" {
-		req.Header.Set(header.IdempotencyKey, c.IdempotencyKey)
-	}
+	setUnlessEmpty(req.Header, header.IdempotencyKey, c.IdempotencyKey)
+	setUnlessEmpty(req.Header, header.Route, c.Route)
+	setUnlessEmpty(req.Header, header.Version, c.Version)
 	if req.Header.Get("User-Agent") == "" {
 		req.Header.Set("User-Agent", "")
 	}
@@ -157,6 +160,12 @@
 	return req, nil
 }
 
+func setUnlessEmpty(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
 // handOver follows the connections that one call is given.
 type handOver struct {
 	mu     sync.Mutex
