feat(measure): add overload, slow-engine and entry-crash on one event loop

Cause: the policy of the request path can only be improved against figures. Change: internal/measure/drive runs the real schedulers of 8 entries, three baselines and an oracle against stand-in engines on virtual time; three experiments use it.

--- /dev/null
+++ b/internal/measure/drive/fleet.go
@@ -0,0 +1,207 @@
+package drive
+
+import (
+	"fmt"
+	"time"
+
+	"agateward/internal/request/scheduler"
+	"agateward/ward"
+)
+
+// How entries exchange their states and look at the engines in a run.
+const (
+	tickEvery   = 50 * time.Millisecond
+	peerEvery   = 250 * time.Millisecond
+	peerDelay   = 100 * time.Millisecond // at most
+	peerLoss    = 0.02
+	peerSilence = time.Second
+	reportEvery = 500 * time.Millisecond
+	cacheEvery  = 500 * time.Millisecond
+)
+
+// fleet is the entries' real schedulers.
+type fleet struct {
+	w       *world
+	entries []*member
+}
+
+type member struct {
+	f     *fleet
+	index int
+	s     *scheduler.Scheduler
+	peers map[int]heard
+	seq   uint64
+	seen  []uint64
+	mine  map[string]*job
+	dead  bool
+}
+
+type heard struct {
+	state ward.PeerState
+	at    time.Time
+}
+
+func newFleet(w *world) *fleet {
+	f := &fleet{w: w}
+	cfg := f.config()
+	for i := range w.setup.Entries {
+		m := &member{f: f, index: i, peers: make(map[int]heard), mine: make(map[string]*job)}
+		m.seen = make([]uint64, len(w.engines))
+		m.s = scheduler.New(scheduler.Settings{Self: entryName(i)}, w.setup.Seed*1000+uint64(i))
+		m.s.Configure(w.now, cfg)
+		f.entries = append(f.entries, m)
+		// The entries started at different times.
+		offset := time.Duration(i) * peerEvery / time.Duration(w.setup.Entries)
+		w.every(offset/5, tickEvery, m.tick)
+		w.every(offset, peerEvery, m.tellPeers)
+		w.every(offset, reportEvery, m.readReports)
+		w.every(offset, cacheEvery, m.readCache)
+	}
+	for _, m := range f.entries {
+		for _, p := range f.entries {
+			if p != m {
+				m.peers[p.index] = heard{ward.PeerState{Name: entryName(p.index)}, w.now}
+			}
+		}
+		m.hear()
+	}
+	return f
+}
+
+func entryName(i int) string { return fmt.Sprintf("entry-%d", i) }
+
+func (f *fleet) config() *ward.Config {
+	c := &ward.Config{Fleet: "measure", Revision: 1}
+	for _, p := range f.w.setup.Engines {
+		c.Upstreams = append(c.Upstreams, ward.Upstream{
+			Name: p.Name, Kind: ward.KindEngine, Serves: model, Version: version, Generation: p.Generation,
+		})
+	}
+	c.Routes = []ward.Route{{Name: "chat", Kind: ward.KindEngine, Serves: model, Version: version}}
+	return c
+}
+
+// act carries out the actions of an entry.
+func (m *member) act(actions []scheduler.Action) {
+	for _, a := range actions {
+		j := m.mine[a.ID]
+		if j == nil {
+			continue
+		}
+		if a.Kind == scheduler.Refuse {
+			delete(m.mine, a.ID)
+			m.f.w.refuse(j)
+			continue
+		}
+		for _, e := range m.f.w.engines {
+			if e.profile.Name == a.Upstream.Name {
+				m.f.w.dispatch(j, e)
+			}
+		}
+	}
+}
+
+func (m *member) tick() bool {
+	if m.dead {
+		return false
+	}
+	w := m.f.w
+	for id, j := range m.mine {
+		if j.engine != nil && !j.first.IsZero() {
+			m.s.Progress(w.now, id, j.engine.Tokens(id))
+		}
+	}
+	m.act(m.s.Tick(w.now))
+	return true
+}
+
+// tellPeers sends the entry's state to all others; some messages are lost, and
+// a later one may overtake an earlier one.
+func (m *member) tellPeers() bool {
+	if m.dead {
+		return false
+	}
+	w := m.f.w
+	st := m.s.State()
+	m.seq++
+	msg := ward.PeerState{
+		Name: entryName(m.index), Incarnation: 1, Seq: m.seq,
+		Floor: st.Floor, Floors: st.Floors, Waiting: st.Waiting, Demand: st.Demand,
+	}
+	for _, p := range m.f.entries {
+		if p == m || w.rng.Float64() < peerLoss {
+			continue
+		}
+		w.after(time.Duration(w.rng.Float64()*float64(peerDelay)), func() { p.receive(m.index, msg) })
+	}
+	m.hear()
+	return true
+}
+
+func (m *member) receive(from int, msg ward.PeerState) {
+	if m.dead || msg.Seq <= m.peers[from].state.Seq {
+		return
+	}
+	m.peers[from] = heard{msg, m.f.w.now}
+	m.hear()
+}
+
+// hear hands the states of the peers that were heard lately to the scheduler.
+func (m *member) hear() {
+	var live []ward.PeerState
+	for i := range m.f.entries {
+		p, ok := m.peers[i]
+		if ok && m.f.w.now.Sub(p.at) <= peerSilence {
+			live = append(live, p.state)
+		}
+	}
+	m.act(m.s.Peers(m.f.w.now, live))
+}
+
+func (m *member) readReports() bool {
+	for _, e := range m.f.w.engines {
+		m.s.Report(m.f.w.now, e.Report(m.f.w.now))
+		m.f.w.poke(e)
+	}
+	return !m.dead
+}
+
+func (m *member) readCache() bool {
+	for i, e := range m.f.w.engines {
+		events := e.CacheEvents(m.seen[i])
+		if len(events) > 0 {
+			m.seen[i] = events[len(events)-1].Sequence
+			m.s.Cache(m.f.w.now, e.profile.Name, events)
+		}
+	}
+	return !m.dead
+}
+
+func (f *fleet) arrive(j *job) {
+	m := f.entries[j.entry]
+	m.mine[j.r.ID] = j
+	m.act(m.s.Arrive(f.w.now, &j.r))
+}
+
+func (f *fleet) firstToken(j *job) { f.entries[j.entry].s.FirstToken(f.w.now, j.r.ID) }
+
+func (f *fleet) end(j *job, ok bool) {
+	m := f.entries[j.entry]
+	delete(m.mine, j.r.ID)
+	o := ward.Outcome{OK: ok, Connected: true, OutputTokens: j.output, PromptTokens: j.r.PromptTokens, At: f.w.now}
+	m.act(m.s.End(f.w.now, j.r.ID, o))
+}
+
+func (f *fleet) leave(j *job) {
+	m := f.entries[j.entry]
+	delete(m.mine, j.r.ID)
+	if j.engine == nil {
+		m.act(m.s.Cancel(f.w.now, j.r.ID))
+		return
+	}
+	m.act(m.s.End(f.w.now, j.r.ID, ward.Outcome{Connected: true, Cancelled: true, At: f.w.now}))
+}
+
+func (f *fleet) kill(entry int) { f.entries[entry].dead = true }
+
+func (f *fleet) lost(*job) {}
--- /dev/null
+++ b/internal/measure/entrycrash/entrycrash.go
@@ -0,0 +1,51 @@
+// Package entrycrash measures the top tier's goodput when one entry of eight is
+// killed during a burst of twice the capacity.
+//
+// # Usage
+//
+//	rep, err := entrycrash.Experiment{}.Run(ctx, 1, progress)
+package entrycrash
+
+import (
+	"context"
+	"time"
+
+	"agateward/internal/measure/drive"
+	"agateward/internal/measure/report"
+)
+
+const (
+	warm  = 20 * time.Second
+	fault = 20 * time.Second // after the warm-up
+	burst = 10 * time.Second
+)
+
+// Experiment is the measurement. Its zero value is ready to use.
+type Experiment struct{}
+
+// Name returns the experiment's name.
+func (Experiment) Name() string { return "entry-crash" }
+
+// About says what it shows.
+func (Experiment) About() string {
+	return "the top tier's goodput when one entry of eight is killed in a burst; callers repeat once"
+}
+
+// Run measures it with reports one and five seconds old.
+func (Experiment) Run(ctx context.Context, seed uint64, progress func(string)) (report.Report, error) {
+	rep := report.Report{Experiment: "entry-crash", Seed: seed}
+	for _, c := range []struct {
+		name string
+		lag  time.Duration
+	}{{"reports-1s", time.Second}, {"reports-5s", 5 * time.Second}} {
+		s := drive.Setup{
+			Seed: seed, Engines: drive.Engines(10, c.lag), Load: 0.8, Burst: 2,
+			BurstFrom: warm + fault - 3*time.Second, BurstTo: warm + fault - 3*time.Second + burst,
+			Warm: warm, Length: 45 * time.Second, Rest: 30 * time.Second, KillAt: warm + fault,
+		}
+		if err := drive.AddFall(ctx, &rep, c.name, s, fault, progress); err != nil {
+			return rep, err
+		}
+	}
+	return rep, nil
+}
--- /dev/null
+++ b/internal/measure/overload/overload.go
@@ -0,0 +1,113 @@
+// Package overload measures goodput by tier and wasted prefill over the offered
+// load, up to three times the capacity, with request lengths that differ a
+// hundredfold.
+//
+// # Usage
+//
+//	rep, err := overload.Experiment{}.Run(ctx, 1, progress)
+package overload
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"agateward/internal/measure/drive"
+	"agateward/internal/measure/report"
+)
+
+// Targets at twice the capacity.
+const (
+	targetLoad       = 2.0
+	leastTop         = 0.95
+	leastGain        = 1.3
+	mostWaste        = 0.5
+	leastOfTheOracle = 0.9
+)
+
+var loads = []float64{0.5, 1, 1.5, 2, 3}
+
+// Experiment is the measurement. Its zero value is ready to use.
+type Experiment struct{}
+
+// Name returns the experiment's name.
+func (Experiment) Name() string { return "overload" }
+
+// About says what it shows.
+func (Experiment) About() string {
+	return "goodput by tier and wasted prefill from half to three times the capacity"
+}
+
+// Run runs all policies at all loads.
+func (Experiment) Run(ctx context.Context, seed uint64, progress func(string)) (report.Report, error) {
+	rep := report.Report{Experiment: "overload", Seed: seed}
+	for _, load := range loads {
+		s := drive.Setup{Seed: seed, Load: load, Warm: 20 * time.Second, Length: time.Minute, Rest: time.Minute}
+		if err := addLoad(ctx, &rep, s); err != nil {
+			return rep, err
+		}
+		progress(fmt.Sprintf("load %g done", load))
+	}
+	return rep, nil
+}
+
+func addLoad(ctx context.Context, rep *report.Report, s drive.Setup) error {
+	base, err := drive.RunBaselines(ctx, s)
+	if err != nil {
+		return err
+	}
+	s.Policy = drive.Oracle
+	best, err := drive.Run(ctx, s)
+	if err != nil {
+		return err
+	}
+	s.Policy = drive.Agateward
+	ours, err := drive.Run(ctx, s)
+	if err != nil {
+		return err
+	}
+	at := fmt.Sprintf("load-%g-", s.Load)
+	for i, t := range ours.Tiers {
+		r := report.Result{Name: fmt.Sprintf("%sgoodput-tier-%d", at, i+1), Value: t.Goodput(), Unit: "share"}
+		r = r.Against(drive.Best(base, func(a, b drive.Result) bool { return a.Tiers[i].Goodput() > b.Tiers[i].Goodput() }).Tiers[i].Goodput())
+		if i == 0 && s.Load == targetLoad {
+			r = r.AtLeast(leastTop)
+		}
+		rep.Add(r)
+	}
+	addTotals(rep, at, s.Load == targetLoad, ours, best, base)
+	return nil
+}
+
+// addTotals adds the figures over all tiers, by requests and by tokens.
+func addTotals(rep *report.Report, at string, target bool, ours, oracle drive.Result, base []drive.Result) {
+	requests, tokens := ours.Good()
+	baseRequests, baseTokens := bestGood(base)
+	oracleRequests, oracleTokens := oracle.Good()
+	waste := drive.Best(base, func(a, b drive.Result) bool { return a.WastedShare() < b.WastedShare() }).WastedShare()
+	gain := report.Result{Name: at + "goodput-over-best-baseline", Value: ratio(requests, baseRequests), Unit: "ratio"}
+	gainTokens := report.Result{Name: at + "goodput-tokens-over-best-baseline", Value: ratio(tokens, baseTokens), Unit: "ratio"}
+	part := report.Result{Name: at + "goodput-of-oracle", Value: ratio(requests, oracleRequests), Unit: "ratio"}
+	partTokens := report.Result{Name: at + "goodput-tokens-of-oracle", Value: ratio(tokens, oracleTokens), Unit: "ratio"}
+	wasted := report.Result{Name: at + "wasted-prefill", Value: ours.WastedShare(), Unit: "share of prefill"}.Against(waste)
+	if target {
+		gain = gain.AtLeast(leastGain)
+		gainTokens = gainTokens.AtLeast(leastGain)
+		part = part.AtLeast(leastOfTheOracle)
+		partTokens = partTokens.AtLeast(leastOfTheOracle)
+		wasted = wasted.AtMost(mostWaste * waste)
+	}
+	rep.Add(gain, gainTokens, part, partTokens, wasted)
+}
+
+// bestGood returns the best baseline's good requests and tokens, each by itself.
+func bestGood(base []drive.Result) (requests, tokens int) {
+	for _, b := range base {
+		r, t := b.Good()
+		requests = max(requests, r)
+		tokens = max(tokens, t)
+	}
+	return requests, tokens
+}
+
+func ratio(a, b int) float64 { return float64(a) / float64(max(b, 1)) }
--- /dev/null
+++ b/internal/measure/slowengine/slowengine.go
@@ -0,0 +1,56 @@
+// Package slowengine measures the top tier's goodput when one engine of ten
+// becomes five times slower while load reports are five seconds old.
+//
+// # Usage
+//
+//	rep, err := slowengine.Experiment{}.Run(ctx, 1, progress)
+package slowengine
+
+import (
+	"context"
+	"time"
+
+	"agateward/internal/measure/drive"
+	"agateward/internal/measure/report"
+)
+
+const (
+	reportAge = 5 * time.Second
+	warm      = 20 * time.Second
+	fault     = 20 * time.Second // after the warm-up
+)
+
+// Experiment is the measurement. Its zero value is ready to use.
+type Experiment struct{}
+
+// Name returns the experiment's name.
+func (Experiment) Name() string { return "slow-engine" }
+
+// About says what it shows.
+func (Experiment) About() string {
+	return "the top tier's goodput when one engine of ten slows fivefold and reports are 5 s old"
+}
+
+// Run measures it below the capacity, above it, and with an entry killed in a
+// burst right then.
+func (Experiment) Run(ctx context.Context, seed uint64, progress func(string)) (report.Report, error) {
+	rep := report.Report{Experiment: "slow-engine", Seed: seed}
+	s := drive.Setup{
+		Seed: seed, Engines: drive.Engines(10, reportAge),
+		Warm: warm, Length: 45 * time.Second, Rest: 30 * time.Second, SlowAt: warm + fault,
+	}
+	s.Load = 0.8
+	if err := drive.AddFall(ctx, &rep, "load-0.8", s, fault, progress); err != nil {
+		return rep, err
+	}
+	s.Load = 1.5
+	if err := drive.AddFall(ctx, &rep, "load-1.5", s, fault, progress); err != nil {
+		return rep, err
+	}
+	s.Load = 0.8
+	s.Burst = 2
+	s.BurstFrom = warm + fault - 3*time.Second
+	s.BurstTo = s.BurstFrom + 10*time.Second
+	s.KillAt = warm + fault
+	return rep, drive.AddFall(ctx, &rep, "burst-and-kill", s, fault, progress)
+}
