--- /dev/null
+++ b/cmd/measure.go
@@ -0,0 +1,95 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+
+	"agateward/internal/measure/chart"
+	"agateward/internal/measure/frame"
+	"agateward/internal/measure/report"
+	"agateward/internal/result/code"
+
+	"github.com/urfave/cli/v3"
+)
+
+// measureCommand runs experiments.
+func measureCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "measure",
+		Usage:       "run an experiment, or all of them",
+		ArgsUsage:   "NAME|all",
+		Description: measureDescription(),
+		Flags: []cli.Flag{
+			seedFlag(),
+			&cli.StringFlag{Name: "output", Value: "table", Usage: "`FORM`: " + strings.Join(frame.Outputs, ", ")},
+			&cli.StringFlag{Name: "plot", Usage: "`FOLDER` for SVG plots"},
+			&cli.BoolFlag{Name: "strict", Usage: "fail when a target is missed"},
+		},
+		Action: runMeasure,
+	}
+}
+
+// measureDescription lists the experiments.
+func measureDescription() string {
+	var b strings.Builder
+	b.WriteString("Progress goes to standard error. Experiments:\n")
+	for _, x := range frame.List() {
+		fmt.Fprintf(&b, "  %-14s %s\n", x.Name(), x.About())
+	}
+	b.WriteString("\nExample:\n  agateward measure all --seed 2 --output csv\n  agateward measure overload --plot plots")
+	return b.String()
+}
+
+func runMeasure(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return code.BadCommand.New("measure takes the name of one experiment, or all")
+	}
+	output := c.String("output")
+	if !slices.Contains(frame.Outputs, output) {
+		return code.BadCommand.New("--output takes %s", strings.Join(frame.Outputs, ", "))
+	}
+	f := frame.Frame{Experiments: frame.List(), Seed: c.Uint64("seed"), Progress: os.Stderr}
+	reports, failed := f.Run(ctx, c.Args().First())
+	if err := frame.Write(c.Root().Writer, output, reports); err != nil {
+		return err
+	}
+	if err := drawCharts(c.String("plot"), reports); err != nil {
+		return err
+	}
+	if failed != nil {
+		return failed
+	}
+	return missed(c, reports)
+}
+
+// drawCharts draws what the reports offer and names the files.
+func drawCharts(folder string, reports []report.Report) error {
+	if folder == "" {
+		return nil
+	}
+	for _, r := range reports {
+		paths, err := chart.Folder(folder).Draw(r)
+		if err != nil {
+			return err
+		}
+		for _, p := range paths {
+			fmt.Fprintln(os.Stderr, "drawn:", p)
+		}
+	}
+	return nil
+}
+
+// missed fails a strict run that missed a target.
+func missed(c *cli.Command, reports []report.Report) error {
+	n := 0
+	for _, r := range reports {
+		n += r.Missed()
+	}
+	if n == 0 || !c.Bool("strict") {
+		return nil
+	}
+	return cli.Exit(fmt.Sprintf("%d targets missed", n), ExitFailed)
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -47,6 +47,8 @@
 		Commands: []*cli.Command{
 			codesCommand(),
 			standInCommand(),
+			loadCommand(),
+			measureCommand(),
 			versionCommand(),
 		},
 	}
--- a/internal/measure/report/report.go
+++ b/internal/measure/report/report.go
@@ -57,6 +57,29 @@
 	Experiment string   `json:"experiment"`
 	Seed       uint64   `json:"seed"`
 	Results    []Result `json:"results"`
+	// Charts are drawn on request.
+	Charts []Chart `json:"-"`
+}
+
+// Chart is a plot that an experiment offers.
+type Chart struct {
+	// Name is the name of its file, without an extension.
+	Name  string
+	Title string
+	// X and Y are the labels of the axes, with their units.
+	X, Y  string
+	Lines []Line
+}
+
+// Line is one line of a chart.
+type Line struct {
+	Name   string
+	Points []Point
+}
+
+// Point is one point of a line.
+type Point struct {
+	X, Y float64
 }
 
 // Experiment is one measurement: real deciders, small fakes, virtual time.
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -213,6 +213,7 @@
 		}
 		if sent == p.resume {
 			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set(HeaderResume, strconv.Itoa(p.resume))
 		}
 		for ; sent < at.tokens; sent++ {
 			if _, err := w.Write(p.event(sent)); err != nil {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -13,7 +13,7 @@
 //	GET  /agateward/kv?prefix=H,H        the cached part of a prefix
 //	POST /agateward/kv                   puts such a part into the cache
 //	POST /agateward/leaving              from now on the reports say leaving
-//	GET  /runs                           how often each prompt ran, by its hash
+//	GET  /runs                           how often each prompt ran from its start, by its hash
 //
 // # Usage
 //
@@ -104,7 +104,8 @@
 	s.engine.SetSpeed(s.Clock.Now(), factor)
 }
 
-// Runs returns how often each prompt ran, by the hash of its text.Answer.
+// Runs returns how often each prompt ran from its start, by the hash of its
+// text.Answer.
 func (s *Server) Runs() map[string]int {
 	s.once.Do(s.init)
 	s.mu.Lock()
@@ -159,7 +160,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.jobs[j.id] = j
-	s.runs[j.answer.Hash()]++
+	if b.Resume == 0 {
+		s.runs[j.answer.Hash()]++
+	}
 	s.engine.Admit(s.Clock.Now(), b)
 	if !s.driving {
 		s.driving = true
--- a/internal/standin/engine/reply.go
+++ b/internal/standin/engine/reply.go
@@ -84,7 +84,8 @@
 	return append(b, '\n')
 }
 
-// event returns the event of one token.
+// event returns the event of one token. Its id is the number of output tokens
+// with it, so that a resumed stream can be checked.
 func (p *reply) event(i int) []byte {
 	word := p.answer.Token(i)
 	var c choice
@@ -99,7 +100,7 @@
 	if i == p.output-1 {
 		c.Finish = &p.reason
 	}
-	return p.chunk([]choice{c}, nil)
+	return append([]byte("id: "+strconv.Itoa(i+1)+"\n"), p.chunk([]choice{c}, nil)...)
 }
 
 // end returns the usage, where it was asked for, and the end mark.
