feat(measure): list the experiments of the request path

Cause: overload, slow-engine and entry-crash landed before the frame. Change: three lines in internal/measure/frame/list.go. Conclusion: agateward measure runs them.

--- a/internal/measure/frame/list.go
+++ b/internal/measure/frame/list.go
@@ -1,9 +1,18 @@
 package frame
 
-import "agateward/internal/measure/report"
+import (
+	"agateward/internal/measure/entrycrash"
+	"agateward/internal/measure/overload"
+	"agateward/internal/measure/report"
+	"agateward/internal/measure/slowengine"
+)
 
 // List returns the experiments in the order in which "all" runs them. A new one
 // is a package under internal/measure and one line here.
 func List() []report.Experiment {
-	return []report.Experiment{}
+	return []report.Experiment{
+		overload.Experiment{},
+		slowengine.Experiment{},
+		entrycrash.Experiment{},
+	}
 }
