feat(cmd): add the operators' commands

Cause: operators drive the system by tickets from the command line. Change: settings check, ticket, move, status and explain, with a client of the operators' surface; table or JSON. Conclusion: to be tried against a running entry.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -45,6 +45,11 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			settingsCommand(),
+			ticketCommand(),
+			moveCommand(),
+			statusCommand(),
+			explainCommand(),
 			codesCommand(),
 			standInCommand(),
 			loadCommand(),
--- /dev/null
+++ b/cmd/ticket.go
@@ -0,0 +1,115 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"agateward/internal/result/code"
+	"agateward/internal/ticket/acceptance"
+	"agateward/internal/ticket/document"
+	"agateward/ward"
+
+	"github.com/urfave/cli/v3"
+)
+
+// ticketCommand hands tickets in and shows them.
+func ticketCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "ticket",
+		Usage: "hand in and show change tickets",
+		Description: "Example:\n  agateward ticket submit ticket-7.jsonc --dry-run\n" +
+			"  agateward ticket submit ticket-7.jsonc",
+		Commands: []*cli.Command{
+			{
+				Name: "submit", Usage: "hand in the ticket in FILE", ArgsUsage: "FILE",
+				Description: "A ticket handed in again is told that it is accepted already.\n\nExample:\n  agateward ticket submit ticket-7.jsonc",
+				Flags:       operatorFlags(&cli.BoolFlag{Name: "dry-run", Usage: "only show what would change"}),
+				Action:      submitTicket,
+			},
+			{
+				Name: "show", Usage: "show the ticket with a NUMBER", ArgsUsage: "NUMBER",
+				Description: "Example:\n  agateward ticket show 7", Flags: operatorFlags(),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					number, err := argument(c, "NUMBER")
+					if err != nil {
+						return err
+					}
+					return fetch(ctx, c, "/tickets/"+number, printTicket)
+				},
+			},
+			{
+				Name: "list", Usage: "list the tickets accepted last",
+				Description: "Example:\n  agateward ticket list --output json", Flags: operatorFlags(),
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return fetch(ctx, c, "/tickets", printTickets)
+				},
+			},
+		},
+	}
+}
+
+func submitTicket(ctx context.Context, c *cli.Command) error {
+	file, err := argument(c, "FILE")
+	if err != nil {
+		return err
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return code.BadCommand.Wrap(err, "read the ticket")
+	}
+	// What can be seen without an entry is told at once.
+	if _, faults := document.Parse(b); len(faults) > 0 {
+		return document.Error(code.TicketSyntax, faults)
+	}
+	cl, err := operatorClient(c)
+	if err != nil {
+		return err
+	}
+	path := "/tickets"
+	if c.Bool("dry-run") {
+		path += "?dry-run=true"
+	}
+	var r acceptance.Result
+	if err := cl.Post(ctx, path, b, &r); err != nil {
+		return err
+	}
+	return show(c, r, func(w io.Writer, r acceptance.Result) { printResult(w, r, c.Bool("dry-run")) })
+}
+
+func printResult(w io.Writer, r acceptance.Result, dry bool) {
+	switch {
+	case dry:
+		fmt.Fprintf(w, "ticket %d would be accepted as revision %d; nothing was changed\n", r.Number, r.Revision)
+	case r.Already:
+		fmt.Fprintf(w, "ticket %d is accepted already, as revision %d\n", r.Number, r.Revision)
+	default:
+		fmt.Fprintf(w, "ticket %d is accepted, as revision %d\n", r.Number, r.Revision)
+	}
+	for _, line := range r.Diff {
+		fmt.Fprintln(w, line)
+	}
+}
+
+func printTicket(w io.Writer, e acceptance.Entry) {
+	state := "not accepted"
+	if e.Revision > 0 {
+		state = fmt.Sprintf("accepted at %s as revision %d", e.Accepted.Format(time.RFC3339), e.Revision)
+	}
+	fmt.Fprintf(w, "ticket %d by %s: %s\n", e.Ticket.Number, e.Ticket.Operator, state)
+	b, err := json.MarshalIndent(e.Ticket, "", "  ")
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(w, "%s\n", b)
+}
+
+func printTickets(w io.Writer, list []ward.AcceptedTicket) {
+	row(w, "NUMBER", "REVISION", "ACCEPTED")
+	for _, t := range list {
+		row(w, t.Number, t.Revision, t.Accepted.Format(time.RFC3339))
+	}
+}
--- /dev/null
+++ b/internal/entry/program/program.go
@@ -0,0 +1,188 @@
+// Package program composes the parts of one entry and runs them.
+//
+// # Usage
+//
+//	p, err := program.New(s, program.Options{Log: l})
+//	if err != nil {
+//		return err
+//	}
+//	err = p.Run(ctx) // ends with a planned stop when ctx ends
+//
+// New opens the listeners, so that an address in use is told at once. Several
+// programs may run in one process: they share nothing.
+package program
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agateward/internal/config/settings"
+	"agateward/internal/entry/path"
+	"agateward/internal/operator/notice"
+	"agateward/internal/platform/client"
+	"agateward/internal/telemetry/explain"
+	"agateward/internal/telemetry/metric"
+	"agateward/internal/telemetry/trace"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+)
+
+// Options are what a Program may be given instead of its own.
+type Options struct {
+	Clock ward.Clock
+	Log   logr.Logger
+	// Version is shown in the status.
+	Version string
+}
+
+// Program is one entry.
+type Program struct {
+	settings settings.Settings
+	clock    ward.Clock
+	log      logr.Logger
+	version  string
+
+	metrics *metric.Set
+	trace   *trace.Tracer
+	explain *explain.Log
+	board   *notice.Board
+
+	platform *client.Client
+	path     *path.Path
+	parts
+
+	listeners listeners
+	callers   *http.Server
+	operators *http.Server
+
+	started     time.Time
+	unready     atomic.Bool
+	incarnation ward.Incarnation
+	kill        context.CancelFunc
+	killed      chan struct{}
+	once        sync.Once
+}
+
+// listeners are the open listeners of an entry.
+type listeners struct {
+	callers, operators, peers net.Listener
+}
+
+// step is one part that runs as long as the entry does.
+type step struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// New composes an entry and opens its listeners.
+func New(ctx context.Context, s settings.Settings, o Options) (*Program, error) {
+	if o.Clock == nil {
+		o.Clock = ward.SystemClock{}
+	}
+	p := &Program{
+		settings: s, clock: o.Clock, log: o.Log.WithValues("entry", s.Name), version: o.Version,
+		metrics: metric.New(), explain: explain.New(s.Telemetry.Explain), killed: make(chan struct{}),
+	}
+	p.started = p.clock.Now()
+	p.incarnation = ward.Incarnation(p.started.UnixNano())
+	var err error
+	p.trace, err = trace.New(ctx, trace.Settings{
+		Entry: s.Name, Endpoint: s.Telemetry.TraceEndpoint, Share: s.Telemetry.TraceShare,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := p.listen(); err != nil {
+		return nil, err
+	}
+	p.compose()
+	return p, nil
+}
+
+// steps lists what runs, in the order in which it starts.
+func (p *Program) steps() []step {
+	return []step{
+		{"configuration", p.holder.Run},
+		{"requests", p.path.Run},
+		{"reports", p.reports.Run},
+		{"changes", p.follow},
+		{"callers", func(context.Context) error { return served(p.callers.Serve(p.listeners.callers)) }},
+		{"operators", func(context.Context) error { return served(p.operators.Serve(p.listeners.operators)) }},
+	}
+}
+
+// Run runs the entry until ctx ends, and then stops it as planned: it says that
+// it is not ready, serves on for the balancer's lag, ends what it has, and hands
+// back what it holds.
+func (p *Program) Run(ctx context.Context) error {
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	p.log.Info("entry-started", "callers", p.CallersAddress(), "operators", p.OperatorsAddress(), "peers", p.PeersAddress())
+	var running conc.WaitGroup
+	failed := make(chan error, len(p.steps()))
+	for _, s := range p.steps() {
+		running.Go(func() {
+			if err := p.logged(s)(inner); err != nil {
+				failed <- err
+			}
+		})
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+		err = p.stop(inner)
+	case err = <-failed:
+	case <-p.killed:
+	}
+	cancel()
+	p.close()
+	running.Wait()
+	p.log.Info("entry-stopped")
+	return err
+}
+
+// logged wraps a step with its log events.
+func (p *Program) logged(s step) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		p.log.V(1).Info("step-started", "step", s.name)
+		err := s.run(ctx)
+		if err != nil && ctx.Err() == nil {
+			p.log.Error(err, "step-failed", "step", s.name)
+			return err
+		}
+		p.log.V(1).Info("step-ended", "step", s.name)
+		return nil
+	}
+}
+
+// Kill ends the entry at once, as the death of its process would: connections
+// are cut and nothing is handed back.
+func (p *Program) Kill() {
+	p.once.Do(func() {
+		close(p.killed)
+		p.close()
+	})
+}
+
+// close closes all listeners and connections.
+func (p *Program) close() {
+	_ = p.callers.Close()
+	_ = p.operators.Close()
+	p.listeners.peers.Close()
+	p.platform.Close()
+}
+
+// CallersAddress returns the address that callers reach the entry at.
+func (p *Program) CallersAddress() string { return p.listeners.callers.Addr().String() }
+
+// OperatorsAddress returns the address that operators reach the entry at.
+func (p *Program) OperatorsAddress() string { return p.listeners.operators.Addr().String() }
+
+// PeersAddress returns the address that other entries reach the entry at.
+func (p *Program) PeersAddress() string { return p.listeners.peers.Addr().String() }
--- /dev/null
+++ b/internal/operator/client/client.go
@@ -0,0 +1,154 @@
+// Package client provides the operators' interface of an entry to the command
+// line.
+//
+// # Usage
+//
+//	c := client.New("127.0.0.1:8081", key)
+//	var list []surface.MoveView
+//	err := c.Get(ctx, "/moves", &list)
+//	err = c.Events(ctx, 0, func(e notice.Numbered) bool { ... return true })
+//
+// A refusal of the entry comes back as an error with the entry's code.
+package client
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"agateward/internal/operator/notice"
+	"agateward/internal/result/code"
+)
+
+const (
+	// callTimeout bounds a call that is no stream.
+	callTimeout = 15 * time.Second
+	// maxReply bounds what is read of a reply, in bytes.
+	maxReply = 16 << 20
+	// maxEvent bounds one event, in bytes.
+	maxEvent = 4 << 20
+)
+
+// Client talks to one entry.
+type Client struct {
+	address string
+	key     string
+	http    *http.Client
+}
+
+// New returns a client of the entry whose operators' listener has the address.
+func New(address, key string) *Client {
+	return &Client{address: address, key: key, http: &http.Client{}}
+}
+
+// At returns a client of another entry with the same key.
+func (c *Client) At(address string) *Client { return &Client{address: address, key: c.key, http: c.http} }
+
+// Get reads a path into out.
+func (c *Client) Get(ctx context.Context, path string, out any) error {
+	return c.call(ctx, http.MethodGet, path, nil, out)
+}
+
+// Post sends a body and reads the reply into out.
+func (c *Client) Post(ctx context.Context, path string, body []byte, out any) error {
+	return c.call(ctx, http.MethodPost, path, body, out)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := c.send(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxReply))
+	if err != nil {
+		return code.EntryDown.Wrap(err, "read the reply of %s", c.address)
+	}
+	if res.StatusCode != http.StatusOK {
+		return refused(res, b)
+	}
+	if raw, ok := out.(*[]byte); ok {
+		*raw = b
+		return nil
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return code.EntryDown.Wrap(err, "%s does not speak this protocol", c.address)
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, code.BadCommand.Wrap(err, "entry %q", c.address)
+	}
+	r.Header.Set("Authorization", "Bearer "+c.key)
+	res, err := c.http.Do(r)
+	if err != nil {
+		return nil, code.EntryDown.Wrap(err, "ask entry %s", c.address)
+	}
+	return res, nil
+}
+
+// refused makes an error with the entry's code of a refusal.
+func refused(res *http.Response, b []byte) error {
+	var body struct {
+		Error struct {
+			Message string `json:"message"`
+			Code    string `json:"code"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(b, &body); err != nil || body.Error.Code == "" {
+		return code.EntryDown.New("unexpected reply with status %d", res.StatusCode)
+	}
+	number, _ := strconv.Atoi(strings.TrimPrefix(body.Error.Code, "AW-"))
+	for _, known := range code.Table() {
+		if known.Number == number {
+			return known.New("%s", body.Error.Message)
+		}
+	}
+	return code.EntryDown.New("unknown code %s: %s", body.Error.Code, body.Error.Message)
+}
+
+// Events calls f for each event after a place until f returns false or ctx ends.
+func (c *Client) Events(ctx context.Context, after int, f func(e notice.Numbered) bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	res, err := c.send(ctx, http.MethodGet, "/events?after="+strconv.Itoa(after), nil)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		b, _ := io.ReadAll(io.LimitReader(res.Body, maxReply))
+		return refused(res, b)
+	}
+	lines := bufio.NewScanner(res.Body)
+	lines.Buffer(nil, maxEvent)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		var e notice.Numbered
+		if err := json.Unmarshal([]byte(data), &e); err != nil {
+			return code.EntryDown.Wrap(err, "read an event of %s", c.address)
+		}
+		if !f(e) {
+			return nil
+		}
+	}
+	if err := lines.Err(); err != nil && !errors.Is(err, context.Canceled) {
+		return code.EntryDown.Wrap(err, "read the events of %s", c.address)
+	}
+	return nil
+}
