feat(entry): run the thin whole path as separate processes

Cause: nothing ran end to end yet. Change: the entry program composes store, scheduler, relay and surfaces from a list of steps; agateward entry runs it until a signal. The platform's budget keys leave the settings, since the meter's table holds them.

--- a/cmd/move.go
+++ b/cmd/move.go
@@ -58,7 +58,7 @@
 	}
 	until := c.String("until")
 	w := c.Root().Writer
-	return cl.Events(ctx, int(c.Int("after")), func(e notice.Numbered) bool {
+	return cl.Events(ctx, c.Int("after"), func(e notice.Numbered) bool {
 		if c.String("output") == "json" {
 			b, err := json.Marshal(e)
 			if err == nil {
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -45,6 +45,7 @@
 		EnableShellCompletion: true,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			entryCommand(),
 			settingsCommand(),
 			ticketCommand(),
 			moveCommand(),
--- a/internal/config/settings/check.go
+++ b/internal/config/settings/check.go
@@ -140,8 +140,6 @@
 		{"callers.max-connections", s.Callers.MaxConnections, 1, 1_000_000},
 		{"peers.fanout", s.Peers.Fanout, 1, 8},
 		{"peers.max-bytes-per-second", s.Peers.MaxBytesPerSecond, 4 * kilobyte, megabyte},
-		{"platform.writes-per-second", s.Platform.WritesPerSecond, 1, 100_000},
-		{"platform.reads-per-second", s.Platform.ReadsPerSecond, 1, 1_000_000},
 		{"requests.max-waiting", s.Requests.MaxWaiting, 1, 1_000_000},
 		{"requests.max-answer", s.Requests.MaxAnswer, kilobyte, 256 * megabyte},
 		{"records.shards", s.Records.Shards, 1, 256},
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -88,9 +88,6 @@
 	Address string `json:"address"`
 	// Timeout bounds one call.
 	Timeout ward.Duration `json:"timeout"`
-	// WritesPerSecond and ReadsPerSecond bound the calls of the whole fleet.
-	WritesPerSecond int `json:"writes-per-second"`
-	ReadsPerSecond  int `json:"reads-per-second"`
 }
 
 // Requests are the settings of the request path.
@@ -172,7 +169,7 @@
 		Peers: Peers{
 			Interval: ward.Duration(200 * time.Millisecond), Fanout: 3, MaxBytesPerSecond: 16 * kilobyte,
 		},
-		Platform: Platform{Timeout: seconds(2), WritesPerSecond: 300, ReadsPerSecond: 1500},
+		Platform: Platform{Timeout: seconds(2)},
 		Requests: Requests{
 			MaxWaiting: 20_000, DefaultDeadline: seconds(60), MaxDeadline: seconds(3600),
 			ConnectTimeout: seconds(1), ChunkTimeout: seconds(30), MaxAnswer: 8 * megabyte,
--- /dev/null
+++ b/internal/entry/program/compose.go
@@ -0,0 +1,170 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"time"
+
+	callers "agateward/internal/caller/surface"
+
+	"agateward/internal/caller/intake"
+	"agateward/internal/entry/path"
+	"agateward/internal/entry/relay"
+	"agateward/internal/entry/report"
+	"agateward/internal/operator/access"
+	"agateward/internal/operator/notice"
+	operators "agateward/internal/operator/surface"
+	"agateward/internal/platform/client"
+	"agateward/internal/request/scheduler"
+	"agateward/internal/result/code"
+	"agateward/internal/ticket/acceptance"
+	"agateward/internal/upstream/answer"
+	"agateward/internal/upstream/engine"
+	"agateward/internal/upstream/service"
+	"agateward/internal/upstream/transport"
+	"agateward/ward"
+
+	"github.com/google/uuid"
+)
+
+// parts are the runners that an entry is composed of.
+type parts struct {
+	engine  *engine.Engine
+	service *service.Service
+	holder  *holder
+	reports *report.Reader
+}
+
+// listen opens the listeners.
+func (p *Program) listen() error {
+	for _, l := range []struct {
+		address string
+		at      *net.Listener
+	}{
+		{p.settings.Callers.Address, &p.listeners.callers},
+		{p.settings.Operators.Address, &p.listeners.operators},
+		{p.settings.Peers.Address, &p.listeners.peers},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			p.closeListeners()
+			return code.ListenFailed.Wrap(err, "listen on %s", l.address)
+		}
+		*l.at = listener
+	}
+	return nil
+}
+
+func (p *Program) closeListeners() {
+	for _, l := range []net.Listener{p.listeners.callers, p.listeners.operators, p.listeners.peers} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// compose makes the parts and joins them.
+func (p *Program) compose() {
+	s := p.settings
+	p.platform = client.New(client.Settings{Address: s.Platform.Address, Timeout: s.Platform.Timeout.Std(), Clock: p.clock})
+	p.board = notice.New(notice.Deps{Webhook: s.Operators.Webhook, Clock: p.clock, Log: p.log, Count: p.metrics.Event})
+	limits := transport.Limits{Dial: s.Requests.ConnectTimeout.Std(), Idle: s.Requests.ChunkTimeout.Std()}
+	p.engine = &engine.Engine{Transport: transport.Transport{Limits: limits}, Limits: answer.Limits{Body: int64(s.Requests.MaxAnswer)}}
+	p.service = &service.Service{Transport: transport.Transport{Limits: limits}, Limits: answer.Limits{Body: int64(s.Requests.MaxAnswer)}}
+	p.holder = &holder{store: p.platform.Store(), clock: p.clock, log: p.log, changed: make(chan struct{}, 1)}
+	p.path = path.New(path.Deps{
+		Scheduler: scheduler.New(scheduler.Settings{
+			Self: s.Name, DataCentre: s.DataCentre, MaxWaiting: s.Requests.MaxWaiting,
+		}, p.seed()),
+		Relay: &relay.Relay{Engine: p.engine, Service: p.service, Clock: p.clock, Log: p.log},
+		Clock: p.clock, Log: p.log, Trace: p.trace, Explain: p.explain,
+	})
+	p.reports = report.New(report.Deps{
+		Backend: p.backend, Config: p.holder.Current, Entries: func() int { return 1 },
+		Report: func(r ward.LoadReport) {
+			p.path.Do(func(s *scheduler.Scheduler, now time.Time) []scheduler.Action { s.Report(now, r); return nil })
+		},
+		Cache: func(upstream string, events []ward.CacheEvent) {
+			p.path.Do(func(s *scheduler.Scheduler, now time.Time) []scheduler.Action {
+				s.Cache(now, upstream, events)
+				return nil
+			})
+		},
+		Interval: s.Requests.ReportInterval.Std(), Clock: p.clock, Log: p.log, Seed: p.seed(),
+	})
+	p.callers = p.server(callers.New(callers.Deps{
+		Intake: intake.Intake{
+			Entry: s.Name, DefaultDeadline: s.Requests.DefaultDeadline.Std(), MaxDeadline: s.Requests.MaxDeadline.Std(),
+		},
+		MaxBody: s.Callers.MaxBody, WriteTimeout: s.Callers.WriteTimeout.Std(), Config: p.holder.Current, Open: p.path.Open,
+		Clock: p.clock, Log: p.log, Metrics: p.metrics, Trace: p.trace, Explain: p.explain,
+	}))
+	p.operators = p.server(operators.New(operators.Deps{
+		Key: access.New(s.Operators.Key),
+		Acceptance: &acceptance.Acceptance{
+			Store: p.platform.Store(), Clock: p.clock, Fleet: s.Fleet, NewAttempt: uuid.NewString,
+		},
+		Config: p.holder.Current, Moves: func() []ward.MoveState { return nil }, Status: p.status, Ready: p.ready,
+		Board: p.board, Explain: p.explain, Metrics: p.metrics, Clock: p.clock, Log: p.log,
+	}))
+}
+
+// server returns an HTTP server with the limits of the callers' listener. Each
+// write has its own deadline, set by the surfaces.
+func (p *Program) server(h http.Handler) *http.Server {
+	c := p.settings.Callers
+	return &http.Server{
+		Handler: h, ReadTimeout: c.ReadTimeout.Std(), ReadHeaderTimeout: c.ReadTimeout.Std(),
+		IdleTimeout: c.IdleTimeout.Std(), MaxHeaderBytes: c.MaxHeader,
+	}
+}
+
+func (p *Program) backend(kind ward.UpstreamKind) ward.Backend {
+	if kind == ward.KindService {
+		return p.service
+	}
+	return p.engine
+}
+
+// seed spreads the choices of entries that start together.
+func (p *Program) seed() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(p.settings.Name))
+	return h.Sum64() ^ uint64(p.incarnation)
+}
+
+// served makes the end of a server that was closed no error.
+func served(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// ready returns nil when the entry takes requests.
+func (p *Program) ready() error {
+	if p.unready.Load() {
+		return code.Stopping.New("the entry is stopping")
+	}
+	if p.holder.Current() == nil {
+		return code.NotReady.New("the entry has no configuration yet")
+	}
+	return nil
+}
+
+// follow puts each configuration in force.
+func (p *Program) follow(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.holder.changed:
+		}
+		cfg := p.holder.Current()
+		p.path.Do(func(s *scheduler.Scheduler, now time.Time) []scheduler.Action { s.Configure(now, cfg); return nil })
+		p.log.Info("configuration-in-force", "revision", cfg.Revision, "ticket", cfg.Ticket)
+	}
+}
--- a/internal/entry/program/program.go
+++ b/internal/entry/program/program.go
@@ -64,7 +64,6 @@
 	started     time.Time
 	unready     atomic.Bool
 	incarnation ward.Incarnation
-	kill        context.CancelFunc
 	killed      chan struct{}
 	once        sync.Once
 }
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -49,7 +49,9 @@
 }
 
 // At returns a client of another entry with the same key.
-func (c *Client) At(address string) *Client { return &Client{address: address, key: c.key, http: c.http} }
+func (c *Client) At(address string) *Client {
+	return &Client{address: address, key: c.key, http: c.http}
+}
 
 // Get reads a path into out.
 func (c *Client) Get(ctx context.Context, path string, out any) error {
