--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -90,13 +91,20 @@
 	}
 	bad, err := d.move(ctx, 3, "writer-to-v3", "v2", "v3")
 	stop()
-	<-sent
-	if err != nil {
+	if err := errors.Join(err, ended(<-sent)); err != nil {
 		return err
 	}
 	return d.report(deposits, good, bad)
 }
 
+// ended makes the end of the traffic that was asked for no error.
+func ended(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
 func (d *Demo) say(format string, args ...any) {
 	fmt.Fprintf(d.Progress, "%5.1fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
 }
