feat(move): add the deciders and the runner of moves

Cause: moves must be done by their deadline or taken back, with any one entry able to stop harm and only the lease holder able to go on.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -51,7 +51,6 @@
 			moveCommand(),
 			statusCommand(),
 			explainCommand(),
-			demoCommand(),
 			codesCommand(),
 			standInCommand(),
 			loadCommand(),
--- /dev/null
+++ b/internal/entry/mover/mover.go
@@ -0,0 +1,247 @@
+// Package mover runs the moves at one entry.
+//
+// It counts outcomes, judges them together with those of the other entries, and
+// quarantines a version that is convicted: that part needs no store and no
+// lease. For each move one entry holds a lease; it writes the move's record by
+// compare-and-swap, gives orders to engines and tells operators. Entries hand
+// records on to each other, so that a share is in force everywhere soon.
+//
+// # Usage
+//
+//	m := mover.New(mover.Deps{Self: "entry-1", Store: store, Config: holder.Current, ...})
+//	go m.Run(ctx)
+//	m.Observe(outcome)                    // each ended dispatch
+//	m.Merge(x.Brakes, x.Counts, x.Moves)  // from peers
+//	brakes, counts, states := m.Local()   // to peers
+//	splits := m.Splits()                  // to the scheduler
+//
+// Run returns when ctx ends, with its leases handed back.
+package mover
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"agateward/internal/move/analysis"
+	"agateward/internal/move/brake"
+	"agateward/internal/move/evidence"
+	"agateward/internal/move/machine"
+	"agateward/internal/move/order"
+	"agateward/internal/move/split"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// leaseTerm is the time to live of the lease on steering a move.
+	leaseTerm = order.Term
+	// tick is the time between two looks of a mover; a short move gets one
+	// shortLooks-th of its window.
+	tick       = time.Second
+	shortTick  = 100 * time.Millisecond
+	shortLooks = 100
+	// candidates is the number of entries that try for the lease of one move.
+	candidates = 3
+	// storeTimeout bounds one call of the store, orderTimeout one order.
+	storeTimeout = 2 * time.Second
+	orderTimeout = 30 * time.Second
+	// maxCounts bounds the counts that are kept of all entries.
+	maxCounts = 50_000
+	// maxPending bounds the events that this entry tells by itself.
+	maxPending = 64
+)
+
+// Deps are what a Mover stands on. Publish and Backend may be nil.
+type Deps struct {
+	Self        string
+	Incarnation ward.Incarnation
+	Store       ward.Store
+	Clock       ward.Clock
+	Notifier    ward.Notifier
+	Log         logr.Logger
+	// Backend gives orders to engines and reads their reports.
+	Backend ward.Backend
+	// Config returns the configuration in force, or nil when there is none yet.
+	Config func() *ward.Config
+	// Fleet returns the number of live entries and the place of this one.
+	Fleet func() split.Fleet
+	// Publish is called when there is something new that peers should hear soon.
+	Publish func()
+}
+
+// Mover is the runner of moves.
+type Mover struct {
+	Deps
+	machine machine.Machine
+
+	mu       sync.Mutex
+	brakes   brake.Set
+	states   map[string]ward.MoveState
+	recorder evidence.Recorder
+	merged   map[countKey]ward.Counts
+	runs     map[string]*run
+	pending  []ward.Event
+	told     map[string]bool
+	// duties belongs to the steering goroutine.
+	duties map[string]*duty
+}
+
+// countKey is what merged counts are told apart by.
+type countKey struct {
+	key         evidence.Key
+	entry       string
+	incarnation ward.Incarnation
+}
+
+// run is what this entry has found out about one run of a move.
+type run struct {
+	since    time.Time
+	step     int
+	analyses map[string]*analysis.Analysis
+	verdicts map[string]analysis.Verdict
+}
+
+// New returns a Mover that knows of no state yet.
+func New(d Deps) *Mover {
+	return &Mover{
+		Deps:     d,
+		states:   map[string]ward.MoveState{},
+		recorder: evidence.Recorder{Entry: d.Self, Incarnation: d.Incarnation},
+		merged:   map[countKey]ward.Counts{},
+		runs:     map[string]*run{},
+		told:     map[string]bool{},
+		duties:   map[string]*duty{},
+	}
+}
+
+// Run judges, steers and tells until ctx ends.
+func (m *Mover) Run(ctx context.Context) error {
+	var wg conc.WaitGroup
+	wg.Go(func() { m.loop(ctx, func(context.Context) { m.Judge() }) })
+	wg.Go(func() { m.loop(ctx, m.Steer) })
+	wg.Go(func() { m.loop(ctx, m.Tell) })
+	wg.Wait()
+	m.release()
+	return ctx.Err()
+}
+
+func (m *Mover) loop(ctx context.Context, f func(context.Context)) {
+	for ctx.Err() == nil {
+		f(ctx)
+		if m.Clock.Sleep(ctx, m.interval()) != nil {
+			return
+		}
+	}
+}
+
+// interval returns the time to the next look: shorter while a short move is
+// under way.
+func (m *Mover) interval() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := tick
+	c := m.Config()
+	if c == nil {
+		return d
+	}
+	now := m.Clock.Now()
+	for _, x := range c.Moves {
+		if left := x.Deadline.Sub(now); left > -leaseTerm && !x.Cancelled && !m.machine.Final(m.states[x.Name]) {
+			window := left
+			if b := m.states[x.Name].Begin; !b.IsZero() {
+				window = x.Deadline.Sub(b)
+			}
+			d = min(d, max(window/shortLooks, shortTick))
+		}
+	}
+	return d
+}
+
+// Splits returns how each route's traffic divides now.
+func (m *Mover) Splits() []ward.Split {
+	c := m.Config()
+	if c == nil {
+		return nil
+	}
+	fleet := m.Fleet()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return split.Splits(c, slices.Collect(maps.Values(m.states)), m.brakes.List(), fleet)
+}
+
+// States returns the states of moves that this entry knows, by name.
+func (m *Mover) States() []ward.MoveState {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sortedStates()
+}
+
+func (m *Mover) sortedStates() []ward.MoveState {
+	var list []ward.MoveState
+	for _, name := range slices.Sorted(maps.Keys(m.states)) {
+		list = append(list, m.states[name])
+	}
+	return list
+}
+
+// Local returns all that this entry knows, for its peers.
+func (m *Mover) Local() ([]ward.Brake, []ward.Counts, []ward.MoveState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	counts := m.recorder.Counts()
+	for _, c := range m.merged {
+		counts = append(counts, c)
+	}
+	slices.SortFunc(counts, evidence.Compare)
+	return m.brakes.List(), counts, m.sortedStates()
+}
+
+// Merge takes in what a peer knows. Repeats and old messages change nothing.
+func (m *Mover) Merge(brakes []ward.Brake, counts []ward.Counts, states []ward.MoveState) {
+	m.mu.Lock()
+	added := m.brakes.Merge(brakes)
+	for _, c := range counts {
+		m.mergeCounts(c)
+	}
+	for _, s := range states {
+		m.adopt(s)
+	}
+	m.mu.Unlock()
+	if len(added) > 0 {
+		m.publish()
+	}
+}
+
+func (m *Mover) mergeCounts(c ward.Counts) {
+	if c.Entry == m.Self && c.Incarnation == m.Incarnation {
+		return
+	}
+	k := countKey{evidence.Key{Move: c.Move, Route: c.Route, Serves: c.Serves, Version: c.Version}, c.Entry, c.Incarnation}
+	have, ok := m.merged[k]
+	if !ok && len(m.merged) >= maxCounts {
+		return
+	}
+	if c.Succeeded+c.Failed > have.Succeeded+have.Failed {
+		m.merged[k] = c
+	}
+}
+
+// adopt takes a state over when it is newer than the known one.
+func (m *Mover) adopt(s ward.MoveState) bool {
+	if have, ok := m.states[s.Move]; ok && have.Revision >= s.Revision {
+		return false
+	}
+	m.states[s.Move] = s
+	return true
+}
+
+func (m *Mover) publish() {
+	if m.Publish != nil {
+		m.Publish()
+	}
+}
--- /dev/null
+++ b/internal/entry/mover/mover_test.go
@@ -0,0 +1,186 @@
+package mover_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"agateward/internal/entry/mover"
+	"agateward/internal/move/split"
+	"agateward/internal/platform/memory"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+)
+
+// operators notes the events that they are told of.
+type operators struct {
+	mu   sync.Mutex
+	told map[string]ward.Event
+}
+
+func (o *operators) Notify(_ context.Context, e ward.Event) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.told[e.ID] = e
+	return nil
+}
+
+// outcomes returns the kinds of the outcomes that were told.
+func (o *operators) outcomes() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var list []string
+	for id, e := range o.told {
+		if strings.HasSuffix(id, "/outcome") {
+			list = append(list, string(e.Kind))
+		}
+	}
+	return strings.Join(list, " ")
+}
+
+// fleet is a few movers, their traffic and their exchange.
+type fleet struct {
+	movers  []*mover.Mover
+	stop    []context.CancelFunc
+	dead    []bool
+	credit  []float64
+	rng     *rand.Rand
+	store   *memory.Platform
+	told    *operators
+	failing float64
+	sent    int
+}
+
+func newFleet(ctx context.Context, wg *sync.WaitGroup, cfg *ward.Config, n int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(3, 3)), store: &memory.Platform{Seed: 3}, told: &operators{told: map[string]ward.Event{}}}
+	for i := range n {
+		m := mover.New(mover.Deps{
+			Self: fmt.Sprint("entry-", i), Incarnation: 1, Store: f.store, Clock: ward.SystemClock{}, Notifier: f.told,
+			Log: logr.Discard(), Config: func() *ward.Config { return cfg },
+			Fleet: func() split.Fleet { return split.Fleet{Entries: n, Index: i} },
+		})
+		own, stop := context.WithCancel(ctx)
+		f.movers = append(f.movers, m)
+		f.stop = append(f.stop, stop)
+		f.dead = append(f.dead, false)
+		f.credit = append(f.credit, 0)
+		wg.Go(func() { _ = m.Run(own) })
+	}
+	return f
+}
+
+// second sends 10 requests at each entry and exchanges three times.
+func (f *fleet) second() {
+	for i := range 12 {
+		for j, m := range f.movers {
+			if f.dead[j] {
+				continue
+			}
+			s := m.Splits()[0]
+			o := ward.Outcome{Route: "r", Version: s.Version, OK: f.rng.Float64() > 0.01, Connected: true, Total: 20 * time.Millisecond, At: time.Now()}
+			if f.credit[j] += s.Share; f.credit[j] >= 1 {
+				f.credit[j]--
+				f.sent++
+				o.Version = s.Next
+				o.OK = f.rng.Float64() > f.failing
+			}
+			m.Observe(o)
+			for k, peer := range f.movers {
+				if i%4 == 0 && k != j && !f.dead[k] {
+					peer.Merge(m.Local())
+				}
+			}
+		}
+		time.Sleep(time.Second / 12)
+	}
+}
+
+// TestMoves runs whole moves on virtual time.
+func TestMoves(t *testing.T) {
+	tests := []struct {
+		name    string
+		failing float64
+		// at is called each second.
+		at   func(f *fleet, second int)
+		want string
+		// atMost bounds the requests that a bad version gets.
+		atMost int
+	}{
+		{"good", 0.01, func(*fleet, int) {}, "move-done", 0},
+		{"bad", 1, func(*fleet, int) {}, "move-taken-back", 30},
+		{"bad later", 0.01, func(f *fleet, s int) {
+			if s == 40 {
+				f.failing = 1
+			}
+		}, "move-taken-back", 0},
+		{"holder dies", 0.01, func(f *fleet, s int) {
+			if s == 30 {
+				f.kill()
+			}
+		}, "move-done", 0},
+		{"store down, bad", 0.01, func(f *fleet, s int) {
+			f.store.SetFaults(memory.Faults{Down: s >= 20 && s < 70})
+			if s == 25 {
+				f.failing = 1
+			}
+		}, "move-taken-back", 0},
+		{"lost answers", 0.01, func(f *fleet, s int) {
+			f.store.SetFaults(memory.Faults{LostAnswer: 0.3, LostRequest: 0.3})
+		}, "move-done", 0},
+		{"leases lapse", 0.01, func(f *fleet, s int) {
+			if s%10 == 0 {
+				f.store.Lapse("move/x")
+			}
+		}, "move-done", 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				cfg := &ward.Config{
+					Routes: []ward.Route{{Name: "r", Serves: "m", Version: "v1", Ticket: 1}},
+					Moves:  []ward.Move{{Name: "x", Serves: "m", From: "v1", To: "v2", Ticket: 2, Deadline: time.Now().Add(90 * time.Second)}},
+				}
+				var wg sync.WaitGroup
+				f := newFleet(ctx, &wg, cfg, 3)
+				f.failing = tt.failing
+				for s := range 120 {
+					tt.at(f, s)
+					f.second()
+					if s == 88 && tt.want == "move-done" {
+						for i, m := range f.movers {
+							if got := m.Splits()[0]; !f.dead[i] && got.Share != 1 {
+								t.Errorf("share before the deadline is %v", got)
+							}
+						}
+					}
+				}
+				if got := f.told.outcomes(); got != tt.want {
+					t.Errorf("told %q, want %q; events %+v", got, tt.want, f.told.told)
+				}
+				if tt.atMost > 0 && f.sent > tt.atMost {
+					t.Errorf("the bad version got %d requests", f.sent)
+				}
+				cancel()
+				wg.Wait()
+			})
+		})
+	}
+}
+
+// kill ends the mover that holds the move and everything that it knows.
+func (f *fleet) kill() {
+	holder := f.movers[0].States()[0].Holder
+	for i, m := range f.movers {
+		if m.Self == holder {
+			f.stop[i]()
+			f.dead[i] = true
+		}
+	}
+}
--- /dev/null
+++ b/internal/move/analysis/analysis.go
@@ -0,0 +1,201 @@
+// Package analysis judges the new version of a move against the old one, on one
+// route.
+//
+// It is a canary analysis by sequential tests. Outcomes of both versions over
+// the same time are taken in blocks. For each block and each alternative (the
+// new version fails by so many points more, or takes so many times as long) the
+// test computes an e-value of two streams: the likelihood of the block under
+// the alternative against the likelihood when both versions share one
+// distribution. Under the hypothesis that the new version is no worse, the
+// expectation of an e-value is at most 1, whatever the old version's true
+// rates are.
+//
+// Badness may begin at any time, so the products of e-values are mixed over the
+// time of its beginning: a part of the weight lies on the start of the analysis,
+// a part on each step and the rest is spread over the window. Good evidence
+// that was collected earlier does not mask later harm, and the mixture is still
+// a supermartingale that starts at 1. By Ville's inequality the chance that it
+// ever reaches 1/alpha, over all looks, is at most alpha: one more look never
+// inflates the false alarm rate.
+//
+// The version passes a step when the same evidence, from the step's beginning,
+// speaks for "no worse" by 1/beta against the reference harm (five points or
+// one and a half times).
+//
+// # Usage
+//
+//	a := analysis.Analysis{Begin: begin, Window: deadline.Sub(begin), Tests: 2 * routes}
+//	v := a.Look(now, oldTotals, newTotals)
+//	if v.Harm {
+//		brakes.Merge(...)
+//	}
+//
+// Totals are cumulative counts since the run of the move began. Latencies are
+// counted in the buckets of Bucket.
+package analysis
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"agateward/ward"
+)
+
+const (
+	// Alpha is the greatest chance that a move to a version that is no worse is
+	// ever convicted, over all its routes and looks.
+	Alpha = 0.004
+	// Beta is the chance that a version of the reference harm passes a step.
+	Beta = 0.001
+)
+
+// Totals are the outcomes of one version, summed over all entries.
+type Totals struct {
+	Succeeded uint64
+	Failed    uint64
+	Latency   [ward.LatencyBuckets]uint64
+}
+
+// Add adds the counts of one run of an entry.
+func (t *Totals) Add(c ward.Counts) {
+	t.Succeeded += c.Succeeded
+	t.Failed += c.Failed
+	for i, n := range c.Latency {
+		t.Latency[i] += n
+	}
+}
+
+// Outcomes returns the number of outcomes.
+func (t Totals) Outcomes() uint64 { return t.Succeeded + t.Failed }
+
+// Verdict is what the analysis says at a look.
+type Verdict struct {
+	// Harm says that the new version is convicted; it stays so.
+	Harm bool
+	// Reason gives the evidence in one sentence when Harm is set.
+	Reason string
+	// Pass says that the evidence since the last step speaks for the version.
+	Pass bool
+	// Suspicion is the greater of the two tests' natural logarithm of evidence
+	// for harm.
+	Suspicion float64
+}
+
+// Analysis judges one route of one run of a move. Begin and Window are needed;
+// a zero Tests stands for the two tests of a single route.
+type Analysis struct {
+	Begin  time.Time
+	Window time.Duration
+	// Tests is the number of tests that share Alpha: two for each route of the
+	// move.
+	Tests int
+
+	old, next Totals
+	last      time.Time
+	alone     bool
+	failure   failureTest
+	latency   latencyTest
+	verdict   Verdict
+	stepped   int
+}
+
+// Step tells the analysis that a step to share was made at now: the evidence
+// for a pass starts afresh, and harm that begins here is expected. At a share
+// of 1 the old version has no traffic to compare with; its last known rates
+// with a tolerance stand in.
+func (a *Analysis) Step(now time.Time, share float64) {
+	a.alone = share >= 1
+	a.failure.pass = 0
+	a.latency.pass = 0
+	if a.stepped < maxSteps {
+		a.stepped++
+		a.failure.mix.expect(stepWeight)
+		a.latency.mix.expect(stepWeight)
+	}
+	a.verdict.Pass = false
+	if a.last.IsZero() {
+		a.last = now
+	}
+}
+
+// Look takes in the totals at now and returns the verdict. Totals that went
+// down, since an entry was forgotten, add nothing.
+func (a *Analysis) Look(now time.Time, old, next Totals) Verdict {
+	if a.verdict.Harm {
+		return a.verdict
+	}
+	b := block{old: minus(old, a.old), next: minus(next, a.next)}
+	if b.next.Outcomes() == 0 || b.old.Outcomes() == 0 && !a.alone {
+		return a.verdict
+	}
+	b.alone = b.old.Outcomes() == 0
+	a.old = old
+	a.next = next
+	a.take(now, b)
+	return a.verdict
+}
+
+// take puts one block into both tests.
+func (a *Analysis) take(now time.Time, b block) {
+	w := a.weight(now)
+	a.last = now
+	a.failure.take(b, w)
+	a.latency.take(b, w)
+	old, next := a.old, a.next
+	tests := max(a.Tests, 2)
+	limit := math.Log(float64(tests) / Alpha)
+	f := a.failure.mix.evidence()
+	l := a.latency.mix.evidence()
+	a.verdict.Suspicion = max(f, l)
+	switch {
+	case f >= limit:
+		a.verdict.Harm = true
+		a.verdict.Reason = fmt.Sprintf("failures: %d of %d against %d of %d on the old version (evidence e^%.1f, limit e^%.1f)",
+			next.Failed, next.Outcomes(), old.Failed, old.Outcomes(), f, limit)
+	case l >= limit:
+		a.verdict.Harm = true
+		a.verdict.Reason = fmt.Sprintf("slowness: median %.2f of the expected time against %.2f on the old version, %d and %d answers (evidence e^%.1f, limit e^%.1f)",
+			median(next.Latency), median(old.Latency), next.Succeeded, old.Succeeded, l, limit)
+	}
+	pass := math.Log(Beta)
+	a.verdict.Pass = !a.verdict.Harm && a.failure.pass <= pass && a.latency.pass <= pass
+}
+
+// weight returns the part of the mixture that lies between the last block and
+// this one.
+func (a *Analysis) weight(now time.Time) float64 {
+	if a.last.IsZero() {
+		return startWeight
+	}
+	if a.Window <= 0 {
+		return 0
+	}
+	part := float64(now.Sub(a.last)) / float64(a.Window)
+	if now.Sub(a.Begin) > a.Window {
+		return lateWeight * min(part/lateWindows, 1)
+	}
+	return spreadWeight * min(max(part, 0), 1)
+}
+
+// block is what both versions added between two looks.
+type block struct {
+	old, next Totals
+	// alone says that the old version has no traffic left to compare with.
+	alone bool
+}
+
+func minus(a, b Totals) Totals {
+	d := Totals{Succeeded: sub(a.Succeeded, b.Succeeded), Failed: sub(a.Failed, b.Failed)}
+	for i := range d.Latency {
+		d.Latency[i] = sub(a.Latency[i], b.Latency[i])
+	}
+	return d
+}
+
+func sub(a, b uint64) uint64 {
+	if a < b {
+		return 0
+	}
+	return a - b
+}
--- /dev/null
+++ b/internal/move/evidence/evidence.go
@@ -0,0 +1,152 @@
+// Package evidence counts the outcomes of both versions of a move at one entry.
+//
+// Latencies are counted in buckets of the time against the expected time for
+// the request's size, so that requests of unlike lengths can be compared. The
+// expectation is a line in prompt and output tokens, fitted to the answers of
+// the old version, and is applied to both.
+//
+// # Usage
+//
+//	r := evidence.Recorder{Entry: "entry-1", Incarnation: 7}
+//	r.Observe(evidence.Key{Move: "menus-v2@7", Route: "menus", Serves: "menus", Version: "v1"}, outcome, true)
+//	counts := r.Counts()
+package evidence
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"agateward/internal/move/analysis"
+	"agateward/ward"
+)
+
+const (
+	// unreachablePause is the time within which only one failed connection to an
+	// upstream counts: the requests were tried elsewhere.
+	unreachablePause = 10 * time.Second
+	// maxKeys bounds the keys; a version of a route under a move is one.
+	maxKeys = 512
+)
+
+// Key names what is counted apart.
+type Key struct {
+	// Move is the run of a move: RunName of it.
+	Move    string
+	Route   string
+	Serves  string
+	Version string
+}
+
+// RunName names the run of a move that a ticket put in force.
+func RunName(move string, ticket uint64) string { return fmt.Sprintf("%s@%d", move, ticket) }
+
+// Recorder counts outcomes. The zero value is empty; Entry and Incarnation go
+// into the counts.
+type Recorder struct {
+	Entry       string
+	Incarnation ward.Incarnation
+
+	counts      map[Key]*ward.Counts
+	fits        map[string]*fit
+	unreachable map[string]time.Time
+}
+
+// Observe counts an outcome; old says that it is of the old version.
+func (r *Recorder) Observe(k Key, o ward.Outcome, old bool) {
+	if o.Cancelled || !o.Connected && !r.firstUnreachable(o) {
+		return
+	}
+	c := r.count(k)
+	if c == nil {
+		return
+	}
+	if !o.OK {
+		c.Failed++
+		return
+	}
+	f := r.fit(k.Route)
+	c.Succeeded++
+	c.Latency[analysis.Bucket(f.ratio(o))]++
+	if old {
+		f.learn(o)
+	}
+}
+
+// Learn takes an answer of the version in force into the expectation, while no
+// move counts it.
+func (r *Recorder) Learn(route string, o ward.Outcome) {
+	if o.OK && !o.Cancelled {
+		r.fit(route).learn(o)
+	}
+}
+
+// Counts returns all counts, in a fixed order.
+func (r *Recorder) Counts() []ward.Counts {
+	list := make([]ward.Counts, 0, len(r.counts))
+	for _, c := range r.counts {
+		list = append(list, *c)
+	}
+	slices.SortFunc(list, Compare)
+	return list
+}
+
+// Keep forgets the counts of runs for which keep is false.
+func (r *Recorder) Keep(keep func(run string) bool) {
+	for k := range r.counts {
+		if !keep(k.Move) {
+			delete(r.counts, k)
+		}
+	}
+}
+
+// Compare orders counts by what they count and who counted.
+func Compare(a, b ward.Counts) int {
+	return cmp.Or(
+		cmp.Compare(a.Move, b.Move),
+		cmp.Compare(a.Route, b.Route),
+		cmp.Compare(a.Version, b.Version),
+		cmp.Compare(a.Entry, b.Entry),
+		cmp.Compare(a.Incarnation, b.Incarnation),
+	)
+}
+
+func (r *Recorder) firstUnreachable(o ward.Outcome) bool {
+	if r.unreachable == nil {
+		r.unreachable = map[string]time.Time{}
+	}
+	if o.At.Sub(r.unreachable[o.Upstream]) < unreachablePause {
+		return false
+	}
+	r.unreachable[o.Upstream] = o.At
+	return true
+}
+
+func (r *Recorder) count(k Key) *ward.Counts {
+	if c := r.counts[k]; c != nil {
+		return c
+	}
+	if len(r.counts) >= maxKeys {
+		return nil
+	}
+	if r.counts == nil {
+		r.counts = map[Key]*ward.Counts{}
+	}
+	c := &ward.Counts{
+		Serves: k.Serves, Version: k.Version, Route: k.Route, Move: k.Move,
+		Entry: r.Entry, Incarnation: r.Incarnation,
+	}
+	r.counts[k] = c
+	return c
+}
+
+func (r *Recorder) fit(route string) *fit {
+	if r.fits == nil {
+		r.fits = map[string]*fit{}
+	}
+	if r.fits[route] == nil {
+		r.fits[route] = &fit{}
+	}
+	return r.fits[route]
+}
--- /dev/null
+++ b/internal/move/evidence/evidence_test.go
@@ -0,0 +1,71 @@
+package evidence_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"agateward/internal/move/evidence"
+	"agateward/ward"
+)
+
+// TestLikeSizes counts answers whose lengths differ a hundredfold: the medians
+// of both versions lie apart by the factor of the new one, though it gets
+// shorter requests.
+func TestLikeSizes(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	r := evidence.Recorder{Entry: "e"}
+	for i := range 4000 {
+		old := i%2 == 0
+		o := ward.Outcome{OK: true, Connected: true, PromptTokens: 50 + rng.IntN(5000), OutputTokens: 5 + rng.IntN(500)}
+		version, factor := "v1", 1.0
+		if !old {
+			version, factor = "v2", 2.0
+			o.OutputTokens = 5 + rng.IntN(50)
+		}
+		seconds := factor * (0.03 + 0.0004*float64(o.PromptTokens) + 0.015*float64(o.OutputTokens)) * (0.8 + 0.4*rng.Float64())
+		o.Total = time.Duration(seconds * float64(time.Second))
+		if i > 400 {
+			r.Observe(evidence.Key{Move: "m@1", Route: "r", Serves: "s", Version: version}, o, old)
+		} else {
+			r.Observe(evidence.Key{Move: "warm", Route: "r", Version: "v1"}, o, old)
+		}
+	}
+	r.Keep(func(run string) bool { return run == "m@1" })
+	counts := r.Counts()
+	if len(counts) != 2 {
+		t.Fatalf("got %d counts", len(counts))
+	}
+	if d := middle(counts[1]) - middle(counts[0]); d < 3 || d > 5 {
+		t.Errorf("medians lie %d buckets apart, want 4 (a factor of two): %v", d, counts)
+	}
+}
+
+func middle(c ward.Counts) int {
+	seen := uint64(0)
+	for i, n := range c.Latency {
+		seen += n
+		if 2*seen >= c.Succeeded {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestWhatCounts(t *testing.T) {
+	at := time.Unix(100, 0)
+	r := evidence.Recorder{}
+	k := evidence.Key{Move: "m"}
+	for _, o := range []ward.Outcome{
+		{Cancelled: true, Connected: true},
+		{Connected: true},
+		{Upstream: "u", At: at},
+		{Upstream: "u", At: at.Add(time.Second)},
+		{Upstream: "u", At: at.Add(time.Minute)},
+	} {
+		r.Observe(k, o, false)
+	}
+	if c := r.Counts()[0]; c.Failed != 3 || c.Succeeded != 0 {
+		t.Errorf("got %+v, want 3 failures", c)
+	}
+}
--- a/ward/config.go
+++ b/ward/config.go
@@ -203,7 +203,24 @@
 	Holder string    `json:"holder"`
 	Fence  uint64    `json:"fence"`
 	Since  time.Time `json:"since"`
+	// Begin is when the new version got its first traffic; the steps are planned
+	// between it and the deadline.
+	Begin  time.Time `json:"begin,omitzero"`
 	Reason string    `json:"reason,omitempty"`
 	// Untold lists the events that operators were not yet told of.
 	Untold []Event `json:"untold,omitempty"`
+	// Orders are the orders of the move that may have been given.
+	Orders []OrderRecord `json:"orders,omitempty"`
+}
+
+// OrderRecord is what the store knows of one order to an engine.
+type OrderRecord struct {
+	ID       string `json:"id"`
+	Upstream string `json:"upstream"`
+	// Fence is the fencing number that the order carries, Given when it was
+	// last given.
+	Fence uint64    `json:"fence"`
+	Given time.Time `json:"given"`
+	// Taken says that the engine is known to have carried it out.
+	Taken bool `json:"taken,omitempty"`
 }
