--- a/internal/measure/frame/list.go
+++ b/internal/measure/frame/list.go
@@ -3,6 +3,7 @@
 import (
 	"agateward/internal/measure/entrycrash"
 	"agateward/internal/measure/overload"
+	"agateward/internal/measure/relay"
 	"agateward/internal/measure/report"
 	"agateward/internal/measure/slowengine"
 )
@@ -14,5 +15,6 @@
 		overload.Experiment{},
 		slowengine.Experiment{},
 		entrycrash.Experiment{},
+		relay.Experiment{},
 	}
 }
--- /dev/null
+++ b/internal/measure/relay/relay.go
@@ -0,0 +1,194 @@
+// Package relay measures what an entry costs on the way: the same load through
+// an entry and straight to the stand-in engines, in one process over loopback
+// TCP.
+//
+// The generator, the engines and the entry share the process, so the entry's
+// processor time is the difference between the two runs. The runs alternate and
+// the middle one of each kind counts. Its figures hang on the machine and on what
+// else it does.
+//
+// # Usage
+//
+//	rep, err := relay.Experiment{}.Run(ctx, 1, progress)
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"agateward/internal/bench/load"
+	"agateward/internal/bench/mix"
+	"agateward/internal/bench/rig"
+	"agateward/internal/bench/tally"
+	"agateward/internal/bench/usage"
+	"agateward/internal/measure/report"
+	"agateward/internal/standin/batch"
+)
+
+const (
+	engines = 4
+	// rounds is the number of runs of each kind.
+	rounds = 3
+	// rate is in requests a second, length the time of one run.
+	rate   = 150.0
+	length = 4 * time.Second
+	// streams are opened at once to measure the memory of an open one.
+	streams = 400
+	// streamSettle is the time until they are all open.
+	streamSettle = 2 * time.Second
+)
+
+// profile is an engine that is far from its capacity, so that the difference is
+// not made in its batch.
+var profile = batch.Profile{PrefillRate: 1e6, DecodeBase: 10 * time.Millisecond, DecodePerSequence: 5 * time.Microsecond, MaxBatch: 1024}
+
+// calls are streams of 100 tokens, as many as an entry of the fleet relays.
+const calls = `{"classes": [{"name": "dietary", "weight": 1, "kind": "chat", "model": "menu-writer", "route": "dietary",
+	"team": "guests", "tier": 1, "deadline": "20s", "stream": true, "prompt": [200, 200], "output": [100, 100]}]}`
+
+// longCalls stay open while the memory is read.
+const longCalls = `{"classes": [{"name": "letters", "weight": 1, "kind": "chat", "model": "menu-writer", "route": "letters",
+	"team": "letters", "tier": 4, "deadline": "10m", "stream": true, "prompt": [200, 200], "output": [2000, 2000]}]}`
+
+// Experiment is the measurement. Its zero value is ready to use.
+type Experiment struct{}
+
+// Name returns the experiment's name.
+func (Experiment) Name() string { return "relay" }
+
+// About says what it shows.
+func (Experiment) About() string {
+	return "added time, processor time and memory of an entry against load straight to the engines"
+}
+
+// run is what one run took.
+type run struct {
+	requests int
+	tokens   int
+	cpu      time.Duration
+	tier     tally.Tier
+}
+
+// Run runs both kinds in turn.
+func (Experiment) Run(ctx context.Context, seed uint64, progress func(string)) (report.Report, error) {
+	var rep report.Report
+	r := &rig.Rig{Entries: 1, Engines: engines, Services: 1, Profile: profile}
+	if err := r.Start(ctx); err != nil {
+		return rep, err
+	}
+	defer r.Close()
+	var direct, through []run
+	straight := func(random *rand.Rand) string { return r.EngineTargets()[random.IntN(engines)] }
+	for i := range rounds {
+		a, err := once(ctx, straight, seed+uint64(i))
+		if err != nil {
+			return rep, err
+		}
+		b, err := once(ctx, r.Pick, seed+uint64(i))
+		if err != nil {
+			return rep, err
+		}
+		direct = append(direct, a)
+		through = append(through, b)
+		progress(fmt.Sprintf("round %d of %d done", i+1, rounds))
+	}
+	add(&rep, direct, through)
+	return rep, addMemory(ctx, &rep, r, seed, progress)
+}
+
+// once sends the load to the targets.
+func once(ctx context.Context, pick func(*rand.Rand) string, seed uint64) (run, error) {
+	m, err := mix.Parse("relay", []byte(calls))
+	if err != nil {
+		return run{}, err
+	}
+	var t tally.Tally
+	g := load.Generator{Pick: pick, Mix: m, Rate: rate, Duration: length, Seed: seed, Tally: &t}
+	before := usage.Collected()
+	if err := g.Run(ctx); err != nil {
+		return run{}, err
+	}
+	spent := usage.Read().CPU - before.CPU
+	tier := t.Tiers()[0]
+	if t.Count(tally.Good) != tier.Sent {
+		return run{}, fmt.Errorf("%d of %d answers were good: %v", t.Count(tally.Good), tier.Sent, tier.Results)
+	}
+	return run{requests: tier.Sent, tokens: t.Tokens(), cpu: spent, tier: tier}, nil
+}
+
+// middle returns the middle value over the rounds.
+func middle(runs []run, value func(run) float64) float64 {
+	var all []float64
+	for _, r := range runs {
+		all = append(all, value(r))
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// add adds the figures, each with that of the straight way as its baseline.
+func add(rep *report.Report, direct, through []run) {
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	figure := func(name, unit string, value func(run) float64) float64 {
+		a, b := middle(direct, value), middle(through, value)
+		rep.Add(report.Result{Name: name, Value: b, Unit: unit}.Against(a))
+		return b - a
+	}
+	first := figure("first-token-p50", "ms", func(r run) float64 { return ms(r.tier.FirstToken.P50) })
+	figure("first-token-p95", "ms", func(r run) float64 { return ms(r.tier.FirstToken.P95) })
+	between := figure("between-tokens-p50", "ms", func(r run) float64 { return ms(r.tier.Between.P50) })
+	figure("between-tokens-p95", "ms", func(r run) float64 { return ms(r.tier.Between.P95) })
+	request := figure("cpu-per-request", "ms", func(r run) float64 { return ms(r.cpu) / float64(r.requests) })
+	rep.Add(
+		report.Result{Name: "added-first-token-p50", Value: first, Unit: "ms"},
+		report.Result{Name: "added-between-tokens-p50", Value: between, Unit: "ms"},
+		report.Result{Name: "added-cpu-per-request", Value: request, Unit: "ms"},
+		report.Result{Name: "added-cpu-per-1000-tokens", Value: request * 1000 / perRequest(through), Unit: "ms"},
+	)
+}
+
+func perRequest(runs []run) float64 { return float64(runs[0].tokens) / float64(runs[0].requests) }
+
+// addMemory opens streams both ways and adds what an open one holds.
+func addMemory(ctx context.Context, rep *report.Report, r *rig.Rig, seed uint64, progress func(string)) error {
+	straight := func(random *rand.Rand) string { return r.EngineTargets()[random.IntN(engines)] }
+	a, err := memory(ctx, straight, seed)
+	if err != nil {
+		return err
+	}
+	b, err := memory(ctx, r.Pick, seed)
+	if err != nil {
+		return err
+	}
+	progress("memory of open streams read")
+	rep.Add(report.Result{Name: "memory-per-open-stream", Value: b, Unit: "KB"}.Against(a))
+	rep.Add(report.Result{Name: "added-memory-per-open-stream", Value: b - a, Unit: "KB"})
+	return nil
+}
+
+// memory returns the kilobytes in use for each of the open streams.
+func memory(ctx context.Context, pick func(*rand.Rand) string, seed uint64) (float64, error) {
+	m, err := mix.Parse("relay", []byte(longCalls))
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	before := usage.Collected().Memory
+	ended := make(chan error, 1)
+	go func() {
+		g := load.Generator{Pick: pick, Mix: m, Rate: streams / streamSettle.Seconds() * 2, Duration: streamSettle / 2, Seed: seed, Tally: &tally.Tally{}}
+		ended <- g.Run(ctx)
+	}()
+	time.Sleep(streamSettle)
+	after := usage.Collected().Memory
+	cancel()
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		return 0, err
+	}
+	return float64(after-before) / 1024 / streams, nil
+}
