--- a/cmd/root.go
+++ b/cmd/root.go
@@ -51,6 +51,7 @@
 			moveCommand(),
 			statusCommand(),
 			explainCommand(),
+			demoCommand(),
 			codesCommand(),
 			standInCommand(),
 			loadCommand(),
--- a/internal/entry/program/status.go
+++ b/internal/entry/program/status.go
@@ -42,3 +42,13 @@
 	}
 	return ward.Upstream{}
 }
+
+// Revision returns the revision of the configuration in force, 0 while there is
+// none.
+func (p *Program) Revision() uint64 {
+	cfg := p.holder.Current()
+	if cfg == nil {
+		return 0
+	}
+	return cfg.Revision
+}
--- /dev/null
+++ b/internal/entry/runs/runs_test.go
@@ -0,0 +1,157 @@
+package runs
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"agateward/internal/platform/memory"
+	"agateward/internal/result/code"
+	"agateward/ward"
+
+	"github.com/google/uuid"
+)
+
+func request(id, key string) *ward.Request {
+	return &ward.Request{ID: id, Team: "club", Route: "book", IdempotencyKey: key, BodyHash: 7, NonIdempotent: true, Arrived: time.Now(), Deadline: time.Now().Add(10 * time.Second)}
+}
+
+// entries starts n entries on one platform and returns their Runs.
+func entries(t *testing.T, p *memory.Platform, n int) []*Runs {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	var out []*Runs
+	for range n {
+		r := &Runs{Store: p}
+		out = append(out, r)
+		wg.Go(func() { r.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return out
+}
+
+func TestRepeatAtAnotherEntry(t *testing.T) {
+	cases := []struct {
+		name string
+		end  func(*Runs, *ward.Request)
+		want code.Code
+	}{
+		{"in progress", func(*Runs, *ward.Request) {}, code.KeyInProgress},
+		{"lost", (*Runs).Lost, code.OutcomeUnknown},
+		{"large answer", func(r *Runs, req *ward.Request) { r.Finish(req, Answer{Status: 200, Body: make([]byte, 1<<20)}) }, code.AnswerNotKept},
+		{"not run", (*Runs).NotRun, code.Code{}},
+		{"finished", func(r *Runs, req *ward.Request) {
+			r.Finish(req, Answer{Status: 201, Header: http.Header{"Location": {"/seat/7"}, "Set-Cookie": {"x"}}, Body: []byte("seat 7")})
+		}, code.Code{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &memory.Platform{}
+				p.SetFaults(memory.Faults{Slow: ward.Duration(3 * time.Millisecond), LostAnswer: 0.3})
+				e := entries(t, p, 2)
+				first := request("a", "k")
+				d, err := e[0].Begin(t.Context(), first, ward.Upstream{})
+				if err != nil || d.Permit == nil {
+					t.Fatalf("first: %+v, %v", d, err)
+				}
+				c.end(e[0], first)
+				e[0].Flush(t.Context())
+				d, err = e[1].Begin(t.Context(), request("b", "k"), ward.Upstream{})
+				if c.want.Number != 0 {
+					if !c.want.Is(err) {
+						t.Errorf("got %+v, %v, want %s", d, err, c.want)
+					}
+					return
+				}
+				if err != nil {
+					t.Fatal(err)
+				}
+				if c.name == "not run" != (d.Permit != nil) {
+					t.Errorf("got %+v", d)
+				}
+				if a := d.Answer; a != nil && (a.Status != 201 || string(a.Body) != "seat 7" || a.Header.Get("Location") == "" || a.Header.Get("Set-Cookie") != "") {
+					t.Errorf("recorded answer %+v", a)
+				}
+			})
+		})
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	old := uuid.Must(uuid.NewV7())
+	cases := []struct {
+		name   string
+		faults memory.Faults
+		req    func() *ward.Request
+		checks bool
+		want   code.Code
+	}{
+		{"no key", memory.Faults{}, func() *ward.Request { return request("a", "") }, false, code.KeyRequired},
+		{"key made long ago", memory.Faults{}, func() *ward.Request { return request("a", oldKey(old)) }, false, code.KeyTooOld},
+		{"store down", memory.Faults{Down: true}, func() *ward.Request { return request("a", "k") }, false, code.RecordsDown},
+		{"store hangs", memory.Faults{Hang: true}, func() *ward.Request { return request("a", "k") }, false, code.RecordsDown},
+		{"store slower than its limit", memory.Faults{Slow: ward.Duration(5 * time.Second)}, func() *ward.Request { return request("a", "k") }, false, code.RecordsDown},
+		{"every answer lost", memory.Faults{LostRequest: 1}, func() *ward.Request { return request("a", "k") }, false, code.RecordsDown},
+		{"store down, upstream checks keys", memory.Faults{Down: true}, func() *ward.Request { return request("a", "k") }, true, code.Code{}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(20 * 365 * 24 * time.Hour) // synctest begins in the year 2000
+				p := &memory.Platform{}
+				p.SetFaults(c.faults)
+				e := entries(t, p, 1)[0]
+				d, err := e.Begin(t.Context(), c.req(), ward.Upstream{ChecksIdempotency: c.checks})
+				if c.want.Number == 0 && (err != nil || d.Permit == nil) || c.want.Number != 0 && !c.want.Is(err) {
+					t.Fatalf("got %+v, %v, want %s", d, err, c.want)
+				}
+				if err != nil && !IsRefusal(err) {
+					t.Errorf("%v is not said to be not run", err)
+				}
+			})
+		})
+	}
+}
+
+// oldKey returns the key as if it had been made in 2010.
+func oldKey(id uuid.UUID) string {
+	ms := time.Date(2010, 1, 1, 0, 0, 0, 0, time.UTC).UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return id.String()
+}
+
+// TestSlowCallBlocksNothing has many callers wait at a store that hangs: each
+// gets its refusal in time, and one that leaves is let go at once.
+func TestSlowCallBlocksNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &memory.Platform{}
+		p.SetFaults(memory.Faults{Hang: true})
+		e := entries(t, p, 1)[0]
+		start := time.Now()
+		var wg sync.WaitGroup
+		for i := range 100 {
+			wg.Go(func() {
+				if _, err := e.Begin(t.Context(), request(fmt.Sprint(i), fmt.Sprint(i)), ward.Upstream{}); !IsRefusal(err) {
+					t.Errorf("got %v", err)
+				}
+			})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		if _, err := e.Begin(ctx, request("gone", "gone"), ward.Upstream{}); !code.DeadlinePassed.Is(err) || time.Since(start) > 20*time.Millisecond {
+			t.Errorf("got %v after %v", err, time.Since(start))
+		}
+		wg.Wait()
+		if took := time.Since(start); took > 3*time.Second {
+			t.Errorf("refusals took %v", took)
+		}
+	})
+}
--- /dev/null
+++ b/internal/run/record/compact.go
@@ -0,0 +1,66 @@
+package record
+
+import (
+	"slices"
+	"time"
+)
+
+// overhead is the most that a record takes in its stored form beside its
+// strings, in bytes.
+const overhead = 64
+
+// Size returns an upper bound of the stored size in bytes.
+func (b *Book) Size() int {
+	n := overhead
+	for _, r := range b.records {
+		n += r.size()
+	}
+	return n
+}
+
+func (r Record) size() int {
+	n := overhead + len(r.Key) + len(r.Attempt) + len(r.Body)
+	for _, f := range r.Header {
+		n += len(f.Name) + len(f.Value) + overhead/4
+	}
+	return n
+}
+
+// Expire removes the records that are no longer kept.
+func (b *Book) Expire(now time.Time) {
+	for k, r := range b.records {
+		if b.expired(now, r) {
+			delete(b.records, k)
+		}
+	}
+}
+
+// Compact brings the book under limit bytes, and tells whether it could: it
+// drops records that are no longer kept, then the answers of the oldest ones. A
+// record that is kept is never dropped.
+func (b *Book) Compact(now time.Time, limit int) bool {
+	b.Expire(now)
+	size := b.Size()
+	if size <= limit {
+		return true
+	}
+	list := make([]Record, 0, len(b.records))
+	for _, r := range b.records {
+		if r.Kept {
+			list = append(list, r)
+		}
+	}
+	slices.SortFunc(list, older)
+	for _, r := range list {
+		if size <= limit {
+			return true
+		}
+		size -= r.size()
+		r.Kept = false
+		r.Body = nil
+		r.Header = nil
+		size += r.size()
+		b.put(r)
+	}
+	return size <= limit
+}
--- /dev/null
+++ b/internal/run/record/record.go
@@ -0,0 +1,265 @@
+// Package record decides what becomes of a request that may run only once: an
+// idempotency record in a book of them.
+//
+// A record is begun before the request is dispatched, and settled after the
+// answer as finished, as unknown, or as not run (then it is removed). A key that
+// is in the book never runs a second time while its record is kept.
+//
+// # Usage
+//
+//	b, err := record.Decode(value)
+//	v := b.Begin(now, record.Claim{Key: record.KeyOf(team, key), BodyHash: h, Attempt: id, Until: until})
+//	switch v.Kind {
+//	case record.Run: // once the book is written
+//	case record.Replay: // v.Record holds the recorded answer
+//	case record.Refuse: // v.Code says why
+//	}
+//	value, err = b.Encode()
+//
+// A decision to run counts only when the book that holds it was written over the
+// revision that it was read from.
+package record
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"agateward/internal/result/code"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// State is the state of a record.
+type State uint8
+
+// States of a record.
+const (
+	// Begun says that the request may have been dispatched.
+	Begun State = iota + 1
+	// Finished says that its answer is known.
+	Finished
+	// Unknown says that its answer was lost.
+	Unknown
+	// NotRun settles a record that was begun and never dispatched. It is removed.
+	NotRun
+)
+
+// Key names a record: a hash of team and idempotency key.
+type Key string
+
+// keyBytes is the length of a Key: 128 bits keep two keys of a fleet apart.
+const keyBytes = 16
+
+// KeyOf returns the key of a record.
+func KeyOf(team, idempotencyKey string) Key {
+	h := sha256.New()
+	fmt.Fprintf(h, "%d:%s", len(team), team)
+	h.Write([]byte(idempotencyKey))
+	return Key(h.Sum(nil)[:keyBytes])
+}
+
+// Shard returns the shard, from 0 to n-1, that the key belongs to.
+func (k Key) Shard(n int) int {
+	if len(k) < 2 || n < 1 {
+		return 0
+	}
+	return (int(k[0])<<8 | int(k[1])) % n
+}
+
+// Field is one header field of a recorded answer.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// Record is what the book holds of one key. Times are Unix milliseconds.
+type Record struct {
+	Key      Key
+	State    State
+	BodyHash uint64
+	// Attempt is the id of the request that began the record.
+	Attempt string
+	// Begun is when it began, Until when its request can no longer be running.
+	Begun int64
+	Until int64
+	// Status, Header and Body are the recorded answer; Kept says that Body is
+	// whole.
+	Status int
+	Kept   bool
+	Header []Field
+	Body   []byte
+}
+
+// Claim asks to run a request.
+type Claim struct {
+	Key      Key
+	BodyHash uint64
+	Attempt  string
+	// Until is when the request can no longer be running.
+	Until time.Time
+}
+
+// Outcome settles the record that Attempt began.
+type Outcome struct {
+	Claim  Claim
+	State  State
+	Status int
+	Kept   bool
+	Header []Field
+	Body   []byte
+}
+
+// Kind is what to do with a claim.
+type Kind uint8
+
+// Kinds of verdict.
+const (
+	// Refuse says that the request must not run; Code says why.
+	Refuse Kind = iota
+	Run
+	Replay
+)
+
+// Verdict is the decision on a claim.
+type Verdict struct {
+	Kind   Kind
+	Code   code.Code
+	Record Record
+	// New says that the claim was noted in the book just now.
+	New bool
+}
+
+// Book is the records of one shard.
+type Book struct {
+	// Keep is how long a record is kept from its beginning.
+	Keep    time.Duration
+	records map[Key]Record
+}
+
+// ErrFormat says that a stored book can't be read.
+var ErrFormat = errors.New("stored book of records has another format")
+
+// format numbers the stored form.
+const format = 1
+
+// stored is the book as it is written.
+type stored struct {
+	Format  int
+	Records []Record
+}
+
+// Decode reads a stored book; no bytes are an empty one.
+func Decode(b []byte) (*Book, error) {
+	book := &Book{records: map[Key]Record{}}
+	if len(b) == 0 {
+		return book, nil
+	}
+	var s stored
+	if err := msgpack.NewDecoder(bytes.NewReader(b)).Decode(&s); err != nil {
+		return nil, errors.Join(ErrFormat, err)
+	}
+	if s.Format != format {
+		return nil, fmt.Errorf("format %d: %w", s.Format, ErrFormat)
+	}
+	for _, r := range s.Records {
+		book.records[r.Key] = r
+	}
+	return book, nil
+}
+
+// Encode returns the book in its stored form, which is the same for the same
+// records.
+func (b *Book) Encode() ([]byte, error) {
+	s := stored{Format: format, Records: make([]Record, 0, len(b.records))}
+	for _, r := range b.records {
+		s.Records = append(s.Records, r)
+	}
+	slices.SortFunc(s.Records, older)
+	var out bytes.Buffer
+	e := msgpack.NewEncoder(&out)
+	e.UseArrayEncodedStructs(true)
+	if err := e.Encode(&s); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+func older(x, y Record) int {
+	if x.Begun != y.Begun {
+		return int(x.Begun - y.Begun)
+	}
+	return bytes.Compare([]byte(x.Key), []byte(y.Key))
+}
+
+// Len returns the number of records.
+func (b *Book) Len() int { return len(b.records) }
+
+// Begin decides on a claim, and notes it where it may run.
+func (b *Book) Begin(now time.Time, c Claim) Verdict {
+	if r, ok := b.records[c.Key]; ok && !b.expired(now, r) {
+		return verdict(now, r, c)
+	}
+	r := Record{Key: c.Key, State: Begun, BodyHash: c.BodyHash, Attempt: c.Attempt, Begun: now.UnixMilli(), Until: c.Until.UnixMilli()}
+	b.put(r)
+	return Verdict{Kind: Run, Record: r, New: true}
+}
+
+// verdict decides on a claim whose key is known. One's own attempt is found
+// where the store's answer to it was lost.
+func verdict(now time.Time, r Record, c Claim) Verdict {
+	v := Verdict{Kind: Refuse, Record: r}
+	switch {
+	case r.Attempt == c.Attempt && r.State == Begun:
+		v.Kind = Run
+	case r.BodyHash != c.BodyHash:
+		v.Code = code.KeyReused
+	case r.State == Finished && r.Kept:
+		v.Kind = Replay
+	case r.State == Finished:
+		v.Code = code.AnswerNotKept
+	case r.State == Begun && now.UnixMilli() <= r.Until:
+		v.Code = code.KeyInProgress
+	default:
+		v.Code = code.OutcomeUnknown
+	}
+	return v
+}
+
+// Settle notes an outcome, and tells whether that changed the book. Only the
+// attempt that began a record may settle it. A request that ran without a record
+// gets one.
+func (b *Book) Settle(now time.Time, o Outcome) bool {
+	r, ok := b.records[o.Claim.Key]
+	if ok && (r.Attempt != o.Claim.Attempt || r.State != Begun) {
+		return false
+	}
+	if o.State == NotRun {
+		delete(b.records, o.Claim.Key)
+		return ok
+	}
+	if !ok {
+		r = Record{Key: o.Claim.Key, BodyHash: o.Claim.BodyHash, Attempt: o.Claim.Attempt, Begun: now.UnixMilli(), Until: o.Claim.Until.UnixMilli()}
+	}
+	r.State = o.State
+	r.Status = o.Status
+	r.Kept = o.Kept
+	r.Header = o.Header
+	r.Body = o.Body
+	b.put(r)
+	return true
+}
+
+func (b *Book) put(r Record) {
+	if b.records == nil {
+		b.records = map[Key]Record{}
+	}
+	b.records[r.Key] = r
+}
+
+func (b *Book) expired(now time.Time, r Record) bool {
+	return b.Keep > 0 && now.UnixMilli()-r.Begun > b.Keep.Milliseconds()
+}
