feat(entry): run requests that are not idempotent at most once

Cause: deposits and orders were dispatched without an idempotency record. Change: the path claims the key right before the dispatch, lets such a request run to its end when its caller leaves, and records the outcome; a planned stop waits for it and writes what is left. Tests bring about a repeat through another entry, a caller that leaves, the store down, a planned stop and a kill.

--- a/internal/entry/path/answer.go
+++ b/internal/entry/path/answer.go
@@ -25,10 +25,13 @@
 	return c, nil
 }
 
-// Close ends the answer, whole or not.
+// Close ends the answer, whole or not. A request that is not idempotent is
+// forgotten by once, after its outcome was recorded.
 func (a *answer) Close() error {
 	err := a.Answer.Close()
 	a.span.End()
-	a.path.leave(a.q)
+	if !a.q.NonIdempotent {
+		a.path.leave(a.q)
+	}
 	return err
 }
--- a/internal/entry/path/path.go
+++ b/internal/entry/path/path.go
@@ -20,6 +20,7 @@
 
 	"agateward/internal/caller/refusal"
 	"agateward/internal/entry/relay"
+	"agateward/internal/entry/runs"
 	"agateward/internal/request/scheduler"
 	"agateward/internal/result/code"
 	"agateward/internal/run/permit"
@@ -28,6 +29,7 @@
 	"agateward/ward"
 
 	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
 	"go.opentelemetry.io/otel/attribute"
 )
 
@@ -43,6 +45,10 @@
 	Scheduler *scheduler.Scheduler
 	// Relay hands requests over; New sets its hooks.
 	Relay *relay.Relay
+	// Runs keeps the records of requests that are not idempotent.
+	Runs *runs.Runs
+	// Base ends when the entry dies. Work that outlives its caller ends with it.
+	Base context.Context
 	// Observe is told of each outcome, after the scheduler.
 	Observe func(o ward.Outcome)
 	Clock   ward.Clock
@@ -62,6 +68,7 @@
 	open     int
 	stopping bool
 	idle     chan struct{}
+	detached conc.WaitGroup
 }
 
 // call is a request that is in the hands of the scheduler.
@@ -127,6 +134,9 @@
 	if err := p.enter(ctx, q); err != nil {
 		return nil, err
 	}
+	if q.NonIdempotent {
+		return p.once(ctx, q)
+	}
 	a, err := p.run(ctx, q)
 	if err != nil {
 		p.leave(q)
@@ -171,18 +181,29 @@
 		if err != nil {
 			return nil, err
 		}
-		dctx, span := p.Trace.Start(ctx, "upstream", attribute.String("upstream", u.Name), attribute.String("version", u.Version))
-		p.Trace.Inject(dctx, q.Header)
-		a, err := p.Relay.Dispatch(dctx, pass, u, q)
+		a, err := p.dispatch(ctx, pass, u, q)
 		if err == nil {
-			return &answer{Answer: a, path: p, q: q, span: span}, nil
+			return a, nil
 		}
-		span.End()
 		if !errors.Is(err, ward.ErrNotConnected) || ctx.Err() != nil {
 			return nil, p.failed(ctx, err)
 		}
+	}
+}
+
+// dispatch hands the request to an upstream through the relay.
+func (p *Path) dispatch(ctx context.Context, pass *permit.Permit, u ward.Upstream, q *ward.Request) (ward.Answer, error) {
+	ctx, span := p.Trace.Start(ctx, "upstream", attribute.String("upstream", u.Name), attribute.String("version", u.Version))
+	p.Trace.Inject(ctx, q.Header)
+	a, err := p.Relay.Dispatch(ctx, pass, u, q)
+	if err == nil {
+		return &answer{Answer: a, path: p, q: q, span: span}, nil
+	}
+	span.End()
+	if errors.Is(err, ward.ErrNotConnected) {
 		p.hop(q, "not-connected", u.Name+": "+code.Text(err))
 	}
+	return nil, err
 }
 
 // turn waits for the scheduler's decision.
@@ -224,15 +245,20 @@
 		if a.Kind == scheduler.Refuse {
 			return &refusal.Delayed{Err: a.Code.New("%s", a.Reason), RetryAfter: a.RetryAfter}
 		}
-		p.calls[q.ID].dispatched = false
-		p.deliver(p.Scheduler.End(now, q.ID, ward.Outcome{
-			Request: q.ID, Upstream: a.Upstream.Name, Version: a.Upstream.Version, Cancelled: true, At: now,
-		}))
+		p.release(c, a.Upstream, now)
 	default:
 	}
 	return nil
 }
 
+// release ends a dispatch that never began. The lock is held.
+func (p *Path) release(c *call, u ward.Upstream, now time.Time) {
+	c.dispatched = false
+	p.deliver(p.Scheduler.End(now, c.q.ID, ward.Outcome{
+		Request: c.q.ID, Upstream: u.Name, Version: u.Version, Cancelled: true, At: now,
+	}))
+}
+
 // gone is the error of a request whose time or caller ended while it waited.
 func (p *Path) gone(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
--- a/internal/entry/program/compose.go
+++ b/internal/entry/program/compose.go
@@ -14,12 +14,14 @@
 	"agateward/internal/entry/path"
 	"agateward/internal/entry/relay"
 	"agateward/internal/entry/report"
+	"agateward/internal/entry/runs"
 	"agateward/internal/operator/access"
 	"agateward/internal/operator/notice"
 	operators "agateward/internal/operator/surface"
 	"agateward/internal/platform/client"
 	"agateward/internal/request/scheduler"
 	"agateward/internal/result/code"
+	"agateward/internal/run/shard"
 	"agateward/internal/ticket/acceptance"
 	"agateward/internal/upstream/answer"
 	"agateward/internal/upstream/engine"
@@ -36,6 +38,7 @@
 	service *service.Service
 	holder  *holder
 	reports *report.Reader
+	runs    *runs.Runs
 }
 
 // listen opens the listeners.
@@ -75,7 +78,12 @@
 	p.engine = &engine.Engine{Transport: transport.Transport{Limits: limits}, Limits: answer.Limits{Body: int64(s.Requests.MaxAnswer)}}
 	p.service = &service.Service{Transport: transport.Transport{Limits: limits}, Limits: answer.Limits{Body: int64(s.Requests.MaxAnswer)}}
 	p.holder = &holder{store: p.platform.Store(), clock: p.clock, log: p.log, changed: make(chan struct{}, 1)}
+	p.runs = &runs.Runs{
+		Store: p.platform.Store(), Clock: p.clock, Log: p.log, Shards: s.Records.Shards,
+		Limits: shard.Limits{Keep: s.Records.Keep.Std()}, Body: s.Records.MaxAnswer,
+	}
 	p.path = path.New(path.Deps{
+		Runs: p.runs, Base: p.base,
 		Scheduler: scheduler.New(scheduler.Settings{
 			Self: s.Name, DataCentre: s.DataCentre, MaxWaiting: s.Requests.MaxWaiting,
 		}, p.seed()),
--- a/internal/entry/program/program.go
+++ b/internal/entry/program/program.go
@@ -66,6 +66,9 @@
 	incarnation ward.Incarnation
 	killed      chan struct{}
 	once        sync.Once
+	// base ends when the entry ends, after a planned stop or at once.
+	base context.Context
+	die  context.CancelFunc
 }
 
 // listeners are the open listeners of an entry.
@@ -88,6 +91,7 @@
 		settings: s, clock: o.Clock, log: o.Log.WithValues("entry", s.Name), version: o.Version,
 		metrics: metric.New(), explain: explain.New(s.Telemetry.Explain), killed: make(chan struct{}),
 	}
+	p.base, p.die = context.WithCancel(context.WithoutCancel(ctx))
 	p.started = p.clock.Now()
 	p.incarnation = ward.Incarnation(p.started.UnixNano())
 	var err error
@@ -109,6 +113,7 @@
 	return []step{
 		{"configuration", p.holder.Run},
 		{"requests", p.path.Run},
+		{"records", func(ctx context.Context) error { p.runs.Run(ctx); return nil }},
 		{"reports", p.reports.Run},
 		{"changes", p.follow},
 		{"callers", func(context.Context) error { return served(p.callers.Serve(p.listeners.callers)) }},
@@ -120,7 +125,7 @@
 // it is not ready, serves on for the balancer's lag, ends what it has, and hands
 // back what it holds.
 func (p *Program) Run(ctx context.Context) error {
-	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	inner, cancel := context.WithCancel(p.base)
 	defer cancel()
 	p.log.Info("entry-started", "callers", p.CallersAddress(), "operators", p.OperatorsAddress(), "peers", p.PeersAddress())
 	var running conc.WaitGroup
@@ -139,9 +144,9 @@
 	case err = <-failed:
 	case <-p.killed:
 	}
-	cancel()
 	p.close()
 	running.Wait()
+	p.path.Wait()
 	p.log.Info("entry-stopped")
 	return err
 }
@@ -171,6 +176,7 @@
 
 // close closes all listeners and connections.
 func (p *Program) close() {
+	p.die()
 	_ = p.callers.Close()
 	_ = p.operators.Close()
 	p.listeners.peers.Close()
--- /dev/null
+++ b/internal/entry/program/program_test.go
@@ -0,0 +1,206 @@
+package program_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"agateward/internal/bench/fleet"
+	"agateward/internal/config/settings"
+	"agateward/internal/platform/memory"
+	"agateward/internal/standin/batch"
+	"agateward/internal/standin/engine"
+	"agateward/internal/standin/service"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+)
+
+// start runs two entries, one engine and one service under a first ticket.
+func start(t *testing.T) (*fleet.Fleet, *service.Server) {
+	t.Helper()
+	ctx := context.Background()
+	f, err := fleet.Start(ctx, fleet.Plan{
+		Name: "test", Entries: 2, DataCentres: []string{"east-1"}, Log: logr.Discard(),
+		Tune: func(s *settings.Settings) { s.Stop.BalancerLag = 0 },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	model, err := f.AddEngine("engine-1", &engine.Server{Model: "writer", Profile: batch.Profile{Version: "v1"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	booking := &service.Server{Version: "v1", Latency: 200 * time.Millisecond}
+	orders, err := f.AddService("booking-1", booking)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := f.Submit(ctx, ward.Ticket{
+		Number: 1, Operator: "test",
+		Upstreams: []ward.Upstream{
+			{Name: "engine-1", Kind: ward.KindEngine, Serves: "writer", Version: "v1", Address: model, DataCentre: "east-1"},
+			{Name: "booking-1", Kind: ward.KindService, Serves: "booking", Version: "v1", Address: orders, DataCentre: "east-1"},
+		},
+		Routes: []ward.Route{
+			{Name: "menus", Kind: ward.KindEngine, Serves: "writer", Version: "v1", Tier: 1, Deadline: ward.Duration(20 * time.Second)},
+			{Name: "deposits", Kind: ward.KindService, Serves: "booking", Version: "v1", Tier: 1, Deadline: ward.Duration(10 * time.Second), NonIdempotent: true},
+		},
+		Teams: []ward.Team{{Name: "guests"}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := f.AwaitRevision(ctx, r.Revision); err != nil {
+		t.Fatal(err)
+	}
+	return f, booking
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	run    string
+	body   string
+	err    error
+}
+
+func post(ctx context.Context, url, key, body string) reply {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return reply{err: err}
+	}
+	r.Header.Set("Agateward-Team", "guests")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return reply{res.StatusCode, res.Header.Get("Agateward-Run"), string(b), err}
+}
+
+// settled repeats a key as long as the answer is to come back later.
+func settled(url, key, body string) reply {
+	var r reply
+	for range 200 {
+		r = post(context.Background(), url, key, body)
+		if r.status != http.StatusConflict && r.status != http.StatusServiceUnavailable {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return r
+}
+
+const deposits = "/services/booking/deposits"
+
+func TestDepositRunsOnceThroughTwoEntries(t *testing.T) {
+	f, booking := start(t)
+	ctx := context.Background()
+	first := post(ctx, f.Target(0)+deposits, "k", `{"reference": "a"}`)
+	second := settled(f.Target(1)+deposits, "k", `{"reference": "a"}`)
+	other := post(ctx, f.Target(1)+deposits, "k", `{"reference": "b"}`)
+	if first.status != http.StatusOK || second.body != first.body {
+		t.Errorf("first %+v, second %+v", first, second)
+	}
+	if other.status != http.StatusUnprocessableEntity {
+		t.Errorf("the key with another body: %+v", other)
+	}
+	if n := booking.Runs()["k"]; n != 1 {
+		t.Errorf("the deposit ran %d times", n)
+	}
+}
+
+func TestDepositGoesOnWithoutItsCaller(t *testing.T) {
+	f, booking := start(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(100*time.Millisecond, cancel)
+	if gone := post(ctx, f.Target(0)+deposits, "k", `{}`); gone.err == nil {
+		t.Fatalf("the caller stayed: %+v", gone)
+	}
+	repeat := settled(f.Target(1)+deposits, "k", `{}`)
+	if repeat.status != http.StatusOK || booking.Runs()["k"] != 1 {
+		t.Errorf("repeat %+v, ran %d times", repeat, booking.Runs()["k"])
+	}
+}
+
+func TestDepositIsRefusedAsNotRunWhileTheStoreIsDown(t *testing.T) {
+	f, booking := start(t)
+	f.Platform.SetFaults(memory.Faults{Down: true})
+	down := post(context.Background(), f.Target(0)+deposits, "k", `{}`)
+	if down.run != string(ward.NotRun) || len(booking.Runs()) != 0 {
+		t.Errorf("store down: %+v, runs %v", down, booking.Runs())
+	}
+	chat := post(context.Background(), f.Target(0)+"/v1/completions", "", `{"model": "writer", "prompt": "a", "max_tokens": 4}`)
+	if chat.status != http.StatusOK {
+		t.Errorf("an idempotent request while the store is down: %+v", chat)
+	}
+	f.Platform.SetFaults(memory.Faults{})
+	up := settled(f.Target(0)+deposits, "k", `{}`)
+	if up.status != http.StatusOK || booking.Runs()["k"] != 1 {
+		t.Errorf("store up: %+v, ran %d times", up, booking.Runs()["k"])
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f, booking := start(t)
+	ctx := context.Background()
+	replies := make([]reply, 8)
+	var wg conc.WaitGroup
+	for i := range replies {
+		wg.Go(func() {
+			if i%2 == 0 {
+				replies[i] = post(ctx, f.Target(0)+"/v1/completions", "", `{"model": "writer", "prompt": "a", "max_tokens": 40, "stream": true}`)
+				return
+			}
+			replies[i] = post(ctx, f.Target(0)+deposits, string(rune('a'+i)), `{}`)
+		})
+	}
+	for len(booking.Runs()) < 4 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.Stop(0)
+	wg.Wait()
+	for i, r := range replies {
+		whole := r.err == nil && r.status == http.StatusOK && (i%2 != 0 || strings.HasSuffix(r.body, "data: [DONE]\n\n"))
+		if !whole {
+			t.Errorf("request %d was cut: %+v", i, r)
+		}
+	}
+	for key, n := range booking.Runs() {
+		if n != 1 {
+			t.Errorf("deposit %s ran %d times", key, n)
+		}
+	}
+}
+
+func TestKilledEntryLeavesKeysSafe(t *testing.T) {
+	f, booking := start(t)
+	ctx := context.Background()
+	var wg conc.WaitGroup
+	wg.Go(func() { post(ctx, f.Target(0)+deposits, "k", `{}`) })
+	for booking.Runs()["k"] == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	f.Kill(0)
+	wg.Wait()
+	repeat := post(ctx, f.Target(1)+deposits, "k", `{}`)
+	if repeat.status != http.StatusConflict || repeat.run == string(ward.NotRun) {
+		t.Errorf("a repeat of a key whose entry died: %+v", repeat)
+	}
+	if err := f.Restart(ctx, 0); err != nil {
+		t.Fatal(err)
+	}
+	if n := booking.Runs()["k"]; n != 1 {
+		t.Errorf("the deposit ran %d times", n)
+	}
+}
--- a/internal/entry/program/stop.go
+++ b/internal/entry/program/stop.go
@@ -24,5 +24,8 @@
 	if err := p.callers.Shutdown(ctx); err != nil {
 		p.log.Info("grace-used-up", "open", p.path.Count())
 	}
+	if left := p.path.Flush(ctx); left > 0 {
+		p.log.Info("records-not-written", "left", left)
+	}
 	return p.trace.Close(ctx)
 }
