feat(budget): pace prompts by the entry's part of the prefill rate

Cause: each entry could hold one prompt of any length at each engine, so eight entries together queued seconds of prefill inside the engines. Change: a debt of prompt tokens per upstream that is paid at the entry's part of the observed prefill rate; higher tiers may run further ahead of the pace.

--- a/internal/request/budget/budget.go
+++ b/internal/request/budget/budget.go
@@ -34,10 +34,6 @@
 	// targetTokenTime is the time between tokens above which the batch is made
 	// smaller.
 	targetTokenTime = 60 * time.Millisecond
-	// prefillWindow is the prefill work that an upstream may hold.
-	prefillWindow = 400 * time.Millisecond
-	// leastPrefill lets an upstream take a few prompts at any rate.
-	leastPrefill = 1024 // tokens
 	// memory is the time after which an observation counts 1/e.
 	memory = 4 * time.Second
 	// growth is the part of the whole budget by which the parts of all entries
@@ -57,6 +53,8 @@
 	divided time.Time
 	adapted time.Time
 	slots   float64
+	debt    float64
+	paid    time.Time
 }
 
 // ratio is a quotient of two decaying sums.
@@ -147,12 +145,6 @@
 	return b.limit
 }
 
-// PrefillLimit returns the prompt tokens that the whole fleet may have waiting
-// for their prefill in the upstream.
-func (b *Budget) PrefillLimit() float64 {
-	return max(leastPrefill, b.PrefillRate()*prefillWindow.Seconds())
-}
-
 // Part returns this entry's part of the budget, from 0 to 1.
 func (b *Budget) Part() float64 { return b.part }
 
@@ -176,16 +168,28 @@
 	b.divided = now
 }
 
-// Fits tells whether a prompt may be handed over when this entry has so many
-// requests in flight and prompt tokens waiting for prefill there.
-func (b *Budget) Fits(inFlight, prefill, prompt int) bool {
-	if inFlight == 0 {
-		return true
-	}
-	if float64(inFlight+1) > b.Limit()*b.part {
+// Fits tells whether one more request may be handed over when this entry has so
+// many in flight there. ahead is how far the entry may run before its pace.
+func (b *Budget) Fits(now time.Time, inFlight int, ahead time.Duration) bool {
+	if float64(inFlight+1) > max(1, b.Limit()*b.part) {
 		return false
 	}
-	return prefill == 0 || float64(prefill+prompt) <= b.PrefillLimit()*b.part
+	return b.owed(now) <= ahead.Seconds()*b.PrefillRate()*b.part
+}
+
+// Spend counts prompt tokens that are handed over against the pace.
+func (b *Budget) Spend(now time.Time, tokens int) {
+	b.debt = b.owed(now) + float64(tokens)
+	b.paid = now
+}
+
+// owed returns the prompt tokens that were handed over beyond the entry's part
+// of the prefill rate.
+func (b *Budget) owed(now time.Time) float64 {
+	if b.debt == 0 {
+		return 0
+	}
+	return max(0, b.debt-b.PrefillRate()*b.part*now.Sub(b.paid).Seconds())
 }
 
 // FirstTokenIn returns the expected time to the first token with so many prompt
--- a/internal/request/scheduler/dispatch.go
+++ b/internal/request/scheduler/dispatch.go
@@ -7,6 +7,9 @@
 	"agateward/ward"
 )
 
+// aheadOf is how far an entry may run before its pace at an upstream, by tier.
+var aheadOf = [ward.TierCount]time.Duration{1500 * time.Millisecond, time.Second, 500 * time.Millisecond, 0}
+
 // pumpAll dispatches what fits in every pool.
 func (s *Scheduler) pumpAll(now time.Time) {
 	for _, p := range s.order {
@@ -53,7 +56,7 @@
 		if !u.usable() || u == e.avoid || !u.breaker.Ready(now) {
 			continue
 		}
-		if !u.budget.Fits(u.inFlight, u.prefill, r.PromptTokens) {
+		if !u.budget.Fits(now, u.inFlight, aheadOf[e.item.Tier-ward.TierTop]) {
 			continue
 		}
 		first := u.budget.FirstTokenIn(float64(u.prefill + u.othersPrefill + r.PromptTokens))
@@ -84,6 +87,7 @@
 	e.first = time.Time{}
 	e.ahead = u.prefill + u.othersPrefill + r.PromptTokens
 	u.inFlight++
+	u.budget.Spend(now, r.PromptTokens)
 	u.prefill += r.PromptTokens
 	e.team.running++
 	if e.onNext {
