feat(request): lay entries and upstreams on one line, and use cached prefixes

Drain rates taken from all time shed too early. Change: package share gives each entry an interval of the upstreams' line that follows demand, so that one or two entries feed an engine and know what they sent; admission by the prompts that wait there, by tier; capacity is measured while requests wait; floors fall after 0.3 s; package prefix finds upstreams with a cached prompt, also those of other entries.

--- a/internal/request/budget/budget.go
+++ b/internal/request/budget/budget.go
@@ -6,8 +6,9 @@
 // # Usage
 //
 //	var b budget.Budget
-//	b.Divide(now, mine, others, entries)
-//	if b.Fits(inFlight, prefill, r.PromptTokens) {
+//	b.Divide(now, part)
+//	if b.Fits(now, inFlight, ahead) {
+//		b.Spend(now, r.PromptTokens)
 //		// dispatch; then tell what came back:
 //		b.FirstToken(now, tokensAhead, took)
 //		b.Tokens(now, n, took)
@@ -34,13 +35,14 @@
 	// targetTokenTime is the time between tokens above which the batch is made
 	// smaller.
 	targetTokenTime = 60 * time.Millisecond
+	// idleBelow is the backlog of prompts, in time, below which the pace rises, at
+	// the most by mostBoost.
+	idleBelow = 400 * time.Millisecond
+	mostBoost = 0.5
 	// memory is the time after which an observation counts 1/e.
 	memory = 4 * time.Second
-	// growth is the part of the whole budget by which the parts of all entries
-	// together may grow in a second beyond what their views support.
-	growth = 0.5
-	// spread is what is divided evenly; the rest follows demand.
-	spread = 0.5
+	// growth is how much an entry's part may grow in a second.
+	growth = 2.0
 )
 
 // Budget is the budget of one upstream at one entry. Its zero value is that of
@@ -55,6 +57,7 @@
 	slots   float64
 	debt    float64
 	paid    time.Time
+	backlog float64
 }
 
 // ratio is a quotient of two decaying sums.
@@ -89,6 +92,14 @@
 	return time.Duration(b.decode.value(firstTokenTime.Seconds()) * float64(time.Second))
 }
 
+// Known returns the observed rate, or 0 when nothing was observed lately.
+func (b *Budget) Known(now time.Time) float64 {
+	if b.prefill.below == 0 || now.Sub(b.prefill.at) > 2*memory {
+		return 0
+	}
+	return b.PrefillRate()
+}
+
 // FirstToken learns from a first token that took so long, with tokens of
 // prefill (its own among them) to be computed before it.
 func (b *Budget) FirstToken(now time.Time, tokens int, took time.Duration) {
@@ -148,30 +159,22 @@
 // Part returns this entry's part of the budget, from 0 to 1.
 func (b *Budget) Part() float64 { return b.part }
 
-// Divide sets this entry's part from its own demand and that of all entries
-// together. A part shrinks at once and grows by at most growth/entries a
-// second: with views that are d old, all parts together stay below
-// 1 + growth*d.
-func (b *Budget) Divide(now time.Time, mine, all float64, entries int) {
-	n := float64(max(entries, 1))
-	want := 1 / n
-	if all > 0 {
-		want = spread/n + (1-spread)*min(1, mine/all)
-	}
-	if b.divided.IsZero() || n == 1 || want <= b.part {
+// Divide sets this entry's part. A part shrinks at once and grows by at most
+// growth a second: when views are d old, the parts of an upstream that k entries
+// lay claim to stay together below 1 + k*growth*d.
+func (b *Budget) Divide(now time.Time, want float64) {
+	if b.divided.IsZero() || want <= b.part {
 		b.part = want
-		b.divided = now
-		return
+	} else {
+		b.part = min(want, b.part+growth*now.Sub(b.divided).Seconds())
 	}
-	step := growth / n * now.Sub(b.divided).Seconds()
-	b.part = min(want, b.part+step)
 	b.divided = now
 }
 
 // Fits tells whether one more request may be handed over when this entry has so
 // many in flight there. ahead is how far the entry may run before its pace.
 func (b *Budget) Fits(now time.Time, inFlight int, ahead time.Duration) bool {
-	if float64(inFlight+1) > max(1, b.Limit()*b.part) {
+	if b.part <= 0 || float64(inFlight+1) > max(1, b.Limit()*b.part) {
 		return false
 	}
 	return b.owed(now) <= ahead.Seconds()*b.PrefillRate()*b.part
@@ -189,7 +192,22 @@
 	if b.debt == 0 {
 		return 0
 	}
-	return max(0, b.debt-b.PrefillRate()*b.part*now.Sub(b.paid).Seconds())
+	return max(0, b.debt-b.PrefillRate()*b.part*b.boost()*now.Sub(b.paid).Seconds())
+}
+
+// boost is the factor by which debts are paid sooner while the upstream seems
+// to run out of prompts.
+func (b *Budget) boost() float64 {
+	target := b.PrefillRate() * idleBelow.Seconds()
+	return 1 + mostBoost*max(0, 1-b.backlog/target)
+}
+
+// Backlog tells the prompt tokens that wait in the upstream for all entries, as
+// far as they are known.
+func (b *Budget) Backlog(now time.Time, tokens int) {
+	b.debt = b.owed(now)
+	b.paid = now
+	b.backlog = float64(tokens)
 }
 
 // FirstTokenIn returns the expected time to the first token with so many prompt
--- a/internal/request/floor/floor.go
+++ b/internal/request/floor/floor.go
@@ -33,8 +33,8 @@
 	// quiet is the time without a need to shed after which the floor falls by
 	// one tier; it doubles up to longestQuiet when the floor had to be raised
 	// again within flapping.
-	quiet        = 2 * time.Second
-	longestQuiet = 16 * time.Second
+	quiet        = 300 * time.Millisecond
+	longestQuiet = 600 * time.Millisecond
 	flapping     = 10 * time.Second
 	// Hold is the longest time that a request is kept waiting for the floor
 	// below it to be observed.
--- a/internal/request/scheduler/arrive.go
+++ b/internal/request/scheduler/arrive.go
@@ -8,13 +8,14 @@
 	"agateward/ward"
 )
 
-// Costs of a request, in tokens of prefill.
+// Costs of a request, in tokens.
 const (
-	// outputCost is the work of one output token against one prompt token.
-	outputCost = 5
 	// fixedCost is the work of any request; it is the whole work of a call to a
 	// plain service.
 	fixedCost = 50
+	// optimism is the part of the expected wait that must fit: a request that
+	// waits in vain costs less than one that is refused in vain.
+	optimism = 0.7
 	// assumedOutput is planned with when a request says nothing of its output.
 	assumedOutput = 128
 )
@@ -68,7 +69,7 @@
 	it.Request = r
 	it.Draw = s.rng.Float64()
 	it.Since = now
-	it.Cost = fixedCost + float64(r.PromptTokens) + outputCost*float64(output(r))
+	it.Cost = fixedCost + float64(r.PromptTokens+output(r))
 	it.Due = r.Deadline
 	if r.FirstToken > 0 {
 		if t := r.Arrived.Add(r.FirstToken); t.Before(it.Due) {
@@ -103,6 +104,7 @@
 		s.refuse(e, code.Shed, mostRetryAfter/10, "the tier is below the floor")
 		return
 	}
+	e.pool.rates.arrive(now, e.item.Tier, e.item.Cost)
 	least := e.pool.leastTime(e.item.Request)
 	e.item.Latest = e.latest(least)
 	if e.item.Latest.Before(now) {
@@ -160,14 +162,13 @@
 	if higher+own == 0 {
 		return 0
 	}
-	all, above := p.drain.upTo(now, e.item.Tier)
+	all := p.rates.capacity()
 	if all == 0 {
 		return 0
 	}
 	// Work of higher tiers keeps arriving while this request waits.
-	rate := max(all-above, all/20)
-	seconds := higher/all + own/rate
-	return time.Duration(seconds * float64(time.Second))
+	rate := max(all-p.rates.above(e.item.Tier), all/20)
+	return time.Duration(optimism * (higher + own) / rate * float64(time.Second))
 }
 
 // latest returns the last useful moment of a dispatch, given the least times to
--- a/internal/request/scheduler/configure.go
+++ b/internal/request/scheduler/configure.go
@@ -30,7 +30,8 @@
 		named[u.Name] = true
 		known := s.upstreams[u.Name]
 		if known == nil {
-			known = &upstream{}
+			known = &upstream{number: len(s.numbers)}
+			s.numbers = append(s.numbers, known)
 			s.upstreams[u.Name] = known
 		}
 		if known.cfg.Address != u.Address {
--- a/internal/request/scheduler/dispatch.go
+++ b/internal/request/scheduler/dispatch.go
@@ -1,14 +1,17 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"agateward/internal/result/code"
 	"agateward/ward"
 )
 
+var paceAhead = 5000 * time.Millisecond
+
 // aheadOf is how far an entry may run before its pace at an upstream, by tier.
-var aheadOf = [ward.TierCount]time.Duration{1500 * time.Millisecond, time.Second, 500 * time.Millisecond, 0}
+var aheadOf = [ward.TierCount]time.Duration{400 * time.Millisecond, 300 * time.Millisecond, 200 * time.Millisecond, 100 * time.Millisecond}
 
 // pumpAll dispatches what fits in every pool.
 func (s *Scheduler) pumpAll(now time.Time) {
@@ -20,6 +23,7 @@
 // pump dispatches in order until the head fits nowhere.
 func (s *Scheduler) pump(now time.Time, p *pool) {
 	s.expire(now, p)
+	defer func() { p.rates.pass(now, p.queue.Len() > 0) }()
 	for it := p.queue.Head(); it != nil; it = p.queue.Head() {
 		e := s.requests[it.ID]
 		if to, next := s.assign(now, e); to != p {
@@ -29,13 +33,13 @@
 			s.pump(now, to)
 			continue
 		}
-		u, first := s.choose(now, p, e)
-		if u == nil {
+		o := s.choose(now, p, e)
+		if o.u == nil {
 			return
 		}
 		p.queue.Pop()
 		s.waiting--
-		s.send(now, e, u, first)
+		s.send(now, e, o)
 	}
 }
 
@@ -46,37 +50,124 @@
 	}
 }
 
-// choose returns the upstream with room that is expected to finish first, and
-// the expected time to its first token.
-func (s *Scheduler) choose(now time.Time, p *pool, e *entry) (*upstream, time.Duration) {
-	var best *upstream
-	var bestFirst, bestTotal time.Duration
-	r := e.item.Request
-	for _, u := range p.upstreams {
-		if !u.usable() || u == e.avoid || !u.breaker.Ready(now) {
-			continue
+// match is an upstream that has a part of a prompt cached.
+type match struct {
+	u      *upstream
+	tokens int
+}
+
+// Bounds of prefix affinity.
+const (
+	// worthwhile is the part of a prompt that must be cached for an upstream to
+	// be used of which this entry has no part.
+	worthwhile = 0.5
+	// longestWait is the wait in such an upstream that is put up with.
+	longestWait = 300 * time.Millisecond
+)
+
+// option is an upstream that a request may go to, and what is expected of it.
+type option struct {
+	u            *upstream
+	need         int
+	first, total time.Duration
+	reason       string
+}
+
+// choose returns the best option of a request that may be used now; its
+// upstream is nil when there is none.
+func (s *Scheduler) choose(now time.Time, p *pool, e *entry) option {
+	s.findMatches(p, e)
+	var best option
+	for _, u := range p.owned {
+		if s.mayUse(now, u, e) && u.budget.Fits(now, u.inFlight, paceAhead) && u.ready(now, e) {
+			best.keep(u.option(now, e, s.cached(u)))
 		}
-		if !u.budget.Fits(now, u.inFlight, aheadOf[e.item.Tier-ward.TierTop]) {
+	}
+	for _, m := range s.matched {
+		part := float64(m.tokens) / float64(max(e.item.Request.PromptTokens, 1))
+		if part < worthwhile || m.u.budget.Part() > 0 || !s.mayUse(now, m.u, e) || !m.u.roomForGuest(now) {
 			continue
 		}
-		first := u.budget.FirstTokenIn(float64(u.prefill + u.othersPrefill + r.PromptTokens))
-		total := first + time.Duration(output(r))*u.budget.TokenTime()
-		if r.Kind == ward.KindService {
-			total = time.Duration(u.inFlight+u.othersFlight) * time.Millisecond
+		best.keep(m.u.option(now, e, m.tokens))
+	}
+	if best.u != nil && !best.u.breaker.Allow(now) {
+		return option{}
+	}
+	return best
+}
+
+// findMatches looks for the upstreams of the pool that have a part of the
+// prompt.
+func (s *Scheduler) findMatches(p *pool, e *entry) {
+	s.matched = s.matched[:0]
+	s.prefixes.Match(e.item.Request.Prefix, func(number, blocks int) bool {
+		u := s.numbers[number]
+		if u.cfg.Serves == p.key.serves && u.cfg.Version == p.key.version && !u.cfg.Removed {
+			s.matched = append(s.matched, match{u, blocks * ward.PrefixBlockTokens})
 		}
-		if best == nil || total < bestTotal {
-			best, bestFirst, bestTotal = u, first, total
+		return true
+	})
+}
+
+func (s *Scheduler) cached(u *upstream) int {
+	for _, m := range s.matched {
+		if m.u == u {
+			return m.tokens
 		}
 	}
-	if best != nil && !best.breaker.Allow(now) {
-		return nil, 0
+	return 0
+}
+
+// mayUse tells whether an upstream may get the request at all.
+func (s *Scheduler) mayUse(now time.Time, u *upstream, e *entry) bool {
+	return u.usable() && u != e.avoid && u.breaker.Ready(now)
+}
+
+// ready tells whether the prompts that wait in the upstream leave room for the
+// request's tier.
+func (u *upstream) ready(now time.Time, e *entry) bool {
+	if u.cfg.Kind == ward.KindService {
+		return true
+	}
+	return u.budget.FirstTokenIn(u.backlog(now)) <= aheadOf[e.item.Tier-ward.TierTop]
+}
+
+// roomForGuest tells whether an upstream that belongs to other entries can take
+// a request with a cached prompt.
+func (u *upstream) roomForGuest(now time.Time) bool {
+	if float64(u.inFlight+u.othersFlight+1) > u.budget.Limit() {
+		return false
 	}
-	return best, bestFirst
+	return u.budget.FirstTokenIn(u.backlog(now)) <= longestWait
 }
 
-// send records the dispatch of a request.
-func (s *Scheduler) send(now time.Time, e *entry, u *upstream, first time.Duration) {
+// option returns what is expected of an upstream that has so many tokens of the
+// prompt cached.
+func (u *upstream) option(now time.Time, e *entry, cached int) option {
 	r := e.item.Request
+	o := option{u: u, need: max(r.PromptTokens-cached, 0), reason: "earliest expected completion among the upstreams with room"}
+	if cached > 0 {
+		o.reason = "earliest expected completion; a part of the prompt is cached there"
+	}
+	if r.Kind == ward.KindService {
+		o.total = time.Duration(u.inFlight+u.othersFlight) * time.Millisecond
+		return o
+	}
+	o.first = u.budget.FirstTokenIn(u.backlog(now) + float64(o.need))
+	o.total = o.first + time.Duration(output(r))*u.budget.TokenTime()
+	return o
+}
+
+// keep replaces o by a better option.
+func (o *option) keep(x option) {
+	if o.u == nil || x.total < o.total {
+		*o = x
+	}
+}
+
+// send records the dispatch of a request.
+func (s *Scheduler) send(now time.Time, e *entry, o option) {
+	u := o.u
 	if e.item.Tries == 0 {
 		e.team.retries.Sent()
 		u.retries.Sent()
@@ -85,17 +176,42 @@
 	e.up = u
 	e.sent = now
 	e.first = time.Time{}
-	e.ahead = u.prefill + u.othersPrefill + r.PromptTokens
+	e.need = o.need
+	e.ahead = int(u.backlog(now)) + o.need
 	u.inFlight++
-	u.budget.Spend(now, r.PromptTokens)
-	u.prefill += r.PromptTokens
+	u.budget.Spend(now, o.need)
+	u.prefill += o.need
+	if len(u.pending) == 0 {
+		u.began = now
+	}
+	u.pending = append(u.pending, e)
 	e.team.running++
 	if e.onNext {
 		e.route.onNext++
 	}
-	e.pool.drain.add(now, e.item.Tier, e.item.Cost)
+	e.pool.rates.serve(now, e.item.Cost)
 	s.actions = append(s.actions, Action{
-		Kind: Dispatch, ID: e.item.ID, Upstream: u.cfg, FirstToken: first,
-		Reason: "earliest expected completion among the upstreams with room",
+		Kind: Dispatch, ID: e.item.ID, Upstream: u.cfg, FirstToken: o.first,
+		Reason: o.reason,
 	})
 }
+
+// backlog returns the prompt tokens that wait in the upstream. Of the prompt
+// that is being computed, only what is expected to be left counts.
+func (u *upstream) backlog(now time.Time) float64 {
+	left := float64(u.prefill + u.othersPrefill)
+	if len(u.pending) == 0 {
+		return left
+	}
+	done := u.budget.PrefillRate() * now.Sub(u.began).Seconds()
+	return left - min(done, float64(u.pending[0].need))
+}
+
+// prefilled takes note that a prompt is computed, or given up.
+func (u *upstream) prefilled(now time.Time, e *entry) {
+	u.prefill -= e.need
+	if i := slices.Index(u.pending, e); i >= 0 {
+		u.pending = slices.Delete(u.pending, i, i+1)
+		u.began = now
+	}
+}
--- a/internal/request/scheduler/learn.go
+++ b/internal/request/scheduler/learn.go
@@ -18,8 +18,11 @@
 	e.first = now
 	e.seen = now
 	e.tokens = 1
-	e.up.prefill -= e.item.Request.PromptTokens
+	e.up.prefilled(now, e)
 	if e.item.Request.Kind != ward.KindService {
+		for _, h := range e.item.Request.Prefix {
+			s.prefixes.Store(h, e.up.number)
+		}
 		e.up.budget.FirstToken(now, e.ahead, now.Sub(e.sent))
 	}
 }
@@ -45,7 +48,7 @@
 	}
 	u := e.up
 	s.Progress(now, id, o.OutputTokens)
-	s.release(e)
+	s.release(now, e)
 	if o.Connected || o.Cancelled {
 		if o.Connected {
 			u.breaker.Succeed()
@@ -61,12 +64,12 @@
 }
 
 // release gives back what a dispatched request used.
-func (s *Scheduler) release(e *entry) {
+func (s *Scheduler) release(now time.Time, e *entry) {
 	u := e.up
 	e.up = nil
 	u.inFlight--
 	if e.first.IsZero() {
-		u.prefill -= e.item.Request.PromptTokens
+		u.prefilled(now, e)
 	}
 	e.team.running--
 	if e.onNext && e.route.onNext > 0 {
@@ -98,7 +101,19 @@
 }
 
 // Cache takes cache events of an upstream.
-func (s *Scheduler) Cache(time.Time, string, []ward.CacheEvent) {}
+func (s *Scheduler) Cache(_ time.Time, name string, events []ward.CacheEvent) {
+	u := s.upstreams[name]
+	if u == nil {
+		return
+	}
+	for _, e := range events {
+		if e.Stored {
+			s.prefixes.Store(e.Prefix, u.number)
+			continue
+		}
+		s.prefixes.Drop(e.Prefix, u.number)
+	}
+}
 
 // resume puts the delayed requests whose pause is over back into their queue.
 func (s *Scheduler) resume(now time.Time) {
--- a/internal/request/scheduler/peers.go
+++ b/internal/request/scheduler/peers.go
@@ -3,10 +3,20 @@
 import (
 	"time"
 
+	"agateward/internal/request/share"
 	"agateward/internal/result/code"
 	"agateward/ward"
 )
 
+// Weights of the entries on the line of a pool.
+const (
+	// evenly is what is divided evenly; the rest follows demand.
+	evenly = 0.5
+)
+
+// tierWeight is how much a waiting request of a tier adds to the demand.
+var tierWeight = [ward.TierCount]float64{1, 1, 1, 1}
+
 // Peers takes the newest states of the other live entries. Budget parts follow
 // their demand, and floors follow what they ask for.
 func (s *Scheduler) Peers(now time.Time, peers []ward.PeerState) []Action {
@@ -15,7 +25,8 @@
 	for _, u := range s.upstreams {
 		u.othersFlight = 0
 		u.othersPrefill = 0
-		u.othersDemand = 0
+		u.othersRate = 0
+		u.othersRates = 0
 	}
 	for i := range s.peers {
 		p := &s.peers[i]
@@ -27,7 +38,10 @@
 			if u := s.upstreams[d.Upstream]; u != nil {
 				u.othersFlight += d.InFlight
 				u.othersPrefill += d.Prefill
-				u.othersDemand += demand(d)
+				if d.Rate > 0 {
+					u.othersRate += float64(d.Rate)
+					u.othersRates++
+				}
 			}
 		}
 	}
@@ -76,27 +90,88 @@
 // divide sets this entry's part of every upstream's budget.
 func (s *Scheduler) divide(now time.Time) {
 	for _, p := range s.order {
-		if len(p.upstreams) == 0 {
-			continue
+		if len(p.upstreams) > 0 {
+			s.dividePool(now, p)
 		}
-		waiting := p.queue.Len() / len(p.upstreams)
-		for _, u := range p.upstreams {
-			mine := float64(u.inFlight + waiting + 1)
-			u.budget.Divide(now, mine, mine+u.othersDemand, s.entries)
-			u.budget.Adapt(now, u.inFlight+u.othersFlight)
+	}
+}
+
+func (s *Scheduler) dividePool(now time.Time, p *pool) {
+	s.layOut(now, p)
+	p.owned = p.owned[:0]
+	for i, part := range s.line.Parts(s.cfg.Self) {
+		u := s.upstreams[s.line.Upstreams()[i].Name]
+		if u.cfg.Kind == ward.KindService {
+			part = 1 / float64(s.entries)
 		}
+		u.budget.Divide(now, part)
+		if part > 0 {
+			p.owned = append(p.owned, u)
+		}
+		u.budget.Backlog(now, u.prefill+u.othersPrefill)
+		u.budget.Adapt(now, u.inFlight+u.othersFlight)
 	}
 }
 
-// demand weighs what an entry uses and wants of an upstream, in requests.
-func demand(d ward.Demand) float64 {
-	const typicalPrompt = 1000 // tokens
-	return float64(d.InFlight) + float64(d.Waiting)/typicalPrompt + 1
+// layOut puts the live entries and the pool's upstreams on the line.
+func (s *Scheduler) layOut(now time.Time, p *pool) {
+	s.line.Reset()
+	mine := demand(p.queue.Waiting())
+	total := mine
+	for i := range s.peers {
+		total += s.peerDemand(i, p)
+	}
+	n := float64(len(s.peers) + 1)
+	weight := func(d float64) float64 { return evenly/n + (1-evenly)*d/total }
+	s.line.Entry(share.Entry{Name: s.cfg.Self, DataCentre: s.cfg.DataCentre, Weight: weight(mine)})
+	for i := range s.peers {
+		st := &s.peers[i]
+		s.line.Entry(share.Entry{Name: st.Name, DataCentre: st.DataCentre, Weight: weight(s.peerDemand(i, p))})
+	}
+	for _, u := range p.upstreams {
+		if u.usable() {
+			s.line.Upstream(share.Upstream{Name: u.cfg.Name, DataCentre: u.cfg.DataCentre, Rate: u.rate(now)})
+		}
+	}
+}
+
+// rate returns the upstream's rate as far as anyone observed it.
+func (u *upstream) rate(now time.Time) float64 {
+	known := u.budget.Known(now)
+	n := 0.0
+	if known > 0 {
+		n = 1
+	}
+	if sum := known + u.othersRate; n+u.othersRates > 0 {
+		return sum / (n + u.othersRates)
+	}
+	return u.budget.PrefillRate()
+}
+
+// demand is how much the entry wants of the pool's upstreams. What waits in
+// higher tiers weighs more, so that parts move to where they are short of time.
+func demand(waiting [ward.TierCount]int) float64 {
+	d := 1.0
+	for i, n := range waiting {
+		d += float64(n) * tierWeight[i]
+	}
+	return d
+}
+
+// peerDemand is the demand of a peer.
+func (s *Scheduler) peerDemand(i int, p *pool) float64 {
+	for _, f := range s.peers[i].Floors {
+		if f.Serves == p.key.serves {
+			return demand(f.Waiting)
+		}
+	}
+	return 1
 }
 
 // Tick lets time pass: it ends what has expired, resumes delayed requests,
 // settles held ones, and moves budgets and floors.
 func (s *Scheduler) Tick(now time.Time) []Action {
+	s.now = now
 	for _, f := range s.floors {
 		f.Decay(now)
 	}
--- a/internal/request/scheduler/scheduler.go
+++ b/internal/request/scheduler/scheduler.go
@@ -31,8 +31,10 @@
 	"agateward/internal/request/breaker"
 	"agateward/internal/request/budget"
 	"agateward/internal/request/floor"
+	"agateward/internal/request/prefix"
 	"agateward/internal/request/queue"
 	"agateward/internal/request/retry"
+	"agateward/internal/request/share"
 	"agateward/internal/result/code"
 	"agateward/ward"
 )
@@ -95,7 +97,13 @@
 	stopping  bool
 	entries   int
 	peers     []ward.PeerState
+	line      share.Line
+	prefixes  prefix.Index
+	numbers   []*upstream
+	matched   []match
 	actions   []Action
+	// now is the time of the last Tick.
+	now time.Time
 }
 
 type poolKey struct{ serves, version string }
@@ -105,11 +113,15 @@
 	key       poolKey
 	queue     queue.Queue
 	upstreams []*upstream
-	drain     rates
+	// owned are the upstreams of which this entry has a part.
+	owned []*upstream
+	rates rates
 }
 
 // upstream is one replica as this entry sees it.
 type upstream struct {
+	// number stands for the upstream in the prefix index.
+	number   int
 	cfg      ward.Upstream
 	budget   budget.Budget
 	breaker  breaker.Breaker
@@ -121,7 +133,13 @@
 	prefill       int
 	othersFlight  int
 	othersPrefill int
-	othersDemand  float64
+	// pending are this entry's requests without a first token, in order, and
+	// began is when the first of them was taken up.
+	pending []*entry
+	began   time.Time
+	// othersRate sums up the rates that othersRates peers observed.
+	othersRate  float64
+	othersRates float64
 }
 
 type route struct {
@@ -153,6 +171,9 @@
 	seen   time.Time
 	tokens int
 	ahead  int
+	// need is the number of prompt tokens that the upstream is expected to
+	// compute.
+	need   int
 	onNext bool
 	// retryAt is when a delayed request goes back to the queue, holdUntil when
 	// a request that can't be served in time is shed at the latest.
--- a/internal/request/scheduler/state.go
+++ b/internal/request/scheduler/state.go
@@ -39,6 +39,7 @@
 
 // State returns the state as of the last call.
 func (s *Scheduler) State() State {
+	now := s.now
 	st := State{Floor: ward.TierBottom}
 	for _, p := range s.order {
 		for i, n := range p.queue.Waiting() {
@@ -57,14 +58,14 @@
 		}
 		st.Floors = append(st.Floors, ward.ServesFloor{Serves: serves, Need: f.Need(), Floor: f.Level(), Waiting: waiting})
 	}
-	st.Demand = s.demands()
+	st.Demand = s.demands(now)
 	slices.SortFunc(st.Upstreams, func(a, b UpstreamState) int { return strings.Compare(a.Name, b.Name) })
 	slices.SortFunc(st.Floors, func(a, b ward.ServesFloor) int { return strings.Compare(a.Serves, b.Serves) })
 	return st
 }
 
 // demands lists the upstreams that this entry uses or wants, by name.
-func (s *Scheduler) demands() []ward.Demand {
+func (s *Scheduler) demands(now time.Time) []ward.Demand {
 	var out []ward.Demand
 	for _, p := range s.order {
 		if len(p.upstreams) == 0 {
@@ -75,7 +76,10 @@
 			if u.inFlight == 0 && waiting == 0 {
 				continue
 			}
-			out = append(out, ward.Demand{Upstream: u.cfg.Name, InFlight: u.inFlight, Prefill: u.prefill, Waiting: waiting})
+			out = append(out, ward.Demand{
+				Upstream: u.cfg.Name, InFlight: u.inFlight, Prefill: u.prefill, Waiting: waiting,
+				Rate: int(u.budget.Known(now)),
+			})
 		}
 	}
 	slices.SortFunc(out, func(a, b ward.Demand) int { return strings.Compare(a.Upstream, b.Upstream) })
--- a/ward/peer.go
+++ b/ward/peer.go
@@ -57,6 +57,9 @@
 	InFlight int `json:"in-flight"`
 	Prefill  int `json:"prefill"`
 	Waiting  int `json:"waiting"`
+	// Rate is the prompt tokens a second that the entry observed, 0 when it
+	// observed none lately.
+	Rate int `json:"rate,omitempty"`
 }
 
 // ServesFloor is the shedding state of one model or service at one entry.
