feat(measure): kill, stop and restart entries under load

Cause: the promises had not been tried on running entries that die. The load generator no longer takes a broken connection for one that was never made when its client had sent the request again.

--- a/internal/bench/load/call.go
+++ b/internal/bench/load/call.go
@@ -5,14 +5,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"agateward/internal/bench/mix"
@@ -70,11 +70,16 @@
 		o.Detail = err.Error()
 		return o
 	}
+	// The client itself sends a request with an idempotency key again when its
+	// connection breaks, so the last error alone does not say that none was made.
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	r = r.WithContext(httptrace.WithClientTrace(ctx, trace))
 	sent := g.Clock.Now()
 	resp, err := g.Client.Do(r)
 	if err != nil {
 		o.Result = tally.Broken
-		o.NotSent = isDial(err)
+		o.NotSent = !connected.Load()
 		o.Detail = err.Error()
 		return o
 	}
@@ -87,12 +92,6 @@
 	return o
 }
 
-// isDial tells that the connection was never made.
-func isDial(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func isModel(q mix.Request) bool { return q.Class.Kind == mix.Chat || q.Class.Kind == mix.Completion }
 
 // newRequest makes the HTTP request.
--- a/internal/bench/load/load.go
+++ b/internal/bench/load/load.go
@@ -52,6 +52,9 @@
 	Duration time.Duration
 	Seed     uint64
 	Tally    *tally.Tally
+	// Observe is told of each answer and the target that it came from, when it is
+	// set.
+	Observe func(target string, o tally.Outcome)
 	// Progress is told how far the run is, when it is set.
 	Progress func(text string)
 }
@@ -129,7 +132,11 @@
 				return
 			}
 			g.Tally.Sent(q.Class.Tier)
-			g.Tally.Add(g.call(ctx, q, target))
+			o := g.call(ctx, q, target)
+			g.Tally.Add(o)
+			if g.Observe != nil {
+				g.Observe(target, o)
+			}
 		})
 	}
 }
--- a/internal/bench/rig/rig_test.go
+++ b/internal/bench/rig/rig_test.go
@@ -12,29 +12,23 @@
 	"agateward/ward"
 )
 
-// calls are a stream and a lookup.
-const calls = `{"classes": [
-	{"name": "dietary", "weight": 1, "kind": "chat", "model": "menu-writer", "route": "dietary", "team": "guests", "tier": 1,
-		"deadline": "20s", "stream": true, "prompt": [50, 600], "output": [20, 200]},
-	{"name": "availability", "weight": 1, "kind": "lookup", "service": "booking", "path": "/availability", "team": "guests"}]}`
-
 // TestRig sends a little load through a fleet while one entry is killed and
 // started again.
 func TestRig(t *testing.T) {
 	r := &Rig{
 		Entries: 2, Engines: 2, Services: 1,
 		Profile: batch.Profile{PrefillRate: 1e7, DecodeBase: 50 * time.Microsecond, DecodePerSequence: time.Microsecond},
-		Adjust:  func(s *settings.Settings) { s.Stop.BalancerLag = ward.Duration(10 * time.Millisecond) },
+		Tune:    func(s *settings.Settings) { s.Stop.BalancerLag = ward.Duration(10 * time.Millisecond) },
 	}
 	if err := r.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	defer r.Close()
-	r.KillEntry(0)
-	if err := r.StartEntry(t.Context(), 0); err != nil {
+	r.Fleet.Kill(0)
+	if err := r.Fleet.Restart(t.Context(), 0); err != nil {
 		t.Fatal(err)
 	}
-	m, err := mix.Parse("test", []byte(calls))
+	m, err := mix.Named("tafelberg")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,5 +40,5 @@
 	if v := ty.Check(r.Runs()); v.Sum() != 0 || ty.Count(tally.Good) == 0 {
 		t.Errorf("violations %+v, tiers %+v", v, ty.Tiers())
 	}
-	r.StopEntry(1)
+	r.Fleet.Stop(1)
 }
--- a/internal/bench/tally/claim.go
+++ b/internal/bench/tally/claim.go
@@ -7,8 +7,8 @@
 	"agateward/ward"
 )
 
-// maxViolations bounds the violations that are told one by one.
-const maxViolations = 20
+// maxViolations bounds the violations of each kind that are told one by one.
+const maxViolations = 5
 
 // claim is what callers were told of one run.
 type claim struct {
@@ -69,23 +69,24 @@
 		switch {
 		case ran > 1 && c.order:
 			v.DoubleRuns++
-			v.tell("order " + name + " ran more than once")
+			v.tell(v.DoubleRuns, "order "+name+" ran more than once")
 		case ran > 1:
 			v.DoubleDispatches++
-			v.tell("request " + name + " ran more than once")
+			v.tell(v.DoubleDispatches, "request "+name+" ran more than once")
 		case ran > 0 && c.notRun == c.attempts:
 			v.FalseNotRun++
-			v.tell(name + " ran, and its caller was told that it had not")
+			v.tell(v.FalseNotRun, name+" ran, and its caller was told that it had not")
 		case ran == 0 && c.good > 0:
 			v.FalseAnswers++
-			v.tell(name + " never ran, and its caller got an answer")
+			v.tell(v.FalseAnswers, name+" never ran, and its caller got an answer")
 		}
 	}
 	return v
 }
 
-func (v *Violations) tell(text string) {
-	if len(v.Details) < maxViolations {
+// tell tells the n-th violation of a kind.
+func (v *Violations) tell(n int, text string) {
+	if n <= maxViolations {
 		v.Details = append(v.Details, text)
 	}
 }
--- a/internal/measure/frame/list.go
+++ b/internal/measure/frame/list.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"agateward/internal/measure/chaos"
 	"agateward/internal/measure/entrycrash"
 	"agateward/internal/measure/overload"
 	"agateward/internal/measure/relay"
@@ -16,5 +17,6 @@
 		slowengine.Experiment{},
 		entrycrash.Experiment{},
 		relay.Experiment{},
+		chaos.Experiment{},
 	}
 }
