feat(peer): add membership, the wire between entries and their runners

Cause: entries share brakes, floors, counts and configuration without a coordinator, within 16 KB a second at any size of the fleet. Change: member (the decider: chart of states, beats, rumors by rank under one token bucket of bytes, digest and repair, deltas of the configuration), codec and wire (net/rpc with deadlines, sizes and a shared key), loop (a fake network for tests), and the runners gossip and revision. The bounds are 3 s and 5 s.

--- /dev/null
+++ b/internal/peer/member/member_test.go
@@ -0,0 +1,143 @@
+package member_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"agateward/internal/peer/loop"
+	"agateward/internal/peer/member"
+	"agateward/internal/result/code"
+	"agateward/ward"
+)
+
+var brake = ward.Brake{Serves: "menu", Version: "2", Route: "draft", Move: "m", Ticket: 3, Reason: "fails", By: "entry-000"}
+
+func braked(e *loop.Entry) bool { return len(e.Member.Brakes()) > 0 }
+
+func config(revision uint64) *ward.Config {
+	return &ward.Config{Fleet: "test", Revision: revision, Ticket: revision,
+		Upstreams: []ward.Upstream{{Name: "u", Kind: ward.KindEngine, Address: "10.1.0.1:8000", Ticket: revision}}}
+}
+
+// TestBrakeAndConfigSpread holds the bounds of 3 s and 5 s over fleet sizes and
+// networks.
+func TestBrakeAndConfigSpread(t *testing.T) {
+	cases := []struct {
+		name    string
+		n       int
+		network loop.Network
+	}{
+		{"today", 8, loop.Network{Delay: time.Millisecond}},
+		{"lossy", 8, loop.Network{Delay: time.Millisecond, Spread: 100 * time.Millisecond, Loss: 0.1, Repeat: 0.1}},
+		{"larger", 60, loop.Network{Delay: time.Millisecond, Spread: 20 * time.Millisecond, Loss: 0.01}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := loop.New(c.n, 1, c.network)
+			if took, ok := f.Until(time.Minute, func() bool {
+				return f.All(func(e *loop.Entry) bool { return e.Member.Live() == c.n })
+			}); !ok {
+				t.Fatalf("entries do not know each other after %v", took)
+			}
+			f.Run(10 * time.Second)
+			f.Change(0, func(m *member.Member, now time.Time) { m.AddBrakes(now, brake) })
+			took, ok := f.Until(3*time.Second, func() bool { return f.All(braked) })
+			if !ok {
+				t.Errorf("brake is not everywhere after %v", took)
+			}
+			t.Logf("brake took %v", took)
+			f.Run(5 * time.Second)
+			for _, r := range []uint64{5, 6} {
+				f.Change(1, func(*member.Member, time.Time) { f.Adopt(1, config(r)) })
+				took, ok = f.Until(5*time.Second, func() bool {
+					return f.All(func(e *loop.Entry) bool { return e.Config != nil && e.Config.Revision == r })
+				})
+				if !ok {
+					t.Errorf("revision %d is not everywhere after %v", r, took)
+				}
+				t.Logf("revision %d took %v", r, took)
+				f.Run(10 * time.Second)
+			}
+		})
+	}
+}
+
+// TestDeadPeer gives the time after which a killed entry is no longer live
+// anywhere, and shows that the next run of it is taken back.
+func TestDeadPeer(t *testing.T) {
+	f := loop.New(8, 1, loop.Network{Delay: time.Millisecond})
+	f.Run(5 * time.Second)
+	f.Kill(3)
+	live := func(n int) func() bool {
+		return func() bool { return f.All(func(e *loop.Entry) bool { return e.Member.Live() == n }) }
+	}
+	if took, ok := f.Until(8*time.Second, live(7)); !ok {
+		t.Errorf("a dead entry is live after %v", took)
+	}
+	f.Start(3)
+	if took, ok := f.Until(5*time.Second, live(8)); !ok {
+		t.Errorf("a new run is not live after %v", took)
+	}
+}
+
+func TestPartedRegionsHeal(t *testing.T) {
+	f := loop.New(8, 1, loop.Network{Delay: time.Millisecond})
+	f.Run(5 * time.Second)
+	f.Parted = func(a, b int) bool { return a < 4 != (b < 4) }
+	f.Run(10 * time.Second)
+	if !f.All(func(e *loop.Entry) bool { return e.Member.Live() == 4 }) {
+		t.Error("a region still counts the other one as live after 10 s")
+	}
+	f.Change(0, func(m *member.Member, now time.Time) { m.AddBrakes(now, brake) })
+	f.Change(7, func(*member.Member, time.Time) { f.Adopt(7, config(9)) })
+	f.Run(time.Minute)
+	f.Parted = nil
+	if took, ok := f.Until(15*time.Second, func() bool {
+		return f.All(func(e *loop.Entry) bool {
+			return e.Member.Live() == 8 && braked(e) && e.Config != nil && e.Config.Revision == 9
+		})
+	}); !ok {
+		t.Errorf("regions have not healed %v after the link came back", took)
+	}
+}
+
+func TestRefused(t *testing.T) {
+	now := time.Unix(1000, 0)
+	self := ward.PeerState{Name: "a", Address: "10.0.0.1:7102", Incarnation: 10}
+	good := ward.Exchange{Fleet: "test", Protocol: member.Protocol, From: "b", Incarnation: 20,
+		States: []ward.PeerState{{Name: "b", Address: "10.0.0.2:7102", Incarnation: 20, Seq: 1}}}
+	cases := []struct {
+		name   string
+		change func(x *ward.Exchange)
+		refuse bool
+	}{
+		{"good", func(*ward.Exchange) {}, false},
+		{"another fleet", func(x *ward.Exchange) { x.Fleet = "other" }, true},
+		{"another protocol", func(x *ward.Exchange) { x.Protocol++ }, true},
+		{"an older incarnation", func(x *ward.Exchange) { x.Incarnation = 19 }, true},
+		{"another receiver", func(x *ward.Exchange) { x.To = "c" }, true},
+		{"own name", func(x *ward.Exchange) { x.From = "a" }, true},
+		{"incarnation ahead of time", func(x *ward.Exchange) { x.Incarnation = math.MaxUint64 }, true},
+		{"share that is no number", func(x *ward.Exchange) { x.Moves = []ward.MoveState{{Move: "m", Share: math.NaN()}} }, true},
+		{"host name", func(x *ward.Exchange) { x.States[0].Address = "example:80" }, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := member.New(member.Settings{Fleet: "test", Self: self}, 1)
+			if _, err := m.Receive(now, good); err != nil {
+				t.Fatal(err)
+			}
+			x := good
+			x.States = append([]ward.PeerState{}, good.States...)
+			c.change(&x)
+			_, err := m.Receive(now, x)
+			if code.PeerRefused.Is(err) != c.refuse {
+				t.Errorf("Receive() = %v, want refused %v", err, c.refuse)
+			}
+			if c.refuse && m.Stats().Refused != 1 {
+				t.Errorf("refused = %d, want 1", m.Stats().Refused)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/peer/member/pack.go
@@ -0,0 +1,171 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+
+	"agateward/internal/peer/check"
+	"agateward/internal/peer/size"
+	"agateward/ward"
+)
+
+// packer fills one message up to a number of bytes.
+type packer struct {
+	member *Member
+	x      *ward.Exchange
+	left   int
+	salt   uint32
+}
+
+// pack fills a message with what is to be passed on, by rank.
+func (m *Member) pack(x *ward.Exchange, room int) {
+	left := min(room, int(max(m.bucket.tokens, minExchange))) - size.Exchange(*x)
+	p := &packer{member: m, x: x, left: left, salt: m.random.Uint32()}
+	p.brakes()
+	if m.docs.hot() {
+		m.docs.sent++ // the revision goes with every message
+	}
+	p.self()
+	p.states()
+	p.beats(true, p.left)
+	p.beats(false, p.left/2)
+	p.moves()
+	p.counts()
+	p.demand()
+}
+
+// fits takes n bytes when they are left.
+func (p *packer) fits(n int) bool {
+	if n > p.left {
+		return false
+	}
+	p.left -= n
+	return true
+}
+
+func (p *packer) brakes() {
+	var rows []*brakeRow
+	for _, r := range p.member.brakes {
+		if r.hot() {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *brakeRow) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.brake.Serves, b.brake.Serves),
+			cmp.Compare(a.brake.Version, b.brake.Version), cmp.Compare(a.brake.Route, b.brake.Route), cmp.Compare(a.brake.Ticket, b.brake.Ticket))
+	})
+	for _, r := range rows {
+		if len(p.x.Brakes) < check.MaxBrakes && p.fits(size.Brake(r.brake)) {
+			r.sent++
+			p.x.Brakes = append(p.x.Brakes, r.brake)
+		}
+	}
+}
+
+// self adds this entry's own state without demand: a message is a heartbeat.
+func (p *packer) self() {
+	s := p.member.self.state
+	s.Demand = nil
+	if p.fits(size.State(s)) {
+		p.x.States = append(p.x.States, s)
+	}
+}
+
+func (p *packer) states() {
+	rows := p.rows(func(r *row) bool { return r.full.hot() && r.known() && r != p.member.self }, func(r *row) int { return r.full.sent })
+	for _, r := range rows {
+		s := r.state
+		s.Demand = nil
+		if len(p.x.States) < check.MaxStates && p.fits(size.State(s)) {
+			r.full.sent++
+			p.x.States = append(p.x.States, s)
+		}
+	}
+}
+
+// beats adds urgent or other beats, in at most room bytes.
+func (p *packer) beats(urgent bool, room int) {
+	rows := p.rows(func(r *row) bool { return r.beat.hot() && r.known() && r.urgent == urgent }, func(r *row) int { return r.beat.sent })
+	for _, r := range rows {
+		b := p.member.short(r)
+		n := size.Beat(b)
+		if n > room || len(p.x.Beats) >= check.MaxBeats || !p.fits(n) {
+			return
+		}
+		room -= n
+		r.beat.sent++
+		p.x.Beats = append(p.x.Beats, b)
+	}
+}
+
+// rows returns the rows that pass, the least passed on first and otherwise in
+// an order that changes with each message.
+func (p *packer) rows(pass func(*row) bool, sent func(*row) int) []*row {
+	var rows []*row
+	for _, r := range p.member.rows {
+		if pass(r) {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *row) int {
+		return cmp.Or(cmp.Compare(sent(a), sent(b)), cmp.Compare(a.id^p.salt, b.id^p.salt), cmp.Compare(a.state.Name, b.state.Name))
+	})
+	return rows
+}
+
+func (p *packer) moves() {
+	var rows []*moveRow
+	for _, r := range p.member.moves {
+		if r.hot() {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *moveRow) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.move.Move, b.move.Move))
+	})
+	for _, r := range rows {
+		if len(p.x.Moves) < check.MaxMoves && p.fits(size.Move(r.move)) {
+			r.sent++
+			p.x.Moves = append(p.x.Moves, r.move)
+		}
+	}
+}
+
+// counts adds outcome counts, those first that have waited longest among the
+// least passed on.
+func (p *packer) counts() {
+	var rows []*countsRow
+	for _, r := range p.member.counts {
+		if r.hot() {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b *countsRow) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), a.at.Compare(b.at), compareCounts(a.counts, b.counts))
+	})
+	for _, r := range rows {
+		if len(p.x.Counts) >= check.MaxCounts || !p.fits(size.Counts(r.counts)) {
+			return
+		}
+		r.sent++
+		p.x.Counts = append(p.x.Counts, r.counts)
+	}
+}
+
+// demand adds this entry's demand, the largest first, to its own state.
+func (p *packer) demand() {
+	if len(p.x.States) == 0 || p.x.States[0].Name != p.member.self.state.Name {
+		return
+	}
+	list := slices.Clone(p.member.self.state.Demand)
+	slices.SortFunc(list, func(a, b ward.Demand) int {
+		return cmp.Or(cmp.Compare(b.Waiting+b.Prefill, a.Waiting+a.Prefill), cmp.Compare(b.InFlight, a.InFlight), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	s := &p.x.States[0]
+	for _, d := range list {
+		if len(s.Demand) >= check.MaxDemand || !p.fits(size.Demand(d)) {
+			return
+		}
+		s.Demand = append(s.Demand, d)
+	}
+}
--- a/ward/peer.go
+++ b/ward/peer.go
@@ -94,22 +94,63 @@
 	Demand []Demand      `json:"demand,omitempty"`
 }
 
+// Beat is the part of a PeerState that changes often, in a short form that many
+// fit into one message. Who does not know Entry passes over it.
+type Beat struct {
+	// Entry is a short hash of the entry's name and incarnation.
+	Entry uint32 `json:"entry"`
+	Seq   uint64 `json:"seq"`
+	// Suspect says that the entry did not answer when its state was Seq. It
+	// refutes this with a higher Seq.
+	Suspect  bool           `json:"suspect"`
+	Leaving  bool           `json:"leaving"`
+	Revision uint64         `json:"revision"`
+	Floor    Tier           `json:"floor"`
+	Waiting  [TierCount]int `json:"waiting"`
+}
+
+// ConfigDelta leads from the configuration of revision Base to a later one.
+type ConfigDelta struct {
+	Base uint64 `json:"base"`
+	// Config holds the later one's own fields, and of its lists only the objects
+	// that are new or changed.
+	Config Config `json:"config"`
+	// The names of objects that Base has and the later one has not.
+	UpstreamsGone []string `json:"upstreams-gone"`
+	RoutesGone    []string `json:"routes-gone"`
+	TeamsGone     []string `json:"teams-gone"`
+	MovesGone     []string `json:"moves-gone"`
+	// Sum is a hash of the whole later configuration.
+	Sum uint64 `json:"sum"`
+}
+
 // Exchange is one message between two entries, in both directions.
 type Exchange struct {
 	Fleet    string `json:"fleet"`
 	Protocol int    `json:"protocol"`
 	From     string `json:"from"`
+	// Incarnation is the sender's. To names the entry that is meant, when the
+	// sender knows it.
+	Incarnation Incarnation `json:"incarnation"`
+	To          string      `json:"to,omitempty"`
 	// Revision is the sender's configuration revision; Config is set when the
 	// receiver is known to have a lower one.
 	Revision uint64  `json:"revision"`
 	Config   *Config `json:"config,omitempty"`
-	// States, Brakes and Counts are deltas; Digest sums up all that the sender
+	// Delta is sent in place of Config when the receiver has its base. WantConfig
+	// asks for a whole one.
+	Delta      *ConfigDelta `json:"delta,omitempty"`
+	WantConfig bool         `json:"want-config,omitempty"`
+	// States, Beats, Brakes, Counts and Moves are deltas; Digest sums up all that the sender
 	// knows, so that a difference can be repaired.
 	States []PeerState `json:"states,omitempty"`
+	Beats  []Beat      `json:"beats,omitempty"`
 	Brakes []Brake     `json:"brakes,omitempty"`
 	Counts []Counts    `json:"counts,omitempty"`
 	Moves  []MoveState `json:"moves,omitempty"`
 	Digest uint64      `json:"digest"`
+	// Buckets are the digest in parts; they are sent when digests differ.
+	Buckets []uint32 `json:"buckets,omitempty"`
 }
 
 // Peer reaches one other entry.
