fix(standin): echo the request's id in answers to control calls

Cause: the engine adapter refuses an answer without the id, so no load report and no order reached or left a stand-in. Change: both stand-ins echo the id in every answer; a test goes through the adapter. Conclusion: reports, cache events and orders work over HTTP.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -85,6 +85,10 @@
 // ServeHTTP answers a request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.once.Do(s.init)
+	// Every answer echoes the id, those to control calls too.
+	if id := r.Header.Get(HeaderRequest); id != "" {
+		w.Header().Set(HeaderRequest, id)
+	}
 	s.router.ServeHTTP(w, r)
 }
 
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -15,6 +15,7 @@
 
 	"agateward/internal/standin/batch"
 	"agateward/internal/standin/text"
+	adapter "agateward/internal/upstream/engine"
 	"agateward/ward"
 )
 
@@ -122,6 +123,24 @@
 	})
 }
 
+// TestAdapterReads shows that the adapter of the entries takes the answers to its
+// control calls.
+func TestAdapterReads(t *testing.T) {
+	srv := httptest.NewServer(&Server{Profile: batch.Profile{Version: "v1"}})
+	defer srv.Close()
+	var e adapter.Engine
+	u := ward.Upstream{Name: "e1", Address: strings.TrimPrefix(srv.URL, "http://")}
+	if r, err := e.Report(t.Context(), u); err != nil || r.Version != "v1" {
+		t.Errorf("report %+v, %v", r, err)
+	}
+	if _, err := e.CacheEvents(t.Context(), u, 0); err != nil {
+		t.Error(err)
+	}
+	if err := e.Order(t.Context(), u, ward.Order{ID: "o1", Kind: ward.OrderLoadVersion, Version: "v2"}); err != nil {
+		t.Error(err)
+	}
+}
+
 func TestOrders(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &Server{Profile: batch.Profile{Version: "v1"}, LoadTime: time.Minute, ChecksFence: true}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -116,6 +116,7 @@
 
 // ServeHTTP answers a call.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
 	switch r.URL.Path {
 	case "/runs":
 		writeJSON(w, s.Runs())
@@ -136,7 +137,6 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	w.Header().Set(HeaderRequest, r.Header.Get(HeaderRequest))
 	w.Header().Set(HeaderVersion, s.Version)
 	e := s.begin(r.Header.Get(HeaderRoute))
 	defer s.end()
