fix(measure): look further back at a fall, and take a repeat as a new request

Cause: answers run for 10 s, so requests that a killed entry loses arrived up to 12 s before; the figure before the fault held them and hid a part of the fall. A repeat kept its first arrival, which no real entry knows. Change: the figure before a fault ends 12 s before it and the worst window begins there; a repeat arrives anew with its first deadline. A figure that counts every broken answer as bad stands beside it, with the oracle's.

--- a/internal/measure/drive/drive.go
+++ b/internal/measure/drive/drive.go
@@ -80,8 +80,9 @@
 // Goodput is the share of the offered requests that were answered in time.
 func (t Tier) Goodput() float64 { return share(t.Good, t.Offered) }
 
-// Second counts the top tier's requests by the second of their arrival.
-type Second struct{ Offered, Good int }
+// Second counts the top tier's requests by the second of their arrival. Unbroken
+// are the good ones whose caller did not have to repeat them.
+type Second struct{ Offered, Good, Unbroken int }
 
 // Result is what a run showed.
 type Result struct {
@@ -293,7 +294,8 @@
 }
 
 // kill ends an entry: its connections break, engines cancel their work, and
-// callers repeat their request once, at another entry, with the same deadline.
+// callers repeat their request once, at another entry. The repeat is a new request
+// to that entry, but its answer is still due at the first deadline.
 func (w *world) kill(entry int) {
 	w.dead[entry] = true
 	w.front.kill(entry)
@@ -307,10 +309,13 @@
 		}
 		w.finish(j)
 		w.front.lost(j)
-		again := &job{r: j.r, output: j.output, repeat: true}
+		again := &job{r: j.r, asked: j.asked, output: j.output, repeat: true}
 		again.r.ID += "-again"
 		w.all = append(w.all, again)
-		w.after(100*time.Millisecond, func() { w.arrive(again) })
+		w.after(100*time.Millisecond, func() {
+			again.r.Arrived = w.now
+			w.arrive(again)
+		})
 	}
 }
 
@@ -388,7 +393,7 @@
 }
 
 func (r *Result) count(j *job, w *world) {
-	since := j.r.Arrived.Sub(w.start) - w.setup.Warm
+	since := j.asked.Sub(w.start) - w.setup.Warm
 	if since < 0 || since >= w.setup.Length {
 		return
 	}
@@ -406,6 +411,9 @@
 		t.GoodTokens += tokens
 		if j.r.Tier == ward.TierTop {
 			second.Good++
+			if !j.repeat {
+				second.Unbroken++
+			}
 		}
 	case j.engine == nil:
 		t.Refused++
--- a/internal/measure/drive/falls.go
+++ b/internal/measure/drive/falls.go
@@ -38,6 +38,8 @@
 		report.Result{Name: name + "-top-before", Value: ours.Before, Unit: "share"}.Against(best.Before),
 		report.Result{Name: name + "-top-lowest", Value: ours.Lowest, Unit: "share"}.Against(best.Lowest),
 		report.Result{Name: name + "-top-lowest-oracle", Value: falls[Oracle].Lowest, Unit: "share"},
+		report.Result{Name: name + "-top-lowest-without-repeats", Value: ours.LowestUnbroken, Unit: "share"}.Against(best.LowestUnbroken),
+		report.Result{Name: name + "-top-lowest-without-repeats-oracle", Value: falls[Oracle].LowestUnbroken, Unit: "share"},
 		report.Result{Name: name + "-top-fall", Value: ours.Points(), Unit: "points"}.Against(best.Points()).AtMost(mostPoints),
 		report.Result{Name: name + "-top-recovery", Value: ours.Recovery.Seconds(), Unit: "s"}.
 			Against(best.Recovery.Seconds()).AtMost(mostRecovery),
--- a/internal/measure/drive/load.go
+++ b/internal/measure/drive/load.go
@@ -36,7 +36,9 @@
 
 // job is one request of the traffic and what became of it.
 type job struct {
-	r      ward.Request
+	r ward.Request
+	// asked is when the caller first sent it.
+	asked  time.Time
 	output int
 	entry  int
 	engine *engine
@@ -62,7 +64,7 @@
 	prompt := logUniform(g.rng, leastPrompt, mostPrompt)
 	out := logUniform(g.rng, leastOutput, mostOutput)
 	most := int(float64(out) * (1 + g.rng.Float64()*(mostSlack-1)))
-	j := &job{output: out}
+	j := &job{output: out, asked: t}
 	j.r = ward.Request{
 		ID: "r" + strconv.Itoa(g.made), Team: "team-" + strconv.Itoa(pick(g.rng, teamShare)),
 		Tier: ward.Tier(tier + 1), Route: "chat", Kind: ward.KindEngine, Serves: model,
--- a/internal/measure/drive/summary.go
+++ b/internal/measure/drive/summary.go
@@ -33,9 +33,12 @@
 
 // Fall is how the top tier fared around a fault.
 type Fall struct {
-	// Before is its goodput before the fault, Lowest that of the worst window of
-	// fallWindow seconds that touches the fault or comes after it.
+	// Before is its goodput among requests that had ended before the fault, Lowest
+	// that of the worst window of fallWindow seconds of later arrivals.
 	Before, Lowest float64
+	// LowestUnbroken is Lowest when every answer that broke off counts as bad,
+	// also where its repeat was in time.
+	LowestUnbroken float64
 	// Recovery is the time from the fault to the end of the last second in which
 	// the goodput was more than fallPoints below Before.
 	Recovery time.Duration
@@ -43,7 +46,9 @@
 
 // Bounds of a fall.
 const (
-	fallWindow = 5    // seconds
+	fallWindow = 5 // seconds
+	// lookBack is the age that a request may have which a fault still touches.
+	lookBack   = 12   // seconds
 	fallPoints = 0.05 // share
 )
 
@@ -64,6 +69,7 @@
 		for k, x := range r.Seconds {
 			sum[k].Offered += x.Offered
 			sum[k].Good += x.Good
+			sum[k].Unbroken += x.Unbroken
 		}
 		progress(fmt.Sprintf("%s: run %d of %d", s.Policy, i+1, seeds))
 	}
@@ -71,10 +77,12 @@
 }
 
 func fall(seconds []Second, fault int) Fall {
-	f := Fall{Lowest: 1}
-	f.Before = goodput(seconds[:fault-fallWindow])
-	for i := fault - fallWindow + 1; i+fallWindow <= len(seconds); i++ {
-		f.Lowest = min(f.Lowest, goodput(seconds[i:i+fallWindow]))
+	f := Fall{Lowest: 1, LowestUnbroken: 1}
+	f.Before = goodput(seconds[:fault-lookBack])
+	for i := fault - lookBack; i+fallWindow <= len(seconds); i++ {
+		window := seconds[i : i+fallWindow]
+		f.Lowest = min(f.Lowest, goodput(window))
+		f.LowestUnbroken = min(f.LowestUnbroken, unbroken(window))
 	}
 	for i := fault; i < len(seconds); i++ {
 		if goodput(seconds[i:i+1]) < f.Before-fallPoints {
@@ -85,10 +93,21 @@
 }
 
 func goodput(seconds []Second) float64 {
+	sum := total(seconds)
+	return share(sum.Good, sum.Offered)
+}
+
+func unbroken(seconds []Second) float64 {
+	sum := total(seconds)
+	return share(sum.Unbroken, sum.Offered)
+}
+
+func total(seconds []Second) Second {
 	var sum Second
 	for _, s := range seconds {
 		sum.Offered += s.Offered
 		sum.Good += s.Good
+		sum.Unbroken += s.Unbroken
 	}
-	return share(sum.Good, sum.Offered)
+	return sum
 }
--- a/internal/measure/entrycrash/entrycrash.go
+++ b/internal/measure/entrycrash/entrycrash.go
@@ -16,7 +16,7 @@
 
 const (
 	warm  = 20 * time.Second
-	fault = 20 * time.Second // after the warm-up
+	fault = 25 * time.Second // after the warm-up
 	burst = 10 * time.Second
 )
 
@@ -41,7 +41,7 @@
 		s := drive.Setup{
 			Seed: seed, Engines: drive.Engines(10, c.lag), Load: 0.8, Burst: 2,
 			BurstFrom: warm + fault - 3*time.Second, BurstTo: warm + fault - 3*time.Second + burst,
-			Warm: warm, Length: 45 * time.Second, Rest: 30 * time.Second, KillAt: warm + fault,
+			Warm: warm, Length: 50 * time.Second, Rest: 30 * time.Second, KillAt: warm + fault,
 		}
 		if err := drive.AddFall(ctx, &rep, c.name, s, fault, progress); err != nil {
 			return rep, err
--- a/internal/measure/slowengine/slowengine.go
+++ b/internal/measure/slowengine/slowengine.go
@@ -37,7 +37,7 @@
 	rep := report.Report{Experiment: "slow-engine", Seed: seed}
 	s := drive.Setup{
 		Seed: seed, Engines: drive.Engines(10, reportAge),
-		Warm: warm, Length: 45 * time.Second, Rest: 30 * time.Second, SlowAt: warm + fault,
+		Warm: warm, Length: 50 * time.Second, Rest: 30 * time.Second, SlowAt: warm + fault,
 	}
 	s.Load = 0.8
 	if err := drive.AddFall(ctx, &rep, "load-0.8", s, fault, progress); err != nil {
