fix(peer): hand on the floors of each model

Cause: a state's floors by model, which the scheduler sheds by, were left out when an entry set its own state, and were not checked when taken from a peer. Change: SetSelf keeps Floors and counts a change of them; check bounds them. Conclusion: needed for the order of tiers over the fleet.

--- a/internal/peer/check/check.go
+++ b/internal/peer/check/check.go
@@ -30,6 +30,7 @@
 	MaxCounts = 512
 	MaxMoves  = 128
 	MaxDemand = 1024
+	MaxFloors = 64
 	// MaxObjects bounds each list of a configuration.
 	MaxObjects = 20000
 	MaxBuckets = 64
@@ -79,11 +80,16 @@
 		return refuse("state of %q: not an IP number and port", s.Name)
 	case !incarnation(now, s.Incarnation):
 		return refuse("state of %q: incarnation %d is not a start time", s.Name, s.Incarnation)
-	case !tier(s.Floor) || !waiting(s.Waiting) || len(s.Demand) > MaxDemand:
+	case !tier(s.Floor) || !waiting(s.Waiting) || len(s.Demand) > MaxDemand || len(s.Floors) > MaxFloors:
 		return refuse("state of %q: a figure is out of bounds", s.Name)
 	}
+	for _, f := range s.Floors {
+		if f.Serves == "" || !names(f.Serves) || !tier(f.Need) || !tier(f.Floor) || !waiting(f.Waiting) {
+			return refuse("state of %q: floor of %.40q is out of bounds", s.Name, f.Serves)
+		}
+	}
 	return each(s.Demand, func(d ward.Demand) error {
-		if d.Upstream == "" || !names(d.Upstream) || d.InFlight < 0 || d.Prefill < 0 || d.Waiting < 0 {
+		if d.Upstream == "" || !names(d.Upstream) || d.InFlight < 0 || d.Prefill < 0 || d.Waiting < 0 || d.Rate < 0 {
 			return refuse("state of %q: demand on %.40q is out of bounds", s.Name, d.Upstream)
 		}
 		return nil
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -43,6 +43,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"agateward/ward"
@@ -193,8 +194,9 @@
 	old := m.self.state
 	next := old
 	next.Leaving, next.Floor, next.Waiting, next.Demand = s.Leaving, s.Floor, s.Waiting, s.Demand
+	next.Floors = s.Floors
 	urgent := next.Leaving != old.Leaving || next.Floor != old.Floor
-	if !urgent && next.Waiting == old.Waiting && sameDemand(next.Demand, old.Demand) {
+	if !urgent && next.Waiting == old.Waiting && slices.Equal(next.Floors, old.Floors) && sameDemand(next.Demand, old.Demand) {
 		return
 	}
 	next.Seq++
