fix(peer): spread the floors of each model

Cause: only the floor over all models was passed on; the scheduler sheds by model, and floors that peers don't hear are no order over the fleet. Change: a state's floors are taken with it, a moved one is urgent and goes on in the whole state; the size of floors counts against the byte budget. Conclusion: needed for the order of tiers over the fleet.

--- a/internal/peer/check/check.go
+++ b/internal/peer/check/check.go
@@ -83,10 +83,8 @@
 	case !tier(s.Floor) || !waiting(s.Waiting) || len(s.Demand) > MaxDemand || len(s.Floors) > MaxFloors:
 		return refuse("state of %q: a figure is out of bounds", s.Name)
 	}
-	for _, f := range s.Floors {
-		if f.Serves == "" || !names(f.Serves) || !tier(f.Need) || !tier(f.Floor) || !waiting(f.Waiting) {
-			return refuse("state of %q: floor of %.40q is out of bounds", s.Name, f.Serves)
-		}
+	if err := each(s.Floors, servesFloor); err != nil {
+		return err
 	}
 	return each(s.Demand, func(d ward.Demand) error {
 		if d.Upstream == "" || !names(d.Upstream) || d.InFlight < 0 || d.Prefill < 0 || d.Waiting < 0 || d.Rate < 0 {
@@ -96,6 +94,13 @@
 	})
 }
 
+func servesFloor(f ward.ServesFloor) error {
+	if f.Serves == "" || !names(f.Serves) || !tier(f.Need) || !tier(f.Floor) || !waiting(f.Waiting) {
+		return refuse("floor of %.40q is out of bounds", f.Serves)
+	}
+	return nil
+}
+
 func beat(b ward.Beat) error {
 	if !tier(b.Floor) || !waiting(b.Waiting) {
 		return refuse("beat: a figure is out of bounds")
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -195,7 +195,7 @@
 	next := old
 	next.Leaving, next.Floor, next.Waiting, next.Demand = s.Leaving, s.Floor, s.Waiting, s.Demand
 	next.Floors = s.Floors
-	urgent := next.Leaving != old.Leaving || next.Floor != old.Floor
+	urgent := next.Leaving != old.Leaving || next.Floor != old.Floor || !sameLevels(next.Floors, old.Floors)
 	if !urgent && next.Waiting == old.Waiting && slices.Equal(next.Floors, old.Floors) && sameDemand(next.Demand, old.Demand) {
 		return
 	}
--- a/internal/peer/member/row.go
+++ b/internal/peer/member/row.go
@@ -13,10 +13,12 @@
 
 // row is one entry, this one included.
 type row struct {
-	state  ward.PeerState
-	id     uint32
-	hash   uint64
-	status Status
+	// floorsSeq is the Seq of the state that the floors were taken from.
+	floorsSeq uint64
+	state     ward.PeerState
+	id        uint32
+	hash      uint64
+	status    Status
 	// chart is what the chart says of status.
 	chart *chartState
 	// since is when status began, heard when a beat came, direct when a message
@@ -157,6 +159,7 @@
 	if s.Incarnation > r.state.Incarnation {
 		m.replace(now, r, s)
 	}
+	m.takeFloors(r, s)
 	if direct {
 		r.direct = now
 		r.state.Demand = s.Demand
--- a/internal/peer/size/size.go
+++ b/internal/peer/size/size.go
@@ -41,12 +41,15 @@
 func State(s ward.PeerState) int {
 	n := head + text(s.Name) + text(s.Address) + text(s.Operator) + text(s.DataCentre)
 	n += number(uint64(s.Incarnation)) + number(s.Seq) + flag + number(s.Revision) + 2
-	return n + waiting(s.Waiting) + head + sum(s.Demand, Demand)
+	return n + waiting(s.Waiting) + 2*head + sum(s.Demand, Demand) + sum(s.Floors, Floor)
 }
 
+// Floor bounds one ServesFloor.
+func Floor(f ward.ServesFloor) int { return head + text(f.Serves) + 2 + waiting(f.Waiting) }
+
 // Demand bounds one Demand.
 func Demand(d ward.Demand) int {
-	return head + text(d.Upstream) + signed(d.InFlight) + signed(d.Prefill) + signed(d.Waiting)
+	return head + text(d.Upstream) + signed(d.InFlight) + signed(d.Prefill) + signed(d.Waiting) + signed(d.Rate)
 }
 
 // Beat bounds one Beat.
