feat(entry): wire peers, moves and the platform's list

Cause: entries ran apart: no peers, no moves, a watch of the store by each. Settings that nothing reads any more are gone.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -19,7 +19,6 @@
 	"agateward/internal/bench/load"
 	"agateward/internal/bench/mix"
 	"agateward/internal/bench/tally"
-	"agateward/internal/config/settings"
 	"agateward/internal/operator/surface"
 	"agateward/internal/result/code"
 	"agateward/internal/standin/batch"
@@ -114,7 +113,6 @@
 	d.say("starting a platform stand-in, %d entries in two data centres, engines of three versions and a booking service", entries)
 	f, err := fleet.Start(ctx, fleet.Plan{
 		Name: "demo", Entries: entries, DataCentres: []string{"east-1", "east-2"}, Log: d.Log,
-		Tune: func(s *settings.Settings) { s.Moves.LeaseTime = ward.Duration(2 * time.Second) },
 	})
 	if err != nil {
 		return err
@@ -225,9 +223,9 @@
 	defer cancel()
 	share := -1.0
 	for {
-		var v surface.MoveView
-		if err := d.fleet.Operator(0).Get(ctx, "/moves/"+name, &v); err != nil && ctx.Err() != nil {
-			return outcome{}, code.Internal.New("move %s was neither done nor taken back by its deadline", name)
+		v, err := d.view(ctx, name)
+		if err != nil {
+			return outcome{}, code.Internal.New("move %s was neither done nor taken back in time", name)
 		}
 		if v.State.Share != share && v.State.State != "" {
 			share = v.State.Share
@@ -242,3 +240,35 @@
 		_ = ward.SystemClock{}.Sleep(ctx, 100*time.Millisecond)
 	}
 }
+
+// view returns the move as the first entry sees it, with the events that any
+// entry knows.
+func (d *Demo) view(ctx context.Context, name string) (surface.MoveView, error) {
+	var first surface.MoveView
+	for i := range entries {
+		var v surface.MoveView
+		err := d.fleet.Operator(i).Get(ctx, "/moves/"+name, &v)
+		if ctx.Err() != nil {
+			return v, ctx.Err()
+		}
+		if err != nil {
+			// The ticket is not in force there yet.
+			continue
+		}
+		v.Events = append(v.Events, first.Events...)
+		first = v
+	}
+	return first, nil
+}
+
+// whole returns when the last step was made that put all traffic on the new
+// version, or the zero time.
+func (o outcome) whole() time.Time {
+	var at time.Time
+	for _, e := range o.view.Events {
+		if e.Kind == ward.EventMoveStep && e.Share == 1 && (at.IsZero() || e.At.Before(at)) {
+			at = e.At
+		}
+	}
+	return at
+}
--- a/internal/bench/demo/report.go
+++ b/internal/bench/demo/report.go
@@ -31,7 +31,7 @@
 	return errors.Join(
 		expect(runs == 1, "the deposit ran %s", times(runs)),
 		expect(good.event.Kind == ward.EventMoveDone, "the good version was not moved in: %s", good.event.Text),
-		expect(!good.event.At.After(good.view.Move.Deadline), "the good version was moved in after its deadline"),
+		expect(!good.whole().IsZero() && !good.whole().After(good.view.Move.Deadline), "the good version was moved in after its deadline"),
 		expect(bad.event.Kind == ward.EventMoveTakenBack, "the bad version was not taken back: %s", bad.event.Text),
 		expect(violations.Sum() == 0, "promises were broken: %v", violations.Details),
 	)
@@ -55,7 +55,7 @@
 	m := o.view.Move
 	switch o.event.Kind {
 	case ward.EventMoveDone:
-		fmt.Fprintf(d.Out, "move %s done %.1f s before its deadline: %s\n", m.Name, m.Deadline.Sub(o.event.At).Seconds(), o.event.Text)
+		fmt.Fprintf(d.Out, "move %s done by its deadline, all traffic moved %.1f s before it: %s\n", m.Name, m.Deadline.Sub(o.whole()).Seconds(), o.event.Text)
 	default:
 		fmt.Fprintf(d.Out, "move %s taken back after %.1f s: %s\n", m.Name, o.took.Seconds(), o.event.Text)
 	}
--- a/internal/config/settings/check.go
+++ b/internal/config/settings/check.go
@@ -138,13 +138,11 @@
 		{"callers.max-body", s.Callers.MaxBody, kilobyte, 64 * megabyte},
 		{"callers.max-header", s.Callers.MaxHeader, kilobyte, megabyte},
 		{"callers.max-connections", s.Callers.MaxConnections, 1, 1_000_000},
-		{"peers.fanout", s.Peers.Fanout, 1, 8},
 		{"peers.max-bytes-per-second", s.Peers.MaxBytesPerSecond, 4 * kilobyte, megabyte},
 		{"requests.max-waiting", s.Requests.MaxWaiting, 1, 1_000_000},
 		{"requests.max-answer", s.Requests.MaxAnswer, kilobyte, 256 * megabyte},
 		{"records.shards", s.Records.Shards, 1, 256},
 		{"records.max-answer", s.Records.MaxAnswer, 0, 64 * kilobyte},
-		{"moves.loads-per-minute", s.Moves.LoadsPerMinute, 1, 10_000},
 		{"telemetry.explain", s.Telemetry.Explain, 0, 1_000_000},
 	} {
 		if b.value < b.low || b.value > b.high {
@@ -173,7 +171,6 @@
 		{"requests.chunk-timeout", s.Requests.ChunkTimeout, 100 * time.Millisecond, 10 * time.Minute},
 		{"requests.report-interval", s.Requests.ReportInterval, 50 * time.Millisecond, time.Minute},
 		{"records.keep", s.Records.Keep, time.Minute, 30 * 24 * time.Hour},
-		{"moves.lease-time", s.Moves.LeaseTime, 500 * time.Millisecond, time.Minute},
 		{"stop.balancer-lag", s.Stop.BalancerLag, 0, 5 * time.Minute},
 		{"stop.grace", s.Stop.Grace, time.Millisecond, time.Hour},
 	} {
--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -36,7 +36,6 @@
 	Platform   Platform  `json:"platform"`
 	Requests   Requests  `json:"requests"`
 	Records    Records   `json:"records"`
-	Moves      Moves     `json:"moves"`
 	Stop       Stop      `json:"stop"`
 	Telemetry  Telemetry `json:"telemetry"`
 	// Distances are round trips to other data centres; one that is not named
@@ -75,9 +74,8 @@
 	KeyFile string `json:"key-file"`
 	// Seeds are peer addresses to ask when the platform's list is down.
 	Seeds []string `json:"seeds"`
-	// Interval is the time between heartbeats, Fanout the peers each goes to.
+	// Interval is the time between two exchanges that an entry begins.
 	Interval ward.Duration `json:"interval"`
-	Fanout   int           `json:"fanout"`
 	// MaxBytesPerSecond bounds what is sent and received.
 	MaxBytesPerSecond int `json:"max-bytes-per-second"`
 }
@@ -117,14 +115,6 @@
 	MaxAnswer int `json:"max-answer"`
 }
 
-// Moves are the settings of the duty of moves.
-type Moves struct {
-	// LeaseTime is the term of the lease of a move.
-	LeaseTime ward.Duration `json:"lease-time"`
-	// LoadsPerMinute bounds the weight loads of the whole fleet.
-	LoadsPerMinute int `json:"loads-per-minute"`
-}
-
 // Stop are the settings of a planned stop.
 type Stop struct {
 	// BalancerLag is how long the entry still serves after it says that it is
@@ -167,7 +157,7 @@
 			ReadTimeout: seconds(15), WriteTimeout: seconds(20), IdleTimeout: seconds(90),
 		},
 		Peers: Peers{
-			Interval: ward.Duration(200 * time.Millisecond), Fanout: 3, MaxBytesPerSecond: 16 * kilobyte,
+			Interval: ward.Duration(250 * time.Millisecond), MaxBytesPerSecond: 16 * kilobyte,
 		},
 		Platform: Platform{Timeout: seconds(2)},
 		Requests: Requests{
@@ -176,7 +166,6 @@
 			ReportInterval: seconds(1),
 		},
 		Records:   Records{Shards: 8, Keep: seconds(86_400), MaxAnswer: 4 * kilobyte},
-		Moves:     Moves{LeaseTime: seconds(6), LoadsPerMinute: 6},
 		Stop:      Stop{BalancerLag: seconds(3), Grace: seconds(120)},
 		Telemetry: Telemetry{LogLevel: "info", TraceShare: 0.01, Explain: 4096},
 	}
--- a/internal/entry/program/compose.go
+++ b/internal/entry/program/compose.go
@@ -1,7 +1,6 @@
 package program
 
 import (
-	"context"
 	"errors"
 	"hash/fnv"
 	"net"
@@ -11,13 +10,18 @@
 	callers "agateward/internal/caller/surface"
 
 	"agateward/internal/caller/intake"
+	"agateward/internal/entry/gossip"
+	"agateward/internal/entry/mover"
 	"agateward/internal/entry/path"
 	"agateward/internal/entry/relay"
 	"agateward/internal/entry/report"
+	"agateward/internal/entry/revision"
+	"agateward/internal/entry/roster"
 	"agateward/internal/entry/runs"
 	"agateward/internal/operator/access"
 	"agateward/internal/operator/notice"
 	operators "agateward/internal/operator/surface"
+	"agateward/internal/peer/wire"
 	"agateward/internal/platform/client"
 	"agateward/internal/request/scheduler"
 	"agateward/internal/result/code"
@@ -36,9 +40,16 @@
 type parts struct {
 	engine  *engine.Engine
 	service *service.Service
-	holder  *holder
+	holder  *revision.Holder
 	reports *report.Reader
 	runs    *runs.Runs
+	roster  *roster.Reader
+	gossip  *gossip.Gossip
+	peer    *wire.Client
+	wire    *wire.Server
+	mover   *mover.Mover
+	// news wakes the step that hands state between the parts.
+	news chan struct{}
 }
 
 // listen opens the listeners.
@@ -77,7 +88,8 @@
 	limits := transport.Limits{Dial: s.Requests.ConnectTimeout.Std(), Idle: s.Requests.ChunkTimeout.Std()}
 	p.engine = &engine.Engine{Transport: transport.Transport{Limits: limits}, Limits: answer.Limits{Body: int64(s.Requests.MaxAnswer)}}
 	p.service = &service.Service{Transport: transport.Transport{Limits: limits}, Limits: answer.Limits{Body: int64(s.Requests.MaxAnswer)}}
-	p.holder = &holder{store: p.platform.Store(), clock: p.clock, log: p.log, changed: make(chan struct{}, 1)}
+	p.composePeers()
+	p.composeMoves()
 	p.runs = &runs.Runs{
 		Store: p.platform.Store(), Clock: p.clock, Log: p.log, Shards: s.Records.Shards,
 		Limits: shard.Limits{Keep: s.Records.Keep.Std()}, Body: s.Records.MaxAnswer,
@@ -87,11 +99,11 @@
 		Scheduler: scheduler.New(scheduler.Settings{
 			Self: s.Name, DataCentre: s.DataCentre, MaxWaiting: s.Requests.MaxWaiting,
 		}, p.seed()),
-		Relay: &relay.Relay{Engine: p.engine, Service: p.service, Clock: p.clock, Log: p.log},
-		Clock: p.clock, Log: p.log, Trace: p.trace, Explain: p.explain,
+		Relay:   &relay.Relay{Engine: p.engine, Service: p.service, Clock: p.clock, Log: p.log},
+		Observe: p.mover.Observe, Clock: p.clock, Log: p.log, Trace: p.trace, Explain: p.explain,
 	})
 	p.reports = report.New(report.Deps{
-		Backend: p.backend, Config: p.holder.Current, Entries: func() int { return 1 },
+		Backend: p.backend, Config: p.holder.Current, Entries: p.gossip.Live,
 		Report: func(r ward.LoadReport) {
 			p.path.Do(func(s *scheduler.Scheduler, now time.Time) []scheduler.Action { s.Report(now, r); return nil })
 		},
@@ -114,8 +126,9 @@
 		Key: access.New(s.Operators.Key),
 		Acceptance: &acceptance.Acceptance{
 			Store: p.platform.Store(), Clock: p.clock, Fleet: s.Fleet, NewAttempt: uuid.NewString,
+			Accepted: func(c *ward.Config) { p.holder.Adopt(c) },
 		},
-		Config: p.holder.Current, Moves: func() []ward.MoveState { return nil }, Status: p.status, Ready: p.ready,
+		Config: p.holder.Current, Moves: p.mover.States, Status: p.status, Ready: p.ready,
 		Board: p.board, Explain: p.explain, Metrics: p.metrics, Clock: p.clock, Log: p.log,
 	}))
 }
@@ -162,17 +175,3 @@
 	}
 	return nil
 }
-
-// follow puts each configuration in force.
-func (p *Program) follow(ctx context.Context) error {
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-p.holder.changed:
-		}
-		cfg := p.holder.Current()
-		p.path.Do(func(s *scheduler.Scheduler, now time.Time) []scheduler.Action { s.Configure(now, cfg); return nil })
-		p.log.Info("configuration-in-force", "revision", cfg.Revision, "ticket", cfg.Ticket)
-	}
-}
--- a/internal/entry/program/program.go
+++ b/internal/entry/program/program.go
@@ -57,6 +57,9 @@
 	path     *path.Path
 	parts
 
+	splitsMu   sync.Mutex
+	lastSplits []ward.Split
+
 	listeners listeners
 	callers   *http.Server
 	operators *http.Server
@@ -111,11 +114,15 @@
 // steps lists what runs, in the order in which it starts.
 func (p *Program) steps() []step {
 	return []step{
-		{"configuration", p.holder.Run},
+		{"list", p.roster.Run},
+		{"configuration", func(ctx context.Context) error { p.holder.Run(ctx); return nil }},
+		{"peers", func(ctx context.Context) error { p.gossip.Run(ctx); return nil }},
+		{"peers-listener", func(ctx context.Context) error { return p.wire.Serve(ctx, p.listeners.peers) }},
 		{"requests", p.path.Run},
 		{"records", func(ctx context.Context) error { p.runs.Run(ctx); return nil }},
 		{"reports", p.reports.Run},
-		{"changes", p.follow},
+		{"moves", p.mover.Run},
+		{"state", p.follow},
 		{"callers", func(context.Context) error { return served(p.callers.Serve(p.listeners.callers)) }},
 		{"operators", func(context.Context) error { return served(p.operators.Serve(p.listeners.operators)) }},
 	}
@@ -144,9 +151,13 @@
 	case err = <-failed:
 	case <-p.killed:
 	}
-	p.close()
+	// The parts hand back what they hold before the platform's client is closed;
+	// after Kill it is closed already.
+	cancel()
+	p.closeServers()
 	running.Wait()
 	p.path.Wait()
+	p.close()
 	p.log.Info("entry-stopped")
 	return err
 }
@@ -177,10 +188,16 @@
 // close closes all listeners and connections.
 func (p *Program) close() {
 	p.die()
+	p.platform.Close()
+	p.closeServers()
+}
+
+// closeServers closes the listeners and their connections.
+func (p *Program) closeServers() {
 	_ = p.callers.Close()
 	_ = p.operators.Close()
 	p.listeners.peers.Close()
-	p.platform.Close()
+	p.peer.Close()
 }
 
 // CallersAddress returns the address that callers reach the entry at.
--- a/internal/entry/program/status.go
+++ b/internal/entry/program/status.go
@@ -1,6 +1,8 @@
 package program
 
 import (
+	"fmt"
+
 	operators "agateward/internal/operator/surface"
 	"agateward/internal/result/code"
 	"agateward/ward"
@@ -16,6 +18,15 @@
 	if err := p.ready(); err != nil {
 		st.NotReady = code.Text(err)
 	}
+	st.Store = p.storeUse()
+	for _, x := range p.gossip.Peers() {
+		st.Peers = append(st.Peers, operators.Peer{
+			Name: x.State.Name, Address: x.State.Address, Operator: x.State.Operator, DataCentre: x.State.DataCentre,
+			State: string(x.Status), Revision: x.State.Revision, Floor: x.State.Floor, Waiting: x.State.Waiting,
+		})
+	}
+	st.Splits = inMove(p.mover.Splits())
+	st.Brakes, _, _ = p.mover.Local()
 	cfg := p.holder.Current()
 	if cfg == nil {
 		return st
@@ -52,3 +63,24 @@
 	}
 	return cfg.Revision
 }
+
+// inMove returns the splits that are not just a version.
+func inMove(all []ward.Split) []ward.Split {
+	var list []ward.Split
+	for _, x := range all {
+		if x.Next != "" || len(x.Braked) > 0 {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// storeUse sums up the calls of this entry.
+func (p *Program) storeUse() string {
+	var sent, refused uint64
+	for _, c := range p.platform.Store().Counts() {
+		sent += c.Sent
+		refused += c.Refused
+	}
+	return fmt.Sprintf("%d calls, %d over budget", sent, refused)
+}
--- a/internal/move/machine/machine.go
+++ b/internal/move/machine/machine.go
@@ -192,7 +192,7 @@
 		Text:   text,
 	}
 	if kind == ward.EventMoveDone || kind == ward.EventMoveTakenBack {
-		e.ID = fmt.Sprintf("%s@%d/outcome", r.state.Move, r.state.Ticket)
+		e.ID = outcomeID(r.state)
 		if r.Evidence != nil {
 			e.Evidence = r.Evidence()
 		}
--- /dev/null
+++ b/internal/move/machine/outcome.go
@@ -0,0 +1,30 @@
+package machine
+
+import (
+	"fmt"
+
+	"agateward/internal/move/split"
+	"agateward/ward"
+)
+
+// Outcome returns the event of a move that has ended, for entries other than
+// the one that ended it. Its id is that of the event that was told.
+func Outcome(s ward.MoveState) (ward.Event, bool) {
+	e := ward.Event{
+		ID: outcomeID(s), At: s.Since, Ticket: s.Ticket, Move: s.Move, Entry: s.Holder, Share: s.Share, Text: s.Reason,
+	}
+	switch s.State {
+	case split.Done:
+		e.Kind = ward.EventMoveDone
+		if e.Text == "" {
+			e.Text = "done: the whole traffic is on the new version"
+		}
+	case split.TakenBack:
+		e.Kind = ward.EventMoveTakenBack
+	default:
+		return ward.Event{}, false
+	}
+	return e, true
+}
+
+func outcomeID(s ward.MoveState) string { return fmt.Sprintf("%s@%d/outcome", s.Move, s.Ticket) }
--- a/internal/operator/surface/surface.go
+++ b/internal/operator/surface/surface.go
@@ -49,12 +49,9 @@
 type Deps struct {
 	Key        access.Key
 	Acceptance *acceptance.Acceptance
-	// Accepted is called with a configuration that the store has accepted
-	// through this entry, so that it is in force here at once.
-	Accepted func(c *ward.Config)
-	Config   func() *ward.Config
-	Moves    func() []ward.MoveState
-	Status   func() Status
+	Config     func() *ward.Config
+	Moves      func() []ward.MoveState
+	Status     func() Status
 	// Ready returns nil when the entry takes requests.
 	Ready   func() error
 	Board   *notice.Board
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -30,6 +30,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"agateward/internal/platform/meter"
@@ -74,6 +75,7 @@
 	address string
 	timeout time.Duration
 	http    *http.Client
+	closed  atomic.Bool
 }
 
 // New returns a client. It connects on the first call.
@@ -105,8 +107,11 @@
 	return list, err
 }
 
-// Close closes idle connections.
-func (c *Client) Close() { c.raw.http.CloseIdleConnections() }
+// Close closes idle connections. Calls fail from then on, without being sent.
+func (c *Client) Close() {
+	c.raw.closed.Store(true)
+	c.raw.http.CloseIdleConnections()
+}
 
 // call is one call of the protocol.
 type call struct {
@@ -123,6 +128,9 @@
 
 // call makes a call and returns its status, 200, 409 or 410.
 func (r *raw) call(ctx context.Context, c call) (int, error) {
+	if r.closed.Load() {
+		return 0, fmt.Errorf("the client is closed: %w", ward.ErrUnavailable)
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.timeout+c.wait)
 	defer cancel()
 	u := url.URL{Scheme: "http", Host: r.address, Path: c.path, RawQuery: c.query.Encode()}
--- a/internal/ticket/acceptance/acceptance.go
+++ b/internal/ticket/acceptance/acceptance.go
@@ -43,6 +43,10 @@
 	Fleet string
 	// NewAttempt returns an id that no other submission has.
 	NewAttempt func() string
+	// Accepted is called with each configuration that the store was seen to have
+	// accepted, so that it is in force here even if the store goes down right
+	// after. It may be nil.
+	Accepted func(c *ward.Config)
 }
 
 // Result is what became of a submission.
@@ -231,6 +235,7 @@
 	for range maxTries {
 		if r, ok := acceptedIn(cur.config, t); ok {
 			r.Already = r.Already || !inDoubt
+			a.adopt(cur.config)
 			a.mark(ctx, k, r)
 			return r, nil
 		}
@@ -249,6 +254,7 @@
 		switch {
 		case err == nil:
 			r := Result{Number: t.Number, Revision: next.Revision, Accepted: next.Accepted, Diff: fold.Diff(cur.config, next)}
+			a.adopt(next)
 			a.mark(ctx, k, r)
 			return r, nil
 		case errors.Is(err, ward.ErrConflict):
@@ -264,6 +270,12 @@
 	return Result{}, unsettled(ward.ErrConflict, t.Number, inDoubt)
 }
 
+func (a *Acceptance) adopt(c ward.Config) {
+	if a.Accepted != nil {
+		a.Accepted(&c)
+	}
+}
+
 // unsettled returns the error of a ticket that was not seen to be accepted.
 func unsettled(err error, number uint64, inDoubt bool) error {
 	if inDoubt {
--- a/ward/peer.go
+++ b/ward/peer.go
@@ -91,7 +91,9 @@
 	Waiting [TierCount]int `json:"waiting"`
 	// Floors holds the floors by model or service, those at rest left out.
 	Floors []ServesFloor `json:"floors,omitempty"`
-	Demand []Demand      `json:"demand,omitempty"`
+	// Draining names upstreams that the platform's list calls leaving.
+	Draining []string `json:"draining,omitempty"`
+	Demand   []Demand `json:"demand,omitempty"`
 }
 
 // Beat is the part of a PeerState that changes often, in a short form that many
