--- a/cmd/root.go
+++ b/cmd/root.go
@@ -29,7 +29,7 @@
 
 // Run runs the command line and returns the exit code.
 func Run(ctx context.Context, args []string) int {
-	root := rootCommand()
+	root := strict(rootCommand())
 	if err := root.Run(ctx, args); err != nil {
 		printError(os.Stderr, err)
 		return exitCode(err)
