fix(peer): spread the floors of each model and what leaves, within bounds

Cause: shedding across the fleet goes by the floors of each model, which must be heard within 1 s, and upstreams that leave within 3 s; a brake has to be everywhere in 3 s, a revision in 5 s, within 16 KB a second, under lost, late, repeated and reordered messages, kills, pauses and partings. Change: beats carry floors and upstreams that leave, both urgent; rapid properties on the deciders and a fuzz target on what peers send.

--- a/internal/entry/gossip/gossip.go
+++ b/internal/entry/gossip/gossip.go
@@ -154,7 +154,9 @@
 		err = g.member.Answer(now, s, reply)
 	case errors.Is(err, context.Canceled):
 		return
-	case !code.PeerRefused.Is(err):
+	case code.PeerRefused.Is(err):
+		g.member.Refused(s)
+	default:
 		g.member.Failed(now, s, !errors.Is(err, ward.ErrNotConnected))
 	}
 	if err != nil {
--- a/internal/peer/check/check.go
+++ b/internal/peer/check/check.go
@@ -31,6 +31,8 @@
 	MaxMoves  = 128
 	MaxDemand = 1024
 	MaxFloors = 64
+	// MaxDraining bounds the upstreams that an entry calls leaving.
+	MaxDraining = 256
 	// MaxObjects bounds each list of a configuration.
 	MaxObjects = 20000
 	MaxBuckets = 64
@@ -53,8 +55,8 @@
 		func() error { return each(m.States, func(s ward.PeerState) error { return state(now, s) }) },
 		func() error { return each(m.Beats, beat) },
 		func() error { return each(m.Brakes, Brake) },
-		func() error { return each(m.Counts, func(c ward.Counts) error { return counts(now, c) }) },
-		func() error { return each(m.Moves, move) },
+		func() error { return each(m.Counts, func(c ward.Counts) error { return Counts(now, c) }) },
+		func() error { return each(m.Moves, Move) },
 		func() error { return configs(m) },
 	} {
 		if err := f(); err != nil {
@@ -80,21 +82,25 @@
 		return refuse("state of %q: not an IP number and port", s.Name)
 	case !incarnation(now, s.Incarnation):
 		return refuse("state of %q: incarnation %d is not a start time", s.Name, s.Incarnation)
-	case !tier(s.Floor) || !waiting(s.Waiting) || len(s.Demand) > MaxDemand || len(s.Floors) > MaxFloors:
+	case !tier(s.Floor) || !waiting(s.Waiting) || len(s.Demand) > MaxDemand || len(s.Floors) > MaxFloors || !draining(s.Draining):
 		return refuse("state of %q: a figure is out of bounds", s.Name)
 	}
-	if err := each(s.Floors, servesFloor); err != nil {
+	if err := each(s.Floors, Floor); err != nil {
 		return err
 	}
-	return each(s.Demand, func(d ward.Demand) error {
-		if d.Upstream == "" || !names(d.Upstream) || d.InFlight < 0 || d.Prefill < 0 || d.Waiting < 0 || d.Rate < 0 {
-			return refuse("state of %q: demand on %.40q is out of bounds", s.Name, d.Upstream)
-		}
-		return nil
-	})
+	return each(s.Demand, Demand)
 }
 
-func servesFloor(f ward.ServesFloor) error {
+// Demand checks the demand on one upstream.
+func Demand(d ward.Demand) error {
+	if d.Upstream == "" || !names(d.Upstream) || d.InFlight < 0 || d.Prefill < 0 || d.Waiting < 0 || d.Rate < 0 {
+		return refuse("demand on %.40q is out of bounds", d.Upstream)
+	}
+	return nil
+}
+
+// Floor checks the shedding state of one model or service.
+func Floor(f ward.ServesFloor) error {
 	if f.Serves == "" || !names(f.Serves) || !tier(f.Need) || !tier(f.Floor) || !waiting(f.Waiting) {
 		return refuse("floor of %.40q is out of bounds", f.Serves)
 	}
@@ -102,13 +108,14 @@
 }
 
 func beat(b ward.Beat) error {
-	if !tier(b.Floor) || !waiting(b.Waiting) {
+	if !tier(b.Floor) || !waiting(b.Waiting) || len(b.Floors) > MaxFloors || !draining(b.Draining) {
 		return refuse("beat: a figure is out of bounds")
 	}
-	return nil
+	return each(b.Floors, Floor)
 }
 
-func counts(now time.Time, c ward.Counts) error {
+// Counts checks the counts of one series.
+func Counts(now time.Time, c ward.Counts) error {
 	if c.Serves == "" || c.Entry == "" || !names(c.Serves, c.Version, c.Route, c.Move, c.Entry) || !incarnation(now, c.Incarnation) {
 		return refuse("counts: a name is empty or too long")
 	}
@@ -125,7 +132,8 @@
 	return nil
 }
 
-func move(m ward.MoveState) error {
+// Move checks the state of one move.
+func Move(m ward.MoveState) error {
 	if m.Move == "" || !names(m.Move, m.State, m.Holder) || len(m.Reason) > MaxReason {
 		return refuse("move: a name is empty or too long")
 	}
@@ -185,6 +193,8 @@
 	return true
 }
 
+func draining(list []string) bool { return len(list) <= MaxDraining && names(list...) }
+
 func address(s string) bool {
 	a, err := netip.ParseAddrPort(s)
 	return err == nil && a.Port() > 0
--- a/internal/peer/loop/network.go
+++ b/internal/peer/loop/network.go
@@ -86,6 +86,7 @@
 		}
 		x.ended = true
 		if code.PeerRefused.Is(err) {
+			e.Member.Refused(x.send)
 			return
 		}
 		_ = e.Member.Answer(f.Now, x.send, reply)
--- a/internal/peer/member/digest.go
+++ b/internal/peer/member/digest.go
@@ -91,7 +91,7 @@
 
 // young tells that this entry has not heard of most of those it was told of, as
 // after its start.
-func (m *Member) young() bool { return 2*m.Live() < len(m.rows) }
+func (m *Member) young() bool { return 2*m.live < len(m.rows) }
 
 // compare adds to a reply what mends a difference: the items of the buckets
 // that differ when the sender gave its own, and otherwise this entry's buckets
--- a/internal/peer/member/floors.go
+++ b/internal/peer/member/floors.go
@@ -1,23 +1,69 @@
 package member
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
+	"agateward/internal/peer/check"
 	"agateward/ward"
 )
 
-// takeFloors takes the floors of a whole state, and passes the state on when one
-// has moved.
-func (m *Member) takeFloors(r *row, s ward.PeerState) {
-	if s.Seq < r.floorsSeq {
-		return
+// Bounds of what an entry tells of its own floors and of upstreams that leave,
+// so that its state fits into any message.
+const (
+	maxFloors = 16
+	// maxDraining is in bytes of names.
+	maxDraining = 480
+)
+
+// moved tells whether a state has news that must not wait: a floor, the word
+// that the entry stops, or an upstream that leaves.
+func moved(next, old ward.PeerState) bool {
+	return next.Leaving != old.Leaving || next.Floor != old.Floor ||
+		!sameLevels(next.Floors, old.Floors) || !slices.Equal(next.Draining, old.Draining)
+}
+
+// ownFloors returns what is told of this entry's floors, the lowest first.
+func ownFloors(floors []ward.ServesFloor) []ward.ServesFloor {
+	list := slices.DeleteFunc(slices.Clone(floors), func(f ward.ServesFloor) bool { return check.Floor(f) != nil })
+	if len(list) <= maxFloors {
+		return list
+	}
+	slices.SortStableFunc(list, func(a, b ward.ServesFloor) int { return cmp.Compare(min(a.Need, a.Floor), min(b.Need, b.Floor)) })
+	return list[:maxFloors]
+}
+
+// ownDraining returns what is told of upstreams that leave. More than fit into
+// a message are told in turn, a part a second.
+func ownDraining(now time.Time, names []string) []string {
+	list := slices.DeleteFunc(slices.Clone(names), func(s string) bool { return s == "" || len(s) > check.MaxName })
+	slices.Sort(list)
+	list = slices.Compact(list)
+	if bytes(list) <= maxDraining {
+		return list
+	}
+	var part []string
+	for i := range list {
+		name := list[(int(now.Unix()%int64(len(list)))*turnNames+i)%len(list)]
+		if bytes(part)+len(name) > maxDraining {
+			break
+		}
+		part = append(part, name)
 	}
-	moved := !sameLevels(s.Floors, r.state.Floors)
-	r.floorsSeq = s.Seq
-	r.state.Floors = s.Floors
-	if moved {
-		r.full.start(fullLimit)
+	slices.Sort(part)
+	return part
+}
+
+// turnNames is by how many names the part that is told moves on each second.
+const turnNames = 3
+
+func bytes(list []string) int {
+	n := 0
+	for _, s := range list {
+		n += len(s)
 	}
+	return n
 }
 
 // sameLevels tells whether two lists of floors ask for the same. One at rest is
--- a/internal/peer/member/items.go
+++ b/internal/peer/member/items.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"agateward/internal/peer/check"
 	"agateward/ward"
 )
 
@@ -14,6 +15,8 @@
 	ticket                 uint64
 }
 
+func keyOf(b ward.Brake) brakeKey { return brakeKey{b.Serves, b.Version, b.Route, b.Ticket} }
+
 type brakeRow struct {
 	rumor
 	brake ward.Brake
@@ -36,11 +39,14 @@
 	at     time.Time
 }
 
-// AddBrakes adds brakes that were set here and returns how many are new.
+// AddBrakes adds brakes that were set here and returns how many are new. Like
+// all that is added here, what other entries would refuse is left out: they
+// would refuse the whole message.
 func (m *Member) AddBrakes(now time.Time, brakes ...ward.Brake) int {
 	n := 0
 	for _, b := range brakes {
-		if m.takeBrake(now, b) {
+		b.Reason = clip(b.Reason)
+		if check.Brake(b) == nil && m.takeBrake(now, b) {
 			n++
 		}
 	}
@@ -50,14 +56,19 @@
 // AddMoves adds the states of moves as the store has accepted them.
 func (m *Member) AddMoves(now time.Time, moves ...ward.MoveState) {
 	for _, s := range moves {
-		m.takeMove(now, s)
+		s.Reason = clip(s.Reason)
+		if check.Move(s) == nil {
+			m.takeMove(now, s)
+		}
 	}
 }
 
 // AddCounts adds this entry's own counts.
 func (m *Member) AddCounts(now time.Time, counts ...ward.Counts) {
 	for _, c := range counts {
-		m.takeCounts(now, c)
+		if check.Counts(now, c) == nil {
+			m.takeCounts(now, c)
+		}
 	}
 }
 
@@ -105,7 +116,7 @@
 // takeBrake merges a brake. It never goes by time; only a ticket that puts
 // another move in force lifts it.
 func (m *Member) takeBrake(now time.Time, b ward.Brake) bool {
-	key := brakeKey{b.Serves, b.Version, b.Route, b.Ticket}
+	key := keyOf(b)
 	if _, ok := m.brakes[key]; ok || m.docs.lifted(b) || len(m.brakes) >= maxBrakes {
 		return false
 	}
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -46,6 +46,7 @@
 	"slices"
 	"time"
 
+	"agateward/internal/peer/check"
 	"agateward/ward"
 )
 
@@ -143,6 +144,8 @@
 	brakes map[brakeKey]*brakeRow
 	moves  map[string]*moveRow
 	counts map[countsKey]*countsRow
+	// live is the number of live entries at the last tick.
+	live int
 	// urgent says that something urgent may be left to pass on, fresh that some
 	// of it was not sent to anyone yet.
 	urgent bool
@@ -154,6 +157,8 @@
 	bucket bucket
 	digest digest
 	repair repair
+	// asked is when this entry, after its start, last asked for what it lacks.
+	asked time.Time
 }
 
 // New returns the decider of one entry. The same seed gives the same choices.
@@ -193,9 +198,14 @@
 func (m *Member) SetSelf(now time.Time, s ward.PeerState) {
 	old := m.self.state
 	next := old
-	next.Leaving, next.Floor, next.Waiting, next.Demand = s.Leaving, s.Floor, s.Waiting, s.Demand
-	next.Floors = s.Floors
-	urgent := next.Leaving != old.Leaving || next.Floor != old.Floor || !sameLevels(next.Floors, old.Floors)
+	next.Leaving, next.Floor, next.Waiting = s.Leaving, min(s.Floor, ward.TierBottom), s.Waiting
+	for i, n := range next.Waiting {
+		next.Waiting[i] = max(n, 0)
+	}
+	next.Floors = ownFloors(s.Floors)
+	next.Draining = ownDraining(now, s.Draining)
+	next.Demand = slices.DeleteFunc(slices.Clone(s.Demand), func(d ward.Demand) bool { return check.Demand(d) != nil })
+	urgent := moved(next, old)
 	if !urgent && next.Waiting == old.Waiting && slices.Equal(next.Floors, old.Floors) && sameDemand(next.Demand, old.Demand) {
 		return
 	}
--- a/internal/peer/member/member_test.go
+++ b/internal/peer/member/member_test.go
@@ -63,6 +63,51 @@
 	}
 }
 
+// TestFloorsAndDrainingSpread holds the bounds of 1 s for the floor of a model
+// and of 3 s for an upstream that leaves, at an entry that has much else to tell.
+func TestFloorsAndDrainingSpread(t *testing.T) {
+	for _, network := range []loop.Network{
+		{Delay: time.Millisecond},
+		{Delay: time.Millisecond, Spread: 50 * time.Millisecond, Loss: 0.05, Repeat: 0.05},
+	} {
+		f := loop.New(8, 1, network)
+		f.Run(5 * time.Second)
+		said := func(ok func(s ward.PeerState) bool) func() bool {
+			return func() bool {
+				return f.All(func(e *loop.Entry) bool {
+					for _, p := range e.Member.Peers(f.Now) {
+						if p.State.Name == "entry-000" {
+							return ok(p.State)
+						}
+					}
+					return e == f.Entries[0]
+				})
+			}
+		}
+		for tier := ward.TierBottom; tier >= ward.TierTop; tier-- {
+			want := ward.ServesFloor{Serves: "menu", Need: tier, Floor: tier}
+			f.Change(0, func(m *member.Member, now time.Time) {
+				s := m.Self()
+				s.Floors = []ward.ServesFloor{want}
+				m.SetSelf(now, s)
+			})
+			if took, ok := f.Until(time.Second, said(func(s ward.PeerState) bool {
+				return tier == ward.TierBottom || len(s.Floors) == 1 && s.Floors[0] == want
+			})); !ok {
+				t.Errorf("the floor of tier %d is not everywhere after %v", tier, took)
+			}
+		}
+		f.Change(0, func(m *member.Member, now time.Time) {
+			s := m.Self()
+			s.Draining = []string{"engine-1", "engine-7"}
+			m.SetSelf(now, s)
+		})
+		if took, ok := f.Until(3*time.Second, said(func(s ward.PeerState) bool { return len(s.Draining) == 2 })); !ok {
+			t.Errorf("the upstreams that leave are not known everywhere after %v", took)
+		}
+	}
+}
+
 // TestDeadPeer gives the time after which a killed entry is no longer live
 // anywhere, and shows that the next run of it is taken back.
 func TestDeadPeer(t *testing.T) {
--- a/internal/peer/member/pack.go
+++ b/internal/peer/member/pack.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"agateward/internal/peer/check"
 	"agateward/internal/peer/size"
@@ -19,7 +20,11 @@
 
 // pack fills a message with what is to be passed on, by rank.
 func (m *Member) pack(x *ward.Exchange, room int) {
-	left := min(room, int(max(m.bucket.tokens, minExchange))) - size.Exchange(*x)
+	tokens := m.bucket.tokens
+	if !m.urgent {
+		tokens -= reserve * m.bucket.rate
+	}
+	left := min(room, int(max(tokens, minExchange))) - size.Exchange(*x)
 	p := &packer{member: m, x: x, left: left, salt: m.random.Uint32()}
 	p.brakes()
 	if m.docs.hot() {
@@ -90,7 +95,7 @@
 		b := p.member.short(r)
 		n := size.Beat(b)
 		if n > room || len(p.x.Beats) >= check.MaxBeats || !p.fits(n) {
-			return
+			continue
 		}
 		room -= n
 		r.beat.sent++
@@ -101,15 +106,26 @@
 // rows returns the rows that pass, the least passed on first and otherwise in
 // an order that changes with each message.
 func (p *packer) rows(pass func(*row) bool, sent func(*row) int) []*row {
-	var rows []*row
+	type ranked struct {
+		rank uint64
+		row  *row
+	}
+	var list []ranked
 	for _, r := range p.member.rows {
 		if pass(r) {
-			rows = append(rows, r)
+			list = append(list, ranked{uint64(sent(r))<<32 | uint64(r.id^p.salt), r})
 		}
 	}
-	slices.SortFunc(rows, func(a, b *row) int {
-		return cmp.Or(cmp.Compare(sent(a), sent(b)), cmp.Compare(a.id^p.salt, b.id^p.salt), cmp.Compare(a.state.Name, b.state.Name))
+	slices.SortFunc(list, func(a, b ranked) int {
+		if a.rank != b.rank {
+			return cmp.Compare(a.rank, b.rank)
+		}
+		return strings.Compare(a.row.state.Name, b.row.state.Name)
 	})
+	rows := make([]*row, len(list))
+	for i, x := range list {
+		rows[i] = x.row
+	}
 	return rows
 }
 
--- /dev/null
+++ b/internal/peer/member/property_test.go
@@ -0,0 +1,270 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"agateward/internal/peer/codec"
+	"agateward/internal/peer/loop"
+	"agateward/internal/peer/member"
+	"agateward/ward"
+
+	"pgregory.net/rapid"
+)
+
+// bytesPerSecond is the bound of the brief on control bytes of a node.
+const bytesPerSecond = 16 << 10
+
+// machine runs a fleet through a generated schedule.
+type machine struct {
+	fleet    *loop.Fleet
+	started  time.Time
+	revision uint64
+	brakes   int
+	// held is the number of brakes that each entry's decider had.
+	held map[*member.Member]int
+	// bytes is what each entry sent and received, as encoded.
+	bytes map[int]int
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{held: map[*member.Member]int{}, bytes: map[int]int{}}
+	m.fleet = loop.New(rapid.IntRange(2, 9).Draw(t, "entries"), rapid.Uint64().Draw(t, "seed"), drawNetwork(t))
+	m.started = m.fleet.Now
+	m.fleet.OnMessage = func(from, to int, x ward.Exchange) {
+		b, err := codec.Marshal(&x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.bytes[from] += len(b)
+		m.bytes[to] += len(b)
+	}
+	return m
+}
+
+func drawNetwork(t *rapid.T) loop.Network {
+	return loop.Network{
+		Delay:  time.Duration(rapid.IntRange(1, 20).Draw(t, "delay ms")) * time.Millisecond,
+		Spread: time.Duration(rapid.IntRange(0, 100).Draw(t, "spread ms")) * time.Millisecond,
+		Loss:   rapid.Float64Range(0, 0.1).Draw(t, "loss"),
+		Repeat: rapid.Float64Range(0, 0.1).Draw(t, "repeat"),
+	}
+}
+
+// live draws a live entry, or returns -1 when there is none.
+func (m *machine) live(t *rapid.T) int {
+	var list []int
+	for i, e := range m.fleet.Entries {
+		if e.Member != nil {
+			list = append(list, i)
+		}
+	}
+	if len(list) == 0 {
+		return -1
+	}
+	return rapid.SampledFrom(list).Draw(t, "entry")
+}
+
+func (m *machine) accept(t *rapid.T) {
+	if i := m.live(t); i >= 0 {
+		m.revision++
+		m.fleet.Change(i, func(*member.Member, time.Time) { m.fleet.Adopt(i, config(m.revision)) })
+	}
+}
+
+func (m *machine) brake(t *rapid.T) {
+	if i := m.live(t); i >= 0 {
+		m.brakes++
+		b := brake
+		b.Version = fmt.Sprint(m.brakes)
+		m.fleet.Change(i, func(x *member.Member, now time.Time) { x.AddBrakes(now, b) })
+	}
+}
+
+// load gives an entry much to tell.
+func (m *machine) load(t *rapid.T) {
+	i := m.live(t)
+	if i < 0 {
+		return
+	}
+	floor := ward.Tier(rapid.IntRange(1, 4).Draw(t, "floor"))
+	most := uint64(m.fleet.Now.Unix())
+	m.fleet.Change(i, func(x *member.Member, now time.Time) {
+		s := x.Self()
+		s.Floor = floor
+		for u := range 40 {
+			s.Demand = append(s.Demand, ward.Demand{Upstream: fmt.Sprintf("engine-%d", u), InFlight: u, Waiting: 1000 * u})
+		}
+		x.SetSelf(now, s)
+		for r := range 20 {
+			c := ward.Counts{Serves: "menu", Version: "2", Route: fmt.Sprint(r), Move: "m", Entry: s.Name, Incarnation: s.Incarnation, Succeeded: most}
+			for b := range c.Latency {
+				c.Latency[b] = most
+			}
+			x.AddCounts(now, c)
+		}
+	})
+}
+
+// check holds in every state.
+func (m *machine) check(t *rapid.T) {
+	passed := m.fleet.Now.Sub(m.started).Seconds()
+	for i, e := range m.fleet.Entries {
+		// Two seconds' worth is what an entry may be ahead of its rate.
+		if bound := bytesPerSecond * (passed + 2); float64(m.bytes[i]) > bound {
+			t.Fatalf("entry %d: %d bytes in %.1f s, want at most %.0f", i, m.bytes[i], passed, bound)
+		}
+		if e.Reverts > 0 {
+			t.Fatalf("entry %d was handed a lower revision", i)
+		}
+		if e.Member == nil {
+			continue
+		}
+		if n := len(e.Member.Brakes()); n < m.held[e.Member] {
+			t.Fatalf("entry %d lost a brake: %d of %d", i, n, m.held[e.Member])
+		}
+		m.held[e.Member] = len(e.Member.Brakes())
+	}
+}
+
+// TestFleetAgrees goes through generated schedules of kills, starts, pauses and
+// partings, and expects all live entries to agree a while after the last one.
+func TestFleetAgrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"":       m.check,
+			"accept": m.accept,
+			"brake":  m.brake,
+			"load":   m.load,
+			"pass": func(t *rapid.T) {
+				m.fleet.Run(time.Duration(rapid.IntRange(10, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"kill": func(t *rapid.T) {
+				if i := m.live(t); i >= 0 {
+					m.fleet.Kill(i)
+				}
+			},
+			"start": func(t *rapid.T) {
+				for i, e := range m.fleet.Entries {
+					if e.Member == nil {
+						m.fleet.Start(i)
+						return
+					}
+				}
+			},
+			"pause": func(t *rapid.T) {
+				if i := m.live(t); i >= 0 {
+					m.fleet.Pause(i, time.Duration(rapid.IntRange(1, 10).Draw(t, "s"))*time.Second)
+				}
+			},
+			"part": func(t *rapid.T) {
+				at := rapid.IntRange(0, len(m.fleet.Entries)).Draw(t, "at")
+				m.fleet.Parted = func(a, b int) bool { return a < at != (b < at) }
+			},
+			"heal": func(*rapid.T) { m.fleet.Parted = nil },
+		})
+		m.fleet.Parted = nil
+		m.fleet.Run(30 * time.Second)
+		m.check(t)
+		m.agree(t)
+	})
+}
+
+// agree fails when live entries differ.
+func (m *machine) agree(t *rapid.T) {
+	live, revision, brakes := 0, uint64(0), map[string]bool{}
+	for _, e := range m.fleet.Entries {
+		if e.Member == nil {
+			continue
+		}
+		live++
+		if e.Config != nil {
+			revision = max(revision, e.Config.Revision)
+		}
+		for _, b := range e.Member.Brakes() {
+			brakes[b.Version] = true
+		}
+	}
+	for i, e := range m.fleet.Entries {
+		if e.Member == nil {
+			continue
+		}
+		if n := e.Member.Live(); n != live {
+			t.Errorf("entry %d counts %d live entries of %d", i, n, live)
+		}
+		if n := len(e.Member.Brakes()); n != len(brakes) {
+			t.Errorf("entry %d has %d brakes of %d", i, n, len(brakes))
+		}
+		if revision > 0 && (e.Config == nil || e.Config.Revision != revision) {
+			t.Errorf("entry %d has not got revision %d", i, revision)
+		}
+	}
+}
+
+// TestBrakeIsEverywhereIn3s and the revision in 5 s, whatever the network does
+// to messages, under load, with an entry killed in the same moment, and at an
+// instance that starts then. No store takes part.
+func TestBrakeIsEverywhereIn3s(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		m.fleet.Run(10 * time.Second)
+		m.accept(t)
+		m.fleet.Run(5 * time.Second)
+		for range 3 {
+			m.load(t)
+		}
+		m.brake(t)
+		m.accept(t)
+		by, revision := m.fleet.Now, m.revision
+		if len(m.fleet.Entries) > 3 && rapid.Bool().Draw(t, "kill") {
+			i := m.live(t)
+			if e := m.fleet.Entries[i]; len(e.Member.Brakes()) == 0 && e.Config.Revision < revision {
+				m.fleet.Kill(i)
+			}
+		}
+		took, ok := m.fleet.Until(3*time.Second, func() bool { return m.fleet.All(braked) })
+		if !ok {
+			t.Errorf("the brake is not everywhere after %v", took)
+		}
+		m.fleet.Add()
+		left := 5*time.Second - m.fleet.Now.Sub(by)
+		if _, ok := m.fleet.Until(left, func() bool {
+			return m.fleet.All(func(e *loop.Entry) bool { return e.Config != nil && e.Config.Revision == revision })
+		}); !ok {
+			t.Errorf("the revision is not everywhere after %v", m.fleet.Now.Sub(by))
+		}
+		m.check(t)
+	})
+}
+
+// FuzzReceive feeds a decider whatever decodes; it must go on working.
+func FuzzReceive(f *testing.F) {
+	now := time.Unix(1000, 0)
+	good := ward.Exchange{Fleet: "test", Protocol: member.Protocol, From: "b", Incarnation: 20, Revision: 3, Buckets: make([]uint32, 16),
+		States: []ward.PeerState{{Name: "b", Address: "10.0.0.2:7102", Incarnation: 20, Seq: 1, Demand: []ward.Demand{{Upstream: "u"}}}},
+		Beats:  []ward.Beat{{Entry: 1, Seq: 2, Suspect: true}}, Brakes: []ward.Brake{brake}, Counts: []ward.Counts{{Serves: "menu", Entry: "b", Incarnation: 20}},
+		Moves: []ward.MoveState{{Move: "m", Revision: 4}}, Config: config(3), Delta: &ward.ConfigDelta{Base: 2, Config: *config(3)}}
+	b, err := codec.Marshal(&good)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var x ward.Exchange
+		if codec.Unmarshal(b, &x) != nil {
+			return
+		}
+		m := member.New(member.Settings{Fleet: "test", Self: ward.PeerState{Name: "a", Address: "10.0.0.1:7102", Incarnation: 10}}, 1)
+		m.SetConfig(now, config(2))
+		_, _ = m.Receive(now, x)
+		m.Tick(now.Add(time.Second))
+		if c := m.TakeConfig(); c != nil && c.Revision <= 2 {
+			t.Errorf("revision %d was taken after 2", c.Revision)
+		}
+		if _, err := m.Receive(now.Add(time.Minute), ward.Exchange{Fleet: "test", Protocol: member.Protocol, From: "c", Incarnation: 5}); err != nil {
+			t.Errorf("a good message after it: %v", err)
+		}
+	})
+}
--- a/internal/peer/member/receive.go
+++ b/internal/peer/member/receive.go
@@ -63,6 +63,7 @@
 // was made: a timeout is weaker evidence than a refused connection.
 func (m *Member) Failed(now time.Time, sent Send, connected bool) {
 	m.stats.Failed++
+	m.Refused(sent)
 	if m.docs.pull == sent.Name {
 		m.docs.pull = ""
 	}
@@ -76,6 +77,20 @@
 	m.accuse(now, r, r.state.Seq)
 }
 
+// Refused takes that a message was refused, or never came: what is urgent in it
+// does not count as passed on.
+func (m *Member) Refused(sent Send) {
+	for _, b := range sent.Message.Brakes {
+		if r := m.brakes[keyOf(b)]; r != nil && r.sent > 0 {
+			r.sent--
+			m.urgent = true
+		}
+	}
+	if sent.Message.Revision == m.docs.revision() && m.docs.sent > 0 && m.docs.hot() {
+		m.docs.sent--
+	}
+}
+
 // merge checks a message and takes what it brings.
 func (m *Member) merge(now time.Time, x ward.Exchange, answered bool) error {
 	if err := m.admit(now, x); err != nil {
--- a/internal/peer/member/row.go
+++ b/internal/peer/member/row.go
@@ -13,12 +13,10 @@
 
 // row is one entry, this one included.
 type row struct {
-	// floorsSeq is the Seq of the state that the floors were taken from.
-	floorsSeq uint64
-	state     ward.PeerState
-	id        uint32
-	hash      uint64
-	status    Status
+	state  ward.PeerState
+	id     uint32
+	hash   uint64
+	status Status
 	// chart is what the chart says of status.
 	chart *chartState
 	// since is when status began, heard when a beat came, direct when a message
@@ -123,7 +121,11 @@
 
 // age moves the states of all rows by time.
 func (m *Member) age(now time.Time) {
+	m.live = 0
 	for name, r := range m.rows {
+		if r.chart.Live {
+			m.live++
+		}
 		if r == m.self || !m.chart.age(r, now) {
 			continue
 		}
@@ -158,15 +160,16 @@
 	}
 	if s.Incarnation > r.state.Incarnation {
 		m.replace(now, r, s)
+	} else if r.full.hot() && !direct {
+		r.full.sent++ // the sender knows it already
 	}
-	m.takeFloors(r, s)
 	if direct {
 		r.direct = now
 		r.state.Demand = s.Demand
 		r.demandAt = now
 	}
 	if s.Seq > r.state.Seq || direct && s.Seq == r.state.Seq {
-		m.update(now, r, ward.Beat{Seq: s.Seq, Leaving: s.Leaving, Revision: s.Revision, Floor: s.Floor, Waiting: s.Waiting})
+		m.update(now, r, beatOf(s))
 	}
 }
 
@@ -205,7 +208,7 @@
 	if b.Seq > r.state.Seq {
 		refuted := r.status == Suspect || r.status == Silent
 		switch {
-		case b.Floor != r.state.Floor || b.Leaving != r.state.Leaving || refuted:
+		case refuted || moved(withBeat(r.state, b), r.state):
 			r.urgent = true
 			m.hurry(&r.beat)
 		case !r.urgent || !r.beat.hot():
@@ -214,8 +217,7 @@
 			r.beat.start(loadLimit)
 		}
 	}
-	r.state.Seq, r.state.Revision, r.state.Floor, r.state.Waiting = b.Seq, b.Revision, b.Floor, b.Waiting
-	r.state.Leaving = b.Leaving
+	r.state = withBeat(r.state, b)
 	r.heard = now
 	e := heard
 	switch {
@@ -260,15 +262,26 @@
 
 // short returns the short form of a row.
 func (m *Member) short(r *row) ward.Beat {
-	b := ward.Beat{Entry: r.id, Seq: r.state.Seq}
 	if r.status == Suspect || r.status == Silent {
-		b.Suspect = true
-		return b
+		return ward.Beat{Entry: r.id, Seq: r.state.Seq, Suspect: true}
 	}
-	b.Leaving, b.Revision, b.Floor, b.Waiting = r.state.Leaving, r.state.Revision, r.state.Floor, r.state.Waiting
+	b := beatOf(r.state)
+	b.Entry = r.id
 	return b
 }
 
+// beatOf returns the short form of a state, without the entry.
+func beatOf(s ward.PeerState) ward.Beat {
+	return ward.Beat{Seq: s.Seq, Leaving: s.Leaving, Revision: s.Revision, Floor: s.Floor, Waiting: s.Waiting, Floors: s.Floors, Draining: s.Draining}
+}
+
+// withBeat returns a state with the figures of a short form.
+func withBeat(s ward.PeerState, b ward.Beat) ward.PeerState {
+	s.Seq, s.Leaving, s.Revision, s.Floor, s.Waiting = b.Seq, b.Leaving, b.Revision, b.Floor, b.Waiting
+	s.Floors, s.Draining = b.Floors, b.Draining
+	return s
+}
+
 // sorted returns all rows by name, so that choices do not hang on the order of
 // a map.
 func (m *Member) sorted() []*row {
--- a/internal/peer/member/tick.go
+++ b/internal/peer/member/tick.go
@@ -171,17 +171,17 @@
 	x := m.head(r.state.Name)
 	room := maxMessage
 	if !first {
-		room = maxMore
+		room = maxMore + bytes(m.self.state.Draining)
 	}
 	if m.repair.with == r.state.Name {
 		x.Buckets = m.buckets()
 		m.mend(&x, m.repair.theirs)
 		m.repair = repair{at: now}
 		room = maxRepair
-	} else if m.young() && now.Sub(m.repair.at) >= repairEvery {
+	} else if m.young() && r.known() && r.chart.Live && now.Sub(m.asked) >= repairEvery {
 		// The receiver answers with what is missing here.
 		x.Buckets = m.buckets()
-		m.repair.at = now
+		m.asked = now
 	}
 	if m.docs.pull == r.state.Name {
 		x.WantConfig = m.docs.whole
--- a/internal/peer/size/size.go
+++ b/internal/peer/size/size.go
@@ -41,7 +41,8 @@
 func State(s ward.PeerState) int {
 	n := head + text(s.Name) + text(s.Address) + text(s.Operator) + text(s.DataCentre)
 	n += number(uint64(s.Incarnation)) + number(s.Seq) + flag + number(s.Revision) + 2
-	return n + waiting(s.Waiting) + 2*head + sum(s.Demand, Demand) + sum(s.Floors, Floor)
+	n += sum(s.Floors, Floor) + sum(s.Draining, text)
+	return n + waiting(s.Waiting) + 3*head + sum(s.Demand, Demand)
 }
 
 // Floor bounds one ServesFloor.
@@ -54,7 +55,8 @@
 
 // Beat bounds one Beat.
 func Beat(b ward.Beat) int {
-	return 1 + 5 + number(b.Seq) + 2*flag + number(b.Revision) + 2 + waiting(b.Waiting)
+	n := 1 + 5 + number(b.Seq) + 2*flag + number(b.Revision) + 2 + waiting(b.Waiting)
+	return n + 2*head + sum(b.Floors, Floor) + sum(b.Draining, text)
 }
 
 // Brake bounds one Brake.
--- a/internal/peer/wire/wire_test.go
+++ b/internal/peer/wire/wire_test.go
@@ -159,6 +159,9 @@
 		s.Demand = []ward.Demand{{Upstream: text.Draw(t, "u"), InFlight: small.Draw(t, "f"), Prefill: small.Draw(t, "p")}}
 		b := ward.Beat{Entry: rapid.Uint32().Draw(t, "id"), Seq: num.Draw(t, "q"), Revision: num.Draw(t, "r")}
 		b.Waiting[1] = small.Draw(t, "w")
+		b.Floors = []ward.ServesFloor{{Serves: text.Draw(t, "serves"), Need: 2, Floor: 3, Waiting: b.Waiting}}
+		b.Draining = []string{text.Draw(t, "leaving"), text.Draw(t, "leaving too")}
+		s.Floors, s.Draining = b.Floors, b.Draining
 		s.Waiting = b.Waiting
 		c := ward.Counts{Serves: text.Draw(t, "serves"), Entry: text.Draw(t, "entry"), Succeeded: num.Draw(t, "ok")}
 		c.Latency[3] = num.Draw(t, "l")
--- a/ward/peer.go
+++ b/ward/peer.go
@@ -109,6 +109,8 @@
 	Revision uint64         `json:"revision"`
 	Floor    Tier           `json:"floor"`
 	Waiting  [TierCount]int `json:"waiting"`
+	Floors   []ServesFloor  `json:"floors"`
+	Draining []string       `json:"draining"`
 }
 
 // ConfigDelta leads from the configuration of revision Base to a later one.
