feat(telemetry): count wasted prefill and show gauges of entry, peers and store

Cause: wasted prefill is a measure of the users and was not counted at entries; max-connections was read and not kept; explain knew one entry alone. Conclusion: none further.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -5,11 +5,12 @@
 	"fmt"
 	"io"
 	"sort"
+	"strings"
 	"time"
 
 	"agateward/internal/operator/surface"
 	"agateward/internal/result/code"
-	"agateward/internal/telemetry/explain"
+	hop "agateward/internal/telemetry/explain"
 
 	"github.com/urfave/cli/v3"
 )
@@ -106,12 +107,41 @@
 			if err != nil {
 				return err
 			}
-			return fetch(ctx, c, "/explain/"+id, printHops)
+			hops, err := explain(ctx, c, id)
+			if err != nil {
+				return err
+			}
+			return show(c, hops, printHops)
 		},
 	}
 }
 
-func printHops(w io.Writer, hops []explain.Hop) {
+// explain asks the entry, and then the one that the id names.
+func explain(ctx context.Context, c *cli.Command, id string) ([]hop.Hop, error) {
+	cl, err := operatorClient(c)
+	if err != nil {
+		return nil, err
+	}
+	var hops []hop.Hop
+	err = cl.Get(ctx, "/explain/"+id, &hops)
+	if !code.NoSuchRequest.Is(err) {
+		return hops, err
+	}
+	var st surface.Status
+	if statusErr := cl.Get(ctx, "/status", &st); statusErr != nil {
+		return nil, err
+	}
+	server, _, _ := strings.Cut(id, ".")
+	for _, p := range st.Peers {
+		if p.Name == server {
+			err = cl.At(p.Operator).Get(ctx, "/explain/"+id, &hops)
+			return hops, err
+		}
+	}
+	return nil, err
+}
+
+func printHops(w io.Writer, hops []hop.Hop) {
 	for _, h := range hops {
 		row(w, h.At.Format("15:04:05.000"), h.Name, h.Text)
 	}
--- a/internal/entry/path/path.go
+++ b/internal/entry/path/path.go
@@ -49,8 +49,10 @@
 	Runs *runs.Runs
 	// Base ends when the entry dies. Work that outlives its caller ends with it.
 	Base context.Context
-	// Observe is told of each outcome, after the scheduler.
+	// Observe is told of each outcome, after the scheduler. Waste is told of
+	// prompt tokens that were computed for nothing, and why; it may be nil.
 	Observe func(o ward.Outcome)
+	Waste   func(cause string, tokens int)
 	Clock   ward.Clock
 	Log     logr.Logger
 	Trace   *trace.Tracer
@@ -321,11 +323,38 @@
 		p.deliver(p.Scheduler.End(p.Clock.Now(), q.ID, o))
 	}
 	p.mu.Unlock()
+	if cause := wasted(q, o); cause != "" && p.Waste != nil {
+		p.Waste(cause, o.PromptTokens)
+	}
 	if p.Observe != nil {
 		p.Observe(o)
 	}
 }
 
+// Causes of wasted prefill.
+const (
+	WasteCallerGone     = "caller-gone"
+	WasteDeadlinePassed = "deadline-passed"
+	WasteAnswerCut      = "answer-cut"
+	WasteFailed         = "failed"
+)
+
+// wasted tells why the prefill of a dispatch came to nothing, and "" when it
+// did not.
+func wasted(q *ward.Request, o ward.Outcome) string {
+	switch {
+	case o.OK || !o.Connected || q.Kind != ward.KindEngine:
+		return ""
+	case !o.At.Before(q.Deadline):
+		return WasteDeadlinePassed
+	case o.Cancelled:
+		return WasteCallerGone
+	case o.OutputTokens > 0:
+		return WasteAnswerCut
+	}
+	return WasteFailed
+}
+
 func (p *Path) hop(q *ward.Request, name, text string) {
 	p.Explain.Add(q.ID, explain.Hop{At: p.Clock.Now(), Name: name, Text: text})
 }
--- a/internal/entry/program/compose.go
+++ b/internal/entry/program/compose.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"net"
 	"net/http"
@@ -34,6 +35,7 @@
 	"agateward/ward"
 
 	"github.com/google/uuid"
+	"golang.org/x/net/netutil"
 )
 
 // parts are the runners that an entry is composed of.
@@ -69,6 +71,7 @@
 		}
 		*l.at = listener
 	}
+	p.listeners.callers = netutil.LimitListener(p.listeners.callers, p.settings.Callers.MaxConnections)
 	return nil
 }
 
@@ -100,7 +103,7 @@
 			Self: s.Name, DataCentre: s.DataCentre, MaxWaiting: s.Requests.MaxWaiting,
 		}, p.seed()),
 		Relay:   &relay.Relay{Engine: p.engine, Service: p.service, Clock: p.clock, Log: p.log},
-		Observe: p.mover.Observe, Clock: p.clock, Log: p.log, Trace: p.trace, Explain: p.explain,
+		Observe: p.mover.Observe, Waste: p.metrics.WastedPrefill, Clock: p.clock, Log: p.log, Trace: p.trace, Explain: p.explain,
 	})
 	p.reports = report.New(report.Deps{
 		Backend: p.backend, Config: p.holder.Current, Entries: p.gossip.Live,
@@ -131,6 +134,27 @@
 		Config: p.holder.Current, Moves: p.mover.States, Status: p.status, Ready: p.ready,
 		Board: p.board, Explain: p.explain, Metrics: p.metrics, Clock: p.clock, Log: p.log,
 	}))
+	p.gauges()
+}
+
+// gauges adds what is read when metrics are asked for.
+func (p *Program) gauges() {
+	for t := ward.TierTop; t <= ward.TierBottom; t++ {
+		p.metrics.Gauge(fmt.Sprintf(`agateward_waiting{tier="%d"}`, t), func() float64 {
+			return float64(p.path.State().Waiting[t-1])
+		})
+	}
+	p.metrics.Gauge("agateward_running", func() float64 { return float64(p.path.State().Running) })
+	p.metrics.Gauge("agateward_floor", func() float64 { return float64(p.path.State().Floor) })
+	p.metrics.Gauge("agateward_revision", func() float64 { return float64(p.Revision()) })
+	p.metrics.Gauge("agateward_entries_live", func() float64 { return float64(p.gossip.Live()) })
+	p.metrics.Gauge("agateward_peer_bytes_sent", func() float64 { return float64(p.gossip.Stats().SentBytes) })
+	p.metrics.Gauge("agateward_peer_bytes_received", func() float64 { return float64(p.gossip.Stats().ReceivedBytes) })
+	for i, c := range p.platform.Store().Counts() {
+		labels := fmt.Sprintf(`{family=%q,kind=%q}`, c.Family, c.Kind)
+		p.metrics.Gauge("agateward_store_calls"+labels, func() float64 { return float64(p.platform.Store().Counts()[i].Sent) })
+		p.metrics.Gauge("agateward_store_calls_refused"+labels, func() float64 { return float64(p.platform.Store().Counts()[i].Refused) })
+	}
 }
 
 // server returns an HTTP server with the limits of the callers' listener. Each
