test(entry): a stream outlives the callers' read timeout

Cause: net/http keeps the read deadline of a request in some versions and then cancels a stream that lasts longer; ruled out for the pinned Go by this test. Change: a program test with a read timeout of 200 ms and a longer stream. Conclusion: no change of the program needed.

--- a/internal/entry/program/program_test.go
+++ b/internal/entry/program/program_test.go
@@ -21,12 +21,17 @@
 )
 
 // start runs two entries, one engine and one service under a first ticket.
-func start(t *testing.T) (*fleet.Fleet, *service.Server) {
+func start(t *testing.T, tune ...func(s *settings.Settings)) (*fleet.Fleet, *service.Server) {
 	t.Helper()
 	ctx := context.Background()
 	f, err := fleet.Start(ctx, fleet.Plan{
 		Name: "test", Entries: 2, DataCentres: []string{"east-1"}, Log: logr.Discard(),
-		Tune: func(s *settings.Settings) { s.Stop.BalancerLag = 0 },
+		Tune: func(s *settings.Settings) {
+			s.Stop.BalancerLag = 0
+			for _, f := range tune {
+				f(s)
+			}
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -204,3 +209,11 @@
 		t.Errorf("the deposit ran %d times", n)
 	}
 }
+
+func TestStreamOutlivesTheReadTimeout(t *testing.T) {
+	f, _ := start(t, func(s *settings.Settings) { s.Callers.ReadTimeout = ward.Duration(200 * time.Millisecond) })
+	r := post(context.Background(), f.Target(0)+"/v1/completions", "", `{"model": "writer", "prompt": "a", "max_tokens": 60, "ignore_eos": true, "stream": true}`)
+	if r.err != nil || !strings.HasSuffix(r.body, "data: [DONE]\n\n") {
+		t.Errorf("the stream was cut: %v, %q", r.err, r.body[max(len(r.body)-300, 0):])
+	}
+}
