refactor(entry): divide the request path by what it does

Cause: path.go had grown to 386 lines. Change: turns, hooks of the relay and at-most-once runs have files of their own. Conclusion: no change of behaviour.

--- a/internal/entry/path/path.go
+++ b/internal/entry/path/path.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	p := path.New(path.Deps{Scheduler: s, Dispatch: relay.Dispatch, ...})
+//	p := path.New(path.Deps{Scheduler: s, Relay: relay, Runs: runs, ...})
 //	go p.Run(ctx)           // lets the scheduler's time pass
 //	a, err := p.Open(ctx, q) // waits, dispatches, and returns the answer
 //	defer a.Close()
@@ -18,7 +18,6 @@
 	"sync"
 	"time"
 
-	"agateward/internal/caller/refusal"
 	"agateward/internal/entry/relay"
 	"agateward/internal/entry/runs"
 	"agateward/internal/request/scheduler"
@@ -208,153 +207,6 @@
 	return nil, err
 }
 
-// turn waits for the scheduler's decision.
-func (p *Path) turn(ctx context.Context, q *ward.Request) (ward.Upstream, error) {
-	ctx, span := p.Trace.Start(ctx, "queue")
-	defer span.End()
-	p.mu.Lock()
-	c := p.calls[q.ID]
-	p.mu.Unlock()
-	select {
-	case a := <-c.decided:
-		return p.decision(q, a)
-	case <-ctx.Done():
-	}
-	if err := p.withdraw(q, c); err != nil {
-		return ward.Upstream{}, err
-	}
-	return ward.Upstream{}, p.gone(ctx)
-}
-
-// decision turns an action into an upstream or a refusal.
-func (p *Path) decision(q *ward.Request, a scheduler.Action) (ward.Upstream, error) {
-	if a.Kind == scheduler.Dispatch {
-		p.hop(q, "dispatch", a.Upstream.Name+": "+a.Reason)
-		return a.Upstream, nil
-	}
-	return ward.Upstream{}, &refusal.Delayed{Err: a.Code.New("%s", a.Reason), RetryAfter: a.RetryAfter}
-}
-
-// withdraw takes a waiting request back. A dispatch that was decided at the
-// same moment never began; a refusal stands.
-func (p *Path) withdraw(q *ward.Request, c *call) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.Clock.Now()
-	p.deliver(p.Scheduler.Cancel(now, q.ID))
-	select {
-	case a := <-c.decided:
-		if a.Kind == scheduler.Refuse {
-			return &refusal.Delayed{Err: a.Code.New("%s", a.Reason), RetryAfter: a.RetryAfter}
-		}
-		p.release(c, a.Upstream, now)
-	default:
-	}
-	return nil
-}
-
-// release ends a dispatch that never began. The lock is held.
-func (p *Path) release(c *call, u ward.Upstream, now time.Time) {
-	c.dispatched = false
-	p.deliver(p.Scheduler.End(now, c.q.ID, ward.Outcome{
-		Request: c.q.ID, Upstream: u.Name, Version: u.Version, Cancelled: true, At: now,
-	}))
-}
-
-// gone is the error of a request whose time or caller ended while it waited.
-func (p *Path) gone(ctx context.Context) error {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return code.DeadlinePassed.New("the deadline passed while the request waited")
-	}
-	return code.CallerGone.New("the caller left while the request waited")
-}
-
-// failed is the error of a request that was dispatched.
-func (p *Path) failed(ctx context.Context, err error) error {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return code.AnswerLate.Wrap(err, "the deadline passed")
-	case ctx.Err() != nil:
-		return code.CallerGone.Wrap(err, "the caller left")
-	}
-	return err
-}
-
-// again gives the rest of a cut stream another turn.
-func (p *Path) again(q *ward.Request, failed ward.Upstream) (ward.Upstream, bool) {
-	p.mu.Lock()
-	c := p.calls[q.ID]
-	if c == nil {
-		p.mu.Unlock()
-		return ward.Upstream{}, false
-	}
-	p.deliver(p.Scheduler.Arrive(p.Clock.Now(), q))
-	p.mu.Unlock()
-	p.hop(q, "resume", failed.Name+": the stream was cut")
-	u, err := p.turn(c.ctx, q)
-	return u, err == nil
-}
-
-// progress tells the scheduler of the first output and then in steps.
-func (p *Path) progress(q *ward.Request, _ ward.Upstream, tokens int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c := p.calls[q.ID]
-	if c == nil {
-		return
-	}
-	now := p.Clock.Now()
-	if c.tokens == 0 {
-		p.Scheduler.FirstToken(now, q.ID)
-	}
-	c.tokens += max(tokens, 1)
-	if c.tokens-c.told >= progressStep {
-		c.told = c.tokens
-		p.Scheduler.Progress(now, q.ID, c.tokens)
-	}
-}
-
-// end tells the scheduler and the observer how a dispatch ended.
-func (p *Path) end(q *ward.Request, o ward.Outcome) {
-	o.Request = q.ID
-	p.mu.Lock()
-	if c := p.calls[q.ID]; c != nil && c.dispatched {
-		c.dispatched = false
-		p.deliver(p.Scheduler.End(p.Clock.Now(), q.ID, o))
-	}
-	p.mu.Unlock()
-	if cause := wasted(q, o); cause != "" && p.Waste != nil {
-		p.Waste(cause, o.PromptTokens)
-	}
-	if p.Observe != nil {
-		p.Observe(o)
-	}
-}
-
-// Causes of wasted prefill.
-const (
-	WasteCallerGone     = "caller-gone"
-	WasteDeadlinePassed = "deadline-passed"
-	WasteAnswerCut      = "answer-cut"
-	WasteFailed         = "failed"
-)
-
-// wasted tells why the prefill of a dispatch came to nothing, and "" when it
-// did not.
-func wasted(q *ward.Request, o ward.Outcome) string {
-	switch {
-	case o.OK || !o.Connected || q.Kind != ward.KindEngine:
-		return ""
-	case !o.At.Before(q.Deadline):
-		return WasteDeadlinePassed
-	case o.Cancelled:
-		return WasteCallerGone
-	case o.OutputTokens > 0:
-		return WasteAnswerCut
-	}
-	return WasteFailed
-}
-
 func (p *Path) hop(q *ward.Request, name, text string) {
 	p.Explain.Add(q.ID, explain.Hop{At: p.Clock.Now(), Name: name, Text: text})
 }
