--- a/internal/entry/runs/runs.go
+++ b/internal/entry/runs/runs.go
@@ -35,13 +35,14 @@
 	"agateward/ward"
 
 	"github.com/go-logr/logr"
+	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 )
 
 // Defaults of Runs.
 const (
 	// DefaultShards is the number of documents that hold the records.
-	DefaultShards = 4
+	DefaultShards = 1
 	// DefaultCall bounds one call of the store.
 	DefaultCall = time.Second
 	// DefaultBody bounds the body of a recorded answer in bytes.
@@ -195,9 +196,11 @@
 
 func (r *Runs) init() {
 	r.once.Do(func() {
+		name := uuid.NewString()
 		for i := range either(r.Shards, DefaultShards) {
 			w := &worker{runs: r, key: "runs/" + strconv.Itoa(i), wake: make(chan struct{}, 1), replies: map[string]chan record.Verdict{}}
 			w.shard.Limits = r.Limits
+			w.shard.Name = name
 			r.shards = append(r.shards, w)
 		}
 	})
--- a/internal/entry/runs/worker.go
+++ b/internal/entry/runs/worker.go
@@ -156,11 +156,15 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), either(w.runs.Call, DefaultCall))
 	defer cancel()
 	var r shard.Result
+	key := w.key
+	if a.Archive != "" {
+		key += "/" + a.Archive
+	}
 	if a.Kind == shard.Read {
-		r.Record, r.Err = w.runs.Store.Get(ctx, w.key)
+		r.Record, r.Err = w.runs.Store.Get(ctx, key)
 		return r
 	}
-	r.Record, r.Err = w.runs.Store.CompareAndSwap(ctx, w.key, a.Revision, a.Value)
+	r.Record, r.Err = w.runs.Store.CompareAndSwap(ctx, key, a.Revision, a.Value)
 	return r
 }
 
--- a/internal/run/record/compact.go
+++ b/internal/run/record/compact.go
@@ -12,6 +12,9 @@
 // Size returns an upper bound of the stored size in bytes.
 func (b *Book) Size() int {
 	n := overhead
+	for _, a := range b.Archives {
+		n += len(a.ID) + overhead/2
+	}
 	for _, r := range b.records {
 		n += r.size()
 	}
@@ -26,20 +29,20 @@
 	return n
 }
 
-// Expire removes the records that are no longer kept.
-func (b *Book) Expire(now time.Time) {
+// Expire removes the records that are no longer kept, and returns the archives
+// that may be deleted once the book is written.
+func (b *Book) Expire(now time.Time) []Archive {
 	for k, r := range b.records {
 		if b.expired(now, r) {
 			delete(b.records, k)
 		}
 	}
+	return b.expireArchives(now)
 }
 
 // Compact brings the book under limit bytes, and tells whether it could: it
-// drops records that are no longer kept, then the answers of the oldest ones. A
-// record that is kept is never dropped.
-func (b *Book) Compact(now time.Time, limit int) bool {
-	b.Expire(now)
+// drops the answers of the oldest records, never a record.
+func (b *Book) Compact(limit int) bool {
 	size := b.Size()
 	if size <= limit {
 		return true
--- a/internal/run/record/record.go
+++ b/internal/run/record/record.go
@@ -136,8 +136,11 @@
 // Book is the records of one shard.
 type Book struct {
 	// Keep is how long a record is kept from its beginning.
-	Keep    time.Duration
-	records map[Key]Record
+	Keep time.Duration
+	// Archives lists the documents that hold older records, oldest first.
+	Archives []Archive
+	records  map[Key]Record
+	archived map[Key]Record
 }
 
 // ErrFormat says that a stored book can't be read.
@@ -148,13 +151,14 @@
 
 // stored is the book as it is written.
 type stored struct {
-	Format  int
-	Records []Record
+	Format   int
+	Records  []Record
+	Archives []Archive
 }
 
 // Decode reads a stored book; no bytes are an empty one.
 func Decode(b []byte) (*Book, error) {
-	book := &Book{records: map[Key]Record{}}
+	book := &Book{records: map[Key]Record{}, archived: map[Key]Record{}}
 	if len(b) == 0 {
 		return book, nil
 	}
@@ -168,21 +172,26 @@
 	for _, r := range s.Records {
 		book.records[r.Key] = r
 	}
+	book.Archives = s.Archives
 	return book, nil
 }
 
 // Encode returns the book in its stored form, which is the same for the same
 // records.
 func (b *Book) Encode() ([]byte, error) {
-	s := stored{Format: format, Records: make([]Record, 0, len(b.records))}
+	s := stored{Format: format, Records: make([]Record, 0, len(b.records)), Archives: b.Archives}
 	for _, r := range b.records {
 		s.Records = append(s.Records, r)
 	}
 	slices.SortFunc(s.Records, older)
+	return encode(&s)
+}
+
+func encode(v any) ([]byte, error) {
 	var out bytes.Buffer
 	e := msgpack.NewEncoder(&out)
 	e.UseArrayEncodedStructs(true)
-	if err := e.Encode(&s); err != nil {
+	if err := e.Encode(v); err != nil {
 		return nil, err
 	}
 	return out.Bytes(), nil
@@ -203,6 +212,9 @@
 	if r, ok := b.records[c.Key]; ok && !b.expired(now, r) {
 		return verdict(now, r, c)
 	}
+	if r, ok := b.archived[c.Key]; ok && !b.expired(now, r) {
+		return verdict(now, r, c)
+	}
 	r := Record{Key: c.Key, State: Begun, BodyHash: c.BodyHash, Attempt: c.Attempt, Begun: now.UnixMilli(), Until: c.Until.UnixMilli()}
 	b.put(r)
 	return Verdict{Kind: Run, Record: r, New: true}
--- a/internal/run/record/record_test.go
+++ b/internal/run/record/record_test.go
@@ -90,13 +90,13 @@
 		b.Settle(at, Outcome{Claim: c, State: Finished, Kept: true, Body: make([]byte, 200)})
 	}
 	size := b.Size()
-	if !b.Compact(now, size/2) || b.Size() > size/2 || b.Len() != 50 {
+	if !b.Compact(size/2) || b.Size() > size/2 || b.Len() != 50 {
 		t.Errorf("size %d of %d, %d records", b.Size(), size, b.Len())
 	}
-	if b.Compact(now, 100) {
+	if b.Compact(100) {
 		t.Error("50 records fit into 100 bytes")
 	}
-	if b.Compact(now.Add(time.Hour+30*time.Second), 100) || b.Len() != 20 {
+	if b.Expire(now.Add(time.Hour + 30*time.Second)); b.Len() != 20 {
 		t.Errorf("%d records are left, want the 20 that are kept", b.Len())
 	}
 }
--- a/internal/run/shard/commit.go
+++ b/internal/run/shard/commit.go
@@ -14,10 +14,17 @@
 	call := s.call
 	s.call = 0
 	switch {
+	case call == Write && s.target == onDeletion:
+	case call == Write && s.target == onArchive:
+		s.archiveWritten(now, r)
+	case call == Read && r.Err == nil && s.target == onArchive:
+		s.archiveRead(now, r.Record)
 	case call == Read && r.Err == nil:
 		s.apply(now, r.Record)
 	case call == Write && r.Err == nil:
+		s.moved()
 		s.commit(now)
+		s.speedUp(now)
 	case call == Write && errors.Is(r.Err, ward.ErrConflict):
 		s.Stats.Conflicts++
 		s.conflict(now, r.Record)
@@ -27,6 +34,7 @@
 	case errors.Is(r.Err, ward.ErrOverBudget):
 		s.Stats.OverBudget++
 		s.putBack(now)
+		s.slowDown(now)
 	case call != 0:
 		s.Stats.Failed++
 		s.fail(now, code.RecordsDown)
@@ -42,13 +50,25 @@
 		return
 	}
 	book.Keep = either(s.Limits.Keep, DefaultKeep)
+	s.archives.book = rec
+	s.archives.expired = book.Expire(now)
+	if id, ok := s.unread(book); ok {
+		s.readArchive(id)
+		return
+	}
+	for _, r := range s.archives.found {
+		book.Know(r)
+	}
 	changed := s.settle(now, book)
 	changed = s.decide(now, book) || changed
 	if !changed {
 		s.commit(now)
 		return
 	}
-	if !book.Compact(now, either(s.Limits.Bytes, DefaultBytes)) {
+	if s.archive(now, book) {
+		return
+	}
+	if !book.Compact(either(s.Limits.Bytes, DefaultBytes)) {
 		s.full(now, rec)
 		return
 	}
@@ -58,6 +78,7 @@
 		return
 	}
 	s.call = Write
+	s.target = onBook
 	s.attempts++
 	for i := range s.batch {
 		s.batch[i].tried = true
@@ -144,6 +165,7 @@
 		s.fail(now, code.RecordsDown)
 		return
 	}
+	s.attempts++
 	s.read()
 }
 
@@ -170,6 +192,25 @@
 	s.batch, s.settling = nil, nil
 }
 
+// slowDown doubles the time between commits, so that what waits goes together
+// into fewer of them.
+func (s *Shard) slowDown(now time.Time) {
+	s.pace = min(max(2*s.pace, either(s.Limits.Pause, DefaultPause)), either(s.Limits.MostPace, DefaultMostPace))
+	s.notBefore = now.Add(s.pace)
+}
+
+// speedUp shortens the time between commits by an eighth after each.
+func (s *Shard) speedUp(now time.Time) {
+	s.pace -= s.pace / paceShare
+	if s.pace < time.Millisecond {
+		s.pace = 0
+	}
+	s.notBefore = now.Add(s.pace)
+}
+
+// paceShare is the part by which a commit shortens the pace.
+const paceShare = 8
+
 func (s *Shard) pause(now time.Time) {
 	s.notBefore = now.Add(either(s.Limits.Pause, DefaultPause))
 }
--- a/internal/run/shard/shard.go
+++ b/internal/run/shard/shard.go
@@ -3,7 +3,10 @@
 // one.
 //
 // The shard is one document of the store, written by any entry through
-// compare-and-swap. A claim may run only after a write that was seen to succeed
+// compare-and-swap. It is kept small: older records go into archives, documents
+// that are written once and that it names. A claim whose key is not in the
+// document is looked for in all of them, by an index that the entry keeps of
+// each. A claim may run only after a write that was seen to succeed
 // and that did not take longer than Limits.Commit. A write whose answer was lost
 // is settled by reading the document again: claims carry their attempt's id, so
 // that one's own are found there, and a later write of the same revision fences
@@ -16,7 +19,7 @@
 //	for _, a := range actions {
 //		switch a.Kind {
 //		case shard.Read:  // Get, then s.Done(now, shard.Result{Record: rec, Err: err})
-//		case shard.Write: // CompareAndSwap, then s.Done
+//		case shard.Write: // CompareAndSwap, then s.Done; no Value deletes
 //		case shard.Reply: // a.Verdict on a.Attempt
 //		case shard.Wake:  // s.Tick at a.At
 //		}
@@ -44,9 +47,14 @@
 	Commit time.Duration
 	// Linger is how long an outcome may wait for a claim to be written with.
 	Linger time.Duration
-	// Pause is the wait after a call that was refused or failed.
-	Pause time.Duration
-	// Bytes bounds the document, Claims and Outcomes what waits here.
+	// Pause is the wait after a call that failed, and the least one after a call
+	// over budget; MostPace bounds how far that one grows.
+	Pause    time.Duration
+	MostPace time.Duration
+	// Hot is the size in bytes from which on the older half of the document goes
+	// into an archive, Bytes bounds the document where that can't be done. Claims
+	// and Outcomes bound what waits here.
+	Hot      int
 	Bytes    int
 	Claims   int
 	Outcomes int
@@ -61,6 +69,8 @@
 	DefaultCommit   = 3 * time.Second
 	DefaultLinger   = time.Second
 	DefaultPause    = 25 * time.Millisecond
+	DefaultMostPace = 640 * time.Millisecond
+	DefaultHot      = 64 << 10
 	DefaultBytes    = 900 << 10
 	DefaultClaims   = 1024
 	DefaultOutcomes = 1024
@@ -83,7 +93,9 @@
 
 // Action is what the runner has to do.
 type Action struct {
-	Kind     Kind
+	Kind Kind
+	// Archive names an archive of the shard; empty means the shard's document.
+	Archive  string
 	Revision uint64
 	Value    []byte
 	Attempt  string
@@ -99,6 +111,9 @@
 
 // Shard is the state of one shard at one entry. Its zero value is ready to use.
 type Shard struct {
+	// Name starts the names of the archives written here. It is unique among the
+	// runs of entries; one that is not costs a write more for each archive.
+	Name   string
 	Limits Limits
 	// Stats counts what the shard did.
 	Stats Stats
@@ -110,9 +125,13 @@
 	settling []outcome
 	verdicts []record.Verdict
 	call     Kind
+	target   target
 	attempts int
-	// notBefore delays the next call after a failure.
+	archives archives
+	// notBefore delays the next call after a failure, pace is the time between
+	// commits that the store's budget was found to allow.
 	notBefore time.Time
+	pace      time.Duration
 	wakeAt    time.Time
 	actions   []Action
 }
@@ -127,6 +146,7 @@
 	Failed     uint64
 	Committed  uint64
 	Late       uint64
+	Archived   uint64
 }
 
 // Add adds the counts of o.
@@ -139,6 +159,7 @@
 	s.Failed += o.Failed
 	s.Committed += o.Committed
 	s.Late += o.Late
+	s.Archived += o.Archived
 }
 
 type claim struct {
@@ -192,9 +213,12 @@
 	return s.proceed(now)
 }
 
-// Tick is called at the time that a Wake named.
+// Tick is called at the time that a Wake named. A tick for a later Wake that has
+// been overtaken is harmless.
 func (s *Shard) Tick(now time.Time) []Action {
-	s.wakeAt = time.Time{}
+	if !now.Before(s.wakeAt) {
+		s.wakeAt = time.Time{}
+	}
 	return s.proceed(now)
 }
 
@@ -217,6 +241,7 @@
 	}
 	due, ok := s.due()
 	if !ok {
+		s.deleteOne()
 		return s.take()
 	}
 	if due.Before(s.notBefore) {
@@ -229,6 +254,7 @@
 	s.batch, s.waiting = s.waiting, nil
 	s.settling, s.outcomes = s.outcomes, nil
 	s.attempts = 0
+	s.archives.begin()
 	s.read()
 	return s.take()
 }
@@ -260,6 +286,7 @@
 
 func (s *Shard) read() {
 	s.call = Read
+	s.target = onBook
 	s.Stats.Reads++
 	s.actions = append(s.actions, Action{Kind: Read})
 }
--- a/internal/run/shard/shard_test.go
+++ b/internal/run/shard/shard_test.go
@@ -17,13 +17,14 @@
 // -rapid.checks on the command line go before it.
 func init() { _ = flag.Set("rapid.seed", "1") }
 
-const keys = 3
+const keys = 6
 
 // fleet is several entries that share one shard of a store with faults.
 type fleet struct {
 	t       *rapid.T
 	now     time.Time
 	rec     ward.Record
+	archive map[string]ward.Record
 	entries []*entry
 	late    []Action // writes whose answer was lost and that may still land
 	next    int
@@ -48,7 +49,8 @@
 	until   time.Time
 }
 
-func limits() Limits { return Limits{Attempts: 3, Claims: 4, Outcomes: 8} }
+// limits has an archive made of every few records.
+func limits() Limits { return Limits{Attempts: 3, Claims: 4, Outcomes: 8, Hot: 150} }
 
 func (f *fleet) take(e *entry, actions []Action) {
 	for _, a := range actions {
@@ -109,7 +111,7 @@
 	case how == "over budget":
 		r.Err = ward.ErrOverBudget
 	case call.Kind == Read && how == "ok":
-		r.Record = f.rec
+		r.Record = f.read(call)
 	case call.Kind == Read:
 		r.Err = ward.ErrUnavailable
 	case how == "lands later":
@@ -126,7 +128,21 @@
 	f.take(e, e.shard.Done(f.now, r))
 }
 
+func (f *fleet) read(a Action) ward.Record {
+	if a.Archive != "" {
+		return f.archive[a.Archive]
+	}
+	return f.rec
+}
+
 func (f *fleet) write(a Action) (ward.Record, error) {
+	if a.Archive != "" {
+		if f.archive[a.Archive].Revision != a.Revision {
+			return f.archive[a.Archive], ward.ErrConflict
+		}
+		f.archive[a.Archive] = ward.Record{Value: a.Value, Revision: a.Revision + 1}
+		return f.archive[a.Archive], nil
+	}
 	if a.Revision != f.rec.Revision {
 		return f.rec, ward.ErrConflict
 	}
@@ -209,7 +225,7 @@
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{t: t, now: time.Unix(1_800_000_000, 0), started: map[string]record.Claim{}, replied: map[string]record.Verdict{},
-			runs: map[record.Key]int{}, ran: map[string]bool{}, bodies: map[record.Key]string{}}
+			runs: map[record.Key]int{}, ran: map[string]bool{}, bodies: map[record.Key]string{}, archive: map[string]ward.Record{}}
 		for range 3 {
 			f.entries = append(f.entries, &entry{shard: &Shard{Limits: limits()}})
 		}
@@ -238,13 +254,13 @@
 		f.started[c.Attempt] = c
 		f.take(e, e.shard.Claim(f.now, c))
 	}
-	for range 2 * keys {
+	for range 4 * keys {
 		if e.call == nil {
 			break
 		}
 		call := *e.call
 		e.call = nil
-		r := Result{Record: f.rec}
+		r := Result{Record: f.read(call)}
 		if call.Kind == Write {
 			r.Record, r.Err = f.write(call)
 		}
