--- a/internal/platform/meter/meter.go
+++ b/internal/platform/meter/meter.go
@@ -54,13 +54,16 @@
 	refused uint64
 }
 
+// usualEntries is the number of entries that bursts are set for.
+const usualEntries = 8
+
 // New wraps store with a meter. The budget is that of the whole fleet; until
 // SetEntries it is divided by 8. A nil clock is the machine's.
 func New(store ward.Store, clock ward.Clock, budget Budget) *Store {
 	if clock == nil {
 		clock = ward.SystemClock{}
 	}
-	m := &Store{store: store, clock: clock, entries: 8, leases: map[string]time.Time{}}
+	m := &Store{store: store, clock: clock, entries: usualEntries, leases: map[string]time.Time{}}
 	for _, row := range budget.Rows {
 		m.buckets = append(m.buckets,
 			&bucket{family: row.Family, kind: family.Read, rate: row.Read, limiter: rate.NewLimiter(0, row.Read.Burst)},
@@ -103,6 +106,7 @@
 		}
 		if limit := b.limit(m.entries, m.held(now)); limit != b.limiter.Limit() {
 			b.limiter.SetLimitAt(now, limit)
+			b.limiter.SetBurstAt(now, b.burst(m.entries))
 		}
 		if !b.limiter.AllowN(now, 1) {
 			b.refused++
@@ -119,6 +123,15 @@
 	return rate.Limit(b.rate.Fleet/float64(entries) + b.rate.PerLease*float64(leases))
 }
 
+// burst is the number of calls that this entry may make at once. In a larger
+// fleet it shrinks, so that the fleet's burst stays that of usualEntries.
+func (b *bucket) burst(entries int) int {
+	if entries <= usualEntries {
+		return b.rate.Burst
+	}
+	return max(1, b.rate.Burst*usualEntries/entries)
+}
+
 // held needs mu. It returns the number of leases held here, and forgets those
 // that have lapsed.
 func (m *Store) held(now time.Time) int {
--- a/internal/platform/meter/meter_test.go
+++ b/internal/platform/meter/meter_test.go
@@ -94,3 +94,23 @@
 	}
 	return 0
 }
+
+// TestBurstOfLargeFleet: 410 entries that all begin at once make no larger burst
+// than 8 do, but for the one call that each may always make.
+func TestBurstOfLargeFleet(t *testing.T) {
+	const entries = 410
+	sent := 0
+	for range entries {
+		var p memory.Platform
+		m := New(&p, nil, Budget{Rows: []Row{{Family: family.Run, Read: Rate{Fleet: 1, Burst: 1}, Write: Rate{Fleet: 1, Burst: 40}}}})
+		m.SetEntries(entries)
+		for range 100 {
+			if _, err := m.CompareAndSwap(t.Context(), "runs/0", 0, nil); !errors.Is(err, ward.ErrOverBudget) {
+				sent++
+			}
+		}
+	}
+	if sent > entries {
+		t.Errorf("%d calls at once", sent)
+	}
+}
