--- a/internal/measure/frame/list.go
+++ b/internal/measure/frame/list.go
@@ -6,6 +6,7 @@
 	"agateward/internal/measure/overload"
 	"agateward/internal/measure/relay"
 	"agateward/internal/measure/report"
+	"agateward/internal/measure/runrecords"
 	"agateward/internal/measure/slowengine"
 )
 
@@ -16,6 +17,7 @@
 		overload.Experiment{},
 		slowengine.Experiment{},
 		entrycrash.Experiment{},
+		runrecords.Experiment{},
 		relay.Experiment{},
 		chaos.Experiment{},
 	}
