perf(entry): hand on only the counts that have changed

Cause: ten times a second every entry copied and sorted the counts and states of the whole fleet, three times over. Change: the members of the fleet tell which counts have changed, an entry offers its own counts alone, the fleet is looked at once a hand-over, and hand-overs are four a second at rest and at once on news.

--- a/internal/entry/gossip/state.go
+++ b/internal/entry/gossip/state.go
@@ -74,6 +74,14 @@
 	return g.member.Moves()
 }
 
+// TakeCounts returns the counts of other entries that have changed since the
+// last call.
+func (g *Gossip) TakeCounts() []ward.Counts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.member.TakeCounts()
+}
+
 // Counts returns the outcome counts of all entries.
 func (g *Gossip) Counts() []ward.Counts {
 	g.mu.Lock()
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -189,6 +189,20 @@
 	return list
 }
 
+// Own returns the counts of this entry alone.
+func (m *Mover) Own() []ward.Counts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.recorder.Counts()
+}
+
+// Brakes returns the quarantines in force.
+func (m *Mover) Brakes() []ward.Brake {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.brakes.List()
+}
+
 // Local returns all that this entry knows, for its peers.
 func (m *Mover) Local() ([]ward.Brake, []ward.Counts, []ward.MoveState) {
 	m.mu.Lock()
--- a/internal/entry/program/peers.go
+++ b/internal/entry/program/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"reflect"
-	"slices"
 	"time"
 
 	"agateward/internal/entry/gossip"
@@ -19,7 +18,7 @@
 
 // exchangeInterval is the time between two hand-overs of state between the
 // parts; news wakes them sooner.
-const exchangeInterval = 100 * time.Millisecond
+const exchangeInterval = 250 * time.Millisecond
 
 // composePeers makes the parts that talk to other entries and to the platform.
 func (p *Program) composePeers() {
@@ -68,16 +67,31 @@
 	p.log.Info("configuration-in-force", "revision", c.Revision, "ticket", c.Ticket)
 }
 
-// fleet returns the number of live entries and the place of this one.
+// fleet returns the number of live entries and the place of this one, as of the
+// last hand-over of state.
 func (p *Program) fleet() split.Fleet {
-	names := []string{p.settings.Name}
+	if f := p.fleetView.Load(); f != nil {
+		return *f
+	}
+	return split.Fleet{Entries: 1}
+}
+
+// look returns the states of the live peers and notes the fleet's view.
+func (p *Program) look() []ward.PeerState {
+	var live []ward.PeerState
+	f := &split.Fleet{Entries: 1}
 	for _, x := range p.gossip.Peers() {
-		if x.Live {
-			names = append(names, x.State.Name)
+		if !x.Live {
+			continue
+		}
+		live = append(live, x.State)
+		f.Entries++
+		if x.State.Name < p.settings.Name {
+			f.Index++
 		}
 	}
-	slices.Sort(names)
-	return split.Fleet{Entries: len(names), Index: slices.Index(names, p.settings.Name)}
+	p.fleetView.Store(f)
+	return live
 }
 
 // wake asks for a hand-over of state now.
@@ -106,21 +120,18 @@
 // exchange hands on once: what peers said to the moves and the scheduler, and
 // what those have found to peers.
 func (p *Program) exchange() {
-	p.mover.Merge(p.gossip.Brakes(), p.gossip.Counts(), p.gossip.Moves())
-	brakes, counts, moves := p.mover.Local()
-	p.gossip.AddBrakes(brakes...)
-	p.gossip.AddCounts(counts...)
+	peers := p.look()
+	p.mover.Merge(p.gossip.Brakes(), p.gossip.TakeCounts(), p.gossip.Moves())
+	moves := p.mover.States()
+	p.gossip.AddBrakes(p.mover.Brakes()...)
+	p.gossip.AddCounts(p.mover.Own()...)
 	p.gossip.AddMoves(moves...)
 	p.record(moves)
 	p.splits()
 
-	var peers []ward.PeerState
 	draining := p.roster.Leaving()
-	for _, x := range p.gossip.Peers() {
-		if x.Live {
-			peers = append(peers, x.State)
-			draining = append(draining, x.State.Draining...)
-		}
+	for i := range peers {
+		draining = append(draining, peers[i].Draining...)
 	}
 	p.path.Do(func(s *scheduler.Scheduler, now time.Time) []scheduler.Action {
 		for _, name := range draining {
--- a/internal/entry/program/program.go
+++ b/internal/entry/program/program.go
@@ -22,6 +22,7 @@
 
 	"agateward/internal/config/settings"
 	"agateward/internal/entry/path"
+	"agateward/internal/move/split"
 	"agateward/internal/operator/notice"
 	"agateward/internal/platform/client"
 	"agateward/internal/telemetry/explain"
@@ -57,6 +58,7 @@
 	path     *path.Path
 	parts
 
+	fleetView  atomic.Pointer[split.Fleet]
 	splitsMu   sync.Mutex
 	lastSplits []ward.Split
 
--- a/internal/entry/program/status.go
+++ b/internal/entry/program/status.go
@@ -26,7 +26,7 @@
 		})
 	}
 	st.Splits = inMove(p.mover.Splits())
-	st.Brakes, _, _ = p.mover.Local()
+	st.Brakes = p.mover.Brakes()
 	cfg := p.holder.Current()
 	if cfg == nil {
 		return st
--- a/internal/peer/member/items.go
+++ b/internal/peer/member/items.go
@@ -37,6 +37,8 @@
 	rumor
 	counts ward.Counts
 	at     time.Time
+	// untaken says that TakeCounts has not returned the row since it changed.
+	untaken bool
 }
 
 // AddBrakes adds brakes that were set here and returns how many are new. Like
@@ -163,6 +165,7 @@
 		m.counts[key] = r
 		r.start(loadLimit)
 		r.at = now
+		m.changed(key, r)
 		return
 	}
 	merged := r.counts
@@ -177,6 +180,30 @@
 	r.counts = merged
 	r.start(loadLimit)
 	r.at = now
+	m.changed(key, r)
+}
+
+// changed notes a row of another entry for TakeCounts.
+func (m *Member) changed(key countsKey, r *countsRow) {
+	if r.untaken || key.entry == m.self.state.Name {
+		return
+	}
+	r.untaken = true
+	m.untaken = append(m.untaken, key)
+}
+
+// TakeCounts returns the counts of other entries that have changed since the
+// last call, so that the reader's work follows the news and not the fleet.
+func (m *Member) TakeCounts() []ward.Counts {
+	list := make([]ward.Counts, 0, len(m.untaken))
+	for _, key := range m.untaken {
+		if r := m.counts[key]; r != nil {
+			r.untaken = false
+			list = append(list, r.counts)
+		}
+	}
+	m.untaken = m.untaken[:0]
+	return list
 }
 
 // makeRoom drops the counts that have not changed for the longest time.
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -144,6 +144,8 @@
 	brakes map[brakeKey]*brakeRow
 	moves  map[string]*moveRow
 	counts map[countsKey]*countsRow
+	// untaken lists rows for TakeCounts.
+	untaken []countsKey
 	// live is the number of live entries at the last tick.
 	live int
 	// urgent says that something urgent may be left to pass on, fresh that some
