feat(request): let requests that wait use upstreams of other entries

Cause: real entries meet each peer every 0.9 s, so parts follow demand late; an entry shed while another's engines were idle.

--- a/internal/request/budget/budget.go
+++ b/internal/request/budget/budget.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	var b budget.Budget
-//	b.Divide(now, part)
+//	b.Divide(now, part, guest)
 //	if b.Fits(now, inFlight, ahead) {
 //		b.Spend(now, r.PromptTokens)
 //		// dispatch; then tell what came back:
@@ -52,6 +52,7 @@
 	decode  ratio // seconds over tokens
 	limit   float64
 	part    float64
+	guest   float64
 	divided time.Time
 	adapted time.Time
 	slots   float64
@@ -159,10 +160,12 @@
 // Part returns this entry's part of the budget, from 0 to 1.
 func (b *Budget) Part() float64 { return b.part }
 
-// Divide sets this entry's part. A part shrinks at once and grows by at most
+// Divide sets this entry's part, and the small part that it may use as a guest of
+// other entries. A part shrinks at once and grows by at most
 // growth a second: when views are d old, the parts of an upstream that k entries
 // lay claim to stay together below 1 + k*growth*d.
-func (b *Budget) Divide(now time.Time, want float64) {
+func (b *Budget) Divide(now time.Time, want, guest float64) {
+	b.guest = guest
 	if b.divided.IsZero() || want <= b.part {
 		b.part = want
 	} else {
@@ -180,6 +183,12 @@
 	return b.owed(now) <= ahead.Seconds()*b.PrefillRate()*b.part
 }
 
+// FitsGuest tells whether one more request may be handed over as a guest, when so
+// many are in flight there from all entries.
+func (b *Budget) FitsGuest(now time.Time, inFlight int) bool {
+	return float64(inFlight+1) <= b.Limit() && b.owed(now) <= 0
+}
+
 // Spend counts prompt tokens that are handed over against the pace.
 func (b *Budget) Spend(now time.Time, tokens int) {
 	b.debt = b.owed(now) + float64(tokens)
@@ -192,7 +201,7 @@
 	if b.debt == 0 {
 		return 0
 	}
-	return max(0, b.debt-b.PrefillRate()*b.part*b.boost()*now.Sub(b.paid).Seconds())
+	return max(0, b.debt-b.PrefillRate()*max(b.part, b.guest)*b.boost()*now.Sub(b.paid).Seconds())
 }
 
 // boost is the factor by which debts are paid sooner while the upstream seems
--- a/internal/request/scheduler/dispatch.go
+++ b/internal/request/scheduler/dispatch.go
@@ -8,6 +8,8 @@
 	"agateward/ward"
 )
 
+var othersFactor = 0.5
+
 var paceAhead = 5000 * time.Millisecond
 
 // aheadOf is how far an entry may run before its pace at an upstream, by tier.
@@ -65,6 +67,11 @@
 	longestWait = 300 * time.Millisecond
 )
 
+var guestAfter = 600 * time.Millisecond
+var guestBacklog = 100 * time.Millisecond
+
+const guestTries = 3
+
 // option is an upstream that a request may go to, and what is expected of it.
 type option struct {
 	u            *upstream
@@ -83,6 +90,9 @@
 			best.keep(u.option(now, e, s.cached(u)))
 		}
 	}
+	if best.u == nil && now.Sub(e.item.Since) > guestAfter {
+		s.tryGuests(now, p, e, &best)
+	}
 	for _, m := range s.matched {
 		part := float64(m.tokens) / float64(max(e.item.Request.PromptTokens, 1))
 		if part < worthwhile || m.u.budget.Part() > 0 || !s.mayUse(now, m.u, e) || !m.u.roomForGuest(now) {
@@ -96,6 +106,19 @@
 	return best
 }
 
+// tryGuests looks at a few upstreams that belong to other entries.
+func (s *Scheduler) tryGuests(now time.Time, p *pool, e *entry, best *option) {
+	for range guestTries {
+		u := p.upstreams[s.rng.IntN(len(p.upstreams))]
+		if u.budget.Part() > 0 || !s.mayUse(now, u, e) || !u.budget.FitsGuest(now, u.inFlight+u.othersFlight) {
+			continue
+		}
+		if u.budget.FirstTokenIn(u.backlog(now)) <= guestBacklog {
+			best.keep(u.option(now, e, s.cached(u)))
+		}
+	}
+}
+
 // findMatches looks for the upstreams of the pool that have a part of the
 // prompt.
 func (s *Scheduler) findMatches(p *pool, e *entry) {
@@ -199,7 +222,7 @@
 // backlog returns the prompt tokens that wait in the upstream. Of the prompt
 // that is being computed, only what is expected to be left counts.
 func (u *upstream) backlog(now time.Time) float64 {
-	left := float64(u.prefill + u.othersPrefill)
+	left := float64(u.prefill) + othersFactor*float64(u.othersPrefill)
 	if len(u.pending) == 0 {
 		return left
 	}
--- a/internal/request/scheduler/peers.go
+++ b/internal/request/scheduler/peers.go
@@ -12,6 +12,9 @@
 const (
 	// evenly is what is divided evenly; the rest follows demand.
 	evenly = 0.5
+	// guestShare is the part of an upstream that all entries which own nothing of
+	// it may use together.
+	guestShare = 1
 )
 
 // tierWeight is how much a waiting request of a tier adds to the demand.
@@ -104,7 +107,7 @@
 		if u.cfg.Kind == ward.KindService {
 			part = 1 / float64(s.entries)
 		}
-		u.budget.Divide(now, part)
+		u.budget.Divide(now, part, guestShare/float64(s.entries))
 		if part > 0 {
 			p.owned = append(p.owned, u)
 		}
