fix(request): hold the order of tiers over the fleet while floors move

Cause: a property test of several schedulers with delayed, lost and repeated news found lower tiers served more than a second after a higher one was shed: a floor fell after 0.3 s, before all peers had heard of it, and an expired request asked for no floor. A changed rate was followed too slowly (4 s memory). Change: a floor stands for a second; a tier that was shed or expired asks at once for the floor it needs; tier 1 tries other entries' upstreams after 0.1 s.

--- a/internal/request/budget/budget.go
+++ b/internal/request/budget/budget.go
@@ -40,7 +40,7 @@
 	idleBelow = 400 * time.Millisecond
 	mostBoost = 0.5
 	// memory is the time after which an observation counts 1/e.
-	memory = 4 * time.Second
+	memory = 3 * time.Second
 	// growth is how much an entry's part may grow in a second.
 	growth = 2.0
 )
--- a/internal/request/floor/floor.go
+++ b/internal/request/floor/floor.go
@@ -31,11 +31,9 @@
 // Bounds of a floor.
 const (
 	// quiet is the time without a need to shed after which the floor falls by
-	// one tier; it doubles up to longestQuiet when the floor had to be raised
-	// again within flapping.
-	quiet        = 300 * time.Millisecond
-	longestQuiet = 600 * time.Millisecond
-	flapping     = 10 * time.Second
+	// one tier. Peers must have heard of the floor by then: a shorter time let
+	// lower tiers through at peers that had not.
+	quiet = time.Second
 	// Hold is the longest time that a request is kept waiting for the floor
 	// below it to be observed.
 	Hold = time.Second
@@ -47,8 +45,6 @@
 	need    int
 	peers   int
 	pressed time.Time
-	fell    time.Time
-	quiet   time.Duration
 	// lowest is the lowest tier that waits at any live peer, highest the floor of
 	// the peer that admits most.
 	lowest  ward.Tier
@@ -93,37 +89,30 @@
 		return f.observed(tier, waiting)
 	}
 	if f.observed(level, waiting) {
-		f.raise(now, steps(level)+1)
+		f.need = max(f.need, steps(level)+1)
 	}
 	return f.Level() <= tier && f.observed(tier, waiting)
 }
 
+// Force asks for the floor that a tier needs which was shed already, without
+// waiting for the steps before it: no lower tier goes on longer than the news of
+// it takes.
+func (f *Floor) Force(now time.Time, tier ward.Tier) {
+	f.pressed = now
+	f.need = max(f.need, steps(tier))
+}
+
 // Decay lowers this entry's own need by a step after a quiet time, and tells
 // whether it changed.
 func (f *Floor) Decay(now time.Time) bool {
-	if f.need == 0 || now.Sub(f.pressed) < max(f.quiet, quiet) {
+	if f.need == 0 || now.Sub(f.pressed) < quiet {
 		return false
 	}
 	f.need--
 	f.pressed = now
-	f.fell = now
 	return true
 }
 
-// raise asks for a higher floor, and makes the next fall slower when the last
-// one was too early.
-func (f *Floor) raise(now time.Time, n int) {
-	if n <= f.need {
-		return
-	}
-	f.need = n
-	if !f.fell.IsZero() && now.Sub(f.fell) < flapping {
-		f.quiet = min(2*max(f.quiet, quiet), longestQuiet)
-		return
-	}
-	f.quiet = quiet
-}
-
 // observed tells whether nothing below tier waits or is admitted anywhere.
 func (f *Floor) observed(tier ward.Tier, waiting [ward.TierCount]int) bool {
 	for t := tier + 1; t <= ward.TierBottom; t++ {
--- a/internal/request/scheduler/arrive.go
+++ b/internal/request/scheduler/arrive.go
@@ -117,6 +117,7 @@
 	}
 	s.makeRoom(now, e)
 	if s.waiting >= s.cfg.MaxWaiting {
+		f.Force(now, e.item.Tier)
 		s.refuse(e, code.QueueFull, retryAfter(wait), "the queue is full")
 		return
 	}
--- a/internal/request/scheduler/dispatch.go
+++ b/internal/request/scheduler/dispatch.go
@@ -4,16 +4,37 @@
 	"slices"
 	"time"
 
+	"agateward/internal/request/floor"
 	"agateward/internal/result/code"
 	"agateward/ward"
 )
 
-var othersFactor = 0.5
+// aheadOf is the wait for prompts before it, in an upstream, that a request is
+// handed over to, by tier: the lower tiers leave room for the higher ones.
+var aheadOf = [ward.TierCount]time.Duration{
+	500 * time.Millisecond, 400 * time.Millisecond, 300 * time.Millisecond, 200 * time.Millisecond,
+}
+
+// paceAhead is how far an entry may run before its part of an upstream's prefill
+// rate.
+const paceAhead = 5 * time.Second
 
-var paceAhead = 5000 * time.Millisecond
+// othersFactor is what a prompt counts that a peer told of: the news is old.
+const othersFactor = 0.5
 
-// aheadOf is how far an entry may run before its pace at an upstream, by tier.
-var aheadOf = [ward.TierCount]time.Duration{400 * time.Millisecond, 300 * time.Millisecond, 200 * time.Millisecond, 100 * time.Millisecond}
+// guestAfter is the time that a request waits before it tries upstreams that
+// belong to other entries, by tier.
+var guestAfter = [ward.TierCount]time.Duration{
+	100 * time.Millisecond, 300 * time.Millisecond, 600 * time.Millisecond, 600 * time.Millisecond,
+}
+
+// Bounds of the use of upstreams that belong to other entries.
+const (
+	// guestBacklog is the wait in such an upstream that is put up with.
+	guestBacklog = 100 * time.Millisecond
+	// guestTries is the number of upstreams that are looked at.
+	guestTries = 3
+)
 
 // pumpAll dispatches what fits in every pool.
 func (s *Scheduler) pumpAll(now time.Time) {
@@ -48,6 +69,10 @@
 // expire refuses the requests that can't be served in time any more.
 func (s *Scheduler) expire(now time.Time, p *pool) {
 	for it := p.queue.Expired(now); it != nil; it = p.queue.Expired(now) {
+		// One that came with less time than floors take to act was hardly feasible.
+		if it.Latest.Sub(it.Since) >= floor.Hold {
+			s.floor(p.key.serves).Force(now, it.Tier)
+		}
 		s.refuse(s.requests[it.ID], code.DeadlinePassed, leastRetryAfter, "the last useful moment has passed")
 	}
 }
@@ -67,11 +92,6 @@
 	longestWait = 300 * time.Millisecond
 )
 
-var guestAfter = 600 * time.Millisecond
-var guestBacklog = 100 * time.Millisecond
-
-const guestTries = 3
-
 // option is an upstream that a request may go to, and what is expected of it.
 type option struct {
 	u            *upstream
@@ -90,7 +110,7 @@
 			best.keep(u.option(now, e, s.cached(u)))
 		}
 	}
-	if best.u == nil && now.Sub(e.item.Since) > guestAfter {
+	if best.u == nil && now.Sub(e.item.Since) > guestAfter[e.item.Tier-ward.TierTop] {
 		s.tryGuests(now, p, e, &best)
 	}
 	for _, m := range s.matched {
--- a/internal/request/scheduler/peers.go
+++ b/internal/request/scheduler/peers.go
@@ -197,7 +197,9 @@
 			continue
 		}
 		f := s.floor(e.pool.key.serves)
-		if f.Shed(now, e.item.Tier, s.waitingFor(e.pool.key.serves)) || !now.Before(e.holdUntil) {
+		allowed := f.Shed(now, e.item.Tier, s.waitingFor(e.pool.key.serves))
+		if allowed || !now.Before(e.holdUntil) {
+			f.Force(now, e.item.Tier)
 			s.refuse(e, code.Shed, leastRetryAfter, "no capacity in time for the tier")
 			continue
 		}
