--- a/internal/entry/path/once.go
+++ b/internal/entry/path/once.go
@@ -23,7 +23,7 @@
 	u, err := p.turn(ctx, q)
 	if err != nil {
 		p.leave(q)
-		return nil, err
+		return p.refused(ctx, q, err)
 	}
 	done := make(chan whole, 1)
 	p.detached.Go(func() {
@@ -44,6 +44,20 @@
 	}
 }
 
+// refused gives a request that got no turn what is known of its key: a repeat of
+// a key that ran must not be told that it did not run.
+func (p *Path) refused(ctx context.Context, q *ward.Request, err error) (ward.Answer, error) {
+	d, known := p.Runs.Lookup(ctx, q)
+	switch {
+	case known != nil:
+		return nil, known
+	case d.Answer != nil:
+		p.hop(q, "replay", "the key ran before: its recorded answer is given")
+		return &held{*d.Answer}, nil
+	}
+	return nil, err
+}
+
 // detach returns a context that ends with the entry and not with the caller.
 func (p *Path) detach(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/entry/runs/runs.go
+++ b/internal/entry/runs/runs.go
@@ -16,6 +16,9 @@
 // Exactly one of Finish, Lost and NotRun is called for each permit. They don't
 // wait for the store. Flush writes what they left before the entry stops.
 //
+// A request that is refused before Begin asks Lookup first, so that a repeat of a
+// key that ran is not told that it did not.
+//
 // Idempotent requests get a permit at once.
 package runs
 
@@ -49,6 +52,12 @@
 	DefaultBody = 4 << 10
 	// DefaultAnswer is how long a request without a deadline may be running.
 	DefaultAnswer = 10 * time.Minute
+	// SettleWait bounds how long Begin waits for the outcome of a key in progress,
+	// settlePause is the time between two looks at it.
+	SettleWait  = time.Second
+	settlePause = 200 * time.Millisecond
+	// lookupWait bounds a Lookup.
+	lookupWait = 500 * time.Millisecond
 	// clockSkew is how far the clocks of two entries may be apart.
 	clockSkew = 5 * time.Second
 )
@@ -103,13 +112,50 @@
 	if made, ok := madeAt(req.IdempotencyKey); ok && now.Sub(made) > keep-clockSkew {
 		return Decision{}, code.KeyTooOld.New("the key was made %v ago, records are kept for %v", now.Sub(made).Round(time.Second), keep)
 	}
-	v, err := r.worker(req).claim(ctx, r.claimOf(req))
+	v, err := r.settled(ctx, req)
 	if err != nil {
 		return Decision{}, err
 	}
 	return r.decide(req, u, v)
 }
 
+// settled claims the request's key. A key that is in progress is asked for again
+// for a short while: its outcome may be about to be written.
+func (r *Runs) settled(ctx context.Context, req *ward.Request) (record.Verdict, error) {
+	until := r.now().Add(SettleWait)
+	for {
+		v, err := r.worker(req).claim(ctx, r.claimOf(req))
+		if err != nil || v.Code.Number != code.KeyInProgress.Number || r.now().After(until) {
+			return v, err
+		}
+		if r.clock().Sleep(ctx, settlePause) != nil {
+			return v, nil
+		}
+	}
+}
+
+// Lookup tells what is known of the request's key before it is refused: the
+// recorded answer, or an error where the key ran, may have run or is in use.
+// Both are empty when the key is not known, or the store can't tell in time.
+func (r *Runs) Lookup(ctx context.Context, req *ward.Request) (Decision, error) {
+	if !req.NonIdempotent || req.IdempotencyKey == "" {
+		return Decision{}, nil
+	}
+	r.init()
+	ctx, cancel := context.WithTimeout(ctx, lookupWait)
+	defer cancel()
+	v, err := r.worker(req).look(ctx, r.claimOf(req))
+	switch {
+	case err != nil || v.Kind == record.Absent:
+		return Decision{}, nil
+	case v.Kind == record.Replay:
+		return Decision{Answer: answerOf(v.Record)}, nil
+	case v.Code.Number == code.RecordsDown.Number || v.Code.Number == code.RecordsBusy.Number:
+		return Decision{}, nil
+	}
+	return Decision{}, v.Code.New("idempotency key of request %s", req.ID)
+}
+
 func (r *Runs) decide(req *ward.Request, u ward.Upstream, v record.Verdict) (Decision, error) {
 	switch {
 	case v.Kind == record.Run:
--- a/internal/entry/runs/runs_test.go
+++ b/internal/entry/runs/runs_test.go
@@ -62,6 +62,7 @@
 				}
 				c.end(e[0], first)
 				e[0].Flush(t.Context())
+				checkLookup(t, e[1], c.want, c.name == "finished")
 				d, err = e[1].Begin(t.Context(), request("b", "k"), ward.Upstream{})
 				if c.want.Number != 0 {
 					if !c.want.Is(err) {
@@ -83,6 +84,35 @@
 	}
 }
 
+// checkLookup looks at the key, which must change nothing.
+func checkLookup(t *testing.T, r *Runs, want code.Code, answered bool) {
+	t.Helper()
+	d, err := r.Lookup(t.Context(), request("look", "k"))
+	if want.Number != 0 && !want.Is(err) || want.Number == 0 && err != nil || answered != (d.Answer != nil) || d.Permit != nil {
+		t.Errorf("lookup: %+v, %v, want %s", d, err, want)
+	}
+}
+
+// TestRepeatWaitsForOutcome: a repeat that comes while the outcome is still to be
+// written gets the answer.
+func TestRepeatWaitsForOutcome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := entries(t, &memory.Platform{}, 2)
+		first := request("a", "k")
+		if _, err := e[0].Begin(t.Context(), first, ward.Upstream{}); err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			e[0].Finish(first, Answer{Status: 201, Body: []byte("seat 7")})
+		}()
+		d, err := e[1].Begin(t.Context(), request("b", "k"), ward.Upstream{})
+		if err != nil || d.Answer == nil || string(d.Answer.Body) != "seat 7" {
+			t.Errorf("got %+v, %v", d, err)
+		}
+	})
+}
+
 func TestRefusals(t *testing.T) {
 	old := uuid.Must(uuid.NewV7())
 	cases := []struct {
--- a/internal/entry/runs/worker.go
+++ b/internal/entry/runs/worker.go
@@ -30,6 +30,17 @@
 
 // claim asks the shard for a verdict and waits for it.
 func (w *worker) claim(ctx context.Context, c record.Claim) (record.Verdict, error) {
+	return w.ask(ctx, c, w.shard.Claim)
+}
+
+// look asks the shard what is known of a key. Its attempt is no request's, so
+// that it can't be taken for one's own.
+func (w *worker) look(ctx context.Context, c record.Claim) (record.Verdict, error) {
+	c.Attempt = "look-" + c.Attempt
+	return w.ask(ctx, c, w.shard.Look)
+}
+
+func (w *worker) ask(ctx context.Context, c record.Claim, f func(time.Time, record.Claim) []shard.Action) (record.Verdict, error) {
 	reply := make(chan record.Verdict, 1)
 	w.mu.Lock()
 	if w.replies[c.Attempt] != nil {
@@ -37,7 +48,7 @@
 		return record.Verdict{}, code.KeyInProgress.New("request %s has been begun", c.Attempt)
 	}
 	w.replies[c.Attempt] = reply
-	w.carry(w.shard.Claim(w.runs.now(), c))
+	w.carry(f(w.runs.now(), c))
 	w.mu.Unlock()
 	select {
 	case v := <-reply:
--- a/internal/run/record/record.go
+++ b/internal/run/record/record.go
@@ -122,6 +122,8 @@
 	Refuse Kind = iota
 	Run
 	Replay
+	// Absent answers a look at a key that is not in the book.
+	Absent
 )
 
 // Verdict is the decision on a claim.
@@ -209,15 +211,23 @@
 
 // Begin decides on a claim, and notes it where it may run.
 func (b *Book) Begin(now time.Time, c Claim) Verdict {
+	if v := b.Look(now, c); v.Kind != Absent {
+		return v
+	}
+	r := Record{Key: c.Key, State: Begun, BodyHash: c.BodyHash, Attempt: c.Attempt, Begun: now.UnixMilli(), Until: c.Until.UnixMilli()}
+	b.put(r)
+	return Verdict{Kind: Run, Record: r, New: true}
+}
+
+// Look decides on a claim whose key is known, and notes nothing.
+func (b *Book) Look(now time.Time, c Claim) Verdict {
 	if r, ok := b.records[c.Key]; ok && !b.expired(now, r) {
 		return verdict(now, r, c)
 	}
 	if r, ok := b.archived[c.Key]; ok && !b.expired(now, r) {
 		return verdict(now, r, c)
 	}
-	r := Record{Key: c.Key, State: Begun, BodyHash: c.BodyHash, Attempt: c.Attempt, Begun: now.UnixMilli(), Until: c.Until.UnixMilli()}
-	b.put(r)
-	return Verdict{Kind: Run, Record: r, New: true}
+	return Verdict{Kind: Absent}
 }
 
 // verdict decides on a claim whose key is known. One's own attempt is found
--- a/internal/run/shard/commit.go
+++ b/internal/run/shard/commit.go
@@ -81,7 +81,7 @@
 	s.target = onBook
 	s.attempts++
 	for i := range s.batch {
-		s.batch[i].tried = true
+		s.batch[i].tried = !s.batch[i].look
 	}
 	s.Stats.Writes++
 	s.actions = append(s.actions, Action{Kind: Write, Revision: rec.Revision, Value: value})
@@ -101,6 +101,10 @@
 	changed := false
 	s.verdicts = s.verdicts[:0]
 	for _, c := range s.batch {
+		if c.look {
+			s.verdicts = append(s.verdicts, look(now, book, c))
+			continue
+		}
 		v := book.Begin(now, c.Claim)
 		changed = changed || v.New
 		s.verdicts = append(s.verdicts, v)
@@ -108,6 +112,15 @@
 	return changed
 }
 
+// look never lets a request run, not even one that has begun its own record.
+func look(now time.Time, book *record.Book, c claim) record.Verdict {
+	v := book.Look(now, c.Claim)
+	if v.Kind == record.Run {
+		return record.Verdict{Kind: record.Absent}
+	}
+	return v
+}
+
 // full refuses the claims where the document has no room, and writes the
 // outcomes alone.
 func (s *Shard) full(now time.Time, rec ward.Record) {
--- a/internal/run/shard/shard.go
+++ b/internal/run/shard/shard.go
@@ -67,7 +67,7 @@
 	DefaultKeep     = 24 * time.Hour
 	DefaultWait     = time.Second
 	DefaultCommit   = 3 * time.Second
-	DefaultLinger   = time.Second
+	DefaultLinger   = 250 * time.Millisecond
 	DefaultPause    = 25 * time.Millisecond
 	DefaultMostPace = 640 * time.Millisecond
 	DefaultHot      = 64 << 10
@@ -169,6 +169,8 @@
 	// for it any more.
 	tried   bool
 	dropped bool
+	// look says that the key is only looked for.
+	look bool
 }
 
 type outcome struct {
@@ -177,12 +179,21 @@
 }
 
 // Claim asks for a verdict on c, which comes as a Reply.
-func (s *Shard) Claim(now time.Time, c record.Claim) []Action {
+func (s *Shard) Claim(now time.Time, c record.Claim) []Action { return s.add(now, claim{Claim: c}) }
+
+// Look asks what is known of c's key, which comes as a Reply. Nothing is written
+// for it, and it never gives the right to run.
+func (s *Shard) Look(now time.Time, c record.Claim) []Action {
+	return s.add(now, claim{Claim: c, look: true})
+}
+
+func (s *Shard) add(now time.Time, c claim) []Action {
 	if len(s.waiting) >= either(s.Limits.Claims, DefaultClaims) {
 		s.refuse(c.Attempt, code.RecordsBusy)
 		return s.take()
 	}
-	s.waiting = append(s.waiting, claim{Claim: c, since: now})
+	c.since = now
+	s.waiting = append(s.waiting, c)
 	return s.proceed(now)
 }
 
--- a/internal/run/shard/shard_test.go
+++ b/internal/run/shard/shard_test.go
@@ -25,6 +25,7 @@
 	now     time.Time
 	rec     ward.Record
 	archive map[string]ward.Record
+	looks   map[string]bool
 	entries []*entry
 	late    []Action // writes whose answer was lost and that may still land
 	next    int
@@ -73,6 +74,8 @@
 	f.replied[a.Attempt] = a.Verdict
 	c := f.started[a.Attempt]
 	switch {
+	case a.Verdict.Kind == record.Run && f.looks[a.Attempt]:
+		f.t.Fatal("a look gave the right to run")
 	case a.Verdict.Kind == record.Run:
 		e.ready = append(e.ready, permit{a.Attempt, f.now.Add(DefaultCommit)})
 	case a.Verdict.Kind == record.Replay:
@@ -84,7 +87,7 @@
 	}
 }
 
-func (f *fleet) claim(e *entry) {
+func (f *fleet) claim(e *entry, ask func(time.Time, record.Claim) []Action) {
 	f.next++
 	c := record.Claim{
 		Key:      record.KeyOf("club", fmt.Sprint(rapid.IntRange(1, keys).Draw(f.t, "key"))),
@@ -93,7 +96,7 @@
 		Until:    f.now.Add(time.Minute),
 	}
 	f.started[c.Attempt] = c
-	f.take(e, e.shard.Claim(f.now, c))
+	f.take(e, ask(f.now, c))
 }
 
 // store ends the call under way in one of the ways a store can.
@@ -190,9 +193,12 @@
 
 func (f *fleet) step() {
 	e := f.entries[rapid.IntRange(0, len(f.entries)-1).Draw(f.t, "entry")]
-	switch rapid.SampledFrom([]string{"claim", "claim", "store", "store", "store", "store", "dispatch", "dispatch", "finish", "drop", "kill", "land", "pause", "tick"}).Draw(f.t, "step") {
+	switch rapid.SampledFrom([]string{"claim", "claim", "look", "store", "store", "store", "store", "dispatch", "dispatch", "finish", "drop", "kill", "land", "pause", "tick"}).Draw(f.t, "step") {
 	case "claim":
-		f.claim(e)
+		f.claim(e, e.shard.Claim)
+	case "look":
+		f.looks[fmt.Sprint("attempt-", f.next+1)] = true
+		f.claim(e, e.shard.Look)
 	case "store":
 		f.store(e)
 	case "dispatch":
@@ -225,7 +231,7 @@
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := &fleet{t: t, now: time.Unix(1_800_000_000, 0), started: map[string]record.Claim{}, replied: map[string]record.Verdict{},
-			runs: map[record.Key]int{}, ran: map[string]bool{}, bodies: map[record.Key]string{}, archive: map[string]ward.Record{}}
+			runs: map[record.Key]int{}, ran: map[string]bool{}, bodies: map[record.Key]string{}, archive: map[string]ward.Record{}, looks: map[string]bool{}}
 		for range 3 {
 			f.entries = append(f.entries, &entry{shard: &Shard{Limits: limits()}})
 		}
