perf(move): give each outcome one factor of evidence

Change: the mixture of both versions uses the part of outcomes as seen before, so factors are tabled by outcome; one observer is stated at alpha 0.002 and entries act at 0.003; the first measurement of moves.

--- a/internal/measure/frame/list.go
+++ b/internal/measure/frame/list.go
@@ -3,6 +3,7 @@
 import (
 	"agateward/internal/measure/chaos"
 	"agateward/internal/measure/entrycrash"
+	"agateward/internal/measure/moves"
 	"agateward/internal/measure/overload"
 	"agateward/internal/measure/relay"
 	"agateward/internal/measure/report"
@@ -18,6 +19,7 @@
 		slowengine.Experiment{},
 		entrycrash.Experiment{},
 		runrecords.Experiment{},
+		moves.Experiment{},
 		relay.Experiment{},
 		chaos.Experiment{},
 	}
--- /dev/null
+++ b/internal/measure/moves/control.go
@@ -0,0 +1,248 @@
+package moves
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"agateward/internal/move/analysis"
+	"agateward/internal/move/machine"
+	"agateward/ward"
+)
+
+// judge lets each live entry look at what it has heard.
+func (w *world) judge() {
+	for i, e := range w.entries {
+		if e.dead || w.at() < e.paused {
+			continue
+		}
+		if e.dirty {
+			w.publishCounts(i)
+		}
+		if e.state.Begin.IsZero() || w.machine.Final(e.state) || len(e.brakes.List()) > 0 {
+			continue
+		}
+		if e.heard || e.step != e.state.Step {
+			e.heard = false
+			w.lookAt(i)
+		}
+	}
+}
+
+// publishCounts makes a new snapshot of an entry's own counts.
+func (w *world) publishCounts(i int) {
+	e := w.entries[i]
+	e.dirty = false
+	s := &snapshot{}
+	for _, c := range e.recorder.Counts() {
+		for r := range routes {
+			if c.Route != w.cfg.Routes[r].Name {
+				continue
+			}
+			if c.Version == "v1" {
+				s[r].old.Add(c)
+			} else {
+				s[r].next.Add(c)
+			}
+		}
+	}
+	e.heard = true
+	e.seen[i] = s
+	e.versions[i]++
+}
+
+func (w *world) lookAt(i int) {
+	e := w.entries[i]
+	now := w.now()
+	stepped := e.step != e.state.Step
+	e.step = e.state.Step
+	sum := sumOf(&e.seen)
+	for r := range routes {
+		a := &e.analyses[r]
+		if stepped {
+			a.Begin = e.state.Begin
+			a.Window = epoch.Add(w.window).Sub(e.state.Begin)
+			a.Tests = 2 * routes
+			a.Step(now, e.state.Share)
+		}
+		v := a.Look(now, sum[r].old, sum[r].next)
+		e.verdicts[r] = v
+		if v.Harm {
+			if w.result.convicted == 0 {
+				w.result.convicted = w.at()
+			}
+			e.brakes.Merge([]ward.Brake{{Serves: "m", Version: "v2", Move: "x", Ticket: 2, Reason: v.Reason, At: now}})
+			w.refresh(i)
+			return
+		}
+	}
+}
+
+// observeAll lets the oracle look at the counts of all entries.
+func (w *world) observeAll() {
+	if w.result.shown > 0 || w.store.state.Begin.IsZero() {
+		return
+	}
+	var own [entries]*snapshot
+	for i, e := range w.entries {
+		own[i] = e.seen[i]
+	}
+	sum := sumOf(&own)
+	for r := range routes {
+		a := &w.oracle[r]
+		if w.stepping != w.store.state.Step {
+			a.Begin = w.store.state.Begin
+			a.Window = epoch.Add(w.window).Sub(a.Begin)
+			a.Tests = 2 * routes
+			a.Alpha = analysis.Alpha
+			a.Step(w.now(), w.store.state.Share)
+		}
+		if a.Look(w.now(), sum[r].old, sum[r].next).Harm && w.result.shown == 0 {
+			w.result.shown = w.at()
+		}
+	}
+	w.stepping = w.store.state.Step
+}
+
+func sumOf(seen *[entries]*snapshot) snapshot {
+	var sum snapshot
+	for _, s := range seen {
+		if s == nil {
+			continue
+		}
+		for r := range routes {
+			add(&sum[r].old, &s[r].old)
+			add(&sum[r].next, &s[r].next)
+		}
+	}
+	return sum
+}
+
+func add(t, u *analysis.Totals) {
+	t.Succeeded += u.Succeeded
+	t.Failed += u.Failed
+	for i, n := range u.Latency {
+		t.Latency[i] += n
+	}
+}
+
+// exchange lets each live entry push what it knows to a few peers; it arrives
+// before their next look.
+func (w *world) exchange() {
+	for i, e := range w.entries {
+		if e.dead || w.at() < e.paused {
+			continue
+		}
+		for range fanout {
+			j := w.rng.IntN(entries)
+			peer := w.entries[j]
+			if j == i || peer.dead {
+				continue
+			}
+			w.hear(j, e)
+		}
+	}
+}
+
+func (w *world) hear(j int, from *entry) {
+	to := w.entries[j]
+	for k := range entries {
+		if from.versions[k] > to.versions[k] {
+			to.versions[k] = from.versions[k]
+			to.seen[k] = from.seen[k]
+			to.heard = true
+		}
+	}
+	changed := len(to.brakes.Merge(from.brakes.List())) > 0
+	if from.state.Revision > to.state.Revision {
+		to.state = from.state
+		changed = true
+	}
+	if changed {
+		w.refresh(j)
+	}
+}
+
+// steer lets the holder of the lease make the next state.
+func (w *world) steer() {
+	if w.store.down(w.at()) {
+		return
+	}
+	i := w.holder()
+	if i < 0 {
+		return
+	}
+	e := w.entries[i]
+	if e.state.Revision < w.store.state.Revision {
+		e.state = w.store.state
+		w.refresh(i)
+	}
+	w.steerAs(i, w.store.fence)
+}
+
+// steerAs makes the next state from what an entry knows.
+func (w *world) steerAs(i int, fence uint64) {
+	e := w.entries[i]
+	in := machine.Input{Now: w.now(), Move: w.cfg.Moves[0], Loaded: true, Holder: string(rune('a' + i)), Fence: fence}
+	in.Passed = true
+	for _, v := range e.verdicts {
+		in.Passed = in.Passed && v.Pass
+		in.Suspicion = max(in.Suspicion, v.Suspicion)
+	}
+	if list := e.brakes.List(); len(list) > 0 {
+		in.Braked = true
+		in.BrakeReason = list[0].Reason
+	}
+	next, changed := w.machine.Next(e.state, in)
+	if !changed && len(next.Untold) == 0 {
+		return
+	}
+	events := next.Untold
+	next.Untold = nil
+	if w.write(i, next) {
+		w.tell(events)
+	}
+}
+
+// write puts a state into the store by compare-and-swap and, when that
+// succeeds, into force at the writer.
+func (w *world) write(i int, next ward.MoveState) bool {
+	if next.Revision != w.store.state.Revision {
+		return false
+	}
+	if next.Step > w.store.state.Step && w.store.faults.downAt(w.at()) {
+		w.result.stepsInOutage++
+	}
+	next.Revision = w.store.state.Revision + 1
+	w.store.state = next
+	w.entries[i].state = next
+	w.refresh(i)
+	if next.Share == 1 && next.State != "done" && w.at() <= w.window-look {
+		w.result.onTime = true
+	}
+	if next.Share < 1 {
+		w.result.onTime = false
+	}
+	return true
+}
+
+// poisson draws a number of arrivals.
+func poisson(rng *rand.Rand, mean float64) int {
+	limit := math.Exp(-mean)
+	n, p := 0, rng.Float64()
+	for p > limit {
+		p *= rng.Float64()
+		n++
+	}
+	return n
+}
+
+// store is the platform's store as one move sees it.
+type store struct {
+	state   ward.MoveState
+	fence   uint64
+	owner   int
+	held    bool
+	expires time.Duration
+	faults  faults
+}
--- a/internal/move/analysis/analysis.go
+++ b/internal/move/analysis/analysis.go
@@ -1,14 +1,16 @@
 // Package analysis judges the new version of a move against the old one, on one
 // route.
 //
-// It is a canary analysis by sequential tests. Outcomes of both versions over
-// the same time are taken in blocks. For each block and each alternative (the
-// new version fails by so many points more, or takes so many times as long) the
-// test computes an e-value of two streams: the likelihood of the block under
-// the alternative against the likelihood when both versions share one
-// distribution. Under the hypothesis that the new version is no worse, the
-// expectation of an e-value is at most 1, whatever the old version's true
-// rates are.
+// It is a canary analysis by sequential tests. For each alternative (the new
+// version fails by so many points more, or takes so many times as long) the
+// likelihood of the outcomes of both versions over the same time is compared
+// with their likelihood under one common distribution: the mixture of the two in
+// the parts in which the versions get requests. The old version's distribution
+// is estimated from outcomes before. If the versions do not differ, and each
+// outcome is the new version's with the probability of that part, the
+// expectation of such a ratio, an e-value, is 1 whatever the true rates are; if
+// the new version is better it is below 1. One outcome gives one factor, so what
+// is found hardly depends on how counts arrive.
 //
 // Badness may begin at any time, so the products of e-values are mixed over the
 // time of its beginning: a part of the weight lies on the start of the analysis,
@@ -45,7 +47,11 @@
 const (
 	// Alpha is the greatest chance that a move to a version that is no worse is
 	// ever convicted, over all its routes and looks.
-	Alpha = 0.004
+	Alpha = 0.002
+	// EntryAlpha is used by entries: 0.4 units of evidence less, so that an
+	// entry, whose view is behind, is not later than one observer of all counts
+	// with Alpha.
+	EntryAlpha = 0.003
 	// Beta is the chance that a version of the reference harm passes a step.
 	Beta = 0.001
 )
@@ -90,10 +96,14 @@
 	// Tests is the number of tests that share Alpha: two for each route of the
 	// move.
 	Tests int
+	// Alpha is the chance of a false alarm; 0 stands for EntryAlpha.
+	Alpha float64
 
 	old, next Totals
 	last      time.Time
 	alone     bool
+	arms      arms
+	pacer     pacer
 	failure   failureTest
 	latency   latencyTest
 	verdict   Verdict
@@ -106,6 +116,9 @@
 // with a tolerance stand in.
 func (a *Analysis) Step(now time.Time, share float64) {
 	a.alone = share >= 1
+	if a.arms.all == 0 {
+		a.arms.begin(share)
+	}
 	a.failure.pass = 0
 	a.latency.pass = 0
 	if a.stepped < maxSteps {
@@ -126,10 +139,14 @@
 		return a.verdict
 	}
 	b := block{old: minus(old, a.old), next: minus(next, a.next)}
-	if b.next.Outcomes() == 0 || b.old.Outcomes() == 0 && !a.alone {
+	if b.next.Outcomes()+b.old.Outcomes() == 0 {
 		return a.verdict
 	}
-	b.alone = b.old.Outcomes() == 0
+	if a.alone {
+		// What still comes of the old version was sent before the step.
+		b.alone = true
+		b.old = Totals{}
+	}
 	a.old = old
 	a.next = next
 	a.take(now, b)
@@ -140,11 +157,16 @@
 func (a *Analysis) take(now time.Time, b block) {
 	w := a.weight(now)
 	a.last = now
+	if a.pacer.due() {
+		a.failure.prepare(a.arms.part())
+		a.latency.prepare(a.arms.part())
+	}
 	a.failure.take(b, w)
 	a.latency.take(b, w)
+	a.arms.learn(b)
+	a.pacer.seen += float64(b.old.Outcomes() + b.next.Outcomes())
 	old, next := a.old, a.next
-	tests := max(a.Tests, 2)
-	limit := math.Log(float64(tests) / Alpha)
+	limit := a.limit()
 	f := a.failure.mix.evidence()
 	l := a.latency.mix.evidence()
 	a.verdict.Suspicion = max(f, l)
@@ -162,6 +184,15 @@
 	a.verdict.Pass = !a.verdict.Harm && a.failure.pass <= pass && a.latency.pass <= pass
 }
 
+// limit returns the logarithm of the evidence that convicts.
+func (a *Analysis) limit() float64 {
+	alpha := a.Alpha
+	if alpha == 0 {
+		alpha = EntryAlpha
+	}
+	return math.Log(float64(max(a.Tests, 2)) / alpha)
+}
+
 // weight returns the part of the mixture that lies between the last block and
 // this one.
 func (a *Analysis) weight(now time.Time) float64 {
--- a/internal/move/analysis/failure.go
+++ b/internal/move/analysis/failure.go
@@ -7,9 +7,6 @@
 	// taken to be before anything is known.
 	priorFailures = 0.1
 	priorOutcomes = 10
-	// memoryOutcomes bounds the outcomes that the old version's rates are
-	// estimated from, so that they follow the environment.
-	memoryOutcomes = 4000
 	// referencePoints is the reference harm: failures above the old version.
 	referencePoints = 0.05
 	// tolerancePoints is allowed above the old version's last known rate when it
@@ -19,12 +16,21 @@
 	greatest = 0.98
 )
 
-// failurePoints are the alternatives: failures above the old version.
-var failurePoints = [...]float64{0.04, 0.12, 0.5}
+// failurePoints are the alternatives: failures above the old version. The last
+// one is the reference harm, which only the pass test uses.
+var failurePoints = [...]float64{0.04, 0.12, 0.5, referencePoints}
+
+// odds are the logarithms of the likelihood ratio of one outcome.
+type odds struct {
+	oldFailed, oldOK, nextFailed, nextOK float64
+	// alone are those of the new version when the old one has no traffic.
+	aloneFailed, aloneOK float64
+}
 
 // failureTest compares failure rates.
 type failureTest struct {
 	failed, outcomes float64
+	table            [len(failurePoints)]odds
 	mix              mixture
 	// pass is the logarithm of the evidence for the reference harm since the
 	// last step.
@@ -32,16 +38,36 @@
 }
 
 func (t *failureTest) take(b block, weight float64) {
-	rate := (t.failed + priorFailures) / (t.outcomes + priorOutcomes)
 	var logs [len(failurePoints)]float64
-	for i, p := range failurePoints {
-		logs[i] = failureEvidence(b, rate, p)
+	for i := range t.table {
+		logs[i] = t.table[i].evidence(b)
 	}
-	t.mix.take(logs[:], weight)
-	t.pass += failureEvidence(b, rate, referencePoints)
+	last := len(logs) - 1
+	t.mix.take(logs[:last], weight)
+	t.pass += logs[last]
 	t.learn(b.old)
 }
 
+// prepare works the table out from what the old version has shown, for a part
+// of the outcomes that is the new version's.
+func (t *failureTest) prepare(part float64) {
+	rate := (t.failed + priorFailures) / (t.outcomes + priorOutcomes)
+	for i, points := range failurePoints {
+		worse := min(rate+points, greatest)
+		common := (1-part)*rate + part*worse
+		o := odds{
+			oldFailed: math.Log(rate / common), oldOK: math.Log((1 - rate) / (1 - common)),
+			nextFailed: math.Log(worse / common), nextOK: math.Log((1 - worse) / (1 - common)),
+		}
+		if points >= 2*tolerancePoints {
+			// Rates from the last known one up to the tolerance are no harm.
+			o.aloneFailed = math.Log(worse / (rate + tolerancePoints))
+			o.aloneOK = math.Log((1 - worse) / (1 - rate))
+		}
+		t.table[i] = o
+	}
+}
+
 // learn follows the old version's failure rate with a bounded memory.
 func (t *failureTest) learn(old Totals) {
 	t.failed += float64(old.Failed)
@@ -52,37 +78,11 @@
 	}
 }
 
-// failureEvidence returns the logarithm of a block's e-value for the
-// alternative that the new version fails by points above rate.
-func failureEvidence(b block, rate, points float64) float64 {
-	worse := min(rate+points, greatest)
-	common := (float64(b.old.Outcomes())*rate + float64(b.next.Outcomes())*worse) /
-		float64(b.old.Outcomes()+b.next.Outcomes())
+// evidence returns the logarithm of a block's e-value.
+func (o *odds) evidence(b block) float64 {
+	failed, ok := float64(b.next.Failed), float64(b.next.Succeeded)
 	if b.alone {
-		return failureAlone(b, rate, points)
-	}
-	return bernoulli(b.old, rate, common) + bernoulli(b.next, worse, common)
-}
-
-// failureAlone compares with the old version's last known rate: rates from that
-// one up to the tolerance above it are no harm.
-func failureAlone(b block, rate, points float64) float64 {
-	if points < 2*tolerancePoints {
-		return 0
-	}
-	worse := min(rate+points, greatest)
-	return float64(b.next.Failed)*math.Log(worse/(rate+tolerancePoints)) +
-		float64(b.next.Succeeded)*math.Log((1-worse)/(1-rate))
-}
-
-// bernoulli returns the log-likelihood ratio of outcomes at rate p against q.
-func bernoulli(t Totals, p, q float64) float64 {
-	v := 0.0
-	if t.Failed > 0 {
-		v += float64(t.Failed) * math.Log(p/q)
-	}
-	if t.Succeeded > 0 {
-		v += float64(t.Succeeded) * math.Log((1-p)/(1-q))
+		return failed*o.aloneFailed + ok*o.aloneOK
 	}
-	return v
+	return failed*o.nextFailed + ok*o.nextOK + float64(b.old.Failed)*o.oldFailed + float64(b.old.Succeeded)*o.oldOK
 }
--- a/internal/move/analysis/latency.go
+++ b/internal/move/analysis/latency.go
@@ -17,24 +17,29 @@
 	priorSpread = 3
 	// floor is the part of each distribution that is spread over all buckets.
 	floor = 0.03
-	// refresh is the growth of the old version's answers after which the
-	// alternatives are worked out afresh.
-	refresh = 1.05
-	// refreshAnswers is the same as a number of answers.
-	refreshAnswers = 200
 	// toleranceFactor is allowed above the old version's last known times when
 	// it has no traffic left.
 	toleranceFactor = 1.4
 	// referenceFactor is the reference harm: time against the old version.
 	referenceFactor = 1.5
-	// tailPart of the answers are slowed by tailFactor in the last alternative.
+	// tailPart of the answers are slowed by tailFactor in one alternative.
 	tailPart   = 0.25
 	tailFactor = 3.0
 )
 
-// latencyFactors are the alternatives that slow every answer; a last one slows
-// the tail only.
-var latencyFactors = [...]float64{1.37, 2, 5}
+// alternatives of the latency test.
+const (
+	smallSlowdown = iota
+	doubleTime
+	fivefoldTime
+	slowTail
+	// reference is the reference harm, which only the pass test uses.
+	reference
+	shapes
+)
+
+// factors are those of the alternatives that slow every answer.
+var factors = [shapes]float64{smallSlowdown: 1.37, doubleTime: 2, fivefoldTime: 5, reference: referenceFactor}
 
 type shape [ward.LatencyBuckets]float64
 
@@ -49,91 +54,77 @@
 	return int(min(max(b, 0), ward.LatencyBuckets-1))
 }
 
+// ratios are the logarithms of the likelihood ratio of one answer by bucket.
+type ratios struct{ old, next, alone shape }
+
 // latencyTest compares the distributions of normalized latency.
 type latencyTest struct {
 	old     shape
 	answers float64
-	// seen counts all answers, shapedAt those that the shapes were worked out
-	// from.
-	seen      float64
-	shapedAt  float64
-	base      shape
-	worse     [maxAlternatives]shape
-	reference shape
-	tolerated shape
-	mix       mixture
-	pass      float64
+	table   [shapes]ratios
+	mix     mixture
+	// pass is the logarithm of the evidence for the reference harm since the
+	// last step.
+	pass float64
 }
 
 func (t *latencyTest) take(b block, weight float64) {
-	t.prepare()
-	var logs [maxAlternatives]float64
-	for i := range t.worse {
-		if b.alone && i == 0 {
-			continue
-		}
-		logs[i] = t.evidence(b, &t.worse[i])
-	}
-	t.mix.take(logs[:], weight)
-	if !b.alone {
-		t.pass += t.evidence(b, &t.reference)
-	}
-	t.learn(b.old)
-}
-
-// evidence returns the logarithm of a block's e-value for one alternative.
-func (t *latencyTest) evidence(b block, worse *shape) float64 {
-	n := float64(b.next.Succeeded)
-	o := float64(b.old.Succeeded)
-	if n == 0 || o == 0 && !b.alone {
-		return 0
-	}
-	v := 0.0
-	for i := range worse {
-		x, y := b.old.Latency[i], b.next.Latency[i]
+	var logs [shapes]float64
+	for i := range ward.LatencyBuckets {
+		x, y := float64(b.old.Latency[i]), float64(b.next.Latency[i])
 		if x == 0 && y == 0 {
 			continue
 		}
-		common := (o*t.base[i] + n*worse[i]) / (o + n)
-		if b.alone {
-			// The old version's last shape and that shape slowed by what is
-			// tolerated are both no harm.
-			common = max(t.base[i], t.tolerated[i])
-		}
-		if x > 0 {
-			v += float64(x) * math.Log(t.base[i]/common)
-		}
-		if y > 0 {
-			v += float64(y) * math.Log(worse[i]/common)
+		for j := range t.table {
+			if b.alone {
+				logs[j] += y * t.table[j].alone[i]
+			} else {
+				logs[j] += x*t.table[j].old[i] + y*t.table[j].next[i]
+			}
 		}
 	}
-	return v
+	t.mix.take(logs[:reference], weight)
+	t.pass += logs[reference]
+	t.learn(b.old)
 }
 
-// prepare works the alternatives out from what the old version has shown.
-func (t *latencyTest) prepare() {
-	if t.shapedAt > 0 && t.seen < refresh*t.shapedAt && t.seen < t.shapedAt+refreshAnswers {
-		return
-	}
-	t.shapedAt = max(t.seen, 1)
+// prepare works the table out from what the old version has shown, for a part
+// of the outcomes that is the new version's.
+func (t *latencyTest) prepare(part float64) {
 	var s shape
 	for i := range s {
 		d := (float64(i) + 0.5 - unitBucket) / priorSpread
 		s[i] = priorAnswers * math.Exp(-d*d/2) / (priorSpread * math.Sqrt(2*math.Pi))
 		s[i] = (s[i] + t.old[i]) / (priorAnswers + t.answers)
 	}
-	t.base = floored(s)
-	for i, f := range latencyFactors {
-		t.worse[i] = floored(shifted(s, f))
+	base := floored(s)
+	tolerated := floored(shifted(s, toleranceFactor))
+	for j := range t.table {
+		worse := floored(slowed(s, j))
+		for i := range worse {
+			common := (1-part)*base[i] + part*worse[i]
+			r := &t.table[j]
+			r.old[i] = math.Log(base[i] / common)
+			r.next[i] = math.Log(worse[i] / common)
+			if j == doubleTime || j == fivefoldTime || j == slowTail {
+				// The last known shape and that shape slowed by what is tolerated
+				// are both no harm.
+				r.alone[i] = math.Log(worse[i] / max(base[i], tolerated[i]))
+			}
+		}
+	}
+}
+
+// slowed returns s under an alternative.
+func slowed(s shape, alternative int) shape {
+	if alternative != slowTail {
+		return shifted(s, factors[alternative])
 	}
 	slow := shifted(s, tailFactor)
-	var tail shape
-	for i := range tail {
-		tail[i] = (1-tailPart)*s[i] + tailPart*slow[i]
+	for i := range s {
+		s[i] = (1-tailPart)*s[i] + tailPart*slow[i]
 	}
-	t.worse[len(latencyFactors)] = floored(tail)
-	t.reference = floored(shifted(s, referenceFactor))
-	t.tolerated = floored(shifted(s, toleranceFactor))
+	return s
 }
 
 // learn follows the old version's latencies with a bounded memory.
@@ -141,7 +132,6 @@
 	for i, n := range old.Latency {
 		t.old[i] += float64(n)
 		t.answers += float64(n)
-		t.seen += float64(n)
 	}
 	if t.answers > memoryOutcomes {
 		k := memoryOutcomes / t.answers
--- a/internal/move/analysis/mixture.go
+++ b/internal/move/analysis/mixture.go
@@ -14,13 +14,13 @@
 	lateWindows = 4.0
 	// maxAlternatives bounds the alternatives of one test.
 	maxAlternatives = 4
+	// greatestLog bounds the logarithm of one e-value.
+	greatestLog = 300
 )
 
 // mixture is an e-process: the products of e-values from each possible
-// beginning of harm, weighted, for each alternative. Values are natural
-// logarithms.
+// beginning of harm, weighted, for each alternative.
 type mixture struct {
-	begun bool
 	// sum is the weighted sum over the beginnings so far.
 	sum [maxAlternatives]float64
 	// spent is the weight of the beginnings so far, extra what is put on the
@@ -33,45 +33,24 @@
 // expect puts more weight on a beginning at the next block.
 func (m *mixture) expect(weight float64) { m.extra += weight }
 
-// take multiplies the e-values of a block in; weight is that of a beginning at
-// this block.
+// take multiplies the e-values of a block in, given as logarithms; weight is
+// that of a beginning at this block.
 func (m *mixture) take(logs []float64, weight float64) {
-	if !m.begun {
-		m.begun = true
-		for i := range m.sum {
-			m.sum[i] = math.Inf(-1)
-		}
-	}
 	weight = min(weight+m.extra, 1-m.spent)
 	m.extra = 0
 	m.spent += weight
 	m.n = len(logs)
-	begin := math.Log(weight)
 	for i, e := range logs {
-		m.sum[i] = logAdd(m.sum[i], begin) + e
+		m.sum[i] = (m.sum[i] + weight) * math.Exp(min(e, greatestLog))
 	}
 }
 
 // evidence returns the logarithm of the e-process, with equal weight on each
 // alternative.
 func (m *mixture) evidence() float64 {
-	if !m.begun {
-		return 0
-	}
-	total := math.Log(max(1-m.spent, 0))
-	for i := range m.n {
-		total = logAdd(total, m.sum[i]-math.Log(float64(m.n)))
-	}
-	return total
-}
-
-// logAdd returns log(e^a + e^b).
-func logAdd(a, b float64) float64 {
-	if a < b {
-		a, b = b, a
-	}
-	if math.IsInf(b, -1) {
-		return a
+	total := 0.0
+	for _, v := range m.sum {
+		total += v
 	}
-	return a + math.Log1p(math.Exp(b-a))
+	return math.Log(max(1-m.spent, 0) + total/float64(max(m.n, 1)))
 }
