fix(move): compare outcomes within the step they were sent in

Cause: after a step the part of outcomes that is the new version's lagged behind the share, and a disturbance of both versions at that time looked like harm of the new one. Change: outcomes are counted apart by step; each step has its own part; a step weights beginnings a few blocks back.

--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -100,12 +100,29 @@
 
 // run is what this entry has found out about one run of a move.
 type run struct {
-	since    time.Time
-	step     int
+	// steps are the steps that this entry has made, the newest last.
+	steps    []stepTaken
 	analyses map[string]*analysis.Analysis
 	verdicts map[string]analysis.Verdict
 }
 
+// stepTaken is when a step was put in force at this entry.
+type stepTaken struct {
+	step  int
+	share float64
+	at    time.Time
+}
+
+// stepAt returns the step during which a request was sent, 0 for none.
+func (r *run) stepAt(sent time.Time) int {
+	for i := len(r.steps) - 1; i >= 0; i-- {
+		if !sent.Before(r.steps[i].at) {
+			return r.steps[i].step
+		}
+	}
+	return 0
+}
+
 // New returns a Mover that knows of no state yet.
 func New(d Deps) *Mover {
 	return &Mover{
--- a/internal/move/analysis/failure.go
+++ b/internal/move/analysis/failure.go
@@ -1,6 +1,9 @@
 package analysis
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// priorFailures of priorOutcomes are what the old version's failure rate is
@@ -27,30 +30,36 @@
 	aloneFailed, aloneOK float64
 }
 
+// failureTable holds the odds of each alternative.
+type failureTable [len(failurePoints)]odds
+
 // failureTest compares failure rates.
 type failureTest struct {
 	failed, outcomes float64
-	table            [len(failurePoints)]odds
 	mix              mixture
 	// pass is the logarithm of the evidence for the reference harm since the
 	// last step.
 	pass float64
 }
 
-func (t *failureTest) take(b block, weight float64) {
+// take puts a block in; current says that it counts for a pass.
+func (t *failureTest) take(at time.Time, table *failureTable, b block, weight float64, current bool) {
 	var logs [len(failurePoints)]float64
-	for i := range t.table {
-		logs[i] = t.table[i].evidence(b)
+	for i := range table {
+		logs[i] = table[i].evidence(b)
 	}
 	last := len(logs) - 1
-	t.mix.take(logs[:last], weight)
-	t.pass += logs[last]
+	t.mix.take(at, logs[:last], weight)
+	if current {
+		t.pass += logs[last]
+	}
 	t.learn(b.old)
 }
 
 // prepare works the table out from what the old version has shown, for a part
 // of the outcomes that is the new version's.
-func (t *failureTest) prepare(part float64) {
+func (t *failureTest) prepare(part float64) failureTable {
+	var table failureTable
 	rate := (t.failed + priorFailures) / (t.outcomes + priorOutcomes)
 	for i, points := range failurePoints {
 		worse := min(rate+points, greatest)
@@ -64,8 +73,9 @@
 			o.aloneFailed = math.Log(worse / (rate + tolerancePoints))
 			o.aloneOK = math.Log((1 - worse) / (1 - rate))
 		}
-		t.table[i] = o
+		table[i] = o
 	}
+	return table
 }
 
 // learn follows the old version's failure rate with a bounded memory.
--- a/internal/move/analysis/latency.go
+++ b/internal/move/analysis/latency.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"agateward/ward"
 )
@@ -38,8 +39,8 @@
 	shapes
 )
 
-// factors are those of the alternatives that slow every answer.
-var factors = [shapes]float64{smallSlowdown: 1.37, doubleTime: 2, fivefoldTime: 5, reference: referenceFactor}
+// slowdowns are those of the alternatives that slow every answer.
+var slowdowns = [shapes]float64{smallSlowdown: 1.37, doubleTime: 2, fivefoldTime: 5, reference: referenceFactor}
 
 type shape [ward.LatencyBuckets]float64
 
@@ -57,40 +58,46 @@
 // ratios are the logarithms of the likelihood ratio of one answer by bucket.
 type ratios struct{ old, next, alone shape }
 
+// latencyTable holds the ratios of each alternative.
+type latencyTable [shapes]ratios
+
 // latencyTest compares the distributions of normalized latency.
 type latencyTest struct {
 	old     shape
 	answers float64
-	table   [shapes]ratios
 	mix     mixture
 	// pass is the logarithm of the evidence for the reference harm since the
 	// last step.
 	pass float64
 }
 
-func (t *latencyTest) take(b block, weight float64) {
+// take puts a block in; current says that it counts for a pass.
+func (t *latencyTest) take(at time.Time, table *latencyTable, b block, weight float64, current bool) {
 	var logs [shapes]float64
 	for i := range ward.LatencyBuckets {
 		x, y := float64(b.old.Latency[i]), float64(b.next.Latency[i])
 		if x == 0 && y == 0 {
 			continue
 		}
-		for j := range t.table {
+		for j := range table {
 			if b.alone {
-				logs[j] += y * t.table[j].alone[i]
+				logs[j] += y * table[j].alone[i]
 			} else {
-				logs[j] += x*t.table[j].old[i] + y*t.table[j].next[i]
+				logs[j] += x*table[j].old[i] + y*table[j].next[i]
 			}
 		}
 	}
-	t.mix.take(logs[:reference], weight)
-	t.pass += logs[reference]
+	t.mix.take(at, logs[:reference], weight)
+	if current {
+		t.pass += logs[reference]
+	}
 	t.learn(b.old)
 }
 
 // prepare works the table out from what the old version has shown, for a part
 // of the outcomes that is the new version's.
-func (t *latencyTest) prepare(part float64) {
+func (t *latencyTest) prepare(part float64) latencyTable {
+	var table latencyTable
 	var s shape
 	for i := range s {
 		d := (float64(i) + 0.5 - unitBucket) / priorSpread
@@ -99,11 +106,11 @@
 	}
 	base := floored(s)
 	tolerated := floored(shifted(s, toleranceFactor))
-	for j := range t.table {
+	for j := range table {
 		worse := floored(slowed(s, j))
 		for i := range worse {
 			common := (1-part)*base[i] + part*worse[i]
-			r := &t.table[j]
+			r := &table[j]
 			r.old[i] = math.Log(base[i] / common)
 			r.next[i] = math.Log(worse[i] / common)
 			if j == doubleTime || j == fivefoldTime || j == slowTail {
@@ -113,12 +120,13 @@
 			}
 		}
 	}
+	return table
 }
 
 // slowed returns s under an alternative.
 func slowed(s shape, alternative int) shape {
 	if alternative != slowTail {
-		return shifted(s, factors[alternative])
+		return shifted(s, slowdowns[alternative])
 	}
 	slow := shifted(s, tailFactor)
 	for i := range s {
--- a/internal/move/analysis/part.go
+++ b/internal/move/analysis/part.go
@@ -15,16 +15,14 @@
 	// out afresh, between refreshLeast and refreshMost outcomes.
 	refresh      = 0.05
 	refreshLeast = 10
-	refreshMost  = 100
+	refreshMost  = 400
 )
 
-// arms follows the part of the outcomes that is the new version's, as seen. A
-// part that lags behind a step up makes the e-values smaller; a part that is
-// ahead of it, while answers of before the step still come, would make them too
-// large.
+// arms follows the part of a step's outcomes that is the new version's. It may
+// differ from the share, since the requests in flight are bounded.
 type arms struct{ next, all float64 }
 
-// begin starts from the share of the first step.
+// begin starts from the share of the step.
 func (a *arms) begin(share float64) { *a = arms{next: partPrior * share, all: partPrior} }
 
 func (a *arms) learn(b block) {
--- a/internal/move/evidence/evidence.go
+++ b/internal/move/evidence/evidence.go
@@ -8,7 +8,7 @@
 // # Usage
 //
 //	r := evidence.Recorder{Entry: "entry-1", Incarnation: 7}
-//	r.Observe(evidence.Key{Move: "menus-v2@7", Route: "menus", Serves: "menus", Version: "v1"}, outcome, true)
+//	r.Observe(evidence.Key{Move: "menus-v2@7/1", Route: "menus", Serves: "menus", Version: "v1"}, outcome, true)
 //	counts := r.Counts()
 package evidence
 
@@ -16,6 +16,8 @@
 	"cmp"
 	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"agateward/internal/move/analysis"
@@ -32,7 +34,7 @@
 
 // Key names what is counted apart.
 type Key struct {
-	// Move is the run of a move: RunName of it.
+	// Move is the step of a run of a move: StepName of it.
 	Move    string
 	Route   string
 	Serves  string
@@ -42,6 +44,16 @@
 // RunName names the run of a move that a ticket put in force.
 func RunName(move string, ticket uint64) string { return fmt.Sprintf("%s@%d", move, ticket) }
 
+// StepName names a step of a run. Outcomes are counted apart by the step during
+// which their requests were sent, since the versions' shares differ.
+func StepName(run string, step int) string { return run + "/" + strconv.Itoa(step) }
+
+// RunOf returns the run that a step belongs to.
+func RunOf(stepName string) string {
+	run, _, _ := strings.Cut(stepName, "/")
+	return run
+}
+
 // Recorder counts outcomes. The zero value is empty; Entry and Incarnation go
 // into the counts.
 type Recorder struct {
@@ -95,7 +107,7 @@
 // Keep forgets the counts of runs for which keep is false.
 func (r *Recorder) Keep(keep func(run string) bool) {
 	for k := range r.counts {
-		if !keep(k.Move) {
+		if !keep(RunOf(k.Move)) {
 			delete(r.counts, k)
 		}
 	}
