feat(request): survive outages of upstreams, preview choices, measure scale

Cause: drains could not be taken back and were forgotten; after an outage the capacity measured during it shed everything; a breaker waited for its pause though the upstream answered reports; with no upstream to be reached requests waited in vain. The cost of a decision had no experiment. Change: Draining replaces Drain and takes the whole set; an answered report lets the next probe out at once; no-upstream is said when no probe can be in time; time without a reachable upstream counts for no capacity; Preview; experiment scale.

--- a/internal/entry/program/peers.go
+++ b/internal/entry/program/peers.go
@@ -134,9 +134,7 @@
 		draining = append(draining, peers[i].Draining...)
 	}
 	p.path.Do(func(s *scheduler.Scheduler, now time.Time) []scheduler.Action {
-		for _, name := range draining {
-			s.Drain(now, name)
-		}
+		s.Draining(now, draining)
 		return s.Peers(now, peers)
 	})
 	p.gossip.SetSelf(p.self())
--- a/internal/measure/frame/list.go
+++ b/internal/measure/frame/list.go
@@ -8,6 +8,7 @@
 	"agateward/internal/measure/relay"
 	"agateward/internal/measure/report"
 	"agateward/internal/measure/runrecords"
+	"agateward/internal/measure/scale"
 	"agateward/internal/measure/slowengine"
 )
 
@@ -16,6 +17,7 @@
 func List() []report.Experiment {
 	return []report.Experiment{
 		overload.Experiment{},
+		scale.Experiment{},
 		slowengine.Experiment{},
 		entrycrash.Experiment{},
 		runrecords.Experiment{},
--- a/internal/request/breaker/breaker.go
+++ b/internal/request/breaker/breaker.go
@@ -42,6 +42,22 @@
 // Open tells whether connections are held back.
 func (b *Breaker) Open() bool { return b.failures >= failuresToOpen }
 
+// Until returns when the next probe may be sent, at the earliest.
+func (b *Breaker) Until() time.Time {
+	if !b.Open() {
+		return time.Time{}
+	}
+	return b.until
+}
+
+// Reachable takes note that the upstream answered another call: a probe may be
+// sent at once, unless one is under way.
+func (b *Breaker) Reachable(now time.Time) {
+	if b.Open() && !b.probing && now.Before(b.until) {
+		b.until = now
+	}
+}
+
 // Ready tells whether Allow would let a request through.
 func (b *Breaker) Ready(now time.Time) bool { return !b.Open() || !now.Before(b.until) }
 
--- a/internal/request/scheduler/arrive.go
+++ b/internal/request/scheduler/arrive.go
@@ -111,6 +111,10 @@
 		s.refuse(e, code.DeadlineUnreachable, leastRetryAfter, "the deadline is shorter than the service time")
 		return
 	}
+	if t := e.pool.readyAt(now); t.After(e.item.Latest) {
+		s.refuse(e, code.NoUpstream, retryAfter(t.Sub(now)), "connections to all upstreams of the version fail")
+		return
+	}
 	wait := s.expectedWait(now, e)
 	if now.Add(wait).After(e.item.Latest) && !s.hold(now, e, wait) {
 		return
@@ -194,13 +198,13 @@
 	if r.Kind == ward.KindService {
 		return best
 	}
-	for i, u := range p.upstreams {
+	for _, u := range p.own() {
 		if !u.usable() {
 			continue
 		}
 		first := u.budget.FirstTokenIn(float64(r.PromptTokens))
 		total := first + time.Duration(output(r))*u.budget.TokenTime()
-		if i == 0 || best.total == 0 || total < best.total {
+		if best.total == 0 || total < best.total {
 			best = leastTime{first, total}
 		}
 	}
--- /dev/null
+++ b/internal/request/scheduler/bench_test.go
@@ -0,0 +1,62 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"agateward/ward"
+)
+
+// BenchmarkChoose measures the choice of an upstream by one entry of eight.
+func BenchmarkChoose(b *testing.B) {
+	for _, n := range []int{10, 100, 750} {
+		b.Run(fmt.Sprintf("upstreams-%d", n), func(b *testing.B) {
+			now := time.Unix(1_700_000_000, 0)
+			s, e := benchScheduler(now, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				if o := s.choose(now, e.pool, e); o.u == nil {
+					b.Fatal("no upstream chosen")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkTick measures the regular work of one entry.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range []int{10, 100, 750} {
+		b.Run(fmt.Sprintf("upstreams-%d", n), func(b *testing.B) {
+			now := time.Unix(1_700_000_000, 0)
+			s, _ := benchScheduler(now, n)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(50 * time.Millisecond)
+				s.Tick(now)
+			}
+		})
+	}
+}
+
+func benchScheduler(now time.Time, n int) (*Scheduler, *entry) {
+	c := &ward.Config{Revision: 1, Routes: []ward.Route{{Name: "chat", Kind: ward.KindEngine, Serves: "m", Version: "v1"}}}
+	for i := range n {
+		c.Upstreams = append(c.Upstreams, ward.Upstream{Name: fmt.Sprintf("u%03d", i), Kind: ward.KindEngine, Serves: "m", Version: "v1"})
+	}
+	s := New(Settings{Self: "entry-0"}, 1)
+	s.Configure(now, c)
+	var peers []ward.PeerState
+	for i := range 7 {
+		peers = append(peers, ward.PeerState{Name: fmt.Sprintf("entry-%d", i+1)})
+	}
+	s.Peers(now, peers)
+	r := &ward.Request{ID: "r", Team: "a", Tier: 1, Route: "chat", Serves: "m", PromptTokens: 4000, MaxOutput: 200, Deadline: now.Add(time.Minute)}
+	for i := range 16 {
+		r.Prefix = append(r.Prefix, uint64(i))
+		s.prefixes.Store(uint64(i), i%n)
+	}
+	e := s.newEntry(now, r)
+	e.pool, _ = s.assign(now, e)
+	return s, e
+}
--- a/internal/request/scheduler/configure.go
+++ b/internal/request/scheduler/configure.go
@@ -35,10 +35,10 @@
 			s.upstreams[u.Name] = known
 		}
 		if known.cfg.Address != u.Address {
-			known.draining = false
 			known.report = ward.LoadReport{}
 		}
 		known.cfg = u
+		known.draining = s.draining[u.Name]
 	}
 	for name, u := range s.upstreams {
 		if !named[name] {
@@ -155,6 +155,32 @@
 	return false
 }
 
+// own returns the upstreams that this entry looks at first.
+func (p *pool) own() []*upstream {
+	if len(p.owned) > 0 {
+		return p.owned
+	}
+	return p.upstreams
+}
+
+// readyAt returns when the first usable upstream may be connected to; now when
+// one may at once.
+func (p *pool) readyAt(now time.Time) time.Time {
+	var first time.Time
+	for _, u := range p.own() {
+		if !u.usable() {
+			continue
+		}
+		if u.breaker.Ready(now) {
+			return now
+		}
+		if t := u.breaker.Until(); first.IsZero() || t.Before(first) {
+			first = t
+		}
+	}
+	return first
+}
+
 func (s *Scheduler) floor(serves string) *floor.Floor {
 	f := s.floors[serves]
 	if f == nil {
--- a/internal/request/scheduler/dispatch.go
+++ b/internal/request/scheduler/dispatch.go
@@ -46,7 +46,10 @@
 // pump dispatches in order until the head fits nowhere.
 func (s *Scheduler) pump(now time.Time, p *pool) {
 	s.expire(now, p)
-	defer func() { p.rates.pass(now, p.queue.Len() > 0) }()
+	if p.queue.Len() > 0 && !p.serving() {
+		s.refuseAll(p)
+	}
+	defer func() { p.rates.pass(now, p.queue.Len() > 0 && !p.readyAt(now).After(now)) }()
 	for it := p.queue.Head(); it != nil; it = p.queue.Head() {
 		e := s.requests[it.ID]
 		if to, next := s.assign(now, e); to != p {
@@ -66,6 +69,13 @@
 	}
 }
 
+// refuseAll refuses what waits for a version that no upstream serves any more.
+func (s *Scheduler) refuseAll(p *pool) {
+	for it := p.queue.Head(); it != nil; it = p.queue.Head() {
+		s.refuse(s.requests[it.ID], code.NoUpstream, leastRetryAfter, "no upstream of the version takes work any more")
+	}
+}
+
 // expire refuses the requests that can't be served in time any more.
 func (s *Scheduler) expire(now time.Time, p *pool) {
 	for it := p.queue.Expired(now); it != nil; it = p.queue.Expired(now) {
@@ -103,6 +113,15 @@
 // choose returns the best option of a request that may be used now; its
 // upstream is nil when there is none.
 func (s *Scheduler) choose(now time.Time, p *pool, e *entry) option {
+	best := s.best(now, p, e)
+	if best.u != nil && !best.u.breaker.Allow(now) {
+		return option{}
+	}
+	return best
+}
+
+// best is choose without a claim on a breaker's probe.
+func (s *Scheduler) best(now time.Time, p *pool, e *entry) option {
 	s.findMatches(p, e)
 	var best option
 	for _, u := range p.owned {
@@ -120,9 +139,6 @@
 		}
 		best.keep(m.u.option(now, e, m.tokens))
 	}
-	if best.u != nil && !best.u.breaker.Allow(now) {
-		return option{}
-	}
 	return best
 }
 
--- a/internal/request/scheduler/learn.go
+++ b/internal/request/scheduler/learn.go
@@ -91,9 +91,13 @@
 }
 
 // Report takes an upstream's word on its own load.
-func (s *Scheduler) Report(_ time.Time, r ward.LoadReport) {
+func (s *Scheduler) Report(now time.Time, r ward.LoadReport) {
 	u := s.upstreams[r.Upstream]
-	if u == nil || r.At.Before(u.report.At) {
+	if u == nil {
+		return
+	}
+	u.breaker.Reachable(now)
+	if r.At.Before(u.report.At) {
 		return
 	}
 	u.report = r
--- a/internal/request/scheduler/scheduler.go
+++ b/internal/request/scheduler/scheduler.go
@@ -91,6 +91,7 @@
 	order     []*pool
 	floors    map[string]*floor.Floor
 	requests  map[string]*entry
+	draining  map[string]bool
 	delayed   []*entry
 	held      []*entry
 	waiting   int
@@ -101,6 +102,7 @@
 	prefixes  prefix.Index
 	numbers   []*upstream
 	matched   []match
+	preview   entry
 	actions   []Action
 	// now is the time of the last Tick.
 	now time.Time
@@ -196,6 +198,7 @@
 		pools:     make(map[poolKey]*pool),
 		floors:    make(map[string]*floor.Floor),
 		requests:  make(map[string]*entry),
+		draining:  make(map[string]bool),
 		entries:   1,
 	}
 }
@@ -204,10 +207,20 @@
 // served.
 func (s *Scheduler) Stop(time.Time) { s.stopping = true }
 
-// Drain gives an upstream no new work from now on.
-func (s *Scheduler) Drain(_ time.Time, name string) {
-	if u := s.upstreams[name]; u != nil {
-		u.draining = true
+// Draining names the upstreams that get no new work; the names replace those of
+// the call before.
+func (s *Scheduler) Draining(now time.Time, names []string) {
+	clear(s.draining)
+	for _, name := range names {
+		s.draining[name] = true
+	}
+	changed := false
+	for name, u := range s.upstreams {
+		changed = changed || u.draining != s.draining[name]
+		u.draining = s.draining[name]
+	}
+	if changed {
+		s.divide(now)
 	}
 }
 
--- a/internal/request/scheduler/scheduler_test.go
+++ b/internal/request/scheduler/scheduler_test.go
@@ -151,3 +151,50 @@
 		t.Errorf("while stopping: got %+v", acts)
 	}
 }
+
+// TestOutage shows what becomes of requests while no upstream can be reached, and
+// that an answered report brings the next probe at once.
+func TestOutage(t *testing.T) {
+	s := scheduler.New(scheduler.Settings{Self: "a"}, 1)
+	s.Configure(start, config(1))
+	now := start
+	for i := range 12 {
+		id := fmt.Sprint("r", i)
+		for _, a := range s.Arrive(now, request(id, 1, now)) {
+			if a.Kind == scheduler.Dispatch {
+				s.End(now, id, ward.Outcome{})
+			}
+		}
+		now = now.Add(time.Second)
+		for _, a := range s.Tick(now) {
+			if a.Kind == scheduler.Dispatch {
+				s.End(now, a.ID, ward.Outcome{})
+			}
+		}
+	}
+	hasty := request("hasty", 1, now)
+	hasty.Deadline = now.Add(2100 * time.Millisecond)
+	if acts := s.Arrive(now, hasty); len(acts) != 1 || acts[0].Code.Number != code.NoUpstream.Number {
+		t.Fatalf("with all connections failing: %+v, want %s", acts, code.NoUpstream)
+	}
+	s.Report(now, ward.LoadReport{Upstream: "e0", At: now})
+	if acts := s.Arrive(now, request("probe", 1, now)); len(acts) == 0 || acts[0].Kind != scheduler.Dispatch {
+		t.Fatalf("after a report was read: %+v, want a dispatch", acts)
+	}
+}
+
+func TestDraining(t *testing.T) {
+	s := scheduler.New(scheduler.Settings{Self: "a"}, 1)
+	s.Configure(start, config(1))
+	s.Draining(start, []string{"e0"})
+	next := config(1)
+	next.Revision = 2
+	s.Configure(start, next)
+	if acts := s.Arrive(start, request("r", 1, start)); len(acts) != 1 || acts[0].Code.Number != code.NoUpstream.Number {
+		t.Fatalf("while the only upstream drains: %+v", acts)
+	}
+	s.Draining(start, nil)
+	if acts := s.Arrive(start, request("r", 1, start)); len(acts) != 1 || acts[0].Kind != scheduler.Dispatch {
+		t.Fatalf("after the drain was taken back: %+v", acts)
+	}
+}
--- a/internal/request/scheduler/state.go
+++ b/internal/request/scheduler/state.go
@@ -104,3 +104,24 @@
 	}
 	return st
 }
+
+// Preview tells where a request would go if it came now, and why. It changes
+// nothing; ok is false when the request would wait or be refused.
+func (s *Scheduler) Preview(now time.Time, r *ward.Request) (u ward.Upstream, reason string, ok bool) {
+	rt := s.routes[r.Route]
+	if rt == nil {
+		return u, "no such route is in force", false
+	}
+	e := &s.preview
+	*e = entry{route: rt}
+	e.item.Request = r
+	e.item.Tier = min(max(r.Tier, ward.TierTop), ward.TierBottom)
+	e.item.Draw = 1
+	e.item.Since = now
+	p, _ := s.assign(now, e)
+	o := s.best(now, p, e)
+	if o.u == nil {
+		return u, "no upstream has room for the tier", false
+	}
+	return o.u.cfg, o.reason, true
+}
