fix(platform): let an operator hand in tickets through one entry of a large fleet

Change: a least rate and the whole burst for each entry in these two families; agateward measure fleet-size shows real entries at 8, 32 and 100.

--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -279,3 +279,12 @@
 		_ = s.Close()
 	}
 }
+
+// Control returns what an entry has spent on control.
+func (f *Fleet) Control(i int) program.Control { return f.program(i).Control() }
+
+// Size returns the number of places for entries.
+func (f *Fleet) Size() int { return len(f.entries) }
+
+// Revision returns the revision in force at an entry.
+func (f *Fleet) Revision(i int) uint64 { return f.program(i).Revision() }
--- a/internal/entry/program/status.go
+++ b/internal/entry/program/status.go
@@ -84,3 +84,23 @@
 	}
 	return fmt.Sprintf("%d calls, %d over budget", sent, refused)
 }
+
+// Control is what an entry has spent on control since it started.
+type Control struct {
+	// Bytes were sent to and received from other entries.
+	Bytes uint64
+	// StoreCalls were sent to the platform's store.
+	StoreCalls uint64
+	// Live is the number of live entries that it knows, itself included.
+	Live int
+}
+
+// Control returns what the entry has spent on control.
+func (p *Program) Control() Control {
+	s := p.gossip.Stats()
+	c := Control{Bytes: s.SentBytes + s.ReceivedBytes, Live: p.gossip.Live()}
+	for _, x := range p.platform.Store().Counts() {
+		c.StoreCalls += x.Sent
+	}
+	return c
+}
--- /dev/null
+++ b/internal/measure/fleetsize/fleetsize.go
@@ -0,0 +1,170 @@
+// Package fleetsize measures real entries over loopback TCP at several sizes of
+// the fleet: how soon a ticket is in force everywhere, and what control costs
+// each entry at rest.
+//
+// # Usage
+//
+//	rep, err := fleetsize.Experiment{}.Run(ctx, 1, progress)
+//
+// All entries share one process and one machine, so that the processor time of
+// an entry is the process's divided by their number.
+package fleetsize
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"agateward/internal/bench/fleet"
+	"agateward/internal/bench/usage"
+	"agateward/internal/config/settings"
+	"agateward/internal/measure/report"
+	"agateward/internal/platform/memory"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+)
+
+const (
+	// settleTime is the time after the start before anything is measured, and
+	// restTime that over which control at rest is measured.
+	settleTime = 3 * time.Second
+	restTime   = 5 * time.Second
+	// tickets is the number of tickets whose spread is measured.
+	tickets = 2
+)
+
+// Targets of control at one entry and of propagation.
+const (
+	maxBytes   = 16 << 10
+	maxCore    = 0.011
+	maxMemory  = 32
+	maxInForce = 5
+)
+
+// sizes are the numbers of entries.
+var sizes = []int{8, 32, 100}
+
+// Experiment is the measurement.
+type Experiment struct{}
+
+// Name returns the experiment's name.
+func (Experiment) Name() string { return "fleet-size" }
+
+// About says what the experiment shows.
+func (Experiment) About() string {
+	return "a ticket's time to be in force, and control bytes, memory and processor time of real entries at 8, 32 and 100"
+}
+
+// Run measures each size in turn.
+func (Experiment) Run(ctx context.Context, seed uint64, progress func(text string)) (report.Report, error) {
+	r := report.Report{Experiment: "fleet-size", Seed: seed}
+	for _, n := range sizes {
+		progress(fmt.Sprintf("%d entries", n))
+		if err := measure(ctx, &r, n); err != nil {
+			return r, err
+		}
+	}
+	return r, nil
+}
+
+// measure adds the figures of one size.
+func measure(ctx context.Context, r *report.Report, n int) error {
+	before := usage.Collected()
+	f, err := fleet.Start(ctx, fleet.Plan{
+		Name: "size", Entries: n, DataCentres: []string{"east-1", "east-2", "east-3"}, Log: logr.Discard(),
+		// Requests leave hardly anything for explain to keep in this experiment.
+		Tune: func(s *settings.Settings) { s.Telemetry.Explain = 0 },
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := ready(ctx, f); err != nil {
+		return err
+	}
+	name := func(figure string) string { return fmt.Sprintf("%s-%d", figure, n) }
+	slowest, err := spread(ctx, f, false)
+	if err != nil {
+		return err
+	}
+	r.Add(report.Result{Name: name("in-force"), Value: slowest.Seconds(), Unit: "s"}.AtMost(maxInForce))
+	addRest(ctx, r, f, name, before)
+	slowest, err = spread(ctx, f, true)
+	if err != nil {
+		return err
+	}
+	r.Add(report.Result{Name: name("in-force-store-down"), Value: slowest.Seconds(), Unit: "s"}.AtMost(maxInForce))
+	return nil
+}
+
+// ready waits until the entries know each other.
+func ready(ctx context.Context, f *fleet.Fleet) error {
+	if _, err := f.Submit(ctx, ticket(1)); err != nil {
+		return err
+	}
+	if err := f.AwaitRevision(ctx, 1); err != nil {
+		return err
+	}
+	return ward.SystemClock{}.Sleep(ctx, settleTime)
+}
+
+// ticket returns a ticket that sets one team.
+func ticket(number uint64) ward.Ticket {
+	return ward.Ticket{Number: number, Operator: "measure", Teams: []ward.Team{{Name: fmt.Sprintf("team-%d", number)}}}
+}
+
+// spread returns the longest time from a ticket's acceptance until it was in
+// force at every entry. With down the store goes down right after acceptance.
+func spread(ctx context.Context, f *fleet.Fleet, down bool) (time.Duration, error) {
+	var slowest time.Duration
+	for range tickets {
+		revision := f.Revision(0)
+		began := time.Now()
+		if _, err := f.Submit(ctx, ticket(revision+1)); err != nil {
+			return 0, err
+		}
+		f.Platform.SetFaults(memory.Faults{Down: down})
+		if err := f.AwaitRevision(ctx, revision+1); err != nil {
+			return 0, err
+		}
+		slowest = max(slowest, time.Since(began))
+		f.Platform.SetFaults(memory.Faults{})
+		if err := (ward.SystemClock{}).Sleep(ctx, time.Second); err != nil {
+			return 0, err
+		}
+	}
+	return slowest, nil
+}
+
+// addRest measures an entry's control at rest.
+func addRest(ctx context.Context, r *report.Report, f *fleet.Fleet, name func(string) string, before usage.Usage) {
+	begin, from := usage.Collected(), total(f)
+	began := time.Now()
+	_ = ward.SystemClock{}.Sleep(ctx, restTime)
+	seconds := time.Since(began).Seconds()
+	end, to := usage.Read(), total(f)
+	n := float64(f.Size())
+	const megabyte = 1 << 20
+	r.Add(
+		report.Result{Name: name("control-bytes"), Value: float64(to.Bytes-from.Bytes) / n / seconds, Unit: "bytes/s"}.AtMost(maxBytes),
+		report.Result{Name: name("control-core"), Value: (end.CPU - begin.CPU).Seconds() / n / seconds, Unit: "core"}.AtMost(maxCore),
+		report.Result{Name: name("memory"), Value: float64(begin.Memory-before.Memory) / n / megabyte, Unit: "MB"}.AtMost(maxMemory),
+		report.Result{Name: name("store-calls"), Value: float64(to.StoreCalls-from.StoreCalls) / seconds, Unit: "calls/s of the fleet"},
+		report.Result{Name: name("entries-known"), Value: float64(to.Live) / n, Unit: "entries"}.AtLeast(n),
+	)
+}
+
+// total sums up the control of all entries.
+func total(f *fleet.Fleet) (sum struct {
+	Bytes, StoreCalls uint64
+	Live              int
+}) {
+	for i := range f.Size() {
+		c := f.Control(i)
+		sum.Bytes += c.Bytes
+		sum.StoreCalls += c.StoreCalls
+		sum.Live += c.Live
+	}
+	return sum
+}
--- a/internal/measure/frame/list.go
+++ b/internal/measure/frame/list.go
@@ -3,6 +3,7 @@
 import (
 	"agateward/internal/measure/chaos"
 	"agateward/internal/measure/entrycrash"
+	"agateward/internal/measure/fleetsize"
 	"agateward/internal/measure/moves"
 	"agateward/internal/measure/overload"
 	"agateward/internal/measure/relay"
@@ -24,5 +25,6 @@
 		moves.Experiment{},
 		relay.Experiment{},
 		chaos.Experiment{},
+		fleetsize.Experiment{},
 	}
 }
--- a/internal/platform/meter/budget.go
+++ b/internal/platform/meter/budget.go
@@ -22,6 +22,10 @@
 	PerLease float64
 	// Burst is the number of calls that one entry may make at once.
 	Burst int
+	// Least is what each entry may make whatever the fleet's size, with its whole
+	// Burst. It suits calls that one entry makes at a time, such as those of an
+	// operator's ticket, and not those that all entries make.
+	Least float64
 }
 
 // DefaultBudget is the budget for a store that takes several hundred writes and
@@ -30,8 +34,8 @@
 // second that they are given at any rate of requests.
 func DefaultBudget() Budget {
 	return Budget{Rows: []Row{
-		{family.Config, Rate{Fleet: 60, Burst: 10}, Rate{Fleet: 8, Burst: 8}},
-		{family.Ticket, Rate{Fleet: 40, PerLease: 2, Burst: 20}, Rate{Fleet: 8, Burst: 8}},
+		{family.Config, Rate{Fleet: 60, Burst: 10, Least: 1}, Rate{Fleet: 8, Burst: 8, Least: 1}},
+		{family.Ticket, Rate{Fleet: 40, PerLease: 2, Burst: 20, Least: 2}, Rate{Fleet: 8, Burst: 8, Least: 1}},
 		{family.Move, Rate{Fleet: 160, PerLease: 10, Burst: 40}, Rate{Fleet: 16, PerLease: 4, Burst: 20}},
 		{family.Lease, Rate{Fleet: 0, Burst: 1}, Rate{Fleet: 40, PerLease: 2, Burst: 10}},
 		{family.Run, Rate{Fleet: 300, Burst: 60}, Rate{Fleet: 150, Burst: 40}},
--- a/internal/platform/meter/meter.go
+++ b/internal/platform/meter/meter.go
@@ -120,13 +120,13 @@
 
 // limit is this entry's part of the fleet's rate.
 func (b *bucket) limit(entries, leases int) rate.Limit {
-	return rate.Limit(b.rate.Fleet/float64(entries) + b.rate.PerLease*float64(leases))
+	return rate.Limit(max(b.rate.Fleet/float64(entries), b.rate.Least) + b.rate.PerLease*float64(leases))
 }
 
 // burst is the number of calls that this entry may make at once. In a larger
 // fleet it shrinks, so that the fleet's burst stays that of usualEntries.
 func (b *bucket) burst(entries int) int {
-	if entries <= usualEntries {
+	if entries <= usualEntries || b.rate.Least > 0 {
 		return b.rate.Burst
 	}
 	return max(1, b.rate.Burst*usualEntries/entries)
--- a/internal/platform/meter/meter_test.go
+++ b/internal/platform/meter/meter_test.go
@@ -114,3 +114,24 @@
 		t.Errorf("%d calls at once", sent)
 	}
 }
+
+// TestOperatorIsServedInALargeFleet: an operator who hands in several tickets
+// through one entry of 410 is not refused for the fleet's size.
+func TestOperatorIsServedInALargeFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p memory.Platform
+		m := New(&p, nil, DefaultBudget())
+		m.SetEntries(410)
+		for i := range 10 {
+			if _, err := m.Get(t.Context(), "config"); err != nil {
+				t.Fatalf("ticket %d: %v", i, err)
+			}
+			for _, key := range []string{"tickets/a", "config", "tickets/a"} {
+				if _, err := m.CompareAndSwap(t.Context(), key, 9, []byte("x")); errors.Is(err, ward.ErrOverBudget) {
+					t.Fatalf("ticket %d: %s: %v", i, key, err)
+				}
+			}
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
