--- a/cmd/settings.go
+++ b/cmd/settings.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 
 	"agateward/internal/config/settings"
 
@@ -15,7 +16,11 @@
 		Name: "settings", Usage: "check settings files",
 		Commands: []*cli.Command{{
 			Name: "check", Usage: "check the settings in FILE and say all that is wrong", ArgsUsage: "FILE",
-			Description: "Example:\n  agateward settings check examples/tafelberg/entry-1.jsonc",
+			Description: "With --output json the settings in force are printed, defaults included, keys left out.\n\n" +
+				"Example:\n  agateward settings check examples/tafelberg/entry-1.jsonc",
+			Flags: []cli.Flag{
+				&cli.StringFlag{Name: "output", Value: "table", Usage: "`FORM`: table or json", Validator: oneOf("table", "json")},
+			},
 			Action: func(_ context.Context, c *cli.Command) error {
 				file, err := argument(c, "FILE")
 				if err != nil {
@@ -25,8 +30,12 @@
 				if err != nil {
 					return err
 				}
-				_, err = fmt.Fprintf(c.Root().Writer, "%s: settings of %s of fleet %s are right\n", file, s.Name, s.Fleet)
-				return err
+				// Secrets are not printed.
+				s.Operators.Key = ""
+				s.Peers.Key = ""
+				return show(c, s, func(w io.Writer, s settings.Settings) {
+					fmt.Fprintf(w, "%s: settings of %s of fleet %s are right\n", file, s.Name, s.Fleet)
+				})
 			},
 		}},
 	}
