--- a/internal/entry/runs/runs.go
+++ b/internal/entry/runs/runs.go
@@ -58,6 +58,8 @@
 	settlePause = 200 * time.Millisecond
 	// lookupWait bounds a Lookup.
 	lookupWait = 500 * time.Millisecond
+	// nameLength is the length of what tells the archives of entries apart.
+	nameLength = 8
 	// clockSkew is how far the clocks of two entries may be apart.
 	clockSkew = 5 * time.Second
 )
@@ -205,12 +207,14 @@
 }
 
 // Run carries out the shards' calls until ctx ends. Begin works only while it
-// runs.
+// runs. It first reads what older records there are, so that the first claim
+// need not.
 func (r *Runs) Run(ctx context.Context) {
 	r.init()
 	var wg conc.WaitGroup
 	for _, w := range r.shards {
 		wg.Go(func() { w.run(ctx) })
+		wg.Go(func() { w.warm(ctx) })
 	}
 	wg.Wait()
 }
@@ -242,7 +246,7 @@
 
 func (r *Runs) init() {
 	r.once.Do(func() {
-		name := uuid.NewString()
+		name := uuid.NewString()[:nameLength]
 		for i := range either(r.Shards, DefaultShards) {
 			w := &worker{runs: r, key: "runs/" + strconv.Itoa(i), wake: make(chan struct{}, 1), replies: map[string]chan record.Verdict{}}
 			w.shard.Limits = r.Limits
--- a/internal/entry/runs/runs_test.go
+++ b/internal/entry/runs/runs_test.go
@@ -21,13 +21,16 @@
 }
 
 // entries starts n entries on one platform and returns their Runs.
-func entries(t *testing.T, p *memory.Platform, n int) []*Runs {
+func entries(t *testing.T, p *memory.Platform, n int, tune ...func(*Runs)) []*Runs {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	var out []*Runs
 	for range n {
 		r := &Runs{Store: p}
+		for _, f := range tune {
+			f(r)
+		}
 		out = append(out, r)
 		wg.Go(func() { r.Run(ctx) })
 	}
@@ -93,6 +96,34 @@
 	}
 }
 
+// TestNewEntryKnowsOldKeys: keys whose records went into archives long ago are
+// known to an entry that has just started.
+func TestNewEntryKnowsOldKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const keys = 200
+		p := &memory.Platform{}
+		old := entries(t, p, 1, func(r *Runs) { r.Limits.Hot = 1 << 10 })[0]
+		for i := range keys {
+			req := request(fmt.Sprint("first-", i), fmt.Sprint(i))
+			if d, err := old.Begin(t.Context(), req, ward.Upstream{}); err != nil || d.Permit == nil {
+				t.Fatalf("%+v, %v", d, err)
+			}
+			old.Finish(req, Answer{Status: 201, Body: []byte(req.IdempotencyKey)})
+			old.Flush(t.Context())
+		}
+		if n := old.Stats().Archived; n < 10 {
+			t.Fatalf("%d archives", n)
+		}
+		young := entries(t, p, 1)[0]
+		for i := range keys {
+			d, err := young.Begin(t.Context(), request(fmt.Sprint("second-", i), fmt.Sprint(i)), ward.Upstream{})
+			if err != nil || d.Answer == nil || string(d.Answer.Body) != fmt.Sprint(i) {
+				t.Fatalf("key %d: %+v, %v", i, d, err)
+			}
+		}
+	})
+}
+
 // TestRepeatWaitsForOutcome: a repeat that comes while the outcome is still to be
 // written gets the answer.
 func TestRepeatWaitsForOutcome(t *testing.T) {
--- a/internal/entry/runs/worker.go
+++ b/internal/entry/runs/worker.go
@@ -40,6 +40,17 @@
 	return w.ask(ctx, c, w.shard.Look)
 }
 
+// warm has the index of the shard's archives read, as fast as the budget allows.
+func (w *worker) warm(ctx context.Context) {
+	for ctx.Err() == nil {
+		v, err := w.look(ctx, record.Claim{Key: record.KeyOf("", w.key), Attempt: "warm"})
+		if err == nil && v.Kind == record.Absent {
+			return
+		}
+		_ = w.runs.clock().Sleep(ctx, shard.DefaultWait)
+	}
+}
+
 func (w *worker) ask(ctx context.Context, c record.Claim, f func(time.Time, record.Claim) []shard.Action) (record.Verdict, error) {
 	reply := make(chan record.Verdict, 1)
 	w.mu.Lock()
--- a/internal/run/record/archive.go
+++ b/internal/run/record/archive.go
@@ -59,8 +59,8 @@
 	b.archived[r.Key] = r
 }
 
-// Oldest returns the oldest records that no longer change, so many that the
-// book is at most limit bytes without them.
+// Oldest returns the oldest records that no longer change, so many that those
+// left take at most limit bytes.
 func (b *Book) Oldest(now time.Time, limit int) []Record {
 	list := make([]Record, 0, len(b.records))
 	for _, r := range b.records {
@@ -69,7 +69,7 @@
 		}
 	}
 	slices.SortFunc(list, older)
-	size := b.Size()
+	size := b.RecordBytes()
 	for i, r := range list {
 		if size <= limit {
 			return list[:i]
--- a/internal/run/record/compact.go
+++ b/internal/run/record/compact.go
@@ -11,10 +11,16 @@
 
 // Size returns an upper bound of the stored size in bytes.
 func (b *Book) Size() int {
-	n := overhead
+	n := overhead + b.RecordBytes()
 	for _, a := range b.Archives {
 		n += len(a.ID) + overhead/2
 	}
+	return n
+}
+
+// RecordBytes returns the part of Size that the records take.
+func (b *Book) RecordBytes() int {
+	n := 0
 	for _, r := range b.records {
 		n += r.size()
 	}
--- a/internal/run/shard/archive.go
+++ b/internal/run/shard/archive.go
@@ -132,7 +132,7 @@
 		return false
 	}
 	hot := either(s.Limits.Hot, DefaultHot)
-	if a.noMove || book.Size() <= hot+s.share(hot) {
+	if a.noMove || book.RecordBytes() <= hot+s.share(hot) {
 		return false
 	}
 	records := book.Oldest(now, hot/4)
--- a/internal/run/shard/commit.go
+++ b/internal/run/shard/commit.go
@@ -33,8 +33,7 @@
 		s.settleLost(now)
 	case errors.Is(r.Err, ward.ErrOverBudget):
 		s.Stats.OverBudget++
-		s.putBack(now)
-		s.slowDown(now)
+		s.overBudget(now, call)
 	case call != 0:
 		s.Stats.Failed++
 		s.fail(now, code.RecordsDown)
@@ -205,6 +204,15 @@
 	s.batch, s.settling = nil, nil
 }
 
+// overBudget has the batch tried again. The index of the archives, which a new
+// entry reads once, goes on as soon as the budget allows.
+func (s *Shard) overBudget(now time.Time, call Kind) {
+	s.putBack(now)
+	if call != Read || s.target != onArchive {
+		s.slowDown(now)
+	}
+}
+
 // slowDown doubles the time between commits, so that what waits goes together
 // into fewer of them.
 func (s *Shard) slowDown(now time.Time) {
--- a/internal/run/shard/shard.go
+++ b/internal/run/shard/shard.go
@@ -51,8 +51,8 @@
 	// over budget; MostPace bounds how far that one grows.
 	Pause    time.Duration
 	MostPace time.Duration
-	// Hot is the size in bytes from which on the older half of the document goes
-	// into an archive, Bytes bounds the document where that can't be done. Claims
+	// Hot is the size in bytes of the document's records from which on, at the
+	// latest at twice of it, most go into an archive. Bytes bounds the document where that can't be done. Claims
 	// and Outcomes bound what waits here.
 	Hot      int
 	Bytes    int
