--- a/cmd/measure.go
+++ b/cmd/measure.go
@@ -9,6 +9,7 @@
 
 	"agateward/internal/measure/chart"
 	"agateward/internal/measure/frame"
+	"agateward/internal/measure/page"
 	"agateward/internal/measure/report"
 	"agateward/internal/result/code"
 
@@ -26,6 +27,7 @@
 			seedFlag(),
 			&cli.StringFlag{Name: "output", Value: "table", Usage: "`FORM`: " + strings.Join(frame.Outputs, ", ")},
 			&cli.StringFlag{Name: "plot", Usage: "`FOLDER` for SVG plots"},
+			&cli.StringFlag{Name: "page", Usage: "`FILE` of the docs whose generated part is made again"},
 			&cli.BoolFlag{Name: "strict", Usage: "fail when a target is missed"},
 		},
 		Action: runMeasure,
@@ -39,7 +41,7 @@
 	for _, x := range frame.List() {
 		fmt.Fprintf(&b, "  %-14s %s\n", x.Name(), x.About())
 	}
-	b.WriteString("\nExample:\n  agateward measure all --seed 2 --output csv\n  agateward measure overload --plot plots")
+	b.WriteString("\nExample:\n  agateward measure all --seed 2 --output csv\n  agateward measure overload --plot plots\n  agateward measure capacity --page docs/CAPACITY.md")
 	return b.String()
 }
 
@@ -59,6 +61,9 @@
 	if err := drawCharts(c.String("plot"), reports); err != nil {
 		return err
 	}
+	if err := rewritePage(c.String("page"), reports); err != nil {
+		return err
+	}
 	if failed != nil {
 		return failed
 	}
@@ -82,6 +87,26 @@
 	return nil
 }
 
+// rewritePage puts the pages of the reports into the generated part of a file.
+func rewritePage(file string, reports []report.Report) error {
+	if file == "" {
+		return nil
+	}
+	var made strings.Builder
+	for _, r := range reports {
+		made.WriteString(r.Page)
+	}
+	b, err := os.ReadFile(file)
+	if err != nil {
+		return code.BadCommand.Wrap(err, "--page")
+	}
+	next, ok := page.Replace(string(b), made.String())
+	if !ok {
+		return code.BadCommand.New("%s has no part between %q and %q", file, page.Begin, page.End)
+	}
+	return os.WriteFile(file, []byte(next), 0o644)
+}
+
 // missed fails a strict run that missed a target.
 func missed(c *cli.Command, reports []report.Report) error {
 	n := 0
--- /dev/null
+++ b/internal/bench/capacity/reports.go
@@ -0,0 +1,154 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"agateward/internal/bench/usage"
+	"agateward/internal/standin/batch"
+	standin "agateward/internal/standin/engine"
+	"agateward/internal/upstream/engine"
+	"agateward/ward"
+)
+
+const (
+	// readInterval is the time between two reads of one replica by one entry at
+	// 8 entries or fewer; it grows with the entries beyond them, in seconds.
+	readInterval       = 1.0
+	entriesPerInterval = 8.0
+	// eventsPerRequest is the number of blocks that one request makes a replica
+	// store or drop.
+	eventsPerRequest = 4
+	// readRounds is the number of reads that one cost is taken from.
+	readRounds = 200
+)
+
+// eventSizes are numbers of cache events in one read.
+var eventSizes = []int{0, 50, 200, 800}
+
+// countingListener counts the bytes of its connections in both directions.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+// Accept returns a connection whose bytes are counted.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, bytes: &l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read counts what is read.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write counts what is written.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// reading is the cost of reading one replica's report and cache events.
+type reading struct {
+	micros float64
+	bytes  float64
+}
+
+// reports measures the reads of load reports and cache events.
+func (c *Capacity) reports(ctx context.Context) error {
+	costs := make(map[int]reading)
+	for _, n := range eventSizes {
+		r, err := readOne(ctx, n)
+		if err != nil {
+			return err
+		}
+		costs[n] = r
+	}
+	const role = "upstream reports"
+	const axis = "cache events in one read"
+	readsPerSecond := Replicas / (readInterval * Nodes / entriesPerInterval)
+	events := float64(Requests) * eventsPerRequest / Replicas / (readsPerSecond / Replicas)
+	cpu := Figure{Role: role, Name: "reading one replica, both ends", Unit: "µs", Axis: axis}
+	bytes := Figure{Role: role, Name: "bytes on the wire of one read", Unit: "B", Axis: axis}
+	c.figure(cpu, eventSizes, func(n int) float64 { return costs[n].micros })
+	c.figure(bytes, eventSizes, func(n int) float64 { return costs[n].bytes })
+	cpu, bytes = c.Figures[len(c.Figures)-2], c.Figures[len(c.Figures)-1]
+	second := float64(time.Second / time.Microsecond)
+	c.Roles = append(c.Roles, Role{
+		Name:      "upstream reports: load",
+		State:     "the last report of each replica",
+		Messages:  fmt.Sprintf("%.1f reads a second of %d replicas", readsPerSecond, Replicas),
+		Mechanism: "the time between two reads grows with the entries",
+		Control:   true,
+		CPU:       cpu.Line().At(0) * readsPerSecond / second,
+		Bytes:     bytes.Line().At(0) * readsPerSecond,
+	}, Role{
+		Name:      "upstream reports: cache events",
+		State:     "the prefix blocks that each replica is known to hold",
+		Messages:  fmt.Sprintf("%.0f events in one read, at %d events a request", events, eventsPerRequest),
+		Mechanism: "every entry reads the events of every replica",
+		Control:   true,
+		CPU:       cpu.Line().Slope * events * readsPerSecond / second,
+		Bytes:     bytes.Line().Slope * events * readsPerSecond,
+	})
+	return nil
+}
+
+// readOne reads a replica with so many new cache events.
+func readOne(ctx context.Context, events int) (reading, error) {
+	s := &standin.Server{Profile: batch.Profile{Name: "engine-0001", ReportLag: time.Nanosecond, CacheLag: time.Nanosecond, CacheGap: -1}}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return reading{}, err
+	}
+	counted := &countingListener{Listener: ln}
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(counted) }()
+	defer func() { _ = server.Close() }()
+	if err := importBlocks(ctx, ln.Addr().String(), events); err != nil {
+		return reading{}, err
+	}
+	var client engine.Engine
+	u := ward.Upstream{Name: "engine-0001", Address: ln.Addr().String()}
+	read := func() error {
+		if _, err := client.Report(ctx, u); err != nil {
+			return err
+		}
+		got, err := client.CacheEvents(ctx, u, 0)
+		if err == nil && len(got) != events {
+			err = fmt.Errorf("read %d cache events, want %d", len(got), events)
+		}
+		return err
+	}
+	if err := read(); err != nil {
+		return reading{}, err
+	}
+	counted.bytes.Store(0)
+	before := usage.Read().CPU
+	for range readRounds {
+		if err := read(); err != nil {
+			return reading{}, err
+		}
+	}
+	spent := usage.Read().CPU - before
+	return reading{
+		micros: float64(spent) / float64(time.Microsecond) / readRounds,
+		bytes:  float64(counted.bytes.Load()) / readRounds,
+	}, nil
+}
--- a/internal/measure/frame/list.go
+++ b/internal/measure/frame/list.go
@@ -1,6 +1,7 @@
 package frame
 
 import (
+	"agateward/internal/measure/capacity"
 	"agateward/internal/measure/chaos"
 	"agateward/internal/measure/entrycrash"
 	"agateward/internal/measure/fleetsize"
@@ -26,5 +27,6 @@
 		relay.Experiment{},
 		chaos.Experiment{},
 		fleetsize.Experiment{},
+		capacity.Experiment{},
 	}
 }
--- a/internal/measure/relay/relay.go
+++ b/internal/measure/relay/relay.go
@@ -20,40 +20,30 @@
 	"slices"
 	"time"
 
+	"agateward/internal/bench/hop"
 	"agateward/internal/bench/load"
-	"agateward/internal/bench/mix"
 	"agateward/internal/bench/rig"
 	"agateward/internal/bench/tally"
 	"agateward/internal/bench/usage"
 	"agateward/internal/measure/report"
-	"agateward/internal/standin/batch"
 )
 
 const (
-	engines = 4
 	// rounds is the number of runs of each kind.
 	rounds = 3
 	// rate is in requests a second, length the time of one run.
-	rate   = 150.0
-	length = 4 * time.Second
+	rate = 150.0
+	// tokens is the output of a request, longTokens that of one that stays open
+	// while the memory is read.
+	tokens     = 100
+	longTokens = 2000
+	length     = 4 * time.Second
 	// streams are opened at once to measure the memory of an open one.
 	streams = 400
 	// streamSettle is the time until they are all open.
 	streamSettle = 2 * time.Second
 )
 
-// profile is an engine that is far from its capacity, so that the difference is
-// not made in its batch.
-var profile = batch.Profile{PrefillRate: 1e6, DecodeBase: 10 * time.Millisecond, DecodePerSequence: 5 * time.Microsecond, MaxBatch: 1024}
-
-// calls are streams of 100 tokens, as many as an entry of the fleet relays.
-const calls = `{"classes": [{"name": "dietary", "weight": 1, "kind": "chat", "model": "menu-writer", "route": "dietary",
-	"team": "guests", "tier": 1, "deadline": "20s", "stream": true, "prompt": [200, 200], "output": [100, 100]}]}`
-
-// longCalls stay open while the memory is read.
-const longCalls = `{"classes": [{"name": "letters", "weight": 1, "kind": "chat", "model": "menu-writer", "route": "letters",
-	"team": "letters", "tier": 4, "deadline": "10m", "stream": true, "prompt": [200, 200], "output": [2000, 2000]}]}`
-
 // Experiment is the measurement. Its zero value is ready to use.
 type Experiment struct{}
 
@@ -65,30 +55,17 @@
 	return "added time, processor time and memory of an entry against load straight to the engines"
 }
 
-// run is what one run took.
-type run struct {
-	requests int
-	tokens   int
-	cpu      time.Duration
-	tier     tally.Tier
-}
-
 // Run runs both kinds in turn.
 func (Experiment) Run(ctx context.Context, seed uint64, progress func(string)) (report.Report, error) {
 	var rep report.Report
-	r := &rig.Rig{Entries: 1, Engines: engines, Services: 1, Profile: profile}
+	r := &rig.Rig{Entries: 1, Engines: hop.Engines, Services: 1, Profile: hop.Profile}
 	if err := r.Start(ctx); err != nil {
 		return rep, err
 	}
 	defer r.Close()
-	var direct, through []run
-	straight := func(random *rand.Rand) string { return r.EngineTargets()[random.IntN(engines)] }
+	var direct, through []hop.Run
 	for i := range rounds {
-		a, err := once(ctx, straight, seed+uint64(i))
-		if err != nil {
-			return rep, err
-		}
-		b, err := once(ctx, r.Pick, seed+uint64(i))
+		a, b, err := hop.Load{Tokens: tokens, Rate: rate, Length: length}.Both(ctx, r, seed+uint64(i))
 		if err != nil {
 			return rep, err
 		}
@@ -100,28 +77,8 @@
 	return rep, addMemory(ctx, &rep, r, seed, progress)
 }
 
-// once sends the load to the targets.
-func once(ctx context.Context, pick func(*rand.Rand) string, seed uint64) (run, error) {
-	m, err := mix.Parse("relay", []byte(calls))
-	if err != nil {
-		return run{}, err
-	}
-	var t tally.Tally
-	g := load.Generator{Pick: pick, Mix: m, Rate: rate, Duration: length, Seed: seed, Tally: &t}
-	before := usage.Collected()
-	if err := g.Run(ctx); err != nil {
-		return run{}, err
-	}
-	spent := usage.Read().CPU - before.CPU
-	tier := t.Tiers()[0]
-	if t.Count(tally.Good) != tier.Sent {
-		return run{}, fmt.Errorf("%d of %d answers were good: %v", t.Count(tally.Good), tier.Sent, tier.Results)
-	}
-	return run{requests: tier.Sent, tokens: t.Tokens(), cpu: spent, tier: tier}, nil
-}
-
 // middle returns the middle value over the rounds.
-func middle(runs []run, value func(run) float64) float64 {
+func middle(runs []hop.Run, value func(hop.Run) float64) float64 {
 	var all []float64
 	for _, r := range runs {
 		all = append(all, value(r))
@@ -131,18 +88,18 @@
 }
 
 // add adds the figures, each with that of the straight way as its baseline.
-func add(rep *report.Report, direct, through []run) {
+func add(rep *report.Report, direct, through []hop.Run) {
 	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-	figure := func(name, unit string, value func(run) float64) float64 {
+	figure := func(name, unit string, value func(hop.Run) float64) float64 {
 		a, b := middle(direct, value), middle(through, value)
 		rep.Add(report.Result{Name: name, Value: b, Unit: unit}.Against(a))
 		return b - a
 	}
-	first := figure("first-token-p50", "ms", func(r run) float64 { return ms(r.tier.FirstToken.P50) })
-	figure("first-token-p95", "ms", func(r run) float64 { return ms(r.tier.FirstToken.P95) })
-	between := figure("between-tokens-p50", "ms", func(r run) float64 { return ms(r.tier.Between.P50) })
-	figure("between-tokens-p95", "ms", func(r run) float64 { return ms(r.tier.Between.P95) })
-	request := figure("cpu-per-request", "ms", func(r run) float64 { return ms(r.cpu) / float64(r.requests) })
+	first := figure("first-token-p50", "ms", func(r hop.Run) float64 { return ms(r.Tier.FirstToken.P50) })
+	figure("first-token-p95", "ms", func(r hop.Run) float64 { return ms(r.Tier.FirstToken.P95) })
+	between := figure("between-tokens-p50", "ms", func(r hop.Run) float64 { return ms(r.Tier.Between.P50) })
+	figure("between-tokens-p95", "ms", func(r hop.Run) float64 { return ms(r.Tier.Between.P95) })
+	request := figure("cpu-per-request", "ms", func(r hop.Run) float64 { return ms(r.CPU) / float64(r.Requests) })
 	rep.Add(
 		report.Result{Name: "added-first-token-p50", Value: first, Unit: "ms"},
 		report.Result{Name: "added-between-tokens-p50", Value: between, Unit: "ms"},
@@ -151,12 +108,11 @@
 	)
 }
 
-func perRequest(runs []run) float64 { return float64(runs[0].tokens) / float64(runs[0].requests) }
+func perRequest(runs []hop.Run) float64 { return float64(runs[0].Tokens) / float64(runs[0].Requests) }
 
 // addMemory opens streams both ways and adds what an open one holds.
 func addMemory(ctx context.Context, rep *report.Report, r *rig.Rig, seed uint64, progress func(string)) error {
-	straight := func(random *rand.Rand) string { return r.EngineTargets()[random.IntN(engines)] }
-	a, err := memory(ctx, straight, seed)
+	a, err := memory(ctx, hop.Straight(r), seed)
 	if err != nil {
 		return err
 	}
@@ -172,7 +128,7 @@
 
 // memory returns the kilobytes in use for each of the open streams.
 func memory(ctx context.Context, pick func(*rand.Rand) string, seed uint64) (float64, error) {
-	m, err := mix.Parse("relay", []byte(longCalls))
+	m, err := hop.Load{Tokens: longTokens}.Mix()
 	if err != nil {
 		return 0, err
 	}
--- a/internal/measure/report/report.go
+++ b/internal/measure/report/report.go
@@ -59,6 +59,9 @@
 	Results    []Result `json:"results"`
 	// Charts are drawn on request.
 	Charts []Chart `json:"-"`
+	// Page is the part of a page of the docs that the experiment makes, in
+	// Markdown.
+	Page string `json:"-"`
 }
 
 // Chart is a plot that an experiment offers.
