--- a/internal/entry/mover/judge.go
+++ b/internal/entry/mover/judge.go
@@ -107,7 +107,7 @@
 			r.analyses[route.Name] = a
 		}
 		if stepped {
-			a.Step(s.Since, s.Step, s.Share)
+			a.Step(s.Step, s.Share)
 		}
 		v := a.Look(now, samples(name, route, x, s.Step, totals)...)
 		r.verdicts[route.Name] = v
--- a/internal/measure/moves/control.go
+++ b/internal/measure/moves/control.go
@@ -75,7 +75,7 @@
 			a.Begin = e.state.Begin
 			a.Window = epoch.Add(w.window).Sub(e.state.Begin)
 			a.Tests = 2 * routes
-			a.Step(e.state.Since, e.state.Step, e.state.Share)
+			a.Step(e.state.Step, e.state.Share)
 		}
 		before, current := sum.samples(r, e.state.Step)
 		v := a.Look(now, before, current)
@@ -104,7 +104,7 @@
 			a.Window = epoch.Add(w.window).Sub(a.Begin)
 			a.Tests = 2 * routes
 			a.Alpha = analysis.Alpha
-			a.Step(w.store.state.Since, w.store.state.Step, w.store.state.Share)
+			a.Step(w.store.state.Step, w.store.state.Share)
 		}
 		before, current := sum.samples(r, w.store.state.Step)
 		if a.Look(w.now(), before, current).Harm && w.result.shown == 0 {
--- a/internal/move/analysis/analysis.go
+++ b/internal/move/analysis/analysis.go
@@ -28,7 +28,7 @@
 // # Usage
 //
 //	a := analysis.Analysis{Begin: begin, Window: deadline.Sub(begin), Tests: 2 * routes}
-//	a.Step(state.Since, state.Step, state.Share)
+//	a.Step(state.Step, state.Share)
 //	v := a.Look(now, analysis.Sample{Step: 2, Old: old, Next: next})
 //	if v.Harm {
 //		brakes.Merge(...)
@@ -127,9 +127,9 @@
 	verdict Verdict
 }
 
-// Step tells the analysis that a step was made at a time: the evidence for a
-// pass starts afresh, and harm that begins there is expected.
-func (a *Analysis) Step(at time.Time, step int, share float64) {
+// Step tells the analysis that a step was made: the evidence for a pass starts
+// afresh, and harm that begins there is expected.
+func (a *Analysis) Step(step int, share float64) {
 	a.strata[1] = a.strata[0]
 	a.strata[0] = stratum{step: step, alone: share >= 1}
 	a.strata[0].arms.begin(share)
@@ -137,8 +137,8 @@
 	a.latency.pass = 0
 	if a.stepped < maxSteps && !a.last.IsZero() {
 		a.stepped++
-		a.failure.mix.expect(at, stepWeight)
-		a.latency.mix.expect(at, stepWeight)
+		a.failure.mix.step(stepWeight)
+		a.latency.mix.step(stepWeight)
 	}
 	a.verdict.Pass = false
 }
@@ -170,8 +170,8 @@
 		st.failure = a.failure.prepare(st.arms.part())
 		st.latency = a.latency.prepare(st.arms.part())
 	}
-	a.failure.take(now, &st.failure, b, w, current)
-	a.latency.take(now, &st.latency, b, w, current)
+	a.failure.take(&st.failure, b, w, current)
+	a.latency.take(&st.latency, b, w, current)
 	st.arms.learn(b)
 	st.pacer.seen += float64(b.outcomes())
 }
--- a/internal/move/analysis/analysis_test.go
+++ b/internal/move/analysis/analysis_test.go
@@ -30,7 +30,7 @@
 	const window = 4 * time.Hour
 	begin := time.Unix(0, 0)
 	a := analysis.Analysis{Begin: begin, Window: window}
-	a.Step(begin, 1, share)
+	a.Step(1, share)
 	var old, next analysis.Totals
 	for at := time.Duration(0); at < window; at += 8 * time.Second {
 		for range 16 {
--- a/internal/move/analysis/failure.go
+++ b/internal/move/analysis/failure.go
@@ -1,9 +1,6 @@
 package analysis
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 const (
 	// priorFailures of priorOutcomes are what the old version's failure rate is
@@ -43,13 +40,13 @@
 }
 
 // take puts a block in; current says that it counts for a pass.
-func (t *failureTest) take(at time.Time, table *failureTable, b block, weight float64, current bool) {
+func (t *failureTest) take(table *failureTable, b block, weight float64, current bool) {
 	var logs [len(failurePoints)]float64
 	for i := range table {
 		logs[i] = table[i].evidence(b)
 	}
 	last := len(logs) - 1
-	t.mix.take(at, logs[:last], weight)
+	t.mix.take(logs[:last], weight, current)
 	if current {
 		t.pass += logs[last]
 	}
--- a/internal/move/analysis/latency.go
+++ b/internal/move/analysis/latency.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"agateward/ward"
 )
@@ -72,7 +71,7 @@
 }
 
 // take puts a block in; current says that it counts for a pass.
-func (t *latencyTest) take(at time.Time, table *latencyTable, b block, weight float64, current bool) {
+func (t *latencyTest) take(table *latencyTable, b block, weight float64, current bool) {
 	var logs [shapes]float64
 	for i := range ward.LatencyBuckets {
 		x, y := float64(b.old.Latency[i]), float64(b.next.Latency[i])
@@ -87,7 +86,7 @@
 			}
 		}
 	}
-	t.mix.take(at, logs[:reference], weight)
+	t.mix.take(logs[:reference], weight, current)
 	if current {
 		t.pass += logs[reference]
 	}
--- a/internal/move/analysis/mixture.go
+++ b/internal/move/analysis/mixture.go
@@ -1,9 +1,6 @@
 package analysis
 
-import (
-	"math"
-	"time"
-)
+import "math"
 
 // Weights of the time at which badness begins. Together they are at most 1.
 const (
@@ -19,57 +16,46 @@
 	maxAlternatives = 4
 	// greatestLog bounds the logarithm of one e-value.
 	greatestLog = 300
-	// recentBlocks is the number of blocks that a beginning may be put before.
-	recentBlocks = 8
 )
 
 // mixture is an e-process: the products of e-values from each possible
 // beginning of harm, weighted, for each alternative.
 type mixture struct {
-	// sum is the weighted sum over the beginnings so far.
-	sum [maxAlternatives]float64
+	// sum is the weighted sum over the beginnings before the last step, fresh
+	// that over those since. Requests that were sent before the step say nothing
+	// about harm that begins with it, so they leave fresh as it is.
+	sum   [maxAlternatives]float64
+	fresh [maxAlternatives]float64
 	// spent is the weight of the beginnings so far.
 	spent float64
 	n     int
-	// recent holds the last blocks, the newest at place last.
-	recent [recentBlocks]factors
-	last   int
-}
-
-// factors are the e-values of one block.
-type factors struct {
-	at    time.Time
-	value [maxAlternatives]float64
 }
 
-// expect puts weight on a beginning at a time, which may lie some blocks back:
-// a step is heard of after its first outcomes.
-func (m *mixture) expect(at time.Time, weight float64) {
+// step puts weight on a beginning at a step.
+func (m *mixture) step(weight float64) {
 	weight = min(weight, 1-m.spent)
 	m.spent += weight
 	for i := range m.sum {
-		product := weight
-		for _, f := range m.recent {
-			if f.at.After(at) {
-				product *= f.value[i]
-			}
-		}
-		m.sum[i] += product
+		m.sum[i] += m.fresh[i]
+		m.fresh[i] = weight
 	}
 }
 
 // take multiplies the e-values of a block in, given as logarithms; weight is
-// that of a beginning at this block.
-func (m *mixture) take(at time.Time, logs []float64, weight float64) {
+// that of a beginning at this block. A block that is not current holds outcomes
+// of the step before.
+func (m *mixture) take(logs []float64, weight float64, current bool) {
 	weight = min(weight, 1-m.spent)
 	m.spent += weight
 	m.n = len(logs)
-	m.last = (m.last + 1) % recentBlocks
-	f := &m.recent[m.last]
-	f.at = at
 	for i, e := range logs {
-		f.value[i] = math.Exp(min(e, greatestLog))
-		m.sum[i] = (m.sum[i] + weight) * f.value[i]
+		v := math.Exp(min(e, greatestLog))
+		m.sum[i] *= v
+		if current {
+			m.fresh[i] = (m.fresh[i] + weight) * v
+		} else {
+			m.sum[i] += weight * v
+		}
 	}
 }
 
@@ -77,8 +63,8 @@
 // alternative.
 func (m *mixture) evidence() float64 {
 	total := 0.0
-	for _, v := range m.sum {
-		total += v
+	for i := range m.sum {
+		total += m.sum[i] + m.fresh[i]
 	}
 	return math.Log(max(1-m.spent, 0) + total/float64(max(m.n, 1)))
 }
