perf(entry): read often only the upstreams that the entry feeds

Change: upstreams with a part or a request of this entry are read each interval, with their cache events; the others four times less often than before and without events. A report that says leaving is handed on through the peers, so that every entry hears of it within a second or two.

--- a/internal/entry/program/compose.go
+++ b/internal/entry/program/compose.go
@@ -106,7 +106,7 @@
 		Observe: p.mover.Observe, Waste: p.metrics.WastedPrefill, Clock: p.clock, Log: p.log, Trace: p.trace, Explain: p.explain,
 	})
 	p.reports = report.New(report.Deps{
-		Backend: p.backend, Config: p.holder.Current, Entries: p.gossip.Live,
+		Backend: p.backend, Config: p.holder.Current, Entries: p.gossip.Live, Own: p.own,
 		Report: func(r ward.LoadReport) {
 			p.path.Do(func(s *scheduler.Scheduler, now time.Time) []scheduler.Action { s.Report(now, r); return nil })
 		},
@@ -174,6 +174,17 @@
 	return p.engine
 }
 
+// own returns the upstreams that this entry feeds now.
+func (p *Program) own() []string {
+	var names []string
+	for _, u := range p.path.State().Upstreams {
+		if u.Part > 0 || u.InFlight > 0 {
+			names = append(names, u.Name)
+		}
+	}
+	return names
+}
+
 // seed spreads the choices of entries that start together.
 func (p *Program) seed() uint64 {
 	h := fnv.New64a()
--- a/internal/entry/program/peers.go
+++ b/internal/entry/program/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"reflect"
+	"slices"
 	"time"
 
 	"agateward/internal/entry/gossip"
@@ -129,7 +130,7 @@
 	p.record(moves)
 	p.splits()
 
-	draining := p.roster.Leaving()
+	draining := p.leaving()
 	for i := range peers {
 		draining = append(draining, peers[i].Draining...)
 	}
@@ -140,6 +141,14 @@
 	p.gossip.SetSelf(p.self())
 }
 
+// leaving returns the upstreams that leave by the platform's list or by their
+// own word, as far as this entry itself knows.
+func (p *Program) leaving() []string {
+	names := append(p.roster.Leaving(), p.reports.Leaving()...)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // record adds what other entries did to moves to this entry's log of events, so
 // that an operator may watch at any entry. The holder of the lease posts them.
 func (p *Program) record(moves []ward.MoveState) {
@@ -181,6 +190,6 @@
 	st.Floors = state.Floors
 	st.Waiting = state.Waiting
 	st.Demand = state.Demand
-	st.Draining = p.roster.Leaving()
+	st.Draining = p.leaving()
 	return st
 }
--- a/internal/entry/report/report.go
+++ b/internal/entry/report/report.go
@@ -1,9 +1,11 @@
 // Package report reads the load reports and cache events of upstreams and hands
 // them to the request path.
 //
-// The time between two reads of one upstream grows with the number of live
-// entries, so that an upstream answers about as many reads whatever the size of
-// the fleet; a decision discounts a report by its age.
+// An entry reads the upstreams that it feeds often, with their cache events. The
+// time between two reads of another one grows with the number of live entries,
+// and its cache events are left alone, so that neither an upstream nor an entry
+// has more to do in a larger fleet. What a report says about leaving is handed
+// to the other entries.
 //
 // # Usage
 //
@@ -13,7 +15,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +35,11 @@
 	// entriesPerInterval is the number of live entries up to which the interval
 	// is the one of the settings.
 	entriesPerInterval = 8
+	// othersFactor is how much longer the time between two reads is for an
+	// upstream that other entries feed.
+	othersFactor = 4
+	// ownInterval is the time between two looks at which upstreams are fed.
+	ownInterval = time.Second
 	// checkInterval is the time between two looks for upstreams that are due.
 	checkInterval = 50 * time.Millisecond
 )
@@ -42,6 +51,8 @@
 	Config  func() *ward.Config
 	// Entries returns the number of live entries, this one included.
 	Entries func() int
+	// Own returns the names of the upstreams that this entry feeds.
+	Own func() []string
 	// Report and Cache take what was read.
 	Report   func(r ward.LoadReport)
 	Cache    func(upstream string, events []ward.CacheEvent)
@@ -61,13 +72,18 @@
 	next map[string]time.Time
 	// seen is the sequence number of the last cache event by upstream.
 	seen map[string]uint64
+	// own is what Own returned at ownAt.
+	own   map[string]bool
+	ownAt time.Time
+	// leaving holds the upstreams whose last report says that they leave.
+	leaving map[string]bool
 }
 
 // New returns a reader.
 func New(d Deps) *Reader {
 	return &Reader{
 		Deps: d, rand: rand.New(rand.NewPCG(d.Seed, 1)),
-		next: make(map[string]time.Time), seen: make(map[string]uint64),
+		next: make(map[string]time.Time), seen: make(map[string]uint64), leaving: make(map[string]bool),
 	}
 }
 
@@ -92,9 +108,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
-	interval := r.Interval * time.Duration(max(r.Entries(), entriesPerInterval)) / entriesPerInterval
+	r.lookAtOwn(now)
+	others := othersFactor * r.Interval * time.Duration(max(r.Entries(), entriesPerInterval)) / entriesPerInterval
 	var due []ward.Upstream
 	for _, u := range cfg.Upstreams {
+		interval := others
+		if r.own[u.Name] {
+			interval = r.Interval
+			if at := r.next[u.Name]; at.After(now.Add(interval)) {
+				// It has just come to this entry.
+				r.next[u.Name] = now
+			}
+		}
 		at, known := r.next[u.Name]
 		if known && now.Before(at) {
 			continue
@@ -112,6 +137,25 @@
 	return due
 }
 
+// lookAtOwn takes in which upstreams this entry feeds. The lock is held.
+func (r *Reader) lookAtOwn(now time.Time) {
+	if now.Sub(r.ownAt) < ownInterval {
+		return
+	}
+	r.ownAt = now
+	r.own = make(map[string]bool)
+	for _, name := range r.Own() {
+		r.own[name] = true
+	}
+}
+
+// Leaving returns the upstreams that have said themselves that they leave.
+func (r *Reader) Leaving() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.leaving))
+}
+
 // forget drops upstreams that the configuration no longer has.
 func (r *Reader) forget(cfg *ward.Config) {
 	if len(r.next) <= len(cfg.Upstreams) {
@@ -122,6 +166,11 @@
 		keep[u.Name] = r.next[u.Name]
 	}
 	r.next = keep
+	for name := range r.leaving {
+		if _, ok := keep[name]; !ok {
+			delete(r.leaving, name)
+		}
+	}
 }
 
 // read reads one upstream's report and new cache events. A failure is no
@@ -137,12 +186,17 @@
 	}
 	report.Upstream = u.Name
 	r.Report(report)
-	if u.Kind != ward.KindEngine {
-		return
-	}
 	r.mu.Lock()
+	delete(r.leaving, u.Name)
+	if report.Leaving {
+		r.leaving[u.Name] = true
+	}
 	after := r.seen[u.Name]
+	own := r.own[u.Name]
 	r.mu.Unlock()
+	if u.Kind != ward.KindEngine || !own {
+		return
+	}
 	events, err := b.CacheEvents(ctx, u, after)
 	if err != nil || len(events) == 0 {
 		return
