perf(mover): judge what has changed, from sums that are kept up

Cause: each look summed the counts of all entries, so its cost grew with the fleet. Change: merging adds to the sums; a route without new outcomes is not judged; counts of ended runs are looked for once a minute. The capacity figures count by step, as entries do.

--- a/internal/bench/capacity/move.go
+++ b/internal/bench/capacity/move.go
@@ -73,7 +73,7 @@
 			for tier := ward.TierTop; tier <= ward.TierBottom; tier++ {
 				for _, v := range []string{x.From, x.To} {
 					c := ward.Counts{
-						Serves: x.Serves, Version: v, Route: synthetic.Route(i, tier), Move: evidence.RunName(x.Name, x.Ticket),
+						Serves: x.Serves, Version: v, Route: synthetic.Route(i, tier), Move: evidence.StepName(evidence.RunName(x.Name, x.Ticket), 1),
 						Entry: fmt.Sprintf("entry-%03d", e), Incarnation: 1,
 					}
 					list = append(list, c)
--- a/internal/entry/mover/judge.go
+++ b/internal/entry/mover/judge.go
@@ -62,7 +62,7 @@
 	m.mu.Lock()
 	var brakes []ward.Brake
 	active := map[string]bool{}
-	totals := m.totals()
+	m.sumOwn()
 	for _, x := range c.Moves {
 		s := split.StateOf(x, []ward.MoveState{m.states[x.Name]})
 		if s.Begin.IsZero() || m.machine.Final(s) || x.Cancelled {
@@ -70,7 +70,7 @@
 		}
 		name := evidence.RunName(x.Name, x.Ticket)
 		active[name] = true
-		brakes = append(brakes, m.look(c, x, s, now, totals)...)
+		brakes = append(brakes, m.look(c, x, s, now)...)
 	}
 	m.forget(active)
 	added := m.brakes.Merge(brakes)
@@ -87,11 +87,11 @@
 }
 
 // look judges the routes of one move and returns the quarantines to make.
-func (m *Mover) look(c *ward.Config, x ward.Move, s ward.MoveState, now time.Time, totals map[evidence.Key]analysis.Totals) []ward.Brake {
+func (m *Mover) look(c *ward.Config, x ward.Move, s ward.MoveState, now time.Time) []ward.Brake {
 	name := evidence.RunName(x.Name, x.Ticket)
 	r := m.runs[name]
 	if r == nil {
-		r = &run{analyses: map[string]*analysis.Analysis{}, verdicts: map[string]analysis.Verdict{}}
+		r = &run{seen: map[string]uint64{}, analyses: map[string]*analysis.Analysis{}, verdicts: map[string]analysis.Verdict{}}
 		m.runs[name] = r
 	}
 	routes := routesOf(c, x)
@@ -109,7 +109,12 @@
 		if stepped {
 			a.Step(s.Step, s.Share)
 		}
-		v := a.Look(now, samples(name, route, x, s.Step, totals)...)
+		list, outcomes := m.samples(name, route, x, s.Step)
+		if outcomes == r.seen[route.Name] && !stepped {
+			continue
+		}
+		r.seen[route.Name] = outcomes
+		v := a.Look(now, list...)
 		r.verdicts[route.Name] = v
 		if v.Harm {
 			return m.brakesOf(x, "route "+route.Name+": "+v.Reason, now)
@@ -118,17 +123,20 @@
 	return nil
 }
 
-// samples returns the totals of the step before and of the current one.
-func samples(name string, route ward.Route, x ward.Move, step int, totals map[evidence.Key]analysis.Totals) []analysis.Sample {
+// samples returns the totals of the step before and of the current one, and the
+// number of outcomes in them.
+func (m *Mover) samples(name string, route ward.Route, x ward.Move, step int) ([]analysis.Sample, uint64) {
 	var list []analysis.Sample
+	var outcomes uint64
 	for n := max(step-1, 1); n <= step; n++ {
 		k := evidence.Key{Move: evidence.StepName(name, n), Route: route.Name, Serves: route.Serves, Version: x.From}
-		s := analysis.Sample{Step: n, Old: totals[k]}
+		s := analysis.Sample{Step: n, Old: m.total(k)}
 		k.Version = x.To
-		s.Next = totals[k]
+		s.Next = m.total(k)
+		outcomes += s.Old.Outcomes() + s.Next.Outcomes()
 		list = append(list, s)
 	}
-	return list
+	return list, outcomes
 }
 
 // brakesOf returns the quarantines that take a move back.
@@ -145,37 +153,29 @@
 	return list
 }
 
-// totals sums the counts of all entries.
-func (m *Mover) totals() map[evidence.Key]analysis.Totals {
-	sums := map[evidence.Key]analysis.Totals{}
-	add := func(c ward.Counts) {
-		k := evidence.Key{Move: c.Move, Route: c.Route, Serves: c.Serves, Version: c.Version}
-		t := sums[k]
-		t.Add(c)
-		sums[k] = t
-	}
-	for _, c := range m.recorder.Counts() {
-		add(c)
-	}
-	for _, c := range m.merged {
-		add(c)
-	}
-	return sums
-}
-
-// forget drops what is known of runs that have ended.
+// forget drops what is known of runs that have ended. The counts of others are
+// gone through only after a run has ended here, and now and then.
 func (m *Mover) forget(active map[string]bool) {
+	dropped := 0
 	for name := range m.runs {
 		if !active[name] {
 			delete(m.runs, name)
+			dropped++
 		}
 	}
+	if m.looks++; dropped == 0 && m.looks%forgetLooks != 0 {
+		return
+	}
 	m.recorder.Keep(func(run string) bool { return active[run] })
 	for k := range m.merged {
 		if run := evidence.RunOf(k.key.Move); !active[run] && !m.expected(run) {
 			delete(m.merged, k)
+			dropped++
 		}
 	}
+	if dropped > 0 {
+		m.sumAfresh()
+	}
 }
 
 // expected tells whether a run that is not active here may be at a peer: the
@@ -198,31 +198,3 @@
 	}
 	return list
 }
-
-// sum returns the counts of a run over all entries and steps, one for each
-// route and version, as evidence of an outcome.
-func (m *Mover) sum(c *ward.Config, x ward.Move) []ward.Counts {
-	const maxEvidence = 16
-	name := evidence.RunName(x.Name, x.Ticket)
-	sums := map[evidence.Key]analysis.Totals{}
-	for k, t := range m.totals() {
-		if k.Move = evidence.RunOf(k.Move); k.Move == name {
-			s := sums[k]
-			s.Merge(t)
-			sums[k] = s
-		}
-	}
-	var list []ward.Counts
-	for _, r := range routesOf(c, x) {
-		for _, version := range []string{x.From, x.To} {
-			t := sums[evidence.Key{Move: name, Route: r.Name, Serves: x.Serves, Version: version}]
-			if t.Outcomes() > 0 && len(list) < maxEvidence {
-				list = append(list, ward.Counts{
-					Serves: x.Serves, Version: version, Route: r.Name, Move: name,
-					Succeeded: t.Succeeded, Failed: t.Failed, Latency: t.Latency,
-				})
-			}
-		}
-	}
-	return list
-}
--- /dev/null
+++ b/internal/entry/mover/judge_test.go
@@ -0,0 +1,65 @@
+package mover_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"agateward/internal/entry/mover"
+	"agateward/internal/move/split"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+)
+
+// steppingClock is a clock that a benchmark moves on.
+type steppingClock struct {
+	ward.SystemClock
+	now time.Time
+}
+
+func (c *steppingClock) Now() time.Time { return c.now }
+
+func (c *steppingClock) Sleep(context.Context, time.Duration) error { return nil }
+
+// BenchmarkJudge takes one look at four moves of four routes each while 64
+// counts have changed.
+func BenchmarkJudge(b *testing.B) {
+	for _, entries := range []int{8, 100, 410} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			clock := &steppingClock{now: time.Unix(1000, 0)}
+			cfg := &ward.Config{}
+			var states []ward.MoveState
+			var counts []ward.Counts
+			for i := range 4 {
+				model, name := fmt.Sprint("m", i), fmt.Sprint("x", i)
+				cfg.Moves = append(cfg.Moves, ward.Move{Name: name, Serves: model, From: "v1", To: "v2", Ticket: 2, Deadline: clock.now.Add(time.Hour)})
+				states = append(states, ward.MoveState{Move: name, Ticket: 2, Revision: 1, State: "canary", Step: 1, Share: 0.045, Begin: clock.now, Since: clock.now})
+				for r := range 4 {
+					route := fmt.Sprint("r", i, r)
+					cfg.Routes = append(cfg.Routes, ward.Route{Name: route, Serves: model, Version: "v1"})
+					for e := range entries {
+						for _, v := range []string{"v1", "v2"} {
+							counts = append(counts, ward.Counts{Serves: model, Version: v, Route: route, Move: name + "@2/1", Entry: fmt.Sprint(e), Incarnation: 1})
+						}
+					}
+				}
+			}
+			m := mover.New(mover.Deps{Self: "self", Clock: clock, Log: logr.Discard(), Config: func() *ward.Config { return cfg }, Fleet: func() split.Fleet { return split.Fleet{Entries: entries} }})
+			m.Merge(nil, counts, states)
+			at := 0
+			for b.Loop() {
+				clock.now = clock.now.Add(time.Second)
+				at = (at + 64) % len(counts)
+				changed := counts[at:min(at+64, len(counts))]
+				for i := range changed {
+					changed[i].Succeeded++
+					changed[i].Latency[12]++
+				}
+				m.Merge(nil, changed, nil)
+				m.Judge()
+			}
+		})
+	}
+}
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -50,6 +50,9 @@
 	// storeTimeout bounds one call of the store, orderTimeout one order.
 	storeTimeout = 2 * time.Second
 	orderTimeout = 30 * time.Second
+	// forgetLooks is the number of looks after which the counts of ended runs are
+	// looked for.
+	forgetLooks = 60
 	// maxCounts bounds the counts that are kept of all entries.
 	maxCounts = 50_000
 	// maxPending bounds the events that this entry tells by itself.
@@ -84,9 +87,14 @@
 	states   map[string]ward.MoveState
 	recorder evidence.Recorder
 	merged   map[countKey]ward.Counts
-	runs     map[string]*run
-	pending  []ward.Event
-	told     map[string]bool
+	// sums are the totals over all entries, ownSeen the own counts in them. They
+	// are kept up by what is added, so that a look costs what has changed.
+	sums    map[evidence.Key]*analysis.Totals
+	ownSeen map[evidence.Key]ward.Counts
+	looks   int
+	runs    map[string]*run
+	pending []ward.Event
+	told    map[string]bool
 	// duties belongs to the steering goroutine.
 	duties map[string]*duty
 }
@@ -103,6 +111,8 @@
 	// steps are the steps that this entry has made, the newest last.
 	steps    []stepTaken
 	analyses map[string]*analysis.Analysis
+	// seen is the number of outcomes at the last look, by route.
+	seen     map[string]uint64
 	verdicts map[string]analysis.Verdict
 }
 
@@ -130,6 +140,8 @@
 		states:   map[string]ward.MoveState{},
 		recorder: evidence.Recorder{Entry: d.Self, Incarnation: d.Incarnation},
 		merged:   map[countKey]ward.Counts{},
+		sums:     map[evidence.Key]*analysis.Totals{},
+		ownSeen:  map[evidence.Key]ward.Counts{},
 		runs:     map[string]*run{},
 		told:     map[string]bool{},
 		duties:   map[string]*duty{},
@@ -252,13 +264,14 @@
 	if c.Entry == m.Self && c.Incarnation == m.Incarnation {
 		return
 	}
-	k := countKey{evidence.Key{Move: c.Move, Route: c.Route, Serves: c.Serves, Version: c.Version}, c.Entry, c.Incarnation}
+	k := countKey{keyOf(c), c.Entry, c.Incarnation}
 	have, ok := m.merged[k]
 	if !ok && len(m.merged) >= maxCounts {
 		return
 	}
 	if c.Succeeded+c.Failed > have.Succeeded+have.Failed {
 		m.merged[k] = c
+		m.addToSum(k.key, have, c)
 	}
 }
 
