--- a/internal/config/settings/settings.go
+++ b/internal/config/settings/settings.go
@@ -107,7 +107,8 @@
 
 // Records are the settings of the idempotency records.
 type Records struct {
-	// Shards is the number of store documents that records are spread over.
+	// Shards is the number of store documents that records are spread over: the
+	// same at every entry, and for as long as records are kept.
 	Shards int `json:"shards"`
 	// Keep is how long a key is remembered.
 	Keep ward.Duration `json:"keep"`
@@ -165,7 +166,7 @@
 			ConnectTimeout: seconds(1), ChunkTimeout: seconds(30), MaxAnswer: 8 * megabyte,
 			ReportInterval: seconds(1),
 		},
-		Records:   Records{Shards: 8, Keep: seconds(86_400), MaxAnswer: 4 * kilobyte},
+		Records:   Records{Shards: 1, Keep: seconds(86_400), MaxAnswer: 4 * kilobyte},
 		Stop:      Stop{BalancerLag: seconds(3), Grace: seconds(120)},
 		Telemetry: Telemetry{LogLevel: "info", TraceShare: 0.01, Explain: 4096},
 	}
--- a/internal/entry/runs/runs.go
+++ b/internal/entry/runs/runs.go
@@ -87,7 +87,8 @@
 	// Clock is the machine's when nil.
 	Clock ward.Clock
 	Log   logr.Logger
-	// Shards is the number of shards: the same at every entry of the fleet.
+	// Shards is the number of shards: the same at every entry of the fleet, and
+	// for as long as records are kept.
 	Shards int
 	// Limits bounds each shard.
 	Limits shard.Limits
@@ -97,6 +98,9 @@
 
 	once   sync.Once
 	shards []*worker
+	// known is closed when the layout is known, differs is set before.
+	known   chan struct{}
+	differs bool
 }
 
 // Begin decides whether r may be dispatched to u. It fails with a code that says
@@ -115,7 +119,9 @@
 		return Decision{}, code.KeyTooOld.New("the key was made %v ago, records are kept for %v", now.Sub(made).Round(time.Second), keep)
 	}
 	v, err := r.settled(ctx, req)
-	if err != nil {
+	if code.RecordsDown.Is(err) {
+		v = record.Verdict{Code: code.RecordsDown}
+	} else if err != nil {
 		return Decision{}, err
 	}
 	return r.decide(req, u, v)
@@ -124,6 +130,9 @@
 // settled claims the request's key. A key that is in progress is asked for again
 // for a short while: its outcome may be about to be written.
 func (r *Runs) settled(ctx context.Context, req *ward.Request) (record.Verdict, error) {
+	if err := r.ready(ctx); err != nil {
+		return record.Verdict{}, err
+	}
 	until := r.now().Add(SettleWait)
 	for {
 		v, err := r.worker(req).claim(ctx, r.claimOf(req))
@@ -146,6 +155,9 @@
 	r.init()
 	ctx, cancel := context.WithTimeout(ctx, lookupWait)
 	defer cancel()
+	if r.ready(ctx) != nil {
+		return Decision{}, nil
+	}
 	v, err := r.worker(req).look(ctx, r.claimOf(req))
 	switch {
 	case err != nil || v.Kind == record.Absent:
@@ -212,6 +224,7 @@
 func (r *Runs) Run(ctx context.Context) {
 	r.init()
 	var wg conc.WaitGroup
+	wg.Go(func() { r.learnLayout(ctx) })
 	for _, w := range r.shards {
 		wg.Go(func() { w.run(ctx) })
 		wg.Go(func() { w.warm(ctx) })
@@ -246,6 +259,7 @@
 
 func (r *Runs) init() {
 	r.once.Do(func() {
+		r.known = make(chan struct{})
 		name := uuid.NewString()[:nameLength]
 		for i := range either(r.Shards, DefaultShards) {
 			w := &worker{runs: r, key: "runs/" + strconv.Itoa(i), wake: make(chan struct{}, 1), replies: map[string]chan record.Verdict{}}
--- a/internal/entry/runs/runs_test.go
+++ b/internal/entry/runs/runs_test.go
@@ -96,6 +96,21 @@
 	}
 }
 
+// TestAnotherNumberOfShards: an entry that would look for keys elsewhere runs
+// none of them.
+func TestAnotherNumberOfShards(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := &memory.Platform{}
+		if _, err := entries(t, p, 1)[0].Begin(t.Context(), request("a", "k"), ward.Upstream{}); err != nil {
+			t.Fatal(err)
+		}
+		other := entries(t, p, 1, func(r *Runs) { r.Shards = 3 })[0]
+		if _, err := other.Begin(t.Context(), request("b", "k2"), ward.Upstream{}); !code.RecordsDown.Is(err) || !IsRefusal(err) {
+			t.Errorf("got %v", err)
+		}
+	})
+}
+
 // TestNewEntryKnowsOldKeys: keys whose records went into archives long ago are
 // known to an entry that has just started.
 func TestNewEntryKnowsOldKeys(t *testing.T) {
--- a/internal/entry/runs/worker.go
+++ b/internal/entry/runs/worker.go
@@ -81,10 +81,7 @@
 	} else {
 		w.carry(w.shard.Settle(now, record.Outcome{Claim: c, State: record.NotRun}))
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return code.DeadlinePassed.Wrap(ctx.Err(), "idempotency record of request %s", c.Attempt)
-	}
-	return code.CallerGone.Wrap(errors.Join(ward.ErrNotConnected, context.Cause(ctx)), "idempotency record of request %s", c.Attempt)
+	return gone(ctx)
 }
 
 func (w *worker) settle(o record.Outcome) {
