--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -177,10 +177,11 @@
 	return o
 }
 
-// cancelled tells the ends that are no evidence against an upstream.
+// cancelled tells the ends that are no evidence against an upstream, such as a
+// path of the caller's that can't be sent.
 func cancelled(err error) bool {
 	switch code.Of(err).Number {
-	case code.CallerGone.Number, code.GraceUsedUp.Number, code.VersionTakeBack.Number, code.DeadlinePassed.Number:
+	case code.CallerGone.Number, code.GraceUsedUp.Number, code.VersionTakeBack.Number, code.DeadlinePassed.Number, code.UnknownRoute.Number:
 		return err != nil
 	}
 	return false
--- a/internal/entry/runs/layout.go
+++ b/internal/entry/runs/layout.go
@@ -25,7 +25,7 @@
 func (r *Runs) learnLayout(ctx context.Context) {
 	for ctx.Err() == nil {
 		n, err := r.layout(ctx)
-		if err == nil && n > 0 {
+		if err == nil {
 			r.differs = n != len(r.shards)
 			if r.differs {
 				r.Log.Info("run-records-layout-differs", "shards", n, "set", len(r.shards))
@@ -37,7 +37,8 @@
 	}
 }
 
-// layout returns the number of shards in the store, 0 when it was not there.
+// layout returns the number of shards in the store, and sets it where it is not
+// there.
 func (r *Runs) layout(ctx context.Context) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, either(r.Call, DefaultCall))
 	defer cancel()
@@ -47,7 +48,7 @@
 	}
 	if rec.Revision == 0 {
 		_, err := r.Store.CompareAndSwap(ctx, layoutKey, 0, []byte(strconv.Itoa(len(r.shards))))
-		return 0, err
+		return len(r.shards), err
 	}
 	return strconv.Atoi(string(rec.Value))
 }
--- a/internal/upstream/transport/transport.go
+++ b/internal/upstream/transport/transport.go
@@ -28,12 +28,12 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"sync"
 
 	"agateward/internal/result/code"
 	"agateward/internal/upstream/conn"
 	"agateward/internal/upstream/header"
-	"agateward/ward"
 )
 
 // NoResume is the Call.Resume of a request without a resume offset.
@@ -135,12 +135,11 @@
 // request makes the HTTP request. A body is never nil-able by GetBody: net/http
 // could send it again.
 func (c Call) request(ctx context.Context) (*http.Request, error) {
-	u, err := url.ParseRequestURI(c.Path)
-	if err != nil || u.Host != "" || u.Scheme != "" {
-		return nil, code.UnknownRoute.Wrap(ward.ErrNotConnected, "path %q", clip(c.Path))
+	// The path follows the address, so that it can't name another host.
+	u, err := url.ParseRequestURI("http://" + c.Address + c.Path)
+	if err != nil || !strings.HasPrefix(c.Path, "/") || u.Host != c.Address {
+		return nil, code.UnknownRoute.New("path %q", clip(c.Path))
 	}
-	u.Scheme = "http"
-	u.Host = c.Address
 	req := (&http.Request{Method: c.Method, URL: u, Host: c.Address, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
 	req.Header = header.Filter{KeepAuthorization: true}.Request(c.Header)
 	req.Header.Set(header.RequestID, c.ID)
