feat(request): go to a cached prompt's upstream while time allows

Cause: half of the prompts begin with a shared document, but an entry used another entry's upstream for it only while at most 0.3 s of prompts waited there, so each entry computed and cached the documents anew. Change: a cached prompt's upstream may be used as long as the first token is expected within 0.7 of the time left (and 4 s of prompts).

--- a/internal/request/scheduler/dispatch.go
+++ b/internal/request/scheduler/dispatch.go
@@ -95,11 +95,16 @@
 
 // Bounds of prefix affinity.
 const (
+	// workWeight is what a second of prefill that others wait for counts against
+	// a second of the request's own time.
+	workWeight = 0.0
 	// worthwhile is the part of a prompt that must be cached for an upstream to
 	// be used of which this entry has no part.
 	worthwhile = 0.5
+	// slackPart is the part of the time to the first token that may be used up.
+	slackPart = 0.7
 	// longestWait is the wait in such an upstream that is put up with.
-	longestWait = 300 * time.Millisecond
+	longestWait = 4000 * time.Millisecond
 )
 
 // option is an upstream that a request may go to, and what is expected of it.
@@ -137,7 +142,9 @@
 		if part < worthwhile || m.u.budget.Part() > 0 || !s.mayUse(now, m.u, e) || !m.u.roomForGuest(now) {
 			continue
 		}
-		best.keep(m.u.option(now, e, m.tokens))
+		if o := m.u.option(now, e, m.tokens); float64(o.first) <= slackPart*float64(e.item.Due.Sub(now)) {
+			best.keep(o)
+		}
 	}
 	return best
 }
@@ -217,9 +224,15 @@
 	return o
 }
 
+// score is what options are compared by: the expected completion, and the work
+// that a cached prompt spares others.
+func (o *option) score() time.Duration {
+	return o.total + time.Duration(workWeight*float64(o.u.budget.FirstTokenIn(float64(o.need))))
+}
+
 // keep replaces o by a better option.
 func (o *option) keep(x option) {
-	if o.u == nil || x.total < o.total {
+	if o.u == nil || x.score() < o.score() {
 		*o = x
 	}
 }
