perf(request): leave more room for the top tier in front of engines

Change: tiers 2 to 4 are handed over while at most 0.3, 0.2 and 0.1 s of prompts wait in the upstream (before: 0.4, 0.3, 0.2).

--- a/internal/request/scheduler/choose.go
+++ b/internal/request/scheduler/choose.go
@@ -9,7 +9,7 @@
 // aheadOf is the wait for prompts before it, in an upstream, that a request is
 // handed over to, by tier: the lower tiers leave room for the higher ones.
 var aheadOf = [ward.TierCount]time.Duration{
-	500 * time.Millisecond, 400 * time.Millisecond, 300 * time.Millisecond, 200 * time.Millisecond,
+	500 * time.Millisecond, 300 * time.Millisecond, 200 * time.Millisecond, 100 * time.Millisecond,
 }
 
 // paceAhead is how far an entry may run before its part of an upstream's prefill
