fix(ticket): refuse to set a route while a move of it is under way

Cause: a route's ticket with a higher number than the move's would take the route back to its own version when the move is done. Change: the check of references names the move and its deadline. Conclusion: a done move's version stands until a later ticket.

--- a/internal/ticket/document/document_test.go
+++ b/internal/ticket/document/document_test.go
@@ -74,6 +74,10 @@
     {"name": "gone", "removed": true},
     {"name": "never", "serves": "menus", "from": "v1", "to": "v2", "cancelled": true},
   ],
+}`},
+		{"route-in-a-move", `{
+  "number": 2, "operator": "naledi",
+  "routes": [{"name": "menus", "kind": "engine", "serves": "menus", "version": "v1", "tier": 3, "deadline": "9s"}],
 }`},
 		{"empty", `{"number": 3, "operator": "x"}`},
 	}
--- a/internal/ticket/document/references.go
+++ b/internal/ticket/document/references.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"agateward/internal/move/brake"
 	"agateward/ward"
 )
 
@@ -34,9 +35,25 @@
 			r.move(at, m)
 		}
 	}
+	r.routesInMove()
 	r.upstreamsInUse()
 }
 
+// routesInMove refuses to set a route while a move of it may be under way: the
+// ticket's version would stand against the move's outcome.
+func (r *references) routesInMove() {
+	for i, x := range r.ticket.Routes {
+		for _, m := range r.before.Moves {
+			over := m.Cancelled || !m.Deadline.After(r.now)
+			ends := slices.ContainsFunc(r.ticket.Moves, func(y ward.Move) bool { return y.Name == m.Name && (y.Cancelled || y.Removed) })
+			if over || ends || !brake.Covers(m, x) {
+				continue
+			}
+			r.add(fmt.Sprintf("routes[%d].name", i), "move %q moves route %q until %s; cancel it or wait", m.Name, x.Name, m.Deadline.Format(time.RFC3339))
+		}
+	}
+}
+
 // removals checks that what is to be removed is there.
 func (r *references) removals() {
 	for i, u := range r.ticket.Upstreams {
