feat(capacity): follow the run records into their archives

Cause: the records moved into archives, and the page still told of whole shards. Change: the role is measured over archives named by a shard; memory of the index and reads of archives are counted.

--- a/internal/bench/capacity/record.go
+++ b/internal/bench/capacity/record.go
@@ -36,54 +36,84 @@
 	return b
 }
 
+// archiveSizes are numbers of archives that a shard names.
+var archiveSizes = []int{10, 100, 1000}
+
+// archived returns a book that names n archives beside its young records.
+func archived(n int) *record.Book {
+	b := book(youngRecords())
+	for i := range n {
+		b.Archives = append(b.Archives, record.Archive{ID: fmt.Sprintf("0a1b2c3d-%d", i), Revision: uint64(i + 1_000_000), Last: 1_767_225_600_000})
+	}
+	return b
+}
+
+// youngRecords is the number of records that a shard's document holds on the
+// average, between a quarter and the whole of its bound.
+func youngRecords() int {
+	one := book(1).RecordBytes()
+	return shard.DefaultHot * 5 / 8 / one
+}
+
+// recordsPerArchive is the number of records that are moved out at once, when the
+// document is midway between once and twice its bound.
+func recordsPerArchive() int {
+	full := book(shard.DefaultHot * 3 / 2 / book(1).RecordBytes())
+	later := time.Date(2026, 1, 1, 1, 0, 0, 0, time.UTC)
+	return len(full.Oldest(later, shard.DefaultHot/4))
+}
+
 // records measures the idempotency records.
 func (c *Capacity) records(context.Context) error {
 	const role = "run records"
-	const axis = "records in a shard"
-	sized := Figure{Role: role, Name: "shard in the store, without answers", Unit: "B", Axis: axis, Size: 1}
-	c.figure(sized, recordSizes, func(n int) float64 {
-		b, err := book(n).Encode()
+	const axis = "archives that a shard names"
+	encoded := func(b *record.Book) []byte {
+		v, err := b.Encode()
 		if err != nil {
 			panic(err)
 		}
-		return float64(len(b))
+		return v
+	}
+	c.figure(Figure{Role: role, Name: "records in the store", Unit: "B", Axis: "records", Size: 1}, recordSizes, func(n int) float64 {
+		return float64(len(encoded(book(n))))
 	})
 	perRecord := c.Figures[len(c.Figures)-1].Line().Slope
-	encode := c.figure(Figure{Role: role, Name: "reading and writing a shard", Unit: "ms", Axis: axis, Size: shard.DefaultBytes / perRecord}, recordSizes, func(n int) float64 {
-		b, err := book(n).Encode()
-		if err != nil {
-			panic(err)
-		}
+	kept := Requests * OrderShare * settings.Default().Records.Keep.Std().Seconds()
+	shards := float64(settings.Default().Records.Shards)
+	archives := kept / float64(recordsPerArchive()) / shards
+	document := c.figure(Figure{Role: role, Name: "document of a shard", Unit: "KB", Axis: axis, Size: archives}, archiveSizes, func(n int) float64 {
+		return float64(len(encoded(archived(n)))) / 1024
+	})
+	commit := c.figure(Figure{Role: role, Name: "reading and writing a shard's document", Unit: "ms", Axis: axis, Size: archives}, archiveSizes, func(n int) float64 {
+		b := encoded(archived(n))
 		return float64(probe.Time(func() {
-			d, err := record.Decode(b)
-			if err == nil {
+			if d, err := record.Decode(b); err == nil {
 				_, _ = d.Encode()
 			}
 		})) / float64(time.Millisecond)
 	})
-	shards := float64(settings.Default().Records.Shards)
-	keep := settings.Default().Records.Keep.Std().Seconds()
-	held := shards * shard.DefaultBytes / perRecord
-	orders := Requests * OrderShare
-	writes := min(runWrites, 2*orders)
 	c.Roles = append(c.Roles, Role{
 		Name:      role,
-		State:     fmt.Sprintf("%.0f shards of %d KB in the store, %.0f records", shards, shard.DefaultBytes>>10, held),
-		Messages:  fmt.Sprintf("%.0f writes a second of whole shards, for all entries", writes),
-		Mechanism: "claims and outcomes go in groups into shards that any entry writes by compare-and-swap",
+		State:     fmt.Sprintf("%.0f shards in the store with %.0f archives each; a key prefix of each record in every entry", shards, archives),
+		Messages:  fmt.Sprintf("%.0f writes a second of documents of %.0f KB, for all entries", runWrites, document),
+		Mechanism: "claims and outcomes go in groups into shards that any entry writes by compare-and-swap; older records go into archives",
 		Control:   true,
-		CPU:       encode / 1000 * writes / Nodes,
-		Bytes:     writes / Nodes * 2 * shard.DefaultBytes,
-		Memory:    shard.DefaultBytes,
-		Reads:     writes,
-		Writes:    writes,
+		CPU:       commit / 1000 * runWrites / Nodes,
+		Bytes:     runWrites/Nodes*2*document*1024 + Requests*OrderShare*perRecord,
+		Memory:    kept * indexBytes,
+		Reads:     runWrites + Requests*OrderShare/float64(recordsPerArchive())*Nodes,
+		Writes:    runWrites,
 	})
-	c.Notes = append(c.Notes,
-		fmt.Sprintf("A record takes %.0f bytes, so that %.0f shards of %d KB hold %.0f records: at the %.0f s that a key is kept by default, %.1f non-idempotent requests a second. At %.0f a second (%.0f %% of %d) keys could be kept for %.0f s.",
-			perRecord, shards, shard.DefaultBytes>>10, held, keep, held/keep, orders, 100*OrderShare, Requests, held/orders))
+	limit := float64(shard.DefaultBytes) / 1024
+	c.Notes = append(c.Notes, fmt.Sprintf(
+		"A record takes %.0f bytes, an archive holds %d. At %.0f non-idempotent requests a second (%.0f %% of %d) kept for %.0f h, a shard would name %.0f archives in a document of %.0f KB, of the %.0f KB that it may have, and each entry would read every archive once and hold %.0f million key prefixes.",
+		perRecord, recordsPerArchive(), Requests*OrderShare, 100*OrderShare, Requests, settings.Default().Records.Keep.Std().Hours(), archives, document, limit, kept/1e6))
 	return nil
 }
 
+// indexBytes is the memory that the index takes for one record.
+const indexBytes = 8
+
 // noticeSizes are numbers of events.
 var noticeSizes = []int{50, 100, 200}
 
