feat(capacity): follow the reads of reports to the replicas that an entry feeds

Change: the number of replicas that an entry feeds is measured on the scheduler, and the reads are worked out from it.

--- a/internal/bench/capacity/page.go
+++ b/internal/bench/capacity/page.go
@@ -74,12 +74,12 @@
 	for _, f := range c.Figures {
 		var points []string
 		for _, p := range f.Points {
-			points = append(points, fmt.Sprintf("%.0f: %.3g", p.Size, p.Cost))
+			points = append(points, fmt.Sprintf("%.3g: %.3g", p.Size, p.Cost))
 		}
 		l := f.Line()
 		at := ""
 		if f.Size > 1 {
-			at = fmt.Sprintf("%.3g %s at %.0f", f.Value(), f.Unit, f.Size)
+			at = fmt.Sprintf("%.3g %s at %.4g", f.Value(), f.Unit, f.Size)
 		}
 		fmt.Fprintf(b, "| %s | %s, %s | %s | %s | %.3g + %.3g·n | %.2f | %s |\n",
 			f.Role, f.Name, f.Unit, f.Axis, strings.Join(points, ", "), l.Intercept, l.Slope, l.R2, at)
--- a/internal/bench/capacity/reports.go
+++ b/internal/bench/capacity/reports.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"agateward/internal/bench/fit"
 	"agateward/internal/bench/usage"
 	"agateward/internal/standin/batch"
 	standin "agateward/internal/standin/engine"
@@ -16,9 +17,11 @@
 )
 
 const (
-	// readInterval is the time between two reads of one replica by one entry at
-	// 8 entries or fewer; it grows with the entries beyond them, in seconds.
+	// readInterval is the time between two reads of a replica that the entry
+	// feeds, in seconds. It is othersFactor times as long for another one, and
+	// grows with the entries beyond entriesPerInterval.
 	readInterval       = 1.0
+	othersFactor       = 4.0
 	entriesPerInterval = 8.0
 	// eventsPerRequest is the number of blocks that one request makes a replica
 	// store or drop.
@@ -82,8 +85,15 @@
 	}
 	const role = "upstream reports"
 	const axis = "cache events in one read"
-	readsPerSecond := Replicas / (readInterval * Nodes / entriesPerInterval)
-	events := float64(Requests) * eventsPerRequest / Replicas / (readsPerSecond / Replicas)
+	feeds := Figure{Role: role, Name: "replicas that an entry feeds", Unit: "count", Axis: "replicas by entries", Size: float64(Replicas) / Nodes}
+	for _, n := range entrySizes {
+		feeds.Points = append(feeds.Points, fit.Point{Size: float64(Replicas) / float64(n), Cost: fedBy(n)})
+	}
+	c.Figures = append(c.Figures, feeds)
+	fed := feeds.Value()
+	others := (Replicas - fed) / (readInterval * othersFactor * Nodes / entriesPerInterval)
+	own := fed / readInterval
+	events := float64(Requests) * eventsPerRequest / Replicas * readInterval
 	cpu := Figure{Role: role, Name: "reading one replica, both ends", Unit: "µs", Axis: axis}
 	bytes := Figure{Role: role, Name: "bytes on the wire of one read", Unit: "B", Axis: axis}
 	c.figure(cpu, eventSizes, func(n int) float64 { return costs[n].micros })
@@ -93,23 +103,36 @@
 	c.Roles = append(c.Roles, Role{
 		Name:      "upstream reports: load",
 		State:     "the last report of each replica",
-		Messages:  fmt.Sprintf("%.1f reads a second of %d replicas", readsPerSecond, Replicas),
-		Mechanism: "the time between two reads grows with the entries",
+		Messages:  fmt.Sprintf("%.1f reads a second of the %.1f replicas that it feeds, %.1f of the others", own, fed, others),
+		Mechanism: "the replicas that an entry feeds are read each second, the others less often the more entries there are",
 		Control:   true,
-		CPU:       cpu.Line().At(0) * readsPerSecond / second,
-		Bytes:     bytes.Line().At(0) * readsPerSecond,
+		CPU:       cpu.Line().At(0) * (own + others) / second,
+		Bytes:     bytes.Line().At(0) * (own + others),
 	}, Role{
 		Name:      "upstream reports: cache events",
-		State:     "the prefix blocks that each replica is known to hold",
+		State:     "the prefix blocks of the replicas that it feeds",
 		Messages:  fmt.Sprintf("%.0f events in one read, at %d events a request", events, eventsPerRequest),
-		Mechanism: "every entry reads the events of every replica",
+		Mechanism: "an entry reads the events of the replicas that it feeds",
 		Control:   true,
-		CPU:       cpu.Line().Slope * events * readsPerSecond / second,
-		Bytes:     bytes.Line().Slope * events * readsPerSecond,
+		CPU:       cpu.Line().Slope * events * own / second,
+		Bytes:     bytes.Line().Slope * events * own,
 	})
 	return nil
 }
 
+// fedBy returns the number of replicas that one of so many entries has a part of.
+func fedBy(entries int) float64 {
+	d := newDriver(Replicas, Teams)
+	d.s.Peers(d.now, peers(entries, Replicas))
+	n := 0
+	for _, u := range d.s.State().Upstreams {
+		if u.Part > 0 {
+			n++
+		}
+	}
+	return float64(n)
+}
+
 // readOne reads a replica with so many new cache events.
 func readOne(ctx context.Context, events int) (reading, error) {
 	s := &standin.Server{Profile: batch.Profile{Name: "engine-0001", ReportLag: time.Nanosecond, CacheLag: time.Nanosecond, CacheGap: -1}}
