--- a/internal/run/record/record.go
+++ b/internal/run/record/record.go
@@ -81,9 +81,10 @@
 	Key      Key
 	State    State
 	BodyHash uint64
-	// Attempt is the id of the request that began the record.
+	// Attempt is the id of the request that began the record, Until when that can
+	// no longer be running; both are empty once it is settled.
 	Attempt string
-	// Begun is when it began, Until when its request can no longer be running.
+	// Begun is when the record was begun.
 	Begun int64
 	Until int64
 	// Status, Header and Body are the recorded answer; Kept says that Body is
@@ -266,6 +267,9 @@
 	if !ok {
 		r = Record{Key: o.Claim.Key, BodyHash: o.Claim.BodyHash, Attempt: o.Claim.Attempt, Begun: now.UnixMilli(), Until: o.Claim.Until.UnixMilli()}
 	}
+	// Only a record that is begun is known by its attempt.
+	r.Attempt = ""
+	r.Until = 0
 	r.State = o.State
 	r.Status = o.Status
 	r.Kept = o.Kept
