--- a/internal/run/record/compact.go
+++ b/internal/run/record/compact.go
@@ -11,7 +11,12 @@
 
 // Size returns an upper bound of the stored size in bytes.
 func (b *Book) Size() int {
-	n := overhead + b.RecordBytes()
+	return overhead + b.RecordBytes() + b.ArchiveBytes()
+}
+
+// ArchiveBytes returns the part of Size that the names of archives take.
+func (b *Book) ArchiveBytes() int {
+	n := 0
 	for _, a := range b.Archives {
 		n += len(a.ID) + overhead/2
 	}
--- a/internal/run/shard/archive.go
+++ b/internal/run/shard/archive.go
@@ -121,7 +121,8 @@
 }
 
 // archive begins to write an archive where the book has become large, and tells
-// whether it did. Once that is written it is taken out of the book.
+// whether it did. The more archives there are, the larger the next ones become:
+// their names would otherwise outgrow the records. Once that is written it is taken out of the book.
 func (s *Shard) archive(now time.Time, book *record.Book) bool {
 	a := &s.archives
 	if a.moving != nil {
@@ -131,7 +132,7 @@
 		}
 		return false
 	}
-	hot := either(s.Limits.Hot, DefaultHot)
+	hot := max(either(s.Limits.Hot, DefaultHot), book.ArchiveBytes())
 	if a.noMove || book.RecordBytes() <= hot+s.share(hot) {
 		return false
 	}
--- a/internal/run/shard/shard.go
+++ b/internal/run/shard/shard.go
@@ -70,7 +70,7 @@
 	DefaultLinger   = 250 * time.Millisecond
 	DefaultPause    = 25 * time.Millisecond
 	DefaultMostPace = 640 * time.Millisecond
-	DefaultHot      = 64 << 10
+	DefaultHot      = 32 << 10
 	DefaultBytes    = 900 << 10
 	DefaultClaims   = 1024
 	DefaultOutcomes = 1024
