feat(measure): measure peers at 8 to 410 entries, and keep urgent news apart

Cause: with load at 100 and 410 entries counts and states used up the bytes, so that a brake took 2.0 s and a revision 7 to 30 s; one lost exchange in a hundred set off accusations of the whole fleet; a new instance at 100 entries had no earlier brake after 30 s. Change: experiment peers; counts, load and whole states only use the upper half of the bucket; a timeout accuses only after a second try; the digest shows brakes and moves apart, and who lacks one gets it with the next reply; asking for the configuration may go into debt; counts go in turn without sorting.

--- a/internal/measure/frame/list.go
+++ b/internal/measure/frame/list.go
@@ -7,6 +7,7 @@
 	"agateward/internal/measure/fleetsize"
 	"agateward/internal/measure/moves"
 	"agateward/internal/measure/overload"
+	"agateward/internal/measure/peers"
 	"agateward/internal/measure/relay"
 	"agateward/internal/measure/report"
 	"agateward/internal/measure/runrecords"
@@ -28,5 +29,6 @@
 		chaos.Experiment{},
 		fleetsize.Experiment{},
 		capacity.Experiment{},
+		peers.Experiment{},
 	}
 }
--- a/internal/peer/loop/loop.go
+++ b/internal/peer/loop/loop.go
@@ -111,6 +111,24 @@
 	f.tickAt(i, e.run, e.next)
 }
 
+// Introduce makes all entries known to each other, as they are long after their
+// start.
+func (f *Fleet) Introduce() {
+	var states []ward.PeerState
+	for _, e := range f.Entries {
+		if e.Member != nil {
+			states = append(states, e.Member.Self())
+		}
+	}
+	for i, e := range f.Entries {
+		by := states[(i+1)%len(states)]
+		if e.Member == nil || by.Name == e.name {
+			continue
+		}
+		_, _ = e.Member.Receive(f.Now, ward.Exchange{Fleet: "test", Protocol: member.Protocol, From: by.Name, Incarnation: by.Incarnation, States: states})
+	}
+}
+
 // Kill ends an entry: nothing of it is left, connections to it are refused.
 func (f *Fleet) Kill(i int) { f.Entries[i].Member = nil }
 
--- a/internal/peer/member/digest.go
+++ b/internal/peer/member/digest.go
@@ -12,9 +12,27 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// bucketCount is the number of parts of a digest.
+// bucketCount is the number of parts of a digest. The first part is that of
+// brakes and moves, which are few, so that one that was missed does not bring
+// the states of entries with it.
 const bucketCount = 16
 
+// bucketOf returns the part of an item.
+func bucketOf(h uint64, entry bool) uint64 {
+	if !entry {
+		return 0
+	}
+	return 1 + h%(bucketCount-1)
+}
+
+// newsShift is where the sum of brakes and moves begins in a digest; below it is
+// that of the entries. newsBytes bounds what a reply brings when the former
+// differs.
+const (
+	newsShift = 32
+	newsBytes = 700
+)
+
 // digest sums up what this entry knows and the fleet should agree on: who is
 // alive, the brakes, and the states of moves.
 type digest struct {
@@ -52,20 +70,24 @@
 		return
 	}
 	d.whole, d.buckets, d.stale, d.valid = 0, [bucketCount]uint32{}, false, true
-	m.each(func(h uint64, _ func(*ward.Exchange) int) {
-		d.whole ^= h
-		d.buckets[h%bucketCount] ^= uint32(h >> 32)
+	m.each(func(h uint64, entry bool, _ func(*ward.Exchange) int) {
+		part := h >> 32
+		if !entry {
+			part <<= newsShift
+		}
+		d.whole ^= part
+		d.buckets[bucketOf(h, entry)] ^= uint32(h >> 32)
 	})
 }
 
-// each calls f with the hash of each item that the digest covers, and with a
-// function that adds the item to a message and returns its size.
-func (m *Member) each(f func(h uint64, add func(*ward.Exchange) int)) {
+// each calls f with the hash of each item that the digest covers, whether it is
+// an entry, and a function that adds the item to a message and returns its size.
+func (m *Member) each(f func(h uint64, entry bool, add func(*ward.Exchange) int)) {
 	for _, r := range m.rows {
 		if r.status != Alive || !r.known() {
 			continue
 		}
-		f(r.hash, func(x *ward.Exchange) int {
+		f(r.hash, true, func(x *ward.Exchange) int {
 			s := r.state
 			s.Demand = nil
 			x.States = append(x.States, s)
@@ -73,13 +95,13 @@
 		})
 	}
 	for k, r := range m.brakes {
-		f(hash("brake", k.serves, k.version, k.route, strconv.FormatUint(k.ticket, 10)), func(x *ward.Exchange) int {
+		f(hash("brake", k.serves, k.version, k.route, strconv.FormatUint(k.ticket, 10)), false, func(x *ward.Exchange) int {
 			x.Brakes = append(x.Brakes, r.brake)
 			return size.Brake(r.brake)
 		})
 	}
 	for _, r := range m.moves {
-		f(hash("move", r.move.Move, strconv.FormatUint(r.move.Revision, 10)), func(x *ward.Exchange) int {
+		f(hash("move", r.move.Move, strconv.FormatUint(r.move.Revision, 10)), false, func(x *ward.Exchange) int {
 			x.Moves = append(x.Moves, r.move)
 			return size.Move(r.move)
 		})
@@ -101,12 +123,38 @@
 		m.mend(reply, asked.Buckets)
 		return
 	}
-	if asked.Digest != m.digest.whole && m.settled(now) {
+	if asked.Digest>>newsShift != m.digest.whole>>newsShift {
+		m.addNews(reply)
+	}
+	if uint32(asked.Digest) != uint32(m.digest.whole) && m.settled(now) {
 		m.repair.at = now
 		reply.Buckets = m.buckets()
 	}
 }
 
+// addNews adds brakes and moves to a reply to one whose sum of them differs. They
+// are few, and every entry asks several others a second, so that one that has
+// just started or missed a message has them within a second.
+func (m *Member) addNews(reply *ward.Exchange) {
+	left := newsBytes
+	brakes := m.Brakes()
+	for i := range brakes {
+		b := brakes[(i+int(m.stats.SentMessages))%len(brakes)]
+		if left -= size.Brake(b); left < 0 {
+			return
+		}
+		reply.Brakes = append(reply.Brakes, b)
+	}
+	moves := m.Moves()
+	for i := range moves {
+		s := moves[(i+int(m.stats.SentMessages))%len(moves)]
+		if left -= size.Move(s); left < 0 {
+			return
+		}
+		reply.Moves = append(reply.Moves, s)
+	}
+}
+
 // settled tells that the digest is at rest and no repair was made just now.
 func (m *Member) settled(now time.Time) bool {
 	return now.Sub(m.digest.changed) >= settleTime && now.Sub(m.repair.at) >= repairEvery
@@ -115,7 +163,7 @@
 // startRepair notes that the next tick mends a difference with a peer.
 func (m *Member) startRepair(now time.Time, reply ward.Exchange) {
 	m.sum()
-	if len(reply.Buckets) != bucketCount || now.Sub(m.repair.at) < repairEvery || reply.Digest == m.digest.whole {
+	if len(reply.Buckets) != bucketCount || now.Sub(m.repair.at) < repairEvery || uint32(reply.Digest) == uint32(m.digest.whole) {
 		return
 	}
 	m.stats.Repairs++
@@ -130,15 +178,15 @@
 		add  func(*ward.Exchange) int
 	}
 	var items []item
-	collect := func(h uint64, add func(*ward.Exchange) int) {
-		if m.digest.buckets[h%bucketCount] != theirs[h%bucketCount] {
+	collect := func(h uint64, entry bool, add func(*ward.Exchange) int) {
+		if b := bucketOf(h, entry); m.digest.buckets[b] != theirs[b] {
 			items = append(items, item{h, add})
 		}
 	}
 	m.each(collect)
 	for _, r := range m.rows {
 		if r.status != Alive && r.known() {
-			collect(r.hash, func(x *ward.Exchange) int {
+			collect(r.hash, true, func(x *ward.Exchange) int {
 				x.Beats = append(x.Beats, m.short(r))
 				return size.Beat(m.short(r))
 			})
@@ -147,7 +195,8 @@
 	// In an order that changes, so that what does not fit comes another time.
 	slices.SortFunc(items, func(a, b item) int { return cmp.Compare(a.hash, b.hash) })
 	m.random.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
-	for left := maxRepair - maxMessage; left > 0 && len(items) > 0; items = items[1:] {
+	left := min(maxRepair-maxMessage, int(m.bucket.tokens-bulkReserve*m.bucket.rate))
+	for ; left > 0 && len(items) > 0; items = items[1:] {
 		left -= items[0].add(x)
 	}
 }
--- a/internal/peer/member/items.go
+++ b/internal/peer/member/items.go
@@ -163,6 +163,7 @@
 		m.makeRoom()
 		r = &countsRow{counts: c}
 		m.counts[key] = r
+		m.ring = append(m.ring, r)
 		r.start(loadLimit)
 		r.at = now
 		m.changed(key, r)
@@ -218,7 +219,15 @@
 			oldest, row = k, r
 		}
 	}
-	delete(m.counts, oldest)
+	m.dropCounts(oldest)
+}
+
+// dropCounts drops one series.
+func (m *Member) dropCounts(key countsKey) {
+	r := m.counts[key]
+	delete(m.counts, key)
+	m.ring = slices.DeleteFunc(m.ring, func(x *countsRow) bool { return x == r })
+	m.ringAt = 0
 }
 
 // prune drops what a new configuration has put an end to.
@@ -236,7 +245,7 @@
 	}
 	for k, r := range m.counts {
 		if m.docs.over(r.counts.Move, 0) {
-			delete(m.counts, k)
+			m.dropCounts(k)
 		}
 	}
 	m.digest.touch(now)
--- a/internal/peer/member/member.go
+++ b/internal/peer/member/member.go
@@ -139,13 +139,19 @@
 	self *row
 	rows map[string]*row
 	ids  map[uint32]*row
-	view view
+	// order is the rows by name, nil when it has to be made again.
+	order []*row
+	view  view
 
 	brakes map[brakeKey]*brakeRow
 	moves  map[string]*moveRow
 	counts map[countsKey]*countsRow
 	// untaken lists rows for TakeCounts.
 	untaken []countsKey
+	// ring holds the rows of counts in the order in which they are passed on,
+	// ringAt is the next.
+	ring   []*countsRow
+	ringAt int
 	// live is the number of live entries at the last tick.
 	live int
 	// urgent says that something urgent may be left to pass on, fresh that some
@@ -159,6 +165,8 @@
 	bucket bucket
 	digest digest
 	repair repair
+	// retry is an entry whose exchange failed once.
+	retry string
 	// asked is when this entry, after its start, last asked for what it lacks.
 	asked time.Time
 }
@@ -184,7 +192,7 @@
 	}
 	s.Self.Seq = max(s.Self.Seq, 1)
 	m.self = &row{state: s.Self, status: Alive, chart: m.chart.States[Alive], listed: true}
-	m.rows[s.Self.Name] = m.self
+	m.put(s.Self.Name, m.self)
 	m.index(m.self)
 	return m
 }
@@ -288,3 +296,12 @@
 	}
 	return true
 }
+
+// Peer returns what is known of one other entry, and whether anything is.
+func (m *Member) Peer(name string) (ward.PeerState, bool) {
+	r := m.rows[name]
+	if r == nil || r == m.self || !r.known() {
+		return ward.PeerState{}, false
+	}
+	return r.state, true
+}
--- a/internal/peer/member/pack.go
+++ b/internal/peer/member/pack.go
@@ -20,21 +20,20 @@
 
 // pack fills a message with what is to be passed on, by rank.
 func (m *Member) pack(x *ward.Exchange, room int) {
-	tokens := m.bucket.tokens
-	if !m.urgent {
-		tokens -= reserve * m.bucket.rate
-	}
-	left := min(room, int(max(tokens, minExchange))) - size.Exchange(*x)
+	left := min(room, int(max(m.bucket.tokens, minExchange))) - size.Exchange(*x)
 	p := &packer{member: m, x: x, left: left, salt: m.random.Uint32()}
+	// What can wait is sent from the upper half of the bucket only.
+	bulk := int(m.bucket.tokens-bulkReserve*m.bucket.rate) - size.Exchange(*x)
 	p.brakes()
 	if m.docs.hot() {
 		m.docs.sent++ // the revision goes with every message
 	}
 	p.self()
-	p.states()
 	p.beats(true, p.left)
-	p.beats(false, p.left/2)
 	p.moves()
+	p.left = min(p.left, bulk)
+	p.states()
+	p.beats(false, p.left/2)
 	p.counts()
 	p.demand()
 }
@@ -88,8 +87,14 @@
 	}
 }
 
+// leastBeat is less than any beat takes.
+const leastBeat = 12
+
 // beats adds urgent or other beats, in at most room bytes.
 func (p *packer) beats(urgent bool, room int) {
+	if room < leastBeat {
+		return
+	}
 	rows := p.rows(func(r *row) bool { return r.beat.hot() && r.known() && r.urgent == urgent }, func(r *row) int { return r.beat.sent })
 	for _, r := range rows {
 		b := p.member.short(r)
@@ -147,20 +152,18 @@
 	}
 }
 
-// counts adds outcome counts, those first that have waited longest among the
-// least passed on.
+// counts adds outcome counts in turn, on from where the last message ended: no
+// series waits for ever, and nothing has to be sorted.
 func (p *packer) counts() {
-	var rows []*countsRow
-	for _, r := range p.member.counts {
-		if r.hot() {
-			rows = append(rows, r)
+	ring := p.member.ring
+	for i := range ring {
+		at := (p.member.ringAt + i) % len(ring)
+		r := ring[at]
+		if !r.hot() {
+			continue
 		}
-	}
-	slices.SortFunc(rows, func(a, b *countsRow) int {
-		return cmp.Or(cmp.Compare(a.sent, b.sent), a.at.Compare(b.at), compareCounts(a.counts, b.counts))
-	})
-	for _, r := range rows {
 		if len(p.x.Counts) >= check.MaxCounts || !p.fits(size.Counts(r.counts)) {
+			p.member.ringAt = at
 			return
 		}
 		r.sent++
--- a/internal/peer/member/property_test.go
+++ b/internal/peer/member/property_test.go
@@ -230,6 +230,10 @@
 		}
 		m.fleet.Add()
 		left := 5*time.Second - m.fleet.Now.Sub(by)
+		if took, ok := m.fleet.Until(min(left, 3*time.Second), func() bool { return m.fleet.All(braked) }); !ok {
+			t.Errorf("the new instance has no brake after %v", took)
+		}
+		left = 5*time.Second - m.fleet.Now.Sub(by)
 		if _, ok := m.fleet.Until(left, func() bool {
 			return m.fleet.All(func(e *loop.Entry) bool { return e.Config != nil && e.Config.Revision == revision })
 		}); !ok {
--- a/internal/peer/member/receive.go
+++ b/internal/peer/member/receive.go
@@ -24,7 +24,7 @@
 	reply := m.head(x.From)
 	m.attach(now, &reply, x)
 	m.compare(now, &reply, x)
-	room := maxMessage
+	room := maxMessage + newsBytes
 	if len(reply.Buckets) > 0 || len(x.Buckets) > 0 {
 		room = maxRepair
 	}
@@ -64,13 +64,16 @@
 func (m *Member) Failed(now time.Time, sent Send, connected bool) {
 	m.stats.Failed++
 	m.Refused(sent)
-	if m.docs.pull == sent.Name {
-		m.docs.pull = ""
-	}
 	r := m.rows[sent.Name]
 	if r == nil || r == m.self {
 		return
 	}
+	if connected && !r.failed {
+		// One lost message is no evidence; the next tick tries again.
+		r.failed = true
+		m.retry = sent.Name
+		return
+	}
 	if connected && now.Sub(r.heard) < accuseAfter {
 		return
 	}
@@ -80,6 +83,9 @@
 // Refused takes that a message was refused, or never came: what is urgent in it
 // does not count as passed on.
 func (m *Member) Refused(sent Send) {
+	if m.docs.pull == sent.Name {
+		m.docs.pull = ""
+	}
 	for _, b := range sent.Message.Brakes {
 		if r := m.brakes[keyOf(b)]; r != nil && r.sent > 0 {
 			r.sent--
@@ -125,6 +131,7 @@
 	}
 	r.direct = now
 	r.heard = now
+	r.failed = false
 	if m.chart.step(r, heard, now) {
 		m.digest.touch(now)
 	}
--- a/internal/peer/member/row.go
+++ b/internal/peer/member/row.go
@@ -26,6 +26,8 @@
 	direct   time.Time
 	demandAt time.Time
 	listed   bool
+	// failed says that the last exchange with it had no answer.
+	failed bool
 	// full spreads the whole state, beat the short form.
 	full rumor
 	beat rumor
@@ -104,7 +106,7 @@
 		if r == nil {
 			r = m.newRow(now)
 			r.state.Name = x.Name
-			m.rows[x.Name] = r
+			m.put(x.Name, r)
 		}
 		r.listed = true
 		if !r.known() {
@@ -114,7 +116,7 @@
 	}
 	for name, r := range m.rows {
 		if !r.listed && !r.known() {
-			delete(m.rows, name)
+			m.drop(name)
 		}
 	}
 }
@@ -134,12 +136,12 @@
 			continue
 		}
 		m.unindex(r)
-		delete(m.rows, name)
+		m.drop(name)
 		if r.listed {
 			again := m.newRow(now)
 			again.listed = true
 			again.state = ward.PeerState{Name: name, Address: r.state.Address, DataCentre: r.state.DataCentre}
-			m.rows[name] = again
+			m.put(name, again)
 		}
 	}
 }
@@ -153,7 +155,7 @@
 	r := m.rows[s.Name]
 	if r == nil {
 		r = m.newRow(now)
-		m.rows[s.Name] = r
+		m.put(s.Name, r)
 	}
 	if s.Incarnation < r.state.Incarnation {
 		return
@@ -285,10 +287,24 @@
 // sorted returns all rows by name, so that choices do not hang on the order of
 // a map.
 func (m *Member) sorted() []*row {
-	rows := make([]*row, 0, len(m.rows))
+	if len(m.order) > 0 {
+		return m.order
+	}
 	for _, r := range m.rows {
-		rows = append(rows, r)
+		m.order = append(m.order, r)
 	}
-	slices.SortFunc(rows, func(a, b *row) int { return strings.Compare(a.state.Name, b.state.Name) })
-	return rows
+	slices.SortFunc(m.order, func(a, b *row) int { return strings.Compare(a.state.Name, b.state.Name) })
+	return m.order
+}
+
+// put adds a row, or puts it in the place of the one of that name.
+func (m *Member) put(name string, r *row) {
+	m.rows[name] = r
+	m.order = nil
+}
+
+// drop drops a row.
+func (m *Member) drop(name string) {
+	delete(m.rows, name)
+	m.order = nil
 }
--- a/internal/peer/member/tick.go
+++ b/internal/peer/member/tick.go
@@ -51,11 +51,7 @@
 	m.fresh = false
 	var sends []Send
 	for i, r := range m.targets(now) {
-		needed := float64(minExchange)
-		if !m.urgent && m.docs.pull != r.state.Name {
-			needed += m.bucket.rate * reserve
-		}
-		if m.bucket.tokens < needed {
+		if m.bucket.tokens < m.needed(r) {
 			m.stats.Held++
 			break
 		}
@@ -64,8 +60,24 @@
 	return sends
 }
 
-// reserve is the part of a second's bytes that only urgent news may use.
-const reserve = 0.25
+// needed is what must be left for a message to an entry. Asking for the
+// configuration may go into debt: it is rare, and nothing makes up for it.
+func (m *Member) needed(r *row) float64 {
+	switch {
+	case m.docs.pull == r.state.Name:
+		return -m.bucket.rate / 2
+	case m.urgent:
+		return minExchange
+	}
+	return minExchange + m.bucket.rate*reserve
+}
+
+// Parts of a second's bytes that are kept: reserve for urgent news, bulkReserve
+// for that and for heartbeats without much in them.
+const (
+	reserve     = 0.25
+	bulkReserve = 0.5
+)
 
 // minExchange is what must be left for one exchange: two messages with little
 // in them.
@@ -131,6 +143,10 @@
 	if m.rows[m.docs.pull] == nil || !m.docs.pulled.IsZero() && now.Sub(m.docs.pulled) > 2*pullTimeout {
 		m.docs.pull = ""
 	}
+	if m.retry != "" {
+		add(m.rows[m.retry])
+		m.retry = ""
+	}
 	if m.repair.with != "" {
 		add(m.rows[m.repair.with])
 	}
