test(upstream): slow callers hold the upstream, stalled and left answers end

cause: flow control, the idle limit and cancelling were built and not shown change: three tests on virtual time figures: at most 16 KB are read ahead of a caller that reads nothing for an hour conclusion: memory for each open stream is bounded; a left answer closes its connection at once

--- a/internal/upstream/answer/answer_test.go
+++ b/internal/upstream/answer/answer_test.go
@@ -9,7 +9,10 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"agateward/internal/result/code"
 	"agateward/internal/upstream/transport"
@@ -139,3 +142,98 @@
 		}
 	}
 }
+
+// TestSlowCallerHoldsUpstream: what nobody reads is not read from the upstream
+// either, but for a few buffers.
+func TestSlowCallerHoldsUpstream(t *testing.T) {
+	const buffers = 16 << 10
+	synctest.Test(t, func(t *testing.T) {
+		var sent atomic.Int64
+		dial := func(context.Context, string, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			go func() {
+				defer server.Close()
+				_, _ = http.ReadRequest(bufio.NewReader(server))
+				_, _ = io.WriteString(server, head+"text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+				for {
+					n, err := io.WriteString(server, chunk(token("m", "hi")))
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			}()
+			return client, nil
+		}
+		tr := &transport.Transport{Dial: dial}
+		reply, err := tr.Send(t.Context(), transport.Call{Address: "1.2.3.4:5", ID: "a", Method: "GET", Path: "/", Resume: transport.NoResume})
+		if err != nil {
+			t.Fatal(err)
+		}
+		a := &Answer{Reply: reply, Model: true}
+		for range 2 {
+			if _, err := a.Next(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Hour)
+		if n := sent.Load(); n == 0 || n > buffers {
+			t.Errorf("%d bytes were read ahead", n)
+		}
+		if _, err := a.Next(t.Context()); err != nil {
+			t.Errorf("a slow caller lost its answer: %v", err)
+		}
+		_ = a.Close()
+		tr.CloseIdle()
+		synctest.Wait()
+	})
+}
+
+// TestStalledAnswerEnds: an answer that stalls, or that its caller leaves, ends
+// with its code, and the upstream sees its connection closed.
+func TestStalledAnswerEnds(t *testing.T) {
+	cases := []struct {
+		name  string
+		leave time.Duration
+		want  code.Code
+		after time.Duration
+	}{
+		{"upstream stalls", time.Hour, code.AnswerLate, transport.DefaultIdle},
+		{"caller leaves", time.Second, code.CallerGone, time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				closed := make(chan struct{})
+				tr := &transport.Transport{Dial: func(context.Context, string, string) (net.Conn, error) {
+					client, server := net.Pipe()
+					go func() {
+						defer close(closed)
+						r := bufio.NewReader(server)
+						_, _ = http.ReadRequest(r)
+						_, _ = io.WriteString(server, head+"text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(token("m", "hi")))
+						_, _ = r.ReadByte()
+					}()
+					return client, nil
+				}}
+				ctx, cancel := context.WithCancel(t.Context())
+				time.AfterFunc(c.leave, cancel)
+				start := time.Now()
+				reply, err := tr.Send(ctx, transport.Call{Address: "1.2.3.4:5", ID: "a", Method: "GET", Path: "/", Resume: transport.NoResume})
+				if err != nil {
+					t.Fatal(err)
+				}
+				a := &Answer{Reply: reply, Model: true}
+				for err == nil {
+					_, err = a.Next(ctx)
+				}
+				if !c.want.Is(err) || time.Since(start) != c.after {
+					t.Errorf("got %v after %v, want %s after %v", err, time.Since(start), c.want, c.after)
+				}
+				<-closed
+				cancel()
+				_ = a.Close()
+			})
+		})
+	}
+}
