feat(measure): let the store fail while entries are killed

Cause: the run over failures killed and stopped entries and left the store alone, so pairs of failures were not shown over real entries. Change: the store is down, slow, hangs, loses requests or answers, or lapses its leases for 0.5 to 2.5 s, every 1.5 to 3.5 s, at the same time; 50 s of load.

--- a/internal/measure/chaos/chaos.go
+++ b/internal/measure/chaos/chaos.go
@@ -27,6 +27,7 @@
 	"agateward/internal/bench/rig"
 	"agateward/internal/bench/tally"
 	"agateward/internal/measure/report"
+	"agateward/internal/platform/memory"
 	"agateward/internal/standin/batch"
 	"agateward/ward"
 
@@ -39,13 +40,16 @@
 	services = 3
 	// rate is in requests a second, length the time during which they are sent.
 	rate   = 300.0
-	length = 40 * time.Second
+	length = 50 * time.Second
 	// Between two events passes leastPause to mostPause; an entry is away for
 	// leastAway to mostAway.
 	leastPause = 1500 * time.Millisecond
 	mostPause  = 3500 * time.Millisecond
 	leastAway  = 300 * time.Millisecond
 	mostAway   = 1500 * time.Millisecond
+	// An outage of the store lasts leastOutage to mostOutage.
+	leastOutage = 500 * time.Millisecond
+	mostOutage  = 2500 * time.Millisecond
 )
 
 // calls are short and long streams, whole answers, lookups and orders, of which
@@ -72,7 +76,7 @@
 
 // About says what it shows.
 func (Experiment) About() string {
-	return "broken promises while entries are killed, stopped and started again under load"
+	return "broken promises while entries are killed, stopped and started again and the store fails, under load"
 }
 
 // run is one run of the experiment.
@@ -82,6 +86,8 @@
 	tally  tally.Tally
 	kills  int
 	stops  int
+	// outages counts the times that the store was down, slow or lost answers.
+	outages int
 
 	mu sync.Mutex
 	// killed holds the targets that were killed, cut counts the answers that
@@ -115,6 +121,7 @@
 	var wg conc.WaitGroup
 	var failed error
 	wg.Go(func() { failed = r.fail(failing, progress) })
+	wg.Go(func() { r.failStore(failing, seed, progress) })
 	err = g.Run(ctx)
 	stop()
 	wg.Wait()
@@ -158,6 +165,34 @@
 	return nil
 }
 
+// faults are the ways in which the store fails, one after the other and at the
+// same time as entries do.
+var faults = []memory.Faults{
+	{Down: true},
+	{Slow: ward.Duration(300 * time.Millisecond)},
+	{LostAnswer: 0.5},
+	{LostRequest: 0.3, LostAnswer: 0.3},
+	{Hang: true},
+	{LapseLeases: true, WatchLag: ward.Duration(2 * time.Second)},
+}
+
+// failStore makes the store fail now and then until ctx ends.
+func (r *run) failStore(ctx context.Context, seed uint64, progress func(string)) {
+	clock := ward.SystemClock{}
+	random := rand.New(rand.NewPCG(seed, 2))
+	between := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(random.Int64N(int64(most-least)))
+	}
+	for clock.Sleep(ctx, between(leastPause, mostPause)) == nil {
+		f := faults[random.IntN(len(faults))]
+		progress(fmt.Sprintf("the store fails: %+v", f))
+		r.outages++
+		r.rig.Fleet.Platform.SetFaults(f)
+		_ = clock.Sleep(ctx, between(leastOutage, mostOutage))
+		r.rig.Fleet.Platform.SetFaults(memory.Faults{})
+	}
+}
+
 func (r *run) kill(i int) {
 	r.mu.Lock()
 	r.kills++
@@ -198,6 +233,7 @@
 		count("cut-by-a-kill", byKill),
 		count("kills", r.kills),
 		count("planned-stops", r.stops),
+		count("store-outages", r.outages),
 	)
 	for _, t := range r.tally.Tiers() {
 		rep.Add(
