--- a/internal/bench/capacity/config.go
+++ b/internal/bench/capacity/config.go
@@ -62,7 +62,7 @@
 		Reads:     watchers/watchWait + watchers*perSecond + Nodes/rereadEvery + Changes/day*3,
 		Writes:    3 * perSecond,
 	})
-	c.Notes = append(c.Notes, fmt.Sprintf("The document is %.0f %% of the %d KB that a ticket may fill.", 100*size*1024/fold.MaxConfigBytes, fold.MaxConfigBytes/1000))
+	c.Notes = append(c.Notes, fmt.Sprintf("The configuration is %.0f %% of the %d KB that it may have.", 100*size*1024/fold.MaxConfigBytes, fold.MaxConfigBytes/1000))
 	return nil
 }
 
--- a/internal/bench/capacity/record.go
+++ b/internal/bench/capacity/record.go
@@ -80,10 +80,17 @@
 	perRecord := c.Figures[len(c.Figures)-1].Line().Slope
 	kept := Requests * OrderShare * settings.Default().Records.Keep.Std().Seconds()
 	shards := float64(settings.Default().Records.Shards)
-	archives := kept / float64(recordsPerArchive()) / shards
-	document := c.figure(Figure{Role: role, Name: "document of a shard", Unit: "KB", Axis: axis, Size: archives}, archiveSizes, func(n int) float64 {
+	wanted := kept / float64(recordsPerArchive()) / shards
+	sized := Figure{Role: role, Name: "document of a shard", Unit: "KB", Axis: axis, Size: wanted}
+	document := c.figure(sized, archiveSizes, func(n int) float64 {
 		return float64(len(encoded(archived(n)))) / 1024
 	})
+	// A document can't grow beyond its bound: then keys are kept for less time.
+	limit := float64(shard.DefaultBytes) / 1024
+	l := c.Figures[len(c.Figures)-1].Line()
+	archives := min(wanted, (limit-l.Intercept)/l.Slope)
+	hours := settings.Default().Records.Keep.Std().Hours() * archives / wanted
+	kept *= archives / wanted
 	commit := c.figure(Figure{Role: role, Name: "reading and writing a shard's document", Unit: "ms", Axis: axis, Size: archives}, archiveSizes, func(n int) float64 {
 		b := encoded(archived(n))
 		return float64(probe.Time(func() {
@@ -92,9 +99,13 @@
 			}
 		})) / float64(time.Millisecond)
 	})
+	c.Notes = append(c.Notes, fmt.Sprintf(
+		"A record takes %.0f bytes, an archive holds %d. At %.0f non-idempotent requests a second (%.0f %% of %d) kept for %.0f h, a shard would name %.0f archives in a document of %.0f KB, of the %.0f KB that it may have: keys can be kept for %.1f h. The line of run records is worked out for that; each entry reads every archive once and holds %.1f million key prefixes.",
+		perRecord, recordsPerArchive(), Requests*OrderShare, 100*OrderShare, Requests, settings.Default().Records.Keep.Std().Hours(), wanted, document, limit, hours, kept/1e6))
+	document = min(document, limit)
 	c.Roles = append(c.Roles, Role{
 		Name:      role,
-		State:     fmt.Sprintf("%.0f shards in the store with %.0f archives each; a key prefix of each record in every entry", shards, archives),
+		State:     fmt.Sprintf("%.0f shard(s) in the store with %.0f archives each; a key prefix of each record in every entry", shards, archives),
 		Messages:  fmt.Sprintf("%.0f writes a second of documents of %.0f KB, for all entries", runWrites, document),
 		Mechanism: "claims and outcomes go in groups into shards that any entry writes by compare-and-swap; older records go into archives",
 		Control:   true,
@@ -104,10 +115,6 @@
 		Reads:     runWrites + Requests*OrderShare/float64(recordsPerArchive())*Nodes,
 		Writes:    runWrites,
 	})
-	limit := float64(shard.DefaultBytes) / 1024
-	c.Notes = append(c.Notes, fmt.Sprintf(
-		"A record takes %.0f bytes, an archive holds %d. At %.0f non-idempotent requests a second (%.0f %% of %d) kept for %.0f h, a shard would name %.0f archives in a document of %.0f KB, of the %.0f KB that it may have, and each entry would read every archive once and hold %.0f million key prefixes.",
-		perRecord, recordsPerArchive(), Requests*OrderShare, 100*OrderShare, Requests, settings.Default().Records.Keep.Std().Hours(), archives, document, limit, kept/1e6))
 	return nil
 }
 
