perf(measure): hand on changed counts, with 200 moves under each fault

Cause: the experiment took more than 60 s, mostly for sorting counts, and 50 good moves under a fault cannot show a rate of 1%. Change: the recorder tells what changed; moves under faults have half an hour and are 200 good and 200 bad ones a fault.

--- a/internal/entry/mover/sums.go
+++ b/internal/entry/mover/sums.go
@@ -29,8 +29,10 @@
 }
 
 // sumOwn adds what this entry has counted since the last look.
-func (m *Mover) sumOwn() {
-	for _, c := range m.recorder.Counts() {
+func (m *Mover) sumOwn() { m.addOwn(m.recorder.Changed()) }
+
+func (m *Mover) addOwn(counts []ward.Counts) {
+	for _, c := range counts {
 		k := keyOf(c)
 		before := m.ownSeen[k]
 		if c.Succeeded+c.Failed > before.Succeeded+before.Failed {
@@ -47,7 +49,7 @@
 	for k, c := range m.merged {
 		m.addToSum(k.key, ward.Counts{}, c)
 	}
-	m.sumOwn()
+	m.addOwn(m.recorder.Counts())
 }
 
 func (m *Mover) total(k evidence.Key) analysis.Totals {
--- a/internal/measure/moves/control.go
+++ b/internal/measure/moves/control.go
@@ -36,7 +36,7 @@
 	e.dirty = false
 	e.heard = true
 	var list []added
-	for _, c := range e.recorder.Counts() {
+	for _, c := range e.recorder.Changed() {
 		for r := range routes {
 			if c.Route != w.cfg.Routes[r].Name {
 				continue
--- a/internal/measure/moves/moves.go
+++ b/internal/measure/moves/moves.go
@@ -33,13 +33,15 @@
 
 const (
 	// perKind is the number of moves of a kind, perCell of a cell of the grid,
-	// perVariant of the good ones of a variant of
-	// faults.
+	// perVariant of the good and of the bad ones
+	// of a variant of faults.
 	perKind    = 200
 	perCell    = 25
-	perVariant = 50
+	perVariant = 200
 	// perBaseline is the number of those that the baselines run too.
 	perBaseline = 60
+	// variantWindow is the window of the moves under faults.
+	variantWindow = 30 * time.Minute
 	// lagLimit is the time from where badness shows to the last request that the
 	// version may get.
 	lagLimit = 3 * time.Second
@@ -184,18 +186,19 @@
 	return jobs
 }
 
-// variantJobs are perVariant good and twice as many bad moves under faults, at 20 requests a second.
+// variantJobs are good and bad moves under faults, at 20 requests a second and
+// half an hour.
 func variantJobs(seed uint64) []job {
 	var jobs []job
 	for i, v := range variants {
-		for n := range 3 * perVariant {
+		for n := range 2 * perVariant {
 			s := seed<<32 + uint64(200+i)<<16 + uint64(n)
 			rng := rand.New(rand.NewPCG(s, 1))
 			k, group := good, "good"
-			if n%3 > 0 {
+			if n%2 == 1 {
 				k, group = badKinds[rng.IntN(len(badKinds))], "bad"
 			}
-			p := draw(rng, k, 20)
+			p := drawIn(rng, k, 20, variantWindow)
 			jobs = append(jobs, job{v + "/" + group, p, s, drawFaults(rng, v, p.window), ours})
 		}
 	}
--- a/internal/measure/moves/profile.go
+++ b/internal/measure/moves/profile.go
@@ -66,8 +66,11 @@
 // draw draws a move of a kind. The badness is one of the from five
 // points and 1.5 times up; later means after 10 to 70% of the window, under load
 // from 20 to 50% of the traffic on.
-func draw(rng *rand.Rand, k kind, rate float64) profile {
-	p := profile{kind: k, rate: rate, window: windowOf(rate), factor: 1, route: -1}
+func draw(rng *rand.Rand, k kind, rate float64) profile { return drawIn(rng, k, rate, windowOf(rate)) }
+
+// drawIn draws a move of a kind with a window.
+func drawIn(rng *rand.Rand, k kind, rate float64, window time.Duration) profile {
+	p := profile{kind: k, rate: rate, window: window, factor: 1, route: -1}
 	failing := k == failsAtOnce || k == failsLater
 	slow := k == slowAtOnce || k == slowLater
 	if k == underLoad || k == oneRoute {
--- a/internal/move/evidence/evidence.go
+++ b/internal/move/evidence/evidence.go
@@ -60,11 +60,18 @@
 	Entry       string
 	Incarnation ward.Incarnation
 
-	counts      map[Key]*ward.Counts
+	counts      map[Key]*counter
+	changed     []*counter
 	fits        map[string]*fit
 	unreachable map[string]time.Time
 }
 
+// counter is one count; changed says that it is in the list of changed ones.
+type counter struct {
+	ward.Counts
+	changed bool
+}
+
 // Observe counts an outcome; old says that it is of the old version.
 func (r *Recorder) Observe(k Key, o ward.Outcome, old bool) {
 	if o.Cancelled || !o.Connected && !r.firstUnreachable(o) {
@@ -74,6 +81,10 @@
 	if c == nil {
 		return
 	}
+	if !c.changed {
+		c.changed = true
+		r.changed = append(r.changed, c)
+	}
 	if !o.OK {
 		c.Failed++
 		return
@@ -98,12 +109,23 @@
 func (r *Recorder) Counts() []ward.Counts {
 	list := make([]ward.Counts, 0, len(r.counts))
 	for _, c := range r.counts {
-		list = append(list, *c)
+		list = append(list, c.Counts)
 	}
 	slices.SortFunc(list, Compare)
 	return list
 }
 
+// Changed returns the counts that changed since the last call.
+func (r *Recorder) Changed() []ward.Counts {
+	list := make([]ward.Counts, len(r.changed))
+	for i, c := range r.changed {
+		c.changed = false
+		list[i] = c.Counts
+	}
+	r.changed = r.changed[:0]
+	return list
+}
+
 // Keep forgets the counts of runs for which keep is false.
 func (r *Recorder) Keep(keep func(run string) bool) {
 	for k := range r.counts {
@@ -135,7 +157,7 @@
 	return true
 }
 
-func (r *Recorder) count(k Key) *ward.Counts {
+func (r *Recorder) count(k Key) *counter {
 	if c := r.counts[k]; c != nil {
 		return c
 	}
@@ -143,12 +165,12 @@
 		return nil
 	}
 	if r.counts == nil {
-		r.counts = map[Key]*ward.Counts{}
+		r.counts = map[Key]*counter{}
 	}
-	c := &ward.Counts{
+	c := &counter{Counts: ward.Counts{
 		Serves: k.Serves, Version: k.Version, Route: k.Route, Move: k.Move,
 		Entry: r.Entry, Incarnation: r.Incarnation,
-	}
+	}}
 	r.counts[k] = c
 	return c
 }
