fix(mover): send nothing to a next version right after a pause

Cause: an entry that wakes from a pause goes on with shares of before it, and may not have heard of a stop. Change: after three seconds without a look an entry sends next versions nothing for two seconds.

--- a/internal/entry/mover/judge.go
+++ b/internal/entry/mover/judge.go
@@ -60,6 +60,10 @@
 	}
 	now := m.Clock.Now()
 	m.mu.Lock()
+	if m.pausedUntil(now) {
+		m.held = now.Add(holdTime)
+	}
+	m.judged = now
 	var brakes []ward.Brake
 	active := map[string]bool{}
 	m.sumOwn()
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -53,6 +53,10 @@
 	// forgetLooks is the number of looks after which the counts of ended runs are
 	// looked for.
 	forgetLooks = 60
+	// pauseGap is the time without a look after which an entry takes itself to
+	// have been paused, holdTime how long it then waits to hear from its peers.
+	pauseGap = 3 * time.Second
+	holdTime = 2 * time.Second
 	// maxCounts bounds the counts that are kept of all entries.
 	maxCounts = 50_000
 	// maxPending bounds the events that this entry tells by itself.
@@ -92,6 +96,10 @@
 	sums    map[evidence.Key]*analysis.Totals
 	ownSeen map[evidence.Key]ward.Counts
 	looks   int
+	// judged is when the last look was taken. Until held, an entry that was
+	// paused sends nothing to a next version: it may not have heard of a stop.
+	judged  time.Time
+	held    time.Time
 	runs    map[string]*run
 	pending []ward.Event
 	told    map[string]bool
@@ -198,9 +206,19 @@
 		return nil
 	}
 	fleet := m.Fleet()
+	now := m.Clock.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return split.Splits(c, slices.Collect(maps.Values(m.states)), m.brakes.List(), fleet)
+	list := split.Splits(c, slices.Collect(maps.Values(m.states)), m.brakes.List(), fleet)
+	if now.Before(m.held) || m.pausedUntil(now) {
+		return split.Held(list)
+	}
+	return list
+}
+
+// pausedUntil tells whether this entry took no look for a while before now.
+func (m *Mover) pausedUntil(now time.Time) bool {
+	return !m.judged.IsZero() && now.Sub(m.judged) > pauseGap
 }
 
 // States returns the states of moves that this entry knows, by name.
@@ -231,61 +249,3 @@
 	defer m.mu.Unlock()
 	return m.brakes.List()
 }
-
-// Local returns all that this entry knows, for its peers.
-func (m *Mover) Local() ([]ward.Brake, []ward.Counts, []ward.MoveState) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	counts := m.recorder.Counts()
-	for _, c := range m.merged {
-		counts = append(counts, c)
-	}
-	slices.SortFunc(counts, evidence.Compare)
-	return m.brakes.List(), counts, m.sortedStates()
-}
-
-// Merge takes in what a peer knows. Repeats and old messages change nothing.
-func (m *Mover) Merge(brakes []ward.Brake, counts []ward.Counts, states []ward.MoveState) {
-	m.mu.Lock()
-	added := m.brakes.Merge(brakes)
-	for _, c := range counts {
-		m.mergeCounts(c)
-	}
-	for _, s := range states {
-		m.adopt(s)
-	}
-	m.mu.Unlock()
-	if len(added) > 0 {
-		m.publish()
-	}
-}
-
-func (m *Mover) mergeCounts(c ward.Counts) {
-	if c.Entry == m.Self && c.Incarnation == m.Incarnation {
-		return
-	}
-	k := countKey{keyOf(c), c.Entry, c.Incarnation}
-	have, ok := m.merged[k]
-	if !ok && len(m.merged) >= maxCounts {
-		return
-	}
-	if c.Succeeded+c.Failed > have.Succeeded+have.Failed {
-		m.merged[k] = c
-		m.addToSum(k.key, have, c)
-	}
-}
-
-// adopt takes a state over when it is newer than the known one.
-func (m *Mover) adopt(s ward.MoveState) bool {
-	if have, ok := m.states[s.Move]; ok && have.Revision >= s.Revision {
-		return false
-	}
-	m.states[s.Move] = s
-	return true
-}
-
-func (m *Mover) publish() {
-	if m.Publish != nil {
-		m.Publish()
-	}
-}
--- a/internal/entry/mover/mover_test.go
+++ b/internal/entry/mover/mover_test.go
@@ -184,3 +184,30 @@
 		}
 	}
 }
+
+// TestPausedEntryHolds pauses an entry that knows of a share: it sends nothing
+// to the next version until it had time to hear of a stop.
+func TestPausedEntryHolds(t *testing.T) {
+	clock := &steppingClock{now: time.Unix(1000, 0)}
+	cfg := &ward.Config{
+		Routes: []ward.Route{{Name: "r", Serves: "m", Version: "v1", Ticket: 1}},
+		Moves:  []ward.Move{{Name: "x", Serves: "m", From: "v1", To: "v2", Ticket: 2, Deadline: clock.now.Add(time.Hour)}},
+	}
+	m := mover.New(mover.Deps{Self: "e", Clock: clock, Log: logr.Discard(), Config: func() *ward.Config { return cfg }, Fleet: func() split.Fleet { return split.Fleet{} }})
+	m.Merge(nil, nil, []ward.MoveState{{Move: "x", Ticket: 2, Revision: 1, State: "stepping", Step: 2, Share: 0.1, Begin: clock.now, Since: clock.now}})
+	want := func(when string, share float64) {
+		t.Helper()
+		if got := m.Splits()[0].Share; got != share {
+			t.Errorf("%s: share %v, want %v", when, got, share)
+		}
+	}
+	m.Judge()
+	want("before", 0.1)
+	clock.now = clock.now.Add(time.Minute)
+	want("awake, no look", 0)
+	m.Judge()
+	want("awake, little time to hear", 0)
+	clock.now = clock.now.Add(2 * time.Second)
+	m.Judge()
+	want("awake, time to hear", 0.1)
+}
--- a/internal/measure/moves/faults.go
+++ b/internal/measure/moves/faults.go
@@ -20,6 +20,9 @@
 // pauseTime is longer than the lease's term.
 const pauseTime = 2 * term
 
+// holdTime is how long an entry sends nothing to the new version after a pause.
+const holdTime = 2 * time.Second
+
 // drawFaults draws the faults of a variant at random moments.
 func drawFaults(rng *rand.Rand, variant string, window time.Duration) faults {
 	part := func(f float64) time.Duration { return time.Duration(f * float64(window)) }
@@ -56,6 +59,7 @@
 		f.killAt = 0
 	case f.pauseAt > 0 && w.at() >= f.pauseAt:
 		e.paused = w.at() + pauseTime
+		e.held = e.paused + holdTime
 		f.pauseAt = 0
 		w.sleeper = w.store.owner
 		w.sleeperFence = w.store.fence
--- a/internal/measure/moves/world.go
+++ b/internal/measure/moves/world.go
@@ -103,6 +103,8 @@
 	heard  bool
 	dead   bool
 	paused time.Duration
+	// held is until when it sends nothing to the new version after a pause.
+	held time.Duration
 }
 
 // world is one move from its ticket to its outcome.
@@ -207,6 +209,9 @@
 func (w *world) dispatch(i, r int) {
 	e := w.entries[i]
 	s := e.splits[r]
+	if w.at() < e.held {
+		s = split.Held(e.splits)[r]
+	}
 	next := false
 	if s.Next != "" && s.Share > 0 {
 		e.credit[r] = min(e.credit[r]+s.Share, 2)
--- a/internal/move/split/split.go
+++ b/internal/move/split/split.go
@@ -64,6 +64,18 @@
 	return list
 }
 
+// Held returns the splits with nothing for any next version. An entry uses them
+// when it was paused and may not have heard of a stop.
+func Held(list []ward.Split) []ward.Split {
+	held := slices.Clone(list)
+	for i := range held {
+		held[i].Next = ""
+		held[i].Share = 0
+		held[i].MaxInFlight = 0
+	}
+	return held
+}
+
 // StateOf returns the state of the run of m that its ticket put in force, and
 // the zero value when there is none yet.
 func StateOf(m ward.Move, states []ward.MoveState) ward.MoveState {
