test: fix the seed of every property test

Change: internal/bench/seed sets rapid's seed to 1 for each of them; flags on the command line go before it.

--- a/internal/entry/relay/relay_test.go
+++ b/internal/entry/relay/relay_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/result/code"
 	"agateward/internal/run/permit"
 	"agateward/ward"
--- a/internal/move/machine/machine_test.go
+++ b/internal/move/machine/machine_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/move/brake"
 	"agateward/internal/move/machine"
 	"agateward/ward"
--- a/internal/peer/delta/delta_test.go
+++ b/internal/peer/delta/delta_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/peer/codec"
 	"agateward/internal/peer/delta"
 	"agateward/ward"
--- a/internal/peer/member/property_test.go
+++ b/internal/peer/member/property_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/peer/codec"
 	"agateward/internal/peer/loop"
 	"agateward/internal/peer/member"
--- a/internal/peer/wire/wire_test.go
+++ b/internal/peer/wire/wire_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/peer/codec"
 	"agateward/internal/peer/size"
 	"agateward/internal/result/code"
--- a/internal/request/budget/budget_test.go
+++ b/internal/request/budget/budget_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/request/budget"
 
 	"pgregory.net/rapid"
--- a/internal/request/queue/queue_test.go
+++ b/internal/request/queue/queue_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/request/queue"
 	"agateward/ward"
 
--- a/internal/request/scheduler/fleet_test.go
+++ b/internal/request/scheduler/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/request/scheduler"
 	"agateward/internal/result/code"
 	"agateward/ward"
--- a/internal/request/share/share_test.go
+++ b/internal/request/share/share_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"testing"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/request/share"
 
 	"pgregory.net/rapid"
--- a/internal/standin/batch/engine_test.go
+++ b/internal/standin/batch/engine_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/ward"
 
 	"pgregory.net/rapid"
--- a/internal/ticket/acceptance/acceptance_test.go
+++ b/internal/ticket/acceptance/acceptance_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	_ "agateward/internal/bench/seed"
 	"agateward/internal/result/code"
 	"agateward/internal/ticket/acceptance"
 	"agateward/ward"
