fix(move): tell a move as late when its last step came after the deadline

Cause: the golden file of a move through an outage showed "done" although the last step was made after the deadline. Conclusion: operators see a late move as late.

--- a/internal/move/machine/machine.go
+++ b/internal/move/machine/machine.go
@@ -60,6 +60,8 @@
 	Input
 	state ward.MoveState
 	plan  plan.Plan
+	// lastStep is when the state before was entered or its last step made.
+	lastStep time.Time
 }
 
 var guards = map[string]func(r *run) bool{
@@ -152,6 +154,7 @@
 }
 
 func (r *run) enter(t chart.Transition) {
+	r.lastStep = r.state.Since
 	r.state.State = t.To
 	if t.To != "settling" {
 		// Settling counts from the last step.
@@ -172,9 +175,9 @@
 }
 
 func (r *run) doneText() string {
-	late := r.Now.Sub(r.Move.Deadline) - r.plan.Window()/20
-	if late > plan.SpreadTime {
-		return fmt.Sprintf("done, late: the store let no step be made in time; last step at %s", r.state.Since.UTC().Format(time.RFC3339))
+	if r.lastStep.After(r.Move.Deadline) {
+		return fmt.Sprintf("done, late: the store let no step be made in time; the whole traffic is on %s since %s",
+			r.Move.To, r.lastStep.UTC().Format(time.RFC3339))
 	}
 	return "done: the whole traffic is on " + r.Move.To
 }
