--- a/internal/entry/program/compose.go
+++ b/internal/entry/program/compose.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"hash/fnv"
 	"net"
 	"net/http"
@@ -137,26 +136,6 @@
 	p.gauges()
 }
 
-// gauges adds what is read when metrics are asked for.
-func (p *Program) gauges() {
-	for t := ward.TierTop; t <= ward.TierBottom; t++ {
-		p.metrics.Gauge(fmt.Sprintf(`agateward_waiting{tier="%d"}`, t), func() float64 {
-			return float64(p.path.State().Waiting[t-1])
-		})
-	}
-	p.metrics.Gauge("agateward_running", func() float64 { return float64(p.path.State().Running) })
-	p.metrics.Gauge("agateward_floor", func() float64 { return float64(p.path.State().Floor) })
-	p.metrics.Gauge("agateward_revision", func() float64 { return float64(p.Revision()) })
-	p.metrics.Gauge("agateward_entries_live", func() float64 { return float64(p.gossip.Live()) })
-	p.metrics.Gauge("agateward_peer_bytes_sent", func() float64 { return float64(p.gossip.Stats().SentBytes) })
-	p.metrics.Gauge("agateward_peer_bytes_received", func() float64 { return float64(p.gossip.Stats().ReceivedBytes) })
-	for i, c := range p.platform.Store().Counts() {
-		labels := fmt.Sprintf(`{family=%q,kind=%q}`, c.Family, c.Kind)
-		p.metrics.Gauge("agateward_store_calls"+labels, func() float64 { return float64(p.platform.Store().Counts()[i].Sent) })
-		p.metrics.Gauge("agateward_store_calls_refused"+labels, func() float64 { return float64(p.platform.Store().Counts()[i].Refused) })
-	}
-}
-
 // server returns an HTTP server with the limits of the callers' listener. Each
 // write has its own deadline, set by the surfaces.
 func (p *Program) server(h http.Handler) *http.Server {
