feat(request): count wasted prompt work by cause

Change: package waste; State tells tokens by cause and all that were computed; a benchmark of taking in the states of all peers.

--- a/internal/request/scheduler/bench_test.go
+++ b/internal/request/scheduler/bench_test.go
@@ -60,3 +60,26 @@
 	e.pool, _ = s.assign(now, e)
 	return s, e
 }
+
+// BenchmarkPeers measures the taking in of the states of all peers, each of
+// which uses three upstreams of 750.
+func BenchmarkPeers(b *testing.B) {
+	for _, n := range []int{8, 100, 410} {
+		b.Run(fmt.Sprintf("peers-%d", n), func(b *testing.B) {
+			now := time.Unix(1_700_000_000, 0)
+			s, _ := benchScheduler(now, 750)
+			peers := make([]ward.PeerState, n)
+			for i := range peers {
+				peers[i].Name = fmt.Sprintf("entry-%03d", i+1)
+				for k := range 3 {
+					peers[i].Demand = append(peers[i].Demand, ward.Demand{Upstream: fmt.Sprintf("u%03d", (2*i+k)%750), InFlight: 9, Rate: 9000})
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(250 * time.Millisecond)
+				s.Peers(now, peers)
+			}
+		})
+	}
+}
--- a/internal/request/scheduler/learn.go
+++ b/internal/request/scheduler/learn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"agateward/internal/request/retry"
+	"agateward/internal/request/waste"
 	"agateward/internal/result/code"
 	"agateward/ward"
 )
@@ -48,6 +49,7 @@
 	}
 	u := e.up
 	s.Progress(now, id, o.OutputTokens)
+	s.countWork(now, e, o)
 	s.release(now, e)
 	if o.Connected || o.Cancelled {
 		if o.Connected {
@@ -63,6 +65,30 @@
 	return s.take()
 }
 
+// countWork counts the prompt work of a dispatch that ends, and whether it was
+// thrown away.
+func (s *Scheduler) countWork(now time.Time, e *entry, o ward.Outcome) {
+	if !o.Connected {
+		return
+	}
+	computed := float64(e.need)
+	if e.first.IsZero() {
+		computed = min(computed, max(0, e.up.budget.PrefillRate()*now.Sub(e.sent).Seconds()-float64(e.ahead-e.need)))
+	}
+	s.waste.Computed += computed
+	switch {
+	case o.OK:
+	case slices.Contains(e.route.split.Braked, e.up.cfg.Version):
+		s.waste.Add(waste.VersionTakenBack, computed)
+	case o.Cancelled && !now.Before(e.item.Request.Deadline):
+		s.waste.Add(waste.DeadlinePassed, computed)
+	case o.Cancelled:
+		s.waste.Add(waste.CallerGone, computed)
+	default:
+		s.waste.Add(waste.StreamCut, computed)
+	}
+}
+
 // release gives back what a dispatched request used.
 func (s *Scheduler) release(now time.Time, e *entry) {
 	u := e.up
--- a/internal/request/scheduler/scheduler.go
+++ b/internal/request/scheduler/scheduler.go
@@ -35,6 +35,7 @@
 	"agateward/internal/request/queue"
 	"agateward/internal/request/retry"
 	"agateward/internal/request/share"
+	"agateward/internal/request/waste"
 	"agateward/internal/result/code"
 	"agateward/ward"
 )
@@ -106,6 +107,7 @@
 	numbers    []*upstream
 	matched    []match
 	preview    entry
+	waste      waste.Counts
 	actions    []Action
 	// now is the time of the last Tick.
 	now time.Time
--- a/internal/request/scheduler/scheduler_test.go
+++ b/internal/request/scheduler/scheduler_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"agateward/internal/request/scheduler"
+	"agateward/internal/request/waste"
 	"agateward/internal/result/code"
 	"agateward/ward"
 )
@@ -198,3 +199,29 @@
 		t.Fatalf("after the drain was taken back: %+v", acts)
 	}
 }
+
+func TestWasteByCause(t *testing.T) {
+	cases := []struct {
+		name  string
+		o     ward.Outcome
+		after time.Duration
+		want  waste.Cause
+	}{
+		{"caller left", ward.Outcome{Connected: true, Cancelled: true}, time.Second, waste.CallerGone},
+		{"deadline passed", ward.Outcome{Connected: true, Cancelled: true}, 20 * time.Second, waste.DeadlinePassed},
+		{"answer cut", ward.Outcome{Connected: true}, time.Second, waste.StreamCut},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := scheduler.New(scheduler.Settings{Self: "a"}, 1)
+			s.Configure(start, config(1))
+			s.Arrive(start, request("r", 1, start))
+			s.FirstToken(start.Add(100*time.Millisecond), "r")
+			s.End(start.Add(c.after), "r", c.o)
+			got := s.State().Waste
+			if got.Wasted[c.want] != 400 || got.Sum() != 400 || got.Computed != 400 {
+				t.Fatalf("counted %+v, want the prompt's 400 tokens as %s", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/request/scheduler/state.go
+++ b/internal/request/scheduler/state.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"agateward/internal/request/waste"
 	"agateward/ward"
 )
 
@@ -17,6 +18,8 @@
 	Waiting [ward.TierCount]int
 	Running int
 	Demand  []ward.Demand
+	// Waste counts the prompt work that was thrown away, by cause.
+	Waste waste.Counts
 	// Upstreams is the view of each upstream, by name.
 	Upstreams []UpstreamState
 }
@@ -40,7 +43,7 @@
 // State returns the state as of the last call.
 func (s *Scheduler) State() State {
 	now := s.now
-	st := State{Floor: ward.TierBottom}
+	st := State{Floor: ward.TierBottom, Waste: s.waste}
 	for _, p := range s.order {
 		for i, n := range p.queue.Waiting() {
 			st.Waiting[i] += n
