fix(peer): know the move that counts by step belong to

Cause: counts are named MOVE@TICKET/STEP since they are kept by step, so those of an ended move were only dropped when room was needed. Change: the name is taken apart before the configuration is asked. Conclusion: counts of a replaced or removed move go with it.

--- a/internal/peer/member/documents.go
+++ b/internal/peer/member/documents.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"agateward/internal/peer/delta"
@@ -117,6 +119,18 @@
 	return false
 }
 
+// runOf returns the move and the ticket that counts belong to: they are counted
+// by step, under MOVE@TICKET/STEP. A name without a ticket is a move.
+func runOf(name string) (string, uint64) {
+	move, rest, _ := strings.Cut(name, "@")
+	number, _, _ := strings.Cut(rest, "/")
+	ticket, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return move, 0
+	}
+	return move, ticket
+}
+
 func findMove(c *ward.Config, name string) (ward.Move, bool) {
 	for _, x := range c.Moves {
 		if x.Name == name {
--- a/internal/peer/member/items.go
+++ b/internal/peer/member/items.go
@@ -157,7 +157,7 @@
 	key := countsKey{c.Serves, c.Version, c.Route, c.Move, c.Entry, c.Incarnation}
 	r := m.counts[key]
 	if r == nil {
-		if m.docs.over(c.Move, 0) {
+		if m.docs.over(runOf(c.Move)) {
 			return
 		}
 		m.makeRoom()
@@ -244,7 +244,7 @@
 		}
 	}
 	for k, r := range m.counts {
-		if m.docs.over(r.counts.Move, 0) {
+		if m.docs.over(runOf(r.counts.Move)) {
 			m.dropCounts(k)
 		}
 	}
