fix(entry): look a refused key up though the request's time is over

Cause: a repeat that waited until its deadline was told that it did not run, since the look at its key ended with the request; found while writing the test. Change: the look has half a second of its own; a program test lets the only service leave by the platform's list and repeats a key through both entries. Figures: TestRefusedRepeatIsToldWhatItsKeyDid passes; without the change the entry that had not run the key answers not-run.

--- a/internal/entry/path/once.go
+++ b/internal/entry/path/once.go
@@ -10,6 +10,9 @@
 	"agateward/ward"
 )
 
+// lookupTimeout bounds the look for the key of a request that is refused.
+const lookupTimeout = 500 * time.Millisecond
+
 // whole is the whole answer of a request, or its error.
 type whole struct {
 	answer runs.Answer
@@ -47,6 +50,9 @@
 // refused gives a request that got no turn what is known of its key: a repeat of
 // a key that ran must not be told that it did not run.
 func (p *Path) refused(ctx context.Context, q *ward.Request, err error) (ward.Answer, error) {
+	// The request's own time may be over; the look at the store has its own.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
+	defer cancel()
 	d, known := p.Runs.Lookup(ctx, q)
 	switch {
 	case known != nil:
--- a/internal/entry/program/compose.go
+++ b/internal/entry/program/compose.go
@@ -7,9 +7,8 @@
 	"net/http"
 	"time"
 
-	callers "agateward/internal/caller/surface"
-
 	"agateward/internal/caller/intake"
+	callers "agateward/internal/caller/surface"
 	"agateward/internal/entry/gossip"
 	"agateward/internal/entry/mover"
 	"agateward/internal/entry/path"
--- a/internal/entry/program/program_test.go
+++ b/internal/entry/program/program_test.go
@@ -10,6 +10,7 @@
 
 	"agateward/internal/bench/fleet"
 	"agateward/internal/config/settings"
+	"agateward/internal/operator/surface"
 	"agateward/internal/platform/memory"
 	"agateward/internal/standin/batch"
 	"agateward/internal/standin/engine"
@@ -217,3 +218,46 @@
 		t.Errorf("the stream was cut: %v, %q", r.err, r.body[max(len(r.body)-300, 0):])
 	}
 }
+
+func TestRefusedRepeatIsToldWhatItsKeyDid(t *testing.T) {
+	f, booking := start(t)
+	ctx := context.Background()
+	first := post(ctx, f.Target(0)+deposits, "k", `{}`)
+	if first.status != http.StatusOK || settled(f.Target(1)+deposits, "k", `{}`).body != first.body {
+		t.Fatalf("first %+v", first)
+	}
+	// The service leaves, so that no request gets a turn any more.
+	f.Platform.PutInstances(ward.Instance{Name: "booking-1", Role: ward.RoleUpstream, State: ward.InstanceLeaving})
+	for i := range 2 {
+		awaitDrained(t, f, i, "booking-1")
+	}
+	for i := range 2 {
+		if repeat := post(ctx, f.Target(i)+deposits, "k", `{}`); repeat.body != first.body {
+			t.Errorf("repeat through entry %d: %+v", i, repeat)
+		}
+		if fresh := post(ctx, f.Target(i)+deposits, "other", `{}`); fresh.run != string(ward.NotRun) {
+			t.Errorf("another key through entry %d: %+v", i, fresh)
+		}
+	}
+	if n := len(booking.Runs()); n != 1 {
+		t.Errorf("%d keys ran, want 1", n)
+	}
+}
+
+// awaitDrained waits until an entry gives an upstream no new work.
+func awaitDrained(t *testing.T, f *fleet.Fleet, i int, name string) {
+	t.Helper()
+	for range 500 {
+		var st surface.Status
+		if err := f.Operator(i).Get(context.Background(), "/status", &st); err != nil {
+			t.Fatal(err)
+		}
+		for _, u := range st.Upstreams {
+			if u.Name == name && !u.Usable {
+				return
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("entry %d still sends to %s", i+1, name)
+}
