fix(peer): let no message of a peer end the process

Cause: FuzzReceive: the MessagePack library panics for a nil in the place of a time, and takes memory for as many elements as a list claims to have; a message of 50 bytes asked for 455 GB. net/rpc catches neither. Change: codec scans a message, with bounds on elements and nesting, before it decodes it, and turns a panic of the decoder into an error. Conclusion: a peer of another build, or a wrong one, is refused.

--- a/internal/peer/codec/codec.go
+++ b/internal/peer/codec/codec.go
@@ -21,6 +21,7 @@
 	"sync"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // Limits of one encoded value list, in bytes.
@@ -29,6 +30,10 @@
 	// configuration of a megabyte as JSON takes less in this encoding.
 	MaxPacked = 1 << 20
 	MaxPlain  = 4 << 20
+	// maxElements bounds the elements of all lists and structs together, maxDepth
+	// how far they are nested.
+	maxElements = 500_000
+	maxDepth    = 12
 	// packFrom is the length from which it is compressed.
 	packFrom = 4 << 10
 )
@@ -114,6 +119,57 @@
 	default:
 		return ErrFormat
 	}
+	left := maxElements
+	d := msgpack.NewDecoder(bytes.NewReader(body))
+	for range values {
+		if err := scan(d, maxDepth, &left); err != nil {
+			return err
+		}
+	}
+	return decode(body, values)
+}
+
+// scan goes through one value without taking memory for it: the library makes
+// room for as many elements as a list says it has, before it looks for them.
+func scan(d *msgpack.Decoder, depth int, left *int) error {
+	c, err := d.PeekCode()
+	if err != nil {
+		return fmt.Errorf("decode message: %w", err)
+	}
+	switch {
+	case msgpcode.IsFixedMap(c), c == msgpcode.Map16, c == msgpcode.Map32:
+		return ErrFormat
+	case msgpcode.IsFixedArray(c), c == msgpcode.Array16, c == msgpcode.Array32:
+	default:
+		if err := d.Skip(); err != nil {
+			return fmt.Errorf("decode message: %w", err)
+		}
+		return nil
+	}
+	n, err := d.DecodeArrayLen()
+	if err != nil {
+		return fmt.Errorf("decode message: %w", err)
+	}
+	if *left -= n; *left < 0 || depth == 0 {
+		return ErrTooLarge
+	}
+	for range n {
+		if err := scan(d, depth-1, left); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// decode turns a panic of the decoder into an error: the library panics for a
+// nil in the place of a struct such as a time, and what a peer sends must not
+// end the process.
+func decode(body []byte, values []any) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%w: %v", ErrFormat, p)
+		}
+	}()
 	d := msgpack.NewDecoder(bytes.NewReader(body))
 	d.SetCustomStructTag("json")
 	for _, v := range values {
