--- a/internal/measure/moves/moves.go
+++ b/internal/measure/moves/moves.go
@@ -84,7 +84,7 @@
 	if err != nil {
 		return report.Report{}, err
 	}
-	r := report.Report{Experiment: x.Name(), Seed: seed}
+	r := report.Report{Experiment: x.Name(), Seed: seed, Charts: charts(seed)}
 	addKinds(&r, groups)
 	addVariants(&r, groups)
 	addGrid(&r, groups)
--- a/internal/measure/moves/moves_test.go
+++ b/internal/measure/moves/moves_test.go
@@ -23,3 +23,13 @@
 		}
 	}
 }
+
+// TestCharts draws the course of a good and of a bad move.
+func TestCharts(t *testing.T) {
+	list := charts(1)
+	shares := list[0].Lines
+	last := func(i int) float64 { return shares[i].Points[len(shares[i].Points)-1].Y }
+	if last(0) != 1 || last(1) != 0 {
+		t.Errorf("shares end at %v and %v, want 1 and 0", last(0), last(1))
+	}
+}
--- a/internal/measure/moves/world.go
+++ b/internal/measure/moves/world.go
@@ -167,24 +167,6 @@
 	return w
 }
 
-// run runs the move until its outcome is told, at most for twice its window.
-func (w *world) run() result {
-	limit := int(2 * w.window / look)
-	for w.tick = 0; w.tick < limit; w.tick++ {
-		w.complete()
-		w.fail()
-		w.judge()
-		w.observeAll()
-		w.steer()
-		w.exchange()
-		w.send()
-		if w.result.told > 0 && w.quiet() {
-			break
-		}
-	}
-	return w.result
-}
-
 // quiet tells whether no entry sends anything to the new version any more.
 func (w *world) quiet() bool {
 	for _, e := range w.entries {
