fix(breaker): bound the probes of a large fleet

Cause: a new test counted 201 probes a minute of 100 entries and 275 of 410 at an upstream that stays away, where four entries send some 36: each entry's pause began at the least however many probed. Change: pauses go by the time that the breaker is open and, with many entries, at random in its logarithm.

--- a/internal/request/breaker/breaker.go
+++ b/internal/request/breaker/breaker.go
@@ -14,6 +14,7 @@
 package breaker
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -23,6 +24,7 @@
 	// failuresToOpen is the number of failed connections in a row that open it.
 	failuresToOpen = 3
 	firstPause     = 500 * time.Millisecond
+	leastPause     = 100 * time.Millisecond
 	longestPause   = 15 * time.Second
 	// probeTimeout frees a probe whose end was never told.
 	probeTimeout = 10 * time.Second
@@ -34,9 +36,10 @@
 // Breaker is closed as its zero value.
 type Breaker struct {
 	failures int
-	pause    time.Duration
-	until    time.Time
-	probing  bool
+	// since is when the breaker opened.
+	since   time.Time
+	until   time.Time
+	probing bool
 }
 
 // Open tells whether connections are held back.
@@ -78,9 +81,11 @@
 // Succeed closes the breaker.
 func (b *Breaker) Succeed() { *b = Breaker{} }
 
-// Fail counts a connection that failed. The pause doubles with each probe that
-// fails, has jitter, and grows with the number of live entries beyond
-// fleetProbes, so that the probes of the whole fleet stay bounded.
+// Fail counts a connection that failed. On average the time that the breaker is
+// open doubles from probe to probe, up to longestPause. With more live entries
+// than fleetProbes each one's probes are rarer in proportion and at random in the
+// logarithm of time, so that those of the whole fleet stay bounded; an entry
+// learns of a recovery from Reachable.
 func (b *Breaker) Fail(now time.Time, entries int, rng *rand.Rand) {
 	b.failures++
 	if !b.Open() {
@@ -89,9 +94,17 @@
 	if !b.probing && now.Before(b.until) {
 		return
 	}
-	b.pause = min(max(2*b.pause, firstPause), longestPause)
+	if b.since.IsZero() {
+		b.since = now
+	}
 	b.probing = false
+	open := max(now.Sub(b.since), firstPause)
 	spread := max(1, float64(entries)/fleetProbes)
-	wait := float64(b.pause) * spread * (0.5 + rng.Float64())
-	b.until = now.Add(time.Duration(wait))
+	doublings := 0.5 + rng.Float64()
+	longest := float64(longestPause) * spread * doublings
+	if spread > 1 {
+		doublings = spread * rng.ExpFloat64()
+	}
+	pause := max(float64(open)*(math.Exp2(doublings)-1), float64(leastPause))
+	b.until = now.Add(time.Duration(min(pause, longest)))
 }
