refactor(ticket): read tickets with the strict decoder of settings

Cause: package document had a walker of its own that did what internal/config/strict does; both had grown side by side.

--- a/internal/config/strict/strict.go
+++ b/internal/config/strict/strict.go
@@ -19,6 +19,7 @@
 	"reflect"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/tailscale/hujson"
 )
@@ -83,12 +84,12 @@
 }
 
 func (d *Document) syntax(err error) Fault {
-	line := 0
-	text := strings.TrimPrefix(err.Error(), "hujson: ")
-	if _, scanErr := fmt.Sscanf(text, "line %d", &line); scanErr != nil {
-		line = 0
+	f := Fault{File: d.file, Text: strings.TrimPrefix(err.Error(), "hujson: ")}
+	var column int
+	if n, _ := fmt.Sscanf(f.Text, "line %d, column %d:", &f.Line, &column); n == 2 {
+		_, f.Text, _ = strings.Cut(f.Text, ": ")
 	}
-	return Fault{File: d.file, Line: line, Text: text}
+	return f
 }
 
 // line returns the line of key or of its nearest ancestor in the file.
@@ -159,16 +160,20 @@
 }
 
 func (d *Document) leaf(key string, tree hujson.Value, v reflect.Value) {
-	text := d.std[tree.StartOffset:tree.EndOffset]
+	text := bytes.TrimSpace(d.std[tree.StartOffset:tree.EndOffset])
 	err := json.Unmarshal(text, v.Addr().Interface())
-	if err == nil {
-		return
-	}
-	if isLeaf(v) {
+	_, isTime := v.Interface().(time.Time)
+	switch {
+	case string(text) == "null":
+		d.add(key, tree.StartOffset, "null is no value; give %s, or leave the key out", kindName(v.Kind()))
+	case err == nil:
+	case isTime:
+		d.add(key, tree.StartOffset, "%s is not a time such as %q", text, "2026-12-03T22:00:00Z")
+	case isLeaf(v):
 		d.add(key, tree.StartOffset, "%v", err)
-		return
+	default:
+		d.add(key, tree.StartOffset, "%s is not %s", text, kindName(v.Kind()))
 	}
-	d.add(key, tree.StartOffset, "%s is not %s", bytes.TrimSpace(text), kindName(v.Kind()))
 }
 
 // isLeaf tells whether a type reads its own JSON.
--- a/internal/config/strict/strict_test.go
+++ b/internal/config/strict/strict_test.go
@@ -32,7 +32,8 @@
 			"f:5: inner.list[0]: 1 is not a string",
 		}},
 		{"given twice", "{\"name\": \"a\",\n\"name\": \"b\"}", []string{"f:2: name: is given twice"}},
-		{"syntax", "{\n\"name\": }", []string{"f:2: line 2, column 9: invalid character '}' at start of value"}},
+		{"syntax", "{\n\"name\": }", []string{"f:2: invalid character '}' at start of value"}},
+		{"null", "{\"count\":\nnull}", []string{"f:2: count: null is no value; give a whole number, or leave the key out"}},
 		{"not an object", "[]", []string{"f:1: [] is not an object"}},
 	}
 	for _, c := range cases {
--- a/internal/ticket/document/document.go
+++ b/internal/ticket/document/document.go
@@ -20,16 +20,13 @@
 package document
 
 import (
-	"encoding/json"
 	"fmt"
-	"reflect"
 	"slices"
 	"strings"
 
+	"agateward/internal/config/strict"
 	"agateward/internal/result/code"
 	"agateward/ward"
-
-	"github.com/tailscale/hujson"
 )
 
 // MaxBytes bounds the size of a ticket.
@@ -78,45 +75,23 @@
 	if len(b) > MaxBytes {
 		return t, []Fault{{Text: fmt.Sprintf("a ticket has at most %d bytes; split it", MaxBytes)}}
 	}
-	v, err := hujson.Parse(b)
-	if err != nil {
-		return t, []Fault{syntaxFault(err)}
-	}
-	w := walker{text: b}
-	w.walk(&v, reflect.TypeFor[ward.Ticket](), "")
-	if len(w.faults) > 0 {
-		return t, w.faults
+	_, found := strict.Decode("ticket", b, &t)
+	var faults []Fault
+	for _, f := range found {
+		faults = append(faults, Fault{Line: f.Line, Key: f.Key, Text: f.Text})
 	}
-	v.Standardize()
-	if err := json.Unmarshal(v.Pack(), &t); err != nil {
-		return t, []Fault{{Text: err.Error()}}
-	}
-	return t, nil
+	return t, faults
 }
 
 // Locate fills in the lines of faults that Check found in the ticket b, and
 // sorts by them.
 func Locate(b []byte, faults []Fault) []Fault {
-	v, err := hujson.Parse(b)
-	if err != nil {
-		return faults
-	}
-	w := walker{text: b, lines: map[string]int{}}
-	w.walk(&v, reflect.TypeFor[ward.Ticket](), "")
+	doc, _ := strict.Decode("ticket", b, &ward.Ticket{})
 	located := make([]Fault, len(faults))
 	for i, f := range faults {
-		f.Line = w.lineOf(f.Key)
+		f.Line = doc.Fault(f.Key, "").Line
 		located[i] = f
 	}
 	slices.SortStableFunc(located, func(a, b Fault) int { return a.Line - b.Line })
 	return located
 }
-
-func syntaxFault(err error) Fault {
-	f := Fault{Text: strings.TrimPrefix(err.Error(), "hujson: ")}
-	var column int
-	if n, _ := fmt.Sscanf(f.Text, "line %d, column %d:", &f.Line, &column); n == 2 {
-		_, f.Text, _ = strings.Cut(f.Text, ": ")
-	}
-	return f
-}
