--- a/internal/run/shard/shard.go
+++ b/internal/run/shard/shard.go
@@ -34,7 +34,6 @@
 
 	"agateward/internal/result/code"
 	"agateward/internal/run/record"
-	"agateward/ward"
 )
 
 // Limits bounds a shard. A zero field takes its default.
@@ -77,9 +76,6 @@
 	DefaultAttempts = 8
 )
 
-// Kind is a kind of action.
-type Kind uint8
-
 // Kinds of action.
 const (
 	// Read asks to get the shard's document, Write to write Value over Revision.
@@ -91,24 +87,6 @@
 	Wake
 )
 
-// Action is what the runner has to do.
-type Action struct {
-	Kind Kind
-	// Archive names an archive of the shard; empty means the shard's document.
-	Archive  string
-	Revision uint64
-	Value    []byte
-	Attempt  string
-	Verdict  record.Verdict
-	At       time.Time
-}
-
-// Result is the end of a call of the store.
-type Result struct {
-	Record ward.Record
-	Err    error
-}
-
 // Shard is the state of one shard at one entry. Its zero value is ready to use.
 type Shard struct {
 	// Name starts the names of the archives written here. It is unique among the
@@ -136,32 +114,6 @@
 	actions   []Action
 }
 
-// Stats counts calls and their ends.
-type Stats struct {
-	Reads      uint64
-	Writes     uint64
-	Conflicts  uint64
-	Lost       uint64
-	OverBudget uint64
-	Failed     uint64
-	Committed  uint64
-	Late       uint64
-	Archived   uint64
-}
-
-// Add adds the counts of o.
-func (s *Stats) Add(o Stats) {
-	s.Reads += o.Reads
-	s.Writes += o.Writes
-	s.Conflicts += o.Conflicts
-	s.Lost += o.Lost
-	s.OverBudget += o.OverBudget
-	s.Failed += o.Failed
-	s.Committed += o.Committed
-	s.Late += o.Late
-	s.Archived += o.Archived
-}
-
 type claim struct {
 	record.Claim
 	since time.Time
