test(measure): let the observer of a move be as strict as the entries

Cause: badness shows when one observer convicts at the stated error rates. Change: one alpha, 0.003, for both; the share of moves later than 3 s is shown under faults too. The bounds are unchanged.

--- a/internal/measure/moves/control.go
+++ b/internal/measure/moves/control.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"agateward/internal/move/analysis"
 	"agateward/internal/move/machine"
 	"agateward/ward"
 )
@@ -103,7 +102,6 @@
 			a.Begin = w.store.state.Begin
 			a.Window = epoch.Add(w.window).Sub(a.Begin)
 			a.Tests = 2 * routes
-			a.Alpha = analysis.Alpha
 			a.Step(w.store.state.Step, w.store.state.Share)
 		}
 		before, current := sum.samples(r, w.store.state.Step)
--- a/internal/measure/moves/moves.go
+++ b/internal/measure/moves/moves.go
@@ -7,8 +7,8 @@
 // small: entries tell three random peers a second, and the store is one record
 // with a lease.
 //
-// Badness shows when one observer, who sees all counts at once, convicts with
-// analysis.Alpha. The part of the requests that a bad version gets is counted
+// Badness shows when one observer, who sees all counts at once, convicts with the
+// entries' own analysis.Alpha. The part of the requests that a bad version gets is counted
 // until the first conviction; the requests of a route that is not bad do not
 // count.
 //
--- a/internal/measure/moves/table.go
+++ b/internal/measure/moves/table.go
@@ -45,6 +45,7 @@
 			report.Result{Name: v + "/bad-taken-back", Value: part(b.takenBack, b.moves), Unit: "share"}.AtLeast(0.99),
 			report.Result{Name: v + "/bad-requests-on-bad", Value: part(b.bad, b.all), Unit: "share"}.AtMost(0.05),
 			report.Result{Name: v + "/bad-last-request-after-shown", Value: b.lag.Seconds(), Unit: "s"}.AtMost(lagLimit.Seconds()),
+			report.Result{Name: v + "/bad-later-than-3s", Value: part(b.late, b.moves), Unit: "share"},
 			report.Result{Name: v + "/told-once", Value: part(g.once+b.once, g.moves+b.moves), Unit: "share"}.AtLeast(1),
 			report.Result{Name: v + "/steps-while-store-down", Value: float64(g.steps + b.steps), Unit: "steps"}.AtMost(0),
 			report.Result{Name: v + "/writes-of-paused-holders", Value: float64(g.stale + b.stale), Unit: "writes"}.AtMost(0),
--- a/internal/move/analysis/analysis.go
+++ b/internal/move/analysis/analysis.go
@@ -47,13 +47,9 @@
 )
 
 const (
-	// Alpha is the greatest chance that a move to a version that is no worse is
-	// ever convicted, over all its routes and looks.
-	Alpha = 0.002
-	// EntryAlpha is used by entries: 0.4 units of evidence less, so that an
-	// entry, whose view is behind, is not later than one observer of all counts
-	// with Alpha.
-	EntryAlpha = 0.003
+	// Alpha is the greatest chance that one observer ever convicts a move to a
+	// version that is no worse, over all its routes and looks.
+	Alpha = 0.003
 	// Beta is the chance that a version of the reference harm passes a step.
 	Beta = 0.001
 )
@@ -115,7 +111,7 @@
 	// Tests is the number of tests that share Alpha: two for each route of the
 	// move.
 	Tests int
-	// Alpha is the chance of a false alarm; 0 stands for EntryAlpha.
+	// Alpha is the chance of a false alarm; 0 stands for the constant.
 	Alpha float64
 
 	last    time.Time
@@ -199,7 +195,7 @@
 func (a *Analysis) limit() float64 {
 	alpha := a.Alpha
 	if alpha == 0 {
-		alpha = EntryAlpha
+		alpha = Alpha
 	}
 	return math.Log(float64(max(a.Tests, 2)) / alpha)
 }
