--- a/internal/entry/program/peers.go
+++ b/internal/entry/program/peers.go
@@ -14,7 +14,10 @@
 	"agateward/internal/move/split"
 	"agateward/internal/peer/wire"
 	"agateward/internal/request/scheduler"
+	"agateward/internal/telemetry/trace"
 	"agateward/ward"
+
+	"go.opentelemetry.io/otel/attribute"
 )
 
 // exchangeInterval is the time between two hand-overs of state between the
@@ -35,7 +38,7 @@
 	})
 	p.peer = &wire.Client{Key: s.Peers.Key}
 	p.gossip = gossip.New(gossip.Deps{
-		Clock: p.clock, Log: p.log, Peer: p.peer, Roster: p.roster, Fleet: s.Fleet, Self: p.self(), Seed: p.seed(),
+		Clock: p.clock, Log: p.log, Peer: tracedPeer{p.peer, p.trace}, Roster: p.roster, Fleet: s.Fleet, Self: p.self(), Seed: p.seed(),
 		Interval: s.Peers.Interval.Std(), BytesPerSecond: s.Peers.MaxBytesPerSecond,
 		OnBrakes: func(brakes []ward.Brake) {
 			p.mover.Merge(brakes, nil, nil)
@@ -202,3 +205,16 @@
 	st.Draining = p.leaving()
 	return st
 }
+
+// tracedPeer adds a span to each exchange.
+type tracedPeer struct {
+	ward.Peer
+	trace *trace.Tracer
+}
+
+// Exchange sends m to the entry at the address.
+func (t tracedPeer) Exchange(ctx context.Context, address string, m ward.Exchange) (ward.Exchange, error) {
+	ctx, span := t.trace.Start(ctx, "peer", attribute.String("address", address))
+	defer span.End()
+	return t.Peer.Exchange(ctx, address, m)
+}
