test(entry): compare a whole entry's refusals with the services' own counts

Cause: refusals were tested part by part; nothing went through a whole entry. Conclusion: codes that need load (shed, displaced, queue-full, team-limit) and a stop are left to the scheduler's tests and the program's planned stop.

--- a/internal/entry/program/program_test.go
+++ b/internal/entry/program/program_test.go
@@ -55,6 +55,7 @@
 		},
 		Routes: []ward.Route{
 			{Name: "menus", Kind: ward.KindEngine, Serves: "writer", Version: "v1", Tier: 1, Deadline: ward.Duration(20 * time.Second)},
+			{Name: "letters", Kind: ward.KindEngine, Serves: "writer", Version: "v1", Tier: 4, MaxTier: 3, Deadline: ward.Duration(20 * time.Second)},
 			{Name: "deposits", Kind: ward.KindService, Serves: "booking", Version: "v1", Tier: 1, Deadline: ward.Duration(10 * time.Second), NonIdempotent: true},
 		},
 		Teams: []ward.Team{{Name: "guests"}},
