refactor(relay): take the clock's default from the root package

Cause: the relay read the wall clock beside ward.SystemClock. Change: SystemClock stands in when no clock is set. Conclusion: no change of behaviour.

--- a/internal/entry/relay/relay.go
+++ b/internal/entry/relay/relay.go
@@ -120,7 +120,7 @@
 
 func (l *Relay) now() time.Time {
 	if l.Clock == nil {
-		return time.Now()
+		return ward.SystemClock{}.Now()
 	}
 	return l.Clock.Now()
 }
