refactor(ticket): say in one form which objects a ticket set

Cause: acceptedIn held the same loop five times. Change: slices.ContainsFunc for each list. Conclusion: no change of behaviour.

--- a/internal/ticket/acceptance/settle.go
+++ b/internal/ticket/acceptance/settle.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 
 	"agateward/internal/result/code"
 	"agateward/ward"
@@ -21,32 +22,12 @@
 			return r, true
 		}
 	}
-	for _, x := range c.Upstreams {
-		if x.Ticket == t.Number {
-			return r, true
-		}
-	}
-	for _, x := range c.Routes {
-		if x.Ticket == t.Number {
-			return r, true
-		}
-	}
-	for _, x := range c.Teams {
-		if x.Ticket == t.Number {
-			return r, true
-		}
-	}
-	for _, x := range c.Moves {
-		if x.Ticket == t.Number {
-			return r, true
-		}
-	}
-	for _, x := range c.Tombstones {
-		if x.Ticket == t.Number {
-			return r, true
-		}
-	}
-	return r, false
+	set := slices.ContainsFunc(c.Upstreams, func(x ward.Upstream) bool { return x.Ticket == t.Number }) ||
+		slices.ContainsFunc(c.Routes, func(x ward.Route) bool { return x.Ticket == t.Number }) ||
+		slices.ContainsFunc(c.Teams, func(x ward.Team) bool { return x.Ticket == t.Number }) ||
+		slices.ContainsFunc(c.Moves, func(x ward.Move) bool { return x.Ticket == t.Number }) ||
+		slices.ContainsFunc(c.Tombstones, func(x ward.Tombstone) bool { return x.Ticket == t.Number })
+	return r, set
 }
 
 // contentHash returns the hex SHA-256 of a ticket in one fixed form, so that
