refactor(peer): read the body of a frame in one place

Cause: the client's and the server's codec held the same lines. Change: readBody in frame.go. Conclusion: no change of behaviour.

--- a/internal/peer/wire/client.go
+++ b/internal/peer/wire/client.go
@@ -224,11 +224,7 @@
 func (c *clientCodec) ReadResponseBody(body any) error {
 	frame := c.frame
 	c.frame = nil
-	if body == nil {
-		return nil
-	}
-	var h header
-	return codec.Unmarshal(frame, &h, body)
+	return readBody(frame, body)
 }
 
 // Close implements rpc.ClientCodec.
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -112,3 +112,12 @@
 	_, err := io.ReadFull(c, b)
 	return b, err
 }
+
+// readBody decodes what follows the header of a frame; a nil body drops it.
+func readBody(frame []byte, body any) error {
+	if body == nil {
+		return nil
+	}
+	var h header
+	return codec.Unmarshal(frame, &h, body)
+}
--- a/internal/peer/wire/server.go
+++ b/internal/peer/wire/server.go
@@ -143,11 +143,7 @@
 func (c *serverCodec) ReadRequestBody(body any) error {
 	frame := c.frame
 	c.frame = nil
-	if body == nil {
-		return nil
-	}
-	var h header
-	return codec.Unmarshal(frame, &h, body)
+	return readBody(frame, body)
 }
 
 // WriteResponse implements rpc.ServerCodec.
