--- /dev/null
+++ b/cmd/forward.go
@@ -0,0 +1,78 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"agateward/internal/config/forwarding"
+	"agateward/internal/forward/node"
+	"agateward/internal/telemetry/log"
+	"agateward/internal/telemetry/sink"
+	"agateward/platform"
+
+	"github.com/go-logr/logr"
+	"github.com/urfave/cli/v3"
+)
+
+// logLines is the number of log lines a second that one entry writes at most.
+const logLines = 400
+
+// forwardCommand runs one entry of the forwarding surface.
+func forwardCommand() *cli.Command {
+	return &cli.Command{
+		Name: "forward", Usage: "run an entry of the forwarding surface until SIGINT or SIGTERM",
+		Description: "The entry takes its configuration and its upstreams from the platform's store.\n\n" +
+			"Example:\n  agateward forward --settings examples/forward/entry-1.jsonc",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Required: true, Usage: "`FILE` with the entry's settings", Sources: cli.EnvVars("AGATEWARD_CONFIG")},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, err := forwarding.Load(c.String("settings"))
+			if err != nil || c.Bool("check") {
+				return err
+			}
+			return runForward(ctx, c.String("settings"), s)
+		},
+	}
+}
+
+func runForward(ctx context.Context, file string, s forwarding.Settings) error {
+	out := sink.New(os.Stdout, logLines)
+	defer out.Close()
+	l, err := log.New(out, s.LogLevel)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	go reload(ctx, file, s, l)
+	n := node.New(s, node.Parts{
+		Source: platform.Source{Client: &platform.Client{Address: s.Store}}, Dialect: platform.Headers{}, Log: l,
+	})
+	return n.Run(ctx)
+}
+
+// reload reads the settings again at SIGHUP. Faulty ones are logged and leave
+// what was known; what changed takes effect at the next start.
+func reload(ctx context.Context, file string, s forwarding.Settings, l logr.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		fresh, err := forwarding.Load(file)
+		switch {
+		case err != nil:
+			l.Info("settings-refused", "error", err.Error())
+		default:
+			l.Info("settings-read", "store-changed", fresh.Store != s.Store, "listen-changed", fresh.Listen != s.Listen)
+		}
+	}
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -46,6 +46,7 @@
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
 			entryCommand(),
+			forwardCommand(),
 			settingsCommand(),
 			ticketCommand(),
 			moveCommand(),
--- /dev/null
+++ b/internal/forward/backend/backend.go
@@ -0,0 +1,302 @@
+// Package backend provides kept connections to upstreams and single exchanges on
+// them: one request, one answer, never sent twice.
+//
+// # Usage
+//
+//	var p backend.Pool
+//	x, err := p.Send(ctx, backend.Request{Address: a, Method: "GET", Target: "/seats", Header: h})
+//	if errors.Is(err, ward.ErrNotConnected) {
+//		// no byte was written; another upstream may be tried
+//	}
+//	defer x.Close()
+//	n, err := x.Body.Read(b)
+//
+// Close keeps the connection for another exchange only when the answer was read
+// to its end, the request was sent whole and no byte followed the answer. The end
+// of ctx closes the connection, which cancels the request at the upstream.
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"agateward/ward"
+)
+
+// Limits of the pool.
+const (
+	// dialTimeout bounds the opening of a connection; within a region it takes a
+	// few milliseconds, and an upstream that is away does not answer.
+	dialTimeout = 400 * time.Millisecond
+	// keptMost is the number of idle connections that are kept for an address.
+	keptMost = 32
+	// keptDefault is how long an idle connection is kept where the upstream does
+	// not state its timeout.
+	keptDefault = 20 * time.Second
+	// keptMargin is taken off the stated timeout, so that the upstream does not
+	// close the connection as a request is on its way.
+	keptMargin = 700 * time.Millisecond
+	// bufferSize is the size of the read buffer of a connection in bytes.
+	bufferSize = 4 << 10
+	// inlineBody is the size in bytes up to which a body is written before the
+	// answer is awaited.
+	inlineBody = 2 << 10
+)
+
+// ErrBadAnswer says that what came is no answer of the protocol.
+var ErrBadAnswer = errors.New("not an HTTP answer")
+
+// Request is one request to an upstream.
+type Request struct {
+	// Address is an IP number and port, Target the path with its query as the
+	// caller sent it.
+	Address string
+	Method  string
+	Target  string
+	Host    string
+	Header  http.Header
+	Body    []byte
+}
+
+// Pool holds the idle connections. Its zero value is ready to use.
+type Pool struct {
+	// Opened is called for each new connection.
+	Opened func()
+
+	mu   sync.Mutex
+	idle map[string][]*conn
+}
+
+type conn struct {
+	net.Conn
+	address string
+	br      *bufio.Reader
+	until   time.Time
+}
+
+// Exchange is an answer that is being received.
+type Exchange struct {
+	Status int
+	Header http.Header
+	// Body is the body without its transfer encoding. It ends with io.EOF only
+	// when it is whole.
+	Body io.Reader
+	// Length is the length of the body in bytes, -1 when it is not stated.
+	Length int64
+
+	pool    *Pool
+	conn    *conn
+	res     *http.Response
+	ended   bool
+	wrote   chan error
+	release func() bool
+}
+
+// Send opens or takes a connection, writes the request and reads the head of the
+// answer.
+func (p *Pool) Send(ctx context.Context, r Request) (*Exchange, error) {
+	c, err := p.take(ctx, r.Address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ward.ErrNotConnected, err)
+	}
+	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	x := &Exchange{pool: p, conn: c, wrote: make(chan error, 1), release: stop}
+	head := r.head()
+	if len(r.Body) <= inlineBody {
+		_, err := c.Write(append(head, r.Body...))
+		x.wrote <- err
+	} else {
+		go func() {
+			_, err := (&net.Buffers{head, r.Body}).WriteTo(c.Conn)
+			x.wrote <- err
+		}()
+	}
+	if err := x.readHead(r.Method); err != nil {
+		x.drop()
+		return nil, err
+	}
+	return x, nil
+}
+
+// head returns the request line and header fields.
+func (r Request) head() []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(r.Host)
+	b.WriteString("\r\n")
+	// The fields come from a parsed request, so they hold no line breaks.
+	_ = r.Header.Write(&b)
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(r.Body)))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+func (x *Exchange) readHead(method string) error {
+	for {
+		if _, err := x.conn.br.Peek(1); err != nil {
+			return fmt.Errorf("await the answer: %w", err)
+		}
+		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrBadAnswer, err)
+		}
+		if res.StatusCode >= 200 {
+			x.res = res
+			break
+		}
+	}
+	x.Status, x.Header, x.Length = x.res.StatusCode, x.res.Header, x.res.ContentLength
+	x.Body = endReader{x}
+	return nil
+}
+
+// endReader notes that the body was read to its end.
+type endReader struct{ x *Exchange }
+
+func (r endReader) Read(b []byte) (int, error) {
+	n, err := r.x.res.Body.Read(b)
+	if errors.Is(err, io.EOF) {
+		r.x.ended = true
+	}
+	return n, err
+}
+
+// Close ends the exchange. An answer that was not read to its end is cancelled.
+func (x *Exchange) Close() {
+	if !x.ended || x.res.Close || x.Length < 0 && len(x.res.TransferEncoding) == 0 {
+		x.drop()
+		return
+	}
+	select {
+	case err := <-x.wrote:
+		if err != nil {
+			x.drop()
+			return
+		}
+	default:
+		// The answer came before the request was sent whole: the upstream would
+		// read the next request as the rest of this one.
+		x.drop()
+		return
+	}
+	if x.conn.br.Buffered() > 0 || !x.release() {
+		x.drop()
+		return
+	}
+	x.pool.keep(x.conn, x.Header.Get("Keep-Alive"))
+}
+
+func (x *Exchange) drop() {
+	x.release()
+	x.conn.Conn.Close()
+}
+
+// take returns an idle connection that is still open, or a new one.
+func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
+	now := time.Now()
+	for {
+		p.mu.Lock()
+		list := p.idle[address]
+		if len(list) == 0 {
+			p.mu.Unlock()
+			break
+		}
+		c := list[len(list)-1]
+		p.idle[address] = list[:len(list)-1]
+		p.mu.Unlock()
+		if now.Before(c.until) && c.quiet() {
+			return c, nil
+		}
+		c.Conn.Close()
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	raw, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if p.Opened != nil {
+		p.Opened()
+	}
+	return &conn{Conn: raw, address: address, br: bufio.NewReaderSize(raw, bufferSize)}, nil
+}
+
+// quiet tells that an idle connection is open and that nothing has come on it.
+func (c *conn) quiet() bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok || c.br.Buffered() > 0 {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+	})
+	return err == nil && quiet
+}
+
+func (p *Pool) keep(c *conn, field string) {
+	kept := keptDefault
+	for _, part := range strings.Split(field, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if s, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
+			kept = time.Duration(s)*time.Second - keptMargin
+		}
+	}
+	c.until = time.Now().Add(kept)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.idle == nil {
+		p.idle = make(map[string][]*conn)
+	}
+	if kept <= 0 || len(p.idle[c.address]) >= keptMost {
+		c.Conn.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Retain closes the idle connections to addresses that are not in use.
+func (p *Pool) Retain(inUse map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if inUse[address] && now.Before(c.until) {
+				kept = append(kept, c)
+			} else {
+				c.Conn.Close()
+			}
+		}
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/news/news.go
@@ -0,0 +1,78 @@
+// Package news provides the messages by which entries tell each other what they
+// run, what they let through and which versions they know, and the datagrams
+// that carry them.
+//
+// # Usage
+//
+//	b, err := news.Message{Name: "entry-1", Config: 7}.Encode()
+//	m, err := news.Decode(b)
+package news
+
+import (
+	"errors"
+	"fmt"
+
+	"agateward/internal/forward/quota"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// MaxSize bounds a message in bytes: one datagram.
+const MaxSize = 60 << 10
+
+// Message is what one entry tells the others. It is sent often; a lost one is
+// made up for by the next.
+type Message struct {
+	// Name is the sender, Start tells two processes of one name apart, Sequence
+	// grows with each message.
+	Name     string `msgpack:"n"`
+	Start    int64  `msgpack:"b"`
+	Sequence uint64 `msgpack:"s"`
+	// State is the address at which the sender's documents can be fetched.
+	State string `msgpack:"a"`
+	// Listen is the address at which the sender hears messages.
+	Listen string `msgpack:"l"`
+	// Config is the version of the configuration in force at the sender, Replicas
+	// the store's revision up to which it knows the upstreams.
+	Config   uint64 `msgpack:"c"`
+	Replicas uint64 `msgpack:"r"`
+	// Load is the number of the sender's requests at each upstream.
+	Load map[string]int `msgpack:"u,omitempty"`
+	// Quota is what the sender let through, by team.
+	Quota map[string]quota.Use `msgpack:"q,omitempty"`
+	// Peers lists the addresses of entries that the sender hears.
+	Peers []string `msgpack:"p,omitempty"`
+	// Leaving says that the sender stops.
+	Leaving bool `msgpack:"x,omitempty"`
+}
+
+var errMessage = errors.New("message of a peer")
+
+// Encode returns the message as bytes.
+func (m Message) Encode() ([]byte, error) {
+	b, err := msgpack.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode news: %w", err)
+	}
+	if len(b) > MaxSize {
+		return nil, fmt.Errorf("%w: %d bytes", errMessage, len(b))
+	}
+	return b, nil
+}
+
+// Decode reads a message and checks it.
+func Decode(b []byte) (Message, error) {
+	var m Message
+	if err := msgpack.Unmarshal(b, &m); err != nil {
+		return Message{}, fmt.Errorf("%w: %w", errMessage, err)
+	}
+	if m.Name == "" || m.Listen == "" {
+		return Message{}, fmt.Errorf("%w: no sender", errMessage)
+	}
+	for id, n := range m.Load {
+		if n < 0 {
+			return Message{}, fmt.Errorf("%w: load %d of %q", errMessage, n, id)
+		}
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/forward/node/exchange.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"time"
+
+	"agateward/internal/forward/news"
+	"agateward/internal/forward/view"
+)
+
+// Timing of the exchange between entries.
+const (
+	// newsEvery is the interval of the messages to peers: a fraction of the time
+	// that most requests run.
+	newsEvery = 60 * time.Millisecond
+	// fetchWait is how long a newer version at a peer may be missing here before
+	// it is fetched: usually the store's own answer comes first.
+	fetchWait = 120 * time.Millisecond
+	// fetchTimeout bounds the fetching of documents from a peer.
+	fetchTimeout = 700 * time.Millisecond
+	// stateTimeout bounds one connection of a peer that fetches documents.
+	stateTimeout = 2 * time.Second
+)
+
+// tell sends news to the peers until ctx ends.
+func (n *Node) tell(ctx context.Context) {
+	now := time.Now()
+	n.mu.Lock()
+	for _, seed := range n.settings.Seeds {
+		if a := n.newsOf(seed); a != n.newsAddress() {
+			n.peers.Hint(a, now)
+		}
+	}
+	n.mu.Unlock()
+	t := time.NewTicker(newsEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			n.sendNews()
+		}
+	}
+}
+
+func (n *Node) sendNews() {
+	now := time.Now()
+	m := news.Message{Name: n.settings.Name, Start: n.start, State: n.settings.Listen.State, Listen: n.newsAddress()}
+	m.Config, m.Replicas = n.view.Versions()
+	n.gate.Report(&m)
+	n.mu.Lock()
+	n.sequence++
+	m.Sequence = n.sequence
+	m.Peers = n.peers.Known(now)
+	targets := n.peers.Targets(now)
+	n.mu.Unlock()
+	b, err := m.Encode()
+	if err != nil {
+		n.log.Error(err, "news-not-sent")
+		return
+	}
+	for _, to := range targets {
+		a, err := net.ResolveUDPAddr("udp", to)
+		if err != nil {
+			continue // an address that a peer passed on; the others are told
+		}
+		// A lost datagram is made up for by the next.
+		_, _ = n.news.WriteToUDP(b, a)
+	}
+}
+
+// hear takes the news of peers until ctx ends.
+func (n *Node) hear(ctx context.Context) {
+	buf := make([]byte, news.MaxSize)
+	for ctx.Err() == nil {
+		size, _, err := n.news.ReadFromUDP(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an ICMP error of an earlier send
+		}
+		m, err := news.Decode(buf[:size])
+		if err != nil {
+			n.log.Info("news-ignored", "error", err.Error())
+			continue
+		}
+		now := time.Now()
+		n.mu.Lock()
+		fresh := n.peers.Hear(m, now)
+		entries := n.peers.Entries(now)
+		n.mu.Unlock()
+		if fresh {
+			n.gate.Hear(m, entries)
+			n.catchUp(ctx, m)
+		}
+	}
+}
+
+// catchUp fetches the documents of a peer that knows newer ones.
+func (n *Node) catchUp(ctx context.Context, m news.Message) {
+	if config, upstreams := n.view.Versions(); m.Config <= config && m.Replicas <= upstreams {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.fetching {
+		return
+	}
+	n.fetching = true
+	go func() {
+		defer func() {
+			n.mu.Lock()
+			n.fetching = false
+			n.mu.Unlock()
+		}()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(fetchWait):
+		}
+		config, upstreams := n.view.Versions()
+		if m.Config <= config && m.Replicas <= upstreams {
+			return
+		}
+		s, err := fetch(m.State, StateRequest{Config: config})
+		if err != nil {
+			n.log.Info("fetch-failed", "peer", m.Name, "error", err.Error())
+			return
+		}
+		n.view.Merge(m.Name, s)
+	}()
+}
+
+// StateRequest asks a peer for its documents.
+type StateRequest struct {
+	// Config is the version that the asking entry has; an older one is not sent.
+	Config uint64
+}
+
+// State serves the documents of an entry to its peers over net/rpc.
+type State struct {
+	node *Node
+}
+
+// Get returns the upstreams and, if newer than asked, the configuration.
+func (s *State) Get(in StateRequest, out *view.State) error {
+	*out = s.node.view.State()
+	if out.Forwarding.Version <= in.Config {
+		out.Forwarding.Routes, out.Forwarding.Teams, out.Forwarding.Services = nil, nil, nil
+		out.Forwarding.Version = 0
+	}
+	return nil
+}
+
+func fetch(address string, in StateRequest) (view.State, error) {
+	var out view.State
+	conn, err := net.DialTimeout("tcp", address, fetchTimeout)
+	if err != nil {
+		return out, err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(fetchTimeout)); err != nil {
+		return out, err
+	}
+	c := rpc.NewClient(conn)
+	defer c.Close()
+	return out, c.Call("State.Get", in, &out)
+}
+
+// serveState answers peers until the listener is closed.
+func (n *Node) serveState(_ context.Context, l net.Listener) {
+	s := rpc.NewServer()
+	if err := s.Register(&State{node: n}); err != nil {
+		n.log.Error(err, "state-not-served")
+		return
+	}
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			n.log.Info("state-accept-failed", "error", err.Error())
+			time.Sleep(fetchWait)
+			continue
+		}
+		if err := conn.SetDeadline(time.Now().Add(stateTimeout)); err != nil {
+			conn.Close()
+			continue
+		}
+		go s.ServeConn(conn)
+	}
+}
--- /dev/null
+++ b/internal/forward/route/route.go
@@ -0,0 +1,104 @@
+// Package route provides the lookup of routes and teams in one version of the
+// forwarding configuration.
+//
+// # Usage
+//
+//	t := route.New(f)
+//	r := t.Route("example.org", "/menus/today")
+//	team, known := t.Team(key)
+//	service := t.Service(r, u) // u is a number from 0 to 1
+package route
+
+import (
+	"sort"
+	"strings"
+
+	"agateward/ward"
+)
+
+// Table is an indexed configuration. It does not change after New.
+type Table struct {
+	Config   ward.Forwarding
+	byHost   map[string][]*ward.ForwardRoute
+	byKey    map[string]*ward.ForwardTeam
+	services map[string]*ward.ForwardService
+}
+
+// New indexes a configuration.
+func New(f ward.Forwarding) *Table {
+	t := &Table{
+		Config: f, byHost: make(map[string][]*ward.ForwardRoute),
+		byKey: make(map[string]*ward.ForwardTeam), services: make(map[string]*ward.ForwardService),
+	}
+	for i := range f.Routes {
+		r := &f.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, list := range t.byHost {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	for i := range f.Teams {
+		for _, key := range f.Teams[i].Keys {
+			t.byKey[key] = &f.Teams[i]
+		}
+	}
+	for i := range f.Services {
+		t.services[f.Services[i].Name] = &f.Services[i]
+	}
+	return t
+}
+
+// Route returns the route with the longest prefix that begins path, or nil. The
+// host may carry a port.
+func (t *Table) Route(host, path string) *ward.ForwardRoute {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Team returns the team that holds a key.
+func (t *Table) Team(key string) (*ward.ForwardTeam, bool) {
+	team, ok := t.byKey[key]
+	return team, ok
+}
+
+// NeedsKey tells whether a request of the route needs a key.
+func (t *Table) NeedsKey(r *ward.ForwardRoute) bool { return len(t.Config.Teams) > 0 && !r.Public }
+
+// Service picks the service of a request by the weights of its route. u is
+// uniform from 0 to 1.
+func (t *Table) Service(r *ward.ForwardRoute, u float64) string {
+	total := 0
+	for _, s := range r.Split {
+		total += max(s.Weight, 0)
+	}
+	point := u * float64(total)
+	for _, s := range r.Split {
+		point -= float64(max(s.Weight, 0))
+		if point < 0 {
+			return s.Service
+		}
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
+// Connections returns the connections that one upstream of a service accepts
+// from all entries, 0 for no bound.
+func (t *Table) Connections(service string) int {
+	if s := t.services[service]; s != nil {
+		return s.MaxConnections
+	}
+	return 0
+}
+
+// Engine tells whether the upstreams of a service are model engines.
+func (t *Table) Engine(service string) bool {
+	s := t.services[service]
+	return s != nil && s.Engine
+}
--- /dev/null
+++ b/internal/forward/schedule/queue.go
@@ -0,0 +1,75 @@
+package schedule
+
+import (
+	"sort"
+	"time"
+)
+
+// Weights of the estimates of a queue.
+const (
+	// freedWeight is the weight of the newest interval in the smoothed time
+	// between two departures.
+	freedWeight = 0.1
+	// longestInterval bounds one interval in seconds: an idle time says nothing
+	// about how fast a queue moves.
+	longestInterval = 0.5
+	// patience is the part of a job's useful time that it may expect to wait
+	// before it is refused at its arrival.
+	patience = 0.6
+)
+
+// before tells whether a goes before b.
+func before(a, b *Job) bool {
+	if a.Resumed != b.Resumed {
+		return a.Resumed
+	}
+	if a.Rank != b.Rank {
+		return a.Rank[0] < b.Rank[0] || a.Rank[0] == b.Rank[0] && a.Rank[1] < b.Rank[1]
+	}
+	return a.OnTime.Before(b.OnTime)
+}
+
+func (v *service) insert(j *Job) {
+	i := sort.Search(len(v.queue), func(i int) bool { return before(j, v.queue[i]) })
+	v.queue = append(v.queue, nil)
+	copy(v.queue[i+1:], v.queue[i:])
+	v.queue[i] = j
+}
+
+// leave notes that a job left the queue for an upstream.
+func (v *service) leave(now time.Time) {
+	if !v.lastFree.IsZero() {
+		d := min(now.Sub(v.lastFree).Seconds(), longestInterval)
+		v.freed += freedWeight * (d - v.freed)
+	}
+	v.lastFree = now
+}
+
+// ahead counts the waiting jobs that go before j.
+func (v *service) ahead(j *Job) int {
+	return sort.Search(len(v.queue), func(i int) bool { return before(j, v.queue[i]) })
+}
+
+// hopeless returns the reason to refuse a job at its arrival, or nothing.
+func (s *Scheduler) hopeless(v *service, j *Job, now time.Time) string {
+	usable := 0
+	for _, u := range v.upstreams {
+		if !u.Draining {
+			usable++
+		}
+	}
+	switch {
+	case usable == 0:
+		return ReasonNoUpstream
+	case now.After(j.Latest):
+		return ReasonTooLate
+	case j.Resumed:
+		return ""
+	}
+	wait := time.Duration(float64(v.ahead(j)) * v.freed * float64(time.Second))
+	left := j.Latest.Sub(now) - s.fastest(v, j)
+	if left < 0 || wait > time.Duration(patience*float64(left)) {
+		return ReasonQueueLong
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/forward/view/view.go
@@ -0,0 +1,317 @@
+// Package view keeps what an entry knows of the configuration and of the
+// registered upstreams: from the platform's store, and from peers while the store
+// is out of reach.
+//
+// # Usage
+//
+//	v := &view.View{Source: source, Log: l, Changed: func() { ... }}
+//	go v.Run(ctx)
+//	table := v.Table()       // nil until a configuration is known
+//	list := v.Upstreams()
+//	v.Merge(state)           // what a peer knows
+//
+// A configuration is replaced only by one of a higher version.
+package view
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"agateward/internal/forward/replicas"
+	"agateward/internal/forward/route"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+)
+
+// Timing of the calls to the store.
+const (
+	// watchWait is how long a watch waits at the store: a silent connection is
+	// noticed soon after, well before a change has to be in force.
+	watchWait = 1200 * time.Millisecond
+	// retryFirst and retryMost bound the pause after a failed call.
+	retryFirst = 100 * time.Millisecond
+	retryMost  = 500 * time.Millisecond
+	// startSpread is the time over which entries that start together spread their
+	// first calls.
+	startSpread = 30 * time.Millisecond
+	// unsettled is how long after a failed call a removal may be a lapse that is
+	// made good.
+	unsettled = 3 * time.Second
+)
+
+// State is what an entry knows, as peers pass it on.
+type State struct {
+	Forwarding ward.Forwarding
+	Replicas   []replicas.Entry
+	// Revision is the newest store revision among the changes of Replicas.
+	Revision uint64
+}
+
+// View is the knowledge of one entry. Source must be set.
+type View struct {
+	Source ward.ForwardSource
+	Log    logr.Logger
+	// Changed is called after the configuration or the upstreams changed.
+	Changed func()
+
+	table atomic.Pointer[route.Table]
+
+	mu     sync.Mutex
+	set    replicas.Set
+	listed bool
+	failed time.Time
+	faulty map[string]uint64
+	down   map[string]bool
+}
+
+// Table returns the configuration in force, or nil.
+func (v *View) Table() *route.Table { return v.table.Load() }
+
+// Ready tells whether the entry knows enough to serve requests.
+func (v *View) Ready() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.Table() != nil && (v.listed || v.set.Len() > 0)
+}
+
+// Upstreams returns the registered upstreams.
+func (v *View) Upstreams() []ward.Replica {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	all := v.set.All()
+	list := make([]ward.Replica, len(all))
+	for i, e := range all {
+		list[i] = e.Replica
+	}
+	return list
+}
+
+// Versions returns the version of the configuration and the newest revision of
+// the upstreams, 0 for unknown.
+func (v *View) Versions() (config, upstreams uint64) {
+	if t := v.Table(); t != nil {
+		config = t.Config.Version
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return config, v.set.Revision
+}
+
+// State returns what peers may take over.
+func (v *View) State() State {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	s := State{Replicas: v.set.All(), Revision: v.set.Revision}
+	if t := v.Table(); t != nil {
+		s.Forwarding = t.Config
+	}
+	return s
+}
+
+// Merge takes what a peer knows.
+func (v *View) Merge(from string, s State) {
+	if s.Forwarding.Version > 0 {
+		v.adopt(s.Forwarding, "peer "+from)
+	}
+	v.mu.Lock()
+	changed := v.set.Merge(s.Replicas, s.Revision)
+	revision, n := v.set.Revision, v.set.Len()
+	v.mu.Unlock()
+	if changed {
+		v.Log.Info("upstreams-changed", "source", "peer "+from, "revision", revision, "count", n)
+		v.Changed()
+	}
+}
+
+// adopt puts a configuration in force if it is newer.
+func (v *View) adopt(f ward.Forwarding, source string) {
+	for {
+		old := v.table.Load()
+		if old != nil && old.Config.Version >= f.Version {
+			return
+		}
+		if v.table.CompareAndSwap(old, route.New(f)) {
+			break
+		}
+	}
+	v.Log.Info("configuration-in-force", "version", f.Version, "source", source, "routes", len(f.Routes), "teams", len(f.Teams))
+	v.Changed()
+}
+
+// Run follows the store until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	pause(ctx, time.Duration(rand.Float64()*float64(startSpread)))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		v.follow(ctx, "configuration", v.listConfig, v.watchConfig)
+	}()
+	v.follow(ctx, "upstreams", v.listReplicas, v.watchReplicas)
+	<-done
+}
+
+type step func(ctx context.Context, revision uint64) (uint64, error)
+
+// follow lists and then watches, and starts over when the history is gone.
+func (v *View) follow(ctx context.Context, what string, list, watch step) {
+	var revision uint64
+	wait := retryFirst
+	next := list
+	for ctx.Err() == nil {
+		to, err := next(ctx, revision)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ward.ErrHistoryGone):
+			v.Log.Info("store-history-gone", "of", what, "revision", revision)
+			next = list
+		case err != nil:
+			v.lost(what, err)
+			pause(ctx, wait/2+time.Duration(rand.Float64()*float64(wait)))
+			wait = min(wait*2, retryMost)
+			if revision == 0 {
+				next = list
+			}
+		default:
+			v.regained(what, to)
+			revision, next, wait = to, watch, retryFirst
+		}
+	}
+}
+
+func (v *View) lost(what string, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failed = time.Now()
+	if v.down == nil {
+		v.down = make(map[string]bool)
+	}
+	if !v.down[what] {
+		v.down[what] = true
+		v.Log.Info("store-lost", "of", what, "error", err.Error())
+	}
+}
+
+func (v *View) regained(what string, revision uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.down[what] {
+		v.down[what] = false
+		v.Log.Info("store-regained", "of", what, "revision", revision)
+	}
+}
+
+var errNoConfiguration = errors.New("the store holds no configuration yet")
+
+func (v *View) listConfig(ctx context.Context, _ uint64) (uint64, error) {
+	f, rev, err := v.Source.Forwarding(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if f.Version == 0 {
+		return 0, errNoConfiguration
+	}
+	v.adopt(f, "store")
+	return rev, nil
+}
+
+func (v *View) watchConfig(ctx context.Context, revision uint64) (uint64, error) {
+	f, rev, err := v.Source.WatchForwarding(ctx, revision, watchWait)
+	if err == nil && f.Version > 0 {
+		v.adopt(f, "store")
+	}
+	return rev, err
+}
+
+func (v *View) listReplicas(ctx context.Context, _ uint64) (uint64, error) {
+	regs, rev, err := v.Source.Replicas(ctx)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	v.mu.Lock()
+	list := make([]replicas.Entry, 0, len(regs))
+	for _, r := range regs {
+		if v.usable(r) {
+			list = append(list, replicas.Entry{Replica: r.Replica, Revision: r.Revision})
+		}
+	}
+	changed := v.set.List(list, rev, now)
+	first := !v.listed
+	v.listed = true
+	n := v.set.Len()
+	v.mu.Unlock()
+	if changed || first {
+		v.Log.Info("upstreams-changed", "source", "list of the store", "revision", rev, "count", n)
+		v.Changed()
+	}
+	return rev, nil
+}
+
+func (v *View) watchReplicas(ctx context.Context, revision uint64) (uint64, error) {
+	regs, rev, err := v.Source.WatchReplicas(ctx, revision, watchWait)
+	if err != nil {
+		return revision, err
+	}
+	now := time.Now()
+	v.mu.Lock()
+	changed := false
+	for _, r := range regs {
+		switch {
+		case !r.Removed && v.usable(r):
+			changed = v.set.Put(r.Replica, r.Revision) || changed
+		case now.Sub(v.failed) < unsettled:
+			v.set.Miss(r.Replica.ID, r.Revision, now)
+		default:
+			changed = v.set.Remove(r.Replica.ID, r.Revision) || changed
+		}
+	}
+	n := v.set.Len()
+	v.mu.Unlock()
+	if changed {
+		v.Log.Info("upstreams-changed", "source", "store", "revision", rev, "count", n, "events", len(regs))
+		v.Changed()
+	}
+	return rev, nil
+}
+
+// usable tells whether a registration names an upstream, and logs a fault once.
+func (v *View) usable(r ward.Registration) bool {
+	if r.Fault == "" {
+		return true
+	}
+	if v.faulty == nil {
+		v.faulty = make(map[string]uint64)
+	}
+	if v.faulty[r.Replica.ID] != r.Revision {
+		v.faulty[r.Replica.ID] = r.Revision
+		v.Log.Info("registration-ignored", "upstream", r.Replica.ID, "revision", r.Revision, "fault", r.Fault)
+	}
+	return false
+}
+
+// Sweep removes the upstreams that stayed away; it is called several times a
+// second.
+func (v *View) Sweep(now time.Time) {
+	v.mu.Lock()
+	gone := v.set.Sweep(now)
+	v.mu.Unlock()
+	if len(gone) > 0 {
+		v.Log.Info("upstreams-lapsed", "upstreams", gone)
+		v.Changed()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
