fix(quota): keep a token bucket for each team over all entries

A watch that began at the revision of the configuration instead of the store's was answered 410 again and again once the history had passed it. Change: buckets that start empty after a restart and fill by the part of the entries that are heard; the read of the configuration returns the store's revision.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -272,7 +272,7 @@
 	}
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	c.gate.ledger.Refund(c.team.Name, c.size, time.Now())
+	c.gate.ledger.Refund(c.team.Name, c.size)
 }
 
 // ended answers a request whose time is over or whose caller has left.
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -77,6 +77,7 @@
 	Name       string
 	DataCentre string
 	Retries    repeat.Budget
+	Quotas     quota.Ledger
 }
 
 // Prepare makes a gate ready to serve.
@@ -85,7 +86,7 @@
 		Name: s.Name, DataCentre: s.DataCentre,
 		Rand: rand.New(rand.NewPCG(uint64(g.Start), uint64(len(s.Name)))),
 	}
-	g.budget = s.Retries
+	g.budget, g.ledger = s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
 }
@@ -130,7 +131,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.ledger.Entries, g.budget.Entries = entries, entries
-	g.ledger.Hear(m.Name, m.Quota, now)
+	g.ledger.Hear(m.Name, m.Start, m.Quota, now)
 	g.carryOut(g.sched.Hear(m.Name, m.Load, now))
 }
 
@@ -139,7 +140,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.Load = g.sched.Load()
-	m.Quota = g.ledger.Own(time.Now())
+	m.Quota = g.ledger.Own()
 	m.Leaving = g.stopping.Load()
 }
 
--- a/internal/forward/news/news.go
+++ b/internal/forward/news/news.go
@@ -12,8 +12,6 @@
 	"errors"
 	"fmt"
 
-	"agateward/internal/forward/quota"
-
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -38,8 +36,8 @@
 	Replicas uint64 `msgpack:"r"`
 	// Load is the number of the sender's requests at each upstream.
 	Load map[string]int `msgpack:"u,omitempty"`
-	// Quota is what the sender let through, by team.
-	Quota map[string]quota.Use `msgpack:"q,omitempty"`
+	// Quota is what the sender let through since its start, by team.
+	Quota map[string]float64 `msgpack:"q,omitempty"`
 	// Peers lists the addresses of entries that the sender hears.
 	Peers []string `msgpack:"p,omitempty"`
 	// Leaving says that the sender stops.
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -21,6 +21,7 @@
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/gate"
 	"agateward/internal/forward/peers"
+	"agateward/internal/forward/quota"
 	"agateward/internal/forward/repeat"
 	"agateward/internal/forward/view"
 	"agateward/internal/result/code"
@@ -95,11 +96,17 @@
 	}
 	n.gate.Prepare(gate.Setup{Name: s.Name, DataCentre: s.DataCentre, Retries: repeat.Budget{
 		Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
+	}, Quotas: quota.Ledger{
+		Overshoot: quotaPart * s.Quotas.Overshoot, Slack: quotaPart * s.Quotas.Slack, Full: s.FirstStart,
 	}})
 	n.gate.SetEntries(firstEntries)
 	return n
 }
 
+// quotaPart is the part of a quota's tolerance that is given out; the rest covers
+// what entries have let through and not yet told each other.
+const quotaPart = 0.4
+
 // firstEntries is the number of entries to share with before any peer is heard.
 const firstEntries = 8
 
--- /dev/null
+++ b/internal/forward/quota/quota_test.go
@@ -0,0 +1,149 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"agateward/ward"
+)
+
+// The tolerance of the platform: a tenth of the quota and a fixed slack over a
+// window of 8 s.
+const (
+	testWindow    = 8 * time.Second
+	testOvershoot = 0.1
+	testSlack     = 190_000
+)
+
+// fleet is a number of ledgers that exchange news.
+type fleet struct {
+	ledgers []*Ledger
+	starts  []int64
+	cut     []bool
+	passed  []use
+	team    ward.ForwardTeam
+}
+
+type use struct {
+	at   time.Time
+	size float64
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{cut: make([]bool, n), starts: make([]int64, n), ledgers: make([]*Ledger, n)}
+	f.team = ward.ForwardTeam{Name: "hosts", Rate: 100_000, Burst: 100_000, Tokens: true}
+	for i := range n {
+		f.restart(i, true)
+	}
+	return f
+}
+
+func (f *fleet) restart(i int, first bool) {
+	f.ledgers[i] = &Ledger{Overshoot: 0.4 * testOvershoot, Slack: 0.4 * testSlack, Entries: len(f.ledgers), Full: first}
+	f.starts[i]++
+}
+
+func (f *fleet) exchange(now time.Time) {
+	for i, from := range f.ledgers {
+		for k, to := range f.ledgers {
+			if i != k && !f.cut[i] && !f.cut[k] {
+				to.Hear(fmt.Sprint(i), f.starts[i], from.Own(), now)
+			}
+		}
+	}
+}
+
+// worst returns the most that passed in any window.
+func (f *fleet) worst() float64 {
+	worst, sum, first := 0.0, 0.0, 0
+	for _, u := range f.passed {
+		sum += u.size
+		for f.passed[first].at.Before(u.at.Add(-testWindow)) {
+			sum -= f.passed[first].size
+			first++
+		}
+		worst = max(worst, sum)
+	}
+	return worst
+}
+
+// TestHotTeam answers one team at several times its quota while entries are cut
+// off, killed one by one, or killed all at once.
+func TestHotTeam(t *testing.T) {
+	cases := []struct {
+		name   string
+		during func(f *fleet, tick int)
+		// served is the least part of the quota that has to pass.
+		served float64
+	}{
+		{name: "calm", during: func(*fleet, int) {}, served: 0.95},
+		{name: "a third cut off", during: func(f *fleet, tick int) {
+			f.cut[0], f.cut[1] = tick > 300 && tick < 600, tick > 300 && tick < 600
+		}, served: 0.8},
+		{name: "all killed at once", during: func(f *fleet, tick int) {
+			if tick == 400 {
+				for i := range f.ledgers {
+					f.restart(i, false)
+				}
+			}
+		}, served: 0.85},
+		{name: "one killed again and again", during: func(f *fleet, tick int) {
+			if tick%100 == 99 {
+				f.restart(2, false)
+			}
+		}, served: 0.85},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := rand.New(rand.NewPCG(7, 1))
+			f := newFleet(6)
+			start := time.Unix(1000, 0)
+			const tick = 20 * time.Millisecond
+			const ticks = 1200
+			for i := range ticks {
+				now := start.Add(time.Duration(i) * tick)
+				c.during(f, i)
+				if i%3 == 0 {
+					f.exchange(now)
+				}
+				// Four times the quota, in requests of 500 to 10,000 tokens.
+				for asked := 0.0; asked < 4*f.team.Rate*tick.Seconds(); {
+					size := 500 + r.ExpFloat64()*4000
+					asked += size
+					if _, ok := f.ledgers[r.IntN(6)].Take(&f.team, size, now); ok {
+						f.passed = append(f.passed, use{now, size})
+					}
+				}
+			}
+			limit := (f.team.Rate*testWindow.Seconds()+f.team.Burst)*(1+testOvershoot) + testSlack
+			if got := f.worst(); got > limit {
+				t.Errorf("%.0f tokens in %v, limit %.0f", got, testWindow, limit)
+			}
+			total := 0.0
+			for _, u := range f.passed {
+				total += u.size
+			}
+			if owed := c.served * f.team.Rate * ticks * tick.Seconds(); total < owed {
+				t.Errorf("%.0f tokens passed, want %.0f", total, owed)
+			}
+		})
+	}
+}
+
+func TestLargeRequestsPass(t *testing.T) {
+	l := Ledger{Entries: 1, Full: true}
+	team := ward.ForwardTeam{Name: "hosts", Rate: 1000, Burst: 1000}
+	now := time.Unix(1000, 0)
+	if _, ok := l.Take(&team, 5000, now); !ok {
+		t.Fatal("a request larger than the burst is refused with a full bucket")
+	}
+	wait, ok := l.Take(&team, 10, now)
+	if ok || wait <= 0 {
+		t.Fatalf("after that: passed %v, wait %v; want a refusal with a time to come back", ok, wait)
+	}
+	if _, ok := l.Take(&team, 10, now.Add(wait+10*time.Millisecond)); !ok {
+		t.Error("refused after the advised wait")
+	}
+}
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -213,8 +213,8 @@
 // ForwardSource gives the configuration and the registered upstreams of the
 // forwarding surface. Its errors wrap ErrUnavailable or ErrOutcomeUnknown.
 type ForwardSource interface {
-	// Forwarding reads the configuration and its revision. Version 0 means that
-	// there is none yet.
+	// Forwarding reads the configuration and the store's revision, from which a
+	// watch misses no change. Version 0 means that there is none yet.
 	Forwarding(ctx context.Context) (Forwarding, uint64, error)
 	// WatchForwarding waits for a newer configuration than that of revision. It
 	// returns Version 0 and the revision to go on from when wait has passed.
