feat(schedule): send long outputs where they can end in time

Change: the time to each token is learned apart from the first event's; an upstream that is not expected to end a stream in time is taken only when none is.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -182,10 +182,24 @@
 	c.gate.sched.First(a.Job.ID, time.Now())
 }
 
+// leastPaced is the number of events from which a stream tells its pace.
+const leastPaced = 4
+
+func (c *call) paced(a schedule.Action, events int, d time.Duration) {
+	if events < leastPaced {
+		return
+	}
+	tokens := (events - 1) * c.table.Stride(c.service)
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.gate.sched.Paced(a.Job.ID, d/time.Duration(tokens))
+}
+
 // stream hands whole events on as they come.
 func (c *call) stream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *time.Timer) bool {
 	events := sse.Reader{R: x.Body, Max: maxEvent}
 	n := 0
+	var begun time.Time
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -196,6 +210,7 @@
 		}
 		if n == 0 {
 			c.first(a)
+			begun = time.Now()
 		} else if n%4 == 0 {
 			c.gate.mu.Lock()
 			c.gate.sched.Heard(a.Job.ID, time.Now())
@@ -209,6 +224,7 @@
 			return c.cut(ctx, a, err)
 		}
 	}
+	c.paced(a, n, time.Since(begun))
 	c.done(a, schedule.OutcomeOK)
 	c.begin(x)
 	c.log.Info("request-answered", "status", x.Status, "events", n, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -74,7 +74,7 @@
 	}
 	j := &schedule.Job{
 		Request: c.head.ID, Service: c.service, Route: c.route.Name, Rank: [2]int{0, c.route.Rank},
-		Arrived: c.arrived, OnTime: c.arrived.Add(target), Latest: c.deadline,
+		Arrived: c.arrived, OnTime: c.arrived.Add(target), Latest: c.deadline, End: c.deadline,
 		Repeatable: c.route.Repeatable(), Avoid: c.tried, Resumed: c.begun,
 	}
 	if c.team != nil && c.team.HasRank {
--- a/internal/forward/route/route.go
+++ b/internal/forward/route/route.go
@@ -97,8 +97,11 @@
 	return 0
 }
 
-// Engine tells whether the upstreams of a service are model engines.
-func (t *Table) Engine(service string) bool {
-	s := t.services[service]
-	return s != nil && s.Engine
+// Stride returns the number of tokens in one event of a service's streams, at
+// least 1.
+func (t *Table) Stride(service string) int {
+	if s := t.services[service]; s != nil {
+		return max(s.Stride, 1)
+	}
+	return 1
 }
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// Paced takes the time that an upstream took for each token after the first
+// event.
+func (s *Scheduler) Paced(id uint64, perTok time.Duration) {
+	r := s.jobs[id]
+	if r == nil || perTok <= 0 {
+		return
+	}
+	ratio := perTok.Seconds() / perToken
+	if r.up.pace == 0 {
+		r.up.pace = ratio
+		return
+	}
+	r.up.pace += speedWeight * (ratio - r.up.pace)
+}
+
 func (u *upstream) learn(ratio float64) {
 	if u.speed == 0 {
 		u.speed = ratio
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -42,6 +42,8 @@
 	// in time, Latest when it is of no more use.
 	OnTime time.Time
 	Latest time.Time
+	// End is when the last byte must have reached the caller, zero for no bound.
+	End time.Time
 	// Prompt and Output are the sizes in tokens, 0 for plain requests.
 	Prompt int
 	Output int
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -15,6 +15,9 @@
 	firstPerToken = 1.0 / 100_000
 	// perToken is the time for each token of the output at speed 1, in seconds.
 	perToken = 0.004
+	// outputMargin is applied to an expected output where it has to fit the
+	// caller's time.
+	outputMargin = 1.3
 	// plainTime is the time of a plain request that was not measured yet.
 	plainTime = 0.03
 	// speedWeight is the weight of one observation in the smoothed speed.
@@ -51,6 +54,9 @@
 	// speed is the time that work takes as a multiple of the first estimate; 0
 	// means not measured.
 	speed float64
+	// pace is the time between tokens as a multiple of the first estimate; 0 means
+	// not measured.
+	pace float64
 	// fails is the smoothed part of failures among answers.
 	fails   float64
 	answers int
@@ -73,6 +79,21 @@
 	return u.speed
 }
 
+// tokenRate is the multiple for the time between tokens: that of the first event
+// as long as nothing else is known.
+func (u *upstream) tokenRate() float64 {
+	if u.pace == 0 {
+		return u.rate()
+	}
+	return u.pace
+}
+
+// whole is the expected time to the last event of j. Callers' estimates of the
+// output are right at the median only, so a part is added.
+func (u *upstream) whole(j *Job) time.Duration {
+	return u.first(j) + time.Duration(outputMargin*u.tokenRate()*nominalRest(j)*float64(time.Second))
+}
+
 // nominalFirst is the time to the first event at speed 1, in seconds.
 func nominalFirst(j *Job) float64 {
 	if j.Output == 0 {
@@ -157,9 +178,10 @@
 	farCost = 0.35
 	// loadCost is added in proportion to the slots in use.
 	loadCost = 0.6
-	// lateCost and greyCost set the choices apart that are taken only when there
-	// is no other.
+	// lateCost, cutCost and greyCost set the choices apart that are taken only
+	// when there is no other.
 	lateCost = 20
+	cutCost  = 40
 	greyCost = 100
 )
 
@@ -185,9 +207,27 @@
 	if late && !now.Add(s.fastest(v, j)).After(j.OnTime) {
 		return nil
 	}
+	if s.cut(best, j, now) && s.mayEnd(v, j, now) {
+		return nil
+	}
 	return best
 }
 
+// cut tells whether j is not expected to end in time at u.
+func (s *Scheduler) cut(u *upstream, j *Job, now time.Time) bool {
+	return !j.End.IsZero() && now.Add(u.whole(j)).After(j.End)
+}
+
+// mayEnd tells whether an upstream of the service would end j in time.
+func (s *Scheduler) mayEnd(v *service, j *Job, now time.Time) bool {
+	for _, u := range v.upstreams {
+		if !u.Draining && now.After(u.closedUntil) && !s.cut(u, j, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // open tells whether u may get j. One that failed to answer gets a single
 // repeatable request at times, to test it.
 func (u *upstream) open(j *Job, now time.Time) bool {
@@ -202,13 +242,17 @@
 
 func (s *Scheduler) cost(v *service, u *upstream, j *Job, now time.Time) float64 {
 	work := nominalFirst(j) + nominalRest(j)
-	cost := u.rate() * (1 + loadCost*float64(u.load())/float64(u.Slots))
+	rate := (u.rate()*nominalFirst(j) + u.tokenRate()*nominalRest(j)) / work
+	cost := rate * (1 + loadCost*float64(u.load())/float64(u.Slots))
 	if !u.near {
 		cost += farCost
 	}
 	if now.Add(u.first(j)).After(j.OnTime) {
 		cost += lateCost
 	}
+	if !j.End.IsZero() && now.Add(u.whole(j)).After(j.End) {
+		cost += cutCost
+	}
 	if v.grey(u) && !(j.Repeatable && now.Sub(u.lastSent) > testPause) {
 		cost += greyCost
 	}
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -76,8 +76,10 @@
 	// MaxConnections bounds the connections that one upstream accepts from all
 	// entries together; 0 means no bound.
 	MaxConnections int `json:"max-connections"`
-	// Engine says that the upstreams are model engines.
+	// Engine says that the upstreams are model engines. Stride is the number of
+	// tokens in one event of their streams, 0 when it is not stated.
 	Engine bool `json:"engine"`
+	Stride int  `json:"stride"`
 }
 
 // ForwardTeam is a team of callers on the forwarding surface.
