feat(schedule): give free slots to the entry whose request goes first

In order of deadlines alone all requests of a lasting overload are late. Change: entries tell what waits, by rank and time left; a slot that becomes free is given to the peer whose request goes before the own ones, by one datagram. Within a rank, requests that can be in time go first. The server's own errors are logged now.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -52,6 +52,8 @@
 	Metrics *Metrics
 	// MaxBody bounds a body in bytes where the configuration says nothing.
 	MaxBody int
+	// Yield tells a peer that it may use a slot of an upstream. It must not block.
+	Yield func(peer, upstream string)
 	// Start is a number that no earlier process of this entry had.
 	Start int64
 
@@ -132,7 +134,14 @@
 	defer g.mu.Unlock()
 	g.ledger.Entries, g.budget.Entries = entries, entries
 	g.ledger.Hear(m.Name, m.Start, m.Quota, now)
-	g.carryOut(g.sched.Hear(m.Name, m.Load, now))
+	g.carryOut(g.sched.Hear(m.Name, m.Load, m.Demand, now))
+}
+
+// Granted takes a slot that a peer gives away.
+func (g *Gate) Granted(peer, upstream string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.carryOut(g.sched.Granted(peer, upstream, time.Now()))
 }
 
 // Report fills in what peers are told.
@@ -140,6 +149,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.Load = g.sched.Load()
+	m.Demand = g.sched.Demand(time.Now())
 	m.Quota = g.ledger.Own()
 	m.Leaving = g.stopping.Load()
 }
@@ -158,6 +168,10 @@
 // held.
 func (g *Gate) carryOut(actions []schedule.Action) {
 	for _, a := range actions {
+		if a.Yield != "" {
+			g.Yield(a.Yield, a.Upstream.ID)
+			continue
+		}
 		if w := g.waiters[a.Job.ID]; w != nil {
 			delete(g.waiters, a.Job.ID)
 			w.action <- a
--- a/internal/forward/news/news.go
+++ b/internal/forward/news/news.go
@@ -12,6 +12,8 @@
 	"errors"
 	"fmt"
 
+	"agateward/internal/forward/schedule"
+
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -36,6 +38,11 @@
 	Replicas uint64 `msgpack:"r"`
 	// Load is the number of the sender's requests at each upstream.
 	Load map[string]int `msgpack:"u,omitempty"`
+	// Demand is what waits at the sender.
+	Demand []schedule.Demand `msgpack:"d,omitempty"`
+	// Grant names an upstream of which the sender gives a slot away; such a message
+	// says nothing else.
+	Grant string `msgpack:"g,omitempty"`
 	// Quota is what the sender let through since its start, by team.
 	Quota map[string]float64 `msgpack:"q,omitempty"`
 	// Peers lists the addresses of entries that the sender hears.
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -64,13 +64,34 @@
 		return
 	}
 	for _, to := range targets {
-		a, err := net.ResolveUDPAddr("udp", to)
-		if err != nil {
-			continue // an address that a peer passed on; the others are told
-		}
-		// A lost datagram is made up for by the next.
-		_, _ = n.news.WriteToUDP(b, a)
+		n.send(b, to)
+	}
+}
+
+// yield tells a peer that it may use a slot of an upstream.
+func (n *Node) yield(peer, upstream string) {
+	n.mu.Lock()
+	to := n.peers.Listen(peer)
+	n.mu.Unlock()
+	if to == "" || n.news == nil {
+		return
+	}
+	m := news.Message{Name: n.settings.Name, Listen: n.newsAddress(), Grant: upstream}
+	b, err := m.Encode()
+	if err != nil {
+		n.log.Error(err, "slot-not-yielded", "peer", peer)
+		return
 	}
+	n.send(b, to)
+}
+
+func (n *Node) send(b []byte, to string) {
+	a, err := net.ResolveUDPAddr("udp", to)
+	if err != nil {
+		return // an address that a peer passed on; the others are told
+	}
+	// A lost datagram is made up for by the next news.
+	_, _ = n.news.WriteToUDP(b, a)
 }
 
 // hear takes the news of peers until ctx ends.
@@ -89,6 +110,10 @@
 			n.log.Info("news-ignored", "error", err.Error())
 			continue
 		}
+		if m.Grant != "" {
+			n.gate.Granted(m.Name, m.Grant)
+			continue
+		}
 		now := time.Now()
 		n.mu.Lock()
 		fresh := n.peers.Hear(m, now)
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -92,7 +93,7 @@
 	pool := &backend.Pool{Opened: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
 	n.gate = &gate.Gate{
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log,
-		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start,
+		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, Yield: n.yield,
 	}
 	n.gate.Prepare(gate.Setup{Name: s.Name, DataCentre: s.DataCentre, Retries: repeat.Budget{
 		Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
@@ -126,6 +127,7 @@
 	n.stopping = ctx
 	callers := &http.Server{
 		Handler: n.gate, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(n.log), slog.LevelError),
 	}
 	ready := &http.Server{Handler: http.HandlerFunc(n.ready), ReadHeaderTimeout: headerTimeout}
 	shown := &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout}
--- a/internal/forward/peers/peers.go
+++ b/internal/forward/peers/peers.go
@@ -90,6 +90,14 @@
 	return false
 }
 
+// Listen returns the address of a peer, empty when it is not known.
+func (s *Set) Listen(name string) string {
+	if p := s.peers[name]; p != nil {
+		return p.Message.Listen
+	}
+	return ""
+}
+
 // Heard returns the number of peers heard lately.
 func (s *Set) Heard(now time.Time) int {
 	n := 0
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -105,7 +105,13 @@
 		u.closedUntil = now.Add(retryMost)
 	}
 	v := s.services[r.job.Service]
-	if v == nil || len(v.queue) == 0 {
+	if v == nil {
+		return nil
+	}
+	if a, ok := s.yield(v, u, now); ok {
+		return []Action{a}
+	}
+	if len(v.queue) == 0 {
 		return nil
 	}
 	return s.drainService(v, now)
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -36,6 +36,30 @@
 	v.queue[i] = j
 }
 
+// order sorts the queue: within a rank the jobs that can still be in time go
+// before those that cannot. Under a load that lasts, all would be late otherwise.
+func (s *Scheduler) order(v *service, now time.Time) {
+	if len(v.queue) < 2 {
+		return
+	}
+	late := make(map[*Job]bool)
+	for _, j := range v.queue {
+		if now.Add(s.fastest(v, j)).After(j.OnTime) {
+			late[j] = true
+		}
+	}
+	if len(late) == 0 {
+		return
+	}
+	sort.SliceStable(v.queue, func(i, k int) bool {
+		a, b := v.queue[i], v.queue[k]
+		if a.Rank == b.Rank && a.Resumed == b.Resumed && late[a] != late[b] {
+			return late[b]
+		}
+		return before(a, b)
+	})
+}
+
 // leave notes that a job left the queue for an upstream.
 func (v *service) leave(now time.Time) {
 	if !v.lastFree.IsZero() {
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -57,10 +57,11 @@
 }
 
 // Action is a decision on one job: a dispatch when Upstream is set, else a
-// refusal.
+// refusal. Without a job it gives a free slot of Upstream to the peer Yield.
 type Action struct {
 	Job      *Job
 	Upstream *ward.Replica
+	Yield    string
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
 	// RetryAfter goes with a refusal, Reason says why.
@@ -117,6 +118,7 @@
 type peer struct {
 	heard   time.Time
 	running map[string]int
+	demand  []Demand
 }
 
 // Limits of the scheduler.
@@ -227,10 +229,13 @@
 	return load
 }
 
-// Hear takes the load of a peer.
-func (s *Scheduler) Hear(name string, load map[string]int, now time.Time) []Action {
+// Hear takes the load of a peer and what waits there.
+func (s *Scheduler) Hear(name string, load map[string]int, demand []Demand, now time.Time) []Action {
 	s.init()
-	s.peers[name] = &peer{heard: now, running: load}
+	if load == nil {
+		load = make(map[string]int) // a peer that runs nothing sends none
+	}
+	s.peers[name] = &peer{heard: now, running: load, demand: demand}
 	s.countPeers(now)
 	if s.Waiting() == 0 {
 		return nil
@@ -276,6 +281,7 @@
 	var out []Action
 	kept := v.queue[:0]
 	full := false
+	s.order(v, now)
 	for i, j := range v.queue {
 		if !j.Resumed && now.After(j.Latest.Add(-s.fastest(v, j))) || now.After(j.Latest) {
 			out = append(out, s.refuse(v, j, ReasonTooLate, now))
--- /dev/null
+++ b/internal/forward/schedule/schedule_test.go
@@ -0,0 +1,153 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"agateward/ward"
+)
+
+var start = time.Unix(1000, 0)
+
+func engines(n, slots int) []ward.Replica {
+	list := make([]ward.Replica, n)
+	for i := range list {
+		list[i] = ward.Replica{ID: fmt.Sprint("engine-", i), Service: "menus", DataCentre: "a", Address: fmt.Sprint("10.0.0.", i, ":80"), Slots: slots, Version: "v1"}
+	}
+	return list
+}
+
+func newScheduler(name string, list []ward.Replica) *Scheduler {
+	s := &Scheduler{Name: name, DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2))}
+	s.SetUpstreams(list, start)
+	return s
+}
+
+func job(id uint64, rank int, now time.Time) *Job {
+	return &Job{
+		ID: id, Service: "menus", Rank: [2]int{0, rank}, Arrived: now, OnTime: now.Add(600 * time.Millisecond),
+		Latest: now.Add(2700 * time.Millisecond), End: now.Add(8 * time.Second), Prompt: 1000, Output: 100,
+	}
+}
+
+func dispatched(t *testing.T, actions []Action) Action {
+	t.Helper()
+	for _, a := range actions {
+		if a.Job != nil && a.Upstream != nil {
+			return a
+		}
+	}
+	t.Fatalf("no dispatch in %+v", actions)
+	return Action{}
+}
+
+func TestWaitsForASlotByRank(t *testing.T) {
+	s := newScheduler("entry-1", engines(1, 1))
+	first := dispatched(t, s.Arrive(job(1, 2, start), start))
+	for _, j := range []*Job{job(2, 2, start), job(3, 0, start), job(4, 1, start)} {
+		if a := s.Arrive(j, start); len(a) != 0 {
+			t.Fatalf("job %d with no free slot: %+v", j.ID, a)
+		}
+	}
+	for _, want := range []uint64{3, 4, 2} {
+		got := dispatched(t, s.Done(first.Job.ID, OutcomeOK, start.Add(10*time.Millisecond)))
+		if got.Job.ID != want {
+			t.Fatalf("job %d was sent, want %d", got.Job.ID, want)
+		}
+		first = got
+	}
+}
+
+// TestFreeSlotGoesToTheHigherRankElsewhere answers a burst that meets one entry
+// more than another: the slots of the other do not go to its own lower ranks.
+func TestFreeSlotGoesToTheHigherRankElsewhere(t *testing.T) {
+	cases := []struct {
+		name   string
+		load   map[string]int
+		demand Demand
+		yields bool
+	}{
+		{"a higher rank waits at a peer that runs nothing", nil, Demand{"menus", [2]int{0, 0}, 1, time.Second}, true},
+		{"a higher rank waits at a busy peer", map[string]int{"engine-1": 1}, Demand{"menus", [2]int{0, 0}, 1, time.Second}, true},
+		{"the same rank waits much longer", nil, Demand{"menus", [2]int{0, 1}, 1, 100 * time.Millisecond}, true},
+		{"the same rank waits about as long", nil, Demand{"menus", [2]int{0, 1}, 1, 550 * time.Millisecond}, false},
+		{"a lower rank waits", nil, Demand{"menus", [2]int{0, 2}, 5, 0}, false},
+		{"another service's request waits", nil, Demand{"bookings", [2]int{0, 0}, 1, 0}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScheduler("entry-1", engines(1, 1))
+			a := dispatched(t, s.Arrive(job(1, 1, start), start))
+			s.Arrive(job(2, 1, start), start)
+			s.Hear("entry-2", c.load, []Demand{c.demand}, start)
+			got := s.Done(a.Job.ID, OutcomeOK, start.Add(time.Millisecond))
+			if yields := len(got) == 1 && got[0].Yield == "entry-2"; yields != c.yields {
+				t.Fatalf("yields %v, want %v: %+v", yields, c.yields, got)
+			}
+			if c.yields && s.byID["engine-0"].load() != 1 {
+				t.Error("the slot that was given away counts as free")
+			}
+		})
+	}
+}
+
+func TestGrantedSlotIsUsed(t *testing.T) {
+	s := newScheduler("entry-1", engines(1, 1))
+	s.Hear("entry-2", map[string]int{"engine-0": 1}, nil, start)
+	if a := s.Arrive(job(1, 0, start), start); len(a) != 0 {
+		t.Fatalf("sent to a full upstream: %+v", a)
+	}
+	if a := dispatched(t, s.Granted("entry-2", "engine-0", start)); a.Job.ID != 1 {
+		t.Errorf("job %d was sent", a.Job.ID)
+	}
+}
+
+// TestLateGoesAfterInTime answers a load above what the engines can do for long:
+// in order of deadlines alone every request would be late.
+func TestLateGoesAfterInTime(t *testing.T) {
+	s := newScheduler("entry-1", engines(1, 1))
+	a := dispatched(t, s.Arrive(job(1, 0, start), start))
+	s.Arrive(job(2, 0, start), start)
+	now := start.Add(700 * time.Millisecond)
+	s.Arrive(job(3, 0, now), now)
+	if a := dispatched(t, s.Done(a.Job.ID, OutcomeOK, now)); a.Job.ID != 3 {
+		t.Errorf("job %d was sent before the one that can be in time", a.Job.ID)
+	}
+}
+
+// TestLongOutputAvoidsASlowEngine answers engines of very different speeds.
+func TestLongOutputAvoidsASlowEngine(t *testing.T) {
+	s := newScheduler("entry-1", engines(2, 2))
+	s.byID["engine-0"].speed, s.byID["engine-0"].pace = 3, 3
+	s.byID["engine-1"].speed, s.byID["engine-1"].pace = 0.7, 0.7
+	now := start
+	for id := uint64(1); id <= 2; id++ {
+		j := job(id, 0, now)
+		j.Output = 700 // 9 s at the slow engine
+		if a := dispatched(t, s.Arrive(j, now)); a.Upstream.ID != "engine-1" {
+			t.Errorf("job %d went to the slow engine", id)
+		}
+	}
+	j := job(3, 0, now)
+	j.Output = 700
+	if a := s.Arrive(j, now); len(a) != 0 {
+		t.Errorf("a third long output is sent to the slow engine: %+v", a)
+	}
+}
+
+func TestRefusesWhatCannotBeServed(t *testing.T) {
+	s := newScheduler("entry-1", nil)
+	a := s.Arrive(job(1, 0, start), start)
+	if len(a) != 1 || a[0].Reason != ReasonNoUpstream || a[0].RetryAfter <= 0 {
+		t.Fatalf("without upstreams: %+v", a)
+	}
+	s = newScheduler("entry-1", engines(1, 1))
+	s.Arrive(job(1, 0, start), start)
+	s.Arrive(job(2, 0, start), start)
+	a = s.Tick(start.Add(2800 * time.Millisecond))
+	if len(a) != 1 || a[0].Job.ID != 2 || a[0].Reason != ReasonTooLate {
+		t.Errorf("after its time: %+v", a)
+	}
+}
