feat(quota): keep a reserve for plain requests and go beyond a quota only while idle

Cause: at a used-up quota small plain requests (200 tokens) were refused as often as model requests; the tolerance of a hot team was given out under load too, where it took slots from teams within their quotas; after a restart the first requests of every team were refused. Change: a tenth of the burst is kept for requests without tokens; the tolerance is given only while under 0.7 of the slots are in use and nothing waits; buckets start with the slack; a new entry's address gets every message for a second.

--- a/internal/config/forwarding/forwarding.go
+++ b/internal/config/forwarding/forwarding.go
@@ -68,11 +68,10 @@
 	Window ward.Duration `json:"window"`
 }
 
-// Quotas is what teams may use beyond their quotas over a window.
+// Quotas is what teams may use beyond their quotas.
 type Quotas struct {
-	// Overshoot is a part of the quota, Slack a number of units.
-	Overshoot float64 `json:"overshoot"`
-	Slack     float64 `json:"slack"`
+	// Slack is a number of units over all entries.
+	Slack float64 `json:"slack"`
 }
 
 // Limits bound what the process uses.
@@ -145,7 +144,7 @@
 	fault(s.NewsPort < 1 || s.NewsPort > 65535, "news-port", "%d is not a port", s.NewsPort)
 	fault(s.Stop.Grace <= 0, "stop.grace", "is not above 0")
 	fault(s.Retries.Ratio < 0 || s.Retries.Slack < 0, "retries", "ratio and slack are 0 or more")
-	fault(s.Quotas.Overshoot < 0 || s.Quotas.Slack < 0, "quotas", "overshoot and slack are 0 or more")
+	fault(s.Quotas.Slack < 0, "quotas.slack", "is below 0")
 	fault(s.Retries.Window <= 0, "retries.window", "is not above 0")
 	fault(s.Limits.Memory < 0 || s.Limits.MaxBody <= 0, "limits", "memory is 0 or more, max-body above 0")
 	fault(s.LogLevel != "error" && s.LogLevel != "info" && s.LogLevel != "debug", "log-level", "%q: allowed are error, info and debug", s.LogLevel)
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -312,7 +312,8 @@
 			c.size = float64(c.head.PromptTokens + c.head.MaxOutput)
 		}
 	}
-	if wait, ok := c.gate.ledger.Take(c.team, c.size, now); !ok {
+	r := quota.Request{Size: c.size, Plain: !c.head.HasTokens, Idle: c.gate.sched.Idle(c.service)}
+	if wait, ok := c.gate.ledger.Take(c.team, r, now); !ok {
 		return &quotaError{wait: wait, team: c.team.Name}
 	}
 	return nil
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -98,7 +98,7 @@
 	n.gate.Prepare(gate.Setup{Name: s.Name, DataCentre: s.DataCentre, Retries: repeat.Budget{
 		Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
 	}, Quotas: quota.Ledger{
-		Overshoot: quotaPart * s.Quotas.Overshoot, Slack: quotaPart * s.Quotas.Slack, Full: s.FirstStart,
+		Slack: quotaPart * s.Quotas.Slack, Full: s.FirstStart,
 	}})
 	n.gate.SetEntries(firstEntries)
 	return n
--- a/internal/forward/peers/peers.go
+++ b/internal/forward/peers/peers.go
@@ -27,6 +27,9 @@
 	forget = 60 * time.Second
 	// hintLife is how long an address is tried that has not answered.
 	hintLife = 30 * time.Second
+	// hintEager is how long a new address gets every message: an entry that has
+	// just started is to be heard soon.
+	hintEager = time.Second
 	// quietPart is the part of messages that a silent address still gets.
 	quietPart = 8
 )
@@ -150,7 +153,7 @@
 	for address, since := range s.hints {
 		if now.Sub(since) > hintLife {
 			delete(s.hints, address)
-		} else if slow {
+		} else if slow || now.Sub(since) < hintEager {
 			list = append(list, address)
 		}
 	}
--- a/internal/forward/quota/quota.go
+++ b/internal/forward/quota/quota.go
@@ -7,7 +7,7 @@
 //
 //	l := quota.Ledger{Overshoot: 0.05, Slack: 60_000, Entries: 6}
 //	l.Hear("entry-2", map[string]float64{"kitchen": 41_200}, now)
-//	if wait, ok := l.Take(team, size, now); !ok {
+//	if wait, ok := l.Take(team, size, plain, now); !ok {
 //		// refuse; ask again after wait
 //	}
 //	used := l.Own() // what the others are told
@@ -29,21 +29,23 @@
 	// deepest bounds the debt of a bucket: what a peer that was silent used counts
 	// for no longer than this time.
 	deepest = 4 * time.Second
+	// reserve is the part of a team's burst that is kept for plain requests.
+	reserve = 0.1
 	// longestWait bounds the advice that goes with a refusal.
 	longestWait = 4 * time.Second
 )
 
 // Ledger keeps the buckets. Its zero value is ready to use.
 type Ledger struct {
-	// Overshoot is a part of the rate, Slack a number of units, that may be used
-	// beyond a quota.
-	Overshoot float64
-	Slack     float64
+	// Slack is a number of units that a team may use beyond its quota while the
+	// upstreams have nothing else to do.
+	Slack float64
 	// Entries is the number of entries to share with; the number of peers heard is
 	// used when it is larger.
 	Entries int
 	// Full says that buckets start full: the whole fleet starts for the first
-	// time, so nothing was used before. Otherwise they start empty.
+	// time, so nothing was used before. Otherwise they start with the slack: what
+	// was used before is not known, and most teams are below their quota.
 	Full bool
 
 	own     map[string]float64
@@ -102,40 +104,59 @@
 	return totals
 }
 
-// Take counts a request of the given size against its team's quota. When the
-// quota is used up it returns how long until there may be room. A request larger
-// than what is left passes as long as anything is left, so that large requests
-// are not refused more often than small ones.
-func (l *Ledger) Take(t *ward.ForwardTeam, size float64, now time.Time) (time.Duration, bool) {
+// Request is one request to be counted.
+type Request struct {
+	Size float64
+	// Plain requests have no tokens of their own and are a small part of a team's
+	// use; a reserve is kept for them.
+	Plain bool
+	// Idle says that the upstreams have room to spare.
+	Idle bool
+}
+
+// Take counts a request against its team's quota. When the quota is used up it
+// returns how long until there may be room. A request larger than what is left
+// passes as long as anything is left, so that large requests are not refused more
+// often than small ones.
+func (l *Ledger) Take(t *ward.ForwardTeam, r Request, now time.Time) (time.Duration, bool) {
 	if l.own == nil {
 		l.own, l.buckets = make(map[string]float64), make(map[string]*bucket)
 	}
 	if t.Rate > 0 {
 		b := l.fill(t, now)
-		if b.level <= 0 {
-			wait := time.Duration((1 - b.level) / t.Rate * float64(time.Second))
+		part := l.part(now)
+		floor := part * reserve * t.Burst
+		if r.Plain {
+			floor = 0
+		}
+		if r.Idle {
+			floor -= part * l.Slack
+		}
+		if b.level <= floor {
+			wait := time.Duration((floor + 1 - b.level) / t.Rate * float64(time.Second))
 			return min(wait, longestWait), false
 		}
-		b.level -= size
+		b.level -= r.Size
 	}
-	l.own[t.Name] += size
+	l.own[t.Name] += r.Size
 	return 0, true
 }
 
 // fill brings a bucket up to now.
 func (l *Ledger) fill(t *ward.ForwardTeam, now time.Time) *bucket {
 	part := l.part(now)
-	most := part * (t.Burst + l.Slack)
+	most := part * t.Burst
 	b := l.buckets[t.Name]
 	if b == nil {
 		b = &bucket{last: now}
+		b.level = part * min(l.Slack, t.Burst)
 		if l.Full {
 			b.level = most
 		}
 		l.buckets[t.Name] = b
 	}
 	b.rate = t.Rate
-	b.level = min(b.level+part*t.Rate*(1+l.Overshoot)*now.Sub(b.last).Seconds(), most)
+	b.level = min(b.level+part*t.Rate*now.Sub(b.last).Seconds(), most)
 	b.last = now
 	return b
 }
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -209,6 +209,26 @@
 	return s.drain(now)
 }
 
+// idlePart is the part of the slots in use up to which a service has room to
+// spare.
+const idlePart = 0.7
+
+// Idle tells whether the upstreams of a service have room to spare.
+func (s *Scheduler) Idle(name string) bool {
+	v := s.services[name]
+	if v == nil || len(v.queue) > 0 {
+		return false
+	}
+	slots, load := 0, 0
+	for _, u := range v.upstreams {
+		if !u.Draining {
+			slots += u.Slots
+			load += u.load()
+		}
+	}
+	return float64(load) < idlePart*float64(slots)
+}
+
 // Waiting returns the number of waiting jobs.
 func (s *Scheduler) Waiting() int {
 	n := 0
