feat(schedule): tell peers which upstreams do not answer

Cause: each entry found out by itself that an engine had gone dark, at the price of the requests it sent there. Change: the news lists silent upstreams; an entry that hears of one sends it only tests, unless it answered here lately.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -134,7 +134,8 @@
 	defer g.mu.Unlock()
 	g.ledger.Entries, g.budget.Entries = entries, entries
 	g.ledger.Hear(m.Name, m.Start, m.Quota, now)
-	g.carryOut(g.sched.Hear(m.Name, m.Load, m.Demand, now))
+	n := schedule.News{Load: m.Load, Demand: m.Demand, Silent: m.Silent, Leaving: m.Leaving}
+	g.carryOut(g.sched.Hear(m.Name, n, now))
 }
 
 // Granted takes a slot that a peer gives away.
@@ -149,7 +150,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.Load = g.sched.Load()
-	m.Demand = g.sched.Demand(time.Now())
+	now := time.Now()
+	m.Demand, m.Silent = g.sched.Demand(now), g.sched.Silent(now)
 	m.Quota = g.ledger.Own()
 	m.Leaving = g.stopping.Load()
 }
--- a/internal/forward/news/news.go
+++ b/internal/forward/news/news.go
@@ -40,6 +40,8 @@
 	Load map[string]int `msgpack:"u,omitempty"`
 	// Demand is what waits at the sender.
 	Demand []schedule.Demand `msgpack:"d,omitempty"`
+	// Silent lists the upstreams that do not answer the sender.
+	Silent []string `msgpack:"i,omitempty"`
 	// Grant names an upstream of which the sender gives a slot away; such a message
 	// says nothing else.
 	Grant string `msgpack:"g,omitempty"`
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -119,6 +119,7 @@
 	heard   time.Time
 	running map[string]int
 	demand  []Demand
+	silent  []string
 }
 
 // Limits of the scheduler.
@@ -249,13 +250,28 @@
 	return load
 }
 
-// Hear takes the load of a peer and what waits there.
-func (s *Scheduler) Hear(name string, load map[string]int, demand []Demand, now time.Time) []Action {
+// News is what a peer tells of its requests.
+type News struct {
+	// Load is the number of its requests at each upstream.
+	Load map[string]int
+	// Demand is what waits there.
+	Demand []Demand
+	// Silent lists the upstreams that do not answer it.
+	Silent []string
+	// Leaving says that the peer stops and needs no slots.
+	Leaving bool
+}
+
+// Hear takes the news of a peer.
+func (s *Scheduler) Hear(name string, n News, now time.Time) []Action {
 	s.init()
-	if load == nil {
-		load = make(map[string]int) // a peer that runs nothing sends none
+	if n.Load == nil {
+		n.Load = make(map[string]int) // a peer that runs nothing sends none
+	}
+	s.peers[name] = &peer{heard: now, running: n.Load, demand: n.Demand, silent: n.Silent}
+	if n.Leaving && len(n.Load) == 0 {
+		delete(s.peers, name)
 	}
-	s.peers[name] = &peer{heard: now, running: load, demand: demand}
 	s.countPeers(now)
 	if s.Waiting() == 0 {
 		return nil
@@ -263,6 +279,7 @@
 	return s.drain(now)
 }
 
+// countPeers sums up what the peers run and which upstreams they doubt.
 func (s *Scheduler) countPeers(now time.Time) {
 	for _, u := range s.byID {
 		u.others = 0
@@ -277,6 +294,11 @@
 				u.others += n
 			}
 		}
+		for _, id := range p.silent {
+			if u := s.byID[id]; u != nil && p.heard.After(u.doubted) {
+				u.doubted = p.heard
+			}
+		}
 	}
 }
 
--- a/internal/forward/schedule/schedule_test.go
+++ b/internal/forward/schedule/schedule_test.go
@@ -81,7 +81,7 @@
 			s := newScheduler("entry-1", engines(1, 1))
 			a := dispatched(t, s.Arrive(job(1, 1, start), start))
 			s.Arrive(job(2, 1, start), start)
-			s.Hear("entry-2", c.load, []Demand{c.demand}, start)
+			s.Hear("entry-2", News{Load: c.load, Demand: []Demand{c.demand}}, start)
 			got := s.Done(a.Job.ID, OutcomeOK, start.Add(time.Millisecond))
 			if yields := len(got) == 1 && got[0].Yield == "entry-2"; yields != c.yields {
 				t.Fatalf("yields %v, want %v: %+v", yields, c.yields, got)
@@ -95,7 +95,7 @@
 
 func TestGrantedSlotIsUsed(t *testing.T) {
 	s := newScheduler("entry-1", engines(1, 1))
-	s.Hear("entry-2", map[string]int{"engine-0": 1}, nil, start)
+	s.Hear("entry-2", News{Load: map[string]int{"engine-0": 1}}, start)
 	if a := s.Arrive(job(1, 0, start), start); len(a) != 0 {
 		t.Fatalf("sent to a full upstream: %+v", a)
 	}
@@ -151,3 +151,26 @@
 		t.Errorf("after its time: %+v", a)
 	}
 }
+
+// TestDarkEngineIsAvoidedByAll answers an engine that falls silent: an entry that
+// was told by a peer sends it nothing but tests.
+func TestDarkEngineIsAvoidedByAll(t *testing.T) {
+	list := engines(2, 6)
+	a, b := newScheduler("entry-1", list), newScheduler("entry-2", list)
+	for id := range uint64(6) {
+		if x := dispatched(t, a.Arrive(job(id, 0, start), start)); x.Upstream.ID == "engine-0" {
+			a.First(x.Job.ID, start.Add(50*time.Millisecond))
+			a.Heard(x.Job.ID, start.Add(900*time.Millisecond))
+		}
+	}
+	now := start.Add(900 * time.Millisecond)
+	if got := a.Silent(now); len(got) != 1 || got[0] != "engine-1" {
+		t.Fatalf("silent: %v, want engine-1", got)
+	}
+	b.Hear("entry-1", News{Silent: a.Silent(now)}, now)
+	for id := range uint64(4) {
+		if x := dispatched(t, b.Arrive(job(id, 0, now), now)); x.Upstream.ID == "engine-1" {
+			t.Error("a request was sent to the engine that does not answer a peer")
+		}
+	}
+}
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -41,6 +41,9 @@
 	// an upstream that says nothing at all is taken to be unreachable.
 	silenceFactor = 4
 	silenceLeast  = 600 * time.Millisecond
+	// doubtTime is how long the word of a peer counts, against an upstream that has
+	// not answered here in that time.
+	doubtTime = 500 * time.Millisecond
 	// testPause is the time between two requests that test an upstream.
 	testPause = 700 * time.Millisecond
 )
@@ -68,8 +71,12 @@
 	// which nothing came since.
 	heard, asked time.Time
 	lastSent     time.Time
+	// doubted is when a peer last told that the upstream does not answer it.
+	doubted time.Time
 }
 
+func (u *upstream) free() bool { return !u.Draining && u.load() < u.Slots }
+
 func (u *upstream) load() int { return u.own + u.others }
 
 func (u *upstream) rate() float64 {
@@ -129,10 +136,21 @@
 	return u.own > 0 && !u.asked.IsZero() && now.Sub(u.asked) > limit
 }
 
+// Silent returns the upstreams that do not answer, for the peers.
+func (s *Scheduler) Silent(now time.Time) []string {
+	var list []string
+	for id, u := range s.byID {
+		if u.unreached > 1 || u.silent(now) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // room tells whether any upstream of the service has a free slot.
 func (v *service) room(now time.Time) bool {
 	for _, u := range v.upstreams {
-		if !u.Draining && u.load() < u.Slots && now.After(u.closedUntil) {
+		if u.free() && now.After(u.closedUntil) {
 			return true
 		}
 	}
@@ -190,7 +208,7 @@
 	var best *upstream
 	bestCost := 0.0
 	for _, u := range v.upstreams {
-		if u.Draining || u.load() >= u.Slots || slices.Contains(j.Avoid, u.ID) || !u.open(j, now) {
+		if !u.free() || slices.Contains(j.Avoid, u.ID) || !u.open(j, now) {
 			continue
 		}
 		cost := s.cost(v, u, j, now)
@@ -234,7 +252,8 @@
 	if now.Before(u.closedUntil) {
 		return false
 	}
-	if u.unreached == 0 && !u.silent(now) {
+	doubted := now.Sub(u.doubted) < doubtTime && now.Sub(u.heard) > doubtTime
+	if u.unreached == 0 && !u.silent(now) && !doubted {
 		return true
 	}
 	return j.Repeatable && now.Sub(u.lastSent) > testPause
--- a/internal/forward/schedule/yield.go
+++ b/internal/forward/schedule/yield.go
@@ -44,7 +44,7 @@
 // before the own ones. Without it an entry would fill its own slots again and
 // again, with requests of a lower rank than those that wait elsewhere.
 func (s *Scheduler) yield(v *service, u *upstream, now time.Time) (Action, bool) {
-	if u.Draining || u.load() >= u.Slots || now.Before(u.closedUntil) || u.unreached > 0 {
+	if !u.free() || now.Before(u.closedUntil) || u.unreached > 0 {
 		return Action{}, false
 	}
 	var own *Job
