--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -145,7 +145,7 @@
 		hop.Remaining = max(c.deadline.Sub(now), time.Millisecond)
 	}
 	c.log.Info("request-dispatched", "route", c.route.Name, "rank", a.Job.Rank, "upstream", a.Upstream.ID, "address", a.Upstream.Address,
-		"config", c.table.Config.Version, "send", c.sends+1, "waited", a.Waited, "predicted", a.Predicted, "running", a.Running, "queued", a.Queued)
+		"config", c.table.Config.Version, "send", c.sends+1, "prompt", a.Job.Prompt, "output", a.Job.Output, "waited", a.Waited, "predicted", a.Predicted, "running", a.Running, "queued", a.Queued)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := c.stallTimer(a, cancel)
