feat(schedule): give the last free slots of an upstream to one entry each

Change: below three free slots each slot has a home entry, dealt in turn from the names of the entries heard; a home slot is lent to a peer whose request goes before the own ones. A slot on its way counts as used until the receiver's news shows it (numbered, with the number in the news). News is sent at once when a request has to wait.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -53,7 +53,9 @@
 	// MaxBody bounds a body in bytes where the configuration says nothing.
 	MaxBody int
 	// Yield tells a peer that it may use a slot of an upstream. It must not block.
-	Yield func(peer, upstream string)
+	Yield func(a schedule.Action)
+	// Urgent asks for news to be sent soon. It must not block.
+	Urgent func()
 	// Start is a number that no earlier process of this entry had.
 	Start int64
 
@@ -86,7 +88,8 @@
 func (g *Gate) Prepare(s Setup) {
 	g.sched = schedule.Scheduler{
 		Name: s.Name, DataCentre: s.DataCentre,
-		Rand: rand.New(rand.NewPCG(uint64(g.Start), uint64(len(s.Name)))),
+		Start: uint64(g.Start),
+		Rand:  rand.New(rand.NewPCG(uint64(g.Start), uint64(len(s.Name)))),
 	}
 	g.budget, g.ledger = s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
@@ -134,26 +137,23 @@
 	defer g.mu.Unlock()
 	g.ledger.Entries, g.budget.Entries = entries, entries
 	g.ledger.Hear(m.Name, m.Start, m.Quota, now)
-	n := schedule.News{Load: m.Load, Demand: m.Demand, Silent: m.Silent, Leaving: m.Leaving}
-	g.carryOut(g.sched.Hear(m.Name, n, now))
+	g.carryOut(g.sched.Hear(m.Name, m.Requests, now))
 }
 
 // Granted takes a slot that a peer gives away.
-func (g *Gate) Granted(peer, upstream string) {
+func (g *Gate) Granted(peer, upstream string, sequence uint64, used bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.carryOut(g.sched.Granted(peer, upstream, time.Now()))
+	g.carryOut(g.sched.Granted(peer, upstream, sequence, used, time.Now()))
 }
 
 // Report fills in what peers are told.
 func (g *Gate) Report(m *news.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.Load = g.sched.Load()
-	now := time.Now()
-	m.Demand, m.Silent = g.sched.Demand(now), g.sched.Silent(now)
+	m.Requests = g.sched.News(time.Now())
 	m.Quota = g.ledger.Own()
-	m.Leaving = g.stopping.Load()
+	m.Requests.Leaving = g.stopping.Load()
 }
 
 // SetEntries tells how many entries share quotas and budgets.
@@ -171,7 +171,7 @@
 func (g *Gate) carryOut(actions []schedule.Action) {
 	for _, a := range actions {
 		if a.Yield != "" {
-			g.Yield(a.Yield, a.Upstream.ID)
+			g.Yield(a)
 			continue
 		}
 		if w := g.waiters[a.Job.ID]; w != nil {
--- a/internal/forward/news/news.go
+++ b/internal/forward/news/news.go
@@ -36,21 +36,19 @@
 	// the store's revision up to which it knows the upstreams.
 	Config   uint64 `msgpack:"c"`
 	Replicas uint64 `msgpack:"r"`
-	// Load is the number of the sender's requests at each upstream.
-	Load map[string]int `msgpack:"u,omitempty"`
-	// Demand is what waits at the sender.
-	Demand []schedule.Demand `msgpack:"d,omitempty"`
-	// Silent lists the upstreams that do not answer the sender.
-	Silent []string `msgpack:"i,omitempty"`
+	// Requests is what the sender's scheduler tells.
+	Requests schedule.News `msgpack:"q"`
 	// Grant names an upstream of which the sender gives a slot away; such a message
 	// says nothing else.
 	Grant string `msgpack:"g,omitempty"`
+	// GrantSequence numbers the slots given to the receiver.
+	GrantSequence uint64 `msgpack:"h,omitempty"`
+	// GrantUsed says that a request of the sender had the slot until now.
+	GrantUsed bool `msgpack:"w,omitempty"`
 	// Quota is what the sender let through since its start, by team.
-	Quota map[string]float64 `msgpack:"q,omitempty"`
+	Quota map[string]float64 `msgpack:"t,omitempty"`
 	// Peers lists the addresses of entries that the sender hears.
 	Peers []string `msgpack:"p,omitempty"`
-	// Leaving says that the sender stops.
-	Leaving bool `msgpack:"x,omitempty"`
 }
 
 var errMessage = errors.New("message of a peer")
@@ -76,7 +74,7 @@
 	if m.Name == "" || m.Listen == "" {
 		return Message{}, fmt.Errorf("%w: no sender", errMessage)
 	}
-	for id, n := range m.Load {
+	for id, n := range m.Requests.Load {
 		if n < 0 {
 			return Message{}, fmt.Errorf("%w: load %d of %q", errMessage, n, id)
 		}
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agateward/internal/forward/news"
+	"agateward/internal/forward/schedule"
 	"agateward/internal/forward/view"
 )
 
@@ -16,6 +17,8 @@
 	// newsEvery is the interval of the messages to peers: a fraction of the time
 	// that most requests run.
 	newsEvery = 60 * time.Millisecond
+	// newsLeast is the least time between two messages.
+	newsLeast = 15 * time.Millisecond
 	// fetchWait is how long a newer version at a peer may be missing here before
 	// it is fetched: usually the store's own answer comes first.
 	fetchWait = 120 * time.Millisecond
@@ -35,15 +38,31 @@
 		}
 	}
 	n.mu.Unlock()
-	t := time.NewTicker(newsEvery)
+	t := time.NewTimer(newsEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			n.sendNews()
+		case <-n.soon:
 		}
+		n.sendNews()
+		t.Reset(newsEvery)
+		// A burst of waiting requests is told in one message.
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(newsLeast):
+		}
+	}
+}
+
+// urgent asks for the next news to be sent without waiting for its time.
+func (n *Node) urgent() {
+	select {
+	case n.soon <- struct{}{}:
+	default:
 	}
 }
 
@@ -69,17 +88,17 @@
 }
 
 // yield tells a peer that it may use a slot of an upstream.
-func (n *Node) yield(peer, upstream string) {
+func (n *Node) yield(a schedule.Action) {
 	n.mu.Lock()
-	to := n.peers.Listen(peer)
+	to := n.peers.Listen(a.Yield)
 	n.mu.Unlock()
 	if to == "" || n.news == nil {
 		return
 	}
-	m := news.Message{Name: n.settings.Name, Listen: n.newsAddress(), Grant: upstream}
+	m := news.Message{Name: n.settings.Name, Listen: n.newsAddress(), Grant: a.Upstream.ID, GrantSequence: a.Sequence, GrantUsed: a.Used}
 	b, err := m.Encode()
 	if err != nil {
-		n.log.Error(err, "slot-not-yielded", "peer", peer)
+		n.log.Error(err, "slot-not-yielded", "peer", a.Yield)
 		return
 	}
 	n.send(b, to)
@@ -111,7 +130,7 @@
 			continue
 		}
 		if m.Grant != "" {
-			n.gate.Granted(m.Name, m.Grant)
+			n.gate.Granted(m.Name, m.Grant, m.GrantSequence, m.GrantUsed)
 			continue
 		}
 		now := time.Now()
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -81,19 +81,20 @@
 	fetching bool
 	sequence uint64
 	news     *net.UDPConn
+	soon     chan struct{}
 
 	stopping context.Context
 }
 
 // New composes a node. It opens no listener.
 func New(s forwarding.Settings, p Parts) *Node {
-	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano()}
+	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), soon: make(chan struct{}, 1)}
 	n.peers.Self = s.Name
 	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.changed}
 	pool := &backend.Pool{Opened: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
 	n.gate = &gate.Gate{
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log,
-		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, Yield: n.yield,
+		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, Yield: n.yield, Urgent: n.urgent,
 	}
 	n.gate.Prepare(gate.Setup{Name: s.Name, DataCentre: s.DataCentre, Retries: repeat.Budget{
 		Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
--- a/internal/forward/peers/peers.go
+++ b/internal/forward/peers/peers.go
@@ -105,7 +105,7 @@
 func (s *Set) Heard(now time.Time) int {
 	n := 0
 	for _, p := range s.peers {
-		if !p.Leaving && now.Sub(p.Heard) < silence {
+		if !p.Requests.Leaving && now.Sub(p.Heard) < silence {
 			n++
 		}
 	}
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -111,8 +111,6 @@
 	if a, ok := s.yield(v, u, now); ok {
 		return []Action{a}
 	}
-	if len(v.queue) == 0 {
-		return nil
-	}
-	return s.drainService(v, now)
+	// The slot that became free is this entry's to use again.
+	return s.refill(v, u, now)
 }
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -62,6 +62,10 @@
 	Job      *Job
 	Upstream *ward.Replica
 	Yield    string
+	// Sequence numbers the slots given to Yield. Used says that a request of this
+	// entry had the slot until now.
+	Sequence uint64
+	Used     bool
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
 	// RetryAfter goes with a refusal, Reason says why.
@@ -87,11 +91,18 @@
 	Name       string
 	DataCentre string
 	Rand       *rand.Rand
+	// Start is a number that is higher than in earlier processes of this name, by
+	// more than the slots that they gave away.
+	Start uint64
 
 	services map[string]*service
 	byID     map[string]*upstream
 	jobs     map[uint64]*running
 	peers    map[string]*peer
+	// entries are the names of the entries that are heard and this one, sorted;
+	// homes is what they were when the slots were last dealt out.
+	entries []string
+	homes   string
 }
 
 // service is one group of upstreams and the jobs that wait for one of them.
@@ -114,12 +125,16 @@
 	nominal float64
 }
 
-// peer is the load of one other entry.
+// peer is what is known of one other entry.
 type peer struct {
-	heard   time.Time
-	running map[string]int
-	demand  []Demand
-	silent  []string
+	heard time.Time
+	news  News
+	// given are the slots that were given to the peer and that its news does not
+	// show yet; sequence is the number of the last one.
+	given    []Lent
+	sequence uint64
+	// received is the number of the last slot that the peer gave away to this entry.
+	received uint64
 }
 
 // Limits of the scheduler.
@@ -170,6 +185,7 @@
 		v.upstreams = append(v.upstreams, u)
 	}
 	s.byID = known
+	s.homes = ""
 	s.countPeers(now)
 	return s.drain(now)
 }
@@ -239,67 +255,92 @@
 	return n
 }
 
-// Load returns the number of own requests at each upstream, for the peers.
-func (s *Scheduler) Load() map[string]int {
-	load := make(map[string]int)
-	for id, u := range s.byID {
-		if u.own > 0 {
-			load[id] = u.own
-		}
-	}
-	return load
-}
-
-// News is what a peer tells of its requests.
+// News is what an entry tells the others of its requests.
 type News struct {
 	// Load is the number of its requests at each upstream.
-	Load map[string]int
+	Load map[string]int `msgpack:"u,omitempty"`
 	// Demand is what waits there.
-	Demand []Demand
+	Demand []Demand `msgpack:"d,omitempty"`
 	// Silent lists the upstreams that do not answer it.
-	Silent []string
-	// Leaving says that the peer stops and needs no slots.
-	Leaving bool
+	Silent []string `msgpack:"i,omitempty"`
+	// Given lists the slots that it gave away, as long as the receiver's news may
+	// not show them; Received is the number of the last slot that it got from each
+	// of the others.
+	Given    []Lent            `msgpack:"g,omitempty"`
+	Received map[string]uint64 `msgpack:"r,omitempty"`
+	// Leaving says that the entry stops and needs no slots.
+	Leaving bool `msgpack:"x,omitempty"`
+}
+
+// News returns what the others are told.
+func (s *Scheduler) News(now time.Time) News {
+	n := News{Load: make(map[string]int), Demand: s.demand(now), Silent: s.silent(now), Received: make(map[string]uint64)}
+	for id, u := range s.byID {
+		if u.own > 0 {
+			n.Load[id] = u.own
+		}
+	}
+	for name, p := range s.peers {
+		n.Given = append(n.Given, p.given...)
+		if p.received > 0 {
+			n.Received[name] = p.received
+		}
+	}
+	return n
 }
 
 // Hear takes the news of a peer.
 func (s *Scheduler) Hear(name string, n News, now time.Time) []Action {
 	s.init()
-	if n.Load == nil {
-		n.Load = make(map[string]int) // a peer that runs nothing sends none
-	}
-	s.peers[name] = &peer{heard: now, running: n.Load, demand: n.Demand, silent: n.Silent}
 	if n.Leaving && len(n.Load) == 0 {
 		delete(s.peers, name)
+		s.countPeers(now)
+		return nil
 	}
+	p := s.peer(name)
+	p.heard, p.news = now, n
 	s.countPeers(now)
+	out := s.lend(name, now)
 	if s.Waiting() == 0 {
-		return nil
+		return out
 	}
-	return s.drain(now)
+	return append(out, s.drain(now)...)
+}
+
+func (s *Scheduler) peer(name string) *peer {
+	p := s.peers[name]
+	if p == nil {
+		p = &peer{sequence: s.Start}
+		s.peers[name] = p
+	}
+	return p
 }
 
 // countPeers sums up what the peers run and which upstreams they doubt.
 func (s *Scheduler) countPeers(now time.Time) {
 	for _, u := range s.byID {
-		u.others = 0
+		u.others, u.lent = 0, 0
 	}
+	s.entries = append(s.entries[:0], s.Name)
 	for name, p := range s.peers {
 		if now.Sub(p.heard) > peerSilence {
 			delete(s.peers, name)
 			continue
 		}
-		for id, n := range p.running {
+		s.entries = append(s.entries, name)
+		for id, n := range p.news.Load {
 			if u := s.byID[id]; u != nil {
 				u.others += n
 			}
 		}
-		for _, id := range p.silent {
+		for _, id := range p.news.Silent {
 			if u := s.byID[id]; u != nil && p.heard.After(u.doubted) {
 				u.doubted = p.heard
 			}
 		}
+		s.countGiven(name, p, now)
 	}
+	s.deal()
 }
 
 func (s *Scheduler) drain(now time.Time) []Action {
--- a/internal/forward/schedule/schedule_test.go
+++ b/internal/forward/schedule/schedule_test.go
@@ -99,7 +99,7 @@
 	if a := s.Arrive(job(1, 0, start), start); len(a) != 0 {
 		t.Fatalf("sent to a full upstream: %+v", a)
 	}
-	if a := dispatched(t, s.Granted("entry-2", "engine-0", start)); a.Job.ID != 1 {
+	if a := dispatched(t, s.Granted("entry-2", "engine-0", 1, true, start)); a.Job.ID != 1 {
 		t.Errorf("job %d was sent", a.Job.ID)
 	}
 }
@@ -164,10 +164,10 @@
 		}
 	}
 	now := start.Add(900 * time.Millisecond)
-	if got := a.Silent(now); len(got) != 1 || got[0] != "engine-1" {
+	if got := a.News(now).Silent; len(got) != 1 || got[0] != "engine-1" {
 		t.Fatalf("silent: %v, want engine-1", got)
 	}
-	b.Hear("entry-1", News{Silent: a.Silent(now)}, now)
+	b.Hear("entry-1", News{Silent: a.News(now).Silent}, now)
 	for id := range uint64(4) {
 		if x := dispatched(t, b.Arrive(job(id, 0, now), now)); x.Upstream.ID == "engine-1" {
 			t.Error("a request was sent to the engine that does not answer a peer")
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -52,8 +52,14 @@
 type upstream struct {
 	ward.Replica
 	near bool
+	// home is the number of this entry's home slots, granted says that a peer gives
+	// a slot away at this moment.
+	home    int
+	granted bool
 	// own and others count the requests of this entry and of its peers.
 	own, others int
+	// lent counts the slots on their way from one entry to another.
+	lent int
 	// speed is the time that work takes as a multiple of the first estimate; 0
 	// means not measured.
 	speed float64
@@ -75,9 +81,7 @@
 	doubted time.Time
 }
 
-func (u *upstream) free() bool { return !u.Draining && u.load() < u.Slots }
-
-func (u *upstream) load() int { return u.own + u.others }
+func (u *upstream) load() int { return u.own + u.others + u.lent }
 
 func (u *upstream) rate() float64 {
 	if u.speed == 0 {
@@ -136,8 +140,8 @@
 	return u.own > 0 && !u.asked.IsZero() && now.Sub(u.asked) > limit
 }
 
-// Silent returns the upstreams that do not answer, for the peers.
-func (s *Scheduler) Silent(now time.Time) []string {
+// silent returns the upstreams that do not answer, for the peers.
+func (s *Scheduler) silent(now time.Time) []string {
 	var list []string
 	for id, u := range s.byID {
 		if u.unreached > 1 || u.silent(now) {
--- a/internal/forward/schedule/yield.go
+++ b/internal/forward/schedule/yield.go
@@ -23,8 +23,57 @@
 	demandAge = 200 * time.Millisecond
 )
 
-// Demand returns what waits here, for the peers.
-func (s *Scheduler) Demand(now time.Time) []Demand {
+// Lent is a slot that one entry gives to another. Until the receiver's own news
+// shows it, it counts as used.
+type Lent struct {
+	Upstream string `msgpack:"u"`
+	To       string `msgpack:"t"`
+	Sequence uint64 `msgpack:"s"`
+
+	at time.Time
+}
+
+// givenLife is how long a slot that was given away counts without news of the
+// receiver: the datagram may have been lost.
+const givenLife = 200 * time.Millisecond
+
+// give hands a slot of u to a peer.
+func (s *Scheduler) give(u *upstream, to string, now time.Time) Action {
+	p := s.peers[to]
+	p.sequence++
+	p.given = append(p.given, Lent{Upstream: u.ID, To: to, Sequence: p.sequence, at: now})
+	u.lent++
+	return Action{Upstream: &u.Replica, Yield: to, Sequence: p.sequence}
+}
+
+// countGiven counts the slots that were given to a peer, and those that the peer
+// gave away, as long as no news of the receiver shows them.
+func (s *Scheduler) countGiven(name string, p *peer, now time.Time) {
+	kept := p.given[:0]
+	for _, g := range p.given {
+		if g.Sequence > p.news.Received[s.Name] && now.Sub(g.at) < givenLife {
+			kept = append(kept, g)
+			if u := s.byID[g.Upstream]; u != nil {
+				u.lent++
+			}
+		}
+	}
+	p.given = kept
+	for _, g := range p.news.Given {
+		shown := p.received
+		if g.To != s.Name {
+			if to := s.peers[g.To]; to != nil {
+				shown = to.news.Received[name]
+			}
+		}
+		if u := s.byID[g.Upstream]; u != nil && g.Sequence > shown {
+			u.lent++
+		}
+	}
+}
+
+// demand returns what waits here, for the peers.
+func (s *Scheduler) demand(now time.Time) []Demand {
 	var list []Demand
 	for name, v := range s.services {
 		for _, j := range v.queue {
@@ -44,7 +93,7 @@
 // before the own ones. Without it an entry would fill its own slots again and
 // again, with requests of a lower rank than those that wait elsewhere.
 func (s *Scheduler) yield(v *service, u *upstream, now time.Time) (Action, bool) {
-	if !u.free() || now.Before(u.closedUntil) || u.unreached > 0 {
+	if u.Draining || u.load() >= u.Slots || now.Before(u.closedUntil) || u.unreached > 0 {
 		return Action{}, false
 	}
 	var own *Job
@@ -60,8 +109,8 @@
 		if now.Sub(p.heard) > demandAge {
 			continue
 		}
-		for i := range p.demand {
-			d := &p.demand[i]
+		for i := range p.news.Demand {
+			d := &p.news.Demand[i]
 			if d.Service != v.name || d.Count == 0 || !goesBefore(d, own, now.Sub(p.heard), now) {
 				continue
 			}
@@ -74,9 +123,9 @@
 		return Action{}, false
 	}
 	best.Count--
-	s.peers[to].running[u.ID]++
-	u.others++
-	return Action{Upstream: &u.Replica, Yield: to}, true
+	a := s.give(u, to, now)
+	a.Used = true
+	return a, true
 }
 
 func less(a, b *Demand) bool {
@@ -97,20 +146,33 @@
 	return less(&theirs, &mine)
 }
 
-// Granted takes a slot of an upstream that a peer gives away.
-func (s *Scheduler) Granted(from, id string, now time.Time) []Action {
+// Granted takes a slot of an upstream that a peer gives away. used says that a
+// request of the peer had it until now, which its last news still shows.
+func (s *Scheduler) Granted(from, id string, sequence uint64, used bool, now time.Time) []Action {
 	s.init()
-	p, u := s.peers[from], s.byID[id]
+	p := s.peer(from)
+	if p.heard.IsZero() {
+		p.heard = now
+	}
+	p.received = max(p.received, sequence)
+	if used && p.news.Load[id] > 0 {
+		p.news.Load[id]--
+	}
+	s.countPeers(now)
+	u := s.byID[id]
 	if u == nil {
 		return nil
 	}
-	if p != nil && p.running[id] > 0 {
-		p.running[id]--
-		u.others = max(u.others-1, 0)
-	}
-	v := s.services[u.Service]
+	return s.refill(s.services[u.Service], u, now)
+}
+
+// refill lets the waiting jobs use a slot of u that is this entry's to use.
+func (s *Scheduler) refill(v *service, u *upstream, now time.Time) []Action {
 	if len(v.queue) == 0 {
 		return nil
 	}
-	return s.drainService(v, now)
+	u.granted = true
+	out := s.drainService(v, now)
+	u.granted = false
+	return out
 }
