feat(quota): refuse the lower ranks first when a quota is nearly used up

Cause: a team over its quota spent it in the order of arrival, a third of it on its lowest rank. Change: a part of the burst is kept for the ranks above, rank by rank. TestHigherRanksPassFirst fails without it.

--- a/internal/forward/quota/quota.go
+++ b/internal/forward/quota/quota.go
@@ -31,6 +31,10 @@
 	deepest = 4 * time.Second
 	// reserve is the part of a team's burst that is kept for plain requests.
 	reserve = 0.1
+	// rankReserve is the part of the burst that is kept, for each rank, for the
+	// ranks above it, down to lastRank.
+	rankReserve = 0.15
+	lastRank    = 3
 	// longestWait bounds the advice that goes with a refusal.
 	longestWait = 4 * time.Second
 )
@@ -110,6 +114,9 @@
 	// Plain requests have no tokens of their own and are a small part of a team's
 	// use; a reserve is kept for them.
 	Plain bool
+	// Rank is the rank of the request's route; when a quota is nearly used up the
+	// lower ranks are refused first.
+	Rank int
 	// Idle says that the upstreams have room to spare.
 	Idle bool
 }
@@ -125,7 +132,7 @@
 	if t.Rate > 0 {
 		b := l.fill(t, now)
 		part := l.part(now)
-		floor := part * reserve * t.Burst
+		floor := part * (reserve + rankReserve*float64(min(r.Rank, lastRank))) * t.Burst
 		if r.Plain {
 			floor = 0
 		}
--- a/internal/forward/quota/quota_test.go
+++ b/internal/forward/quota/quota_test.go
@@ -209,3 +209,21 @@
 		t.Errorf("%.0f tokens passed in 1 s while idle, want those of the slack too", got)
 	}
 }
+
+// TestHigherRanksPassFirst answers a hot team: what its quota allows goes to its
+// higher ranks.
+func TestHigherRanksPassFirst(t *testing.T) {
+	l := Ledger{Entries: 1, Full: true}
+	team := ward.ForwardTeam{Name: "hosts", Rate: 10_000, Burst: 10_000, Tokens: true}
+	now := time.Unix(1000, 0)
+	passed := [3]int{}
+	for i := range 3000 {
+		now = now.Add(10 * time.Millisecond)
+		if _, ok := l.Take(&team, Request{Size: 300, Rank: i % 3}, now); ok {
+			passed[i%3]++
+		}
+	}
+	if passed[0] < 980 || passed[2] > 50 {
+		t.Errorf("passed by rank: %v of 1000 each; want rank 0 nearly whole and rank 2 refused first", passed)
+	}
+}
