--- a/cmd/forward.go
+++ b/cmd/forward.go
@@ -7,7 +7,9 @@
 	"syscall"
 
 	"agateward/internal/config/forwarding"
+	"agateward/internal/forward/dialect"
 	"agateward/internal/forward/node"
+	"agateward/internal/forward/static"
 	"agateward/internal/telemetry/log"
 	"agateward/internal/telemetry/sink"
 	"agateward/platform"
@@ -23,10 +25,11 @@
 func forwardCommand() *cli.Command {
 	return &cli.Command{
 		Name: "forward", Usage: "run an entry of the forwarding surface until SIGINT or SIGTERM",
-		Description: "The entry takes its configuration and its upstreams from the platform's store.\n\n" +
-			"Example:\n  agateward forward --settings examples/forward/entry-1.jsonc",
+		Description: "The entry takes its configuration and its upstreams from the platform's store, or from a file.\n\n" +
+			"Example:\n  agateward forward --settings examples/forward/entry-1.jsonc --routes examples/forward/routes.jsonc",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Required: true, Usage: "`FILE` with the entry's settings", Sources: cli.EnvVars("AGATEWARD_CONFIG")},
+			&cli.StringFlag{Name: "routes", Usage: "take routes and upstreams from `FILE` instead of the platform's store"},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and end"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -34,12 +37,20 @@
 			if err != nil || c.Bool("check") {
 				return err
 			}
-			return runForward(ctx, c.String("settings"), s)
+			parts := node.Parts{Source: platform.Source{Client: &platform.Client{Address: s.Store}}, Dialect: platform.Headers{}}
+			if file := c.String("routes"); file != "" {
+				src, err := static.Load(file)
+				if err != nil {
+					return err
+				}
+				parts = node.Parts{Source: src.Feed(), Dialect: dialect.Own{}}
+			}
+			return runForward(ctx, c.String("settings"), s, parts)
 		},
 	}
 }
 
-func runForward(ctx context.Context, file string, s forwarding.Settings) error {
+func runForward(ctx context.Context, file string, s forwarding.Settings, parts node.Parts) error {
 	out := sink.New(os.Stdout, logLines)
 	defer out.Close()
 	l, err := log.New(out, s.LogLevel)
@@ -49,10 +60,8 @@
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	go reload(ctx, file, s, l)
-	n := node.New(s, node.Parts{
-		Source: platform.Source{Client: &platform.Client{Address: s.Store}}, Dialect: platform.Headers{}, Log: l,
-	})
-	return n.Run(ctx)
+	parts.Log = l
+	return node.New(s, parts).Run(ctx)
 }
 
 // reload reads the settings again at SIGHUP. Faulty ones are logged and leave
--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ward.ErrNotConnected, err)
 	}
-	stop := context.AfterFunc(ctx, func() { c.Conn.Close() })
+	stop := context.AfterFunc(ctx, func() { c.Close() })
 	x := &Exchange{pool: p, conn: c, wrote: make(chan error, 1), release: stop}
 	head := r.head()
 	if len(r.Body) <= inlineBody {
@@ -155,6 +155,7 @@
 		if _, err := x.conn.br.Peek(1); err != nil {
 			return fmt.Errorf("await the answer: %w", err)
 		}
+		//nolint:bodyclose // the exchange reads the body or closes the connection
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrBadAnswer, err)
@@ -207,7 +208,7 @@
 
 func (x *Exchange) drop() {
 	x.release()
-	x.conn.Conn.Close()
+	x.conn.Close()
 }
 
 // take returns an idle connection that is still open, or a new one.
@@ -226,7 +227,7 @@
 		if now.Before(c.until) && c.quiet() {
 			return c, nil
 		}
-		c.Conn.Close()
+		c.Close()
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -274,7 +275,7 @@
 		p.idle = make(map[string][]*conn)
 	}
 	if kept <= 0 || len(p.idle[c.address]) >= keptMost {
-		c.Conn.Close()
+		c.Close()
 		return
 	}
 	p.idle[c.address] = append(p.idle[c.address], c)
@@ -291,7 +292,7 @@
 			if inUse[address] && now.Before(c.until) {
 				kept = append(kept, c)
 			} else {
-				c.Conn.Close()
+				c.Close()
 			}
 		}
 		p.idle[address] = kept
--- /dev/null
+++ b/internal/forward/dialect/dialect.go
@@ -0,0 +1,103 @@
+// Package dialect provides the product's own header fields of the forwarding
+// surface, for fleets that run without the users' platform.
+//
+// # Usage
+//
+//	var d dialect.Own
+//	head, err := d.Head(r.Header)
+//
+// A caller sends Authorization with its team's key, and may send
+// Agateward-Request, Agateward-Timeout (milliseconds), Agateward-Tokens
+// (prompt,output) and Last-Event-ID. An upstream gets Agateward-Replica,
+// Agateward-Team, Agateward-Timeout and Last-Event-ID; it echoes
+// Agateward-Request, and says Agateward-Not-Run when it did not run a request.
+package dialect
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"agateward/internal/upstream/header"
+	"agateward/ward"
+)
+
+// Fields of the forwarding surface.
+const (
+	fieldTimeout   = "Agateward-Timeout"
+	fieldTokens    = "Agateward-Tokens"
+	fieldReplica   = "Agateward-Replica"
+	fieldTeam      = "Agateward-Team"
+	fieldNotRun    = "Agateward-Not-Run"
+	fieldLastEvent = "Last-Event-Id"
+	scheme         = "Bearer "
+)
+
+var errField = errors.New("header field")
+
+// Own is the ward.Dialect of the product. Its zero value is ready to use.
+type Own struct{}
+
+// RequestID returns the field that carries a request's id.
+func (Own) RequestID() string { return header.RequestID }
+
+// Head reads the head of a caller's request. An error names the faulty field.
+func (Own) Head(h http.Header) (ward.ForwardHead, error) {
+	head := ward.ForwardHead{ID: h.Get(header.RequestID), LastEvent: -1}
+	if a := h.Get("Authorization"); len(a) > len(scheme) && strings.EqualFold(a[:len(scheme)], scheme) {
+		head.Key = strings.TrimSpace(a[len(scheme):])
+	}
+	if v := h.Get(fieldTimeout); v != "" {
+		ms, err := strconv.ParseUint(v, 10, 31)
+		if err != nil || ms == 0 {
+			return head, fmt.Errorf("%w %s: %q is not a number of milliseconds", errField, fieldTimeout, v)
+		}
+		head.Patience = time.Duration(ms) * time.Millisecond
+	}
+	if v := h.Get(fieldLastEvent); v != "" {
+		id, err := strconv.ParseUint(v, 10, 62)
+		if err != nil {
+			return head, fmt.Errorf("%w %s: %q is not an event", errField, fieldLastEvent, v)
+		}
+		head.LastEvent = int64(id)
+	}
+	if v := h.Get(fieldTokens); v != "" {
+		in, out, _ := strings.Cut(v, ",")
+		a, errA := strconv.ParseUint(strings.TrimSpace(in), 10, 31)
+		b, errB := strconv.ParseUint(strings.TrimSpace(out), 10, 31)
+		if errA != nil || errB != nil {
+			return head, fmt.Errorf("%w %s: %q is not two numbers", errField, fieldTokens, v)
+		}
+		head.PromptTokens, head.MaxOutput, head.HasTokens = int(a), int(b), true
+	}
+	return head, nil
+}
+
+// Outgoing returns the fields that an upstream gets. Internal fields that the
+// caller sent are left out.
+func (Own) Outgoing(h http.Header, hop ward.ForwardHop) http.Header {
+	out := (header.Filter{}).Request(h)
+	out.Set(header.RequestID, h.Get(header.RequestID))
+	out.Set(fieldReplica, hop.Replica)
+	if hop.Team != "" {
+		out.Set(fieldTeam, hop.Team)
+	}
+	if hop.Remaining > 0 {
+		out.Set(fieldTimeout, strconv.FormatInt(max(hop.Remaining.Milliseconds(), 1), 10))
+	}
+	if hop.LastEvent >= 0 {
+		out.Set(fieldLastEvent, strconv.FormatInt(hop.LastEvent, 10))
+	}
+	return out
+}
+
+// Reply reads the head of an upstream's answer. The echoed id vouches for it.
+func (Own) Reply(status int, h http.Header) ward.ForwardReply {
+	id := h.Get(header.RequestID)
+	return ward.ForwardReply{
+		ID: id, Signed: id != "", NotRun: h.Get(fieldNotRun) != "" || status == http.StatusMisdirectedRequest,
+	}
+}
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -108,7 +108,7 @@
 }
 
 func (o *whole) write(c *call) {
-	copyHeader(c.w.Header(), o.header)
+	c.copyHeader(o.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(o.body)))
 	c.w.WriteHeader(o.status)
 	// The caller may be gone; the answer is complete either way.
@@ -119,13 +119,15 @@
 
 // copyHeader replaces what this entry set by the fields of the answer; only
 // Connection stays.
-func copyHeader(to, from http.Header) {
+func (c *call) copyHeader(from http.Header) {
+	to := c.w.Header()
 	for name, values := range (header.Filter{}).Answer(from) {
 		to[name] = values
 	}
 	if _, ok := to["Content-Type"]; !ok {
 		to["Content-Type"] = nil // keeps net/http from guessing one
 	}
+	to.Set(c.gate.Dialect.RequestID(), c.head.ID)
 }
 
 // whole reads an answer to its end before it hands it on.
@@ -238,7 +240,7 @@
 		return
 	}
 	c.begun = true
-	copyHeader(c.w.Header(), x.Header)
+	c.copyHeader(x.Header)
 	c.w.Header().Del("Content-Length")
 	c.w.WriteHeader(x.Status)
 	c.gate.Metrics.first(c.route, time.Since(c.arrived))
--- /dev/null
+++ b/internal/forward/gate/gate_test.go
@@ -0,0 +1,376 @@
+package gate_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"agateward/internal/forward/backend"
+	"agateward/internal/forward/dialect"
+	"agateward/internal/forward/gate"
+	"agateward/internal/forward/repeat"
+	"agateward/internal/forward/schedule"
+	"agateward/internal/forward/static"
+	"agateward/internal/forward/view"
+
+	"github.com/go-logr/logr"
+)
+
+// upstream is a stand-in that answers each connection's requests by a function.
+type upstream struct {
+	net.Listener
+	runs atomic.Int64
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+// reply writes the answer to the n-th request (from 1) of the stand-in, and tells
+// whether the connection goes on.
+type reply func(w io.Writer, r *http.Request, n int64) bool
+
+func newUpstream(t *testing.T, f reply) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{Listener: l}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c, f)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(c net.Conn, f reply) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		u.mu.Lock()
+		u.seen = append(u.seen, r)
+		u.mu.Unlock()
+		if !f(c, r, u.runs.Add(1)) {
+			return
+		}
+	}
+}
+
+func ok(w io.Writer, r *http.Request, body string) bool {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Agateward-Request"), len(body), body)
+	return true
+}
+
+func events(w io.Writer, r *http.Request, from, to int, end bool) bool {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Agateward-Request"))
+	for id := from; id <= to; id++ {
+		e := fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+		fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
+	}
+	if end {
+		fmt.Fprint(w, "0\r\n\r\n")
+	}
+	return end
+}
+
+const routes = `{"version": 4,
+  "services": [{"name": "s"}],
+  "routes": [
+    {"name": "safe", "host": "h", "prefix": "/safe/", "kind": "safe", "timeout": "2s", "target-latency": "200ms", "attempts": 2, "split": [{"service": "s", "weight": 1}]},
+    {"name": "short", "host": "h", "prefix": "/safe/short/", "kind": "safe", "timeout": "150ms", "target-latency": "100ms", "attempts": 1, "split": [{"service": "s", "weight": 1}]},
+    {"name": "unsafe", "host": "h", "prefix": "/unsafe/", "kind": "unsafe", "timeout": "2s", "target-latency": "200ms", "attempts": 3, "split": [{"service": "s", "weight": 1}]},
+    {"name": "stream", "host": "h", "prefix": "/stream/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "attempts": 2, "resumable": true, "split": [{"service": "s", "weight": 1}]},
+    {"name": "once", "host": "h", "prefix": "/once/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "attempts": 2, "split": [{"service": "s", "weight": 1}]}
+  ],
+  "teams": [{"name": "guests", "keys": ["k1", "k2"]}],
+  "upstreams": [%s]}`
+
+func newGate(t *testing.T, upstreams ...*upstream) *httptest.Server {
+	var list []string
+	for i, u := range upstreams {
+		list = append(list, fmt.Sprintf(`{"id": "u%d", "service": "s", "version": "v1", "data-centre": "a", "address": %q, "slots": 4}`, i+1, u.Addr()))
+	}
+	src, err := static.Parse("routes.jsonc", []byte(fmt.Sprintf(routes, strings.Join(list, ","))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gate.Gate{
+		Dialect: dialect.Own{}, Pool: &backend.Pool{}, Log: logr.Discard(), MaxBody: 1 << 20, Start: 1,
+		Yield: func(schedule.Action) {}, Urgent: func() {},
+	}
+	changed := make(chan struct{}, 8)
+	g.View = &view.View{Source: src.Feed(), Log: logr.Discard(), Changed: func() { g.Refresh(); changed <- struct{}{} }}
+	g.Prepare(gate.Setup{Name: "entry-1", DataCentre: "a", Retries: repeat.Budget{Ratio: 1, Slack: 100, Window: time.Second, Entries: 1}})
+	ctx := t.Context()
+	go g.View.Run(ctx)
+	go g.Run(ctx)
+	for !g.View.Ready() {
+		<-changed
+	}
+	g.Refresh()
+	server := httptest.NewServer(g)
+	t.Cleanup(server.Close)
+	return server
+}
+
+type answer struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func do(t *testing.T, s *httptest.Server, method, path string, change func(r *http.Request)) answer {
+	t.Helper()
+	r, err := http.NewRequest(method, s.URL+path, strings.NewReader(strings.Repeat("b", 100)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Agateward-Request", "r1")
+	r.Header.Set("Authorization", "Bearer k1")
+	if change != nil {
+		change(r)
+	}
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer res.Body.Close()
+	b, err := io.ReadAll(res.Body)
+	return answer{res.StatusCode, res.Header, string(b), err}
+}
+
+// TestWhatMayBeRepeated brings about each way in which an upstream can fail, and
+// checks how often the request ran and what the caller was told.
+func TestWhatMayBeRepeated(t *testing.T) {
+	cut := func(io.Writer, *http.Request, int64) bool { return false }
+	notRun := func(w io.Writer, _ *http.Request, _ int64) bool {
+		fmt.Fprint(w, "HTTP/1.1 503 Full\r\nAgateward-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	moved := func(w io.Writer, _ *http.Request, _ int64) bool {
+		fmt.Fprint(w, "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	failed := func(w io.Writer, r *http.Request, _ int64) bool {
+		fmt.Fprintf(w, "HTTP/1.1 500 No\r\nAgateward-Request: %s\r\nContent-Length: 3\r\n\r\nbad", r.Header.Get("Agateward-Request"))
+		return true
+	}
+	torn := func(w io.Writer, r *http.Request, _ int64) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Length: 30\r\n\r\nhalf", r.Header.Get("Agateward-Request"))
+		return false
+	}
+	crossed := func(w io.Writer, _ *http.Request, _ int64) bool {
+		fmt.Fprint(w, "HTTP/1.1 200 OK\r\nAgateward-Request: r0\r\nContent-Length: 5\r\n\r\nother")
+		return true
+	}
+	garbage := func(w io.Writer, _ *http.Request, _ int64) bool { fmt.Fprint(w, "what?\r\n\r\n"); return false }
+	encoded := func(w io.Writer, r *http.Request, _ int64) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nxx", r.Header.Get("Agateward-Request"))
+		return true
+	}
+	first := func(f reply) reply {
+		return func(w io.Writer, r *http.Request, n int64) bool {
+			if n == 1 {
+				return f(w, r, n)
+			}
+			return ok(w, r, "fine")
+		}
+	}
+	cases := []struct {
+		name, path string
+		bad        reply
+		status     int
+		runs       int64
+	}{
+		{"safe, cut", "/safe/x", cut, 200, 2},
+		{"safe, not run", "/safe/x", notRun, 200, 2},
+		{"safe, another upstream at the address", "/safe/x", moved, 200, 2},
+		{"safe, failure", "/safe/x", failed, 200, 2},
+		{"safe, half an answer", "/safe/x", torn, 200, 2},
+		{"safe, the answer to another request", "/safe/x", crossed, 200, 2},
+		{"safe, no answer of the protocol", "/safe/x", garbage, 200, 2},
+		{"safe, encoded on the way", "/safe/x", encoded, 200, 2},
+		{"unsafe, cut", "/unsafe/x", cut, 502, 1},
+		{"unsafe, not run", "/unsafe/x", notRun, 200, 2},
+		{"unsafe, another upstream at the address", "/unsafe/x", moved, 200, 2},
+		{"unsafe, failure", "/unsafe/x", failed, 500, 1},
+		{"unsafe, half an answer", "/unsafe/x", torn, 502, 1},
+		{"unsafe, the answer to another request", "/unsafe/x", crossed, 502, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			// Both addresses lead to the same counter: the first request fails.
+			var n atomic.Int64
+			f := first(c.bad)
+			serve := func(w io.Writer, r *http.Request, _ int64) bool { return f(w, r, n.Add(1)) }
+			s := newGate(t, newUpstream(t, serve), newUpstream(t, serve))
+			got := do(t, s, "POST", c.path, nil)
+			if got.status != c.status || got.err != nil {
+				t.Errorf("status %d, %v; want %d", got.status, got.err, c.status)
+			}
+			if n.Load() != c.runs {
+				t.Errorf("%d sends, want %d", n.Load(), c.runs)
+			}
+			if got.status == 200 && (got.body != "fine" || got.header.Get("Agateward-Request") != "r1") {
+				t.Errorf("answer %q of %q", got.body, got.header.Get("Agateward-Request"))
+			}
+		})
+	}
+}
+
+// TestRefusalsAreTrue checks that 503 is said only of a request that did not run.
+func TestRefusalsAreTrue(t *testing.T) {
+	s := newGate(t)
+	if got := do(t, s, "POST", "/unsafe/x", nil); got.status != 503 || got.header.Get("Retry-After") == "" {
+		t.Errorf("without upstreams: %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
+	}
+	u := newUpstream(t, func(io.Writer, *http.Request, int64) bool { return false })
+	u.Close()
+	s = newGate(t, u)
+	if got := do(t, s, "POST", "/unsafe/x", nil); got.status != 503 {
+		t.Errorf("nobody listens: %d, want 503", got.status)
+	}
+	slow := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool {
+		time.Sleep(time.Second)
+		return ok(w, r, "late")
+	})
+	s = newGate(t, slow)
+	begin := time.Now()
+	got := do(t, s, "POST", "/safe/short/x", nil)
+	if got.status != 504 {
+		t.Errorf("route's time is over: %d, want 504", got.status)
+	}
+	if d := time.Since(begin); d > 800*time.Millisecond {
+		t.Errorf("answered after %v, the route's timeout is 150ms", d)
+	}
+}
+
+func TestStreamIsResumedWhereItBroke(t *testing.T) {
+	var from atomic.Value
+	serve := func(w io.Writer, r *http.Request, _ int64) bool {
+		if id := r.Header.Get("Last-Event-Id"); id != "" {
+			from.Store(id)
+			return events(w, r, 4, 6, true)
+		}
+		events(w, r, 1, 3, false)
+		io.WriteString(w, "18\r\nid: 4\nda") // a piece of an event
+		return false
+	}
+	s := newGate(t, newUpstream(t, serve), newUpstream(t, serve))
+	got := do(t, s, "POST", "/stream/x", nil)
+	want := ""
+	for id := 1; id <= 6; id++ {
+		want += fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+	}
+	if got.body != want || got.err != nil {
+		t.Errorf("body %q, %v", got.body, got.err)
+	}
+	if from.Load() != "3" {
+		t.Errorf("resumed after event %v, want 3", from.Load())
+	}
+	got = do(t, s, "POST", "/once/x", nil)
+	if got.err == nil || got.status != 200 {
+		t.Errorf("a broken stream that may not be resumed looks whole: %d %q", got.status, got.body)
+	}
+}
+
+func TestKeysAndRoutes(t *testing.T) {
+	u := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool { return ok(w, r, "fine") })
+	s := newGate(t, u)
+	cases := []struct {
+		name   string
+		path   string
+		change func(r *http.Request)
+		status int
+	}{
+		{"known key", "/safe/x", nil, 200},
+		{"unknown key", "/safe/x", func(r *http.Request) { r.Header.Set("Authorization", "Bearer k3") }, 401},
+		{"no key", "/safe/x", func(r *http.Request) { r.Header.Del("Authorization") }, 401},
+		{"unknown path", "/other/x", nil, 404},
+		{"unknown host", "/safe/x", func(r *http.Request) { r.Host = "g" }, 404},
+		{"bad timeout", "/safe/x", func(r *http.Request) { r.Header.Set("Agateward-Timeout", "soon") }, 400},
+		{"large body", "/safe/x", func(r *http.Request) {
+			r.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 2<<20)))
+			r.ContentLength = 2 << 20
+		}, 413},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := do(t, s, "POST", c.path, c.change); got.status != c.status {
+				t.Errorf("status %d, want %d", got.status, c.status)
+			}
+		})
+	}
+	do(t, s, "POST", "/safe/x?q=%2F%20a", func(r *http.Request) { r.Header.Set("Agateward-Team", "hosts") })
+	u.mu.Lock()
+	last := u.seen[len(u.seen)-1]
+	u.mu.Unlock()
+	if last.RequestURI != "/safe/x?q=%2F%20a" || last.Header.Get("Agateward-Team") != "guests" || last.Header.Get("Authorization") != "" {
+		t.Errorf("the upstream got %q, team %q, authorization %q", last.RequestURI, last.Header.Get("Agateward-Team"), last.Header.Get("Authorization"))
+	}
+}
+
+// TestLateAnswerReachesNobody answers an upstream that sends a second answer on a
+// kept connection: the next request gets its own.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	u := newUpstream(t, func(w io.Writer, r *http.Request, n int64) bool {
+		ok(w, r, fmt.Sprint("own ", n))
+		if n == 1 {
+			ok(w, r, "again")
+		}
+		return true
+	})
+	s := newGate(t, u)
+	for n, id := range []string{"r1", "r2", "r3"} {
+		got := do(t, s, "POST", "/unsafe/x", func(r *http.Request) { r.Header.Set("Agateward-Request", id) })
+		if got.status != 200 || got.body != fmt.Sprint("own ", n+1) || got.header.Get("Agateward-Request") != id {
+			t.Errorf("request %s: %d %q of %q", id, got.status, got.body, got.header.Get("Agateward-Request"))
+		}
+	}
+}
+
+func TestCallerThatLeavesCancelsItsWork(t *testing.T) {
+	gone := make(chan struct{})
+	u := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool {
+		events(w, r, 1, 2, false)
+		c := w.(net.Conn)
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			close(gone)
+		}
+		return false
+	})
+	s := newGate(t, u)
+	r, _ := http.NewRequest("POST", s.URL+"/once/x", nil)
+	r.Host = "h"
+	r.Header.Set("Agateward-Request", "r1")
+	r.Header.Set("Authorization", "Bearer k2")
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	select {
+	case <-gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the upstream still works for a caller that has left")
+	}
+}
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -90,7 +90,7 @@
 // yield tells a peer that it may use a slot of an upstream.
 func (n *Node) yield(a schedule.Action) {
 	n.mu.Lock()
-	to := n.peers.Listen(a.Yield)
+	to := n.peers.Address(a.Yield)
 	n.mu.Unlock()
 	if to == "" || n.news == nil {
 		return
@@ -212,7 +212,6 @@
 		return out, err
 	}
 	c := rpc.NewClient(conn)
-	defer c.Close()
 	return out, c.Call("State.Get", in, &out)
 }
 
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -153,7 +153,7 @@
 	_ = ready.Close()
 	_ = shown.Close()
 	listeners.state.Close()
-	n.news.Close()
+	_ = n.news.Close()
 	wg.Wait()
 	n.log.Info("stopped", "name", n.settings.Name)
 	return nil
--- a/internal/forward/peers/peers.go
+++ b/internal/forward/peers/peers.go
@@ -93,10 +93,10 @@
 	return false
 }
 
-// Listen returns the address of a peer, empty when it is not known.
-func (s *Set) Listen(name string) string {
+// Address returns the address of a peer, empty when it is not known.
+func (s *Set) Address(name string) string {
 	if p := s.peers[name]; p != nil {
-		return p.Message.Listen
+		return p.Listen
 	}
 	return ""
 }
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -38,7 +38,6 @@
 	slow    float64
 	running int
 	waiting []func(now time.Time)
-	down    bool
 }
 
 // tally counts what callers got, by rank.
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -276,7 +276,7 @@
 	if !j.End.IsZero() && now.Add(u.whole(j)).After(j.End) {
 		cost += cutCost
 	}
-	if v.grey(u) && !(j.Repeatable && now.Sub(u.lastSent) > testPause) {
+	if v.grey(u) && (!j.Repeatable || now.Sub(u.lastSent) <= testPause) {
 		cost += greyCost
 	}
 	return cost*work + s.Rand.Float64()*0.02*work
