fix(gate): let requests wait for the first configuration of a process

Cause: from the incidents: after a kill of all entries requests that came in the first 8 to 25 ms of the new processes were refused with 503 (2009), at the moment when all callers came back. Change: they wait up to 250 ms for the store's answer.

--- a/cmd/forward.go
+++ b/cmd/forward.go
@@ -26,7 +26,7 @@
 	return &cli.Command{
 		Name: "forward", Usage: "run an entry of the forwarding surface until SIGINT or SIGTERM",
 		Description: "The entry takes its configuration and its upstreams from the platform's store, or from a file.\n\n" +
-			"Example:\n  agateward forward --settings examples/forward/entry-1.jsonc --routes examples/forward/routes.jsonc",
+			"Example:\n  agateward forward --settings examples/forward/forward-1.jsonc --routes examples/forward/routes.jsonc",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Required: true, Usage: "`FILE` with the entry's settings", Sources: cli.EnvVars("AGATEWARD_CONFIG")},
 			&cli.StringFlag{Name: "routes", Usage: "take routes and upstreams from `FILE` instead of the platform's store"},
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -43,6 +43,10 @@
 // notReadyRetry is the advice of an entry that knows no configuration yet.
 const notReadyRetry = 500 * time.Millisecond
 
+// startWait is how long a request waits for the first configuration of a process
+// that has just started: the store usually answers within a few milliseconds.
+const startWait = 250 * time.Millisecond
+
 // Gate serves callers. Dialect, View, Pool and Log must be set.
 type Gate struct {
 	Dialect ward.Dialect
@@ -234,10 +238,10 @@
 // accept checks the request and reads its body.
 func (c *call) accept() error {
 	var err error
-	c.table = c.gate.View.Table()
-	if c.table == nil || !c.gate.View.Ready() {
+	if !c.gate.View.Await(c.r.Context(), startWait) {
 		return code.NotReady.New("no configuration is known yet")
 	}
+	c.table = c.gate.View.Table()
 	if c.head, err = c.gate.Dialect.Head(c.r.Header); err != nil {
 		return code.BadHeader.Wrap(err, "read the head")
 	}
--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -359,7 +359,7 @@
 		return false
 	})
 	s := newGate(t, u)
-	r, _ := http.NewRequest("POST", s.URL+"/once/x", nil)
+	r, _ := http.NewRequest(http.MethodPost, s.URL+"/once/x", nil)
 	r.Host = "h"
 	r.Header.Set("Agateward-Request", "r1")
 	r.Header.Set("Authorization", "Bearer k2")
--- /dev/null
+++ b/internal/forward/node/node_test.go
@@ -0,0 +1,267 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"agateward/internal/config/forwarding"
+	"agateward/internal/forward/node"
+	"agateward/platform"
+	"agateward/platform/standin"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+)
+
+// fleet is a stand-in store, upstreams of one service, and entries that run the
+// whole program, each with a store of its own view: a relay that can be cut.
+type fleet struct {
+	t      *testing.T
+	store  *standin.Store
+	relays []*relay
+	addrs  []string
+	stops  []context.CancelFunc
+	done   []chan struct{}
+	hits   map[string]*atomic.Int64
+	port   int
+}
+
+// relay passes calls to the store unless it is cut.
+type relay struct {
+	store *standin.Store
+	cut   atomic.Bool
+}
+
+func (r *relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	if r.cut.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	r.store.ServeHTTP(w, req)
+}
+
+func newFleet(t *testing.T, entries int) *fleet {
+	f := &fleet{t: t, store: &standin.Store{}, hits: make(map[string]*atomic.Int64), port: freePort(t)}
+	for i := range entries {
+		r := &relay{store: f.store}
+		server := httptest.NewServer(r)
+		t.Cleanup(server.Close)
+		f.relays = append(f.relays, r)
+		f.start(i, strings.TrimPrefix(server.URL, "http://"))
+	}
+	t.Cleanup(func() {
+		for i := range f.stops {
+			f.stops[i]()
+			<-f.done[i]
+		}
+	})
+	return f
+}
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func (f *fleet) start(i int, store string) {
+	// Each entry has its own loopback address, as the news port is the same for all.
+	host := fmt.Sprintf("127.0.0.%d", i+11)
+	s := forwarding.Default()
+	s.Name, s.DataCentre, s.Store = fmt.Sprint("entry-", i), "a", store
+	s.Listen = forwarding.Listen{Callers: net.JoinHostPort(host, fmt.Sprint(f.port)), Ready: net.JoinHostPort(host, fmt.Sprint(f.port+1)), State: net.JoinHostPort(host, fmt.Sprint(f.port+2))}
+	s.Seeds = []string{fmt.Sprintf("127.0.0.11:%d", f.port+2)}
+	s.NewsPort = f.port + 3
+	s.Stop.Grace = ward.Duration(3 * time.Second)
+	n := node.New(s, node.Parts{Source: platform.Source{Client: &platform.Client{Address: store}}, Dialect: platform.Headers{}, Log: logr.Discard()})
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := n.Run(ctx); err != nil {
+			f.t.Errorf("entry %d: %v", i, err)
+		}
+	}()
+	f.addrs, f.stops, f.done = append(f.addrs, s.Listen.Callers), append(f.stops, stop), append(f.done, done)
+}
+
+// replica registers an upstream that answers after a while.
+func (f *fleet) replica(id, service, state string, d time.Duration) {
+	f.t.Helper()
+	n, known := f.hits[id]
+	if !known {
+		n = &atomic.Int64{}
+		f.hits[id] = n
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Agateward-Request-Id", r.Header.Get("X-Agateward-Request-Id"))
+		if r.Header.Get("X-Agateward-Expect-Instance") != id {
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		n.Add(1)
+		time.Sleep(d)
+		w.Header().Set("X-Agateward-Response-Signature", "s")
+		io.WriteString(w, id)
+	}))
+	f.t.Cleanup(server.Close)
+	f.register(id, service, state, strings.TrimPrefix(server.URL, "http://"))
+}
+
+func (f *fleet) register(id, service, state, address string) {
+	b, _ := json.Marshal(map[string]any{"Service": service, "Address": address, "Zone": "a", "Version": "v1", "Slots": 4, "State": state})
+	f.store.Put(platform.ReplicaPrefix+id, b)
+}
+
+func (f *fleet) config(version int, service string, keys ...string) {
+	b, _ := json.Marshal(map[string]any{
+		"Version":  version,
+		"Routes":   []any{map[string]any{"Name": "r", "Host": "h", "Prefix": "/a/", "Kind": "unsafe", "TimeoutMs": 2000, "TargetLatencyMs": 100, "Service": service, "MaxAttempts": 2}},
+		"Services": []any{map[string]any{"Name": service}},
+		"Tenants":  []any{map[string]any{"Name": "t", "ApiKeys": keys}},
+	})
+	f.store.Put(platform.ConfigKey, b)
+}
+
+func (f *fleet) get(i int, key string) (int, string) {
+	r, _ := http.NewRequest(http.MethodPost, "http://"+f.addrs[i]+"/a/x", nil)
+	r.Host = "h"
+	r.Header.Set("X-Agateward-Request-Id", fmt.Sprint("r", time.Now().UnixNano()))
+	r.Header.Set("Authorization", "Bearer "+key)
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	b, _ := io.ReadAll(res.Body)
+	return res.StatusCode, string(b)
+}
+
+// eventually waits until a request of entry i is answered so.
+func (f *fleet) eventually(i int, key string, status int, within time.Duration) {
+	f.t.Helper()
+	end := time.Now().Add(within)
+	for {
+		got, body := f.get(i, key)
+		if got == status {
+			return
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("entry %d: status %d %q after %v, want %d", i, got, body, within, status)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// inForce is the time within which changes have to be in force.
+const inForce = 2 * time.Second
+
+func TestConfigurationReachesAnEntryThatTheStoreTurnsAway(t *testing.T) {
+	f := newFleet(t, 2)
+	if status, _ := f.get(0, "k1"); status != 503 && status != 0 {
+		t.Errorf("status %d before any configuration, want 503", status)
+	}
+	f.replica("i-1", "s", "ready", 0)
+	f.config(3, "s", "k1", "k2")
+	f.eventually(0, "k1", 200, inForce)
+	f.eventually(1, "k2", 200, inForce)
+	f.relays[1].cut.Store(true)
+	f.config(8, "s", "k1")
+	f.eventually(1, "k2", 401, inForce)
+	f.eventually(1, "k1", 200, inForce)
+	f.store.SetFault(standin.Reset)
+	f.eventually(0, "k1", 200, inForce)
+	f.store.SetFault(standin.None)
+	f.store.Compact()
+	f.config(9, "s", "k1", "k3")
+	f.eventually(0, "k3", 200, inForce)
+	f.eventually(1, "k3", 200, inForce)
+}
+
+// TestRequestsRightAfterAStart answers entries that were all killed: callers come
+// back before the new process has read its configuration.
+func TestRequestsRightAfterAStart(t *testing.T) {
+	f := newFleet(t, 0)
+	f.replica("i-1", "s", "ready", 0)
+	f.config(3, "s", "k1")
+	server := httptest.NewServer(f.store)
+	t.Cleanup(server.Close)
+	f.start(0, strings.TrimPrefix(server.URL, "http://"))
+	refused := 0
+	for end := time.Now().Add(inForce); time.Now().Before(end); {
+		switch status, _ := f.get(0, "k1"); status {
+		case 200:
+			if refused > 0 {
+				t.Errorf("%d requests were refused before the first configuration", refused)
+			}
+			return
+		case 0: // nobody listens yet
+		default:
+			refused++
+		}
+	}
+	t.Error("not served after the start")
+}
+
+func TestDrainingReplicaGetsNoNewRequests(t *testing.T) {
+	f := newFleet(t, 2)
+	f.replica("i-1", "s", "ready", 0)
+	f.replica("i-2", "s", "ready", 0)
+	f.config(3, "s", "k1")
+	f.eventually(0, "k1", 200, inForce)
+	f.eventually(1, "k1", 200, inForce)
+	f.relays[1].cut.Store(true)
+	f.register("i-1", "s", "draining", "127.0.0.1:9")
+	time.Sleep(inForce)
+	before := f.hits["i-1"].Load()
+	for range 20 {
+		for i := range 2 {
+			if status, body := f.get(i, "k1"); status != 200 || body != "i-2" {
+				t.Fatalf("entry %d: %d from %q", i, status, body)
+			}
+		}
+	}
+	if n := f.hits["i-1"].Load() - before; n != 0 {
+		t.Errorf("%d requests at the draining replica", n)
+	}
+}
+
+// TestPlannedStopCutsNothing stops an entry while requests run and connections
+// are kept.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	f := newFleet(t, 1)
+	f.replica("i-1", "s", "ready", 300*time.Millisecond)
+	f.config(3, "s", "k1")
+	f.eventually(0, "k1", 200, inForce)
+	results := make(chan int, 4)
+	for range 4 {
+		go func() {
+			status, _ := f.get(0, "k1")
+			results <- status
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.stops[0]()
+	for range 4 {
+		if status := <-results; status != 200 {
+			t.Errorf("status %d of a request that ran at the stop", status)
+		}
+	}
+	select {
+	case <-f.done[0]:
+	case <-time.After(4 * time.Second):
+		t.Error("the entry did not end within its grace")
+	}
+}
--- /dev/null
+++ b/internal/forward/peers/peers_test.go
@@ -0,0 +1,65 @@
+package peers
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"agateward/internal/forward/news"
+)
+
+func TestPeersFindEachOther(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := Set{Self: "entry-1"}
+	s.Hint("10.0.0.2:7600", now)
+	if got := s.Targets(now); !slices.Contains(got, "10.0.0.2:7600") {
+		t.Fatalf("targets %v lack the seed", got)
+	}
+	m := news.Message{Name: "entry-2", Start: 5, Sequence: 1, Listen: "10.0.0.2:7600", Peers: []string{"10.0.0.3:7600"}}
+	if !s.Hear(m, now) {
+		t.Fatal("the first message is not taken")
+	}
+	if got := s.Targets(now); !slices.Contains(got, "10.0.0.3:7600") {
+		t.Errorf("targets %v lack the peer's peer", got)
+	}
+	cases := []struct {
+		name     string
+		start    int64
+		sequence uint64
+		name2    string
+		want     bool
+	}{
+		{"again", 5, 1, "entry-2", false},
+		{"later", 5, 2, "entry-2", true},
+		{"from an earlier process", 4, 9, "entry-2", false},
+		{"after a restart", 6, 1, "entry-2", true},
+		{"own", 9, 9, "entry-1", false},
+	}
+	for _, c := range cases {
+		if got := s.Hear(news.Message{Name: c.name2, Start: c.start, Sequence: c.sequence, Listen: "x"}, now); got != c.want {
+			t.Errorf("message %s: taken %v", c.name, got)
+		}
+	}
+	if n := s.Heard(now.Add(2 * time.Second)); n != 0 {
+		t.Errorf("%d peers heard after silence", n)
+	}
+	if n := s.Entries(now.Add(2 * time.Second)); n != 2 {
+		t.Errorf("%d entries to share with, want the silent one too", n)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	b, err := news.Message{Name: "e", Listen: "l"}.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := news.Decode(b)
+		if err != nil {
+			return
+		}
+		s := Set{Self: "self"}
+		s.Hear(m, time.Unix(1, 0))
+	})
+}
--- /dev/null
+++ b/internal/forward/replicas/replicas_test.go
@@ -0,0 +1,95 @@
+package replicas
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"agateward/ward"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func replica(id string) ward.Replica {
+	return ward.Replica{ID: id, Service: "s", Address: id, Slots: 1}
+}
+
+func TestLapseIsMadeGood(t *testing.T) {
+	var s Set
+	s.List([]Entry{{Replica: replica("a"), Revision: 1}, {Replica: replica("b"), Revision: 2}}, 2, start)
+	s.List([]Entry{{Replica: replica("a"), Revision: 1}}, 9, start)
+	if s.Len() != 2 {
+		t.Fatal("an upstream that a list lacks is gone at once")
+	}
+	s.Put(replica("b"), 10)
+	if gone := s.Sweep(start.Add(ReturnTime)); len(gone) != 0 {
+		t.Errorf("%v are gone after their return", gone)
+	}
+	s.List([]Entry{{Replica: replica("a"), Revision: 1}}, 11, start)
+	if gone := s.Sweep(start.Add(ReturnTime)); len(gone) != 1 || gone[0] != "b" {
+		t.Errorf("%v are gone, want b", gone)
+	}
+}
+
+func TestRebirthIsAChange(t *testing.T) {
+	var s Set
+	r := replica("a")
+	r.Born = 1
+	s.Put(r, 1)
+	r.Born = 2
+	if !s.Put(r, 2) {
+		t.Error("a new start under the same id is no change")
+	}
+}
+
+// TestLastWriteWins applies changes in any order, some twice and some through a
+// peer: what stays is what the highest revisions say.
+func TestLastWriteWins(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type change struct {
+			id      string
+			rev     uint64
+			removed bool
+		}
+		var changes []change
+		want := make(map[string]change)
+		for rev := uint64(1); rev <= uint64(rapid.IntRange(1, 20).Draw(t, "changes")); rev++ {
+			c := change{fmt.Sprint("u", rapid.IntRange(0, 3).Draw(t, "id")), rev, rapid.Bool().Draw(t, "removed")}
+			changes = append(changes, c)
+			want[c.id] = c
+		}
+		order := rapid.Permutation(changes).Draw(t, "order")
+		order = append(order, order[:rapid.IntRange(0, len(order)).Draw(t, "again")]...)
+		var s, peer Set
+		for i, c := range order {
+			to := &s
+			if i%3 == 0 {
+				to = &peer
+			}
+			if c.removed {
+				to.Remove(c.id, c.rev)
+			} else {
+				to.Put(replica(c.id), c.rev)
+			}
+		}
+		for _, c := range order {
+			if c.removed {
+				s.Remove(c.id, c.rev)
+			} else {
+				s.Put(replica(c.id), c.rev)
+			}
+		}
+		s.Merge(peer.All(), peer.Revision)
+		for id, c := range want {
+			found := false
+			for _, e := range s.All() {
+				found = found || e.ID == id
+			}
+			if found == c.removed {
+				t.Fatalf("%s: known %v, last change removed it: %v", id, found, c.removed)
+			}
+		}
+	})
+}
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -38,7 +38,10 @@
 	retryMost  = 500 * time.Millisecond
 	// startSpread is the time over which entries that start together spread their
 	// first calls.
-	startSpread = 30 * time.Millisecond
+	startSpread = 10 * time.Millisecond
+	// awaitStep is the interval at which requests look again whether the entry is
+	// ready; it lasts only from the start of the process to its first documents.
+	awaitStep = 4 * time.Millisecond
 	// unsettled is how long after a failed call a removal may be a lapse that is
 	// made good.
 	unsettled = 3 * time.Second
@@ -79,6 +82,19 @@
 	return v.Table() != nil && (v.listed || v.set.Len() > 0)
 }
 
+// Await waits until the entry is ready, ctx ends or d has passed, and tells
+// whether it is ready.
+func (v *View) Await(ctx context.Context, d time.Duration) bool {
+	end := time.Now().Add(d)
+	for !v.Ready() {
+		if ctx.Err() != nil || !time.Now().Before(end) {
+			return false
+		}
+		pause(ctx, awaitStep)
+	}
+	return true
+}
+
 // Upstreams returns the registered upstreams.
 func (v *View) Upstreams() []ward.Replica {
 	v.mu.Lock()
