feat(forward): part a large fleet into cells, with two readers of the store each

Change: above 12 entries those of one data centre form cells of at most 10, which share a part of its engines and exchange news among themselves; the cells follow from the announced names. Two entries of a cell read the store, the rest hear of it; all read when the store answers none of them.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -167,6 +167,13 @@
 	g.ledger.Entries, g.budget.Entries = n, n
 }
 
+// SetCell tells which part of the data centre's upstreams this entry uses.
+func (g *Gate) SetCell(index, count int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sched.Cell, g.sched.Cells = index, count
+}
+
 // Stop marks every answer from now on as the last of its connection.
 func (g *Gate) Stop() { g.stopping.Store(true) }
 
--- a/internal/forward/news/news.go
+++ b/internal/forward/news/news.go
@@ -36,6 +36,8 @@
 	// the store's revision up to which it knows the upstreams.
 	Config   uint64 `msgpack:"c"`
 	Replicas uint64 `msgpack:"r"`
+	// StoreAge is the time in milliseconds since the store last answered the sender.
+	StoreAge int64 `msgpack:"e"`
 	// Requests is what the sender's scheduler tells.
 	Requests schedule.News `msgpack:"q"`
 	// Grant names an upstream of which the sender gives a slot away; such a message
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -70,6 +70,7 @@
 	now := time.Now()
 	m := news.Message{Name: n.settings.Name, Start: n.start, State: n.settings.Listen.State, Listen: n.newsAddress()}
 	m.Config, m.Replicas = n.view.Versions()
+	m.StoreAge = min(now.Sub(n.view.Answered()), time.Hour).Milliseconds()
 	n.gate.Report(&m)
 	n.mu.Lock()
 	n.sequence++
@@ -87,6 +88,12 @@
 	}
 }
 
+func (n *Node) member(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers.Member(name)
+}
+
 // yield tells a peer that it may use a slot of an upstream.
 func (n *Node) yield(a schedule.Action) {
 	n.mu.Lock()
@@ -129,14 +136,16 @@
 			n.log.Info("news-ignored", "error", err.Error())
 			continue
 		}
-		if m.Grant != "" {
+		if m.Grant != "" && n.member(m.Name) {
 			n.gate.Granted(m.Name, m.Grant, m.GrantSequence, m.GrantUsed)
+		}
+		if m.Grant != "" {
 			continue
 		}
 		now := time.Now()
 		n.mu.Lock()
 		fresh := n.peers.Hear(m, now)
-		entries := n.peers.Entries(now)
+		entries := max(n.peers.Entries(now), n.cell.Fleet)
 		n.mu.Unlock()
 		if fresh {
 			n.gate.Hear(m, entries)
@@ -162,10 +171,14 @@
 			n.fetching = false
 			n.mu.Unlock()
 		}()
+		wait := fetchWait
+		if !n.reads() {
+			wait = 0 // the store's own answer does not come
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(fetchWait):
+		case <-time.After(wait):
 		}
 		config, upstreams := n.view.Versions()
 		if m.Config <= config && m.Replicas <= upstreams {
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -52,10 +52,11 @@
 	memoryPart = 0.75
 	// sweepEvery is the interval of looking for lapsed registrations.
 	sweepEvery = 100 * time.Millisecond
-	// announceEvery renews the announcement in the store, announceRetry is the
-	// pause after a failed one.
+	// announceEvery renews the announcement in the store. The list of entries is
+	// read again after listFirst, then after twice that, up to listMost.
 	announceEvery = 2 * time.Minute
-	announceRetry = 2 * time.Second
+	listFirst     = 500 * time.Millisecond
+	listMost      = 15 * time.Second
 )
 
 // Parts are what a node is made of besides its settings.
@@ -77,6 +78,7 @@
 
 	mu    sync.Mutex
 	peers peers.Set
+	cell  peers.Cell
 	// fetching says that documents are being fetched from a peer.
 	fetching bool
 	sequence uint64
@@ -90,7 +92,7 @@
 func New(s forwarding.Settings, p Parts) *Node {
 	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), soon: make(chan struct{}, 1)}
 	n.peers.Self = s.Name
-	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.changed}
+	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.changed, Reads: n.reads}
 	pool := &backend.Pool{Opened: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
 	n.gate = &gate.Gate{
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log,
@@ -112,7 +114,21 @@
 // firstEntries is the number of entries to share with before any peer is heard.
 const firstEntries = 8
 
-func (n *Node) changed() { n.gate.Refresh() }
+func (n *Node) changed() {
+	n.gate.Refresh()
+	n.urgent()
+}
+
+// storeFresh is the age of the store's last answer up to which an entry is taken
+// to follow it: a watch that waits answers within this time.
+const storeFresh = 1500 * time.Millisecond
+
+// reads tells whether this entry follows the store itself.
+func (n *Node) reads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers.Reads(time.Now(), storeFresh)
+}
 
 // Run serves until ctx ends, and then stops within the grace.
 func (n *Node) Run(ctx context.Context) error {
@@ -253,24 +269,51 @@
 	}
 }
 
-// announce keeps this entry in the store's list of entries.
+// announce keeps this entry in the store's list of entries, and follows that list.
 func (n *Node) announce(ctx context.Context) {
-	self := ward.ForwardEntry{Name: n.settings.Name, Listen: n.newsAddress()}
+	self := ward.ForwardEntry{Name: n.settings.Name, DataCentre: n.settings.DataCentre, Listen: n.newsAddress()}
+	var announced time.Time
+	pause := listFirst
 	for ctx.Err() == nil {
-		pause := announceEvery
-		list, err := n.source.Announce(ctx, self)
-		if err != nil {
-			pause = announceRetry
-			n.log.Info("announcement-failed", "error", err.Error())
+		if announced.IsZero() || time.Since(announced) > announceEvery {
+			if err := n.source.Announce(ctx, self); err != nil {
+				n.log.Info("announcement-failed", "error", err.Error())
+			} else {
+				announced = time.Now()
+			}
 		}
-		n.mu.Lock()
-		for _, e := range list {
-			n.peers.Hint(e.Listen, time.Now())
+		if list, err := n.source.Entries(ctx); err == nil {
+			n.setCell(peers.CellOf(list, self))
+		} else {
+			n.log.Info("entries-unknown", "error", err.Error())
 		}
-		n.mu.Unlock()
+		// Entries that start together are not all in the first lists.
+		pause = min(2*pause, listMost)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
 		}
 	}
 }
+
+// setCell takes the entries to exchange news with.
+func (n *Node) setCell(c peers.Cell) {
+	now := time.Now()
+	n.mu.Lock()
+	changed := c.Count != n.cell.Count || c.Index != n.cell.Index || len(c.Members) != len(n.cell.Members) || c.Fleet != n.cell.Fleet
+	n.cell = c
+	if changed {
+		n.peers.SetCell(c)
+	}
+	for _, e := range c.Members {
+		if e.Name != n.settings.Name {
+			n.peers.Hint(e.Listen, now)
+		}
+	}
+	n.mu.Unlock()
+	if changed {
+		n.log.Info("cell-changed", "cell", c.Index, "cells", c.Count, "members", len(c.Members), "entries", c.Fleet)
+		n.gate.SetCell(c.Index, c.Count)
+		n.gate.Refresh()
+	}
+}
--- /dev/null
+++ b/internal/forward/peers/cell_test.go
@@ -0,0 +1,101 @@
+package peers
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"agateward/internal/forward/news"
+	"agateward/ward"
+)
+
+func fleetOf(n, centres int) []ward.ForwardEntry {
+	var list []ward.ForwardEntry
+	for i := range n {
+		list = append(list, ward.ForwardEntry{Name: fmt.Sprintf("entry-%03d", i), DataCentre: fmt.Sprint("dc-", i%centres), Listen: fmt.Sprint("10.0.0.", i)})
+	}
+	return list
+}
+
+// TestCellsPartTheFleet checks that every entry comes to the same cells, none of
+// them larger than the stated size or of two data centres.
+func TestCellsPartTheFleet(t *testing.T) {
+	for _, n := range []int{1, 6, 8, 12, 13, 65, 70, 300, 410} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			all := fleetOf(n, 3)
+			cells := make(map[string]string)
+			for _, self := range all {
+				r := rand.New(rand.NewPCG(uint64(n), 1))
+				shuffled := append([]ward.ForwardEntry(nil), all...)
+				r.Shuffle(n, func(i, k int) { shuffled[i], shuffled[k] = shuffled[k], shuffled[i] })
+				c := CellOf(shuffled, self)
+				if c.Fleet != n {
+					t.Fatalf("fleet of %d, want %d", c.Fleet, n)
+				}
+				if n <= wholeFleet {
+					if c.Count != 0 || len(c.Members) != n {
+						t.Fatalf("%d entries are parted: %+v", n, c)
+					}
+					continue
+				}
+				if len(c.Members) > cellSize || c.Index >= c.Count {
+					t.Fatalf("cell %d of %d with %d members", c.Index, c.Count, len(c.Members))
+				}
+				id := fmt.Sprint(self.DataCentre, c.Index)
+				for _, m := range c.Members {
+					if m.DataCentre != self.DataCentre {
+						t.Fatalf("%s and %s share a cell", m.Name, self.Name)
+					}
+					if other, ok := cells[m.Name]; ok && other != id {
+						t.Fatalf("%s is in cells %s and %s", m.Name, other, id)
+					}
+					cells[m.Name] = id
+				}
+			}
+		})
+	}
+}
+
+// TestReaders checks that a few entries of a cell follow the store, and all that
+// can when it does not answer those.
+func TestReaders(t *testing.T) {
+	now := time.Unix(1000, 0)
+	all := fleetOf(30, 1)
+	cases := []struct {
+		name string
+		self string
+		age  int64
+		want bool
+	}{
+		{"the first", "entry-000", 100, true},
+		{"the second", "entry-003", 100, true},
+		{"the third", "entry-006", 100, false},
+		{"the third, and the store answers nobody", "entry-006", 3000, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := Set{Self: c.self}
+			cell := CellOf(all, ward.ForwardEntry{Name: c.self, DataCentre: "dc-0"})
+			s.SetCell(cell)
+			for _, e := range cell.Members {
+				s.Hear(news.Message{Name: e.Name, Listen: e.Listen, Start: 1, Sequence: 1, StoreAge: c.age}, now)
+			}
+			if got := s.Reads(now, 1500*time.Millisecond); got != c.want {
+				t.Errorf("reads: %v", got)
+			}
+		})
+	}
+	whole := Set{Self: "entry-006"}
+	if !whole.Reads(now, time.Second) {
+		t.Error("an entry of a small fleet does not read the store")
+	}
+}
+
+func TestSetCellDropsTheOthers(t *testing.T) {
+	s := Set{Self: "entry-000"}
+	s.SetCell(CellOf(fleetOf(65, 1), ward.ForwardEntry{Name: "entry-000", DataCentre: "dc-0"}))
+	if s.Member("entry-001") || !s.Member("entry-007") {
+		t.Error("entries of other cells are heard, or those of the own are not")
+	}
+}
--- a/internal/forward/peers/peers.go
+++ b/internal/forward/peers/peers.go
@@ -47,6 +47,8 @@
 	peers map[string]*Peer
 	hints map[string]time.Time
 	turn  int
+	// cell holds the names of the entries to exchange news with, nil for all.
+	cell map[string]bool
 }
 
 func (s *Set) init() {
@@ -67,7 +69,7 @@
 // not older than what was heard before.
 func (s *Set) Hear(m news.Message, now time.Time) bool {
 	s.init()
-	if m.Name == s.Self {
+	if m.Name == s.Self || !s.Member(m.Name) {
 		return false
 	}
 	old := s.peers[m.Name]
--- a/internal/forward/schedule/home.go
+++ b/internal/forward/schedule/home.go
@@ -12,6 +12,43 @@
 // arrival. So each of these is the home slot of one entry.
 const spareSlots = 3
 
+// leastOfCell is the number of upstreams of a service that a cell has at least;
+// with fewer all cells use all.
+const leastOfCell = 2
+
+// ofCell returns the upstreams of a service that this entry uses: its cell's part
+// of those in its data centre.
+func (s *Scheduler) ofCell(all []*upstream) []*upstream {
+	if s.Cells == 0 {
+		return all
+	}
+	var near []*upstream
+	for _, u := range all {
+		if u.near {
+			near = append(near, u)
+		}
+	}
+	if len(near) < leastOfCell*s.Cells {
+		return all
+	}
+	sort.Slice(near, func(i, k int) bool { return near[i].ID < near[k].ID })
+	var mine []*upstream
+	usable := 0
+	for i, u := range near {
+		if i%s.Cells != s.Cell {
+			continue
+		}
+		mine = append(mine, u)
+		if !u.Draining {
+			usable++
+		}
+	}
+	if usable < leastOfCell {
+		return all
+	}
+	return mine
+}
+
 // deal gives each slot to one of the entries that are heard, in turn over all
 // upstreams of a service. All entries come to the same result from the same names.
 func (s *Scheduler) deal() {
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -94,6 +94,9 @@
 	// Start is a number that is higher than in earlier processes of this name, by
 	// more than the slots that they gave away.
 	Start uint64
+	// Cell is the part of the data centre's upstreams that this entry and those
+	// that it hears use, of Cells parts. Cells 0 means that all use all.
+	Cell, Cells int
 
 	services map[string]*service
 	byID     map[string]*upstream
@@ -184,6 +187,9 @@
 		v := s.service(r.Service)
 		v.upstreams = append(v.upstreams, u)
 	}
+	for _, v := range s.services {
+		v.upstreams = s.ofCell(v.upstreams)
+	}
 	s.byID = known
 	s.homes = ""
 	s.countPeers(now)
--- a/internal/forward/schedule/schedule_test.go
+++ b/internal/forward/schedule/schedule_test.go
@@ -174,3 +174,40 @@
 		}
 	}
 }
+
+// TestCellsPartTheEngines checks that each engine of a data centre belongs to one
+// cell, and that a service with few upstreams is used by all.
+func TestCellsPartTheEngines(t *testing.T) {
+	cases := []struct {
+		name    string
+		engines int
+		parted  bool
+	}{
+		{"many engines", 20, true},
+		{"fewer than two a cell", 5, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			used := make(map[string]int)
+			for cell := range 3 {
+				s := &Scheduler{Name: "entry-1", DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2)), Cell: cell, Cells: 3}
+				s.SetUpstreams(engines(c.engines, 4), start)
+				for _, u := range s.services["menus"].upstreams {
+					used[u.ID]++
+				}
+			}
+			want := 3
+			if c.parted {
+				want = 1
+			}
+			if len(used) != c.engines {
+				t.Errorf("%d of %d engines are used", len(used), c.engines)
+			}
+			for id, n := range used {
+				if n != want {
+					t.Errorf("%s is used by %d cells, want %d", id, n, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/forward/static/static.go
+++ b/internal/forward/static/static.go
@@ -150,9 +150,9 @@
 	return nil, rev, pause(ctx, wait)
 }
 
-func (f feed) Announce(context.Context, ward.ForwardEntry) ([]ward.ForwardEntry, error) {
-	return nil, nil
-}
+func (f feed) Announce(context.Context, ward.ForwardEntry) error { return nil }
+
+func (f feed) Entries(context.Context) ([]ward.ForwardEntry, error) { return nil, nil }
 
 func pause(ctx context.Context, d time.Duration) error {
 	return ward.SystemClock{}.Sleep(ctx, d)
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -39,6 +39,9 @@
 	// startSpread is the time over which entries that start together spread their
 	// first calls.
 	startSpread = 10 * time.Millisecond
+	// readerCheck is the interval at which an entry that does not read the store
+	// looks whether it has to.
+	readerCheck = 100 * time.Millisecond
 	// awaitStep is the interval at which requests look again whether the entry is
 	// ready; it lasts only from the start of the process to its first documents.
 	awaitStep = 4 * time.Millisecond
@@ -59,6 +62,9 @@
 type View struct {
 	Source ward.ForwardSource
 	Log    logr.Logger
+	// Reads tells whether this entry follows the store itself; others tell it what
+	// changes otherwise. Nil means always.
+	Reads func() bool
 	// Changed is called after the configuration or the upstreams changed.
 	Changed func()
 
@@ -68,8 +74,10 @@
 	set    replicas.Set
 	listed bool
 	failed time.Time
-	faulty map[string]uint64
-	down   map[string]bool
+	// answered is when the store last answered.
+	answered time.Time
+	faulty   map[string]uint64
+	down     map[string]bool
 }
 
 // Table returns the configuration in force, or nil.
@@ -95,6 +103,13 @@
 	return true
 }
 
+// Answered returns when the store last answered this entry.
+func (v *View) Answered() time.Time {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.answered
+}
+
 // Upstreams returns the registered upstreams.
 func (v *View) Upstreams() []ward.Replica {
 	v.mu.Lock()
@@ -179,6 +194,11 @@
 	wait := retryFirst
 	next := list
 	for ctx.Err() == nil {
+		if v.Reads != nil && !v.Reads() {
+			next = list
+			pause(ctx, readerCheck)
+			continue
+		}
 		to, err := next(ctx, revision)
 		switch {
 		case ctx.Err() != nil:
@@ -216,6 +236,7 @@
 func (v *View) regained(what string, revision uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.answered = time.Now()
 	if v.down[what] {
 		v.down[what] = false
 		v.Log.Info("store-regained", "of", what, "revision", revision)
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -204,8 +204,9 @@
 
 // ForwardEntry is where one entry of the forwarding surface hears its peers.
 type ForwardEntry struct {
-	Name   string `json:"name"`
-	Listen string `json:"listen"`
+	Name       string `json:"name"`
+	DataCentre string `json:"data-centre"`
+	Listen     string `json:"listen"`
 }
 
 // ErrHistoryGone says that a store no longer has the changes after the asked
@@ -225,6 +226,8 @@
 	Replicas(ctx context.Context) ([]Registration, uint64, error)
 	// WatchReplicas waits for changes after revision.
 	WatchReplicas(ctx context.Context, revision uint64, wait time.Duration) ([]Registration, uint64, error)
-	// Announce registers an entry, and lists the registered ones.
-	Announce(ctx context.Context, e ForwardEntry) ([]ForwardEntry, error)
+	// Announce registers an entry for some minutes.
+	Announce(ctx context.Context, e ForwardEntry) error
+	// Entries lists the registered entries. The list may be seconds old.
+	Entries(ctx context.Context) ([]ForwardEntry, error)
 }
