--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -12,7 +12,7 @@
 	wholeFleet = 12
 	// cellSize is the largest number of entries of a cell. What an entry spends on
 	// news grows with its cell and not with the fleet.
-	cellSize = 10
+	cellSize = 12
 )
 
 // Cell is the part of a fleet within which entries exchange news: entries of one
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -33,6 +33,9 @@
 	// watchWait is how long a watch waits at the store: a silent connection is
 	// noticed soon after, well before a change has to be in force.
 	watchWait = 1200 * time.Millisecond
+	// gather is the pause after a change: changes that follow each other closely
+	// come with one call.
+	gather = 100 * time.Millisecond
 	// retryFirst and retryMost bound the pause after a failed call.
 	retryFirst = 100 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
@@ -215,7 +218,11 @@
 			}
 		default:
 			v.regained(what, to)
+			changed := to != revision && revision > 0
 			revision, next, wait = to, watch, retryFirst
+			if changed {
+				pause(ctx, gather)
+			}
 		}
 	}
 }
