fix(replicas): pass lapsed registrations on to entries that do not read the store

Change: a lapse counts as a change, and the time for which a registration has been missing goes with it. TestLapseIsPassedOn fails before.

--- a/internal/forward/replicas/replicas.go
+++ b/internal/forward/replicas/replicas.go
@@ -8,7 +8,7 @@
 //	s.Put(r, 531)
 //	s.Remove(id, 532, now)
 //	s.Sweep(now)
-//	for _, r := range s.All() { ... }
+//	for _, r := range s.All(now) { ... }
 //
 // A registration that lapses while the store is away comes back soon after its
 // return, so a list that lacks an upstream does not remove it before
@@ -30,6 +30,9 @@
 type Entry struct {
 	ward.Replica
 	Revision uint64
+	// MissingFor is how long the registration has been missing, 0 when it is there.
+	// All sets it.
+	MissingFor time.Duration
 	// missing is when a list first lacked the upstream.
 	missing time.Time
 }
@@ -89,9 +92,9 @@
 			changed = true
 		}
 	}
-	for id, e := range s.entries {
-		if !seen[id] && e.Revision <= revision && e.missing.IsZero() {
-			e.missing = now
+	for id := range s.entries {
+		if !seen[id] {
+			s.Miss(id, revision, now)
 		}
 	}
 	return changed
@@ -102,19 +105,23 @@
 func (s *Set) Miss(id string, revision uint64, now time.Time) {
 	if e := s.entries[id]; e != nil && e.Revision <= revision && e.missing.IsZero() {
 		e.missing = now
+		s.Revision = max(s.Revision, revision)
 	}
 }
 
 // Merge takes the set of a peer, whose newest change has the given revision. An
 // upstream that only this set knows is removed when the peer's set is newer and
 // has no registration of that age or later.
-func (s *Set) Merge(list []Entry, revision uint64) bool {
+func (s *Set) Merge(list []Entry, revision uint64, now time.Time) bool {
 	newer := revision > s.Revision
 	changed := false
 	seen := make(map[string]bool, len(list))
 	for _, e := range list {
 		seen[e.ID] = true
 		changed = s.Put(e.Replica, e.Revision) || changed
+		if mine := s.entries[e.ID]; e.MissingFor > 0 && mine != nil && mine.Revision == e.Revision && mine.missing.IsZero() {
+			mine.missing = now.Add(-e.MissingFor)
+		}
 	}
 	for id, e := range s.entries {
 		if newer && !seen[id] && e.Revision <= revision {
@@ -143,10 +150,14 @@
 func (s *Set) Len() int { return len(s.entries) }
 
 // All returns the upstreams, sorted by ID.
-func (s *Set) All() []Entry {
+func (s *Set) All(now time.Time) []Entry {
 	all := make([]Entry, 0, len(s.entries))
 	for _, e := range s.entries {
-		all = append(all, *e)
+		out := *e
+		if !e.missing.IsZero() {
+			out.MissingFor = max(now.Sub(e.missing), 1)
+		}
+		all = append(all, out)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
 	return all
--- a/internal/forward/replicas/replicas_test.go
+++ b/internal/forward/replicas/replicas_test.go
@@ -33,6 +33,24 @@
 	}
 }
 
+// TestLapseIsPassedOn answers an entry that does not read the store: what a peer
+// misses is gone here at the same time as there.
+func TestLapseIsPassedOn(t *testing.T) {
+	var reader, other Set
+	list := []Entry{{Replica: replica("a"), Revision: 1}, {Replica: replica("b"), Revision: 2}}
+	reader.List(list, 2, start)
+	other.List(list, 2, start)
+	reader.Miss("b", 9, start)
+	if reader.Revision <= other.Revision {
+		t.Fatal("a peer cannot see that there is news")
+	}
+	now := start.Add(time.Second)
+	other.Merge(reader.All(now), reader.Revision, now)
+	if gone := other.Sweep(start.Add(ReturnTime)); len(gone) != 1 || gone[0] != "b" {
+		t.Errorf("%v are gone at the time when the reader drops b", gone)
+	}
+}
+
 func TestRebirthIsAChange(t *testing.T) {
 	var s Set
 	r := replica("a")
@@ -81,10 +99,10 @@
 				s.Put(replica(c.id), c.rev)
 			}
 		}
-		s.Merge(peer.All(), peer.Revision)
+		s.Merge(peer.All(start), peer.Revision, start)
 		for id, c := range want {
 			found := false
-			for _, e := range s.All() {
+			for _, e := range s.All(start) {
 				found = found || e.ID == id
 			}
 			if found == c.removed {
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -117,7 +117,7 @@
 func (v *View) Upstreams() []ward.Replica {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	all := v.set.All()
+	all := v.set.All(time.Now())
 	list := make([]ward.Replica, len(all))
 	for i, e := range all {
 		list[i] = e.Replica
@@ -140,7 +140,7 @@
 func (v *View) State() State {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	s := State{Replicas: v.set.All(), Revision: v.set.Revision}
+	s := State{Replicas: v.set.All(time.Now()), Revision: v.set.Revision}
 	if t := v.Table(); t != nil {
 		s.Forwarding = t.Config
 	}
@@ -153,7 +153,7 @@
 		v.adopt(s.Forwarding, "peer "+from)
 	}
 	v.mu.Lock()
-	changed := v.set.Merge(s.Replicas, s.Revision)
+	changed := v.set.Merge(s.Replicas, s.Revision, time.Now())
 	revision, n := v.set.Revision, v.set.Len()
 	v.mu.Unlock()
 	if changed {
