--- a/internal/config/forwarding/forwarding.go
+++ b/internal/config/forwarding/forwarding.go
@@ -12,9 +12,9 @@
 import (
 	"net/netip"
 	"os"
-	"strings"
 	"time"
 
+	"agateward/internal/config/settings"
 	"agateward/internal/config/strict"
 	"agateward/internal/result/code"
 	"agateward/ward"
@@ -109,14 +109,10 @@
 	if len(faults) == 0 {
 		faults = s.check(doc)
 	}
-	if len(faults) == 0 {
-		return s, nil
-	}
-	lines := make([]string, len(faults))
-	for i, f := range faults {
-		lines[i] = f.String()
+	if len(faults) > 0 {
+		return Settings{}, settings.Error(faults)
 	}
-	return Settings{}, code.SettingsInvalid.New("%s", strings.Join(lines, "\n"))
+	return s, nil
 }
 
 func (s Settings) check(doc *strict.Document) []strict.Fault {
--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -26,9 +26,7 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"agateward/ward"
@@ -210,94 +208,3 @@
 	x.release()
 	x.conn.Close()
 }
-
-// take returns an idle connection that is still open, or a new one.
-func (p *Pool) take(ctx context.Context, address string) (*conn, error) {
-	now := time.Now()
-	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
-			break
-		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		p.mu.Unlock()
-		if now.Before(c.until) && c.quiet() {
-			return c, nil
-		}
-		c.Close()
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	raw, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	if p.Opened != nil {
-		p.Opened()
-	}
-	return &conn{Conn: raw, address: address, br: bufio.NewReaderSize(raw, bufferSize)}, nil
-}
-
-// quiet tells that an idle connection is open and that nothing has come on it.
-func (c *conn) quiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.br.Buffered() > 0 {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
-	})
-	return err == nil && quiet
-}
-
-func (p *Pool) keep(c *conn, field string) {
-	kept := keptDefault
-	for _, part := range strings.Split(field, ",") {
-		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if s, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			kept = time.Duration(s)*time.Second - keptMargin
-		}
-	}
-	c.until = time.Now().Add(kept)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.idle == nil {
-		p.idle = make(map[string][]*conn)
-	}
-	if kept <= 0 || len(p.idle[c.address]) >= keptMost {
-		c.Close()
-		return
-	}
-	p.idle[c.address] = append(p.idle[c.address], c)
-}
-
-// Retain closes the idle connections to addresses that are not in use.
-func (p *Pool) Retain(inUse map[string]bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := time.Now()
-	for address, list := range p.idle {
-		kept := list[:0]
-		for _, c := range list {
-			if inUse[address] && now.Before(c.until) {
-				kept = append(kept, c)
-			} else {
-				c.Close()
-			}
-		}
-		p.idle[address] = kept
-		if len(kept) == 0 {
-			delete(p.idle, address)
-		}
-	}
-}
--- /dev/null
+++ b/internal/forward/gate/call.go
@@ -0,0 +1,185 @@
+package gate
+
+import (
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"agateward/internal/forward/quota"
+	"agateward/internal/forward/route"
+	"agateward/internal/result/code"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+)
+
+// call is one request of a caller.
+type call struct {
+	gate    *Gate
+	w       http.ResponseWriter
+	r       *http.Request
+	log     logr.Logger
+	arrived time.Time
+
+	table   *route.Table
+	head    ward.ForwardHead
+	route   *ward.ForwardRoute
+	team    *ward.ForwardTeam
+	service string
+	body    []byte
+	size    float64
+	// deadline is the end of the caller's time or of the route's, zero for none.
+	deadline time.Time
+
+	// sends counts the upstreams that the request may have reached, misses the
+	// attempts on which nothing was sent.
+	sends, misses int
+	// mayHaveRun says that an upstream may have run the request.
+	mayHaveRun bool
+	tried      []string
+	// begun says that a part of the answer is with the caller. lastEvent is the
+	// last event that it has.
+	begun     bool
+	lastEvent int64
+	// fallback is a whole failure of an upstream, given when no other attempt
+	// does better.
+	fallback *whole
+}
+
+var errBodyCut = errors.New("the request's body was cut")
+
+// accept checks the request and reads its body.
+func (c *call) accept() error {
+	var err error
+	if !c.gate.View.Await(c.r.Context(), startWait) {
+		return code.NotReady.New("no configuration is known yet")
+	}
+	c.table = c.gate.View.Table()
+	if c.head, err = c.gate.Dialect.Head(c.r.Header); err != nil {
+		return code.BadHeader.Wrap(err, "read the head")
+	}
+	c.lastEvent = c.head.LastEvent
+	c.log = c.log.WithValues("request", c.head.ID)
+	if c.route = c.table.Route(c.r.Host, c.r.URL.Path); c.route == nil {
+		return code.UnknownRoute.New("host %q, path %q at version %d", c.r.Host, c.r.URL.Path, c.table.Config.Version)
+	}
+	if c.table.NeedsKey(c.route) {
+		team, ok := c.table.Team(c.head.Key)
+		if !ok {
+			return code.BadTeamKey.New("no team holds the key at version %d", c.table.Config.Version)
+		}
+		c.team = team
+	}
+	if err := c.readBody(); err != nil {
+		return err
+	}
+	c.setDeadline()
+	c.service = c.table.Service(c.route, rand.Float64())
+	return c.takeQuota()
+}
+
+func (c *call) readBody() error {
+	limit := c.table.Config.Limits.MaxBody
+	if limit == 0 {
+		limit = c.gate.MaxBody
+	}
+	if c.r.ContentLength > int64(limit) {
+		return code.BodyTooLarge.New("%d bytes, limit %d", c.r.ContentLength, limit)
+	}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	var err error
+	if n := c.r.ContentLength; n > 0 {
+		c.body = make([]byte, n)
+		_, err = io.ReadFull(c.r.Body, c.body)
+	} else {
+		c.body, err = io.ReadAll(io.LimitReader(c.r.Body, int64(limit)+1))
+	}
+	if err != nil {
+		return errBodyCut
+	}
+	if len(c.body) > limit {
+		return code.BodyTooLarge.New("more than %d bytes", limit)
+	}
+	return nil
+}
+
+func (c *call) setDeadline() {
+	left := c.head.Patience
+	if t := c.route.Timeout.Std(); t > 0 && (left == 0 || t < left) {
+		left = t
+	}
+	if left > 0 {
+		c.deadline = c.arrived.Add(left)
+	}
+}
+
+// takeQuota counts the request against its team's quota.
+func (c *call) takeQuota() error {
+	now := time.Now()
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.gate.budget.Request(c.service, now)
+	if c.team == nil {
+		return nil
+	}
+	c.size = 1
+	if c.team.Tokens {
+		c.size = c.team.PlainTokens
+		if c.head.HasTokens {
+			c.size = float64(c.head.PromptTokens + c.head.MaxOutput)
+		}
+	}
+	r := quota.Request{Size: c.size, Plain: !c.head.HasTokens, Rank: c.route.Rank, Idle: c.gate.sched.Idle(c.service)}
+	if wait, ok := c.gate.ledger.Take(c.team, r, now); !ok {
+		return &quotaError{wait: wait, team: c.team.Name}
+	}
+	return nil
+}
+
+// quotaError says that a team has used up its quota.
+type quotaError struct {
+	team string
+	wait time.Duration
+}
+
+func (e *quotaError) Error() string { return "quota of team " + e.team + " is used up" }
+
+// refuse answers a request that no upstream was given.
+func (c *call) refuse(err error) {
+	if errors.Is(err, errBodyCut) {
+		c.log.Info("request-aborted", "cause", err.Error())
+		panic(http.ErrAbortHandler)
+	}
+	k, retry := code.Of(err), time.Duration(0)
+	var q *quotaError
+	if errors.As(err, &q) {
+		k, retry = code.TeamLimit, min(max(q.wait, 200*time.Millisecond), 4*time.Second)
+	}
+	if k.Number == code.NotReady.Number {
+		retry = notReadyRetry
+	}
+	c.final(k, retry, err.Error())
+}
+
+// final answers with a status of this entry's own.
+func (c *call) final(k code.Code, retry time.Duration, why string) {
+	c.log.Info("request-refused", "code", k.Number, "status", k.Status, "cause", why, "retry-after", retry,
+		"elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.gate.Metrics.refused(k.Number)
+	h := c.w.Header()
+	if retry > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
+	}
+	if id := c.head.ID; id != "" {
+		h.Set(c.gate.Dialect.RequestID(), id)
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.WriteHeader(k.Status)
+	// The caller may be gone; there is nobody else to tell.
+	_, _ = io.WriteString(c.w, k.String()+"\n")
+}
--- /dev/null
+++ b/internal/forward/gate/upstream_test.go
@@ -0,0 +1,78 @@
+package gate_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+)
+
+// upstream is a stand-in that answers each connection's requests by a function.
+type upstream struct {
+	net.Listener
+	runs atomic.Int64
+	mu   sync.Mutex
+	seen []*http.Request
+}
+
+// reply writes the answer to the n-th request (from 1) of the stand-in, and tells
+// whether the connection goes on.
+type reply func(w io.Writer, r *http.Request, n int64) bool
+
+func newUpstream(t *testing.T, f reply) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{Listener: l}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c, f)
+		}
+	}()
+	return u
+}
+
+func (u *upstream) serve(c net.Conn, f reply) {
+	defer c.Close()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		u.mu.Lock()
+		u.seen = append(u.seen, r)
+		u.mu.Unlock()
+		if !f(c, r, u.runs.Add(1)) {
+			return
+		}
+	}
+}
+
+func ok(w io.Writer, r *http.Request, body string) bool {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Agateward-Request"), len(body), body)
+	return true
+}
+
+func events(w io.Writer, r *http.Request, from, to int, end bool) bool {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Agateward-Request"))
+	for id := from; id <= to; id++ {
+		e := fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id)
+		fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
+	}
+	if end {
+		fmt.Fprint(w, "0\r\n\r\n")
+	}
+	return end
+}
--- /dev/null
+++ b/internal/forward/node/cell.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"agateward/internal/forward/peers"
+	"agateward/ward"
+)
+
+// storeFresh is the age of the store's last answer up to which an entry is taken
+// to follow it: a watch that waits answers within this time.
+const storeFresh = 1500 * time.Millisecond
+
+// reads tells whether this entry follows the store itself.
+func (n *Node) reads() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers.Reads(time.Now(), storeFresh)
+}
+
+// announce keeps this entry in the store's list of entries, and follows that list.
+func (n *Node) announce(ctx context.Context) {
+	self := ward.ForwardEntry{Name: n.settings.Name, DataCentre: n.settings.DataCentre, Listen: n.newsAddress()}
+	var announced time.Time
+	pause := listFirst
+	for ctx.Err() == nil {
+		if announced.IsZero() || time.Since(announced) > announceEvery {
+			if err := n.source.Announce(ctx, self); err != nil {
+				n.log.Info("announcement-failed", "error", err.Error())
+			} else {
+				announced = time.Now()
+			}
+		}
+		if list, err := n.source.Entries(ctx); err == nil {
+			n.setCell(peers.CellOf(list, self))
+		} else {
+			n.log.Info("entries-unknown", "error", err.Error())
+		}
+		// Entries that start together are not all in the first lists.
+		pause = min(2*pause, listMost)
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// setCell takes the entries to exchange news with.
+func (n *Node) setCell(c peers.Cell) {
+	now := time.Now()
+	n.mu.Lock()
+	changed := c.Count != n.cell.Count || c.Index != n.cell.Index || len(c.Members) != len(n.cell.Members) || c.Fleet != n.cell.Fleet
+	n.cell = c
+	if changed {
+		n.peers.SetCell(c)
+	}
+	for _, e := range c.Members {
+		if e.Name != n.settings.Name {
+			n.peers.Hint(e.Listen, now)
+		}
+	}
+	n.mu.Unlock()
+	if changed {
+		n.log.Info("cell-changed", "cell", c.Index, "cells", c.Count, "members", len(c.Members), "entries", c.Fleet)
+		n.gate.SetCell(c.Index, c.Count)
+		n.gate.Refresh()
+	}
+}
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -97,3 +97,23 @@
 	}
 	return ""
 }
+
+// idlePart is the part of the slots in use up to which a service has room to
+// spare.
+const idlePart = 0.7
+
+// Idle tells whether the upstreams of a service have room to spare.
+func (s *Scheduler) Idle(name string) bool {
+	v := s.services[name]
+	if v == nil || len(v.queue) > 0 {
+		return false
+	}
+	slots, load := 0, 0
+	for _, u := range v.upstreams {
+		if !u.Draining {
+			slots += u.Slots
+			load += u.load()
+		}
+	}
+	return float64(load) < idlePart*float64(slots)
+}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -128,18 +128,6 @@
 	nominal float64
 }
 
-// peer is what is known of one other entry.
-type peer struct {
-	heard time.Time
-	news  News
-	// given are the slots that were given to the peer and that its news does not
-	// show yet; sequence is the number of the last one.
-	given    []Lent
-	sequence uint64
-	// received is the number of the last slot that the peer gave away to this entry.
-	received uint64
-}
-
 // Limits of the scheduler.
 const (
 	// peerSilence is the age of news after which a peer's requests are taken to
@@ -232,26 +220,6 @@
 	return s.drain(now)
 }
 
-// idlePart is the part of the slots in use up to which a service has room to
-// spare.
-const idlePart = 0.7
-
-// Idle tells whether the upstreams of a service have room to spare.
-func (s *Scheduler) Idle(name string) bool {
-	v := s.services[name]
-	if v == nil || len(v.queue) > 0 {
-		return false
-	}
-	slots, load := 0, 0
-	for _, u := range v.upstreams {
-		if !u.Draining {
-			slots += u.Slots
-			load += u.load()
-		}
-	}
-	return float64(load) < idlePart*float64(slots)
-}
-
 // Waiting returns the number of waiting jobs.
 func (s *Scheduler) Waiting() int {
 	n := 0
@@ -261,94 +229,6 @@
 	return n
 }
 
-// News is what an entry tells the others of its requests.
-type News struct {
-	// Load is the number of its requests at each upstream.
-	Load map[string]int `msgpack:"u,omitempty"`
-	// Demand is what waits there.
-	Demand []Demand `msgpack:"d,omitempty"`
-	// Silent lists the upstreams that do not answer it.
-	Silent []string `msgpack:"i,omitempty"`
-	// Given lists the slots that it gave away, as long as the receiver's news may
-	// not show them; Received is the number of the last slot that it got from each
-	// of the others.
-	Given    []Lent            `msgpack:"g,omitempty"`
-	Received map[string]uint64 `msgpack:"r,omitempty"`
-	// Leaving says that the entry stops and needs no slots.
-	Leaving bool `msgpack:"x,omitempty"`
-}
-
-// News returns what the others are told.
-func (s *Scheduler) News(now time.Time) News {
-	n := News{Load: make(map[string]int), Demand: s.demand(now), Silent: s.silent(now), Received: make(map[string]uint64)}
-	for id, u := range s.byID {
-		if u.own > 0 {
-			n.Load[id] = u.own
-		}
-	}
-	for name, p := range s.peers {
-		n.Given = append(n.Given, p.given...)
-		if p.received > 0 {
-			n.Received[name] = p.received
-		}
-	}
-	return n
-}
-
-// Hear takes the news of a peer.
-func (s *Scheduler) Hear(name string, n News, now time.Time) []Action {
-	s.init()
-	if n.Leaving && len(n.Load) == 0 {
-		delete(s.peers, name)
-		s.countPeers(now)
-		return nil
-	}
-	p := s.peer(name)
-	p.heard, p.news = now, n
-	s.countPeers(now)
-	out := s.lend(name, now)
-	if s.Waiting() == 0 {
-		return out
-	}
-	return append(out, s.drain(now)...)
-}
-
-func (s *Scheduler) peer(name string) *peer {
-	p := s.peers[name]
-	if p == nil {
-		p = &peer{sequence: s.Start}
-		s.peers[name] = p
-	}
-	return p
-}
-
-// countPeers sums up what the peers run and which upstreams they doubt.
-func (s *Scheduler) countPeers(now time.Time) {
-	for _, u := range s.byID {
-		u.others, u.lent = 0, 0
-	}
-	s.entries = append(s.entries[:0], s.Name)
-	for name, p := range s.peers {
-		if now.Sub(p.heard) > peerSilence {
-			delete(s.peers, name)
-			continue
-		}
-		s.entries = append(s.entries, name)
-		for id, n := range p.news.Load {
-			if u := s.byID[id]; u != nil {
-				u.others += n
-			}
-		}
-		for _, id := range p.news.Silent {
-			if u := s.byID[id]; u != nil && p.heard.After(u.doubted) {
-				u.doubted = p.heard
-			}
-		}
-		s.countGiven(name, p, now)
-	}
-	s.deal()
-}
-
 func (s *Scheduler) drain(now time.Time) []Action {
 	var out []Action
 	names := make([]string, 0, len(s.services))
--- a/internal/forward/static/static.go
+++ b/internal/forward/static/static.go
@@ -17,6 +17,7 @@
 	"strings"
 	"time"
 
+	"agateward/internal/config/settings"
 	"agateward/internal/config/strict"
 	"agateward/internal/result/code"
 	"agateward/ward"
@@ -65,14 +66,10 @@
 	if len(faults) == 0 {
 		faults = s.check(doc)
 	}
-	if len(faults) == 0 {
-		return s, nil
-	}
-	lines := make([]string, len(faults))
-	for i, f := range faults {
-		lines[i] = f.String()
+	if len(faults) > 0 {
+		return nil, settings.Error(faults)
 	}
-	return nil, code.SettingsInvalid.New("%s", strings.Join(lines, "\n"))
+	return s, nil
 }
 
 func (s *Source) check(doc *strict.Document) []strict.Fault {
--- /dev/null
+++ b/internal/forward/view/follow.go
@@ -0,0 +1,173 @@
+package view
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"agateward/internal/forward/replicas"
+	"agateward/ward"
+)
+
+// Run follows the store until ctx ends.
+func (v *View) Run(ctx context.Context) {
+	pause(ctx, time.Duration(rand.Float64()*float64(startSpread)))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		v.follow(ctx, "configuration", v.listConfig, v.watchConfig)
+	}()
+	v.follow(ctx, "upstreams", v.listReplicas, v.watchReplicas)
+	<-done
+}
+
+type step func(ctx context.Context, revision uint64) (uint64, error)
+
+// follow lists and then watches, and starts over when the history is gone.
+func (v *View) follow(ctx context.Context, what string, list, watch step) {
+	var revision uint64
+	wait := retryFirst
+	next := list
+	for ctx.Err() == nil {
+		if v.Reads != nil && !v.Reads() {
+			next = list
+			pause(ctx, readerCheck)
+			continue
+		}
+		to, err := next(ctx, revision)
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.Is(err, ward.ErrHistoryGone):
+			v.Log.Info("store-history-gone", "of", what, "revision", revision)
+			next = list
+		case err != nil:
+			v.lost(what, err)
+			pause(ctx, wait/2+time.Duration(rand.Float64()*float64(wait)))
+			wait = min(wait*2, retryMost)
+			if revision == 0 {
+				next = list
+			}
+		default:
+			v.regained(what, to)
+			changed := to != revision && revision > 0
+			revision, next, wait = to, watch, retryFirst
+			if changed {
+				pause(ctx, gather)
+			}
+		}
+	}
+}
+
+func (v *View) lost(what string, err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failed = time.Now()
+	if v.down == nil {
+		v.down = make(map[string]bool)
+	}
+	if !v.down[what] {
+		v.down[what] = true
+		v.Log.Info("store-lost", "of", what, "error", err.Error())
+	}
+}
+
+func (v *View) regained(what string, revision uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.answered = time.Now()
+	if v.down[what] {
+		v.down[what] = false
+		v.Log.Info("store-regained", "of", what, "revision", revision)
+	}
+}
+
+var errNoConfiguration = errors.New("the store holds no configuration yet")
+
+func (v *View) listConfig(ctx context.Context, _ uint64) (uint64, error) {
+	f, rev, err := v.Source.Forwarding(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if f.Version == 0 {
+		return 0, errNoConfiguration
+	}
+	v.adopt(f, "store")
+	return rev, nil
+}
+
+func (v *View) watchConfig(ctx context.Context, revision uint64) (uint64, error) {
+	f, rev, err := v.Source.WatchForwarding(ctx, revision, watchWait)
+	if err == nil && f.Version > 0 {
+		v.adopt(f, "store")
+	}
+	return rev, err
+}
+
+func (v *View) listReplicas(ctx context.Context, _ uint64) (uint64, error) {
+	regs, rev, err := v.Source.Replicas(ctx)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	v.mu.Lock()
+	list := make([]replicas.Entry, 0, len(regs))
+	for _, r := range regs {
+		if v.usable(r) {
+			list = append(list, replicas.Entry{Replica: r.Replica, Revision: r.Revision})
+		}
+	}
+	changed := v.set.List(list, rev, now)
+	first := !v.listed
+	v.listed = true
+	n := v.set.Len()
+	v.mu.Unlock()
+	if changed || first {
+		v.Log.Info("upstreams-changed", "source", "list of the store", "revision", rev, "count", n)
+		v.Changed()
+	}
+	return rev, nil
+}
+
+func (v *View) watchReplicas(ctx context.Context, revision uint64) (uint64, error) {
+	regs, rev, err := v.Source.WatchReplicas(ctx, revision, watchWait)
+	if err != nil {
+		return revision, err
+	}
+	now := time.Now()
+	v.mu.Lock()
+	changed := false
+	for _, r := range regs {
+		switch {
+		case !r.Removed && v.usable(r):
+			changed = v.set.Put(r.Replica, r.Revision) || changed
+		case now.Sub(v.failed) < unsettled:
+			v.set.Miss(r.Replica.ID, r.Revision, now)
+		default:
+			changed = v.set.Remove(r.Replica.ID, r.Revision) || changed
+		}
+	}
+	n := v.set.Len()
+	v.mu.Unlock()
+	if changed {
+		v.Log.Info("upstreams-changed", "source", "store", "revision", rev, "count", n, "events", len(regs))
+		v.Changed()
+	}
+	return rev, nil
+}
+
+// usable tells whether a registration names an upstream, and logs a fault once.
+func (v *View) usable(r ward.Registration) bool {
+	if r.Fault == "" {
+		return true
+	}
+	if v.faulty == nil {
+		v.faulty = make(map[string]uint64)
+	}
+	if v.faulty[r.Replica.ID] != r.Revision {
+		v.faulty[r.Replica.ID] = r.Revision
+		v.Log.Info("registration-ignored", "upstream", r.Replica.ID, "revision", r.Revision, "fault", r.Fault)
+	}
+	return false
+}
