--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -276,7 +276,8 @@
 }
 
 func (s *Scheduler) dispatch(v *service, u *upstream, j *Job, now time.Time) Action {
-	a := Action{Job: j, Upstream: &u.Replica, Predicted: u.first(j), Waited: now.Sub(j.Arrived), Running: u.load()}
+	to := u.Replica // a registration may change while the request is sent
+	a := Action{Job: j, Upstream: &to, Predicted: u.first(j), Waited: now.Sub(j.Arrived), Running: u.load()}
 	u.own++
 	u.sent(now)
 	s.jobs[j.ID] = &running{job: j, up: u, sent: now, nominal: nominalFirst(j)}
--- a/internal/forward/schedule/schedule_test.go
+++ b/internal/forward/schedule/schedule_test.go
@@ -104,6 +104,19 @@
 	}
 }
 
+// TestDecisionKeepsItsUpstream answers a registration that changes while a request
+// is on its way: the decision still names the upstream that was chosen.
+func TestDecisionKeepsItsUpstream(t *testing.T) {
+	list := engines(1, 1)
+	s := newScheduler("entry-1", list)
+	a := dispatched(t, s.Arrive(job(1, 0, start), start))
+	list[0].Draining, list[0].Version = true, "v2"
+	s.SetUpstreams(list, start)
+	if a.Upstream.Draining || a.Upstream.Version != "v1" {
+		t.Errorf("the decision changed to %+v", *a.Upstream)
+	}
+}
+
 // TestLateGoesAfterInTime answers a load above what the engines can do for long:
 // in order of deadlines alone every request would be late.
 func TestLateGoesAfterInTime(t *testing.T) {
--- a/internal/forward/schedule/yield.go
+++ b/internal/forward/schedule/yield.go
@@ -43,7 +43,8 @@
 	p.sequence++
 	p.given = append(p.given, Lent{Upstream: u.ID, To: to, Sequence: p.sequence, at: now})
 	u.lent++
-	return Action{Upstream: &u.Replica, Yield: to, Sequence: p.sequence}
+	slot := u.Replica
+	return Action{Upstream: &slot, Yield: to, Sequence: p.sequence}
 }
 
 // countGiven counts the slots that were given to a peer, and those that the peer
