--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -4,7 +4,8 @@
 //
 // # Usage
 //
-//	g := gate.New(gate.Gate{Dialect: d, View: v, Log: l, ...})
+//	g := &gate.Gate{Dialect: d, View: v, Pool: p, Log: l, Yield: yield, Urgent: urgent}
+//	g.Prepare(gate.Setup{Name: "entry-1", DataCentre: "mid-a", Retries: budget, Quotas: ledger})
 //	go g.Run(ctx)
 //	http.Serve(listener, g)
 //
@@ -42,7 +43,7 @@
 // that has just started: the store usually answers within a few milliseconds.
 const startWait = 250 * time.Millisecond
 
-// Gate serves callers. Dialect, View, Pool and Log must be set.
+// Gate serves callers. All fields but Metrics must be set, and Prepare called.
 type Gate struct {
 	Dialect ward.Dialect
 	View    *view.View
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -3,8 +3,8 @@
 //
 // # Usage
 //
-//	n, err := node.New(settings, node.Parts{Source: source, Dialect: dialect, Log: l})
-//	err = n.Run(ctx) // until ctx ends; then it stops within the grace
+//	n := node.New(settings, node.Parts{Source: source, Dialect: dialect, Log: l})
+//	err := n.Run(ctx) // until ctx ends; then it stops within the grace
 package node
 
 import (
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -8,7 +8,7 @@
 //	go v.Run(ctx)
 //	table := v.Table()       // nil until a configuration is known
 //	list := v.Upstreams()
-//	v.Merge(state)           // what a peer knows
+//	v.Merge(peer, state)     // what a peer knows
 //
 // A configuration is replaced only by one of a higher version.
 package view
