fix(peers): an entry that its peers leave behind reads the store itself

Cause: entries outside the readers of a cell know the store only by their peers. Where a fetch fails time after time, nothing else was tried.

Change: an entry for which a version that a peer knows is missing for 0.5 s follows the store until it has that version. A failed fetch is followed by a pause, so a peer that fails at once is not asked 30 times a second.

Figures: TestReadsWhenBehind fails without the change (missing for long: reads false), passes with it.

--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -144,8 +144,12 @@
 			continue
 		}
 		now := time.Now()
+		config, upstreams := n.view.Versions()
 		n.mu.Lock()
 		fresh := n.peers.Hear(m, now)
+		if fresh {
+			n.peers.Compare(m, config, upstreams, now)
+		}
 		entries := max(n.peers.Entries(now), n.cell.Fleet)
 		n.mu.Unlock()
 		if fresh {
@@ -188,6 +192,7 @@
 		s, err := fetch(m.State, StateRequest{Config: config, Replicas: upstreams})
 		if err != nil {
 			n.log.Info("fetch-failed", "peer", m.Name, "error", err.Error())
+			time.Sleep(fetchWait) // keeps off a peer that fails at once
 			return
 		}
 		n.view.Merge(m.Name, s)
--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"agateward/internal/forward/news"
 	"agateward/ward"
 )
 
@@ -88,11 +89,34 @@
 // answers them.
 const readers = 2
 
+// lagMost is how long a version that a peer knows may be missing here before this
+// entry reads the store itself: a fetch from a peer takes a tenth of it, and the
+// store's answer then comes well before a version has to be in force.
+const lagMost = 500 * time.Millisecond
+
+// lag is a version of the documents that a peer knows and this entry does not.
+type lag struct {
+	config, upstreams uint64
+	since             time.Time
+}
+
+// Compare notes whether the versions that this entry has are behind those of a
+// message.
+func (s *Set) Compare(m news.Message, config, upstreams uint64, now time.Time) {
+	if config >= s.lag.config && upstreams >= s.lag.upstreams {
+		s.lag = lag{}
+	}
+	if s.lag.since.IsZero() && (m.Config > config || m.Replicas > upstreams) {
+		s.lag = lag{config: m.Config, upstreams: m.Replicas, since: now}
+	}
+}
+
 // Reads tells whether this entry follows the store itself: in a fleet of one cell
-// always, else when it is one of the first that are heard, or when the store
-// answers none of those that are heard within fresh.
+// always, else when it is one of the first that are heard, when the store answers
+// none of those that are heard within fresh, or when peers know versions that it
+// does not get from them.
 func (s *Set) Reads(now time.Time, fresh time.Duration) bool {
-	if s.cell == nil {
+	if s.cell == nil || !s.lag.since.IsZero() && now.Sub(s.lag.since) > lagMost {
 		return true
 	}
 	before, answered := 0, false
--- a/internal/forward/peers/cell_test.go
+++ b/internal/forward/peers/cell_test.go
@@ -92,6 +92,42 @@
 	}
 }
 
+// TestReadsWhenBehind answers an entry that cannot fetch from its peers what they
+// know, as when they run another version of the program: it reads the store.
+func TestReadsWhenBehind(t *testing.T) {
+	start := time.Unix(1000, 0)
+	all := fleetOf(30, 1)
+	s := Set{Self: "entry-006"}
+	cell := CellOf(all, ward.ForwardEntry{Name: s.Self, DataCentre: "dc-0"})
+	s.SetCell(cell)
+	cases := []struct {
+		name              string
+		after             time.Duration
+		config, upstreams uint64
+		want              bool
+	}{
+		{"both known", 0, 5, 50, false},
+		{"a version appears", time.Second, 4, 50, false},
+		{"still missing", 1400 * time.Millisecond, 4, 50, false},
+		{"missing for long", 1600 * time.Millisecond, 4, 50, true},
+		{"caught up", 1700 * time.Millisecond, 5, 50, false},
+		{"upstreams are behind", 2 * time.Second, 5, 40, false},
+		{"and move on slowly", 2400 * time.Millisecond, 5, 49, false},
+		{"too slowly", 2600 * time.Millisecond, 5, 49, true},
+	}
+	for i, c := range cases {
+		now := start.Add(c.after)
+		for _, e := range cell.Members {
+			m := news.Message{Name: e.Name, Listen: e.Listen, Start: 1, Sequence: uint64(i + 1), StoreAge: 10, Config: 5, Replicas: 50}
+			s.Hear(m, now)
+			s.Compare(m, c.config, c.upstreams, now)
+		}
+		if got := s.Reads(now, time.Second); got != c.want {
+			t.Errorf("%s: reads %v", c.name, got)
+		}
+	}
+}
+
 func TestSetCellDropsTheOthers(t *testing.T) {
 	s := Set{Self: "entry-000"}
 	c := CellOf(fleetOf(65, 1), ward.ForwardEntry{Name: "entry-000", DataCentre: "dc-0"})
--- a/internal/forward/peers/peers.go
+++ b/internal/forward/peers/peers.go
@@ -49,6 +49,7 @@
 	turn  int
 	// cell holds the names of the entries to exchange news with, nil for all.
 	cell map[string]bool
+	lag  lag
 }
 
 func (s *Set) init() {
