feat(soak): entries as processes under faults from outside

agateward soak starts entries of this program as separate processes, with the stand-ins of store and upstreams behind loopback proxies, and draws faults from a seed: signals that stop, pause, kill and restart; store faults and dropped history; paths that are delayed, reset, cut one way or silenced; upstreams that crash, drain or come back under their id; configurations. Callers keep their connections. The ledger checks at-most-once, truthful refusals, whole answers in order, configurations, draining, quotas, repeats, time-outs and planned stops.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -57,6 +57,7 @@
 			standInCommand(),
 			loadCommand(),
 			measureCommand(),
+			soakCommand(),
 			versionCommand(),
 		},
 	}
--- /dev/null
+++ b/cmd/soak_test.go
@@ -0,0 +1,33 @@
+package cmd
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// asProgram makes the test binary run the command line: the soak starts its own
+// program as separate processes.
+const asProgram = "AGATEWARD_TEST_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(Run(context.Background(), os.Args))
+	}
+	os.Exit(m.Run())
+}
+
+func TestShortSoak(t *testing.T) {
+	t.Setenv(asProgram, "1")
+	dir := t.TempDir()
+	args := []string{"agateward", "soak", "--seed", "5", "--length", "12s", "--entries", "3", "--callers", "10", "--dir", dir}
+	if got := Run(context.Background(), args); got != ExitOK {
+		t.Errorf("exit code %d", got)
+		logs, _ := filepath.Glob(filepath.Join(dir, "*", "soak.log"))
+		for _, file := range logs {
+			b, err := os.ReadFile(file)
+			t.Logf("%s (%v):\n%s", file, err, b)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/proxy/proxy_test.go
@@ -0,0 +1,94 @@
+package proxy
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo answers each line with itself.
+func echo(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for s := bufio.NewScanner(c); s.Scan(); {
+					c.Write(append(s.Bytes(), '\n'))
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestModes(t *testing.T) {
+	cases := []struct {
+		mode Mode
+		// within is when an answer comes, 0 for never while the mode lasts.
+		within time.Duration
+		ends   bool
+	}{
+		{Pass, 100 * time.Millisecond, false},
+		{Delay, time.Second, false},
+		{Reset, 0, true},
+		{Silence, 0, false},
+		{Mute, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(string(c.mode), func(t *testing.T) {
+			p := &Proxy{Target: echo(t)}
+			if err := p.Listen(); err != nil {
+				t.Fatal(err)
+			}
+			defer p.Close()
+			conn, err := net.Dial("tcp", p.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			r := bufio.NewReader(conn)
+			ask := func(d time.Duration) error {
+				conn.SetDeadline(time.Now().Add(d))
+				if _, err := conn.Write([]byte("x\n")); err != nil {
+					return err
+				}
+				_, err := r.ReadString('\n')
+				return err
+			}
+			if err := ask(time.Second); err != nil {
+				t.Fatal(err)
+			}
+			p.Set(c.mode)
+			start := time.Now()
+			err = ask(max(c.within, 300*time.Millisecond))
+			switch {
+			case c.within > 0 && err != nil:
+				t.Errorf("no answer: %v", err)
+			case c.within == 0 && err == nil:
+				t.Error("answered")
+			case c.mode == Delay && time.Since(start) < 2*Lag:
+				t.Errorf("answered after %s", time.Since(start))
+			}
+			if timeout, ok := err.(net.Error); err != nil && c.ends == (ok && timeout.Timeout()) {
+				t.Errorf("error %v, connection ends %v", err, c.ends)
+			}
+			if c.ends {
+				return
+			}
+			p.Set(Pass)
+			if err := ask(time.Second); err != nil {
+				t.Errorf("after the fault: %v", err)
+			}
+		})
+	}
+}
