fix(peers): entries that the store answers stand in for readers it turns away

Change: only those that the store answered lately count as readers before an entry, so the next ones by name go on reading. An entry that begins to read goes on from the revision that its peers told it, where removals are explicit.

--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -112,24 +112,22 @@
 }
 
 // Reads tells whether this entry follows the store itself: in a fleet of one cell
-// always, else when it is one of the first that are heard, when the store answers
-// none of those that are heard within fresh, or when peers know versions that it
-// does not get from them.
+// always, else when it is one of the first of those that the store answered within
+// fresh, or when peers know versions that it does not get from them.
 func (s *Set) Reads(now time.Time, fresh time.Duration) bool {
 	if s.cell == nil || !s.lag.since.IsZero() && now.Sub(s.lag.since) > lagMost {
 		return true
 	}
-	before, answered := 0, false
+	before := 0
 	for name, p := range s.peers {
-		if p.Requests.Leaving || now.Sub(p.Heard) > silence {
+		if p.Requests.Leaving || now.Sub(p.Heard) > silence || name > s.Self {
 			continue
 		}
-		if name < s.Self {
+		if now.Sub(p.Heard)+time.Duration(p.StoreAge)*time.Millisecond < fresh {
 			before++
 		}
-		answered = answered || now.Sub(p.Heard)+time.Duration(p.StoreAge)*time.Millisecond < fresh
 	}
-	return before < readers || !answered
+	return before < readers
 }
 
 // Member tells whether an entry belongs to the cell of this one.
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -16,25 +16,41 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		v.follow(ctx, "configuration", v.listConfig, v.watchConfig)
+		v.follow(ctx, "configuration", steps{list: v.listConfig, watch: v.watchConfig})
 	}()
-	v.follow(ctx, "upstreams", v.listReplicas, v.watchReplicas)
+	v.follow(ctx, "upstreams", steps{list: v.listReplicas, watch: v.watchReplicas, known: v.knownReplicas})
 	<-done
 }
 
 type step func(ctx context.Context, revision uint64) (uint64, error)
 
-// follow lists and then watches, and starts over when the history is gone.
-func (v *View) follow(ctx context.Context, what string, list, watch step) {
+// steps read one kind of document.
+type steps struct {
+	list, watch step
+	// known returns the revision up to which peers told of the changes, 0 for none.
+	// Nil means that only a list tells.
+	known func() uint64
+}
+
+// follow lists and then watches, and starts over when the history is gone. An
+// entry that did not read the store goes on from what its peers told it.
+func (v *View) follow(ctx context.Context, what string, s steps) {
+	list, watch := s.list, s.watch
 	var revision uint64
 	wait := retryFirst
-	next := list
+	next, resume := list, false
 	for ctx.Err() == nil {
 		if v.Reads != nil && !v.Reads() {
-			next = list
+			next, resume = list, s.known != nil
 			pause(ctx, readerCheck)
 			continue
 		}
+		if resume {
+			resume = false
+			if revision = s.known(); revision > 0 {
+				next = watch
+			}
+		}
 		to, err := next(ctx, revision)
 		switch {
 		case ctx.Err() != nil:
@@ -157,6 +173,13 @@
 	return rev, nil
 }
 
+// knownReplicas returns the revision up to which the upstreams are known.
+func (v *View) knownReplicas() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.set.Revision
+}
+
 // usable tells whether a registration names an upstream, and logs a fault once.
 func (v *View) usable(r ward.Registration) bool {
 	if r.Fault == "" {
--- /dev/null
+++ b/internal/forward/view/view_test.go
@@ -0,0 +1,84 @@
+package view
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"agateward/internal/forward/replicas"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+)
+
+// source holds two upstreams, the second of which left at revision 12.
+type source struct {
+	ward.ForwardSource
+	forgotten bool
+}
+
+func upstream(id string) ward.Replica {
+	return ward.Replica{ID: id, Service: "s", Address: "10.0.0.1:80", Slots: 6}
+}
+
+func (source) Forwarding(context.Context) (ward.Forwarding, uint64, error) {
+	return ward.Forwarding{Version: 1, Routes: []ward.ForwardRoute{{Name: "r"}}}, 12, nil
+}
+
+func (source) WatchForwarding(ctx context.Context, revision uint64, wait time.Duration) (ward.Forwarding, uint64, error) {
+	pause(ctx, wait)
+	return ward.Forwarding{}, revision, nil
+}
+
+func (source) Replicas(context.Context) ([]ward.Registration, uint64, error) {
+	return []ward.Registration{{Replica: upstream("i-1"), Revision: 5}}, 12, nil
+}
+
+func (s source) WatchReplicas(ctx context.Context, revision uint64, wait time.Duration) ([]ward.Registration, uint64, error) {
+	if s.forgotten && revision < 12 {
+		return nil, 0, ward.ErrHistoryGone
+	}
+	if revision < 12 {
+		return []ward.Registration{{Replica: ward.Replica{ID: "i-2"}, Revision: 12, Removed: true}}, 12, nil
+	}
+	pause(ctx, wait)
+	return nil, revision, nil
+}
+
+// TestFollowsOnFromPeers starts to read the store at an entry that peers told of
+// the upstreams so far: what left since then is removed at once, while a list
+// could not tell that from a lapse.
+func TestFollowsOnFromPeers(t *testing.T) {
+	cases := []struct {
+		name      string
+		forgotten bool
+		within    time.Duration
+	}{
+		{"the store has the changes", false, 500 * time.Millisecond},
+		{"the store has forgotten them", true, replicas.ReturnTime + 500*time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var reads atomic.Bool
+			v := &View{Source: source{forgotten: c.forgotten}, Log: logr.Discard(), Changed: func() {}, Reads: reads.Load}
+			v.Merge("peer", State{Revision: 11, Replicas: []replicas.Entry{
+				{Replica: upstream("i-1"), Revision: 5}, {Replica: upstream("i-2"), Revision: 6},
+			}})
+			ctx, stop := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() { defer close(done); v.Run(ctx) }()
+			defer func() { stop(); <-done }()
+			time.Sleep(2 * readerCheck)
+			reads.Store(true)
+			end := time.Now().Add(c.within)
+			for len(v.Upstreams()) != 1 {
+				if time.Now().After(end) {
+					t.Fatalf("%d upstreams %s after the entry began to read", len(v.Upstreams()), c.within)
+				}
+				v.Sweep(time.Now())
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
