fix(peers): news of a process whose clock was set back is heard

After a clock step back and a restart its news, quota use and slots would not be heard.

Figures: TestClockSetBack fails before (not taken after the process before fell silent), passes after.

--- a/internal/forward/peers/peers.go
+++ b/internal/forward/peers/peers.go
@@ -74,7 +74,12 @@
 		return false
 	}
 	old := s.peers[m.Name]
-	if old != nil && (m.Start < old.Start || m.Start == old.Start && m.Sequence <= old.Sequence) {
+	if old != nil && m.Start == old.Start && m.Sequence <= old.Sequence {
+		return false
+	}
+	// A clock that was set back gives a new process a lower number: it is taken
+	// once the process before has been silent for longer than a datagram travels.
+	if old != nil && m.Start < old.Start && now.Sub(old.Heard) < silence {
 		return false
 	}
 	s.peers[m.Name] = &Peer{Message: m, Heard: now}
--- a/internal/forward/peers/peers_test.go
+++ b/internal/forward/peers/peers_test.go
@@ -63,3 +63,22 @@
 		s.Hear(m, time.Unix(1, 0))
 	})
 }
+
+// TestClockSetBack restarts an entry whose clock was set back: its number of the
+// process is lower than before.
+func TestClockSetBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := Set{Self: "entry-1"}
+	old := news.Message{Name: "entry-2", Start: 9, Sequence: 40, Listen: "10.0.0.2:7600"}
+	s.Hear(old, now)
+	fresh := news.Message{Name: "entry-2", Start: 5, Sequence: 1, Listen: "10.0.0.2:7600"}
+	if s.Hear(fresh, now.Add(silence/2)) {
+		t.Error("taken while the process before is heard")
+	}
+	if !s.Hear(fresh, now.Add(2*silence)) {
+		t.Error("not taken after the process before fell silent")
+	}
+	if old.Sequence = 41; !s.Hear(old, now.Add(5*silence)) {
+		t.Error("a higher number is not taken")
+	}
+}
