feat(rollout): the operator's roll-outs on the forwarding surface

Change: the order becomes a move of the product's mover (steps from the deadline, sequential analysis, brake, lease). Upstreams of a version that is not in use are a scheduler's group of their own, which gets the share of the step. Entries tell each other counts, brakes and states; those of other cells read the records.

--- a/cmd/forward.go
+++ b/cmd/forward.go
@@ -37,7 +37,7 @@
 			if err != nil || c.Bool("check") {
 				return err
 			}
-			parts := node.Parts{Source: platform.Source{Client: &platform.Client{Address: s.Store}}, Dialect: platform.Headers{}}
+			parts := node.Parts{Source: platform.NewSource(s.Store), Dialect: platform.Headers{}}
 			if file := c.String("routes"); file != "" {
 				src, err := static.Load(file)
 				if err != nil {
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -79,6 +79,9 @@
 	Fleet func() split.Fleet
 	// Publish is called when there is something new that peers should hear soon.
 	Publish func()
+	// Term is the time to live of the lease on steering a move, 0 for that which
+	// covers the orders of loads.
+	Term time.Duration
 }
 
 // Mover is the runner of moves.
@@ -143,6 +146,9 @@
 
 // New returns a Mover that knows of no state yet.
 func New(d Deps) *Mover {
+	if d.Term == 0 {
+		d.Term = leaseTerm
+	}
 	return &Mover{
 		Deps:     d,
 		states:   map[string]ward.MoveState{},
@@ -188,7 +194,7 @@
 	}
 	now := m.Clock.Now()
 	for _, x := range c.Moves {
-		if left := x.Deadline.Sub(now); left > -leaseTerm && !x.Cancelled && !m.machine.Final(m.states[x.Name]) {
+		if left := x.Deadline.Sub(now); left > -m.Term && !x.Cancelled && !m.machine.Final(m.states[x.Name]) {
 			window := left
 			if b := m.states[x.Name].Begin; !b.IsZero() {
 				window = x.Deadline.Sub(b)
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -179,6 +179,9 @@
 }
 
 func (c *call) first(a schedule.Action) {
+	if c.firstAt.IsZero() {
+		c.firstAt = time.Now()
+	}
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.gate.sched.First(a.Job.ID, time.Now())
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -46,6 +47,9 @@
 		ctx, cancel = context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 		defer cancel()
 	}
+	group, release := c.gate.Rollout.Choose(c.route.Name, c.service, rand.Float64())
+	defer release()
+	c.group = group
 	for {
 		a, err := c.await(ctx)
 		if err != nil {
@@ -63,6 +67,7 @@
 			c.ended(ctx)
 			return
 		}
+		c.group = c.service // once more, on the version in use
 	}
 }
 
@@ -73,7 +78,7 @@
 		target = defaultTarget
 	}
 	j := &schedule.Job{
-		Request: c.head.ID, Service: c.service, Route: c.route.Name, Rank: [2]int{0, c.route.Rank},
+		Request: c.head.ID, Service: c.group, Route: c.route.Name, Rank: [2]int{0, c.route.Rank},
 		Arrived: c.arrived, OnTime: c.arrived.Add(target), Latest: c.deadline, End: c.deadline,
 		Repeatable: c.route.Repeatable(), Avoid: c.tried, Resumed: c.begun,
 	}
@@ -138,6 +143,7 @@
 // come to its end.
 func (c *call) attempt(ctx context.Context, a schedule.Action) bool {
 	now := time.Now()
+	c.sentAt, c.firstAt = now, time.Time{}
 	hop := ward.ForwardHop{Replica: a.Upstream.ID, LastEvent: c.lastEvent}
 	if c.team != nil {
 		hop.Team = c.team.Name
@@ -145,7 +151,7 @@
 	if !c.deadline.IsZero() {
 		hop.Remaining = max(c.deadline.Sub(now), time.Millisecond)
 	}
-	c.log.Info("request-dispatched", "route", c.route.Name, "rank", a.Job.Rank, "upstream", a.Upstream.ID, "address", a.Upstream.Address,
+	c.log.Info("request-dispatched", "route", c.route.Name, "rank", a.Job.Rank, "upstream", a.Upstream.ID, "address", a.Upstream.Address, "version", a.Upstream.Version,
 		"config", c.table.Config.Version, "send", c.sends+1, "prompt", a.Job.Prompt, "output", a.Job.Output, "waited", a.Waited, "predicted", a.Predicted, "running", a.Running, "queued", a.Queued)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -173,11 +179,27 @@
 // done tells the scheduler how an attempt ended.
 func (c *call) done(a schedule.Action, o schedule.Outcome) {
 	g := c.gate
+	g.Rollout.Observe(c.route.Name, c.service, c.outcome(a, o))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.carryOut(g.sched.Done(a.Job.ID, o, time.Now()))
 }
 
+// outcome describes the end of an attempt as evidence on the upstream's version.
+func (c *call) outcome(a schedule.Action, o schedule.Outcome) ward.Outcome {
+	now := time.Now()
+	out := ward.Outcome{
+		Request: c.head.ID, Upstream: a.Upstream.ID, Version: a.Upstream.Version, Connected: true,
+		OK:        o == schedule.OutcomeOK,
+		Cancelled: o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
+		At:        now, Total: now.Sub(c.sentAt), PromptTokens: c.head.PromptTokens, OutputTokens: c.head.MaxOutput,
+	}
+	if !c.firstAt.IsZero() {
+		out.FirstToken = c.firstAt.Sub(c.sentAt)
+	}
+	return out
+}
+
 // noAnswer ends an attempt that brought no answer.
 func (c *call) noAnswer(ctx context.Context, a schedule.Action, err error) bool {
 	left := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled)
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -29,14 +29,19 @@
 	route   *ward.ForwardRoute
 	team    *ward.ForwardTeam
 	service string
-	body    []byte
-	size    float64
+	// group is that of the upstreams that the request waits for: the service's, or
+	// those of a version that is rolled out.
+	group string
+	body  []byte
+	size  float64
 	// deadline is the end of the caller's time or of the route's, zero for none.
 	deadline time.Time
 
 	// sends counts the upstreams that the request may have reached, misses the
 	// attempts on which nothing was sent.
 	sends, misses int
+	// sentAt and firstAt are those of the present attempt.
+	sentAt, firstAt time.Time
 	// mayHaveRun says that an upstream may have run the request.
 	mayHaveRun bool
 	tried      []string
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -26,6 +26,7 @@
 	"agateward/internal/forward/news"
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/repeat"
+	"agateward/internal/forward/rollout"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/forward/view"
 	"agateward/ward"
@@ -43,13 +44,15 @@
 // that has just started: the store usually answers within a few milliseconds.
 const startWait = 250 * time.Millisecond
 
-// Gate serves callers. All fields but Metrics must be set, and Prepare called.
+// Gate serves callers. All fields but Metrics and Rollout must be set, and Prepare called.
 type Gate struct {
 	Dialect ward.Dialect
 	View    *view.View
 	Pool    *backend.Pool
 	Log     logr.Logger
 	Metrics *Metrics
+	// Rollout divides the requests between versions of a service.
+	Rollout *rollout.Rollout
 	// MaxBody bounds a body in bytes where the configuration says nothing.
 	MaxBody int
 	// Yield tells a peer that it may use a slot of an upstream. It must not block.
@@ -91,6 +94,9 @@
 		Start: uint64(g.Start),
 		Rand:  rand.New(rand.NewPCG(uint64(g.Start), uint64(len(s.Name)))),
 	}
+	if g.Rollout == nil {
+		g.Rollout = &rollout.Rollout{}
+	}
 	g.budget, g.ledger = s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
@@ -120,6 +126,9 @@
 // Refresh takes the upstreams from the view.
 func (g *Gate) Refresh() {
 	list := g.View.Upstreams()
+	for i := range list {
+		list[i].Service = g.Rollout.Group(list[i])
+	}
 	inUse := make(map[string]bool, len(list))
 	for _, r := range list {
 		inUse[r.Address] = true
--- a/internal/forward/news/news.go
+++ b/internal/forward/news/news.go
@@ -13,6 +13,7 @@
 	"fmt"
 
 	"agateward/internal/forward/schedule"
+	"agateward/ward"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
@@ -32,10 +33,8 @@
 	State string `msgpack:"a"`
 	// Listen is the address at which the sender hears messages.
 	Listen string `msgpack:"l"`
-	// Config is the version of the configuration in force at the sender, Replicas
-	// the store's revision up to which it knows the upstreams.
-	Config   uint64 `msgpack:"c"`
-	Replicas uint64 `msgpack:"r"`
+	// Documents tells how new the sender's documents are.
+	Documents ward.DocumentVersions `msgpack:"v"`
 	// StoreAge is the time in milliseconds since the store last answered the sender.
 	StoreAge int64 `msgpack:"e"`
 	// Requests is what the sender's scheduler tells.
@@ -51,6 +50,16 @@
 	Quota map[string]float64 `msgpack:"t,omitempty"`
 	// Peers lists the addresses of entries that the sender hears.
 	Peers []string `msgpack:"p,omitempty"`
+	// Moves is what the sender knows of the roll-outs that are under way; such a
+	// message says nothing else.
+	Moves *Moves `msgpack:"m,omitempty"`
+}
+
+// Moves is what entries tell each other of roll-outs.
+type Moves struct {
+	Brakes []ward.Brake
+	Counts []ward.Counts
+	States []ward.MoveState
 }
 
 var errMessage = errors.New("message of a peer")
--- a/internal/forward/node/cell.go
+++ b/internal/forward/node/cell.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"agateward/internal/forward/peers"
+	"agateward/internal/move/split"
 	"agateward/ward"
 )
 
@@ -46,6 +47,20 @@
 	}
 }
 
+// fleet returns the number of entries and the place of this one.
+func (n *Node) fleet() split.Fleet {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return split.Fleet{Entries: max(n.cell.Fleet, 1), Index: n.cell.Place}
+}
+
+// parted tells whether the fleet has several cells.
+func (n *Node) parted() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cell.Count > 0
+}
+
 // setCell takes the entries to exchange news with.
 func (n *Node) setCell(c peers.Cell) {
 	now := time.Now()
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -11,6 +11,7 @@
 	"agateward/internal/forward/news"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/forward/view"
+	"agateward/ward"
 )
 
 // Timing of the exchange between entries.
@@ -70,7 +71,7 @@
 func (n *Node) sendNews() {
 	now := time.Now()
 	m := news.Message{Name: n.settings.Name, Start: n.start, State: n.settings.Listen.State, Listen: n.newsAddress()}
-	m.Config, m.Replicas = n.view.Versions()
+	m.Documents = n.view.Versions()
 	m.StoreAge = min(now.Sub(n.view.Answered()), time.Hour).Milliseconds()
 	n.gate.Report(&m)
 	n.mu.Lock()
@@ -112,6 +113,22 @@
 	n.send(b, to)
 }
 
+// tellMoves tells the peers what is known of roll-outs.
+func (n *Node) tellMoves(moves news.Moves) {
+	m := news.Message{Name: n.settings.Name, Listen: n.newsAddress(), Moves: &moves}
+	b, err := m.Encode()
+	if err != nil {
+		n.log.Error(err, "moves-not-told")
+		return
+	}
+	n.mu.Lock()
+	targets := n.peers.Targets(time.Now())
+	n.mu.Unlock()
+	for _, to := range targets {
+		n.send(b, to)
+	}
+}
+
 func (n *Node) send(b []byte, to string) {
 	a, err := net.ResolveUDPAddr("udp", to)
 	if err != nil {
@@ -140,15 +157,18 @@
 		if m.Grant != "" && n.member(m.Name) {
 			n.gate.Granted(m.Name, m.Grant, m.GrantSequence, m.GrantUsed)
 		}
-		if m.Grant != "" {
+		if m.Moves != nil && n.member(m.Name) {
+			n.rollout.Hear(*m.Moves)
+		}
+		if m.Grant != "" || m.Moves != nil {
 			continue
 		}
 		now := time.Now()
-		config, upstreams := n.view.Versions()
+		own := n.view.Versions()
 		n.mu.Lock()
 		fresh := n.peers.Hear(m, now)
 		if fresh {
-			n.peers.Compare(m, config, upstreams, now)
+			n.peers.Compare(m, own, now)
 		}
 		entries := max(n.peers.Entries(now), n.cell.Fleet)
 		n.mu.Unlock()
@@ -161,7 +181,7 @@
 
 // catchUp fetches the documents of a peer that knows newer ones.
 func (n *Node) catchUp(ctx context.Context, m news.Message) {
-	if config, upstreams := n.view.Versions(); m.Config <= config && m.Replicas <= upstreams {
+	if !n.view.Versions().Lacks(m.Documents) {
 		return
 	}
 	n.mu.Lock()
@@ -185,11 +205,11 @@
 			return
 		case <-time.After(wait):
 		}
-		config, upstreams := n.view.Versions()
-		if m.Config <= config && m.Replicas <= upstreams {
+		own := n.view.Versions()
+		if !own.Lacks(m.Documents) {
 			return
 		}
-		s, err := fetch(m.State, StateRequest{Config: config, Replicas: upstreams})
+		s, err := fetch(m.State, own)
 		if err != nil {
 			n.log.Info("fetch-failed", "peer", m.Name, "error", err.Error())
 			time.Sleep(fetchWait) // keeps off a peer that fails at once
@@ -199,14 +219,8 @@
 	}()
 }
 
-// StateRequest asks a peer for its documents.
-type StateRequest struct {
-	// Config and Replicas are the versions that the asking entry has; older
-	// documents are not sent.
-	Config, Replicas uint64
-}
-
-// StateReply holds the documents that are newer than asked.
+// StateReply holds the documents that are newer than asked: the configuration, and
+// the upstreams with the roll-outs.
 type StateReply struct {
 	Config, Replicas document.Packed
 }
@@ -216,14 +230,14 @@
 	node *Node
 }
 
-// Get returns the documents that are newer than asked.
-func (s *State) Get(in StateRequest, out *StateReply) error {
+// Get returns the documents that are newer than those of the asking entry.
+func (s *State) Get(in ward.DocumentVersions, out *StateReply) error {
 	var err error
-	out.Config, out.Replicas, err = s.node.view.Newer(in.Config, in.Replicas)
+	out.Config, out.Replicas, err = s.node.view.Newer(in)
 	return err
 }
 
-func fetch(address string, in StateRequest) (view.State, error) {
+func fetch(address string, in ward.DocumentVersions) (view.State, error) {
 	conn, err := net.DialTimeout("tcp", address, fetchTimeout)
 	if err != nil {
 		return view.State{}, err
--- a/internal/forward/node/exchange_test.go
+++ b/internal/forward/node/exchange_test.go
@@ -83,7 +83,7 @@
 	want := documents(2000)
 	_, l := serving(t, want)
 	for range peers {
-		got, err := fetch(l.Addr().String(), StateRequest{})
+		got, err := fetch(l.Addr().String(), ward.DocumentVersions{})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -24,6 +24,7 @@
 	"agateward/internal/forward/peers"
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/repeat"
+	"agateward/internal/forward/rollout"
 	"agateward/internal/forward/view"
 	"agateward/internal/result/code"
 	"agateward/ward"
@@ -73,6 +74,7 @@
 	log      logr.Logger
 	view     *view.View
 	gate     *gate.Gate
+	rollout  *rollout.Rollout
 	set      *metrics.Set
 	start    int64
 
@@ -94,8 +96,12 @@
 	n.peers.Self = s.Name
 	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.changed, Reads: n.reads}
 	pool := &backend.Pool{Opened: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
+	n.rollout = &rollout.Rollout{
+		Self: s.Name, Start: n.start, Source: p.Source, Log: p.Log, Orders: n.view.Rollouts, Upstreams: n.view.Upstreams,
+		Fleet: n.fleet, Cells: n.parted, Publish: n.tellMoves, Changed: func() { n.gate.Refresh() },
+	}
 	n.gate = &gate.Gate{
-		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log,
+		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log, Rollout: n.rollout,
 		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, Yield: n.yield, Urgent: n.urgent,
 	}
 	n.gate.Prepare(gate.Setup{Name: s.Name, DataCentre: s.DataCentre, Retries: repeat.Budget{
@@ -140,6 +146,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { n.view.Run(work) })
 	wg.Go(func() { n.gate.Run(work) })
+	wg.Go(func() { n.rollout.Run(work) })
 	wg.Go(func() { n.sweep(work) })
 	wg.Go(func() { n.announce(work) })
 	wg.Go(func() { n.tell(work) })
--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -24,8 +24,9 @@
 	Index, Count int
 	// Members are the entries of the cell, this one too.
 	Members []ward.ForwardEntry
-	// Fleet is the number of all entries.
-	Fleet int
+	// Fleet is the number of all entries, Place that of this one among them by
+	// name, from 0.
+	Fleet, Place int
 }
 
 // CellOf returns the cell of an entry. All entries come to the same cells from the
@@ -38,6 +39,11 @@
 		}
 	}
 	c := Cell{Fleet: len(list)}
+	for _, e := range list {
+		if e.Name < self.Name {
+			c.Place++
+		}
+	}
 	if len(list) <= wholeFleet {
 		c.Members = list
 		return c
@@ -96,18 +102,18 @@
 
 // lag is a version of the documents that a peer knows and this entry does not.
 type lag struct {
-	config, upstreams uint64
-	since             time.Time
+	wanted ward.DocumentVersions
+	since  time.Time
 }
 
 // Compare notes whether the versions that this entry has are behind those of a
 // message.
-func (s *Set) Compare(m news.Message, config, upstreams uint64, now time.Time) {
-	if config >= s.lag.config && upstreams >= s.lag.upstreams {
+func (s *Set) Compare(m news.Message, own ward.DocumentVersions, now time.Time) {
+	if !own.Lacks(s.lag.wanted) {
 		s.lag = lag{}
 	}
-	if s.lag.since.IsZero() && (m.Config > config || m.Replicas > upstreams) {
-		s.lag = lag{config: m.Config, upstreams: m.Replicas, since: now}
+	if s.lag.since.IsZero() && own.Lacks(m.Documents) {
+		s.lag = lag{wanted: m.Documents, since: now}
 	}
 }
 
--- a/internal/forward/peers/cell_test.go
+++ b/internal/forward/peers/cell_test.go
@@ -118,9 +118,9 @@
 	for i, c := range cases {
 		now := start.Add(c.after)
 		for _, e := range cell.Members {
-			m := news.Message{Name: e.Name, Listen: e.Listen, Start: 1, Sequence: uint64(i + 1), StoreAge: 10, Config: 5, Replicas: 50}
+			m := news.Message{Name: e.Name, Listen: e.Listen, Start: 1, Sequence: uint64(i + 1), StoreAge: 10, Documents: ward.DocumentVersions{Config: 5, Replicas: 50}}
 			s.Hear(m, now)
-			s.Compare(m, c.config, c.upstreams, now)
+			s.Compare(m, ward.DocumentVersions{Config: c.config, Replicas: c.upstreams}, now)
 		}
 		if got := s.Reads(now, time.Second); got != c.want {
 			t.Errorf("%s: reads %v", c.name, got)
--- /dev/null
+++ b/internal/forward/rollout/rollout_test.go
@@ -0,0 +1,126 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+)
+
+func upstreams(versions ...string) func() []ward.Replica {
+	return func() []ward.Replica {
+		var list []ward.Replica
+		for i, v := range versions {
+			list = append(list, ward.Replica{ID: string(rune('a' + i)), Service: "s", Version: v})
+		}
+		return list
+	}
+}
+
+func TestPlan(t *testing.T) {
+	now := time.Unix(1000, 0)
+	order := ward.Rollout{Service: "s", Target: "v2", Within: 30 * time.Second, Revision: 9, Age: 2 * time.Second}
+	cases := []struct {
+		name      string
+		upstreams []string
+		from      string
+		planned   bool
+	}{
+		{"both versions", []string{"v1", "v2", "v1", "v2", "v2"}, "v1", true},
+		{"the most frequent of others", []string{"v1", "v0", "v0", "v2"}, "v0", true},
+		{"after its end", []string{"v2"}, "", true},
+		{"nothing is known yet", nil, "", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := Rollout{Log: logr.Discard(), Upstreams: upstreams(c.upstreams...), Orders: func() []ward.Rollout { return []ward.Rollout{order} }}
+			r.update(now)
+			p := r.plans["s"]
+			if (p != nil) != c.planned {
+				t.Fatalf("plan %+v", p)
+			}
+			if p == nil {
+				return
+			}
+			if p.from != c.from {
+				t.Errorf("from %q, want %q", p.from, c.from)
+			}
+			if want := now.Add(25 * time.Second); !p.deadline(ward.MoveState{}).Equal(want) {
+				t.Errorf("deadline %s after now, want 25s", p.deadline(ward.MoveState{}).Sub(now))
+			}
+			early := ward.MoveState{Ticket: 9, Begin: now.Add(-10 * time.Second)}
+			if want := now.Add(17 * time.Second); !p.deadline(early).Equal(want) {
+				t.Errorf("with the record's begin: deadline %s after now, want 17s", p.deadline(early).Sub(now))
+			}
+		})
+	}
+}
+
+// TestChoose divides the requests by the split in force.
+func TestChoose(t *testing.T) {
+	cases := []struct {
+		name  string
+		split ward.Split
+		u     float64
+		want  string
+		older string
+	}{
+		{"no roll-out", ward.Split{}, 0, "s", "s"},
+		{"below the share", ward.Split{Version: "v1", Next: "v2", Share: 0.1}, 0.05, "s@v2", "s"},
+		{"above the share", ward.Split{Version: "v1", Next: "v2", Share: 0.1}, 0.15, "s", "s"},
+		{"the next version is not there", ward.Split{Version: "v1", Next: "v3", Share: 1}, 0, "s", "s"},
+		{"at its end", ward.Split{Version: "v2"}, 0, "s", "s@v1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := Rollout{Upstreams: upstreams("v1", "v2"), splits: map[string]ward.Split{"s": c.split}}
+			if got, done := r.Choose("r", "s", c.u); got != c.want {
+				t.Errorf("group %q, want %q", got, c.want)
+			} else {
+				done()
+			}
+			if got := r.Group(ward.Replica{Service: "s", Version: "v1"}); got != c.older {
+				t.Errorf("the old version is in group %q, want %q", got, c.older)
+			}
+		})
+	}
+}
+
+// TestCanaryBound keeps the requests that run on an unproven version within the
+// entry's part of the bound.
+func TestCanaryBound(t *testing.T) {
+	r := Rollout{Upstreams: upstreams("v1", "v2"), splits: map[string]ward.Split{"s": {Version: "v1", Next: "v2", Share: 1, MaxInFlight: 2}}}
+	var ends []func()
+	for i, want := range []string{"s@v2", "s@v2", "s"} {
+		group, done := r.Choose("r", "s", 0)
+		if group != want {
+			t.Errorf("request %d in group %q, want %q", i, group, want)
+		}
+		ends = append(ends, done)
+	}
+	ends[0]()
+	if group, _ := r.Choose("r", "s", 0); group != "s@v2" {
+		t.Errorf("after an end: group %q", group)
+	}
+}
+
+// TestJudgedRoutes judges routes with a good part of the requests by themselves.
+func TestJudgedRoutes(t *testing.T) {
+	r := Rollout{}
+	for range 60 {
+		r.count(use{"large", "s"})
+		r.count(use{"other", "t"})
+	}
+	for range 40 {
+		r.count(use{"second", "s"})
+	}
+	r.count(use{"thin", "s"})
+	p := plan{Rollout: ward.Rollout{Service: "s"}, routes: r.judged("s")}
+	for route, want := range map[string]string{"large": "large/s", "second": "second/s", "thin": "*/s"} {
+		if got := p.key(route); got != want {
+			t.Errorf("%s is counted under %s, want %s", route, got, want)
+		}
+	}
+}
--- a/internal/forward/static/static.go
+++ b/internal/forward/static/static.go
@@ -125,12 +125,12 @@
 
 type feed struct{ s *Source }
 
-func (f feed) Forwarding(context.Context) (ward.Forwarding, uint64, error) {
-	return f.s.config(), revision, nil
+func (f feed) Orders(context.Context) (ward.Orders, uint64, error) {
+	return ward.Orders{Forwarding: f.s.config()}, revision, nil
 }
 
-func (f feed) WatchForwarding(ctx context.Context, rev uint64, wait time.Duration) (ward.Forwarding, uint64, error) {
-	return ward.Forwarding{}, rev, pause(ctx, wait)
+func (f feed) WatchOrders(ctx context.Context, rev uint64, wait time.Duration) (ward.Orders, uint64, error) {
+	return ward.Orders{}, rev, pause(ctx, wait)
 }
 
 func (f feed) Replicas(context.Context) ([]ward.Registration, uint64, error) {
@@ -149,6 +149,10 @@
 
 func (f feed) Announce(context.Context, ward.ForwardEntry) error { return nil }
 
+func (f feed) Records() ward.Store { return nil }
+
+func (f feed) Report(context.Context, ward.RolloutStatus) error { return nil }
+
 func (f feed) Entries(context.Context) ([]ward.ForwardEntry, error) { return nil, nil }
 
 func pause(ctx context.Context, d time.Duration) error {
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -16,7 +16,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		v.follow(ctx, "configuration", steps{list: v.listConfig, watch: v.watchConfig})
+		v.follow(ctx, "orders", steps{list: v.listOrders, watch: v.watchOrders})
 	}()
 	v.follow(ctx, "upstreams", steps{list: v.listReplicas, watch: v.watchReplicas, known: v.knownReplicas})
 	<-done
@@ -101,26 +101,32 @@
 
 var errNoConfiguration = errors.New("the store holds no configuration yet")
 
-func (v *View) listConfig(ctx context.Context, _ uint64) (uint64, error) {
-	f, rev, err := v.Source.Forwarding(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if f.Version == 0 {
-		return 0, errNoConfiguration
+func (v *View) listOrders(ctx context.Context, _ uint64) (uint64, error) {
+	o, rev, err := v.Source.Orders(ctx)
+	v.take(o)
+	if err == nil && o.Forwarding.Version == 0 {
+		err = errNoConfiguration
 	}
-	v.adopt(f, "store")
-	return rev, nil
+	return rev, err
 }
 
-func (v *View) watchConfig(ctx context.Context, revision uint64) (uint64, error) {
-	f, rev, err := v.Source.WatchForwarding(ctx, revision, watchWait)
-	if err == nil && f.Version > 0 {
-		v.adopt(f, "store")
-	}
+func (v *View) watchOrders(ctx context.Context, revision uint64) (uint64, error) {
+	o, rev, err := v.Source.WatchOrders(ctx, revision, watchWait)
+	v.take(o)
 	return rev, err
 }
 
+// take takes the orders of the store.
+func (v *View) take(o ward.Orders) {
+	if o.Forwarding.Version > 0 {
+		v.adopt(o.Forwarding, "store")
+	}
+	v.adoptRollouts(o.Rollouts, "store")
+	for _, err := range o.Faults {
+		v.Log.Info("order-ignored", "error", err.Error())
+	}
+}
+
 func (v *View) listReplicas(ctx context.Context, _ uint64) (uint64, error) {
 	regs, rev, err := v.Source.Replicas(ctx)
 	if err != nil {
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -58,6 +58,7 @@
 	Replicas   []replicas.Entry
 	// Revision is the newest store revision among the changes of Replicas.
 	Revision uint64
+	Rollouts []ward.Rollout
 }
 
 // View is the knowledge of one entry. Source must be set.
@@ -80,6 +81,8 @@
 	answered time.Time
 	faulty   map[string]uint64
 	down     map[string]bool
+	// rollouts are the newest orders by service, those that were removed too.
+	rollouts map[string]rollout
 
 	packing sync.Mutex
 	// packed is the configuration of packedVersion as peers get it.
@@ -129,38 +132,47 @@
 	return list
 }
 
-// Versions returns the version of the configuration and the newest revision of
-// the upstreams, 0 for unknown.
-func (v *View) Versions() (config, upstreams uint64) {
+// Versions tells how new the documents are.
+func (v *View) Versions() ward.DocumentVersions {
+	var d ward.DocumentVersions
 	if t := v.Table(); t != nil {
-		config = t.Config.Version
+		d.Config = t.Config.Version
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return config, v.set.Revision
+	d.Replicas = v.set.Revision
+	for _, r := range v.rollouts {
+		d.Rollouts = max(d.Rollouts, r.Revision)
+	}
+	return d
 }
 
 // State returns what peers may take over.
 func (v *View) State() State {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	s := State{Replicas: v.set.All(time.Now()), Revision: v.set.Revision}
+	now := time.Now()
+	s := State{Replicas: v.set.All(now), Revision: v.set.Revision}
+	for _, r := range v.rollouts {
+		r.Age = now.Sub(r.known)
+		s.Rollouts = append(s.Rollouts, r.Rollout)
+	}
 	if t := v.Table(); t != nil {
 		s.Forwarding = t.Config
 	}
 	return s
 }
 
-// Newer returns the configuration and the upstreams as peers get them, each empty
-// unless it is newer than what the peer has.
-func (v *View) Newer(config, upstreams uint64) (c, u document.Packed, err error) {
-	s := v.State()
-	if s.Revision > upstreams {
-		if u, err = document.Pack(State{Replicas: s.Replicas, Revision: s.Revision}); err != nil {
+// Newer returns the configuration, and the upstreams and roll-outs, as peers get
+// them, each empty unless it is newer than what the peer has.
+func (v *View) Newer(has ward.DocumentVersions) (c, u document.Packed, err error) {
+	s, own := v.State(), v.Versions()
+	if own.Replicas > has.Replicas || own.Rollouts > has.Rollouts {
+		if u, err = document.Pack(State{Replicas: s.Replicas, Revision: s.Revision, Rollouts: s.Rollouts}); err != nil {
 			return nil, nil, err
 		}
 	}
-	if s.Forwarding.Version <= config {
+	if s.Forwarding.Version <= has.Config {
 		return nil, u, nil
 	}
 	v.packing.Lock()
@@ -179,6 +191,7 @@
 	if s.Forwarding.Version > 0 {
 		v.adopt(s.Forwarding, "peer "+from)
 	}
+	v.adoptRollouts(s.Rollouts, "peer "+from)
 	v.mu.Lock()
 	changed := v.set.Merge(s.Replicas, s.Revision, time.Now())
 	revision, n := v.set.Revision, v.set.Len()
--- a/internal/forward/view/view_test.go
+++ b/internal/forward/view/view_test.go
@@ -22,13 +22,13 @@
 	return ward.Replica{ID: id, Service: "s", Address: "10.0.0.1:80", Slots: 6}
 }
 
-func (source) Forwarding(context.Context) (ward.Forwarding, uint64, error) {
-	return ward.Forwarding{Version: 1, Routes: []ward.ForwardRoute{{Name: "r"}}}, 12, nil
+func (source) Orders(context.Context) (ward.Orders, uint64, error) {
+	return ward.Orders{Forwarding: ward.Forwarding{Version: 1, Routes: []ward.ForwardRoute{{Name: "r"}}}}, 12, nil
 }
 
-func (source) WatchForwarding(ctx context.Context, revision uint64, wait time.Duration) (ward.Forwarding, uint64, error) {
+func (source) WatchOrders(ctx context.Context, revision uint64, wait time.Duration) (ward.Orders, uint64, error) {
 	pause(ctx, wait)
-	return ward.Forwarding{}, revision, nil
+	return ward.Orders{}, revision, nil
 }
 
 func (source) Replicas(context.Context) ([]ward.Registration, uint64, error) {
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -202,6 +202,60 @@
 	Fault string
 }
 
+// Orders is what the operator asks for. Forwarding has Version 0 where there is
+// no configuration.
+type Orders struct {
+	Forwarding Forwarding
+	Rollouts   []Rollout
+	// Faults tell what could not be read; the rest holds.
+	Faults []error
+}
+
+// Rollout asks for the traffic of a service to be moved to upstreams of another
+// version.
+type Rollout struct {
+	Service string
+	// Target is the version to move to.
+	Target string
+	// Within is the time from the order to its end.
+	Within time.Duration
+	// Revision is the store's revision of the order; a newer one replaces it.
+	Revision uint64
+	// Age is how long the order has been known, where a peer passes it on.
+	Age time.Duration
+}
+
+// RolloutState is how a roll-out stands.
+type RolloutState string
+
+// States of a roll-out. On completed the old upstreams are stopped, on taken back
+// the new ones.
+const (
+	RolloutRunning   RolloutState = "running"
+	RolloutCompleted RolloutState = "completed"
+	RolloutTakenBack RolloutState = "taken-back"
+)
+
+// RolloutStatus is what the operator is told of a roll-out.
+type RolloutStatus struct {
+	Service, Target string
+	State           RolloutState
+}
+
+// DocumentVersions tell how new the documents of an entry are: the version of the
+// configuration, and the store's revisions of the newest change of an upstream and
+// of the newest order of a roll-out.
+type DocumentVersions struct {
+	Config   uint64 `msgpack:"c"`
+	Replicas uint64 `msgpack:"r"`
+	Rollouts uint64 `msgpack:"o,omitempty"`
+}
+
+// Lacks tells whether o has a document that is newer than that of v.
+func (v DocumentVersions) Lacks(o DocumentVersions) bool {
+	return o.Config > v.Config || o.Replicas > v.Replicas || o.Rollouts > v.Rollouts
+}
+
 // ForwardEntry is where one entry of the forwarding surface hears its peers.
 type ForwardEntry struct {
 	Name       string `json:"name"`
@@ -216,12 +270,12 @@
 // ForwardSource gives the configuration and the registered upstreams of the
 // forwarding surface. Its errors wrap ErrUnavailable or ErrOutcomeUnknown.
 type ForwardSource interface {
-	// Forwarding reads the configuration and the store's revision, from which a
-	// watch misses no change. Version 0 means that there is none yet.
-	Forwarding(ctx context.Context) (Forwarding, uint64, error)
-	// WatchForwarding waits for a newer configuration than that of revision. It
-	// returns Version 0 and the revision to go on from when wait has passed.
-	WatchForwarding(ctx context.Context, revision uint64, wait time.Duration) (Forwarding, uint64, error)
+	// Orders reads what the operator asks for, and the store's revision, from which
+	// a watch misses no change.
+	Orders(ctx context.Context) (Orders, uint64, error)
+	// WatchOrders waits for changes after revision. It returns those alone, none
+	// when wait has passed, and the revision to go on from.
+	WatchOrders(ctx context.Context, revision uint64, wait time.Duration) (Orders, uint64, error)
 	// Replicas lists the registered upstreams with the revision to watch from.
 	Replicas(ctx context.Context) ([]Registration, uint64, error)
 	// WatchReplicas waits for changes after revision.
@@ -230,4 +284,8 @@
 	Announce(ctx context.Context, e ForwardEntry) error
 	// Entries lists the registered entries. The list may be seconds old.
 	Entries(ctx context.Context) ([]ForwardEntry, error)
+	// Records holds what entries agree on, nil where there is nothing to agree on.
+	Records() Store
+	// Report tells the operator how a roll-out stands.
+	Report(ctx context.Context, s RolloutStatus) error
 }
