--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return false, fmt.Errorf("log of the soak: %w", err)
 	}
-	defer file.Close()
+	defer func() { _ = file.Close() }() // a log of which the rest is with the caller
 	if s.Log, err = log.New(file, "info"); err != nil {
 		return false, err
 	}
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -123,7 +123,7 @@
 	a := ledger.Answer{Status: res.StatusCode}
 	if res.StatusCode != http.StatusOK {
 		_, err := io.Copy(io.Discard, res.Body)
-		a.Whole = err == nil
+		a.Whole, a.NotRun = err == nil, notRun(a.Status)
 		after, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64) // none asks for no pause
 		return a, time.Duration(after * float64(time.Second))
 	}
@@ -141,6 +141,15 @@
 	return a, 0
 }
 
+// notRun tells whether a status promises that the request has not run.
+func notRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // events checks a stream.
 func events(body io.Reader, id string, a ledger.Answer) ledger.Answer {
 	lines := bufio.NewScanner(body)
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -13,7 +13,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"sort"
 	"sync"
 	"time"
@@ -47,6 +46,8 @@
 	Status int
 	// Whole says that the answer came to its end.
 	Whole bool
+	// NotRun says that the status promises that the request has not run.
+	NotRun bool
 	// Fault says what is wrong with its content.
 	Fault string
 }
@@ -170,8 +171,7 @@
 	if a.Fault != "" {
 		l.find("whole-answer", id, now, "%s", a.Fault)
 	}
-	switch a.Status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	if a.NotRun {
 		r.refused = r.Kind == ward.ForwardUnsafe
 		if r.refused && len(r.runs) > 0 {
 			l.find("truthful-refusal", id, now, "status %d, and it has run", a.Status)
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -43,11 +43,11 @@
 		{"refused after its run", func(l *Ledger) {
 			l.Sent(request(ward.ForwardUnsafe, 0))
 			l.Ran("r", "i-1", "t", at(0.1))
-			l.Answered("r", Answer{Status: 503, Whole: true}, at(0.2))
+			l.Answered("r", Answer{Status: 503, Whole: true, NotRun: true}, at(0.2))
 		}, "truthful-refusal"},
 		{"refused before its run", func(l *Ledger) {
 			l.Sent(request(ward.ForwardUnsafe, 0))
-			l.Answered("r", Answer{Status: 429, Whole: true}, at(0.2))
+			l.Answered("r", Answer{Status: 429, Whole: true, NotRun: true}, at(0.2))
 			l.Ran("r", "i-1", "t", at(0.3))
 		}, "truthful-refusal"},
 		{"failed after its run", func(l *Ledger) {
--- a/internal/soak/process/process.go
+++ b/internal/soak/process/process.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return fmt.Errorf("log of a process: %w", err)
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }() // the process has its own handle
 	proc, err := os.StartProcess(p.Program, append([]string{p.Program}, p.Args...), &os.ProcAttr{
 		Env: os.Environ(), Files: []*os.File{nil, log, log},
 	})
--- a/internal/soak/proxy/proxy_test.go
+++ b/internal/soak/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"net"
 	"testing"
 	"time"
@@ -79,7 +80,8 @@
 			case c.mode == Delay && time.Since(start) < 2*Lag:
 				t.Errorf("answered after %s", time.Since(start))
 			}
-			if timeout, ok := err.(net.Error); err != nil && c.ends == (ok && timeout.Timeout()) {
+			var timeout net.Error
+			if waited := errors.As(err, &timeout) && timeout.Timeout(); err != nil && c.ends == waited {
 				t.Errorf("error %v, connection ends %v", err, c.ends)
 			}
 			if c.ends {
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -165,7 +165,7 @@
 		}
 	}
 	if s.server != nil {
-		s.server.Close()
+		_ = s.server.Close() // the run is over
 	}
 }
 
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -55,7 +55,7 @@
 // Events returns the number of events of a stream; their ids begin with 1.
 func Events(id string) int64 {
 	h := fnv.New32a()
-	io.WriteString(h, id)
+	_, _ = io.WriteString(h, id) // a hash takes everything
 	return int64(leastEvents + h.Sum32()%moreEvents)
 }
 
@@ -78,7 +78,9 @@
 func (u *Upstream) Address() string { return u.l.Addr().String() }
 
 // Crash ends it and every connection.
-func (u *Upstream) Crash() { u.server.Close() }
+func (u *Upstream) Crash() {
+	_ = u.server.Close() // what is left of it is of no more use
+}
 
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, hop := u.Dialect.Hop(r.Header)
