feat(forward): settings of retries, quotas, bodies and the stop take effect at once

Cause: settings that were read again at SIGHUP were only logged, and a change of the file without a signal was not noticed.

Change: the file is looked at every 2 s besides; what can take effect does, and the line settings-read names the keys that need a restart.

--- a/cmd/forward.go
+++ b/cmd/forward.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"agateward/internal/config/forwarding"
 	"agateward/internal/forward/dialect"
@@ -59,29 +61,50 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	go reload(ctx, file, s, l)
 	parts.Log = l
-	return node.New(s, parts).Run(ctx)
+	n := node.New(s, parts)
+	go reload(ctx, file, n, l)
+	return n.Run(ctx)
 }
 
-// reload reads the settings again at SIGHUP. Faulty ones are logged and leave
-// what was known; what changed takes effect at the next start.
-func reload(ctx context.Context, file string, s forwarding.Settings, l logr.Logger) {
+// settingsEvery is the interval of looking whether the settings file changed: it
+// may change without a signal, and is small.
+const settingsEvery = 2 * time.Second
+
+// reload reads the settings again at SIGHUP and when the file has changed. Faulty
+// ones are logged and leave what was known.
+func reload(ctx context.Context, file string, n *node.Node, l logr.Logger) {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
+	t := time.NewTicker(settingsEvery)
+	defer t.Stop()
+	last := stamp(file)
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-t.C:
+			if stamp(file) == last {
+				continue
+			}
 		case <-hup:
 		}
+		last = stamp(file)
 		fresh, err := forwarding.Load(file)
-		switch {
-		case err != nil:
+		if err != nil {
 			l.Info("settings-refused", "error", err.Error())
-		default:
-			l.Info("settings-read", "store-changed", fresh.Store != s.Store, "listen-changed", fresh.Listen != s.Listen)
+			continue
 		}
+		l.Info("settings-read", "needs-restart", n.Adjust(fresh))
+	}
+}
+
+// stamp tells two states of a file apart; one that is missing has none.
+func stamp(file string) string {
+	info, err := os.Stat(file)
+	if err != nil {
+		return ""
 	}
+	return fmt.Sprint(info.ModTime().UnixNano(), "/", info.Size())
 }
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -89,7 +89,7 @@
 func (c *call) readBody() error {
 	limit := c.table.Config.Limits.MaxBody
 	if limit == 0 {
-		limit = c.gate.MaxBody
+		limit = c.gate.bodyLimit()
 	}
 	if c.r.ContentLength > int64(limit) {
 		return code.BodyTooLarge.New("%d bytes, limit %d", c.r.ContentLength, limit)
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -70,7 +70,9 @@
 	lastID  uint64
 
 	stopping atomic.Bool
-	wake     chan struct{}
+	// maxBody replaces MaxBody once settings were read again.
+	maxBody atomic.Int64
+	wake    chan struct{}
 }
 
 // waiter is a request that waits for the scheduler's decision.
@@ -102,6 +104,15 @@
 	g.wake = make(chan struct{}, 1)
 }
 
+// Adjust takes settings that changed. What was used so far stays counted.
+func (g *Gate) Adjust(s Setup, maxBody int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.budget.Ratio, g.budget.Slack, g.budget.Window = s.Retries.Ratio, s.Retries.Slack, s.Retries.Window
+	g.ledger.Slack = s.Quotas.Slack
+	g.maxBody.Store(int64(maxBody))
+}
+
 // Run looks after the waiting requests until ctx ends.
 func (g *Gate) Run(ctx context.Context) {
 	t := time.NewTimer(time.Hour)
@@ -179,6 +190,14 @@
 	g.sched.Cell, g.sched.Cells = index, count
 }
 
+// bodyLimit is the limit of a body where the configuration says nothing.
+func (g *Gate) bodyLimit() int {
+	if n := g.maxBody.Load(); n > 0 {
+		return int(n)
+	}
+	return g.MaxBody
+}
+
 // Stop marks every answer from now on as the last of its connection.
 func (g *Gate) Stop() { g.stopping.Store(true) }
 
--- /dev/null
+++ b/internal/forward/node/adjust.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"slices"
+
+	"agateward/internal/config/forwarding"
+)
+
+// Adjust takes settings that were read again. Those of retries, quotas, bodies and
+// the stop take effect at once; it returns the keys of the others that differ.
+func (n *Node) Adjust(s forwarding.Settings) (needRestart []string) {
+	n.mu.Lock()
+	old := n.settings
+	n.settings.Retries, n.settings.Quotas, n.settings.Stop = s.Retries, s.Quotas, s.Stop
+	n.settings.Limits.MaxBody = s.Limits.MaxBody
+	n.mu.Unlock()
+	n.gate.Adjust(setup(s), s.Limits.MaxBody)
+	differ := []struct {
+		key string
+		is  bool
+	}{
+		{"name", old.Name != s.Name}, {"data-centre", old.DataCentre != s.DataCentre}, {"listen", old.Listen != s.Listen},
+		{"store", old.Store != s.Store}, {"seeds", !slices.Equal(old.Seeds, s.Seeds)}, {"news-port", old.NewsPort != s.NewsPort},
+		{"limits.memory", old.Limits.Memory != s.Limits.Memory}, {"log-level", old.LogLevel != s.LogLevel},
+	}
+	for _, d := range differ {
+		if d.is {
+			needRestart = append(needRestart, d.key)
+		}
+	}
+	return needRestart
+}
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -104,13 +104,18 @@
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log, Rollout: n.rollout,
 		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, Yield: n.yield, Urgent: n.urgent,
 	}
-	n.gate.Prepare(gate.Setup{Name: s.Name, DataCentre: s.DataCentre, Retries: repeat.Budget{
+	n.gate.Prepare(setup(s))
+	n.gate.SetEntries(firstEntries)
+	return n
+}
+
+// setup returns the parts of the gate that come from the settings.
+func setup(s forwarding.Settings) gate.Setup {
+	return gate.Setup{Name: s.Name, DataCentre: s.DataCentre, Retries: repeat.Budget{
 		Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
 	}, Quotas: quota.Ledger{
 		Slack: quotaPart * s.Quotas.Slack, Full: s.FirstStart,
-	}})
-	n.gate.SetEntries(firstEntries)
-	return n
+	}}
 }
 
 // quotaPart is the part of a quota's tolerance that is given out; the rest covers
@@ -174,9 +179,11 @@
 // stop takes no new connections once the balancer has noticed, and lets what runs
 // come to its end.
 func (n *Node) stop(callers *http.Server) {
-	n.log.Info("stopping", "grace", n.settings.Stop.Grace.Std())
-	n.gate.Stop()
+	n.mu.Lock()
 	grace := n.settings.Stop.Grace.Std()
+	n.mu.Unlock()
+	n.log.Info("stopping", "grace", grace)
+	n.gate.Stop()
 	lag := min(balancerLag, grace/2)
 	time.Sleep(lag)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(stopPart*float64(grace))-lag)
