--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -36,6 +36,8 @@
 	scheme         = "Bearer "
 )
 
+var hopFields = header.Hop{Replica: fieldReplica, Team: fieldTeam, Remaining: fieldTimeout, LastEvent: fieldLastEvent}
+
 var errField = errors.New("header field")
 
 // Own is the ward.Dialect of the product. Its zero value is ready to use.
@@ -81,16 +83,7 @@
 func (Own) Outgoing(h http.Header, hop ward.ForwardHop) http.Header {
 	out := (header.Filter{}).Request(h)
 	out.Set(header.RequestID, h.Get(header.RequestID))
-	out.Set(fieldReplica, hop.Replica)
-	if hop.Team != "" {
-		out.Set(fieldTeam, hop.Team)
-	}
-	if hop.Remaining > 0 {
-		out.Set(fieldTimeout, strconv.FormatInt(max(hop.Remaining.Milliseconds(), 1), 10))
-	}
-	if hop.LastEvent >= 0 {
-		out.Set(fieldLastEvent, strconv.FormatInt(hop.LastEvent, 10))
-	}
+	hopFields.Set(out, hop)
 	return out
 }
 
