--- a/cmd/root.go
+++ b/cmd/root.go
@@ -58,6 +58,7 @@
 			loadCommand(),
 			measureCommand(),
 			soakCommand(),
+			daysCommand(),
 			versionCommand(),
 		},
 	}
