--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -134,12 +134,15 @@
 
 // awaitReady waits until every entry serves.
 func (s *Soak) awaitReady(ctx context.Context) error {
-	next := s.chooser()
 	end := time.Now().Add(startTime)
 	for i := 0; i < len(s.entries); {
-		c := caller.Caller{Dialect: s.Dialect, Ledger: &s.ledger, Next: next}
-		if c.Once(s.ask(s.entries[i])).Whole {
+		c := caller.Caller{Dialect: s.Dialect, Ledger: &s.ledger}
+		ask := s.ask(s.entries[i])
+		ask.Path, ask.Kind, ask.Service, ask.Timeout = "/stock/x", ward.ForwardSafe, orders, restTime
+		ask.Version, ask.Leaves, ask.LeaveAfter = 0, false, 0
+		if a := c.Once(ask); a.Status == http.StatusOK && a.Whole {
 			i++
+			end = time.Now().Add(startTime)
 			continue
 		}
 		if ctx.Err() != nil || time.Now().After(end) {
