fix(rollout): versions that no order names belong to their service

Cause, found by reading: with an order in the store, also one that had ended long ago, upstreams of any version but the one in use were a group without requests. A release to a third version, or back to the old one, would have left the service without upstreams.

Change: only the target before its end, and the old version after it, are apart; once the old upstreams are gone their version is like any other.

--- a/internal/forward/rollout/choose.go
+++ b/internal/forward/rollout/choose.go
@@ -6,12 +6,21 @@
 )
 
 // Group returns the group of the scheduler that an upstream belongs to: its
-// service, or with a roll-out that of a version that is not in use.
+// service, or a group of its own for the version that a roll-out does not use: the
+// target, and once that is in use the version before. Versions that no order names
+// belong to the service: a release may bring them at any time.
 func (r *Rollout) Group(u ward.Replica) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s, ok := r.splits[u.Service]
-	if !ok || s.Version == "" || s.Version == u.Version {
+	p := r.plans[u.Service]
+	if p == nil || p.from == "" {
+		return u.Service
+	}
+	unused := p.Target
+	if r.splits[u.Service].Version == p.Target {
+		unused = p.from
+	}
+	if u.Version != unused {
 		return u.Service
 	}
 	return groupOf(u.Service, u.Version)
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -69,14 +69,24 @@
 		r.plans[o.Service] = p
 		r.Log.Info("rollout-planned", "service", o.Service, "from", from, "to", o.Target, "deadline", p.deadline(ward.MoveState{}), "revision", o.Revision, "routes", p.routes)
 	}
-	for service := range r.plans {
+	for service, p := range r.plans {
 		if !stand[service] {
 			delete(r.plans, service)
 			r.Log.Info("rollout-order-gone", "service", service)
+			continue
+		}
+		// Once the old upstreams are gone, the order says nothing of their version.
+		if s := r.states[service]; ended(s, p) && s.State == split.Done && !r.registered(service, p.from) {
+			p.from = ""
 		}
 	}
 }
 
+// registered tells whether an upstream of the version is known.
+func (r *Rollout) registered(service, version string) bool {
+	return slices.ContainsFunc(r.Upstreams(), func(u ward.Replica) bool { return u.Service == service && u.Version == version })
+}
+
 // inUse returns the version that most upstreams of the service have besides the
 // target, and whether any upstream is known.
 func (r *Rollout) inUse(o ward.Rollout) (string, bool) {
--- a/internal/forward/rollout/rollout_test.go
+++ b/internal/forward/rollout/rollout_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"agateward/internal/move/split"
 	"agateward/ward"
 
 	"github.com/go-logr/logr"
@@ -58,31 +59,60 @@
 	}
 }
 
+// TestOldVersionReturns brings the old version back by a release, long after a
+// roll-out was completed.
+func TestOldVersionReturns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	order := ward.Rollout{Service: "s", Target: "v2", Within: 30 * time.Second, Revision: 9}
+	r := Rollout{Log: logr.Discard(), Upstreams: upstreams("v1", "v2"), Orders: func() []ward.Rollout { return []ward.Rollout{order} }}
+	r.update(now)
+	r.states = map[string]ward.MoveState{"s": {Ticket: 9, State: split.Done}}
+	r.splits = map[string]ward.Split{"s": {Version: "v2"}}
+	old := ward.Replica{Service: "s", Version: "v1"}
+	if got := r.Group(old); got != "s@v1" {
+		t.Errorf("right after the end the old version is in group %q", got)
+	}
+	r.Upstreams = upstreams("v2")
+	r.update(now)
+	if got := r.Group(old); got != "s" {
+		t.Errorf("after its upstreams were gone the old version is in group %q", got)
+	}
+}
+
 // TestChoose divides the requests by the split in force.
 func TestChoose(t *testing.T) {
+	planned := &plan{Rollout: ward.Rollout{Service: "s", Target: "v2"}, from: "v1"}
 	cases := []struct {
 		name  string
+		plan  *plan
 		split ward.Split
 		u     float64
 		want  string
-		older string
+		// groups are those of the versions v1, v2 and v9, which no order names.
+		groups [3]string
 	}{
-		{"no roll-out", ward.Split{}, 0, "s", "s"},
-		{"below the share", ward.Split{Version: "v1", Next: "v2", Share: 0.1}, 0.05, "s@v2", "s"},
-		{"above the share", ward.Split{Version: "v1", Next: "v2", Share: 0.1}, 0.15, "s", "s"},
-		{"the next version is not there", ward.Split{Version: "v1", Next: "v3", Share: 1}, 0, "s", "s"},
-		{"at its end", ward.Split{Version: "v2"}, 0, "s", "s@v1"},
+		{"no roll-out", nil, ward.Split{}, 0, "s", [3]string{"s", "s", "s"}},
+		{"before its first step", planned, ward.Split{Version: "v1"}, 0, "s", [3]string{"s", "s@v2", "s"}},
+		{"below the share", planned, ward.Split{Version: "v1", Next: "v2", Share: 0.1}, 0.05, "s@v2", [3]string{"s", "s@v2", "s"}},
+		{"above the share", planned, ward.Split{Version: "v1", Next: "v2", Share: 0.1}, 0.15, "s", [3]string{"s", "s@v2", "s"}},
+		{"completed", planned, ward.Split{Version: "v2"}, 0, "s", [3]string{"s@v1", "s", "s"}},
+		{"known after its end", &plan{Rollout: planned.Rollout}, ward.Split{}, 0, "s", [3]string{"s", "s", "s"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			r := Rollout{Upstreams: upstreams("v1", "v2"), splits: map[string]ward.Split{"s": c.split}}
+			if c.plan != nil {
+				r.plans = map[string]*plan{"s": c.plan}
+			}
 			if got, done := r.Choose("r", "s", c.u); got != c.want {
 				t.Errorf("group %q, want %q", got, c.want)
 			} else {
 				done()
 			}
-			if got := r.Group(ward.Replica{Service: "s", Version: "v1"}); got != c.older {
-				t.Errorf("the old version is in group %q, want %q", got, c.older)
+			for i, version := range []string{"v1", "v2", "v9"} {
+				if got := r.Group(ward.Replica{Service: "s", Version: version}); got != c.groups[i] {
+					t.Errorf("%s is in group %q, want %q", version, got, c.groups[i])
+				}
 			}
 		})
 	}
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -195,13 +195,17 @@
 	}
 }
 
-// Parts of the requests by kind; the rest asks for routes of one version.
+// Parts of the requests: each kind, promise and team gets enough to be seen within
+// some seconds.
 const (
+	// The kinds; the rest asks for routes of one version.
 	streamPart = 0.45
 	orderPart  = 0.3
 	stockPart  = 0.15
-	smallPart  = 0.25
-	leavePart  = 0.04
+	// smallPart is the part with the key of the small team, leavePart that of callers
+	// that leave early.
+	smallPart = 0.25
+	leavePart = 0.04
 )
 
 func (s *Soak) ask(e *entry) caller.Ask {
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -16,19 +16,33 @@
 	"agateward/ward"
 )
 
+// Names in the soak's fleet.
 const (
-	engines, orders           = "engines", "orders"
-	engineCount, ordersCount  = 4, 3
-	slots                     = 6
-	streamTimeout, restTime   = 4 * time.Second, 1500 * time.Millisecond
-	smallRate, smallBurst     = 20.0, 10.0
-	repeatRatio, repeatSlack  = 0.2, 60.0
-	quotaSlack                = 20.0
-	grace                     = 4 * time.Second
-	host                      = "soak.example"
-	largeTeam, smallTeam      = "large", "small"
-	largeKey, smallKey        = "key-large", "key-small"
-	firstHost, dataCentreName = 21, "dc-1"
+	engines, orders      = "engines", "orders"
+	largeTeam, smallTeam = "large", "small"
+	largeKey, smallKey   = "key-large", "key-small"
+	host                 = "soak.example"
+	dataCentreName       = "dc-1"
+)
+
+// Sizes of the soak's fleet: small ones of the kind that the users run.
+const (
+	engineCount, ordersCount = 4, 3
+	// slots is the number of requests that an upstream runs at once.
+	slots = 6
+	// streamTimeout and restTime are the time-outs of the routes.
+	streamTimeout, restTime = 4 * time.Second, 1500 * time.Millisecond
+	// smallRate and smallBurst are the quota of the small team in requests a second
+	// and requests: well below what its callers ask.
+	smallRate, smallBurst = 20.0, 10.0
+	// quotaSlack is the tolerance of a quota in requests; repeatRatio and repeatSlack
+	// bound repeats as in the users' deployments.
+	quotaSlack               = 20.0
+	repeatRatio, repeatSlack = 0.2, 60.0
+	// grace is the time from the signal to stop to the end of an entry.
+	grace = 4 * time.Second
+	// firstHost is the last number of the first entry's loopback address.
+	firstHost = 21
 )
 
 // entry is one entry of the forwarding surface, behind its own path to the store.
