--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -159,8 +159,8 @@
 
 // Hear takes what a peer tells.
 func (r *Rollout) Hear(m news.Moves) {
-	if mover := r.steering(); mover != nil {
-		mover.Merge(m.Brakes, m.Counts, m.States)
+	if steering := r.steering(); steering != nil {
+		steering.Merge(m.Brakes, m.Counts, m.States)
 	}
 }
 
