feat(soak): roll-outs of good and bad versions among the faults

The soak starts upstreams of another version beside the old ones, orders the roll-out, and checks its outcome: a bad version is never completed and gets a tenth of the requests at most; with nothing else disturbed a good one is completed and a bad one taken back within the operator's time. On completed the old upstreams stop at once, as on the platform.

--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -219,6 +219,13 @@
 	return !l.harmed(from.Add(-l.Bounds.Contact), to, func(h interval) bool { return h.what == entry || h.what == Store })
 }
 
+// Calm tells whether nothing at all was harmed, other than by plan.
+func (l *Ledger) Calm(from, to time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.calm(from, to)
+}
+
 // calm tells whether nothing at all was harmed, other than by plan.
 func (l *Ledger) calm(from, to time.Time) bool {
 	return !l.harmed(from.Add(-l.Bounds.Contact), to, func(h interval) bool { return !h.planned })
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -37,6 +37,8 @@
 	UpstreamLink   Kind = "upstream-link"
 	// Configure puts another version of the configuration in force.
 	Configure Kind = "configure"
+	// Rollout moves a service to another version, which is good or bad as How says.
+	Rollout Kind = "rollout"
 )
 
 // Fault is one fault. Target picks among what it fits.
@@ -65,11 +67,19 @@
 	kind Kind
 	n    int
 }{
-	{Configure, 6}, {EntryStop, 3}, {EntryKill, 3}, {EntryPause, 3}, {EntryReload, 1}, {AllKill, 1},
+	{Configure, 6}, {Rollout, 2}, {EntryStop, 3}, {EntryKill, 3}, {EntryPause, 3}, {EntryReload, 1}, {AllKill, 1},
 	{StoreFault, 3}, {StoreCompact, 1}, {StoreLink, 4},
 	{UpstreamCrash, 3}, {UpstreamDrain, 4}, {UpstreamReborn, 2}, {UpstreamLink, 4},
 }
 
+// Good and Bad are the versions that a roll-out may bring.
+const (
+	Good = "good"
+	Bad  = "bad"
+)
+
+var versions = []string{Good, Bad}
+
 var links = []string{"delay", "reset", "silence", "mute"}
 
 // New draws the faults of a soak of a length.
@@ -93,6 +103,8 @@
 		switch f.Kind {
 		case StoreFault:
 			f.How = storeFaults[r.IntN(len(storeFaults))]
+		case Rollout:
+			f.How = versions[r.IntN(len(versions))]
 		case StoreLink, UpstreamLink:
 			f.How = links[r.IntN(len(links))]
 		}
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -50,6 +50,11 @@
 	rand    *rand.Rand
 	version uint64
 	made    int
+	// rolling says that a roll-out is under way; rollouts counts them.
+	rolling  bool
+	rollouts int
+	// runs counts the requests by service and version of the upstream.
+	runs    map[string]int
 	asked   int
 	served  int
 	refused int
@@ -111,7 +116,7 @@
 		return err
 	}
 	for i := range engineCount + ordersCount {
-		r := &replica{service: engines}
+		r := &replica{service: engines, version: firstVersion}
 		if i >= engineCount {
 			r.service = orders
 		}
@@ -237,7 +242,16 @@
 	return a
 }
 
-func (s *Soak) ran(id, upstream, team string) { s.ledger.Ran(id, upstream, team, time.Now()) }
+// ran notes that an upstream of a version began to run a request.
+func (s *Soak) ran(version, id, upstream, team string) {
+	s.ledger.Ran(id, upstream, team, time.Now())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs == nil {
+		s.runs = make(map[string]int)
+	}
+	s.runs[version]++
+}
 
 func (s *Soak) count(a ledger.Answer) {
 	s.mu.Lock()
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -27,6 +27,11 @@
 	switch f.Kind {
 	case plan.Configure:
 		s.failed(s.configure())
+	case plan.Rollout:
+		if s.take(&s.rolling) {
+			s.rollout(ctx, f.How == plan.Bad)
+			s.free(&s.rolling)
+		}
 	case plan.StoreCompact:
 		s.Store.Compact()
 	case plan.StoreFault:
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -23,6 +23,7 @@
 	largeKey, smallKey   = "key-large", "key-small"
 	host                 = "soak.example"
 	dataCentreName       = "dc-1"
+	firstVersion         = "v1"
 )
 
 // Sizes of the soak's fleet: small ones of the kind that the users run.
@@ -62,6 +63,8 @@
 	up      *upstream.Upstream
 	link    *proxy.Proxy
 	reg     ward.Replica
+	version string
+	bad     bool
 	busy    bool
 }
 
@@ -126,10 +129,14 @@
 // place starts an upstream and registers it; id empty means a new one.
 func (s *Soak) place(r *replica, id string) error {
 	if id == "" {
+		s.mu.Lock()
 		s.made++
 		id = fmt.Sprintf("i-%d", s.made)
+		s.mu.Unlock()
 	}
-	r.up = &upstream.Upstream{ID: id, Service: r.service, Engine: r.service == engines, Slots: slots, Dialect: s.Dialect, Ran: s.ran}
+	version := r.service + "/" + r.version
+	ran := func(id, upstream, team string) { s.ran(version, id, upstream, team) }
+	r.up = &upstream.Upstream{ID: id, Service: r.service, Engine: r.service == engines, Slots: slots, Dialect: s.Dialect, Bad: r.bad, Ran: ran}
 	if err := r.up.Listen(); err != nil {
 		return err
 	}
@@ -139,7 +146,7 @@
 	}
 	r.reg = ward.Replica{
 		ID: id, Born: time.Now().UnixMilli(), Service: r.service, DataCentre: dataCentreName,
-		Address: r.link.Address(), Slots: slots, Version: "v1",
+		Address: r.link.Address(), Slots: slots, Version: r.version,
 	}
 	return s.Store.Register(r.reg)
 }
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -40,6 +40,8 @@
 	Engine  bool
 	Slots   int
 	Dialect ward.StandinDialect
+	// Bad says that each second answer of a service is a failure.
+	Bad bool
 	// Ran is called as a request begins to run.
 	Ran func(id, upstream, team string)
 
@@ -47,6 +49,7 @@
 	server  *http.Server
 	slots   chan struct{}
 	waiting atomic.Int64
+	runs    atomic.Int64
 }
 
 // Body returns the answer to a request of a service.
@@ -109,6 +112,7 @@
 		return
 	}
 	defer func() { <-u.slots }()
+	n := u.runs.Add(1)
 	u.Ran(id, u.ID, hop.Team)
 	reply.Signed = true
 	if u.Engine {
@@ -118,6 +122,10 @@
 		return
 	}
 	time.Sleep(work)
+	if u.Bad && n%2 == 0 {
+		answer(http.StatusInternalServerError)
+		return
+	}
 	answer(http.StatusOK)
 	// The entry may be gone; the ledger hears of it from the caller.
 	_, _ = io.WriteString(w, Body(id))
--- a/ward/standin.go
+++ b/ward/standin.go
@@ -11,6 +11,9 @@
 	// Register writes the registration of an upstream, Withdraw removes it.
 	Register(r Replica) error
 	Withdraw(id string)
+	// Order asks for a roll-out, Status tells what the entries say of it.
+	Order(r Rollout) error
+	Status(service string) RolloutStatus
 	// Faults names the ways in which it can misbehave. Misbehave starts one of
 	// them; an empty name ends it.
 	Faults() []string
