--- a/ward/standin.go
+++ b/ward/standin.go
@@ -27,7 +27,8 @@
 type StandinDialect interface {
 	// Caller returns the fields of a caller's request.
 	Caller(h ForwardHead) http.Header
-	// Hop reads what an entry tells an upstream, and the id of the request.
+	// Hop reads what an entry tells an upstream, and the id of the request; answers
+	// carry the id in the same field.
 	Hop(h http.Header) (id string, hop ForwardHop)
 	// Answer returns the fields of an upstream's answer.
 	Answer(r ForwardReply) http.Header
