fix(view): a lapse counts from the store's return

Any removal within 3 s of a failed call was taken for a lapse and kept for 2 s more, the platform's bound for draining.

Change: what lapsed in an outage is back within 2 s of the store's return. A removal after that takes effect at once, one before it at the end of that time.

Figures: TestLapseCountsFromTheStoresReturn.

--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -79,7 +79,6 @@
 func (v *View) lost(what string, err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.failed = time.Now()
 	if v.down == nil {
 		v.down = make(map[string]bool)
 	}
@@ -95,6 +94,7 @@
 	v.answered = time.Now()
 	if v.down[what] {
 		v.down[what] = false
+		v.returned = v.answered
 		v.Log.Info("store-regained", "of", what, "revision", revision)
 	}
 }
@@ -164,8 +164,10 @@
 		switch {
 		case !r.Removed && v.usable(r):
 			changed = v.set.Put(r.Replica, r.Revision) || changed
-		case now.Sub(v.failed) < unsettled:
-			v.set.Miss(r.Replica.ID, r.Revision, now)
+		case v.down["upstreams"]:
+			v.set.Miss(r.Replica.ID, r.Revision, now) // the first answer after an outage
+		case now.Sub(v.returned) < replicas.ReturnTime:
+			v.set.Miss(r.Replica.ID, r.Revision, v.returned)
 		default:
 			changed = v.set.Remove(r.Replica.ID, r.Revision) || changed
 		}
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -47,9 +47,6 @@
 	// awaitStep is the interval at which requests look again whether the entry is
 	// ready; it lasts only from the start of the process to its first documents.
 	awaitStep = 4 * time.Millisecond
-	// unsettled is how long after a failed call a removal may be a lapse that is
-	// made good.
-	unsettled = 3 * time.Second
 )
 
 // State is what an entry knows, as peers pass it on.
@@ -76,7 +73,8 @@
 	mu     sync.Mutex
 	set    replicas.Set
 	listed bool
-	failed time.Time
+	// returned is when the store answered again after a failed call.
+	returned time.Time
 	// answered is when the store last answered.
 	answered time.Time
 	faulty   map[string]uint64
--- a/internal/forward/view/view_test.go
+++ b/internal/forward/view/view_test.go
@@ -46,6 +46,41 @@
 	return nil, revision, nil
 }
 
+// TestLapseCountsFromTheStoresReturn removes a registration some time after the
+// store came back: what lapsed in the outage is back within ReturnTime of that, so
+// the upstream is kept no longer.
+func TestLapseCountsFromTheStoresReturn(t *testing.T) {
+	cases := []struct {
+		name string
+		// after is when the removal comes after the store's return, kept how long the
+		// upstream stays then.
+		after, kept time.Duration
+	}{
+		{"at the return", 0, replicas.ReturnTime},
+		{"soon after", replicas.ReturnTime / 2, replicas.ReturnTime / 2},
+		{"later", replicas.ReturnTime + 100*time.Millisecond, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			v := &View{Source: source{}, Log: logr.Discard(), Changed: func() {}, returned: now.Add(-c.after)}
+			v.Merge("peer", State{Revision: 11, Replicas: []replicas.Entry{{Replica: upstream("i-2"), Revision: 6}}})
+			if _, err := v.watchReplicas(t.Context(), 11); err != nil {
+				t.Fatal(err)
+			}
+			const slack = 50 * time.Millisecond
+			if c.kept > 0 {
+				if v.Sweep(now.Add(c.kept - slack)); len(v.Upstreams()) != 1 {
+					t.Error("removed too soon")
+				}
+			}
+			if v.Sweep(now.Add(c.kept + slack)); len(v.Upstreams()) != 0 {
+				t.Errorf("kept for more than %s", c.kept)
+			}
+		})
+	}
+}
+
 // TestFollowsOnFromPeers starts to read the store at an entry that peers told of
 // the upstreams so far: what left since then is removed at once, while a list
 // could not tell that from a lapse.
