fix(analysis): counts alone are no evidence against a version

Cause: the likelihood of the outcomes was compared with a mean of both versions that was weighted by the new version's expected part of them, at first the share of the step.

Change: the mean is weighted by the outcomes that each version has in a segment, which makes the expectation of the ratio at most 1 given the counts; segments are computed from totals, so batching does not matter.

--- a/internal/move/analysis/analysis.go
+++ b/internal/move/analysis/analysis.go
@@ -5,14 +5,18 @@
 // that the new version fails by a number of points more often or takes longer by
 // a factor. For each one, the likelihood of the outcomes of both versions over
 // the same time is compared with their likelihood under one common distribution:
-// the mixture of the two, weighted by the fractions of the requests that the
-// versions get. The old version's distribution is estimated from earlier outcomes.
-// If the versions do not differ, and each outcome belongs to the new version with
-// a probability equal to its fraction, the expectation of such a likelihood ratio
-// (an e-value) is 1 whatever the true rates are; if the new version is better it
-// is below 1. At a share of 1 the old version has no traffic to compare with, so
-// its last known rates with a tolerance are used. Each outcome contributes one
-// factor, so the result hardly depends on how the counts are batched.
+// the mean of the two, weighted by the number of outcomes that each version has.
+// The old version's distribution is estimated from earlier outcomes. If the versions
+// do not differ, the expectation of such a likelihood ratio (an e-value) is at most
+// 1 given the counts, whatever the true rates are: the weighted mean of the expected
+// factors is 1, and a geometric mean is at most the arithmetic one. So counts alone
+// carry no evidence: a version that has few outcomes, since its requests were sent
+// later or an entry learned of the step late, is not suspect for that. At a share of
+// 1 the old version has no traffic to compare with, so its last known rates with a
+// tolerance are used.
+//
+// The estimate of the old version is renewed between segments of a step. Within a
+// segment the e-value depends on the totals alone, however they are batched.
 //
 // Harm may begin at any time, so the products of e-values are mixed over the time
 // of its onset: some weight lies on the start of the analysis, some on each step,
@@ -129,7 +133,6 @@
 func (a *Analysis) Step(step int, share float64) {
 	a.strata[1] = a.strata[0]
 	a.strata[0] = stratum{step: step, nextOnly: share >= 1}
-	a.strata[0].arms.begin(share)
 	a.failure.pass = 0
 	a.latency.pass = 0
 	if a.stepOnsets < maxSteps && !a.lastBlock.IsZero() {
@@ -164,12 +167,11 @@
 	w := a.onsetWeight(now)
 	a.lastBlock = now
 	if st.pacer.due() {
-		st.failure = a.failure.buildTable(st.arms.nextFraction())
-		st.latency = a.latency.buildTable(st.arms.nextFraction())
+		st.startSegment(a.failure.buildTable(), a.latency.buildTable())
 	}
-	a.failure.addBlock(&st.failure, b, w, current)
-	a.latency.addBlock(&st.latency, b, w, current)
-	st.arms.add(b)
+	f, l := st.extend(b)
+	a.failure.add(f, b.old, w, current)
+	a.latency.add(l, b.old, w, current)
 	st.pacer.outcomes += float64(b.outcomes())
 }
 
--- a/internal/move/analysis/failure.go
+++ b/internal/move/analysis/failure.go
@@ -20,15 +20,19 @@
 // one is the reference harm, which only the pass test uses.
 var failurePoints = [...]float64{0.04, 0.12, 0.5, referencePoints}
 
-// failureLogRatios are the logarithms of the likelihood ratio by outcome.
-type failureLogRatios struct {
-	oldFailed, oldOK, nextFailed, nextOK float64
-	// nextOnlyFailed and nextOnlyOK are used while the old version has no traffic.
-	nextOnlyFailed, nextOnlyOK float64
+// failureRates are the failure rates of one alternative.
+type failureRates struct {
+	old, next float64
+	// tolerated is the rate up to which the new version is not harmful while the
+	// old version has no traffic; 0 means that the alternative does not count then.
+	tolerated float64
 }
 
-// failureTable holds the log ratios of each alternative.
-type failureTable [len(failurePoints)]failureLogRatios
+// failureTable holds the failure rates of each alternative.
+type failureTable [len(failurePoints)]failureRates
+
+// failureLogs are the logarithms of the e-values by alternative.
+type failureLogs [len(failurePoints)]float64
 
 // failureTest compares failure rates.
 type failureTest struct {
@@ -39,39 +43,27 @@
 	pass float64
 }
 
-// addBlock adds a block. current reports whether it belongs to the current step;
-// it then counts for a pass.
-func (t *failureTest) addBlock(table *failureTable, b block, weight float64, current bool) {
-	var logs [len(failurePoints)]float64
-	for i := range table {
-		logs[i] = table[i].logEvidence(b)
-	}
+// add multiplies the evidence by the e-values of a block with the outcomes old of
+// the old version. current reports whether it belongs to the current step; it then
+// counts for a pass.
+func (t *failureTest) add(logs failureLogs, old Totals, weight float64, current bool) {
 	last := len(logs) - 1
 	t.mix.multiply(logs[:last], weight, current)
 	if current {
 		t.pass += logs[last]
 	}
-	t.updateBaseline(b.old)
+	t.updateBaseline(old)
 }
 
-// buildTable computes the log ratios from the old version's failure rate and the
-// new version's fraction of the outcomes.
-func (t *failureTest) buildTable(nextFraction float64) failureTable {
+// buildTable computes the rates of the alternatives from the old version's rate.
+func (t *failureTest) buildTable() failureTable {
 	var table failureTable
 	rate := (t.failed + priorFailures) / (t.outcomes + priorOutcomes)
 	for i, points := range failurePoints {
-		worse := min(rate+points, maxFailureRate)
-		common := (1-nextFraction)*rate + nextFraction*worse
-		o := failureLogRatios{
-			oldFailed: math.Log(rate / common), oldOK: math.Log((1 - rate) / (1 - common)),
-			nextFailed: math.Log(worse / common), nextOK: math.Log((1 - worse) / (1 - common)),
-		}
+		table[i] = failureRates{old: rate, next: max(rate, min(rate+points, maxFailureRate))}
 		if points >= 2*tolerancePoints {
-			// A rate between the last known one and the tolerance is not harm.
-			o.nextOnlyFailed = math.Log(worse / (rate + tolerancePoints))
-			o.nextOnlyOK = math.Log((1 - worse) / (1 - rate))
+			table[i].tolerated = rate + tolerancePoints
 		}
-		table[i] = o
 	}
 	return table
 }
@@ -87,11 +79,28 @@
 	}
 }
 
-// logEvidence returns the logarithm of a block's e-value.
-func (o *failureLogRatios) logEvidence(b block) float64 {
+// logEvidence returns the logarithms of a segment's e-values.
+func (t *failureTable) logEvidence(b block) failureLogs {
+	var logs failureLogs
+	for i := range t {
+		logs[i] = t[i].logEvidence(b)
+	}
+	return logs
+}
+
+// logEvidence returns the logarithm of a segment's e-value. The common rate is the
+// mean of both rates, weighted by the outcomes that each version has.
+func (r *failureRates) logEvidence(b block) float64 {
 	failed, ok := float64(b.next.Failed), float64(b.next.Succeeded)
 	if b.nextOnly {
-		return failed*o.nextOnlyFailed + ok*o.nextOnlyOK
+		if r.tolerated == 0 {
+			return 0
+		}
+		// A rate between the last known one and the tolerance is not harm.
+		return failed*math.Log(r.next/r.tolerated) + ok*math.Log((1-r.next)/(1-r.old))
 	}
-	return failed*o.nextFailed + ok*o.nextOK + float64(b.old.Failed)*o.oldFailed + float64(b.old.Succeeded)*o.oldOK
+	part := float64(b.next.Outcomes()) / float64(max(b.outcomes(), 1))
+	common := (1-part)*r.old + part*r.next
+	return failed*math.Log(r.next/common) + ok*math.Log((1-r.next)/(1-common)) +
+		float64(b.old.Failed)*math.Log(r.old/common) + float64(b.old.Succeeded)*math.Log((1-r.old)/(1-common))
 }
--- a/internal/move/analysis/latency.go
+++ b/internal/move/analysis/latency.go
@@ -56,12 +56,17 @@
 	return int(min(max(b, 0), ward.LatencyBuckets-1))
 }
 
-// latencyLogRatios are the logarithms of the likelihood ratio by the bucket of an
-// answer. nextOnly is used while the old version has no traffic.
-type latencyLogRatios struct{ old, next, nextOnly distribution }
+// latencyTable holds the distributions of the old version and, for each
+// alternative, of the new one. nextOnly holds the logarithms of the likelihood
+// ratios while the old version has no traffic.
+type latencyTable struct {
+	old      distribution
+	next     [alternativeCount]distribution
+	nextOnly [alternativeCount]distribution
+}
 
-// latencyTable holds the log ratios of each alternative.
-type latencyTable [alternativeCount]latencyLogRatios
+// latencyLogs are the logarithms of the e-values by alternative.
+type latencyLogs [alternativeCount]float64
 
 // latencyTest compares the distributions of normalized latency.
 type latencyTest struct {
@@ -73,33 +78,42 @@
 	pass float64
 }
 
-// addBlock adds a block. current reports whether it belongs to the current step;
-// it then counts for a pass.
-func (t *latencyTest) addBlock(table *latencyTable, b block, weight float64, current bool) {
-	var logs [alternativeCount]float64
+// add multiplies the evidence by the e-values of a block with the outcomes old of
+// the old version. current reports whether it belongs to the current step; it then
+// counts for a pass.
+func (t *latencyTest) add(logs latencyLogs, old Totals, weight float64, current bool) {
+	t.mix.multiply(logs[:reference], weight, current)
+	if current {
+		t.pass += logs[reference]
+	}
+	t.updateBaseline(old)
+}
+
+// logEvidence returns the logarithms of a segment's e-values. The common
+// distribution is the mean of both, weighted by the answers that each version has.
+func (t *latencyTable) logEvidence(b block) latencyLogs {
+	var logs latencyLogs
+	part := float64(b.next.Succeeded) / float64(max(b.old.Succeeded+b.next.Succeeded, 1))
 	for i := range ward.LatencyBuckets {
 		x, y := float64(b.old.Latency[i]), float64(b.next.Latency[i])
 		if x == 0 && y == 0 {
 			continue
 		}
-		for j := range table {
+		for j := range logs {
 			if b.nextOnly {
-				logs[j] += y * table[j].nextOnly[i]
-			} else {
-				logs[j] += x*table[j].old[i] + y*table[j].next[i]
+				logs[j] += y * t.nextOnly[j][i]
+				continue
 			}
+			old, next := t.old[i], t.next[j][i]
+			common := (1-part)*old + part*next
+			logs[j] += x*math.Log(old/common) + y*math.Log(next/common)
 		}
 	}
-	t.mix.multiply(logs[:reference], weight, current)
-	if current {
-		t.pass += logs[reference]
-	}
-	t.updateBaseline(b.old)
+	return logs
 }
 
-// buildTable computes the log ratios from the old version's latencies and the new
-// version's fraction of the outcomes.
-func (t *latencyTest) buildTable(nextFraction float64) latencyTable {
+// buildTable computes the distributions from the old version's latencies.
+func (t *latencyTest) buildTable() latencyTable {
 	var table latencyTable
 	var s distribution
 	for i := range s {
@@ -107,20 +121,17 @@
 		s[i] = priorAnswers * math.Exp(-d*d/2) / (priorSpread * math.Sqrt(2*math.Pi))
 		s[i] = (s[i] + t.old[i]) / (priorAnswers + t.answers)
 	}
-	base := smoothed(s)
+	table.old = smoothed(s)
 	tolerated := smoothed(shifted(s, toleranceFactor))
-	for j := range table {
-		worse := smoothed(slowed(s, j))
-		for i := range worse {
-			common := (1-nextFraction)*base[i] + nextFraction*worse[i]
-			r := &table[j]
-			r.old[i] = math.Log(base[i] / common)
-			r.next[i] = math.Log(worse[i] / common)
-			if j == doubleTime || j == fivefoldTime || j == slowTail {
-				// Neither the last known distribution nor that one slowed by
-				// toleranceFactor is harm.
-				r.nextOnly[i] = math.Log(worse[i] / max(base[i], tolerated[i]))
-			}
+	for j := range table.next {
+		table.next[j] = smoothed(slowed(s, j))
+		if j != doubleTime && j != fivefoldTime && j != slowTail {
+			continue
+		}
+		for i, p := range table.next[j] {
+			// Neither the last known distribution nor that one slowed by
+			// toleranceFactor is harm.
+			table.nextOnly[j][i] = math.Log(p / max(table.old[i], tolerated[i]))
 		}
 	}
 	return table
