fix(quota): a restarted entry learns from its peers what is left of each quota

Cause: after a restart a bucket starts with a part of the tolerance, as what was used before is not known.

Change: peer state carries the levels of the buckets for 3 s after a peer's start; the restarted entry takes them once. Buckets that know no more themselves are left out.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -158,6 +158,7 @@
 	defer g.mu.Unlock()
 	g.ledger.Entries, g.budget.Entries = entries, entries
 	g.ledger.UpdatePeer(m.Name, m.Start, m.Quota, now)
+	g.ledger.Inherit(m.QuotaLevels, now)
 	g.apply(g.sched.UpdatePeer(m.Name, m.Requests, now))
 }
 
@@ -174,6 +175,7 @@
 	defer g.mu.Unlock()
 	m.Requests = g.sched.PeerState(time.Now())
 	m.Quota = g.ledger.Totals()
+	m.QuotaLevels = g.ledger.Levels(time.Now())
 	m.Requests.Leaving = g.stopping.Load()
 }
 
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -48,6 +48,9 @@
 	GrantUsed bool `msgpack:"w,omitempty"`
 	// Quota is the use of quotas that the sender admitted since its start, by team.
 	Quota map[string]float64 `msgpack:"t,omitempty"`
+	// QuotaLevels is what is left in the sender's buckets, by team. It is sent while a
+	// peer has just started.
+	QuotaLevels map[string]float64 `msgpack:"u,omitempty"`
 	// Peers lists the addresses of the entries that the sender receives messages from.
 	Peers []string `msgpack:"p,omitempty"`
 	// Moves is the sender's state of the roll-outs in progress. Such a message holds
--- a/internal/forward/quota/quota.go
+++ b/internal/forward/quota/quota.go
@@ -11,6 +11,8 @@
 //		// refuse; retry after wait
 //	}
 //	used := l.Totals() // to the peers
+//	levels := l.Levels(now) // to the peers, after one of them has started
+//	l.Inherit(levels, now)  // at the peer
 package quota
 
 import (
@@ -42,6 +44,9 @@
 	// while the upstreams are idle, as the bucket started with it. It equals the
 	// platform's window.
 	slackDelay = 8 * time.Second
+	// handoverTime is the time after a peer's start in which it is told the levels of
+	// the buckets, and after which it starts with levels of its own.
+	handoverTime = 3 * time.Second
 	// maxWait bounds the retry delay of a refusal.
 	maxWait = 4 * time.Second
 )
@@ -67,6 +72,8 @@
 // peer holds the usage that another entry reported.
 type peer struct {
 	updated time.Time
+	// started is when this process of the peer was first heard from.
+	started time.Time
 	start   int64
 	totals  map[string]float64
 }
@@ -75,8 +82,12 @@
 	level float64
 	// created is when the bucket was first filled.
 	created time.Time
+	// rate is 0 until the first request of the team.
 	rate    float64
 	updated time.Time
+	// inherited is true when the level takes account of usage before this entry's
+	// start.
+	inherited bool
 }
 
 // UpdatePeer applies the totals that a peer admitted since its start; start
@@ -94,15 +105,18 @@
 	p := l.peers[name]
 	known := p != nil
 	if !known {
-		p = &peer{start: start}
+		p = &peer{start: start, started: now}
 		l.peers[name] = p
 	}
 	if p.start != start {
-		p.start, p.totals = start, nil
+		p.start, p.started, p.totals = start, now, nil
 	}
 	for team, total := range totals {
 		if b := l.buckets[team]; b != nil && known {
-			b.level = max(b.level-max(total-p.totals[team], 0), -b.rate*maxDebt.Seconds())
+			b.level -= max(total-p.totals[team], 0)
+			if b.rate > 0 {
+				b.level = max(b.level, -b.rate*maxDebt.Seconds())
+			}
 		}
 	}
 	p.totals, p.updated = totals, now
@@ -117,6 +131,48 @@
 	return totals
 }
 
+// Levels returns the levels of the buckets while a peer has just started, else nil.
+// Buckets that started without knowledge of earlier usage are left out for a window.
+func (l *Ledger) Levels(now time.Time) map[string]float64 {
+	fresh := false
+	for _, p := range l.peers {
+		fresh = fresh || now.Sub(p.started) < handoverTime
+	}
+	if !fresh {
+		return nil
+	}
+	levels := make(map[string]float64, len(l.buckets))
+	for team, b := range l.buckets {
+		if l.StartFull || b.inherited || now.Sub(b.created) > slackDelay {
+			levels[team] = b.level
+		}
+	}
+	return levels
+}
+
+// Inherit applies the levels of a peer's buckets after a restart. A peer that ran
+// before knows what was used; without it, a bucket starts with a part of the slack
+// alone. A level is taken once, and only if it is higher.
+func (l *Ledger) Inherit(levels map[string]float64, now time.Time) {
+	if l.StartFull {
+		return
+	}
+	if l.totals == nil {
+		l.totals, l.buckets = make(map[string]float64), make(map[string]*bucket)
+	}
+	for team, level := range levels {
+		b := l.buckets[team]
+		switch {
+		case b == nil:
+			l.buckets[team] = &bucket{level: level, created: now, updated: now, inherited: true}
+		case !b.inherited && now.Sub(b.created) < handoverTime:
+			// The peer may or may not have counted what was admitted here.
+			b.level = max(b.level, level-l.totals[team])
+			b.inherited = true
+		}
+	}
+}
+
 // Request is one request to be charged.
 type Request struct {
 	Size float64
@@ -165,11 +221,13 @@
 	b := l.buckets[t.Name]
 	if b == nil {
 		b = &bucket{updated: now, created: now}
-		b.level = fraction * min(startFraction*l.Slack, t.Burst)
+		l.buckets[t.Name] = b
+	}
+	if b.rate == 0 {
+		b.level = max(b.level, fraction*min(startFraction*l.Slack, t.Burst))
 		if l.StartFull {
 			b.level = limit
 		}
-		l.buckets[t.Name] = b
 	}
 	b.rate = t.Rate
 	b.level = min(b.level+fraction*t.Rate*now.Sub(b.updated).Seconds(), limit)
--- a/internal/forward/quota/quota_test.go
+++ b/internal/forward/quota/quota_test.go
@@ -49,6 +49,7 @@
 		for k, to := range f.ledgers {
 			if i != k && !f.cut[i] && !f.cut[k] {
 				to.UpdatePeer(fmt.Sprint(i), f.starts[i], from.Totals(), now)
+				to.Inherit(from.Levels(now), now)
 			}
 		}
 	}
@@ -131,6 +132,45 @@
 	}
 }
 
+// TestRestartsBelowQuota restarts all entries in turn, as a release does, while a
+// team asks in waves for less than its quota: a restarted entry knows from its peers
+// what is left, so few requests are refused.
+func TestRestartsBelowQuota(t *testing.T) {
+	const (
+		tick    = 20 * time.Millisecond
+		ticks   = 1500
+		entries = 6
+	)
+	r := rand.New(rand.NewPCG(8, 1))
+	f := newFleet(entries)
+	start := time.Unix(1000, 0)
+	asked, refused, due := 0.0, 0.0, 0.0
+	for i := range ticks {
+		now := start.Add(time.Duration(i) * tick)
+		if i%50 == 49 {
+			f.restart(i/50%entries, false)
+		}
+		if i%3 == 0 {
+			f.exchange(now)
+		}
+		wave := 0.1 // of the quota, and 1.3 of it in each other second
+		if i/50%2 == 0 {
+			wave = 1.3
+		}
+		for due += wave * f.team.Rate * tick.Seconds(); due > 0; {
+			size := 500 + r.ExpFloat64()*1500
+			due -= size
+			asked += size
+			if _, ok := f.ledgers[r.IntN(entries)].Take(&f.team, Request{Size: size, Rank: r.IntN(3)}, now); !ok {
+				refused += size
+			}
+		}
+	}
+	if refused > 0.01*asked {
+		t.Errorf("%.0f of %.0f tokens refused below the quota", refused, asked)
+	}
+}
+
 func TestLargeRequestsPass(t *testing.T) {
 	l := Ledger{Entries: 1, StartFull: true}
 	team := ward.ForwardTeam{Name: "hosts", Rate: 1000, Burst: 1000}
