fix(shutdown): a stopping entry serves until it exits

Cause: an entry closed its listener 2.6 s after SIGTERM and lived on while streams ran, up to 7.2 s.

Change: the listener stays open until the exit. A request is served if it ends before, by the estimate of the best upstream; one that comes after the balancer's lag only if its longest answer does. The rest gets 503 at once, with a Retry-After until the first stopping entry is back if most stop, else of 50 ms. Waiting requests are refused as soon as they can't end. Exit and bounds are decided by internal/forward/shutdown and schedule, without clock or network.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -8,6 +8,7 @@
 
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/schedule"
+	"agateward/internal/forward/shutdown"
 	"agateward/internal/result/code"
 	"agateward/ward"
 )
@@ -98,9 +99,26 @@
 		}
 		j.Output = max(j.Output, 1)
 	}
+	if s := c.gate.shutdown.Load(); s != nil {
+		c.boundByStop(j, *s)
+	}
 	return j
 }
 
+// boundByStop bounds a job of a stopping entry.
+func (c *call) boundByStop(j *schedule.Job, s shutdown.Shutdown) {
+	end, sure := s.Bound(c.arrived)
+	j.EndBy = end
+	switch {
+	case !sure:
+	case c.route.Kind == ward.ForwardStream:
+		j.Output = max(c.head.MaxOutput, 1)
+	default:
+		// The answer of a plain service has no known bound but the route's time.
+		j.EndBy = end.Add(-c.route.Timeout.Std())
+	}
+}
+
 // await submits the request to the scheduler and waits for its decision.
 func (c *call) await(ctx context.Context) (schedule.Action, error) {
 	g := c.gate
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -42,6 +42,8 @@
 	switch a.Reason {
 	case schedule.ReasonNoUpstream:
 		k = code.NoUpstream
+	case schedule.ReasonStopping:
+		k = code.Stopping
 	case schedule.ReasonTooLate:
 		k = code.DeadlineUnreachable
 	}
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -28,6 +28,7 @@
 	"agateward/internal/forward/retry"
 	"agateward/internal/forward/rollout"
 	"agateward/internal/forward/schedule"
+	"agateward/internal/forward/shutdown"
 	"agateward/internal/forward/view"
 	"agateward/ward"
 
@@ -70,7 +71,9 @@
 	waiters map[uint64]*waiter
 	lastID  uint64
 
-	stopping atomic.Bool
+	// shutdown is set while the entry stops.
+	shutdown atomic.Pointer[shutdown.Shutdown]
+	running  atomic.Int64
 	// maxBody replaces MaxBody after the settings were reloaded.
 	maxBody atomic.Int64
 	wake    chan struct{}
@@ -173,10 +176,10 @@
 func (g *Gate) Report(m *peerstate.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.Requests = g.sched.PeerState(time.Now())
+	now := time.Now()
+	m.Requests = g.sched.PeerState(now)
 	m.Quota = g.ledger.Totals()
-	m.QuotaLevels = g.ledger.Levels(time.Now())
-	m.Requests.Leaving = g.stopping.Load()
+	m.QuotaLevels = g.ledger.Levels(now)
 }
 
 // SetEntries sets the number of entries that share quotas and budgets.
@@ -201,8 +204,17 @@
 	return g.MaxBody
 }
 
-// Stop closes each caller's connection after its next answer.
-func (g *Gate) Stop() { g.stopping.Store(true) }
+// Stop begins a planned stop. Each caller's connection is closed after its next
+// answer, and requests that can't end in time are refused.
+func (g *Gate) Stop(s shutdown.Shutdown) {
+	g.shutdown.Store(&s)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sched.Stop(s.End())
+}
+
+// Running returns the number of requests that are being served.
+func (g *Gate) Running() int { return int(g.running.Load()) }
 
 // apply delivers the actions to the waiting requests and grants to the peers. The
 // caller must hold mu.
@@ -221,7 +233,9 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if g.stopping.Load() {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	if g.shutdown.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{gate: g, w: w, r: r, arrived: time.Now()}
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -25,6 +25,7 @@
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/retry"
 	"agateward/internal/forward/rollout"
+	"agateward/internal/forward/shutdown"
 	"agateward/internal/forward/view"
 	"agateward/internal/result/code"
 	"agateward/ward"
@@ -43,12 +44,11 @@
 	idleTimeout   = 90 * time.Second
 	// maxHeader bounds the head of a request in bytes.
 	maxHeader = 64 << 10
-	// balancerLag is the time after which a balancer sends no new connections: it
-	// probes once a second and removes an entry after two negative answers.
-	balancerLag = 2600 * time.Millisecond
-	// shutdownGraceFraction is the fraction of the grace after which the remaining
-	// requests are aborted.
-	shutdownGraceFraction = 0.9
+	// exitInterval is the interval at which a stopping entry checks whether it exits.
+	exitInterval = 20 * time.Millisecond
+	// closeTimeout bounds the time for connections on which a request has just begun
+	// to arrive.
+	closeTimeout = 100 * time.Millisecond
 	// memoryLimitFraction is the fraction of the memory limit that is set as the soft
 	// limit of the runtime, from which the garbage collector works harder.
 	memoryLimitFraction = 0.75
@@ -180,20 +180,21 @@
 	return nil
 }
 
-// stop closes the listener for callers once the balancer has noticed, and waits
-// for running requests until the grace is nearly over.
+// stop serves callers until the entry may exit, and closes their connections.
 func (n *Node) stop(callers *http.Server) {
 	n.mu.Lock()
 	grace := n.settings.Stop.Grace.Std()
 	n.mu.Unlock()
 	n.log.Info("stopping", "grace", grace)
-	n.gate.Stop()
-	lag := min(balancerLag, grace/2)
-	time.Sleep(lag)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(shutdownGraceFraction*float64(grace))-lag)
+	s := shutdown.Shutdown{Begin: time.Now(), Grace: grace}
+	n.gate.Stop(s)
+	for !s.Exit(time.Now(), n.gate.Running()) {
+		time.Sleep(exitInterval)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	if err := callers.Shutdown(ctx); err != nil {
-		n.log.Info("grace-used-up", "error", err.Error())
+		n.log.Info("grace-used-up", "running", n.gate.Running(), "error", err.Error())
 		_ = callers.Close()
 	}
 }
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -31,11 +31,16 @@
 	ReceivedGrants map[string]uint64 `msgpack:"r,omitempty"`
 	// Leaving is true when the entry is stopping and needs no slots.
 	Leaving bool `msgpack:"x,omitempty"`
+	// ExitsIn is the time in which a stopping entry exits at the latest.
+	ExitsIn time.Duration `msgpack:"e,omitempty"`
 }
 
 // PeerState returns the state to send to the peers.
 func (s *Scheduler) PeerState(now time.Time) PeerState {
 	state := PeerState{Load: make(map[string]int), Demand: s.demand(now), Unresponsive: s.unresponsive(now), ReceivedGrants: make(map[string]uint64)}
+	if !s.stopEnd.IsZero() {
+		state.Leaving, state.ExitsIn = true, s.stopEnd.Sub(now)
+	}
 	for id, u := range s.byID {
 		if u.ownLoad > 0 {
 			state.Load[id] = u.ownLoad
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -87,6 +87,8 @@
 		return ReasonNoUpstream
 	case now.After(j.Expires):
 		return ReasonTooLate
+	case s.outlastsStop(v, j, now):
+		return ReasonStopping
 	case j.Resumed:
 		return ""
 	}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -45,6 +45,9 @@
 	// Deadline is when the last byte must have reached the caller; zero means no
 	// bound.
 	Deadline time.Time
+	// EndBy is when the stopping entry exits; zero means that it does not stop. The
+	// job is refused once no upstream is expected to end it by then.
+	EndBy time.Time
 	// Prompt and Output are the sizes in tokens, 0 for plain requests.
 	Prompt int
 	Output int
@@ -84,6 +87,7 @@
 	ReasonNoUpstream = "no-upstream"
 	ReasonTooLate    = "too-late"
 	ReasonQueueLong  = "queue-long"
+	ReasonStopping   = "stopping"
 )
 
 // Scheduler assigns jobs to upstreams. The zero value is ready to use once Rand is
@@ -100,6 +104,9 @@
 	// entry uses all upstreams.
 	Cell, Cells int
 
+	// stopEnd is when this entry exits; zero means that it does not stop.
+	stopEnd time.Time
+
 	services map[string]*service
 	byID     map[string]*upstream
 	jobs     map[uint64]*running
@@ -140,6 +147,11 @@
 	// minRetryAfter and maxRetryAfter bound the retry delay of a refusal.
 	minRetryAfter = 300 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
+	// otherEntryRetry is the retry delay of a stopping entry while most entries serve.
+	otherEntryRetry = 50 * time.Millisecond
+	// restartLag is the time from an entry's exit until a balancer sends it requests
+	// again.
+	restartLag = 1500 * time.Millisecond
 	// maxQueue bounds the queue of one service.
 	maxQueue = 2000
 )
@@ -256,6 +268,10 @@
 	full := false
 	s.sortQueue(v, now)
 	for i, j := range v.queue {
+		if s.outlastsStop(v, j, now) {
+			out = append(out, s.refuse(v, j, ReasonStopping, now))
+			continue
+		}
 		if !j.Resumed && now.After(j.Expires.Add(-s.minTimeToFirst(v, j))) || now.After(j.Expires) {
 			out = append(out, s.refuse(v, j, ReasonTooLate, now))
 			continue
@@ -292,7 +308,40 @@
 func (s *Scheduler) refuse(v *service, j *Job, reason string, now time.Time) Action {
 	wait := time.Duration(float64(len(v.queue)) * v.departureInterval * float64(time.Second))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	if reason == ReasonStopping {
+		wait = s.stoppingRetry(now)
+	}
 	// Jitter up to the same length keeps the retries from forming another burst.
 	wait += time.Duration(s.Rand.Float64() * float64(wait))
 	return Action{Job: j, Reason: reason, RetryAfter: min(wait, maxRetryAfter), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
 }
+
+// stoppingRetry returns the retry delay of a job that is refused since this entry
+// stops: none to speak of while most entries serve, else the time until the first
+// one that stops is back.
+func (s *Scheduler) stoppingRetry(now time.Time) time.Duration {
+	first, serving := s.stopEnd, 0
+	for _, p := range s.peers {
+		if !p.state.Leaving {
+			serving++
+			continue
+		}
+		if end := p.lastUpdate.Add(p.state.ExitsIn); end.Before(first) {
+			first = end
+		}
+	}
+	if 2*serving > len(s.peers) {
+		return otherEntryRetry
+	}
+	return max(first.Sub(now), 0) + restartLag
+}
+
+// Stop begins a planned stop that ends at the given time.
+func (s *Scheduler) Stop(end time.Time) {
+	s.stopEnd = end
+	for _, v := range s.services {
+		for _, j := range v.queue {
+			j.EndBy = end
+		}
+	}
+}
--- /dev/null
+++ b/internal/forward/schedule/stop_test.go
@@ -0,0 +1,88 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStoppingEntryServesWhatEnds gives a stopping entry requests of different
+// lengths: those that end before its exit are dispatched, the others are refused at
+// once.
+func TestStoppingEntryServesWhatEnds(t *testing.T) {
+	// An engine of the initial estimates makes 1,000 tokens in 5.2 s with the margin.
+	tests := []struct {
+		name   string
+		output int
+		left   time.Duration
+		want   string
+	}{
+		{"short answer, much time", 100, 6 * time.Second, ""},
+		{"short answer, little time", 100, 200 * time.Millisecond, ReasonStopping},
+		{"long answer, much time", 1000, 6 * time.Second, ""},
+		{"long answer, little time", 1000, 3 * time.Second, ReasonStopping},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScheduler("entry-1", engines(2, 4))
+			s.Stop(start.Add(tt.left))
+			j := job(1, 0, start)
+			j.Output, j.EndBy = tt.output, start.Add(tt.left)
+			a := s.Arrive(j, start)
+			if len(a) != 1 || a[0].Reason != tt.want || (a[0].Upstream != nil) != (tt.want == "") {
+				t.Errorf("actions %+v", a)
+			}
+		})
+	}
+}
+
+// TestWaitingJobsOfStoppingEntry stops an entry while a long request waits: it is
+// refused as soon as it can't end any more, not at the exit.
+func TestWaitingJobsOfStoppingEntry(t *testing.T) {
+	s := newScheduler("entry-1", engines(1, 1))
+	dispatched(t, s.Arrive(job(1, 0, start), start))
+	long := job(2, 0, start)
+	long.Output = 1000
+	if a := s.Arrive(long, start); len(a) != 0 {
+		t.Fatalf("with no free slot: %+v", a)
+	}
+	s.Stop(start.Add(6 * time.Second))
+	if a := s.Tick(start.Add(300 * time.Millisecond)); len(a) != 0 {
+		t.Fatalf("with time to end: %+v", a)
+	}
+	a := s.Tick(start.Add(1500 * time.Millisecond))
+	if len(a) != 1 || a[0].Job.ID != 2 || a[0].Reason != ReasonStopping {
+		t.Errorf("with no time to end: %+v", a)
+	}
+}
+
+// TestReturnAfterStop checks when a refused caller is told to come back while
+// entries are stopped in turn.
+func TestReturnAfterStop(t *testing.T) {
+	leaving := func(d time.Duration) PeerState {
+		return PeerState{Load: map[string]int{"engine-0": 1}, Leaving: true, ExitsIn: d}
+	}
+	tests := []struct {
+		name        string
+		peers       []PeerState
+		least, most time.Duration
+	}{
+		{"most entries serve", []PeerState{{}, {}, leaving(time.Second)}, 0, 200 * time.Millisecond},
+		{"most entries stop", []PeerState{{}, leaving(2 * time.Second), leaving(time.Second)}, time.Second + restartLag, maxRetryAfter},
+		{"alone", nil, maxRetryAfter, maxRetryAfter},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScheduler("entry-1", engines(1, 4))
+			for i, p := range tt.peers {
+				s.UpdatePeer(string(rune('a'+i)), p, start)
+			}
+			s.Stop(start.Add(5 * time.Second))
+			j := job(1, 0, start)
+			j.Output, j.EndBy = 5000, start.Add(5*time.Second)
+			a := s.Arrive(j, start)
+			if len(a) != 1 || a[0].RetryAfter < tt.least || a[0].RetryAfter > tt.most {
+				t.Errorf("actions %+v", a)
+			}
+		})
+	}
+}
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -244,6 +244,20 @@
 	return !j.Deadline.IsZero() && now.Add(u.timeToLast(j)).After(j.Deadline)
 }
 
+// outlastsStop reports whether the entry stops before any upstream is expected to
+// end j. A job whose answer has begun goes on until the stop.
+func (s *Scheduler) outlastsStop(v *service, j *Job, now time.Time) bool {
+	if j.EndBy.IsZero() || j.Resumed {
+		return false
+	}
+	for _, u := range v.upstreams {
+		if !u.Draining && now.After(u.backoffUntil) && !now.Add(u.timeToLast(j)).After(j.EndBy) {
+			return false
+		}
+	}
+	return true
+}
+
 // canMeetDeadline reports whether any upstream of the service is expected to end j
 // before its deadline.
 func (s *Scheduler) canMeetDeadline(v *service, j *Job, now time.Time) bool {
--- /dev/null
+++ b/internal/forward/shutdown/shutdown.go
@@ -0,0 +1,61 @@
+// Package shutdown decides what a stopping entry still serves, and when its
+// process exits.
+//
+// A balancer may go on sending requests to a stopping entry: until it has noticed
+// the stop, and for longer if most entries of the data centre stop together. The
+// entry therefore takes connections as long as it runs requests, serves what it
+// can finish before its grace ends, and refuses the rest at once.
+//
+// # Usage
+//
+//	s := shutdown.Shutdown{Begin: now, Grace: 8 * time.Second}
+//	end, sure := s.Bound(now)  // for each request that arrives
+//	if s.Exit(now, running) {  // whenever requests end or time has passed
+//		...
+//	}
+//
+// It reads no clock and does no I/O.
+package shutdown
+
+import "time"
+
+const (
+	// BalancerLag is the time after which a balancer sends no new connections: it
+	// probes once a second and removes an entry after two negative answers.
+	BalancerLag = 2600 * time.Millisecond
+	// graceFraction is the fraction of the grace after which the remaining requests
+	// are aborted.
+	graceFraction = 0.9
+	// maxLagFraction bounds BalancerLag as a fraction of the grace.
+	maxLagFraction = 0.5
+)
+
+// Shutdown is a planned stop of an entry. Begin and Grace are required.
+type Shutdown struct {
+	// Begin is when the stop was ordered.
+	Begin time.Time
+	// Grace is the time after which the process is killed.
+	Grace time.Duration
+}
+
+// End returns when the remaining requests are aborted.
+func (s Shutdown) End() time.Time {
+	return s.Begin.Add(time.Duration(graceFraction * float64(s.Grace)))
+}
+
+// Bound returns the time by which a request that arrives now has to end. If sure
+// is true, it is served only if even its longest possible answer ends by then: the
+// balancer has had time to notice the stop.
+func (s Shutdown) Bound(now time.Time) (end time.Time, sure bool) {
+	return s.End(), !now.Before(s.lagEnd())
+}
+
+// Exit reports whether the process exits now, with a number of running requests.
+func (s Shutdown) Exit(now time.Time, running int) bool {
+	return !now.Before(s.End()) || running == 0 && !now.Before(s.lagEnd())
+}
+
+// lagEnd returns when the balancer has noticed the stop.
+func (s Shutdown) lagEnd() time.Time {
+	return s.Begin.Add(min(BalancerLag, time.Duration(maxLagFraction*float64(s.Grace))))
+}
