fix(schedule): no rank is starved, and freed slots go to requests in time

Under lasting overload a lower rank was sent to an engine only while no higher one waited. And between entries the most overdue request had precedence, so slots went to requests that were late anyway while others turned late.

Change: a rank that is dispatched less than half as often as the rank above it that is served least has its first waiting request raised to that rank. Demand between entries tells requests in time from late ones, and the first go before.

--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -5,13 +5,16 @@
 	"time"
 )
 
-// Demand summarizes the waiting requests of one entry for a service at one rank.
+// Demand summarizes the waiting requests of one entry for a service at one rank that
+// can still be in time, or that cannot.
 type Demand struct {
 	Service string `msgpack:"s"`
 	Rank    [2]int `msgpack:"r"`
 	Count   int    `msgpack:"c"`
 	// Slack is the least time that one of them has left to be in time.
 	Slack time.Duration `msgpack:"l"`
+	// Late is true if none of them can be in time.
+	Late bool `msgpack:"e,omitempty"`
 }
 
 const (
@@ -78,18 +81,28 @@
 	var list []Demand
 	for name, v := range s.services {
 		for _, j := range v.queue {
-			slack := j.Due.Sub(now)
-			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == j.Rank {
+			d := s.demandOf(v, j, now)
+			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late {
 				list[n-1].Count++
-				list[n-1].Slack = min(list[n-1].Slack, slack)
+				list[n-1].Slack = min(list[n-1].Slack, d.Slack)
 				continue
 			}
-			list = append(list, Demand{Service: name, Rank: j.Rank, Count: 1, Slack: slack})
+			list = append(list, d)
 		}
 	}
 	return list
 }
 
+// demandOf returns the demand of one job. A raised job precedes the others of its
+// effective rank.
+func (s *Scheduler) demandOf(v *service, j *Job, now time.Time) Demand {
+	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.Due.Sub(now), Late: s.late(v, j, now)}
+	if j.raised {
+		d.Slack, d.Late = min(d.Slack, 0), false
+	}
+	return d
+}
+
 // grantFreed grants the slot freed at u to a peer whose waiting request precedes the
 // own ones. Without it, an entry would keep refilling its slots with requests of a
 // lower rank than those waiting at other entries.
@@ -112,7 +125,7 @@
 		}
 		for i := range p.state.Demand {
 			d := &p.state.Demand[i]
-			if d.Service != v.name || d.Count == 0 || !demandPrecedes(d, own, now.Sub(p.lastUpdate), now) {
+			if d.Service != v.name || d.Count == 0 || !s.demandPrecedes(d, v, own, now.Sub(p.lastUpdate), now) {
 				continue
 			}
 			if best == nil || demandLess(d, best) || !demandLess(best, d) && name < to {
@@ -132,19 +145,22 @@
 // demandLess reports whether a is served before b.
 func demandLess(a, b *Demand) bool {
 	if a.Rank != b.Rank {
-		return a.Rank[0] < b.Rank[0] || a.Rank[0] == b.Rank[0] && a.Rank[1] < b.Rank[1]
+		return rankLess(a.Rank, b.Rank)
+	}
+	if a.Late != b.Late {
+		return b.Late
 	}
 	return a.Slack < b.Slack
 }
 
 // demandPrecedes reports whether a peer's demand of the given age precedes the own
 // job; nil means that there is no own job.
-func demandPrecedes(d *Demand, own *Job, age time.Duration, now time.Time) bool {
+func (s *Scheduler) demandPrecedes(d *Demand, v *service, own *Job, age time.Duration, now time.Time) bool {
 	if own == nil {
 		return true
 	}
-	mine := Demand{Rank: own.Rank, Slack: own.Due.Sub(now)}
-	theirs := Demand{Rank: d.Rank, Slack: d.Slack - age + slackMargin}
+	mine := s.demandOf(v, own, now)
+	theirs := Demand{Rank: d.Rank, Late: d.Late, Slack: d.Slack - age + slackMargin}
 	return demandLess(&theirs, &mine)
 }
 
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -23,8 +23,11 @@
 	if a.Resumed != b.Resumed {
 		return a.Resumed
 	}
-	if a.Rank != b.Rank {
-		return a.Rank[0] < b.Rank[0] || a.Rank[0] == b.Rank[0] && a.Rank[1] < b.Rank[1]
+	if a.effective != b.effective {
+		return rankLess(a.effective, b.effective)
+	}
+	if a.raised != b.raised {
+		return a.raised
 	}
 	return a.Due.Before(b.Due)
 }
@@ -42,26 +45,39 @@
 	if len(v.queue) < 2 {
 		return
 	}
-	late := make(map[*Job]bool)
+	late := make(map[*Job]bool, len(v.queue))
 	for _, j := range v.queue {
-		if now.Add(s.minTimeToFirst(v, j)).After(j.Due) {
-			late[j] = true
-		}
-	}
-	if len(late) == 0 {
-		return
+		j.effective, j.raised = j.Rank, false
+		late[j] = s.late(v, j, now)
 	}
-	sort.SliceStable(v.queue, func(i, k int) bool {
+	less := func(i, k int) bool {
 		a, b := v.queue[i], v.queue[k]
-		if a.Rank == b.Rank && a.Resumed == b.Resumed && late[a] != late[b] {
+		if a.effective == b.effective && a.raised == b.raised && a.Resumed == b.Resumed && late[a] != late[b] {
 			return late[b]
 		}
 		return jobLess(a, b)
-	})
+	}
+	sort.SliceStable(v.queue, less)
+	if v.raise() {
+		sort.SliceStable(v.queue, less)
+	}
+}
+
+// late reports whether no upstream is expected to answer j in time any more.
+func (s *Scheduler) late(v *service, j *Job, now time.Time) bool {
+	return now.Add(s.minTimeToFirst(v, j)).After(j.Due)
 }
 
 // recordDeparture records that a job left the queue for an upstream.
-func (v *service) recordDeparture(now time.Time) {
+func (v *service) recordDeparture(rank [2]int, now time.Time) {
+	own := v.rank(rank)
+	own.decay(now)
+	own.dispatched++
+	for _, c := range v.ranks {
+		c.share -= departureWeight * c.share
+	}
+	own.share += departureWeight
+
 	if !v.lastDeparture.IsZero() {
 		d := min(now.Sub(v.lastDeparture).Seconds(), maxInterval)
 		v.departureInterval += departureWeight * (d - v.departureInterval)
@@ -92,7 +108,10 @@
 	case j.Resumed:
 		return ""
 	}
-	wait := time.Duration(float64(v.countAhead(j)) * v.departureInterval * float64(time.Second))
+	if _, ok := v.underserved(j.Rank); ok && v.waitingOf(j.Rank) < maxRaised {
+		return ""
+	}
+	wait := v.expectedWait(j, now)
 	left := j.Expires.Sub(now) - s.minTimeToFirst(v, j)
 	if left < 0 || wait > time.Duration(maxWaitFraction*float64(left)) {
 		return ReasonQueueLong
--- /dev/null
+++ b/internal/forward/schedule/ranks.go
@@ -0,0 +1,120 @@
+package schedule
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minServedRatio is the least served fraction of a rank, as a ratio to that of the
+	// rank above it that is served least. Below it, one waiting job of the rank is
+	// raised, so that overload does not starve the lowest rank.
+	minServedRatio = 0.5
+	// rankMemory is the time constant over which arrivals and dispatches are counted.
+	rankMemory = 4 * time.Second
+	// maxRaised bounds the jobs of an underserved rank that wait although others of
+	// the rank are refused.
+	maxRaised = 2
+	// maxHigherShare bounds the share of the departures that counts as taken by higher
+	// ranks in the estimate of a wait.
+	maxHigherShare = 0.9
+)
+
+// rankCount counts the jobs of one rank, recent ones most.
+type rankCount struct {
+	arrived, dispatched float64
+	// share is the smoothed fraction of the departures that were of this rank.
+	share   float64
+	updated time.Time
+}
+
+// servedFraction is the fraction of the jobs that were dispatched; without any, all
+// count as served.
+func (c *rankCount) servedFraction() float64 {
+	return (c.dispatched + 1) / (max(c.arrived, c.dispatched) + 1)
+}
+
+func (c *rankCount) decay(now time.Time) {
+	if !c.updated.IsZero() {
+		f := math.Exp(-now.Sub(c.updated).Seconds() / rankMemory.Seconds())
+		c.arrived *= f
+		c.dispatched *= f
+	}
+	c.updated = now
+}
+
+// rank returns the counts of a rank.
+func (v *service) rank(r [2]int) *rankCount {
+	if v.ranks == nil {
+		v.ranks = make(map[[2]int]*rankCount)
+	}
+	c := v.ranks[r]
+	if c == nil {
+		c = &rankCount{}
+		v.ranks[r] = c
+	}
+	return c
+}
+
+func rankLess(a, b [2]int) bool {
+	return a[0] < b[0] || a[0] == b[0] && a[1] < b[1]
+}
+
+// underserved reports whether jobs of rank r are dispatched much less often than
+// those of each rank above it, and returns the one that is served least.
+func (v *service) underserved(r [2]int) (above [2]int, ok bool) {
+	least := math.Inf(1)
+	for other, c := range v.ranks {
+		if f := c.servedFraction(); rankLess(other, r) && (f < least || f == least && rankLess(above, other)) {
+			above, least = other, f
+		}
+	}
+	if math.IsInf(least, 1) {
+		return above, false
+	}
+	return above, v.rank(r).servedFraction() < minServedRatio*least
+}
+
+// waitingOf counts the waiting jobs of rank r.
+func (v *service) waitingOf(r [2]int) int {
+	n := 0
+	for _, j := range v.queue {
+		if j.Rank == r {
+			n++
+		}
+	}
+	return n
+}
+
+// raise raises the first job of each underserved rank of a sorted queue to the rank
+// above it that is served least, and reports whether it raised any.
+func (v *service) raise() bool {
+	raised := false
+	for i, j := range v.queue {
+		if i > 0 && j.Rank == v.queue[i-1].Rank {
+			continue
+		}
+		if above, ok := v.underserved(j.Rank); ok {
+			j.effective, j.raised = above, true
+			raised = true
+		}
+	}
+	return raised
+}
+
+// expectedWait estimates how long j waits if it arrives now. Departures that higher
+// ranks take from those that are still to come count as lost for j.
+func (v *service) expectedWait(j *Job, now time.Time) time.Duration {
+	ahead := v.countAhead(j)
+	if len(v.queue) > 0 && !v.hasFreeSlot(now) {
+		ahead++
+	}
+	higher := 0.0
+	for r, c := range v.ranks {
+		if rankLess(r, j.Rank) {
+			higher += c.share
+		}
+	}
+	seconds := float64(ahead) * v.departureInterval / (1 - min(higher, maxHigherShare))
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -58,6 +58,11 @@
 	// Resumed is true when part of the answer has reached the caller; the job is
 	// then not refused before Expires.
 	Resumed bool
+
+	// effective is the rank that orders the job while it waits; raised is true if it
+	// is above Rank.
+	effective [2]int
+	raised    bool
 }
 
 // Action is a decision on one job: a dispatch if Upstream is set, else a refusal.
@@ -126,6 +131,8 @@
 	// seconds.
 	departureInterval float64
 	lastDeparture     time.Time
+	// ranks counts the jobs by rank.
+	ranks map[[2]int]*rankCount
 }
 
 // running is a dispatched job.
@@ -204,6 +211,10 @@
 func (s *Scheduler) Arrive(j *Job, now time.Time) []Action {
 	s.init()
 	v := s.service(j.Service)
+	j.effective, j.raised = j.Rank, false
+	c := v.rank(j.Rank)
+	c.decay(now)
+	c.arrived++
 	if len(v.queue) >= maxQueue {
 		return []Action{s.refuse(v, j, ReasonQueueLong, now)}
 	}
@@ -301,13 +312,12 @@
 	u.ownLoad++
 	u.markSent(now)
 	s.jobs[j.ID] = &running{job: j, upstream: u, sent: now, nominal: nominalFirst(j)}
-	v.recordDeparture(now)
+	v.recordDeparture(j.Rank, now)
 	return a
 }
 
 func (s *Scheduler) refuse(v *service, j *Job, reason string, now time.Time) Action {
-	wait := time.Duration(float64(len(v.queue)) * v.departureInterval * float64(time.Second))
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	wait := min(max(v.expectedWait(j, now), minRetryAfter), maxRetryAfter)
 	if reason == ReasonStopping {
 		wait = s.stoppingRetry(now)
 	}
--- a/internal/forward/schedule/schedule_test.go
+++ b/internal/forward/schedule/schedule_test.go
@@ -70,12 +70,12 @@
 		demand  Demand
 		granted bool
 	}{
-		{"a higher rank waits at a peer that runs nothing", nil, Demand{"menus", [2]int{0, 0}, 1, time.Second}, true},
-		{"a higher rank waits at a busy peer", map[string]int{"engine-1": 1}, Demand{"menus", [2]int{0, 0}, 1, time.Second}, true},
-		{"the same rank waits much longer", nil, Demand{"menus", [2]int{0, 1}, 1, 100 * time.Millisecond}, true},
-		{"the same rank waits about as long", nil, Demand{"menus", [2]int{0, 1}, 1, 550 * time.Millisecond}, false},
-		{"a lower rank waits", nil, Demand{"menus", [2]int{0, 2}, 5, 0}, false},
-		{"another service's request waits", nil, Demand{"bookings", [2]int{0, 0}, 1, 0}, false},
+		{"a higher rank waits at a peer that runs nothing", nil, Demand{Service: "menus", Rank: [2]int{0, 0}, Count: 1, Slack: time.Second}, true},
+		{"a higher rank waits at a busy peer", map[string]int{"engine-1": 1}, Demand{Service: "menus", Rank: [2]int{0, 0}, Count: 1, Slack: time.Second}, true},
+		{"the same rank waits much longer", nil, Demand{Service: "menus", Rank: [2]int{0, 1}, Count: 1, Slack: 100 * time.Millisecond}, true},
+		{"the same rank waits about as long", nil, Demand{Service: "menus", Rank: [2]int{0, 1}, Count: 1, Slack: 550 * time.Millisecond}, false},
+		{"a lower rank waits", nil, Demand{Service: "menus", Rank: [2]int{0, 2}, Count: 5, Slack: 0}, false},
+		{"another service's request waits", nil, Demand{Service: "bookings", Rank: [2]int{0, 0}, Count: 1, Slack: 0}, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -95,7 +95,7 @@
 	for i := range p.state.Demand {
 		d := &p.state.Demand[i]
 		v := s.services[d.Service]
-		if v == nil || len(v.queue) > 0 && !demandPrecedes(d, v.queue[0], 0, now) {
+		if v == nil || len(v.queue) > 0 && !s.demandPrecedes(d, v, v.queue[0], 0, now) {
 			continue
 		}
 		for _, u := range v.upstreams {
