fix(schedule): waits are estimated by the order in which requests are sent

Change: the estimate counts the requests that are sent before, and takes the share of the departures that higher ranks, and requests in time, take meanwhile. A request that turns late is estimated anew, and refused with Retry-After if it would wait too long. An underserved rank is raised to where the rank above it is raised.

--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -45,6 +45,8 @@
 	requests, onTime, late, refused [3]int
 	// waited counts the requests that reached an engine without a free slot, of sent.
 	waited, sent int
+	// held counts the refused requests that had waited for heldFraction of their time.
+	held int
 }
 
 func (t *counts) onTimeShare(rank int) float64 {
@@ -130,6 +132,9 @@
 			}
 		case a.Upstream == nil:
 			sim.counts.refused[a.Job.Rank[1]]++
+			if j := a.Job; sim.now.Sub(j.Arrived) > time.Duration(heldFraction*float64(j.Expires.Sub(j.Arrived))) {
+				sim.counts.held++
+			}
 		default:
 			sim.send(i, a)
 		}
--- a/internal/forward/schedule/overload_test.go
+++ b/internal/forward/schedule/overload_test.go
@@ -5,6 +5,55 @@
 	"time"
 )
 
+// heldFraction is the fraction of its time after which a refused request counts as
+// held: its caller has too little left to come back.
+const heldFraction = 0.75
+
+// TestLastingOverload loads a fleet beyond its capacity for long: no rank is starved,
+// the ranks are served in their order, and a request that can't be served is told so
+// while its caller can still come back.
+func TestLastingOverload(t *testing.T) {
+	tests := []struct {
+		name string
+		load float64
+	}{
+		{"1.5 times the capacity", 1.5},
+		{"twice the capacity", 2},
+		{"three times the capacity", 3},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sim := newSimulation(8, 9, 6, 4)
+			sim.load(tt.load*capacity, 0, 15*time.Second)
+			sim.run(20 * time.Second)
+			g := &sim.counts
+			var served [3]float64
+			all, requests, refused := 0, 0, 0
+			for rank := range served {
+				n := g.onTime[rank] + g.late[rank]
+				served[rank] = float64(n) / float64(g.requests[rank])
+				all += n
+				requests += g.requests[rank]
+				refused += g.refused[rank]
+			}
+			t.Logf("served %.3f, in time %.3f %.3f %.3f, held %d of %d refused", served,
+				g.onTimeShare(0), g.onTimeShare(1), g.onTimeShare(2), g.held, refused)
+			for rank := range served {
+				// A kind counts as starved below a quarter of what all get.
+				if served[rank] < 0.25*float64(all)/float64(requests) {
+					t.Errorf("rank %d is starved: %.3f served", rank, served[rank])
+				}
+				if rank > 0 && served[rank] > served[rank-1]+0.05 {
+					t.Errorf("rank %d is served more often than the rank above it: %.3f", rank, served)
+				}
+			}
+			if g.held > refused/20 {
+				t.Errorf("%d of %d refused requests were held for most of their time", g.held, refused)
+			}
+		})
+	}
+}
+
 // TestTimelyDemandPrecedesLate frees a slot while a peer's request can still be in
 // time and an own one of the same rank can't, and the other way round.
 func TestTimelyDemandPrecedesLate(t *testing.T) {
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -69,14 +69,19 @@
 }
 
 // recordDeparture records that a job left the queue for an upstream.
-func (v *service) recordDeparture(rank [2]int, now time.Time) {
+func (v *service) recordDeparture(rank [2]int, late bool, now time.Time) {
 	own := v.rank(rank)
 	own.decay(now)
 	own.dispatched++
 	for _, c := range v.ranks {
 		c.share -= departureWeight * c.share
+		c.lateShare -= departureWeight * c.lateShare
+	}
+	if late {
+		own.lateShare += departureWeight
+	} else {
+		own.share += departureWeight
 	}
-	own.share += departureWeight
 
 	if !v.lastDeparture.IsZero() {
 		d := min(now.Sub(v.lastDeparture).Seconds(), maxInterval)
@@ -85,11 +90,6 @@
 	v.lastDeparture = now
 }
 
-// countAhead counts the waiting jobs that precede j.
-func (v *service) countAhead(j *Job) int {
-	return sort.Search(len(v.queue), func(i int) bool { return jobLess(j, v.queue[i]) })
-}
-
 // rejectReason returns the reason to refuse a job on arrival, or "".
 func (s *Scheduler) rejectReason(v *service, j *Job, now time.Time) string {
 	usable := 0
@@ -111,14 +111,19 @@
 	if _, ok := v.underserved(j.Rank); ok && v.waitingOf(j.Rank) < maxRaised {
 		return ""
 	}
-	wait := v.expectedWait(j, now)
-	left := j.Expires.Sub(now) - s.minTimeToFirst(v, j)
-	if left < 0 || wait > time.Duration(maxWaitFraction*float64(left)) {
+	if s.waitsTooLong(v, j, s.countAhead(v, j, now), now) {
 		return ReasonQueueLong
 	}
 	return ""
 }
 
+// waitsTooLong reports whether the expected wait of j behind ahead jobs takes too
+// much of its remaining time.
+func (s *Scheduler) waitsTooLong(v *service, j *Job, ahead int, now time.Time) bool {
+	left := j.Expires.Sub(now) - s.minTimeToFirst(v, j)
+	return left < 0 || v.expectedWait(j, s.late(v, j, now), ahead) > time.Duration(maxWaitFraction*float64(left))
+}
+
 // maxIdleLoad is the fraction of slots in use below which a service counts as idle.
 const maxIdleLoad = 0.7
 
--- a/internal/forward/schedule/ranks.go
+++ b/internal/forward/schedule/ranks.go
@@ -15,17 +15,18 @@
 	// maxRaised bounds the jobs of an underserved rank that wait although others of
 	// the rank are refused.
 	maxRaised = 2
-	// maxHigherShare bounds the share of the departures that counts as taken by higher
-	// ranks in the estimate of a wait.
-	maxHigherShare = 0.9
+	// maxTakenShare bounds the share of the departures that counts as taken by jobs
+	// that arrive later in the estimate of a wait.
+	maxTakenShare = 0.9
 )
 
 // rankCount counts the jobs of one rank, recent ones most.
 type rankCount struct {
 	arrived, dispatched float64
-	// share is the smoothed fraction of the departures that were of this rank.
-	share   float64
-	updated time.Time
+	// share and lateShare are the smoothed fractions of the departures that were of
+	// this rank and could be in time, or could not.
+	share, lateShare float64
+	updated          time.Time
 }
 
 // servedFraction is the fraction of the jobs that were dispatched; without any, all
@@ -87,34 +88,60 @@
 }
 
 // raise raises the first job of each underserved rank of a sorted queue to the rank
-// above it that is served least, and reports whether it raised any.
+// above it that is served least, or to where that one's are raised. It reports whether
+// it raised any.
 func (v *service) raise() bool {
 	raised := false
 	for i, j := range v.queue {
 		if i > 0 && j.Rank == v.queue[i-1].Rank {
 			continue
 		}
-		if above, ok := v.underserved(j.Rank); ok {
+		above, ok := v.underserved(j.Rank)
+		for ok {
 			j.effective, j.raised = above, true
 			raised = true
+			above, ok = v.underserved(above)
 		}
 	}
 	return raised
 }
 
-// expectedWait estimates how long j waits if it arrives now. Departures that higher
-// ranks take from those that are still to come count as lost for j.
-func (v *service) expectedWait(j *Job, now time.Time) time.Duration {
-	ahead := v.countAhead(j)
-	if len(v.queue) > 0 && !v.hasFreeSlot(now) {
-		ahead++
-	}
-	higher := 0.0
+// expectedWait estimates how long j waits if ahead waiting jobs precede it.
+// Departures that jobs which arrive later take, since they are of a higher rank or
+// can be in time while j cannot, count as lost for j.
+func (v *service) expectedWait(j *Job, late bool, ahead int) time.Duration {
+	taken := 0.0
 	for r, c := range v.ranks {
 		if rankLess(r, j.Rank) {
-			higher += c.share
+			taken += c.share + c.lateShare
+		} else if late && r == j.Rank {
+			taken += c.share
 		}
 	}
-	seconds := float64(ahead) * v.departureInterval / (1 - min(higher, maxHigherShare))
+	seconds := float64(ahead) * v.departureInterval / (1 - min(taken, maxTakenShare))
 	return time.Duration(seconds * float64(time.Second))
 }
+
+// countAhead counts the waiting jobs that precede j if it arrives now.
+func (s *Scheduler) countAhead(v *service, j *Job, now time.Time) int {
+	n := 0
+	late := s.late(v, j, now)
+	for _, q := range v.queue {
+		switch {
+		case q.effective != j.effective || q.raised || q.Resumed:
+			if jobLess(q, j) {
+				n++
+			}
+		case s.late(v, q, now) != late:
+			if late {
+				n++
+			}
+		case jobLess(q, j):
+			n++
+		}
+	}
+	if len(v.queue) > 0 && !v.hasFreeSlot(now) {
+		n++
+	}
+	return n
+}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -63,6 +63,8 @@
 	// is above Rank.
 	effective [2]int
 	raised    bool
+	// turnedLate is true once the job cannot be in time any more.
+	turnedLate bool
 }
 
 // Action is a decision on one job: a dispatch if Upstream is set, else a refusal.
@@ -287,6 +289,14 @@
 			out = append(out, s.refuse(v, j, ReasonTooLate, now))
 			continue
 		}
+		if !j.turnedLate && !j.Resumed && s.late(v, j, now) {
+			// Jobs in time precede it from now on, so its wait is estimated anew.
+			j.turnedLate = true
+			if s.waitsTooLong(v, j, len(kept), now) {
+				out = append(out, s.refuse(v, j, ReasonQueueLong, now))
+				continue
+			}
+		}
 		if full {
 			kept = append(kept, j)
 			continue
@@ -312,12 +322,13 @@
 	u.ownLoad++
 	u.markSent(now)
 	s.jobs[j.ID] = &running{job: j, upstream: u, sent: now, nominal: nominalFirst(j)}
-	v.recordDeparture(j.Rank, now)
+	v.recordDeparture(j.Rank, s.late(v, j, now), now)
 	return a
 }
 
 func (s *Scheduler) refuse(v *service, j *Job, reason string, now time.Time) Action {
-	wait := min(max(v.expectedWait(j, now), minRetryAfter), maxRetryAfter)
+	wait := v.expectedWait(j, s.late(v, j, now), s.countAhead(v, j, now))
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	if reason == ReasonStopping {
 		wait = s.stoppingRetry(now)
 	}
