fix(gate): an upstream that can't be reached is named, and Retry-After has the dialect's form

Cause: a request whose only upstream refused the connection waited until its time was over, as a sent-to upstream is never chosen again, and was told deadline-unreachable; the on-call engineer looked for load. Retry-After: 0.50 went to plain callers, who can read whole seconds only.

Change: a request that was sent to every usable upstream is refused at once; one that expires while no upstream has answered since its last failed attempt too is told 2010 upstream-unreachable, with the upstreams' names in the log.

--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -47,6 +47,11 @@
 // RequestID returns the field that carries a request's id.
 func (Native) RequestID() string { return header.RequestID }
 
+// RetryAfter returns whole seconds, rounded up: HTTP knows no fractions there.
+func (Native) RetryAfter(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
 // Head reads the head of a caller's request. An error names the faulty field.
 func (Native) Head(h http.Header) (ward.ForwardHead, error) {
 	head := ward.ForwardHead{ID: h.Get(header.RequestID), LastEvent: -1}
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -5,7 +5,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"agateward/internal/forward/quota"
@@ -178,7 +177,7 @@
 	c.gate.Metrics.refused(k.Number)
 	h := c.w.Header()
 	if retry > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', 2, 64))
+		h.Set("Retry-After", c.gate.Dialect.RetryAfter(retry))
 	}
 	if id := c.head.ID; id != "" {
 		h.Set(c.gate.Dialect.RequestID(), id)
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"agateward/internal/forward/schedule"
@@ -38,10 +39,16 @@
 		return
 	}
 	c.refund()
+	if c.connectFailures > 0 {
+		c.respond(code.UpstreamUnreachable, a.RetryAfter, "no connection to "+strings.Join(c.tried, ", ")+": "+a.Reason)
+		return
+	}
 	k := code.QueueFull
 	switch a.Reason {
 	case schedule.ReasonNoUpstream:
 		k = code.NoUpstream
+	case schedule.ReasonUnreachable:
+		k = code.UpstreamUnreachable
 	case schedule.ReasonStopping:
 		k = code.Stopping
 	case schedule.ReasonTooLate:
@@ -67,9 +74,12 @@
 		c.gate.Metrics.refused(code.CallerGone.Number)
 		panic(http.ErrAbortHandler)
 	}
-	k := code.AnswerLate
-	if !c.mayHaveRun {
-		k = code.DeadlineUnreachable
+	switch {
+	case c.mayHaveRun:
+		c.fail(code.AnswerLate, errDeadline.Error())
+	case c.connectFailures > 0:
+		c.fail(code.UpstreamUnreachable, "no connection to "+strings.Join(c.tried, ", "))
+	default:
+		c.fail(code.DeadlineUnreachable, errDeadline.Error())
 	}
-	c.fail(k, errDeadline.Error())
 }
--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -198,6 +199,33 @@
 	}
 }
 
+// TestUnreachableUpstreamIsNamed closes the port of the only upstream: the caller is
+// told that it can't be reached, and when to come back in whole seconds; at once if
+// the request itself found out, else once it has waited for the upstream's return.
+func TestUnreachableUpstreamIsNamed(t *testing.T) {
+	u := newUpstream(t, func(io.Writer, *http.Request, int64) bool { return false })
+	u.Close()
+	s := newGate(t, u)
+	tests := []struct {
+		path string
+		most time.Duration
+	}{{"/safe/x", time.Second}, {"/unsafe/x", 2500 * time.Millisecond}, {"/stream/x", time.Second}}
+	for _, tt := range tests {
+		path := tt.path
+		begin := time.Now()
+		got := do(t, s, "POST", path, nil)
+		if got.status != 503 || !strings.Contains(got.body, "upstream-unreachable") {
+			t.Errorf("%s: %d %q, want 503 upstream-unreachable", path, got.status, got.body)
+		}
+		if seconds, err := strconv.Atoi(got.header.Get("Retry-After")); err != nil || seconds < 1 {
+			t.Errorf("%s: Retry-After %q is no whole number of seconds", path, got.header.Get("Retry-After"))
+		}
+		if held := time.Since(begin); held > tt.most {
+			t.Errorf("%s: answered after %v", path, held)
+		}
+	}
+}
+
 func TestKeysAndRoutes(t *testing.T) {
 	u := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool { return ok(w, r, "fine") })
 	s := newGate(t, u)
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -94,7 +95,7 @@
 func (s *Scheduler) rejectReason(v *service, j *Job, now time.Time) string {
 	usable := 0
 	for _, u := range v.upstreams {
-		if !u.Draining {
+		if !u.Draining && (j.Resumed || !slices.Contains(j.Avoid, u.ID)) {
 			usable++
 		}
 	}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -95,6 +95,8 @@
 	ReasonTooLate    = "too-late"
 	ReasonQueueLong  = "queue-long"
 	ReasonStopping   = "stopping"
+	// ReasonUnreachable means that the job expired while no upstream could be reached.
+	ReasonUnreachable = "unreachable"
 )
 
 // Scheduler assigns jobs to upstreams. The zero value is ready to use once Rand is
@@ -286,7 +288,11 @@
 			continue
 		}
 		if !j.Resumed && now.After(j.Expires.Add(-s.minTimeToFirst(v, j))) || now.After(j.Expires) {
-			out = append(out, s.refuse(v, j, ReasonTooLate, now))
+			reason := ReasonTooLate
+			if v.unreachable() {
+				reason = ReasonUnreachable
+			}
+			out = append(out, s.refuse(v, j, reason, now))
 			continue
 		}
 		if !j.turnedLate && !j.Resumed && s.late(v, j, now) {
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -154,6 +154,17 @@
 	return list
 }
 
+// unreachable reports whether no upstream of the service has answered since its last
+// failed attempt.
+func (v *service) unreachable() bool {
+	for _, u := range v.upstreams {
+		if !u.Draining && u.failedAttempts == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // hasFreeSlot reports whether any upstream of the service has a usable slot.
 func (v *service) hasFreeSlot(now time.Time) bool {
 	for _, u := range v.upstreams {
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -198,6 +198,8 @@
 	// RequestID returns the name of the header field that holds the id of a request
 	// and its answer.
 	RequestID() string
+	// RetryAfter returns the value of a Retry-After field.
+	RetryAfter(d time.Duration) string
 }
 
 // Registration is one change to the registered upstreams.
