feat(platform): revisions and leases are stamped with the store's era

Cause: a store that returns from an older copy gives revisions and lease numbers out again. Nothing read Store-Era: a watch went on from a revision that meant something else, a lease of the old era was renewed, and a write under a revision given out twice replaced the record of the entry that was right.

--- a/internal/forward/node/cell.go
+++ b/internal/forward/node/cell.go
@@ -43,10 +43,21 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
+		case <-n.announceNow:
+			// The announcement went with the old era, as those of the other entries did.
+			announced, pause = time.Time{}, minListInterval
 		}
 	}
 }
 
+// announceAgain requests that this entry is announced anew.
+func (n *Node) announceAgain() {
+	select {
+	case n.announceNow <- struct{}{}:
+	default:
+	}
+}
+
 // fleet returns the number of entries and the index of this one.
 func (n *Node) fleet() split.Fleet {
 	n.mu.Lock()
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -88,15 +88,17 @@
 	sequence     uint64
 	peerConn     *net.UDPConn
 	broadcastNow chan struct{}
+	// announceNow requests an early announcement.
+	announceNow chan struct{}
 
 	stopping context.Context
 }
 
 // New composes a node. It opens no listener.
 func New(s forwarding.Settings, p Parts) *Node {
-	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), broadcastNow: make(chan struct{}, 1)}
+	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), broadcastNow: make(chan struct{}, 1), announceNow: make(chan struct{}, 1)}
 	n.peers.Self = s.Name
-	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.onChange, FollowsStore: n.followsStore}
+	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.onChange, FollowsStore: n.followsStore, EraChanged: n.announceAgain}
 	pool := &backend.Pool{OnOpen: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
 	n.rollout = &rollout.Rollout{
 		Self: s.Name, Start: n.start, Source: p.Source, Log: p.Log, Orders: n.view.Rollouts, Upstreams: n.view.Upstreams,
--- a/internal/forward/replicas/replicas.go
+++ b/internal/forward/replicas/replicas.go
@@ -26,6 +26,11 @@
 // platform states about two seconds for lapsed registrations to return.
 const MissingGrace = 2 * time.Second
 
+// returnGrace is how long an upstream that had left stays out after a store has
+// returned from an older copy that still lists it. The store removes the registration
+// of an upstream that is gone within three heartbeats.
+const returnGrace = 5 * time.Second
+
 // Entry is one registration with the revision that the store gave it.
 type Entry struct {
 	ward.Replica
@@ -43,6 +48,15 @@
 	Revision uint64
 	entries  map[string]*Entry
 	removed  map[string]uint64
+	// returning holds the upstreams that had left and that an older copy of the store
+	// lists, by ID.
+	returning map[string]returning
+}
+
+// returning is a registration that is accepted at a given time.
+type returning struct {
+	entry Entry
+	at    time.Time
 }
 
 // Put adds or changes an upstream, and reports whether anything changed. An older
@@ -58,6 +72,10 @@
 	if e != nil && e.Revision > revision {
 		return false
 	}
+	delete(s.returning, r.ID)
+	if e != nil && e.Draining && e.Born == r.Born && laterEra(revision, e.Revision) {
+		r.Draining = true // an older copy of the store may not have the news yet
+	}
 	s.Revision = max(s.Revision, revision)
 	if e != nil && e.Replica == r {
 		e.Revision, e.missingSince = revision, time.Time{}
@@ -73,6 +91,7 @@
 	if s.entries == nil {
 		s.entries, s.removed = make(map[string]*Entry), make(map[string]uint64)
 	}
+	delete(s.returning, id)
 	s.Revision = max(s.Revision, revision)
 	s.removed[id] = max(s.removed[id], revision)
 	if e := s.entries[id]; e == nil || e.Revision > revision {
@@ -90,10 +109,22 @@
 	seen := make(map[string]bool, len(list))
 	for _, e := range list {
 		seen[e.ID] = true
+		if left := s.removed[e.ID]; s.entries[e.ID] == nil && left > 0 && laterEra(e.Revision, left) {
+			if s.returning == nil {
+				s.returning = make(map[string]returning)
+			}
+			s.returning[e.ID] = returning{entry: e, at: now.Add(returnGrace)}
+			continue
+		}
 		if s.Put(e.Replica, e.Revision) {
 			changed = true
 		}
 	}
+	for id := range s.returning {
+		if !seen[id] {
+			delete(s.returning, id)
+		}
+	}
 	for id := range s.entries {
 		if !seen[id] {
 			s.MarkMissing(id, revision, now)
@@ -134,18 +165,33 @@
 	return changed
 }
 
-// Sweep removes the upstreams that were missing for MissingGrace, and returns
-// their IDs in order.
-func (s *Set) Sweep(now time.Time) []string {
-	var lapsed []string
+// laterEra reports whether a revision is of a later era of the store than another.
+func laterEra(a, b uint64) bool {
+	x, _ := ward.SplitRevision(a)
+	y, _ := ward.SplitRevision(b)
+	return x > y
+}
+
+// Sweep removes the upstreams that were missing for MissingGrace, and accepts those
+// that an older copy of the store has listed for long enough. It returns the IDs of
+// both in order.
+func (s *Set) Sweep(now time.Time) (lapsed, returned []string) {
 	for id, e := range s.entries {
 		if !e.missingSince.IsZero() && now.Sub(e.missingSince) >= MissingGrace {
 			delete(s.entries, id)
 			lapsed = append(lapsed, id)
 		}
 	}
+	for id, r := range s.returning {
+		if now.Before(r.at) {
+			continue
+		}
+		s.Put(r.entry.Replica, r.entry.Revision)
+		returned = append(returned, id)
+	}
 	sort.Strings(lapsed)
-	return lapsed
+	sort.Strings(returned)
+	return lapsed, returned
 }
 
 // Len returns the number of upstreams.
--- a/internal/forward/replicas/replicas_test.go
+++ b/internal/forward/replicas/replicas_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -26,11 +27,11 @@
 		t.Fatal("an upstream that is missing from a list is removed at once")
 	}
 	s.Put(replica("b"), 10)
-	if lapsed := s.Sweep(start.Add(MissingGrace)); len(lapsed) != 0 {
+	if lapsed, _ := s.Sweep(start.Add(MissingGrace)); len(lapsed) != 0 {
 		t.Errorf("%v are removed after their return", lapsed)
 	}
 	s.ApplyList([]Entry{{Replica: replica("a"), Revision: 1}}, 11, start)
-	if lapsed := s.Sweep(start.Add(MissingGrace)); len(lapsed) != 1 || lapsed[0] != "b" {
+	if lapsed, _ := s.Sweep(start.Add(MissingGrace)); len(lapsed) != 1 || lapsed[0] != "b" {
 		t.Errorf("%v are removed, want b", lapsed)
 	}
 }
@@ -48,7 +49,7 @@
 	}
 	now := start.Add(time.Second)
 	other.Merge(reader.All(now), reader.Revision, now)
-	if lapsed := other.Sweep(start.Add(MissingGrace)); len(lapsed) != 1 || lapsed[0] != "b" {
+	if lapsed, _ := other.Sweep(start.Add(MissingGrace)); len(lapsed) != 1 || lapsed[0] != "b" {
 		t.Errorf("%v are removed at the time when the reader removes b", lapsed)
 	}
 }
@@ -113,3 +114,51 @@
 		}
 	})
 }
+
+// TestStoreReturnsFromOlderCopy applies lists of an older copy of the store: an
+// upstream that has left stays out for a while, one that drains goes on draining, and
+// one that the copy lacks is kept until it can have registered again.
+func TestStoreReturnsFromOlderCopy(t *testing.T) {
+	draining := replica("drains")
+	draining.Draining = true
+	var s Set
+	list := []Entry{
+		{Replica: replica("left"), Revision: ward.StampRevision(1, 2)},
+		{Replica: replica("drains"), Revision: ward.StampRevision(1, 3)},
+	}
+	s.ApplyList(list, ward.StampRevision(1, 3), start)
+	s.Remove("left", ward.StampRevision(1, 4))
+	s.Put(draining, ward.StampRevision(1, 5))
+	s.Put(replica("new"), ward.StampRevision(1, 6))
+	for i := range list {
+		_, own := ward.SplitRevision(list[i].Revision)
+		list[i].Revision = ward.StampRevision(2, own)
+	}
+	s.ApplyList(list, ward.StampRevision(2, 3), start)
+	tests := []struct {
+		name  string
+		after time.Duration
+		want  []string
+	}{
+		{"at once", 0, []string{"drains", "new"}},
+		{"after the time of lapsed registrations", MissingGrace, []string{"drains"}},
+		{"after the time of registrations that are gone", returnGrace, []string{"drains", "left"}},
+	}
+	for _, tt := range tests {
+		s.Sweep(start.Add(tt.after))
+		var got []string
+		for _, e := range s.All(start) {
+			got = append(got, e.ID)
+			if e.ID == "drains" && !e.Draining {
+				t.Errorf("%s: an upstream that drains is ready again", tt.name)
+			}
+		}
+		if !slices.Equal(got, tt.want) {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+	s.Put(replica("drains"), ward.StampRevision(2, 9))
+	if s.All(start)[0].Draining {
+		t.Error("a registration of the present era is not believed")
+	}
+}
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -58,7 +58,7 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ward.ErrHistoryGone):
-			v.Log.Info("store-history-gone", "of", kind, "revision", revision)
+			v.Log.Info("store-history-gone", "of", kind, "revision", ward.RevisionText(revision))
 			next = list
 		case err != nil:
 			v.noteFailure(kind, err)
@@ -69,6 +69,7 @@
 			}
 		default:
 			v.noteAnswer(kind, to)
+			v.noteRevision(to, "store")
 			changed := to != revision && revision > 0
 			revision, next, wait = to, watch, minRetryDelay
 			if changed {
@@ -97,7 +98,26 @@
 	if v.down[kind] {
 		v.down[kind] = false
 		v.recovered = v.answered
-		v.Log.Info("store-regained", "of", kind, "revision", revision)
+		v.Log.Info("store-regained", "of", kind, "revision", ward.RevisionText(revision))
+	}
+}
+
+// noteRevision notes a revision of the store. A later era means that the store has
+// returned from an older copy: what was written to it since the copy is gone.
+func (v *View) noteRevision(revision uint64, source string) {
+	v.mu.Lock()
+	old := v.revision
+	v.revision = max(old, revision)
+	v.mu.Unlock()
+	was, _ := ward.SplitRevision(old)
+	era, _ := ward.SplitRevision(revision)
+	if old == 0 || era <= was {
+		return
+	}
+	v.Log.Info("store-era-changed", "old-era", was, "new-era", era, "old-revision", ward.RevisionText(old),
+		"new-revision", ward.RevisionText(revision), "source", source, "dropped", "leases and revisions of the old era")
+	if v.EraChanged != nil {
+		v.EraChanged()
 	}
 }
 
@@ -148,7 +168,7 @@
 	n := v.set.Len()
 	v.mu.Unlock()
 	if changed || first {
-		v.Log.Info("upstreams-changed", "source", "list of the store", "revision", rev, "count", n)
+		v.Log.Info("upstreams-changed", "source", "list of the store", "revision", ward.RevisionText(rev), "count", n)
 		v.Changed()
 	}
 	return rev, nil
@@ -177,7 +197,7 @@
 	n := v.set.Len()
 	v.mu.Unlock()
 	if changed {
-		v.Log.Info("upstreams-changed", "source", "store", "revision", rev, "count", n, "events", len(regs))
+		v.Log.Info("upstreams-changed", "source", "store", "revision", ward.RevisionText(rev), "count", n, "events", len(regs))
 		v.Changed()
 	}
 	return rev, nil
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -67,6 +67,9 @@
 	FollowsStore func() bool
 	// Changed is called after the configuration or the upstreams changed.
 	Changed func()
+	// EraChanged is called when the store has returned from an older copy, unless it
+	// is nil.
+	EraChanged func()
 
 	table atomic.Pointer[route.Table]
 
@@ -76,7 +79,9 @@
 	// recovered is when the store answered again after a failed call.
 	recovered time.Time
 	// answered is when the store last answered.
-	answered     time.Time
+	answered time.Time
+	// revision is the newest revision of the store that this entry or a peer has seen.
+	revision     uint64
 	loggedFaults map[string]uint64
 	down         map[string]bool
 	// rollouts are the newest orders by service, including removed ones.
@@ -193,10 +198,13 @@
 	v.adoptRollouts(s.Rollouts, "peer "+from)
 	v.mu.Lock()
 	changed := v.set.Merge(s.Replicas, s.Revision, time.Now())
+	v.mu.Unlock()
+	v.noteRevision(s.Revision, "peer "+from)
+	v.mu.Lock()
 	revision, n := v.set.Revision, v.set.Len()
 	v.mu.Unlock()
 	if changed {
-		v.Log.Info("upstreams-changed", "source", "peer "+from, "revision", revision, "count", n)
+		v.Log.Info("upstreams-changed", "source", "peer "+from, "revision", ward.RevisionText(revision), "count", n)
 		v.Changed()
 	}
 }
@@ -220,10 +228,10 @@
 // time. It is called several times a second.
 func (v *View) Sweep(now time.Time) {
 	v.mu.Lock()
-	lapsed := v.set.Sweep(now)
+	lapsed, returned := v.set.Sweep(now)
 	v.mu.Unlock()
-	if len(lapsed) > 0 {
-		v.Log.Info("upstreams-lapsed", "upstreams", lapsed)
+	if len(lapsed) > 0 || len(returned) > 0 {
+		v.Log.Info("upstreams-lapsed", "upstreams", lapsed, "returned", returned)
 		v.Changed()
 	}
 }
