fix(peers): the start of a large fleet costs each entry a bounded number of messages

Cause: until an entry knew its cell it took every entry for a member, learned each address from each message, and sent each message with all addresses to all of them: the start grew with the cube of the fleet. Each entry listed right after its own announcement, when most others were missing, then again and again, and followed the store meanwhile.

At the first start of the whole fleet it lists 0.4 s after its announcement and follows the store only once it has tried to learn its cell; the interval of the lists grows by four.

--- a/internal/forward/node/cell.go
+++ b/internal/forward/node/cell.go
@@ -13,10 +13,14 @@
 // follows it. A watch without changes is answered within this time.
 const maxStoreAge = 1500 * time.Millisecond
 
-// followsStore reports whether this entry follows the store itself.
+// followsStore reports whether this entry follows the store itself. When the whole
+// fleet starts, none does before it has tried to learn its cell.
 func (n *Node) followsStore() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.settings.FirstStart && !n.cellTried {
+		return false
+	}
 	return n.peers.FollowsStore(time.Now(), maxStoreAge)
 }
 
@@ -25,6 +29,12 @@
 	self := ward.ForwardEntry{Name: n.settings.Name, DataCentre: n.settings.DataCentre, Listen: n.peerAddress()}
 	var announced time.Time
 	pause := minListInterval
+	// When the whole fleet starts, a list right after the own announcement would lack
+	// most entries.
+	listAfter := time.Now()
+	if n.settings.FirstStart {
+		listAfter = listAfter.Add(firstListDelay)
+	}
 	for ctx.Err() == nil {
 		if announced.IsZero() || time.Since(announced) > announceInterval {
 			if err := n.source.Announce(ctx, self); err != nil {
@@ -33,13 +43,21 @@
 				announced = time.Now()
 			}
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(listAfter)):
+		}
 		if list, err := n.source.Entries(ctx); err == nil {
 			n.setCell(peers.CellOf(list, self))
 		} else {
 			n.log.Info("entries-unknown", "error", err.Error())
 		}
+		n.mu.Lock()
+		n.cellTried = true
+		n.mu.Unlock()
 		// Entries that start together are not all in the first lists.
-		pause = min(2*pause, maxListInterval)
+		pause = min(listIntervalGrowth*pause, maxListInterval)
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -55,11 +55,14 @@
 	// sweepInterval is the interval of the checks for lapsed registrations.
 	sweepInterval = 100 * time.Millisecond
 	// announceInterval is the interval at which the announcement in the store is
-	// renewed. The list of entries is read at an interval that doubles from
-	// minListInterval to maxListInterval.
-	announceInterval = 2 * time.Minute
-	minListInterval  = 500 * time.Millisecond
-	maxListInterval  = 15 * time.Second
+	// renewed. The list of entries is read at an interval that grows by
+	// listIntervalGrowth from minListInterval to maxListInterval; when the whole fleet
+	// starts, first after firstListDelay.
+	announceInterval   = 2 * time.Minute
+	minListInterval    = 500 * time.Millisecond
+	maxListInterval    = 15 * time.Second
+	listIntervalGrowth = 4
+	firstListDelay     = 400 * time.Millisecond
 )
 
 // Parts are the dependencies of a node besides its settings.
@@ -83,6 +86,8 @@
 	mu    sync.Mutex
 	peers peers.Set
 	cell  peers.Cell
+	// cellTried is set once the list of entries was read, or could not be.
+	cellTried bool
 	// fetching is set while documents are fetched from a peer.
 	fetching     bool
 	sequence     uint64
--- a/internal/forward/peers/peers.go
+++ b/internal/forward/peers/peers.go
@@ -31,6 +31,11 @@
 	// candidateEagerTime is how long a new address gets every message, so that
 	// entries that have just started find each other soon.
 	candidateEagerTime = time.Second
+	// maxUnassigned bounds the peers and candidates of an entry that does not know its
+	// cell, or has none: twice the size of an undivided fleet, so that entries that
+	// were replaced leave room for the new ones. Without a bound, a large fleet that
+	// starts together would send everything to everyone.
+	maxUnassigned = 2 * maxUndividedFleet
 	// unresponsiveSendInterval is the interval, in messages, at which an unresponsive
 	// address still gets one.
 	unresponsiveSendInterval = 8
@@ -63,11 +68,27 @@
 // AddCandidate adds an address at which an entry may listen for messages.
 func (s *Set) AddCandidate(listen string, now time.Time) {
 	s.init()
-	if _, ok := s.candidates[listen]; !ok {
+	if _, ok := s.candidates[listen]; !ok && s.hasRoom(now) {
 		s.candidates[listen] = now
 	}
 }
 
+// hasRoom reports whether another address may be learned.
+func (s *Set) hasRoom(now time.Time) bool {
+	return s.cell != nil || len(s.candidates)+s.heard(now) < maxUnassigned
+}
+
+// heard returns the number of peers that are not unresponsive.
+func (s *Set) heard(now time.Time) int {
+	n := 0
+	for _, p := range s.peers {
+		if now.Sub(p.LastHeard) < aliveTimeout {
+			n++
+		}
+	}
+	return n
+}
+
 // Receive stores a message and reports whether it is new: from another entry of
 // the cell, and later than its last one.
 func (s *Set) Receive(m peerstate.Message, now time.Time) bool {
@@ -76,6 +97,9 @@
 		return false
 	}
 	old := s.peers[m.Name]
+	if _, known := s.candidates[m.Listen]; old == nil && !known && !s.hasRoom(now) {
+		return false
+	}
 	if old != nil && m.Start == old.Start && m.Sequence <= old.Sequence {
 		return false
 	}
