--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -73,7 +73,8 @@
 
 	// shutdown is set while the entry stops.
 	shutdown atomic.Pointer[shutdown.Shutdown]
-	running  atomic.Int64
+	// running counts the requests that are being served.
+	running atomic.Int64
 	// maxBody replaces MaxBody after the settings were reloaded.
 	maxBody atomic.Int64
 	wake    chan struct{}
