feat(gate): logs and metrics tell who promised that a request did not run

The record of the incident can't tell its hypotheses apart: request-answered had neither the upstream nor its statement, and attempt-not-run not whose answer it was. Both lines now name the upstream and the request that the answer names (answer-to); counters hold what upstreams answered by status and statement, and the promises made to callers by status, source and number of sends. No decision changes.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -55,14 +55,15 @@
 // handleAnswer relays an answer and reports whether the request is finished.
 func (c *call) handleAnswer(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *time.Timer) bool {
 	reply := c.gate.Dialect.Reply(x.Status, x.Header)
+	c.gate.Metrics.upstreamAnswered(x.Status, c.statement(reply))
 	if reply.NotRun {
-		return c.handleNotRun(a, x)
+		return c.handleNotRun(a, x, reply.ID)
 	}
 	c.sends++
 	c.mayHaveRun = true
 	if reason := c.mismatch(x, reply); reason != "" {
 		c.finishAttempt(a, schedule.OutcomeFailed)
-		c.log.Info("answer-refused", "upstream", a.Upstream.ID, "status", x.Status, "cause", reason, "elapsed", time.Since(c.arrived))
+		c.log.Info("answer-refused", "upstream", a.Upstream.ID, "status", x.Status, "cause", reason, "answer-to", reply.ID, "elapsed", time.Since(c.arrived))
 		return !c.retry(code.AnswerMismatch, reason)
 	}
 	if c.route.Kind == ward.ForwardStream && x.Status < 300 {
@@ -71,6 +72,17 @@
 	return c.relayBuffered(ctx, a, x)
 }
 
+// statement returns what an upstream's answer says about its request, for the metrics.
+func (c *call) statement(reply ward.ForwardReply) string {
+	switch {
+	case reply.ID != "" && reply.ID != c.head.ID:
+		return statementOther
+	case reply.NotRun:
+		return statementNotRun
+	}
+	return statementNone
+}
+
 // mismatch returns why an answer does not belong to the request or was modified, or
 // "".
 func (c *call) mismatch(x *backend.Exchange, reply ward.ForwardReply) string {
@@ -87,7 +99,7 @@
 
 // handleNotRun finishes an attempt that the upstream answered without running the
 // request, and reports whether the request is finished.
-func (c *call) handleNotRun(a schedule.Action, x *backend.Exchange) bool {
+func (c *call) handleNotRun(a schedule.Action, x *backend.Exchange, answerTo string) bool {
 	// Reading the short body allows the connection to be reused.
 	_, _ = io.Copy(io.Discard, io.LimitReader(x.Body, 4<<10))
 	o := schedule.OutcomeFull
@@ -96,7 +108,7 @@
 	}
 	c.finishAttempt(a, o)
 	c.sends++
-	c.log.Info("attempt-not-run", "upstream", a.Upstream.ID, "status", x.Status, "elapsed", time.Since(c.arrived))
+	c.log.Info("attempt-not-run", "upstream", a.Upstream.ID, "status", x.Status, "answer-to", answerTo, "elapsed", time.Since(c.arrived))
 	if x.Status == http.StatusBadRequest {
 		c.fail(code.BadHeader, "the upstream could not read the request")
 		return true
@@ -106,9 +118,10 @@
 
 // bufferedAnswer is an answer that was read completely.
 type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+	upstream string
+	status   int
+	header   http.Header
+	body     []byte
 }
 
 func (b *bufferedAnswer) write(c *call) {
@@ -117,8 +130,9 @@
 	c.w.WriteHeader(b.status)
 	// A write error means that the caller has left; nothing else can be done.
 	_, _ = c.w.Write(b.body)
-	c.log.Info("request-answered", "status", b.status, "bytes", len(b.body), "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.log.Info("request-answered", "upstream", b.upstream, "status", b.status, "bytes", len(b.body), "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, b.status, time.Since(c.arrived))
+	c.gate.Metrics.notRunPromised(b.status, sourceUpstream, c.sends)
 }
 
 // copyHeader copies the fields of the answer over those that this entry set; of
@@ -151,7 +165,7 @@
 		o = schedule.OutcomeFailed
 	}
 	c.finishAttempt(a, o)
-	out := &bufferedAnswer{status: x.Status, header: x.Header, body: body}
+	out := &bufferedAnswer{upstream: a.Upstream.ID, status: x.Status, header: x.Header, body: body}
 	if failed && !c.started {
 		c.fallback = out
 		if c.takeRetry() {
@@ -240,7 +254,7 @@
 	c.recordPace(a, n, time.Since(streamStart))
 	c.finishAttempt(a, schedule.OutcomeOK)
 	c.startAnswer(x)
-	c.log.Info("request-answered", "status", x.Status, "events", n, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.log.Info("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "events", n, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, x.Status, time.Since(c.arrived))
 	return true
 }
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -175,6 +175,7 @@
 	c.log.Info("request-refused", "code", k.Number, "status", k.Status, "cause", reason, "retry-after", retry,
 		"elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.refused(k.Number)
+	c.gate.Metrics.notRunPromised(k.Status, sourceEntry, c.sends)
 	h := c.w.Header()
 	if retry > 0 {
 		h.Set("Retry-After", c.gate.Dialect.RetryAfter(retry))
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"agateward/internal/result/code"
 	"agateward/ward"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,6 +37,32 @@
 	m.Set.GetOrCreateHistogram(fmt.Sprintf("agateward_forward_seconds{kind=%q,rank=\"%d\"}", r.Kind, r.Rank)).Update(d.Seconds())
 }
 
+// Values of the label statement: what an upstream's answer says about its request.
+const (
+	statementNone   = "none"
+	statementNotRun = "not-run"
+	statementOther  = "other-request"
+)
+
+// upstreamAnswered counts the head of an upstream's answer.
+func (m *Metrics) upstreamAnswered(status int, statement string) {
+	m.count("agateward_forward_upstream_answers_total{status=\"%d\",statement=%q}", status, statement)
+}
+
+// Values of the label source: who made the answer that a caller got.
+const (
+	sourceEntry    = "entry"
+	sourceUpstream = "upstream"
+)
+
+// notRunPromised counts an answer to a caller whose status promises that the request
+// did not run, with the number of sends before it.
+func (m *Metrics) notRunPromised(status int, source string, sends int) {
+	if code.PromisesNotRun(status) {
+		m.count("agateward_forward_not_run_promised_total{status=\"%d\",source=%q,sends=\"%d\"}", status, source, sends)
+	}
+}
+
 func (m *Metrics) first(r *ward.ForwardRoute, d time.Duration) {
 	if m != nil {
 		m.Set.GetOrCreateHistogram(fmt.Sprintf("agateward_forward_first_event_seconds{rank=\"%d\"}", r.Rank)).Update(d.Seconds())
--- a/internal/result/code/code.go
+++ b/internal/result/code/code.go
@@ -19,6 +19,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 
 	"agateward/ward"
 
@@ -56,6 +57,16 @@
 // Table returns all codes in order of number.
 func Table() []Code { return append([]Code(nil), table...) }
 
+// PromisesNotRun reports whether an HTTP status promises the caller that its request
+// did not run and never will.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // String returns the code as it is printed, such as "AW-2002 shed".
 func (c Code) String() string { return fmt.Sprintf("AW-%d %s", c.Number, c.Name) }
 
