fix(gate): a not-run answer counts only for the request that it names

What callers saw: 503 for a request that ran, or a request that may run once ran twice.

Cause: handleAnswer looked at the upstream's statement "not run" before it looked at the id. A late copy of a rejection, met by the next request on a kept connection, was taken for that request's own; the request was on its way.

Change: the id is compared first. An answer without an id counts only on a connection that has carried no other request.

Every statement of "not run" passes mismatch, so none of another request is left to act on.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -82,6 +82,7 @@
 	address string
 	br      *bufio.Reader
 	expires time.Time
+	reused  bool
 }
 
 // Exchange is a sent request with the answer that is being received.
@@ -93,6 +94,9 @@
 	Body io.Reader
 	// Length is the length of the body in bytes, -1 when it is not stated.
 	Length int64
+	// Reused reports whether the connection has carried an earlier request, whose
+	// answer this may be.
+	Reused bool
 
 	pool       *Pool
 	conn       *conn
@@ -112,7 +116,7 @@
 		return nil, fmt.Errorf("%w: %w", ward.ErrNotConnected, err)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	x := &Exchange{pool: p, conn: c, writeDone: make(chan error, 1), stopCancel: stop}
+	x := &Exchange{pool: p, conn: c, Reused: c.reused, writeDone: make(chan error, 1), stopCancel: stop}
 	head := r.head()
 	if len(r.Body) <= maxInlineBody {
 		_, err := c.Write(append(head, r.Body...))
--- a/internal/forward/backend/pool.go
+++ b/internal/forward/backend/pool.go
@@ -69,7 +69,7 @@
 			kept = time.Duration(s)*time.Second - idleTimeoutMargin
 		}
 	}
-	c.expires = time.Now().Add(kept)
+	c.expires, c.reused = time.Now().Add(kept), true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -56,12 +56,13 @@
 func (c *call) handleAnswer(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *time.Timer) bool {
 	reply := c.gate.Dialect.Reply(x.Status, x.Header)
 	c.gate.Metrics.upstreamAnswered(x.Status, c.statement(reply))
-	if reply.NotRun {
+	reason := c.mismatch(x, reply)
+	if reply.NotRun && reason == "" {
 		return c.handleNotRun(a, x, reply.ID)
 	}
 	c.sends++
 	c.mayHaveRun = true
-	if reason := c.mismatch(x, reply); reason != "" {
+	if reason != "" {
 		c.finishAttempt(a, schedule.OutcomeFailed)
 		c.log.Info("answer-refused", "upstream", a.Upstream.ID, "status", x.Status, "cause", reason, "answer-to", reply.ID, "elapsed", time.Since(c.arrived))
 		return !c.retry(code.AnswerMismatch, reason)
@@ -87,8 +88,14 @@
 // "".
 func (c *call) mismatch(x *backend.Exchange, reply ward.ForwardReply) string {
 	switch {
+	case reply.ID == "" && reply.NotRun && !x.Reused:
+		// A server that doesn't read the request may not know its id. On a new
+		// connection no other request can be meant.
+		return ""
 	case reply.ID != c.head.ID:
 		return "the answer belongs to another request"
+	case reply.NotRun:
+		return ""
 	case x.Status < 300 && !reply.Signed:
 		return "the successful answer lacks the upstream's signature"
 	case x.Header.Get("Content-Encoding") != "":
