fix(gate): an upstream's status is no promise that a request did not run

What callers saw: 503, 429 or 408 for requests that had run.

Cause: relayBuffered passed each complete answer on with its status. To a caller these statuses promise "not run, and never will"; an upstream states that by its not-run header only, and an answer without it comes after a run.

Change: an answer with such a status and without the statement is a failure of the upstream. It is sent again where the route allows that; otherwise the caller gets 502 with the new code 3009, unconfirmed-refusal, and neither the upstream's body nor its Retry-After. That a code which says "not run" is never sent after a request may have run is now decided in one place, call.respond, and no longer in fail alone.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -166,7 +166,9 @@
 	if err != nil {
 		return c.handleTruncated(ctx, a, err)
 	}
-	failed := x.Status >= http.StatusInternalServerError
+	// The upstream ran the request, so a status that promises the opposite is no answer.
+	unconfirmed := code.PromisesNotRun(x.Status)
+	failed := unconfirmed || x.Status >= http.StatusInternalServerError
 	o := schedule.OutcomeOK
 	if failed {
 		o = schedule.OutcomeFailed
@@ -174,17 +176,22 @@
 	c.finishAttempt(a, o)
 	out := &bufferedAnswer{upstream: a.Upstream.ID, status: x.Status, header: x.Header, body: body}
 	if failed && !c.started {
-		c.fallback = out
+		if !unconfirmed {
+			c.fallback = out
+		}
 		if c.takeRetry() {
 			c.log.Info("attempt-failed", "upstream", a.Upstream.ID, "status", x.Status, "elapsed", time.Since(c.arrived))
 			return false
 		}
 	}
-	if c.started {
+	switch {
+	case c.started:
 		c.fail(code.AnswerCut, "the resumed stream was refused with "+strconv.Itoa(x.Status))
-		return true
+	case unconfirmed:
+		c.fail(code.UnconfirmedRefusal, "upstream "+a.Upstream.ID+" answered "+strconv.Itoa(x.Status)+" without stating that it did not run the request")
+	default:
+		out.write(c)
 	}
-	out.write(c)
 	return true
 }
 
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -170,8 +170,12 @@
 	c.respond(k, retry, err.Error())
 }
 
-// respond answers with a result code of this entry.
+// respond answers with a result code of this entry. A code that says "not run" becomes
+// UpstreamFailed if an upstream may have run the request.
 func (c *call) respond(k code.Code, retry time.Duration, reason string) {
+	if c.mayHaveRun && k.Run == ward.NotRun {
+		k, retry = code.UpstreamFailed, 0
+	}
 	c.log.Info("request-refused", "code", k.Number, "status", k.Status, "cause", reason, "retry-after", retry,
 		"elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.refused(k.Number)
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -21,11 +21,9 @@
 		panic(http.ErrAbortHandler)
 	case c.fallback != nil:
 		c.fallback.write(c)
-	case c.mayHaveRun && k.Run == ward.NotRun:
-		c.respond(code.UpstreamFailed, 0, reason)
 	default:
 		var retry time.Duration
-		if k.Run == ward.NotRun {
+		if k.Run == ward.NotRun && !c.mayHaveRun {
 			retry = 500 * time.Millisecond
 		}
 		c.respond(k, retry, reason)
--- a/internal/result/code/table.go
+++ b/internal/result/code/table.go
@@ -49,6 +49,8 @@
 	AnswerTooLarge    = define(3006, "answer-too-large", ward.Unknown, http.StatusBadGateway, "ask for a shorter answer")
 	VersionRolledBack = define(3007, "version-taken-back", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
 	GraceUsedUp       = define(3008, "grace-used-up", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
+
+	UnconfirmedRefusal = define(3009, "unconfirmed-refusal", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
 )
 
 // Codes of idempotency keys.
