test(gate): the port of an unreachable upstream stays bound

Only TestPromisesHold's stand-in sends that stream; it had been given the port that the test closed. The port is now bound without a listener for the whole test, so a connection is refused and nobody else gets it. What the test expects is unchanged.

--- a/internal/forward/gate/upstream_test.go
+++ b/internal/forward/gate/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 )
 
@@ -42,6 +43,33 @@
 	return u
 }
 
+// newClosedUpstream returns an upstream that nobody listens for. Its port stays bound,
+// so that no other process gets it.
+func newClosedUpstream(t *testing.T) *upstream {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: name.(*syscall.SockaddrInet4).Port}
+	return &upstream{Listener: closedListener{address: address}}
+}
+
+// closedListener is an address without a listener.
+type closedListener struct {
+	net.Listener
+	address net.Addr
+}
+
+func (l closedListener) Addr() net.Addr { return l.address }
+
 func (u *upstream) serve(c net.Conn, f reply) {
 	defer c.Close()
 	br := bufio.NewReader(c)
