fix(schedule): a late request is refused as soon as its wait grows too long

Cause: the wait of a request that turns late was estimated once, when it turned.

Change: it is estimated at each decision.

--- a/internal/forward/schedule/overload_test.go
+++ b/internal/forward/schedule/overload_test.go
@@ -83,3 +83,38 @@
 		})
 	}
 }
+
+func refused(actions []Action, id uint64) bool {
+	for _, a := range actions {
+		if a.Job != nil && a.Job.ID == id && a.Upstream == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a late request being held until it expires since others keep arriving
+// that go before it: its caller has no time left to come back.
+func TestLateJobIsRefusedOnceItsWaitGrows(t *testing.T) {
+	s := newScheduler("entry-1", engines(1, 1))
+	dispatched(t, s.Arrive(job(1, 0, start), start))
+	s.service("menus").departureInterval = 0.5 // one job leaves every half second
+	j := job(2, 1, start)
+	if refused(s.Arrive(j, start), j.ID) {
+		t.Fatal("the job was refused with nothing ahead")
+	}
+	now := start.Add(700 * time.Millisecond)
+	if refused(s.Tick(now), j.ID) {
+		t.Fatal("the job was refused with nothing ahead")
+	}
+	gone := false
+	for id := uint64(100); id < 112; id++ {
+		p := job(id, 0, now)
+		p.Due, p.Expires, p.Deadline = now.Add(50*time.Second), now.Add(time.Minute), now.Add(time.Minute)
+		gone = gone || refused(s.Arrive(p, now), j.ID)
+	}
+	now = start.Add(time.Second)
+	if !gone && !refused(s.Tick(now), j.ID) {
+		t.Errorf("12 jobs are ahead and one leaves every half second, but the job still waits %v before it expires", j.Expires.Sub(now))
+	}
+}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -295,8 +295,9 @@
 			out = append(out, s.refuse(v, j, reason, now))
 			continue
 		}
-		if !j.turnedLate && !j.Resumed && s.late(v, j, now) {
-			// Jobs in time precede it from now on, so its wait is estimated anew.
+		if !j.Resumed && s.late(v, j, now) {
+			// Jobs in time precede it, also those that arrive later, so its wait is
+			// estimated anew.
 			j.turnedLate = true
 			if s.waitsTooLong(v, j, len(kept), now) {
 				out = append(out, s.refuse(v, j, ReasonQueueLong, now))
