--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -56,12 +56,13 @@
 func (c *call) handleAnswer(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *time.Timer) bool {
 	reply := c.gate.Dialect.Reply(x.Status, x.Header)
 	c.gate.Metrics.upstreamAnswered(x.Status, c.statement(reply))
-	if reply.NotRun {
+	reason := c.mismatch(x, reply)
+	if reply.NotRun && reason == "" {
 		return c.handleNotRun(a, x, reply.ID)
 	}
 	c.sends++
 	c.mayHaveRun = true
-	if reason := c.mismatch(x, reply); reason != "" {
+	if reason != "" {
 		c.finishAttempt(a, schedule.OutcomeFailed)
 		c.log.Info("answer-refused", "upstream", a.Upstream.ID, "status", x.Status, "cause", reason, "answer-to", reply.ID, "elapsed", time.Since(c.arrived))
 		return !c.retry(code.AnswerMismatch, reason)
@@ -87,8 +88,14 @@
 // "".
 func (c *call) mismatch(x *backend.Exchange, reply ward.ForwardReply) string {
 	switch {
+	case reply.ID == "" && reply.NotRun && !x.Reused:
+		// A server that doesn't read the request may not know its id. On a new
+		// connection no other request can be meant.
+		return ""
 	case reply.ID != c.head.ID:
 		return "the answer belongs to another request"
+	case reply.NotRun:
+		return ""
 	case x.Status < 300 && !reply.Signed:
 		return "the successful answer lacks the upstream's signature"
 	case x.Header.Get("Content-Encoding") != "":
@@ -159,7 +166,9 @@
 	if err != nil {
 		return c.handleTruncated(ctx, a, err)
 	}
-	failed := x.Status >= http.StatusInternalServerError
+	// The upstream ran the request, so a status that promises the opposite is no answer.
+	unconfirmed := code.PromisesNotRun(x.Status)
+	failed := unconfirmed || x.Status >= http.StatusInternalServerError
 	o := schedule.OutcomeOK
 	if failed {
 		o = schedule.OutcomeFailed
@@ -167,17 +176,22 @@
 	c.finishAttempt(a, o)
 	out := &bufferedAnswer{upstream: a.Upstream.ID, status: x.Status, header: x.Header, body: body}
 	if failed && !c.started {
-		c.fallback = out
+		if !unconfirmed {
+			c.fallback = out
+		}
 		if c.takeRetry() {
 			c.log.Info("attempt-failed", "upstream", a.Upstream.ID, "status", x.Status, "elapsed", time.Since(c.arrived))
 			return false
 		}
 	}
-	if c.started {
+	switch {
+	case c.started:
 		c.fail(code.AnswerCut, "the resumed stream was refused with "+strconv.Itoa(x.Status))
-		return true
+	case unconfirmed:
+		c.fail(code.UnconfirmedRefusal, "upstream "+a.Upstream.ID+" answered "+strconv.Itoa(x.Status)+" without stating that it did not run the request")
+	default:
+		out.write(c)
 	}
-	out.write(c)
 	return true
 }
 
