fix(answer): a status of an upstream is no promise that a request did not run

What callers saw: 408, 421, 429 or 503 of an engine or a service was passed on as it came, also for a request that the upstream had run. To a caller each of these says "not run, and never will". For a deposit the same status was also recorded and replayed to each repeat of its key.

Cause: answer.head took any status from the upstream. The protocol to engines and services has no field that confirms "not run", so such a status shows nothing about the run, whoever sends it and whichever request it names.

Evidence: with the code 3009 added and nothing else, TestStatusOfUpstreamIsNoPromise printed 8 lines such as "upstream answered 503, model false: got status 503, error <nil>" (4 statuses, engine and service; Agateward-Run of an upstream had been filtered already), and TestStatusOfRunRequestIsNoPromise 8 lines such as "the service ran the request and answered 503, non-idempotent true: got <nil>". Both pass now.

Why this works: the answer is the one place where an upstream's status becomes the status of a ward.Chunk. It now fails there with 3009 unconfirmed-refusal (unknown, 502), so the caller, the idempotency record (outcome unknown), the outcome for the scheduler and the log line all follow from one error. The body is read first, so that the connection is kept. Resumed streams still fail with answer-cut and may go on elsewhere.

It also makes 408 and 421 failed outcomes for the analysis of a move; 429 and 503 were that before. The condition on 429 in relay.outcome can't be met any more and goes.

--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -164,7 +164,7 @@
 	r := a.request
 	o := ward.Outcome{
 		Upstream: a.upstream.Name, Version: a.upstream.Version, Route: r.Route, Tier: r.Tier,
-		OK:           err == nil && a.status < http.StatusInternalServerError && a.status != http.StatusTooManyRequests,
+		OK:           err == nil && a.status < http.StatusInternalServerError,
 		Cancelled:    cancelled(err),
 		Connected:    !errors.Is(err, ward.ErrNotConnected),
 		PromptTokens: r.PromptTokens + a.dispatchOffset,
--- a/internal/entry/relay/refusal_test.go
+++ b/internal/entry/relay/refusal_test.go
@@ -93,6 +93,34 @@
 	return n, io.ErrClosedPipe
 }
 
+// answerAfterRun makes the service run each call and then answer it with status.
+func (s *fixture) answerAfterRun(status int) {
+	s.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.service.ServeHTTP(httptest.NewRecorder(), r)
+		w.Header().Set("Agateward-Request", r.Header.Get("Agateward-Request"))
+		w.WriteHeader(status)
+	})
+}
+
+// TestStatusOfRunRequestIsNoPromise guards against a run request whose caller, or a
+// repeat of its key, gets a status or code that promises that it did not run.
+func TestStatusOfRunRequestIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for _, nonIdempotent := range []bool{true, false} {
+			s := newFixture(t)
+			s.answerAfterRun(status)
+			s.request.NonIdempotent = nonIdempotent
+			s.start(t)
+			if err := s.call(t.Context()); !code.UnconfirmedRefusal.Is(err) || runs.IsRefusal(err) {
+				t.Errorf("the service ran the request and answered %d, non-idempotent %v: got %v", status, nonIdempotent, err)
+			}
+			if n := len(s.service.Runs()); n != 1 {
+				t.Errorf("the service ran %d keys", n)
+			}
+		}
+	}
+}
+
 // TestRefusalsAreTrue refuses or fails a request at each stage from its record to
 // its answer. A code that says "not run" must agree with the service's count of
 // runs.
--- a/internal/result/code/table.go
+++ b/internal/result/code/table.go
@@ -41,14 +41,15 @@
 
 // Codes of requests that were dispatched.
 var (
-	UpstreamFailed    = define(3001, "upstream-failed", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
-	AnswerCut         = define(3002, "answer-cut", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
-	AnswerMismatch    = define(3003, "answer-mismatch", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
-	AnswerLate        = define(3004, "answer-late", ward.Unknown, http.StatusGatewayTimeout, "repeat only an idempotent request")
-	CallerGone        = define(3005, "caller-gone", ward.Unknown, StatusCallerGone, "none: the caller has left")
-	AnswerTooLarge    = define(3006, "answer-too-large", ward.Unknown, http.StatusBadGateway, "ask for a shorter answer")
-	VersionRolledBack = define(3007, "version-taken-back", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
-	GraceUsedUp       = define(3008, "grace-used-up", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
+	UpstreamFailed     = define(3001, "upstream-failed", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
+	AnswerCut          = define(3002, "answer-cut", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
+	AnswerMismatch     = define(3003, "answer-mismatch", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
+	AnswerLate         = define(3004, "answer-late", ward.Unknown, http.StatusGatewayTimeout, "repeat only an idempotent request")
+	CallerGone         = define(3005, "caller-gone", ward.Unknown, StatusCallerGone, "none: the caller has left")
+	AnswerTooLarge     = define(3006, "answer-too-large", ward.Unknown, http.StatusBadGateway, "ask for a shorter answer")
+	VersionRolledBack  = define(3007, "version-taken-back", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
+	GraceUsedUp        = define(3008, "grace-used-up", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
+	UnconfirmedRefusal = define(3009, "unconfirmed-refusal", ward.Unknown, http.StatusBadGateway, "repeat only an idempotent request")
 )
 
 // Codes of idempotency keys.
--- a/internal/upstream/answer/answer.go
+++ b/internal/upstream/answer/answer.go
@@ -4,7 +4,8 @@
 // A stream of a model is complete at its end mark, data: [DONE]. Every other
 // body is complete at its declared length or its last chunk. Its first part is
 // buffered before its head is returned, so that a short answer is delivered
-// completely or fails with a result code. Memory is bounded by one event of a
+// completely or fails with a result code. An answer whose status promises that the
+// request did not run fails with code.UnconfirmedRefusal. Memory is bounded by one event of a
 // stream, or by the buffered part of another body.
 //
 // # Usage
@@ -140,7 +141,19 @@
 	if err := a.checkSize(a.Reply.Length); err != nil {
 		return ward.Chunk{}, err
 	}
-	return c, a.fillBuffer()
+	if err := a.fillBuffer(); err != nil {
+		return ward.Chunk{}, err
+	}
+	return c, a.checkStatus()
+}
+
+// checkStatus fails if the status promises that the request did not run. Engines and
+// services have no way to confirm that.
+func (a *Answer) checkStatus() error {
+	if !code.PromisesNotRun(a.Reply.Status) {
+		return nil
+	}
+	return code.UnconfirmedRefusal.New("the upstream answered with status %d, which does not show whether the request ran", a.Reply.Status)
 }
 
 func (a *Answer) isStream() bool {
--- a/internal/upstream/answer/answer_test.go
+++ b/internal/upstream/answer/answer_test.go
@@ -119,6 +119,27 @@
 	}
 }
 
+// TestStatusOfUpstreamIsNoPromise guards against requests that an upstream ran and
+// that are answered with a status that promises the opposite.
+func TestStatusOfUpstreamIsNoPromise(t *testing.T) {
+	for status := http.StatusOK; status < 600; status++ {
+		for _, model := range []bool{false, true} {
+			answer := fmt.Sprintf("HTTP/1.1 %d x\r\nAgateward-Request: a\r\nRetry-After: 1\r\nAgateward-Run: not-run\r\nContent-Length: 0\r\n\r\n", status)
+			reply, err := raw(answer).Send(context.Background(), transport.Call{Address: "1.2.3.4:5", ID: "a", Method: "POST", Path: "/", Resume: transport.NoResume})
+			if err != nil {
+				t.Fatal(err)
+			}
+			a := &Answer{Reply: reply, Model: model}
+			c, err := a.Next(context.Background())
+			_ = a.Close()
+			promise := code.PromisesNotRun(status)
+			if promise != code.UnconfirmedRefusal.Is(err) || !promise && (err != nil || c.Status != status) {
+				t.Errorf("upstream answered %d, model %v: got status %d, error %v", status, model, c.Status, err)
+			}
+		}
+	}
+}
+
 // TestTruncatedAnswerFails truncates complete answers after each byte.
 func TestTruncatedAnswerFails(t *testing.T) {
 	answers := []string{
--- a/ward/request.go
+++ b/ward/request.go
@@ -50,7 +50,8 @@
 
 // Chunk is a part of an answer. The first chunk holds the head.
 type Chunk struct {
-	// Status and Header are set on the first chunk only.
+	// Status and Header are set on the first chunk only. Status never promises that
+	// the request did not run.
 	Status int
 	Header http.Header
 	// Data is the next piece of the body: one complete server-sent event of a
