fix(record): a recorded 408, 421, 429 or 503 is not replayed

What callers saw: a repeat of a key whose first answer was such a status got it again from the record, as a promise that the request did not run; with a body too large to keep it got answer-not-kept, which says that it ran.

Cause: the record's verdict replays each finished answer.

Why this works: every claim and every lookup of a key goes through verdict.

--- a/internal/run/record/record.go
+++ b/internal/run/record/record.go
@@ -243,6 +243,9 @@
 		v.Kind = Run
 	case r.BodyHash != c.BodyHash:
 		v.Code = code.KeyReused
+	case r.State == Finished && code.PromisesNotRun(r.Status):
+		// The recorded status does not show whether the request ran.
+		v.Code = code.OutcomeUnknown
 	case r.State == Finished && r.Kept:
 		v.Kind = Replay
 	case r.State == Finished:
--- a/internal/run/record/record_test.go
+++ b/internal/run/record/record_test.go
@@ -18,6 +18,8 @@
 func TestSecondClaim(t *testing.T) {
 	answer := Outcome{Claim: claim("a", 1), State: Finished, Status: 201, Kept: true, Body: []byte("seat 7")}
 	large := Outcome{Claim: claim("a", 1), State: Finished, Status: 201}
+	refusal := Outcome{Claim: claim("a", 1), State: Finished, Status: 503, Kept: true}
+	largeRefusal := Outcome{Claim: claim("a", 1), State: Finished, Status: 429}
 	foreign := Outcome{Claim: claim("x", 1), State: NotRun}
 	cases := []struct {
 		name    string
@@ -34,6 +36,9 @@
 		{"finished", &answer, time.Hour, claim("b", 1), Replay, code.Code{}},
 		{"finished with another body", &answer, time.Hour, claim("b", 2), Refuse, code.KeyReused},
 		{"answer not kept", &large, time.Hour, claim("b", 1), Refuse, code.AnswerNotKept},
+		// A recorded status must not promise that a request that may have run did not.
+		{"finished with a status that promises not run", &refusal, time.Hour, claim("b", 1), Refuse, code.OutcomeUnknown},
+		{"the same without its body", &largeRefusal, time.Hour, claim("b", 1), Refuse, code.OutcomeUnknown},
 		{"answer lost", &Outcome{Claim: claim("a", 1), State: Unknown}, 0, claim("b", 1), Refuse, code.OutcomeUnknown},
 		{"not run", &Outcome{Claim: claim("a", 1), State: NotRun}, 0, claim("b", 1), Run, code.Code{}},
 		{"settled by another attempt", &foreign, 0, claim("b", 1), Refuse, code.KeyInProgress},
