fix(runs): a key that was seen in progress is not refused as not run

What callers saw: the repeat of a deposit that is still running got 503 records-down or 504 deadline-passed, both with run "not-run". Where the upstream checks keys itself, the repeat was dispatched beside the first attempt.

Cause: Begin reads a key in progress again for up to a second, and the verdict of the last read replaced the one before, also when that read found no store or met the deadline and so stated nothing about the key.

Evidence: TestKeyInProgressStaysKnown on the code before, 50 runs: 4 of its 5 cases failed each time.

Why this works: only a verdict that rests on the record replaces the one that the key is in progress. Lookup uses the same test (knowsKey) for what it may state.

--- a/internal/entry/runs/decide.go
+++ b/internal/entry/runs/decide.go
@@ -14,21 +14,31 @@
 )
 
 // claimKey claims the request's key. While the key is in progress, it retries for up
-// to SettleTimeout, because the outcome may be about to be written.
+// to SettleTimeout, because the outcome may be about to be written. A retry without a
+// verdict on the key leaves it in progress.
 func (r *Runs) claimKey(ctx context.Context, req *ward.Request) (record.Verdict, error) {
 	if err := r.awaitLayout(ctx); err != nil {
 		return record.Verdict{}, err
 	}
 	until := r.now().Add(SettleTimeout)
-	for {
-		v, err := r.worker(req).claim(ctx, r.claimOf(req))
-		if err != nil || v.Code.Number != code.KeyInProgress.Number || r.now().After(until) {
-			return v, err
-		}
+	v, err := r.worker(req).claim(ctx, r.claimOf(req))
+	for err == nil && v.Code.Number == code.KeyInProgress.Number && !r.now().After(until) {
 		if r.clock().Sleep(ctx, settlePollInterval) != nil {
 			return v, nil
 		}
+		next, nextErr := r.worker(req).claim(ctx, r.claimOf(req))
+		if nextErr != nil || !knowsKey(next) {
+			return v, nil
+		}
+		v = next
 	}
+	return v, err
+}
+
+// knowsKey reports whether a verdict rests on the record of the key, and not on a
+// store that was not read.
+func knowsKey(v record.Verdict) bool {
+	return v.Code.Number != code.RecordsDown.Number && v.Code.Number != code.RecordsBusy.Number
 }
 
 // Lookup returns what is known about the key of a request that is about to be
@@ -51,7 +61,7 @@
 		return Decision{}, nil
 	case v.Kind == record.Replay:
 		return Decision{Answer: answerOf(v.Record)}, nil
-	case v.Code.Number == code.RecordsDown.Number || v.Code.Number == code.RecordsBusy.Number:
+	case !knowsKey(v):
 		return Decision{}, nil
 	}
 	return Decision{}, v.Code.New("idempotency key of request %s", req.ID)
--- a/internal/entry/runs/runs_test.go
+++ b/internal/entry/runs/runs_test.go
@@ -159,6 +159,45 @@
 	})
 }
 
+// TestKeyInProgressStaysKnown guards against a repeat that is refused as not run, or
+// dispatched, after its key was seen to be in progress.
+func TestKeyInProgressStaysKnown(t *testing.T) {
+	slow := memory.Faults{Slow: ward.Duration(50 * time.Millisecond)}
+	cases := []struct {
+		name    string
+		later   memory.Faults
+		timeout time.Duration
+		checks  bool
+	}{
+		{"the store goes down", memory.Faults{Down: true}, time.Minute, false},
+		{"the store goes down, upstream checks keys", memory.Faults{Down: true}, time.Minute, true},
+		{"the store hangs", memory.Faults{Hang: true}, time.Minute, false},
+		{"the deadline passes during a read", slow, 275 * time.Millisecond, false},
+		{"the deadline passes between two reads", slow, 100 * time.Millisecond, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := &memory.Platform{}
+				p.SetFaults(slow)
+				e := entries(t, p, 2)
+				if _, err := e[0].Begin(t.Context(), request("a", "k"), ward.Upstream{}); err != nil {
+					t.Fatal(err)
+				}
+				// The lookup loads what the second entry reads once at its start.
+				checkLookup(t, e[1], code.KeyInProgress, false)
+				time.AfterFunc(100*time.Millisecond, func() { p.SetFaults(c.later) })
+				ctx, cancel := context.WithTimeout(t.Context(), c.timeout)
+				defer cancel()
+				d, err := e[1].Begin(ctx, request("b", "k"), ward.Upstream{ChecksIdempotency: c.checks})
+				if !code.KeyInProgress.Is(err) || IsRefusal(err) {
+					t.Errorf("got %+v, %v, want %s", d, err, code.KeyInProgress)
+				}
+			})
+		})
+	}
+}
+
 func TestRefusals(t *testing.T) {
 	old := uuid.Must(uuid.NewV7())
 	cases := []struct {
