fix(path): a claim that its deadline cuts off looks its key up

What callers saw: 504 deadline-passed with run "not-run" for the repeat of a key that had run, where the deadline passed while the claim of the key was under way. The caller's own deadline ends at the same moment and answers with answer-late (unknown); by reading, which of the two comes first is not determined.

Cause: a request that is refused in the queue looks its key up first, one that is refused by its deadline within Begin did not. Begin then has no verdict on the key, and its deadline-passed speaks of the attempt only.

Evidence: TestClaimCutByItsDeadline printed "got error agateward.deadline-passed: idempotency record, cause: context deadline exceeded, run not-run; want the recorded answer".

Why this works: both ways share path.lookup, which gives the recorded answer, or what is known of the key, before the refusal. The capacity that the request held is free before the lookup.

--- a/internal/entry/path/nonidempotent.go
+++ b/internal/entry/path/nonidempotent.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"agateward/internal/entry/runs"
+	"agateward/internal/result/code"
 	"agateward/internal/run/permit"
 	"agateward/ward"
 )
@@ -48,22 +49,29 @@
 	}
 }
 
-// replayOrRefuse looks up the idempotency key of a request that was refused in the
-// queue. A retry of a key that has run gets the recorded answer, or an error that
-// does not claim that it was not run. Any other request gets err.
-func (p *Path) replayOrRefuse(ctx context.Context, q *ward.Request, err error) (ward.Answer, error) {
+// replayOrRefuse returns what is known about the idempotency key of a request that
+// was refused in the queue.
+func (p *Path) replayOrRefuse(ctx context.Context, q *ward.Request, refused error) (ward.Answer, error) {
+	d, err := p.lookup(ctx, q, refused)
+	if err != nil {
+		return nil, err
+	}
+	p.hop(q, "replay", "the key ran before: its recorded answer is given")
+	return &completeAnswer{*d.Answer}, nil
+}
+
+// lookup looks up the idempotency key of a request that is refused without a verdict
+// on its key. A retry of a key that has run gets the recorded answer, or an error that
+// does not claim that it was not run. Any other request gets refused.
+func (p *Path) lookup(ctx context.Context, q *ward.Request, refused error) (runs.Decision, error) {
 	// The request's deadline may have passed, so the lookup has its own timeout.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
 	defer cancel()
-	d, lookupErr := p.Runs.Lookup(ctx, q)
-	switch {
-	case lookupErr != nil:
-		return nil, lookupErr
-	case d.Answer != nil:
-		p.hop(q, "replay", "the key ran before: its recorded answer is given")
-		return &completeAnswer{*d.Answer}, nil
+	d, err := p.Runs.Lookup(ctx, q)
+	if err == nil && d.Answer == nil {
+		err = refused
 	}
-	return nil, err
+	return d, err
 }
 
 // detach returns a context that is cancelled with the entry and not with the
@@ -90,6 +98,9 @@
 		p.release(p.calls[q.ID], u, p.Clock.Now())
 		p.mu.Unlock()
 	}
+	if code.DeadlinePassed.Is(err) {
+		d, err = p.lookup(ctx, q, err)
+	}
 	if err != nil {
 		return runs.Answer{}, err
 	}
--- a/internal/entry/runs/runs.go
+++ b/internal/entry/runs/runs.go
@@ -16,8 +16,9 @@
 // Exactly one of Finish, Lost and NotRun must be called for each permit. They don't
 // wait for the store. Flush writes the remaining outcomes before the entry stops.
 //
-// Before a request is refused without Begin, Lookup must be called, so that a retry
-// with a key that has run is not refused as not run.
+// Before a request is refused without a verdict of Begin, because it was not called or
+// its deadline passed, Lookup must be called, so that a retry with a key that has run
+// is not refused as not run.
 //
 // Idempotent requests get a permit without a record.
 package runs
