fix(path): a request without a record goes only to upstreams that check keys

What callers saw: with the store down, a deposit could reach an upstream that does not check idempotency keys, without a record. A key that had run before could so run a second time.

Cause: Begin gives a permit without a record because the chosen upstream checks keys. When no connection to it was made, the next choice got the same permit, and nobody asked whether that upstream checks keys too. A move to a version whose replicas are not marked, or a ticket that marks only some, is enough.

Why this works: the decision of Begin remembers that its permit has no record, and each further upstream is checked against it before the dispatch. No byte has left by then, so records-down (not-run) is true; the capacity is freed.

--- a/internal/entry/path/nonidempotent.go
+++ b/internal/entry/path/nonidempotent.go
@@ -7,7 +7,6 @@
 
 	"agateward/internal/entry/runs"
 	"agateward/internal/result/code"
-	"agateward/internal/run/permit"
 	"agateward/ward"
 )
 
@@ -94,9 +93,7 @@
 	cancel()
 	span.End()
 	if err != nil || d.Answer != nil {
-		p.mu.Lock()
-		p.release(p.calls[q.ID], u, p.Clock.Now())
-		p.mu.Unlock()
+		p.releaseUnused(q, u)
 	}
 	if code.DeadlinePassed.Is(err) {
 		d, err = p.lookup(ctx, q, err)
@@ -108,7 +105,7 @@
 		p.hop(q, "replay", "the key ran before: its recorded answer is given")
 		return *d.Answer, nil
 	}
-	a, err := p.dispatchUntilConnected(ctx, q, d.Permit, u)
+	a, err := p.dispatchUntilConnected(ctx, q, d, u)
 	switch {
 	case err == nil:
 		p.Runs.Finish(q, a)
@@ -122,9 +119,9 @@
 
 // dispatchUntilConnected dispatches the request, repeats this while no connection
 // is made, and reads the complete answer.
-func (p *Path) dispatchUntilConnected(ctx context.Context, q *ward.Request, pass *permit.Permit, u ward.Upstream) (runs.Answer, error) {
+func (p *Path) dispatchUntilConnected(ctx context.Context, q *ward.Request, d runs.Decision, u ward.Upstream) (runs.Answer, error) {
 	for {
-		a, err := p.dispatch(ctx, pass, u, q)
+		a, err := p.dispatch(ctx, d.Permit, u, q)
 		if err == nil {
 			return p.readAll(ctx, a)
 		}
@@ -137,9 +134,20 @@
 		if err != nil {
 			return runs.Answer{}, err
 		}
+		if err := d.Allows(u); err != nil {
+			p.releaseUnused(q, u)
+			return runs.Answer{}, err
+		}
 	}
 }
 
+// releaseUnused ends a dispatch that was decided but never started.
+func (p *Path) releaseUnused(q *ward.Request, u ward.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.release(p.calls[q.ID], u, p.Clock.Now())
+}
+
 // readAll reads an answer to its end. The adapter bounds its size.
 func (p *Path) readAll(ctx context.Context, a ward.Answer) (runs.Answer, error) {
 	defer a.Close()
--- a/internal/entry/path/nonidempotent_test.go
+++ b/internal/entry/path/nonidempotent_test.go
@@ -100,6 +100,39 @@
 	})
 }
 
+// TestUnrecordedRequestNeedsUpstreamThatChecksKeys guards against a request that is
+// sent without a record to an upstream that doesn't check its key.
+func TestUnrecordedRequestNeedsUpstreamThatChecksKeys(t *testing.T) {
+	cases := []struct {
+		name   string
+		second bool // whether the second upstream checks keys
+	}{
+		{"the second upstream checks keys", true},
+		{"the second upstream checks none", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := &memory.Platform{}
+				service := &fakeService{refuse: 1}
+				p := newPath(t, store, service, booking("booking-1", true), booking("booking-2", c.second))
+				time.Sleep(time.Second)
+				store.SetFaults(memory.Faults{Down: true})
+				_, err := p.Open(t.Context(), deposit("a", time.Minute))
+				if c.second && (err != nil || len(service.reached) != 1) {
+					t.Errorf("error %v, reached %v", err, service.reached)
+				}
+				if !c.second && (!code.RecordsDown.Is(err) || len(service.reached) != 0) {
+					t.Errorf("error %v, reached %v; want %s and none", err, service.reached, code.RecordsDown)
+				}
+				if n := p.State().Running; n != 0 {
+					t.Errorf("%d requests hold capacity", n)
+				}
+			})
+		})
+	}
+}
+
 // TestRefusedAfterItsDeadline checks that a retry whose deadline passes in the queue
 // of another entry gets the recorded answer of its key instead of a refusal.
 func TestRefusedAfterItsDeadline(t *testing.T) {
--- a/internal/entry/runs/decide.go
+++ b/internal/entry/runs/decide.go
@@ -76,7 +76,7 @@
 	case v.Kind == record.Replay:
 		return Decision{Answer: answerOf(v.Record)}, nil
 	case v.Code.Number == code.RecordsDown.Number && u.ChecksIdempotency:
-		return Decision{Permit: permit.New(req.ID, time.Time{})}, nil
+		return Decision{Permit: permit.New(req.ID, time.Time{}), unrecorded: true}, nil
 	}
 	return Decision{}, v.Code.New("idempotency key of request %s", req.ID)
 }
--- a/internal/entry/runs/runs.go
+++ b/internal/entry/runs/runs.go
@@ -79,6 +79,17 @@
 type Decision struct {
 	Permit *permit.Permit
 	Answer *Answer
+	// unrecorded reports that the permit has no record, as the store is down.
+	unrecorded bool
+}
+
+// Allows returns an error if the request may not be dispatched to u with Permit: one
+// without a record may go only to an upstream that checks idempotency keys.
+func (d Decision) Allows(u ward.Upstream) error {
+	if d.unrecorded && !u.ChecksIdempotency {
+		return code.RecordsDown.New("upstream %s does not check idempotency keys", u.Name)
+	}
+	return nil
 }
 
 // Runs keeps the idempotency records. Its fields are set before Run.
