fix(shard): a key that was read is not refused as not run with its batch

What callers saw: the repeat of a deposit that had run got 503 records-down or records-busy with run "not-run", although the document of records had been read and held its answer. Where the upstream checks keys, records-down even led to a dispatch. The lookup of a refused request learned nothing either, so its refusal stood.

Cause: claims of one batch share a write. When the write failed, stayed over budget or the document was full, the whole batch was refused, with the claims that need no write because their key is known.

Why this works: a verdict on a known key is given as soon as the document is read, and its claim leaves the batch.

--- a/internal/run/shard/commit.go
+++ b/internal/run/shard/commit.go
@@ -94,21 +94,42 @@
 	return changed
 }
 
-// applyClaims decides on the claims of the batch. A claim that is found in the
-// document needs no write: its first one took effect.
+// applyClaims decides on the claims of the batch, and reports whether that changed the
+// document. A claim that is found in the document needs no write: its first one took
+// effect. The verdict on a known key is given at once, so that it doesn't depend on the
+// write of other claims.
 func (s *Shard) applyClaims(now time.Time, doc *record.Document) bool {
-	changed := false
+	added := map[record.Key]bool{}
+	undecided := s.batch[:0]
 	s.verdicts = s.verdicts[:0]
 	for _, c := range s.batch {
-		if c.lookup {
-			s.verdicts = append(s.verdicts, lookup(now, doc, c))
+		v := decide(now, doc, c)
+		if v.Kind != record.Run && !added[c.Key] {
+			s.reply(c, v)
 			continue
 		}
-		v := doc.Begin(now, c.Claim)
-		changed = changed || v.New
+		if v.New {
+			added[c.Key] = true
+		}
+		undecided = append(undecided, c)
 		s.verdicts = append(s.verdicts, v)
 	}
-	return changed
+	s.batch = undecided
+	return len(added) > 0
+}
+
+func decide(now time.Time, doc *record.Document, c claim) record.Verdict {
+	if c.lookup {
+		return lookup(now, doc, c)
+	}
+	return doc.Begin(now, c.Claim)
+}
+
+// reply gives the verdict on a claim, unless nobody waits for it any more.
+func (s *Shard) reply(c claim, v record.Verdict) {
+	if !c.dropped {
+		s.actions = append(s.actions, Action{Kind: Reply, Attempt: c.Attempt, Verdict: v})
+	}
 }
 
 // lookup never gives the right to run, not even to the attempt that has begun the
@@ -147,9 +168,7 @@
 		if v.Kind == record.Run {
 			s.Stats.Committed++
 		}
-		if !c.dropped {
-			s.actions = append(s.actions, Action{Kind: Reply, Attempt: c.Attempt, Verdict: v})
-		}
+		s.reply(c, v)
 	}
 	s.batch, s.settling = nil, nil
 }
