fix(surface): a refusal has no header fields of an upstream's answer

What callers saw: the 502 of an answer that broke off carried the upstream's Retry-After, Content-Encoding and other fields beside the entry's own body and run "unknown".

Cause: the writer put the fields of the answer's head into the response as soon as the head came, and the refusal of the rest went out with them.

Evidence: TestRefusalHasNoFieldsOfTheUpstream printed "status 502, run unknown: Retry-After is \"1\"" and the same of Content-Encoding.

Why this works: status and fields of the head are kept together and written together, with the first byte of the answer; a refusal is written only before.

--- a/internal/caller/surface/surface_test.go
+++ b/internal/caller/surface/surface_test.go
@@ -118,6 +118,23 @@
 	}
 }
 
+// TestRefusalHasNoFieldsOfTheUpstream guards against a refusal that carries what the
+// upstream stated about its own answer.
+func TestRefusalHasNoFieldsOfTheUpstream(t *testing.T) {
+	h := head("application/json")
+	h.Header.Set("Retry-After", "1")
+	h.Header.Set("Content-Encoding", "br")
+	srv := handler(t, func(*ward.Request) (ward.Answer, error) {
+		return &script{chunks: []ward.Chunk{h, {Data: []byte("{")}}, err: code.AnswerCut.New("the body ended early")}, nil
+	})
+	res, _ := post(t, srv.URL+"/v1/completions", plain)
+	for _, name := range []string{"Retry-After", "Content-Encoding"} {
+		if v := res.Header.Get(name); v != "" {
+			t.Errorf("status %d, run %s: %s is %q", res.StatusCode, res.Header.Get(refusal.HeaderRun), name, v)
+		}
+	}
+}
+
 func TestInvalidRequestIsNotRun(t *testing.T) {
 	srv := handler(t, func(*ward.Request) (ward.Answer, error) {
 		t.Error("an invalid request was run")
--- a/internal/caller/surface/writer.go
+++ b/internal/caller/surface/writer.go
@@ -18,9 +18,10 @@
 	timeout time.Duration
 	clock   ward.Clock
 	stream  bool
-	// status is the status of the answer, buffered the body so far of an answer
-	// that is not a stream.
+	// status and header are the head of the answer, buffered the body so far of an
+	// answer that is not a stream.
 	status   int
+	header   http.Header
 	buffered []byte
 	// lastDeadline is the write deadline that was set last.
 	lastDeadline time.Time
@@ -54,7 +55,7 @@
 func (w *writer) chunk(c ward.Chunk) error {
 	if c.Status != 0 {
 		w.status = c.Status
-		maps.Copy(w.w.Header(), header.Filter{}.Answer(c.Header))
+		w.header = header.Filter{}.Answer(c.Header)
 	}
 	if w.first.IsZero() && len(c.Data) > 0 {
 		w.first = w.clock.Now()
@@ -76,6 +77,7 @@
 	w.extendDeadline()
 	if !w.begun {
 		w.begun = true
+		maps.Copy(w.w.Header(), w.header)
 		w.w.WriteHeader(w.status)
 	}
 	if len(b) == 0 {
