fix(surface): X-Request-Id of an upstream does not replace the entry's

What callers saw: the answer of an upstream that sets X-Request-Id itself named the request by the upstream's id, which agateward explain and the logs don't know.

Cause: the fields of the answer were copied over the id that the entry had set.

Evidence: TestRequestIDIsTheEntrys printed X-Request-Id is "of-the-upstream", want the request's id.

Why this works: the field is the entry's, so it is taken out of the answer's head.

--- a/internal/caller/surface/surface_test.go
+++ b/internal/caller/surface/surface_test.go
@@ -135,6 +135,22 @@
 	}
 }
 
+// TestRequestIDIsTheEntrys guards against an answer that names the request by an id
+// that the entry does not know.
+func TestRequestIDIsTheEntrys(t *testing.T) {
+	var id string
+	h := head("application/json")
+	h.Header.Set(HeaderRequest, "of-the-upstream")
+	srv := handler(t, func(q *ward.Request) (ward.Answer, error) {
+		id = q.ID
+		return &script{chunks: []ward.Chunk{h, {Last: true}}}, nil
+	})
+	res, _ := post(t, srv.URL+"/v1/completions", plain)
+	if got := res.Header.Get(HeaderRequest); got != id {
+		t.Errorf("%s is %q, want %q", HeaderRequest, got, id)
+	}
+}
+
 func TestInvalidRequestIsNotRun(t *testing.T) {
 	srv := handler(t, func(*ward.Request) (ward.Answer, error) {
 		t.Error("an invalid request was run")
--- a/internal/caller/surface/writer.go
+++ b/internal/caller/surface/writer.go
@@ -56,6 +56,8 @@
 	if c.Status != 0 {
 		w.status = c.Status
 		w.header = header.Filter{}.Answer(c.Header)
+		// The entry has set its own id of the request.
+		w.header.Del(HeaderRequest)
 	}
 	if w.first.IsZero() && len(c.Data) > 0 {
 		w.first = w.clock.Now()
