fix(path): a stream that can't be resumed does not block the entry

What callers saw: nothing any more. From the moment at which a cut stream met a replica without a connection while the retry budget of its team or of the replica was used up, the entry answered no request, since the lock of the path was held for good. When a data centre fails, its cut streams use the budget up.

Cause: after a dispatch without a connection the scheduler decides by itself, here to refuse. The relay asks for the next upstream all the same, and resume queued the request again; the second decision did not fit into the channel that still held the first, and was sent under the lock. Found while looking for decisions that are taken for those of another dispatch.

Why this works: resume queues the request again only if its last dispatch had a connection. Else it waits for the scheduler's own decision, as run does, so that there is one decision at a time.

--- a/internal/entry/path/hooks.go
+++ b/internal/entry/path/hooks.go
@@ -4,7 +4,8 @@
 	"agateward/ward"
 )
 
-// resume queues the rest of an interrupted stream again and waits for an upstream.
+// resume waits for an upstream for the rest of an interrupted stream. It queues the
+// request again, unless the scheduler retries it.
 func (p *Path) resume(q *ward.Request, failed ward.Upstream) (ward.Upstream, bool) {
 	p.mu.Lock()
 	c := p.calls[q.ID]
@@ -12,7 +13,9 @@
 		p.mu.Unlock()
 		return ward.Upstream{}, false
 	}
-	p.deliver(p.Scheduler.Arrive(p.Clock.Now(), q))
+	if !c.retrying {
+		p.deliver(p.Scheduler.Arrive(p.Clock.Now(), q))
+	}
 	p.mu.Unlock()
 	p.hop(q, "resume", failed.Name+": the stream was cut")
 	u, err := p.awaitDecision(c.ctx, q)
@@ -45,6 +48,7 @@
 	p.mu.Lock()
 	if c := p.calls[q.ID]; c != nil && c.dispatched {
 		c.dispatched = false
+		c.retrying = !o.Connected && !o.Cancelled
 		p.deliver(p.Scheduler.End(p.Clock.Now(), q.ID, o))
 	}
 	p.mu.Unlock()
--- a/internal/entry/path/nonidempotent_test.go
+++ b/internal/entry/path/nonidempotent_test.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// newPath starts a path in front of a service with these upstreams.
-func newPath(t *testing.T, store *memory.Platform, service ward.Backend, upstreams ...ward.Upstream) *Path {
+// newPath starts a path with a configuration.
+func newPath(t *testing.T, store *memory.Platform, l *relay.Relay, cfg *ward.Config) *Path {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	tracer, err := trace.New(ctx, trace.Settings{})
@@ -52,13 +52,11 @@
 		t.Fatal(err)
 	}
 	p := New(Deps{
-		Scheduler: scheduler.New(scheduler.Settings{Self: "entry-1"}, 1), Relay: &relay.Relay{Service: service},
+		Scheduler: scheduler.New(scheduler.Settings{Self: "entry-1"}, 1), Relay: l,
 		Runs: &runs.Runs{Store: store, Log: logr.Discard()}, Base: ctx, Clock: ward.SystemClock{}, Trace: tracer, Explain: explain.New(8),
 	})
 	p.Do(func(s *scheduler.Scheduler, now time.Time) []scheduler.Action {
-		s.Configure(now, &ward.Config{Revision: 1, Upstreams: upstreams, Routes: []ward.Route{
-			{Name: "deposits", Kind: ward.KindService, Serves: "booking", Version: "v1", NonIdempotent: true},
-		}})
+		s.Configure(now, cfg)
 		return nil
 	})
 	done := make(chan struct{})
@@ -75,6 +73,14 @@
 	return p
 }
 
+// newServicePath starts a path in front of a service with these upstreams.
+func newServicePath(t *testing.T, store *memory.Platform, service ward.Backend, upstreams ...ward.Upstream) *Path {
+	t.Helper()
+	return newPath(t, store, &relay.Relay{Service: service}, &ward.Config{Revision: 1, Upstreams: upstreams, Routes: []ward.Route{
+		{Name: "deposits", Kind: ward.KindService, Serves: "booking", Version: "v1", NonIdempotent: true},
+	}})
+}
+
 func booking(name string, checks bool) ward.Upstream {
 	return ward.Upstream{Name: name, Kind: ward.KindService, Serves: "booking", Version: "v1", ChecksIdempotency: checks}
 }
@@ -84,7 +90,7 @@
 func TestClaimCutByItsDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := &memory.Platform{}
-		p := newPath(t, store, &fakeService{}, booking("booking-1", false))
+		p := newServicePath(t, store, &fakeService{}, booking("booking-1", false))
 		if _, err := p.Open(t.Context(), deposit("a", time.Minute)); err != nil {
 			t.Fatal(err)
 		}
@@ -115,7 +121,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := &memory.Platform{}
 				service := &fakeService{refuse: 1}
-				p := newPath(t, store, service, booking("booking-1", true), booking("booking-2", c.second))
+				p := newServicePath(t, store, service, booking("booking-1", true), booking("booking-2", c.second))
 				time.Sleep(time.Second)
 				store.SetFaults(memory.Faults{Down: true})
 				_, err := p.Open(t.Context(), deposit("a", time.Minute))
--- a/internal/entry/path/path.go
+++ b/internal/entry/path/path.go
@@ -81,6 +81,9 @@
 	decision chan scheduler.Action
 	// dispatched is set during a dispatch that Scheduler.End has yet to be called for.
 	dispatched bool
+	// retrying is set after a dispatch without a connection, for which the scheduler
+	// finds another upstream or refuses the request by itself.
+	retrying bool
 	// tokens is the number of output tokens so far, reported the number last reported
 	// to the scheduler.
 	tokens   int
