fix(path): a request that has ended holds no capacity

What was seen: requests that had ended stayed "running" in the scheduler for good, each with one place of an upstream and of its team. Their upstream got less work and the team met its limit early.

Cause: after a dispatch without a connection the scheduler retries by itself. If the path gives the request up before (a stream that was resumed as often as allowed, or a context that has ended), it told the scheduler nothing, and the retry was dispatched to nobody.

Evidence: TestStreamsOfDeadEngines printed "0 requests open, 5 running, [0 0 0 0] waiting; want none" for streams that are resumed once and then cut again.

Why this works: unregister is the end of every request. It now withdraws the request with the same function as a wait that ends: what waits or is delayed is dropped, and a dispatch that nobody has read is released.

--- a/internal/entry/path/path.go
+++ b/internal/entry/path/path.go
@@ -165,13 +165,16 @@
 	return nil
 }
 
-// unregister removes the request, if it is registered.
+// unregister removes the request, if it is registered, and withdraws it from the
+// scheduler.
 func (p *Path) unregister(q *ward.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.calls[q.ID] == nil {
+	c := p.calls[q.ID]
+	if c == nil {
 		return
 	}
+	_ = p.withdraw(c)
 	delete(p.calls, q.ID)
 	p.open--
 	if p.stopping && p.open == 0 {
--- a/internal/entry/path/resume_test.go
+++ b/internal/entry/path/resume_test.go
@@ -47,7 +47,7 @@
 func (s *cutStream) Close() error { return nil }
 
 // TestStreamsOfDeadEngines guards against decisions on an earlier dispatch of a stream
-// that block the path.
+// that block the path, or that hold capacity after the stream has ended.
 func TestStreamsOfDeadEngines(t *testing.T) {
 	const streams, engines = 30, 20
 	cases := []struct {
@@ -83,8 +83,8 @@
 					_ = a.Close()
 				}
 				time.Sleep(time.Second)
-				if n := p.Count(); n != 0 {
-					t.Errorf("%d requests are open", n)
+				if s := p.State(); p.Count() != 0 || s.Running != 0 || s.Waiting != [ward.TierCount]int{} {
+					t.Errorf("%d requests open, %d running, %v waiting; want none", p.Count(), s.Running, s.Waiting)
 				}
 			})
 		})
--- a/internal/entry/path/wait.go
+++ b/internal/entry/path/wait.go
@@ -24,7 +24,10 @@
 		return p.resolve(q, a)
 	case <-ctx.Done():
 	}
-	if err := p.withdraw(q, c); err != nil {
+	p.mu.Lock()
+	err := p.withdraw(c)
+	p.mu.Unlock()
+	if err != nil {
 		return ward.Upstream{}, err
 	}
 	return ward.Upstream{}, p.waitError(ctx)
@@ -40,12 +43,10 @@
 }
 
 // withdraw cancels a queued request. If the scheduler decided at the same moment, a
-// dispatch is released and a refusal is returned.
-func (p *Path) withdraw(q *ward.Request, c *call) error {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// dispatch is released and a refusal is returned. It must be called with mu held.
+func (p *Path) withdraw(c *call) error {
 	now := p.Clock.Now()
-	p.deliver(p.Scheduler.Cancel(now, q.ID))
+	p.deliver(p.Scheduler.Cancel(now, c.q.ID))
 	select {
 	case a := <-c.decision:
 		if a.Kind == scheduler.Refuse {
