fix(engine): an order that is answered with an error may have been accepted

What was seen: nothing yet, as the mover gives the order again whatever the error. By ward.Backend, an error of Order that is neither ErrOutcomeUnknown nor ErrConflict means that the engine did not accept the order, and 500, 503 and 404 gave such a one.

Cause: only a lost answer was taken for unknown; a status was taken for a refusal, though it states nothing about the order.

Evidence: TestOrderIsRefusedOnlyByItsConflict printed for 503, 500 and 404 "got agateward.upstream-failed: ..., want outcome of the store call unknown". The case of a conflict that names another order passed before.

Why this works: an order is accepted by 200, refused by 409 with its own id or by a connection that was not made; all else is unknown.

--- a/internal/upstream/engine/engine.go
+++ b/internal/upstream/engine/engine.go
@@ -111,5 +111,5 @@
 	case status == http.StatusConflict:
 		return ward.ErrConflict
 	}
-	return code.UpstreamFailed.New("order %s to %s: status %d", o.Kind, u.Name, status)
+	return code.UpstreamFailed.Wrap(ward.ErrOutcomeUnknown, "order %s to %s: status %d", o.Kind, u.Name, status)
 }
