fix(shard): an outcome that does not fit into the document waits

What was seen: by test, the entry's process dies with a stack overflow when the document of records is full and the outcomes alone do not fit either, such as that of a request that ran without a record. Found on reading refuseFull.

Cause: refuseFull refuses the claims and applies the outcomes again; if these don't fit, it is called again, without end.

Evidence: TestOutcomeThatDoesNotFit died with "goroutine stack exceeds-byte limit".

--- a/internal/run/shard/commit.go
+++ b/internal/run/shard/commit.go
@@ -143,8 +143,13 @@
 }
 
 // refuseFull refuses the claims when the document is full, and writes only the
-// outcomes.
+// outcomes. If these don't fit either, they wait.
 func (s *Shard) refuseFull(now time.Time, rec ward.Record) {
+	if len(s.batch) == 0 {
+		s.requeue(now)
+		s.lengthenInterval(now)
+		return
+	}
 	for _, c := range s.batch {
 		s.refuse(c.Attempt, code.RecordsBusy)
 		s.undo(now, c)
--- a/internal/run/shard/shard_test.go
+++ b/internal/run/shard/shard_test.go
@@ -73,3 +73,25 @@
 		})
 	}
 }
+
+// TestOutcomeThatDoesNotFit guards against an entry that dies of an outcome for which
+// the document has no room.
+func TestOutcomeThatDoesNotFit(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	c := record.Claim{Key: record.KeyOf("club", "k"), BodyHash: 1, Attempt: "a", Until: now.Add(time.Minute)}
+	s := &Shard{Limits: Limits{Bytes: 10}}
+	s.Settle(now, record.Outcome{Claim: c, State: record.Finished, Status: 201})
+	reads := 0
+	for range 100 {
+		now = now.Add(DefaultLinger)
+		for _, a := range s.Tick(now) {
+			if a.Kind == Read {
+				reads++
+				s.Done(now, Result{})
+			}
+		}
+	}
+	if reads == 0 || reads > 50 || s.Unsettled() != 1 {
+		t.Errorf("%d reads in 25 s, %d outcomes kept; want some, at most 50, and 1", reads, s.Unsettled())
+	}
+}
