--- a/internal/caller/surface/surface_test.go
+++ b/internal/caller/surface/surface_test.go
@@ -118,6 +118,39 @@
 	}
 }
 
+// TestRefusalHasNoFieldsOfTheUpstream guards against a refusal that carries what the
+// upstream stated about its own answer.
+func TestRefusalHasNoFieldsOfTheUpstream(t *testing.T) {
+	h := head("application/json")
+	h.Header.Set("Retry-After", "1")
+	h.Header.Set("Content-Encoding", "br")
+	srv := handler(t, func(*ward.Request) (ward.Answer, error) {
+		return &script{chunks: []ward.Chunk{h, {Data: []byte("{")}}, err: code.AnswerCut.New("the body ended early")}, nil
+	})
+	res, _ := post(t, srv.URL+"/v1/completions", plain)
+	for _, name := range []string{"Retry-After", "Content-Encoding"} {
+		if v := res.Header.Get(name); v != "" {
+			t.Errorf("status %d, run %s: %s is %q", res.StatusCode, res.Header.Get(refusal.HeaderRun), name, v)
+		}
+	}
+}
+
+// TestRequestIDIsTheEntrys guards against an answer that names the request by an id
+// that the entry does not know.
+func TestRequestIDIsTheEntrys(t *testing.T) {
+	var id string
+	h := head("application/json")
+	h.Header.Set(HeaderRequest, "of-the-upstream")
+	srv := handler(t, func(q *ward.Request) (ward.Answer, error) {
+		id = q.ID
+		return &script{chunks: []ward.Chunk{h, {Last: true}}}, nil
+	})
+	res, _ := post(t, srv.URL+"/v1/completions", plain)
+	if got := res.Header.Get(HeaderRequest); got != id {
+		t.Errorf("%s is %q, want %q", HeaderRequest, got, id)
+	}
+}
+
 func TestInvalidRequestIsNotRun(t *testing.T) {
 	srv := handler(t, func(*ward.Request) (ward.Answer, error) {
 		t.Error("an invalid request was run")
--- a/internal/entry/path/nonidempotent.go
+++ b/internal/entry/path/nonidempotent.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"agateward/internal/entry/runs"
-	"agateward/internal/run/permit"
+	"agateward/internal/result/code"
 	"agateward/ward"
 )
 
@@ -48,22 +48,29 @@
 	}
 }
 
-// replayOrRefuse looks up the idempotency key of a request that was refused in the
-// queue. A retry of a key that has run gets the recorded answer, or an error that
-// does not claim that it was not run. Any other request gets err.
-func (p *Path) replayOrRefuse(ctx context.Context, q *ward.Request, err error) (ward.Answer, error) {
+// replayOrRefuse returns what is known about the idempotency key of a request that
+// was refused in the queue.
+func (p *Path) replayOrRefuse(ctx context.Context, q *ward.Request, refused error) (ward.Answer, error) {
+	d, err := p.lookup(ctx, q, refused)
+	if err != nil {
+		return nil, err
+	}
+	p.hop(q, "replay", "the key ran before: its recorded answer is given")
+	return &completeAnswer{*d.Answer}, nil
+}
+
+// lookup looks up the idempotency key of a request that is refused without a verdict
+// on its key. A retry of a key that has run gets the recorded answer, or an error that
+// does not claim that it was not run. Any other request gets refused.
+func (p *Path) lookup(ctx context.Context, q *ward.Request, refused error) (runs.Decision, error) {
 	// The request's deadline may have passed, so the lookup has its own timeout.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lookupTimeout)
 	defer cancel()
-	d, lookupErr := p.Runs.Lookup(ctx, q)
-	switch {
-	case lookupErr != nil:
-		return nil, lookupErr
-	case d.Answer != nil:
-		p.hop(q, "replay", "the key ran before: its recorded answer is given")
-		return &completeAnswer{*d.Answer}, nil
+	d, err := p.Runs.Lookup(ctx, q)
+	if err == nil && d.Answer == nil {
+		err = refused
 	}
-	return nil, err
+	return d, err
 }
 
 // detach returns a context that is cancelled with the entry and not with the
@@ -86,9 +93,10 @@
 	cancel()
 	span.End()
 	if err != nil || d.Answer != nil {
-		p.mu.Lock()
-		p.release(p.calls[q.ID], u, p.Clock.Now())
-		p.mu.Unlock()
+		p.releaseUnused(q, u)
+	}
+	if code.DeadlinePassed.Is(err) {
+		d, err = p.lookup(ctx, q, err)
 	}
 	if err != nil {
 		return runs.Answer{}, err
@@ -97,7 +105,7 @@
 		p.hop(q, "replay", "the key ran before: its recorded answer is given")
 		return *d.Answer, nil
 	}
-	a, err := p.dispatchUntilConnected(ctx, q, d.Permit, u)
+	a, err := p.dispatchUntilConnected(ctx, q, d, u)
 	switch {
 	case err == nil:
 		p.Runs.Finish(q, a)
@@ -111,9 +119,9 @@
 
 // dispatchUntilConnected dispatches the request, repeats this while no connection
 // is made, and reads the complete answer.
-func (p *Path) dispatchUntilConnected(ctx context.Context, q *ward.Request, pass *permit.Permit, u ward.Upstream) (runs.Answer, error) {
+func (p *Path) dispatchUntilConnected(ctx context.Context, q *ward.Request, d runs.Decision, u ward.Upstream) (runs.Answer, error) {
 	for {
-		a, err := p.dispatch(ctx, pass, u, q)
+		a, err := p.dispatch(ctx, d.Permit, u, q)
 		if err == nil {
 			return p.readAll(ctx, a)
 		}
@@ -126,9 +134,20 @@
 		if err != nil {
 			return runs.Answer{}, err
 		}
+		if err := d.Allows(u); err != nil {
+			p.releaseUnused(q, u)
+			return runs.Answer{}, err
+		}
 	}
 }
 
+// releaseUnused ends a dispatch that was decided but never started.
+func (p *Path) releaseUnused(q *ward.Request, u ward.Upstream) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.release(p.calls[q.ID], u, p.Clock.Now())
+}
+
 // readAll reads an answer to its end. The adapter bounds its size.
 func (p *Path) readAll(ctx context.Context, a ward.Answer) (runs.Answer, error) {
 	defer a.Close()
--- a/internal/entry/runs/runs.go
+++ b/internal/entry/runs/runs.go
@@ -16,8 +16,9 @@
 // Exactly one of Finish, Lost and NotRun must be called for each permit. They don't
 // wait for the store. Flush writes the remaining outcomes before the entry stops.
 //
-// Before a request is refused without Begin, Lookup must be called, so that a retry
-// with a key that has run is not refused as not run.
+// Before a request is refused without a verdict of Begin, because it was not called or
+// its deadline passed, Lookup must be called, so that a retry with a key that has run
+// is not refused as not run.
 //
 // Idempotent requests get a permit without a record.
 package runs
@@ -78,6 +79,17 @@
 type Decision struct {
 	Permit *permit.Permit
 	Answer *Answer
+	// unrecorded reports that the permit has no record, as the store is down.
+	unrecorded bool
+}
+
+// Allows returns an error if the request may not be dispatched to u with Permit: one
+// without a record may go only to an upstream that checks idempotency keys.
+func (d Decision) Allows(u ward.Upstream) error {
+	if d.unrecorded && !u.ChecksIdempotency {
+		return code.RecordsDown.New("upstream %s does not check idempotency keys", u.Name)
+	}
+	return nil
 }
 
 // Runs keeps the idempotency records. Its fields are set before Run.
