test(soak): every request that may run once is checked, streams too

The list of statuses that promise "not run" was the caller's own.

The configuration gets the route "once", a stream that may not be resumed, with a third of the streams. The ledger checks every request that may run only once (at-most-once, truthful-refusal), and the status of requests that may be repeated too (truthful-refusal-repeatable). The statuses are those of code.PromisesNotRun; Answer.NotRun, which only copied the caller's list, is gone, and its two cases of TestPromises stay with the status alone.

The upstreams answer no request wrongly yet, which is the other half.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -125,7 +125,7 @@
 	a := ledger.Answer{Status: res.StatusCode}
 	if res.StatusCode != http.StatusOK {
 		_, err := io.Copy(io.Discard, res.Body)
-		a.Complete, a.NotRun = err == nil, notRun(a.Status)
+		a.Complete = err == nil
 		after, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64) // without the header there is no pause
 		return a, time.Duration(after * float64(time.Second))
 	}
@@ -143,15 +143,6 @@
 	return a, 0
 }
 
-// notRun reports whether a status promises that the request has not run.
-func notRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // checkStream reads a stream and returns the answer with its faults.
 func checkStream(body io.Reader, id string, a ledger.Answer) ledger.Answer {
 	lines := bufio.NewScanner(body)
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"agateward/internal/result/code"
 	"agateward/ward"
 )
 
@@ -28,7 +29,9 @@
 type Request struct {
 	ID, Team string
 	Kind     ward.ForwardKind
-	Service  string
+	// Resumable is set when another upstream may continue the stream.
+	Resumable bool
+	Service   string
 	// Entry is the entry that the request was sent to, and Start the number of its
 	// process, counted from 1.
 	Entry string
@@ -43,14 +46,25 @@
 	MayLeave bool
 }
 
+// once reports whether the request may run only once.
+func (r *Request) once() bool {
+	return r.Kind == ward.ForwardUnsafe || r.Kind == ward.ForwardStream && !r.Resumable
+}
+
+// refusalPromise is the promise that a status of code.PromisesNotRun gives.
+func (r *Request) refusalPromise() string {
+	if r.once() {
+		return "truthful-refusal"
+	}
+	return "truthful-refusal-repeatable"
+}
+
 // Answer is the answer that the caller received.
 type Answer struct {
 	// Status is the HTTP status, or 0 when there was no answer.
 	Status int
 	// Complete is set when the answer was received to its end.
 	Complete bool
-	// NotRun is set when the status promises that the request has not run.
-	NotRun bool
 	// Fault describes what is wrong with the content, empty for nothing.
 	Fault string
 }
@@ -64,9 +78,8 @@
 
 type record struct {
 	Request
-	runs    []time.Time
-	answer  Answer
-	refused bool
+	runs   []time.Time
+	answer Answer
 }
 
 type disturbance struct {
@@ -159,11 +172,11 @@
 	if r.Team != team {
 		l.addFinding("team", id, now, "%s received team %q, but the key belongs to %q", upstream, team, r.Team)
 	}
-	if r.Kind == ward.ForwardUnsafe && len(r.runs) > 1 {
+	if r.once() && len(r.runs) > 1 {
 		l.addFinding("at-most-once", id, now, "run %d of a request that must run at most once, at %s", len(r.runs), upstream)
 	}
-	if r.refused {
-		l.addFinding("truthful-refusal", id, now, "%s runs it after status %d promised that it had not run", upstream, r.answer.Status)
+	if code.PromisesNotRun(r.answer.Status) {
+		l.addFinding(r.refusalPromise(), id, now, "%s runs it after status %d promised that it had not run", upstream, r.answer.Status)
 	}
 	if at, ok := l.drainingSince[upstream]; ok && now.Sub(at) > l.Bounds.Drain && l.connected(r.Entry, at, now) {
 		l.addFinding("draining", id, now, "%s receives it %s after it was marked as draining", upstream, now.Sub(at))
@@ -179,11 +192,8 @@
 	if a.Fault != "" {
 		l.addFinding("whole-answer", id, now, "%s", a.Fault)
 	}
-	if a.NotRun {
-		r.refused = r.Kind == ward.ForwardUnsafe
-		if r.refused && len(r.runs) > 0 {
-			l.addFinding("truthful-refusal", id, now, "status %d promises that it has not run, but it has", a.Status)
-		}
+	if code.PromisesNotRun(a.Status) && len(r.runs) > 0 {
+		l.addFinding(r.refusalPromise(), id, now, "status %d promises that it has not run, but it has", a.Status)
 	}
 	if !a.Complete && !r.MayLeave && len(r.runs) > 0 && l.undisturbed(r.Sent, now) && now.Sub(r.Sent) < r.Timeout {
 		l.addFinding("planned-stop", id, now, "status %d and no complete answer from %s, with no disturbance other than planned stops", a.Status, r.Entry)
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -44,13 +44,23 @@
 		{"refused after its run", func(l *Ledger) {
 			l.Sent(request(ward.ForwardUnsafe, 0))
 			l.Ran("r", "i-1", "t", at(0.1))
-			l.Answered("r", Answer{Status: 503, Complete: true, NotRun: true}, at(0.2))
+			l.Answered("r", Answer{Status: 503, Complete: true}, at(0.2))
 		}, "truthful-refusal"},
 		{"refused before its run", func(l *Ledger) {
 			l.Sent(request(ward.ForwardUnsafe, 0))
-			l.Answered("r", Answer{Status: 429, Complete: true, NotRun: true}, at(0.2))
+			l.Answered("r", Answer{Status: 429, Complete: true}, at(0.2))
 			l.Ran("r", "i-1", "t", at(0.3))
 		}, "truthful-refusal"},
+		{"safe request refused after its run", func(l *Ledger) {
+			l.Sent(request(ward.ForwardSafe, 0))
+			l.Ran("r", "i-1", "t", at(0.1))
+			l.Answered("r", Answer{Status: 429, Complete: true}, at(0.2))
+		}, "truthful-refusal-repeatable"},
+		{"safe request refused before its run", func(l *Ledger) {
+			l.Sent(request(ward.ForwardSafe, 0))
+			l.Answered("r", Answer{Status: 408, Complete: true}, at(0.2))
+			l.Ran("r", "i-1", "t", at(0.3))
+		}, "truthful-refusal-repeatable"},
 		{"failed after its run", func(l *Ledger) {
 			l.Sent(request(ward.ForwardUnsafe, 0))
 			l.Ran("r", "i-1", "t", at(0.1))
@@ -149,3 +159,37 @@
 		})
 	}
 }
+
+// Guards against a stream that may not be resumed being taken for one that may run
+// again: streams refused after their run (issue 26) were not checked.
+func TestStreamThatMayRunOnce(t *testing.T) {
+	at := func(s float64) time.Time { return time.Unix(1000, 0).Add(time.Duration(s * float64(time.Second))) }
+	ran := func(l *Ledger, s float64) { l.Ran("r", "i-1", "t", at(s)) }
+	answered := func(l *Ledger, status int, s float64) { l.Answered("r", Answer{Status: status, Complete: true}, at(s)) }
+	cases := []struct {
+		name            string
+		play            func(l *Ledger)
+		once, resumable string
+	}{
+		{"two runs", func(l *Ledger) { ran(l, 0.1); ran(l, 0.2) }, "at-most-once", ""},
+		{"408 after its run", func(l *Ledger) { ran(l, 0.1); answered(l, 408, 0.2) }, "truthful-refusal", "truthful-refusal-repeatable"},
+		{"421 after its run", func(l *Ledger) { ran(l, 0.1); answered(l, 421, 0.2) }, "truthful-refusal", "truthful-refusal-repeatable"},
+		{"429 after its run", func(l *Ledger) { ran(l, 0.1); answered(l, 429, 0.2) }, "truthful-refusal", "truthful-refusal-repeatable"},
+		{"503 after its run", func(l *Ledger) { ran(l, 0.1); answered(l, 503, 0.2) }, "truthful-refusal", "truthful-refusal-repeatable"},
+		{"503 before its run", func(l *Ledger) { answered(l, 503, 0.1); ran(l, 0.2) }, "truthful-refusal", "truthful-refusal-repeatable"},
+		{"502 after its run", func(l *Ledger) { ran(l, 0.1); answered(l, 502, 0.2) }, "", ""},
+		{"503 without a run", func(l *Ledger) { answered(l, 503, 0.2) }, "", ""},
+	}
+	for _, c := range cases {
+		for resumable, want := range map[bool]string{false: c.once, true: c.resumable} {
+			l := &Ledger{Bounds: DefaultBounds()}
+			l.Bounds.RetrySlack = 3
+			l.Sent(Request{ID: "r", Team: "t", Kind: ward.ForwardStream, Resumable: resumable, Entry: "entry-1", Sent: at(0), Timeout: 2 * time.Second})
+			c.play(l)
+			got := l.Findings()
+			if want == "" && len(got) > 0 || want != "" && (len(got) != 1 || got[0].Promise != want) {
+				t.Errorf("%s, resumable %v: found %+v, want %q", c.name, resumable, got, want)
+			}
+		}
+	}
+}
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -143,7 +143,7 @@
 	for i := 0; i < len(s.entries); {
 		c := caller.Caller{Dialect: s.Dialect, Ledger: &s.ledger}
 		req := s.newRequest(s.entries[i])
-		req.Path, req.Kind, req.Service, req.Timeout = "/stock/x", ward.ForwardSafe, orders, restTimeout
+		req.Path, req.Kind, req.Resumable, req.Service, req.Timeout = "/stock/x", ward.ForwardSafe, false, orders, restTimeout
 		req.Version, req.MayLeave, req.LeaveAfter = 0, false, 0
 		if a := c.SendOnce(req); a.Status == http.StatusOK && a.Complete {
 			i++
@@ -204,7 +204,8 @@
 // fault within some seconds.
 const (
 	// Shares of the kinds. The other requests use routes of one configuration version.
-	streamShare = 0.45
+	streamShare = 0.3
+	onceShare   = 0.15
 	orderShare  = 0.3
 	stockShare  = 0.15
 	// smallTeamShare is the share with the key of the small team, leaveShare the share
@@ -224,9 +225,11 @@
 	}
 	switch u := s.rand.Float64(); {
 	case u < streamShare:
-		a.Path, a.Kind, a.Service, a.Timeout = "/stream/x", ward.ForwardStream, engines, streamTimeout
-	case u < streamShare+orderShare:
-	case u < streamShare+orderShare+stockShare:
+		a.Path, a.Kind, a.Resumable, a.Service, a.Timeout = "/stream/x", ward.ForwardStream, true, engines, streamTimeout
+	case u < streamShare+onceShare:
+		a.Path, a.Kind, a.Service, a.Timeout = "/once/x", ward.ForwardStream, engines, streamTimeout
+	case u < streamShare+onceShare+orderShare:
+	case u < streamShare+onceShare+orderShare+stockShare:
 		a.Path, a.Kind = "/stock/x", ward.ForwardSafe
 	default:
 		a.Version = max(s.version-uint64(s.rand.IntN(2)), 1)
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -166,10 +166,13 @@
 			Target: ward.Duration(timeout / 4), Resumable: kind == ward.ForwardStream, Split: []ward.ForwardShare{{Service: service, Weight: 1}},
 		}
 	}
+	once := route("once", ward.ForwardStream, engines, streamTimeout, 2)
+	once.Resumable = false
 	err := s.Store.Configure(ward.Forwarding{
 		Version: v,
 		Routes: []ward.ForwardRoute{
 			route("stream", ward.ForwardStream, engines, streamTimeout, 3),
+			once,
 			route("order", ward.ForwardUnsafe, orders, restTimeout, 2),
 			route("stock", ward.ForwardSafe, orders, restTimeout, 3),
 			route(fmt.Sprint("v", v), ward.ForwardSafe, orders, restTimeout, 3),
