test(soak): upstreams answer wrongly about what they ran

Two kinds of fault, each 0.2 to 4 s at one replica, about one in 2 s: every second request runs and is answered 503, 429 or 408 without a statement (services, and engines in place of the stream); every third request is answered as not run (503 or 421), and that answer is sent again on the connection when the next request arrives or just before its answer. They may fall on a replica that another fault affects, and they excuse nothing: the ledger counts them as no disturbance.

--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -36,6 +36,12 @@
 	UpstreamDrain   Kind = "upstream-drain"
 	UpstreamRestart Kind = "upstream-reborn"
 	UpstreamLink    Kind = "upstream-link"
+	// UpstreamRanRefused makes an upstream run requests and answer some with the status
+	// Variant, which promises that they did not run. UpstreamRepeat makes it answer some
+	// requests as not run, with the status Variant, and send these answers again before
+	// the next answer on their connection.
+	UpstreamRanRefused Kind = "upstream-ran-refused"
+	UpstreamRepeat     Kind = "upstream-repeat"
 	// Configure puts a new version of the configuration in force.
 	Configure Kind = "configure"
 	// Rollout rolls out a version to a service, which is good or bad as Variant.
@@ -55,6 +61,9 @@
 const (
 	// meanInterval is the mean time between two faults, short enough that some overlap.
 	meanInterval = 700 * time.Millisecond
+	// meanAnswerInterval is the mean time between two faults of answers. It leaves most
+	// answers right, so that the other faults show.
+	meanAnswerInterval = 2 * time.Second
 	// settleTime is the time without faults at the beginning, for the start, and at the
 	// end, for the recovery.
 	settleTime = 3 * time.Second
@@ -85,6 +94,15 @@
 
 var links = []string{"delay", "reset", "silence", "mute"}
 
+// answerKinds are the kinds of faults of answers, with the statuses of their answers.
+var answerKinds = []struct {
+	kind     Kind
+	statuses []string
+}{
+	{UpstreamRanRefused, []string{"408", "429", "503"}},
+	{UpstreamRepeat, []string{"421", "503"}},
+}
+
 // New draws the faults of a soak of the given length, sorted by time.
 func New(seed uint64, length time.Duration, storeFaults []string) []Fault {
 	r := rand.New(rand.NewPCG(seed, 0))
@@ -94,7 +112,7 @@
 	}
 	var list []Fault
 	for at := settleTime; at < length-settleTime; at += time.Duration(r.ExpFloat64() * float64(meanInterval)) {
-		f := Fault{At: at, Target: r.IntN(1 << 16), Duration: minDuration + time.Duration(r.Float64()*float64(maxDuration-minDuration))}
+		f := newFault(r, at)
 		n := r.IntN(sum)
 		for _, w := range weights {
 			if n < w.n {
@@ -113,6 +131,26 @@
 		}
 		list = append(list, f)
 	}
+	list = append(list, answerFaults(seed, length)...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
 	return list
 }
+
+// newFault returns a fault without a kind at the given time.
+func newFault(r *rand.Rand, at time.Duration) Fault {
+	return Fault{At: at, Target: r.IntN(1 << 16), Duration: minDuration + time.Duration(r.Float64()*float64(maxDuration-minDuration))}
+}
+
+// answerFaults draws the faults of answers. They have random numbers of their own, so
+// that a seed gives the same other faults with and without them.
+func answerFaults(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 2))
+	var list []Fault
+	for at := settleTime; at < length-settleTime; at += time.Duration(r.ExpFloat64() * float64(meanAnswerInterval)) {
+		f := newFault(r, at)
+		k := answerKinds[r.IntN(len(answerKinds))]
+		f.Kind, f.Variant = k.kind, k.statuses[r.IntN(len(k.statuses))]
+		list = append(list, f)
+	}
+	return list
+}
--- a/internal/soak/run/rollout.go
+++ b/internal/soak/run/rollout.go
@@ -92,6 +92,9 @@
 		}
 		s.remove(&replica{server: r.server, link: r.link, reg: r.reg})
 		r.server, r.link, r.reg, r.version, r.bad = added[i].server, added[i].link, added[i].reg, added[i].version, added[i].bad
+		s.mu.Lock()
+		r.answers = added[i].answers
+		s.mu.Unlock()
 		s.release(&r.busy)
 	}
 }
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -53,6 +54,8 @@
 			s.injectEntryFault(ctx, e, f)
 			s.release(&e.busy)
 		}
+	case plan.UpstreamRanRefused, plan.UpstreamRepeat:
+		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
 	default:
 		r := s.replicas[f.Target%len(s.replicas)]
 		if s.tryAcquire(&r.busy) {
@@ -138,6 +141,23 @@
 	end(time.Now())
 }
 
+// injectAnswerFault makes answers of a replica wrong, also while another fault affects
+// the replica. It is no disturbance: it excuses no incomplete answer.
+func (s *Soak) injectAnswerFault(ctx context.Context, r *replica, f plan.Fault) {
+	s.mu.Lock()
+	answers := r.answers
+	s.mu.Unlock()
+	status, err := strconv.ParseInt(f.Variant, 10, 64)
+	s.logError(err)
+	fault := &answers.RanRefused
+	if f.Kind == plan.UpstreamRepeat {
+		fault = &answers.Repeat
+	}
+	fault.Store(status)
+	sleep(ctx, f.Duration)
+	fault.Store(0)
+}
+
 func (s *Soak) tryAcquire(busy *bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -66,6 +66,8 @@
 	version string
 	bad     bool
 	busy    bool
+	// answers are the faults of its answers. mu of the soak guards the pointer.
+	answers *upstream.Answers
 }
 
 // serveStore starts the stand-in store and returns its address.
@@ -136,9 +138,15 @@
 		id = fmt.Sprintf("i-%d", s.upstreamCount)
 		s.mu.Unlock()
 	}
+	s.mu.Lock()
+	if r.answers == nil {
+		r.answers = &upstream.Answers{}
+	}
+	answers := r.answers
+	s.mu.Unlock()
 	version := r.service + "/" + r.version
 	ran := func(id, upstream, team string) { s.recordRun(version, id, upstream, team) }
-	r.server = &upstream.Upstream{ID: id, Service: r.service, Engine: r.service == engines, Slots: slots, Dialect: s.Dialect, Faulty: r.bad, OnRun: ran}
+	r.server = &upstream.Upstream{ID: id, Service: r.service, Engine: r.service == engines, Slots: slots, Dialect: s.Dialect, Faulty: r.bad, Answers: answers, OnRun: ran}
 	if err := r.server.Listen(); err != nil {
 		return err
 	}
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -9,6 +9,8 @@
 package upstream
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -43,6 +45,8 @@
 	Dialect ward.StandinDialect
 	// Faulty makes every second answer of a service fail.
 	Faulty bool
+	// Answers, which may be nil, makes some answers wrong.
+	Answers *Answers
 	// OnRun is called when a request begins to run.
 	OnRun func(id, upstream, team string)
 
@@ -50,9 +54,31 @@
 	server  *http.Server
 	slots   chan struct{}
 	waiting atomic.Int64
+	asked   atomic.Int64
 	runs    atomic.Int64
 }
 
+// Answers selects faults of answers while an upstream runs. Its zero value selects
+// none.
+type Answers struct {
+	// RanRefused is 0 or the status of the answer to every second request, which has run
+	// and about which the answer states nothing.
+	RanRefused atomic.Int64
+	// Repeat is 0 or the status of the answer to every third request, which does not
+	// run. Each answer that states this is sent again before the next answer on its
+	// connection.
+	Repeat atomic.Int64
+}
+
+// connection is a connection with the answer that is sent again on it, nil for none.
+// The server uses it for one request at a time.
+type connection struct {
+	net.Conn
+	again []byte
+}
+
+type connectionKey struct{}
+
 // Body returns the expected answer of a service to a request.
 func Body(id string) string { return "answer to " + id }
 
@@ -74,7 +100,12 @@
 		return fmt.Errorf("upstream %s: %w", u.ID, err)
 	}
 	u.l, u.slots = l, make(chan struct{}, u.Slots)
-	u.server = &http.Server{Handler: u}
+	u.server = &http.Server{Handler: u, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, &connection{Conn: c})
+	}}
+	if u.Answers == nil {
+		u.Answers = &Answers{}
+	}
 	go func() { _ = u.server.Serve(l) }() // ends with Crash
 	return nil
 }
@@ -89,25 +120,28 @@
 
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, hop := u.Dialect.Hop(r.Header)
-	reply := ward.ForwardReply{ID: id}
-	answer := func(status int) {
-		for k, v := range u.Dialect.Answer(reply) {
-			w.Header()[k] = v
-		}
-		w.WriteHeader(status)
+	asked, repeat := u.asked.Add(1), int(u.Answers.Repeat.Load())
+	x := exchange{
+		w: w, conn: r.Context().Value(connectionKey{}).(*connection),
+		dialect: u.Dialect, reply: ward.ForwardReply{ID: id}, repeat: repeat > 0,
+	}
+	if asked%2 == 0 {
+		x.conn.sendAgain() // before the request runs; otherwise before its answer
 	}
 	if hop.Replica != u.ID {
-		reply.NotRun = true
-		answer(http.StatusMisdirectedRequest)
+		x.refuse(http.StatusMisdirectedRequest)
 		return
 	}
-	if u.waiting.Add(1) > int64(u.Slots+queueLength) {
-		u.waiting.Add(-1)
-		reply.NotRun = true
-		answer(http.StatusServiceUnavailable)
+	if repeat > 0 && asked%3 == 0 {
+		x.refuse(repeat)
 		return
 	}
+	waiting := u.waiting.Add(1)
 	defer u.waiting.Add(-1)
+	if waiting > int64(u.Slots+queueLength) {
+		x.refuse(http.StatusServiceUnavailable)
+		return
+	}
 	select {
 	case u.slots <- struct{}{}:
 	case <-r.Context().Done():
@@ -116,24 +150,74 @@
 	defer func() { <-u.slots }()
 	n := u.runs.Add(1)
 	u.OnRun(id, u.ID, hop.Team)
-	reply.Signed = true
+	x.reply.Signed = true
+	if status := int(u.Answers.RanRefused.Load()); status > 0 && n%2 == 0 {
+		time.Sleep(workTime)
+		x.answer(status)
+		return
+	}
 	if u.Engine {
 		w.Header().Set("Content-Type", "text/event-stream")
-		answer(http.StatusOK)
+		x.answer(http.StatusOK)
 		u.stream(w, r, id, hop.LastEvent)
 		return
 	}
 	time.Sleep(workTime)
 	if u.Faulty && n%2 == 0 {
-		answer(http.StatusInternalServerError)
+		x.answer(http.StatusInternalServerError)
 		return
 	}
-	answer(http.StatusOK)
+	x.answer(http.StatusOK)
 	// A failed write needs no handling: the caller reports the incomplete answer to
 	// the ledger.
 	_, _ = io.WriteString(w, Body(id))
 }
 
+// exchange is the answer to one request.
+type exchange struct {
+	w       http.ResponseWriter
+	conn    *connection
+	dialect ward.StandinDialect
+	reply   ward.ForwardReply
+	// repeat makes a not-run answer be sent again.
+	repeat bool
+}
+
+// answer writes the head of the answer.
+func (x *exchange) answer(status int) {
+	x.conn.sendAgain()
+	for k, v := range x.dialect.Answer(x.reply) {
+		x.w.Header()[k] = v
+	}
+	x.w.WriteHeader(status)
+}
+
+// refuse answers that the request has not run.
+func (x *exchange) refuse(status int) {
+	x.reply.NotRun = true
+	x.answer(status)
+	if x.repeat {
+		x.conn.again = head(status, x.dialect.Answer(x.reply))
+	}
+}
+
+// sendAgain sends the answer that is to be sent again.
+func (c *connection) sendAgain() {
+	if c.again != nil {
+		// A failed write closes the connection, which the server notices itself.
+		_, _ = c.Write(c.again)
+		c.again = nil
+	}
+}
+
+// head returns an answer without a body as it is sent.
+func head(status int, h http.Header) []byte {
+	var b bytes.Buffer
+	r := http.Response{StatusCode: status, ProtoMajor: 1, ProtoMinor: 1, Header: h}
+	_ = r.Write(&b) // writing to a buffer never fails
+	return b.Bytes()
+}
+
 func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, id string, last int64) {
 	for n := max(last, 0) + 1; n <= Events(id); n++ {
 		select {
--- /dev/null
+++ b/internal/soak/upstream/upstream_test.go
@@ -0,0 +1,83 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"reflect"
+	"testing"
+	"time"
+
+	"agateward/ward"
+)
+
+// headers is a dialect of three fields.
+type headers struct{}
+
+func (headers) Caller(ward.ForwardHead) http.Header { return nil }
+
+func (headers) Hop(h http.Header) (string, ward.ForwardHop) {
+	return h.Get("Id"), ward.ForwardHop{Replica: h.Get("Replica"), LastEvent: -1}
+}
+
+func (headers) Answer(r ward.ForwardReply) http.Header {
+	return http.Header{"Id": {r.ID}, "Not-Run": {fmt.Sprint(r.NotRun)}}
+}
+
+// Guards against faults of answers that stop to happen, so that the soak finds nothing:
+// each answer on one connection is checked, with what ran.
+func TestAnswers(t *testing.T) {
+	cases := []struct {
+		name               string
+		ranRefused, repeat int64
+		engine             bool
+		want               []string
+		ran                []string
+	}{
+		{"right", 0, 0, false, []string{"200 a false", "200 b false", "200 c false", "200 d false"}, []string{"a", "b", "c", "d"}},
+		{"ran and refused", 429, 0, false, []string{"200 a false", "429 b false", "200 c false", "429 d false"}, []string{"a", "b", "c", "d"}},
+		{"stream ran and refused", 503, 0, true, []string{"200 a false", "503 b false", "200 c false", "503 d false"}, []string{"a", "b", "c", "d"}},
+		{"not run twice", 0, 503, false, []string{"200 a false", "200 b false", "503 c true", "503 c true", "200 d false"}, []string{"a", "b", "d"}},
+		{"moved twice", 0, 421, true, []string{"200 a false", "200 b false", "421 c true", "421 c true", "200 d false"}, []string{"a", "b", "d"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var ran []string
+			u := &Upstream{ID: "i-1", Engine: c.engine, Slots: 1, Dialect: headers{}, Answers: &Answers{}}
+			u.OnRun = func(id, _, _ string) { ran = append(ran, id) }
+			u.Answers.RanRefused.Store(c.ranRefused)
+			u.Answers.Repeat.Store(c.repeat)
+			if err := u.Listen(); err != nil {
+				t.Fatal(err)
+			}
+			defer u.Crash()
+			conn, err := net.Dial("tcp", u.Address())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(10 * time.Second))
+			r := bufio.NewReader(conn)
+			var got []string
+			for _, id := range []string{"a", "b", "c", "d"} {
+				fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nId: %s\r\nReplica: i-1\r\nContent-Length: 0\r\n\r\n", id)
+				for answered := false; !answered; {
+					res, err := http.ReadResponse(r, nil)
+					if err != nil {
+						t.Fatal(err)
+					}
+					if _, err := io.Copy(io.Discard, res.Body); err != nil {
+						t.Fatal(err)
+					}
+					answered = res.Header.Get("Id") == id
+					got = append(got, fmt.Sprint(res.StatusCode, " ", res.Header.Get("Id"), " ", res.Header.Get("Not-Run")))
+				}
+			}
+			if !reflect.DeepEqual(got, c.want) || !reflect.DeepEqual(ran, c.ran) {
+				t.Errorf("answers %q, want %q; ran %q, want %q", got, c.want, ran, c.ran)
+			}
+		})
+	}
+}
