test(gate): early, chunked, unframed, reset and repeated answers in the promise property

TestPromisesHold drew answers with a length only, given after the whole request was read. It now also draws answers given before a body of 256 KB is read, in chunks, without a length (closed or reset), after 103, no answer at all, a reset, and copies of successful answers that come with the next request; and it checks that a successful answer of a plain route is the request's own and whole. The earlier answers and checks are the same.

--- a/internal/forward/gate/promise_test.go
+++ b/internal/forward/gate/promise_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -14,13 +16,25 @@
 	"pgregory.net/rapid"
 )
 
+// framing is how an answer marks the end of its body.
+type framing int
+
+const (
+	length framing = iota
+	chunks
+	toEnd
+)
+
 // statement is what an upstream answers.
 type statement struct {
 	status int
 	// id is the id that the answer names, "" for none.
 	id string
 	// notRun makes the answer state that its request did not run.
-	notRun bool
+	notRun  bool
+	framing framing
+	// body is "busy" when empty.
+	body string
 }
 
 func (s statement) write(w io.Writer) {
@@ -31,7 +45,19 @@
 	if s.notRun {
 		fmt.Fprint(w, "Agateward-Not-Run: 1\r\n")
 	}
-	fmt.Fprint(w, "Retry-After: 1\r\nContent-Length: 4\r\n\r\nbusy")
+	body := s.body
+	if body == "" {
+		body = "busy"
+	}
+	fmt.Fprint(w, "Retry-After: 1\r\n")
+	switch s.framing {
+	case length:
+		fmt.Fprintf(w, "Content-Length: %d\r\n\r\n%s", len(body), body)
+	case chunks:
+		fmt.Fprintf(w, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	case toEnd:
+		fmt.Fprintf(w, "\r\n%s", body)
+	}
 }
 
 var promises = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
@@ -110,70 +136,105 @@
 	extra map[io.Writer]statement
 }
 
+// Behaviours of an upstream that does not run a request, and of one that does.
+var (
+	rejections = []string{"not run", "not run twice", "not run in chunks", "not run after 103", "not run and closed", "moved"}
+	runs       = []string{
+		"ok", "ok twice", "ok after 103", "ok to the end", "ok and reset", "cut", "reset", "silent", "garbage", "half", "not run of another",
+		"408", "429", "500", "503", "504", "503 in chunks", "503 to the end", "503 and reset",
+	}
+)
+
 func (u *promiseUpstream) reply(w io.Writer, r *http.Request, _ int64) bool {
 	u.mu.Lock()
-	defer u.mu.Unlock()
 	id := r.Header.Get("Agateward-Request")
 	do := "ok"
 	if len(u.behaviours) > 0 {
 		do, u.behaviours = u.behaviours[0], u.behaviours[1:]
 	}
-	if e, late := u.extra[w]; late {
-		delete(u.extra, w)
-		e.write(w)
+	e, late := u.extra[w]
+	delete(u.extra, w)
+	ran := !slices.Contains(rejections, do)
+	if ran {
+		u.runs[id]++
 	}
-	notRun := statement{status: 503, id: id, notRun: true}
-	switch do {
-	case "not run", "not run twice":
-		notRun.write(w)
-		if do == "not run twice" {
-			u.extra[w] = notRun
-		}
-		return true
-	case "moved":
-		statement{status: 421, id: id}.write(w)
-		return true
+	answer := statement{status: 200, id: id, body: "fine " + id}
+	switch {
+	case !ran && do != "moved":
+		answer = statement{status: 503, id: id, notRun: true}
+	case do == "moved":
+		answer = statement{status: 421, id: id}
+	case do == "not run of another":
+		answer = statement{status: 503, id: "r-other", notRun: true}
+	case do[0] >= '4' && do[0] <= '5':
+		answer = statement{id: id}
+		fmt.Sscan(do, &answer.status)
+	}
+	if strings.HasSuffix(do, " twice") {
+		u.extra[w] = answer
+	}
+	u.mu.Unlock()
+	if late {
+		e.write(w)
 	}
-	u.runs[id]++
 	switch do {
 	case "cut":
 		return false
+	case "reset":
+		w.(*net.TCPConn).SetLinger(0)
+		return false
+	case "silent":
+		io.Copy(io.Discard, r.Body)
+		w.(net.Conn).Read(make([]byte, 1))
+		return false
 	case "garbage":
 		fmt.Fprint(w, "what?\r\n\r\n")
 		return false
 	case "half":
 		fmt.Fprintf(w, "HTTP/1.1 503 S\r\nAgateward-Request: %s\r\nContent-Length: 9\r\n\r\nbusy", id)
 		return false
-	case "not run of another":
-		statement{status: 503, id: "r-other", notRun: true}.write(w)
-		return true
-	case "408", "429", "500", "503", "504":
-		var s int
-		fmt.Sscan(do, &s)
-		statement{status: s, id: id}.write(w)
-		return true
-	}
-	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/") {
-		return events(w, r, 1, 2, true)
-	}
-	return ok(w, r, "fine")
+	case "ok":
+		if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/") {
+			return events(w, r, 1, 2, true)
+		}
+	}
+	if strings.HasSuffix(do, " after 103") {
+		fmt.Fprint(w, "HTTP/1.1 103 Early Hints\r\n\r\n")
+	}
+	switch {
+	case strings.HasSuffix(do, " in chunks"):
+		answer.framing = chunks
+	case strings.HasSuffix(do, " to the end"), strings.HasSuffix(do, " and reset"):
+		answer.framing = toEnd
+	}
+	answer.write(w)
+	if strings.HasSuffix(do, " and reset") {
+		w.(*net.TCPConn).SetLinger(0)
+	}
+	return answer.framing != toEnd && do != "not run and closed"
 }
 
 // Guards against any path on which a caller is told that its request did not run, or
-// on which a request that must run once is sent again, though an upstream ran it.
+// on which a request that must run once is sent again, though an upstream ran it; and
+// against an answer that is not the request's own or looks whole and is not.
 func TestPromisesHold(t *testing.T) {
-	kinds := []string{"ok", "not run", "not run twice", "moved", "cut", "garbage", "half", "not run of another", "408", "429", "500", "503", "504"}
 	rapid.Check(t, func(rt *rapid.T) {
 		u := &promiseUpstream{runs: make(map[string]int), extra: make(map[io.Writer]statement)}
-		u.behaviours = rapid.SliceOfN(rapid.SampledFrom(kinds), 1, 12).Draw(rt, "answers")
+		u.behaviours = rapid.SliceOfN(rapid.SampledFrom(slices.Concat(rejections, runs)), 1, 12).Draw(rt, "answers")
 		paths := rapid.SliceOfN(rapid.SampledFrom([]string{"/safe/x", "/unsafe/x", "/stream/x", "/once/x"}), 1, 4).Draw(rt, "requests")
-		s := newGate(t, newUpstream(t, u.reply), newUpstream(t, u.reply), newUpstream(t, u.reply))
+		long := rapid.Bool().Draw(rt, "long bodies")
+		early := rapid.Bool().Draw(rt, "answers before the body is read")
+		s := newGate(t, listen(t, u.reply, early), listen(t, u.reply, early), listen(t, u.reply, early))
 		defer s.Close()
 		for i, path := range paths {
 			id := fmt.Sprint("r", i)
 			got := do(t, s, "POST", path, func(r *http.Request) {
 				r.Header.Set("Agateward-Request", id)
 				r.Header.Set("Agateward-Timeout", "150") // bounds the wait for upstreams that failed
+				if long {
+					r.ContentLength = 256 << 10 // written while the answer is read
+					r.Body = io.NopCloser(strings.NewReader(strings.Repeat("b", int(r.ContentLength))))
+				}
 			})
 			u.mu.Lock()
 			n := u.runs[id]
@@ -184,6 +245,9 @@
 			if n > 1 && (path == "/unsafe/x" || path == "/once/x") {
 				rt.Errorf("%s on %s ran %d times", id, path, n)
 			}
+			if got.status == 200 && got.err == nil && (path == "/safe/x" || path == "/unsafe/x") && got.body != "fine "+id {
+				rt.Errorf("%s on %s got %q", id, path, got.body)
+			}
 		}
 	})
 }
--- a/internal/forward/gate/upstream_test.go
+++ b/internal/forward/gate/upstream_test.go
@@ -14,21 +14,25 @@
 // upstream is a stand-in server that answers each request by calling a function.
 type upstream struct {
 	net.Listener
-	runs atomic.Int64
-	mu   sync.Mutex
-	seen []*http.Request
+	// early makes it answer before it reads the body, and read the body after that.
+	early bool
+	runs  atomic.Int64
+	mu    sync.Mutex
+	seen  []*http.Request
 }
 
 // reply writes the answer to the n-th request (from 1) of the stand-in, and reports
 // whether the connection stays open.
 type reply func(w io.Writer, r *http.Request, n int64) bool
 
-func newUpstream(t *testing.T, f reply) *upstream {
+func newUpstream(t *testing.T, f reply) *upstream { return listen(t, f, false) }
+
+func listen(t *testing.T, f reply, early bool) *upstream {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &upstream{Listener: l}
+	u := &upstream{Listener: l, early: early}
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		for {
@@ -50,13 +54,16 @@
 		if err != nil {
 			return
 		}
-		io.Copy(io.Discard, r.Body)
+		if !u.early {
+			io.Copy(io.Discard, r.Body)
+		}
 		u.mu.Lock()
 		u.seen = append(u.seen, r)
 		u.mu.Unlock()
 		if !f(c, r, u.runs.Add(1)) {
 			return
 		}
+		io.Copy(io.Discard, r.Body)
 	}
 }
 
