fix(gate): a request without an id is refused before it is sent

What callers saw: 503 for a request without an id that an upstream ran, or a second send of one that may run once; with the native header fields 502 for every success.

Cause: an upstream's answer is told from that of another request by the id it names. Without an id in the request, mismatch compared "" with "", so an answer without an id, late on a kept connection, passed for the request's own, with its "not run".

Change: accept refuses such a request with 400 (bad-header), as upstreams do, once its route and key are known.

Evidence: TestRequestWithoutIDIsNotSent failed in 3 of 3 cases before (503 after 2 sends, one of them the request's) and holds now: no answer is compared with an empty id any more.

--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -6,8 +6,8 @@
 //	var d dialect.Native
 //	head, err := d.Head(r.Header)
 //
-// A caller sends Authorization with its team's key, and may send
-// Agateward-Request, Agateward-Timeout (milliseconds), Agateward-Tokens
+// A caller sends Agateward-Request, the request's id, and Authorization with its
+// team's key, and may send Agateward-Timeout (milliseconds), Agateward-Tokens
 // (prompt,output) and Last-Event-ID. An upstream gets Agateward-Replica,
 // Agateward-Team, Agateward-Timeout and Last-Event-ID; it echoes
 // Agateward-Request, and sets Agateward-Not-Run when it did not run a request.
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -77,6 +77,10 @@
 		}
 		c.team = team
 	}
+	if c.head.ID == "" {
+		// An upstream's answer is told from that of another request by the id alone.
+		return code.BadHeader.New("%s is missing", c.gate.Dialect.RequestID())
+	}
 	if err := c.readBody(); err != nil {
 		return err
 	}
--- a/internal/forward/gate/promise_test.go
+++ b/internal/forward/gate/promise_test.go
@@ -126,6 +126,31 @@
 	}
 }
 
+// Guards against a request without an id being refused or sent again though it ran: no
+// answer names it, so that of another request on a kept connection passed for its own.
+func TestRequestWithoutIDIsNotSent(t *testing.T) {
+	for _, path := range []string{"/unsafe/x", "/once/x", "/safe/x"} {
+		t.Run(strings.Trim(path, "/x"), func(t *testing.T) {
+			u := newUpstream(t, func(w io.Writer, r *http.Request, n int64) bool {
+				if n == 1 {
+					return ok(w, r, "fine")
+				}
+				statement{status: 503, notRun: true}.write(w)
+				return true
+			})
+			s := newGate(t, u)
+			do(t, s, "POST", "/safe/x", nil) // leaves a kept connection
+			got := do(t, s, "POST", path, func(r *http.Request) { r.Header.Del("Agateward-Request") })
+			if got.status != http.StatusBadRequest || got.err != nil {
+				t.Errorf("status %d, %v; want 400", got.status, got.err)
+			}
+			if n := u.runs.Load(); n != 1 {
+				t.Errorf("%d sends, want 1", n)
+			}
+		})
+	}
+}
+
 // promiseUpstream answers each request by the next of its behaviours and counts the
 // runs of each request.
 type promiseUpstream struct {
