fix(gate): a rejection whose body does not come is not waited for

What callers saw: 503 deadline-unreachable after the whole of the request's time, though an upstream had rejected the request at once and another one was free. A request that may run once has no stall timer, so nothing else ended the wait.

Cause: handleNotRun reads the rest of a rejection, so that the connection can be reused, before it acts on the head, and without a bound in time.

Change: Exchange.Drain waits 20 ms for that rest. A connection whose body has not ended is closed, as before.

The head alone says that the request did not run.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -50,6 +50,8 @@
 	// maxInlineBody is the size in bytes up to which a body is written before the
 	// answer is read. Larger bodies are written while it is read.
 	maxInlineBody = 2 << 10
+	// drainTimeout bounds the wait for the rest of a body that nobody needs.
+	drainTimeout = 20 * time.Millisecond
 )
 
 // ErrBadAnswer is returned when the upstream sends something else than an HTTP
@@ -186,6 +188,16 @@
 	return n, err
 }
 
+// Drain reads the rest of the body, up to limit bytes, so that Close keeps the
+// connection. It gives up on an upstream that stops sending.
+func (x *Exchange) Drain(limit int64) {
+	if x.conn.SetReadDeadline(time.Now().Add(drainTimeout)) != nil {
+		return // the connection is closed
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(x.Body, limit))
+	_ = x.conn.SetReadDeadline(time.Time{})
+}
+
 // Close ends the exchange. A request whose answer was not read to its end is
 // cancelled.
 func (x *Exchange) Close() {
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -19,6 +19,9 @@
 const (
 	// maxBuffered bounds a buffered answer in bytes.
 	maxBuffered = 4 << 20
+	// maxRejection bounds the body of a rejection, in bytes, that is read so that the
+	// connection can be reused.
+	maxRejection = 4 << 10
 	// maxEvent bounds one event of a stream in bytes.
 	maxEvent = 1 << 20
 	// A repeatable request is sent to another upstream if nothing arrives for
@@ -107,8 +110,7 @@
 // handleNotRun finishes an attempt that the upstream answered without running the
 // request, and reports whether the request is finished.
 func (c *call) handleNotRun(a schedule.Action, x *backend.Exchange, answerTo string) bool {
-	// Reading the short body allows the connection to be reused.
-	_, _ = io.Copy(io.Discard, io.LimitReader(x.Body, 4<<10))
+	x.Drain(maxRejection)
 	o := schedule.OutcomeFull
 	if x.Status == http.StatusMisdirectedRequest {
 		o = schedule.OutcomeMoved
--- a/internal/forward/gate/promise_test.go
+++ b/internal/forward/gate/promise_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	_ "agateward/internal/bench/seed" // fixed seeds
@@ -151,6 +152,24 @@
 	}
 }
 
+// Guards against a rejected request being held until its deadline: the head of the
+// rejection had arrived, its body never did, and no other upstream was tried.
+func TestRejectionWithoutBodyIsSentOn(t *testing.T) {
+	var n atomic.Int64 // shared, so that the first send is rejected
+	reject := func(w io.Writer, r *http.Request, _ int64) bool {
+		if n.Add(1) > 1 {
+			return ok(w, r, "fine")
+		}
+		fmt.Fprintf(w, "HTTP/1.1 503 S\r\nAgateward-Request: %s\r\nAgateward-Not-Run: 1\r\nContent-Length: 4\r\n\r\n", r.Header.Get("Agateward-Request"))
+		w.(net.Conn).Read(make([]byte, 1)) // until the entry closes the connection
+		return false
+	}
+	s := newGate(t, newUpstream(t, reject), newUpstream(t, reject))
+	if got := do(t, s, "POST", "/unsafe/x", nil); got.status != http.StatusOK || got.err != nil {
+		t.Errorf("status %d, %v; want 200", got.status, got.err)
+	}
+}
+
 // promiseUpstream answers each request by the next of its behaviours and counts the
 // runs of each request.
 type promiseUpstream struct {
