--- a/internal/forward/gate/upstream_test.go
+++ b/internal/forward/gate/upstream_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 )
 
@@ -46,6 +47,33 @@
 	return u
 }
 
+// closedPort is a listener that does not listen: connections to its port are refused,
+// and the port is not given to another process.
+type closedPort struct{ port int }
+
+func (closedPort) Accept() (net.Conn, error) { return nil, net.ErrClosed }
+func (closedPort) Close() error              { return nil }
+func (l closedPort) Addr() net.Addr {
+	return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: l.port}
+}
+
+// newClosedUpstream returns an upstream that can't be reached.
+func newClosedUpstream(t *testing.T) *upstream {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	a, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &upstream{Listener: closedPort{a.(*syscall.SockaddrInet4).Port}}
+}
+
 func (u *upstream) serve(c net.Conn, f reply) {
 	defer c.Close()
 	br := bufio.NewReader(c)
