--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -197,7 +197,7 @@
 	}
 }
 
-// TestUnreachableUpstreamIsNamed closes the port of the only upstream: the caller is
+// TestUnreachableUpstreamIsNamed has a closed port as the only upstream: the caller is
 // told that it can't be reached, and when to come back in whole seconds; at once if
 // the request itself found out, else once it has waited for the upstream's return.
 func TestUnreachableUpstreamIsNamed(t *testing.T) {
