test(tally): a status that promises not run counts as a statement to the caller

Evidence: TestCheck failed without the change with FalseNotRun:0, want 1; TestFindsViolations without the status printed "violations {DoubleRuns:0 DoubleDispatches:0 FalseNotRun:0 ...}, want orders that ran and were answered with 503". The check of the codes passes on the table as it is.

--- a/internal/bench/load/call.go
+++ b/internal/bench/load/call.go
@@ -156,6 +156,7 @@
 	if resp.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
 		o.Result = tally.Failed
+		o.Status = resp.StatusCode
 		o.Detail = resp.Status
 		if o.Code = codeOf(resp.Header.Get(headerCode)); o.Code != 0 {
 			o.Result = tally.Refused
--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// TestFindsViolations checks that double runs and truncated answers of upstreams are
-// detected.
+// TestFindsViolations checks that double runs, truncated answers and false promises of
+// upstreams are detected.
 func TestFindsViolations(t *testing.T) {
 	_, v := run(t, &engine.Server{Profile: fast}, &service.Server{})
 	if v.DoubleRuns == 0 {
@@ -65,4 +65,8 @@
 	if ty.Count(tally.Cut) == 0 {
 		t.Error("cut answers were not seen")
 	}
+	_, v = run(t, &engine.Server{Profile: fast}, &service.Server{ChecksIdempotency: true, Faults: []service.Fault{{BusyShare: 1}}})
+	if v.FalseNotRun == 0 {
+		t.Errorf("violations %+v, want orders that ran and were answered with 503", v)
+	}
 }
--- a/internal/bench/tally/claim.go
+++ b/internal/bench/tally/claim.go
@@ -46,7 +46,7 @@
 	c := t.claims[o.Run]
 	c.attempts++
 	c.order = o.Order
-	if o.NotSent || o.Result == Refused && runState(o.Code) == ward.NotRun {
+	if o.NotSent || code.PromisesNotRun(o.Status) || o.Result == Refused && runState(o.Code) == ward.NotRun {
 		c.notRun++
 	}
 	if o.Result == Good || o.Result == Late {
--- a/internal/bench/tally/tally.go
+++ b/internal/bench/tally/tally.go
@@ -55,8 +55,9 @@
 type Outcome struct {
 	Tier   ward.Tier
 	Result Result
-	// Code is the number of the result code, 0 for none.
-	Code int
+	// Code is the number of the result code, Status the HTTP status; 0 for none.
+	Code   int
+	Status int
 	// Run identifies the run: the key of an order, the hash of a prompt, empty for
 	// a lookup. Order is set when it must not run twice.
 	Run   string
--- a/internal/bench/tally/tally_test.go
+++ b/internal/bench/tally/tally_test.go
@@ -20,6 +20,8 @@
 		{"request ran twice", []Outcome{{Tier: 1, Result: Good, Run: "k"}}, 2, Violations{DoubleDispatches: 1}},
 		{"not run", []Outcome{refused}, 0, Violations{}},
 		{"refused as not run but ran", []Outcome{refused}, 1, Violations{FalseNotRun: 1}},
+		{"status that promises not run, but ran", []Outcome{{Tier: 1, Result: Failed, Status: 503, Run: "k"}}, 1, Violations{FalseNotRun: 1}},
+		{"status that promises nothing", []Outcome{{Tier: 1, Result: Failed, Status: 500, Run: "k"}}, 1, Violations{}},
 		{"first refused, second ran", []Outcome{refused, good}, 1, Violations{}},
 		{"unknown", []Outcome{unknown}, 1, Violations{}},
 		{"not sent but ran", []Outcome{{Tier: 1, Result: Broken, NotSent: true, Run: "k"}}, 1, Violations{FalseNotRun: 1}},
--- a/internal/caller/refusal/refusal_test.go
+++ b/internal/caller/refusal/refusal_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agateward/internal/result/code"
+	"agateward/ward"
 )
 
 // TestEveryCode writes a refusal of each code and checks that status, header
@@ -16,6 +17,9 @@
 		t.Run(c.Name, func(t *testing.T) {
 			w := httptest.NewRecorder()
 			Of(c.New("text"), "id").Write(w)
+			if code.PromisesNotRun(c.Status) && c.Run != ward.NotRun {
+				t.Errorf("status %d promises that a request did not run, its code has run %s", c.Status, c.Run)
+			}
 			if w.Code != c.Status || w.Header().Get(HeaderRun) != string(c.Run) {
 				t.Errorf("status %d, run %s", w.Code, w.Header().Get(HeaderRun))
 			}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -54,9 +54,11 @@
 	From       time.Time
 	MinRunning int
 	// FailShare is the share of the matched calls that fail without running,
-	// LoseShare the share that run and lose their answer, both from 0 to 1.
+	// LoseShare the share that run and lose their answer, BusyShare the share that run
+	// and are answered with 503, all from 0 to 1.
 	FailShare float64
 	LoseShare float64
+	BusyShare float64
 	// Slow multiplies the latency; 0 means 1.
 	Slow float64
 }
@@ -98,6 +100,7 @@
 	latency time.Duration
 	fail    bool
 	lose    bool
+	busy    bool
 }
 
 // Runs returns how often each key or reference ran.
@@ -151,6 +154,10 @@
 	if e.lose {
 		panic(http.ErrAbortHandler)
 	}
+	if e.busy {
+		http.Error(w, "the service is busy", http.StatusServiceUnavailable)
+		return
+	}
 	writeJSON(w, out)
 }
 
@@ -171,7 +178,10 @@
 		}
 		u := draw(fmt.Sprint(i, " ", s.calls))
 		e.fail = e.fail || u < f.FailShare
-		e.lose = e.lose || u >= f.FailShare && u < f.FailShare+f.LoseShare
+		u -= f.FailShare
+		e.lose = e.lose || u >= 0 && u < f.LoseShare
+		u -= f.LoseShare
+		e.busy = e.busy || u >= 0 && u < f.BusyShare
 	}
 	return e
 }
