test(program): a deposit that a busy service ran is not told as not run

Through two entries: the service runs the deposit and answers 503; the caller gets 502 with run unknown and the repeat at the other entry 409 with run unknown.

--- a/internal/entry/program/program_test.go
+++ b/internal/entry/program/program_test.go
@@ -140,6 +140,25 @@
 	}
 }
 
+// TestDepositOfBusyServiceIsNotRefused guards against a deposit that ran and whose
+// caller, or that of a repeat, is told that it did not.
+func TestDepositOfBusyServiceIsNotRefused(t *testing.T) {
+	f, booking := start(t)
+	booking.SetFaults(service.Fault{BusyShare: 1})
+	first := post(context.Background(), f.Target(0)+deposits, "k", `{}`)
+	booking.SetFaults()
+	repeat := post(context.Background(), f.Target(1)+deposits, "k", `{}`)
+	if first.status != http.StatusBadGateway || first.run != string(ward.Unknown) {
+		t.Errorf("first %+v, want status 502 and run %s", first, ward.Unknown)
+	}
+	if repeat.status != http.StatusConflict || repeat.run != string(ward.Unknown) {
+		t.Errorf("repeat %+v, want status 409 and run %s", repeat, ward.Unknown)
+	}
+	if n := booking.Runs()["k"]; n != 1 {
+		t.Errorf("the deposit ran %d times", n)
+	}
+}
+
 func TestDepositIsRefusedAsNotRunWhileTheStoreIsDown(t *testing.T) {
 	f, booking := start(t)
 	f.Platform.SetFaults(memory.Faults{Down: true})
