test(gate): a 502 after a run carries no Retry-After

Nothing noticed when both guards of respond and fail against Retry-After on a request that may have run were undone.

--- a/internal/forward/gate/promise_test.go
+++ b/internal/forward/gate/promise_test.go
@@ -286,6 +286,9 @@
 			if code.PromisesNotRun(got.status) && n > 0 {
 				rt.Errorf("%s on %s: status %d after %d runs", id, path, got.status, n)
 			}
+			if got.status == http.StatusBadGateway && got.header.Get("Retry-After") != "" {
+				rt.Errorf("%s on %s: 502 with Retry-After %q", id, path, got.header.Get("Retry-After"))
+			}
 			if n > 1 && (path == "/unsafe/x" || path == "/once/x") {
 				rt.Errorf("%s on %s ran %d times", id, path, n)
 			}
