feat(schedule): an upstream that says that it leaves gets no new request

Nothing read it, so an entry went on sending until the store's list said draining, and again when an older list did not.

Change: the dialects read the field into ForwardReply.Leaving. The scheduler keeps what an upstream said by identity (id and time of birth), apart from the registrations, so that it outlives a change of the list, an older era, a return under the same id, another group or cell. Such an upstream counts as draining: no dispatch, no granted slot, no part in estimates. A dispatch that was decided before is checked again before the dial and right before the write (MaySend), and handed back without a send, a budget or a mark against the upstream. The gate notes the statement when the head is read, only from an answer to its own request and not from a 421, which comes from another upstream at the address. One log line, one counter; a job refused for it has the reason "leaving". At most 4,096 statements are kept; registered upstreams are not forgotten.

Services get their upstreams from the registered ones by id in one place (assignServices), so that a cell left with too few upstreams is widened at once.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -56,6 +56,10 @@
 // answer.
 var ErrBadAnswer = errors.New("not an HTTP answer")
 
+// ErrWithdrawn is returned when MaySend of a request has reported false, so that no byte
+// was written.
+var ErrWithdrawn = errors.New("the request was withdrawn before it was written")
+
 // Request is one request to an upstream.
 type Request struct {
 	// Address is an IP address and port, Target the path with its query as the
@@ -66,6 +70,9 @@
 	Host    string
 	Header  http.Header
 	Body    []byte
+	// MaySend is called once there is a connection, right before the request is
+	// written, unless it is nil. It reports whether the request may be written.
+	MaySend func() bool
 }
 
 // Pool holds the idle connections by address. Its zero value is ready to use.
@@ -108,13 +115,17 @@
 
 // Send takes an idle connection or opens one, writes the request and reads the
 // head of the answer. Its error wraps ward.ErrNotConnected if there is no
-// connection, so that no byte was written, and ErrBadAnswer if the answer is not
-// HTTP.
+// connection, so that no byte was written, ErrWithdrawn if MaySend reports false, and
+// ErrBadAnswer if the answer is not HTTP.
 func (p *Pool) Send(ctx context.Context, r Request) (*Exchange, error) {
 	c, err := p.acquire(ctx, r.Address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ward.ErrNotConnected, err)
 	}
+	if r.MaySend != nil && !r.MaySend() {
+		c.Close()
+		return nil, ErrWithdrawn
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	x := &Exchange{pool: p, conn: c, Reused: c.reused, writeDone: make(chan error, 1), stopCancel: stop}
 	head := r.head()
--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -10,7 +10,8 @@
 // Agateward-Request, Agateward-Timeout (milliseconds), Agateward-Tokens
 // (prompt,output) and Last-Event-ID. An upstream gets Agateward-Replica,
 // Agateward-Team, Agateward-Timeout and Last-Event-ID; it echoes
-// Agateward-Request, and sets Agateward-Not-Run when it did not run a request.
+// Agateward-Request, sets Agateward-Not-Run when it did not run a request, and sets
+// Agateward-Leaving to 1 on its answers when it wants no new requests.
 package dialect
 
 import (
@@ -32,6 +33,7 @@
 	fieldReplica   = "Agateward-Replica"
 	fieldTeam      = "Agateward-Team"
 	fieldNotRun    = "Agateward-Not-Run"
+	fieldLeaving   = "Agateward-Leaving"
 	fieldLastEvent = "Last-Event-Id"
 	scheme         = "Bearer "
 )
@@ -99,5 +101,6 @@
 	id := h.Get(header.RequestID)
 	return ward.ForwardReply{
 		ID: id, Signed: id != "", NotRun: h.Get(fieldNotRun) != "" || status == http.StatusMisdirectedRequest,
+		Leaving: header.Flag(h, fieldLeaving),
 	}
 }
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -57,6 +57,7 @@
 	reply := c.gate.Dialect.Reply(x.Status, x.Header)
 	c.gate.Metrics.upstreamAnswered(x.Status, c.statement(reply))
 	reason := c.mismatch(x, reply)
+	c.noteStatements(a, x, reply, reason)
 	if reply.NotRun && reason == "" {
 		return c.handleNotRun(a, x, reply.ID)
 	}
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -159,6 +159,10 @@
 // attempt sends the request to one upstream and reports whether the request is
 // finished.
 func (c *call) attempt(ctx context.Context, a schedule.Action) bool {
+	if !c.maySend(a) {
+		c.withdraw(a)
+		return false
+	}
 	now := time.Now()
 	c.sentAt, c.firstAt = now, time.Time{}
 	hop := ward.ForwardHop{Replica: a.Upstream.ID, LastEvent: c.lastEvent}
@@ -177,7 +181,12 @@
 	x, err := c.gate.Pool.Send(ctx, backend.Request{
 		Address: a.Upstream.Address, Method: c.r.Method, Target: c.target(), Host: c.r.Host,
 		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body,
+		MaySend: func() bool { return c.maySend(a) },
 	})
+	if errors.Is(err, backend.ErrWithdrawn) {
+		c.withdraw(a)
+		return false
+	}
 	if err != nil {
 		return c.handleSendError(ctx, a, err)
 	}
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -43,7 +43,7 @@
 	}
 	k := code.QueueFull
 	switch a.Reason {
-	case schedule.ReasonNoUpstream:
+	case schedule.ReasonNoUpstream, schedule.ReasonLeaving:
 		k = code.NoUpstream
 	case schedule.ReasonUnreachable:
 		k = code.UpstreamUnreachable
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -49,6 +49,17 @@
 	m.count("agateward_forward_upstream_answers_total{status=\"%d\",statement=%q}", status, statement)
 }
 
+// Values of the label source of a statement that an upstream leaves: the upstream's own
+// answer to this entry, or a peer.
+const (
+	sourceAnswer = "answer"
+)
+
+// upstreamLeaving counts an upstream of which this entry learned that it leaves.
+func (m *Metrics) upstreamLeaving(source string) {
+	m.count("agateward_forward_upstreams_leaving_total{source=%q}", source)
+}
+
 // Values of the label source: who made the answer that a caller got.
 const (
 	sourceEntry    = "entry"
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -107,7 +107,7 @@
 // own ones. Without it, an entry would keep refilling its slots with requests of a
 // lower rank than those waiting at other entries.
 func (s *Scheduler) grantFreed(v *service, u *upstream, now time.Time) (Action, bool) {
-	if u.Draining || u.load() >= u.Slots || now.Before(u.backoffUntil) || u.failedAttempts > 0 {
+	if !s.mayGrant(u, now) {
 		return Action{}, false
 	}
 	var own *Job
@@ -142,6 +142,15 @@
 	return a, true
 }
 
+// mayGrant reports whether a slot that a request of this entry has freed may be granted.
+// The registration of u may have been replaced since the request was sent.
+func (s *Scheduler) mayGrant(u *upstream, now time.Time) bool {
+	if u.Draining || s.leaving(IdentityOf(&u.Replica)) {
+		return false
+	}
+	return u.load() < u.Slots && !now.Before(u.backoffUntil) && u.failedAttempts == 0
+}
+
 // demandLess reports whether a is served before b.
 func demandLess(a, b *Demand) bool {
 	if a.Rank != b.Rank {
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -101,7 +101,7 @@
 	}
 	switch {
 	case usable == 0:
-		return ReasonNoUpstream
+		return s.noUpstreamReason(v)
 	case now.After(j.Expires):
 		return ReasonTooLate
 	case s.outlastsStop(v, j, now):
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -95,6 +95,9 @@
 	ReasonTooLate    = "too-late"
 	ReasonQueueLong  = "queue-long"
 	ReasonStopping   = "stopping"
+	// ReasonLeaving means that the service has no upstream left, of which at least one
+	// said that it leaves.
+	ReasonLeaving = "leaving"
 	// ReasonUnreachable means that the job expired while no upstream could be reached.
 	ReasonUnreachable = "unreachable"
 )
@@ -120,6 +123,10 @@
 	byID     map[string]*upstream
 	jobs     map[uint64]*running
 	peers    map[string]*peer
+	// statements holds what upstreams said of themselves; lastStatement is the number
+	// of the newest.
+	statements    map[Identity]*statement
+	lastStatement uint64
 	// entries holds the sorted names of the live peers and this entry; assignedTo
 	// holds the joined names of the last slot assignment.
 	entries    []string
@@ -187,9 +194,6 @@
 // kept.
 func (s *Scheduler) SetUpstreams(list []ward.Replica, now time.Time) []Action {
 	s.init()
-	for _, v := range s.services {
-		v.upstreams = v.upstreams[:0]
-	}
 	known := make(map[string]*upstream, len(list))
 	for _, r := range list {
 		u := s.byID[r.ID]
@@ -197,17 +201,12 @@
 			u = &upstream{}
 		}
 		u.Replica = r
+		u.Draining = r.Draining || s.leaving(IdentityOf(&r))
 		u.local = r.DataCentre == s.DataCentre
 		known[r.ID] = u
-		v := s.service(r.Service)
-		v.upstreams = append(v.upstreams, u)
-	}
-	for _, v := range s.services {
-		v.upstreams = s.cellUpstreams(v.upstreams)
 	}
 	s.byID = known
-	s.assignedTo = ""
-	s.aggregatePeers(now)
+	s.assignServices(now)
 	return s.dispatchWaiting(now)
 }
 
@@ -288,11 +287,7 @@
 			continue
 		}
 		if !j.Resumed && now.After(j.Expires.Add(-s.minTimeToFirst(v, j))) || now.After(j.Expires) {
-			reason := ReasonTooLate
-			if v.unreachable() {
-				reason = ReasonUnreachable
-			}
-			out = append(out, s.refuse(v, j, reason, now))
+			out = append(out, s.refuse(v, j, s.expiryReason(v), now))
 			continue
 		}
 		if !j.turnedLate && !j.Resumed && s.late(v, j, now) {
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -16,6 +18,23 @@
 // fewer, every cell uses all upstreams.
 const minCellUpstreams = 2
 
+// assignServices sets the upstreams of each service.
+func (s *Scheduler) assignServices(now time.Time) {
+	for _, v := range s.services {
+		v.upstreams = v.upstreams[:0]
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.byID)) {
+		u := s.byID[id]
+		v := s.service(u.Service)
+		v.upstreams = append(v.upstreams, u)
+	}
+	for _, v := range s.services {
+		v.upstreams = s.cellUpstreams(v.upstreams)
+	}
+	s.assignedTo = ""
+	s.aggregatePeers(now)
+}
+
 // cellUpstreams returns the upstreams of a service that this entry uses: its cell's
 // share of those in its data centre.
 func (s *Scheduler) cellUpstreams(all []*upstream) []*upstream {
--- /dev/null
+++ b/internal/forward/schedule/statement.go
@@ -0,0 +1,120 @@
+package schedule
+
+import (
+	"time"
+
+	"agateward/ward"
+)
+
+// Identity identifies one process of an upstream.
+type Identity struct {
+	ID string
+	// Born distinguishes two processes with the same ID, as in ward.Replica.
+	Born int64
+}
+
+// IdentityOf returns the identity of a registered upstream.
+func IdentityOf(r *ward.Replica) Identity { return Identity{ID: r.ID, Born: r.Born} }
+
+// maxStatements bounds the processes whose statements are kept. It is several times
+// the number of upstreams of a large fleet, so that one that left is remembered for
+// longer than any list may be old.
+const maxStatements = 4096
+
+// statement is what a process of an upstream said of itself in its answers. It is kept
+// apart from the registrations, which may be older, be missing for a while or come
+// back.
+type statement struct {
+	// leaving is final: a process that leaves does not return.
+	leaving bool
+	// number orders the statements by age.
+	number uint64
+}
+
+// statement returns the statement of a process to be changed.
+func (s *Scheduler) statement(id Identity) *statement {
+	if s.statements == nil {
+		s.statements = make(map[Identity]*statement)
+	}
+	st := s.statements[id]
+	if st == nil {
+		st = &statement{}
+		s.statements[id] = st
+		s.forgetStatements()
+	}
+	s.lastStatement++
+	st.number = s.lastStatement
+	return st
+}
+
+// forgetStatements drops the oldest statement of a process that is not registered any
+// more if there are more than maxStatements.
+func (s *Scheduler) forgetStatements() {
+	if len(s.statements) <= maxStatements {
+		return
+	}
+	var oldest Identity
+	number := s.lastStatement + 1
+	for id, st := range s.statements {
+		u := s.byID[id.ID]
+		if registered := u != nil && u.Born == id.Born; !registered && st.number > 0 && st.number < number {
+			oldest, number = id, st.number
+		}
+	}
+	delete(s.statements, oldest)
+}
+
+// Leave records that a process of an upstream said that it leaves, and reports whether
+// that was not known. From then on it gets no new request, whatever a list says.
+func (s *Scheduler) Leave(id Identity, now time.Time) bool {
+	s.init()
+	if s.leaving(id) {
+		return false
+	}
+	s.statement(id).leaving = true
+	if u := s.byID[id.ID]; u != nil && u.Born == id.Born {
+		u.Draining = true
+		s.assignServices(now)
+	}
+	return true
+}
+
+func (s *Scheduler) leaving(id Identity) bool {
+	st := s.statements[id]
+	return st != nil && st.leaving
+}
+
+// MaySend reports whether a dispatch that was not written yet may still be written. If
+// not, its upstream has said since that it wants no requests; the job is to be ended
+// by Done and to arrive anew.
+func (s *Scheduler) MaySend(id uint64) bool {
+	r := s.jobs[id]
+	return r == nil || !s.leaving(IdentityOf(&r.upstream.Replica))
+}
+
+// expiryReason returns the reason to refuse a job that has expired while it waited.
+func (s *Scheduler) expiryReason(v *service) string {
+	if !v.unreachable() {
+		return ReasonTooLate
+	}
+	for _, u := range v.upstreams {
+		if !u.Draining {
+			return ReasonUnreachable
+		}
+	}
+	if s.noUpstreamReason(v) == ReasonLeaving {
+		return ReasonLeaving
+	}
+	return ReasonUnreachable
+}
+
+// noUpstreamReason returns the reason to refuse a job that no upstream of the service
+// may get.
+func (s *Scheduler) noUpstreamReason(v *service) string {
+	for _, u := range v.upstreams {
+		if s.leaving(IdentityOf(&u.Replica)) {
+			return ReasonLeaving
+		}
+	}
+	return ReasonNoUpstream
+}
--- /dev/null
+++ b/internal/forward/schedule/statement_test.go
@@ -0,0 +1,185 @@
+package schedule
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	_ "agateward/internal/bench/seed" // fixed seeds
+	"agateward/ward"
+
+	"pgregory.net/rapid"
+)
+
+// said is what the model knows of one process of an upstream.
+type said struct {
+	leaving bool
+}
+
+// statements is a model of one entry whose upstreams say that they leave while
+// lists, eras, cells and grants change.
+type statements struct {
+	*rapid.T
+	s       *Scheduler
+	now     time.Time
+	lastJob uint64
+	said    map[Identity]*said
+	decided []Action // not yet written
+	sent    []Action // not yet answered
+	granted uint64
+}
+
+// names are the ids of the upstreams; the last is the only one of its service.
+var names = []string{"u0", "u1", "u2", "u3", "u4"}
+
+func (m *statements) at(a Action) *said {
+	id := Identity{ID: a.Upstream.ID, Born: a.Upstream.Born}
+	if m.said[id] == nil {
+		m.said[id] = &said{}
+	}
+	return m.said[id]
+}
+
+// take records the actions of a call and checks the slots that they grant.
+func (m *statements) take(actions []Action) {
+	for _, a := range actions {
+		switch {
+		case a.GrantTo != "":
+			if k := m.at(a); k.leaving {
+				m.Fatalf("%v: a slot of %s is granted though it leaves", m.now.Sub(start), a.Upstream.ID)
+			}
+		case a.Upstream != nil:
+			m.decided = append(m.decided, a)
+		case a.RetryAfter <= 0 || a.Reason == "":
+			m.Fatalf("refusal without a delay or a reason: %+v", a)
+		}
+	}
+}
+
+func (m *statements) arrive() {
+	m.lastJob++
+	j := job(m.lastJob, rapid.IntRange(0, 2).Draw(m.T, "rank"), m.now)
+	j.Repeatable = rapid.Bool().Draw(m.T, "repeatable")
+	j.Service = rapid.SampledFrom([]string{"menus", "menus", "menus@v2", "single"}).Draw(m.T, "service")
+	m.take(m.s.Arrive(j, m.now))
+}
+
+// write does what an entry does right before it writes a request.
+func (m *statements) write() {
+	if len(m.decided) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.decided)-1).Draw(m.T, "decided")
+	a := m.decided[i]
+	m.decided = append(m.decided[:i], m.decided[i+1:]...)
+	if !m.s.MaySend(a.Job.ID) {
+		m.take(m.s.Done(a.Job.ID, OutcomeNeutral, m.now))
+		m.take(m.s.Arrive(a.Job, m.now))
+		return
+	}
+	if k := m.at(a); k.leaving {
+		m.Fatalf("%v: job %d is sent to %s (born %d) though it leaves", m.now.Sub(start), a.Job.ID, a.Upstream.ID, a.Upstream.Born)
+	}
+	m.sent = append(m.sent, a)
+}
+
+func (m *statements) answer() {
+	if len(m.sent) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.sent)-1).Draw(m.T, "sent")
+	a := m.sent[i]
+	m.sent = append(m.sent[:i], m.sent[i+1:]...)
+	id := Identity{ID: a.Upstream.ID, Born: a.Upstream.Born}
+	o := rapid.SampledFrom([]Outcome{OutcomeOK, OutcomeOK, OutcomeFailed, OutcomeUnreachable}).Draw(m.T, "outcome")
+	k := m.at(a)
+	if rapid.IntRange(0, 4).Draw(m.T, "statement") == 0 {
+		m.s.Leave(id, m.now)
+		k.leaving, o = true, OutcomeOK
+	}
+	if o == OutcomeOK {
+		m.s.FirstEvent(a.Job.ID, m.now)
+	}
+	m.take(m.s.Done(a.Job.ID, o, m.now))
+}
+
+// list applies a list of the store: with upstreams missing, back, moved to another
+// group or as they were before a restart.
+func (m *statements) list() {
+	var list []ward.Replica
+	for i, name := range names {
+		if rapid.IntRange(0, 3).Draw(m.T, "missing") == 0 {
+			continue
+		}
+		r := ward.Replica{ID: name, Born: int64(rapid.IntRange(1, 2).Draw(m.T, "born")), DataCentre: "a", Slots: 3, Address: fmt.Sprint("10.0.0.", i, ":80"), Service: "menus"}
+		if rapid.Bool().Draw(m.T, "moved") {
+			r.Address = "10.0.1.1:80"
+		}
+		if rapid.IntRange(0, 3).Draw(m.T, "new version") == 0 {
+			r.Service = "menus@v2"
+		}
+		if i == len(names)-1 {
+			r.Service = "single"
+		}
+		r.Draining = rapid.IntRange(0, 7).Draw(m.T, "draining") == 0
+		list = append(list, r)
+	}
+	m.take(m.s.SetUpstreams(list, m.now))
+}
+
+// peer applies a message of a peer: its state, or a slot that it grants.
+func (m *statements) peer() {
+	id := rapid.SampledFrom(names).Draw(m.T, "upstream")
+	if rapid.Bool().Draw(m.T, "grants") {
+		m.granted++
+		m.take(m.s.ReceiveGrant("entry-2", id, m.granted, rapid.Bool().Draw(m.T, "used"), m.now))
+		return
+	}
+	d := Demand{Service: "menus", Count: rapid.IntRange(0, 3).Draw(m.T, "waiting"), Slack: 100 * time.Millisecond}
+	m.take(m.s.UpdatePeer("entry-2", PeerState{Load: map[string]int{id: rapid.IntRange(0, 3).Draw(m.T, "load")}, Demand: []Demand{d}}, m.now))
+}
+
+func (m *statements) pass() {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(m.T, "ms")) * time.Millisecond)
+	m.take(m.s.Tick(m.now))
+}
+
+// Guards against any path on which an upstream that said that it leaves gets a
+// request: lists of any age, cells, grants, queued requests and
+// requests whose dispatch was decided before.
+func TestStatementsHold(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		m := &statements{T: rt, now: start, said: make(map[Identity]*said)}
+		m.s = &Scheduler{Name: "entry-1", DataCentre: "a", Rand: rand.New(rand.NewPCG(1, 2))}
+		m.list()
+		do := map[string]func(){
+			"arrive": m.arrive, "write": m.write, "answer": m.answer, "list": m.list, "peer": m.peer, "pass": m.pass,
+			"cell": func() {
+				m.s.Cells = rapid.IntRange(0, 2).Draw(rt, "cells")
+				m.s.Cell = rapid.IntRange(0, max(m.s.Cells-1, 0)).Draw(rt, "cell")
+				m.list()
+			},
+		}
+		for _, event := range rapid.SliceOfN(rapid.SampledFrom([]string{"arrive", "arrive", "write", "write", "answer", "answer", "list", "peer", "pass", "cell"}), 60, 160).Draw(rt, "events") {
+			do[event]()
+		}
+	})
+}
+
+// Guards against statements of upstreams that are gone filling the memory, and against
+// forgetting one of an upstream that is still registered.
+func TestStatementsAreBounded(t *testing.T) {
+	s := newScheduler("entry-1", engines(1, 1))
+	s.Leave(Identity{ID: "engine-0"}, start)
+	const gone = maxStatements + 50
+	for i := range gone {
+		s.Leave(Identity{ID: fmt.Sprint("gone-", i)}, start)
+	}
+	if n := len(s.statements); n > maxStatements {
+		t.Errorf("%d statements, want at most %d", n, maxStatements)
+	}
+	if !s.leaving(Identity{ID: "engine-0"}) || !s.leaving(Identity{ID: fmt.Sprint("gone-", gone-1)}) {
+		t.Error("the statement of a registered upstream or the newest one was forgotten")
+	}
+}
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -184,6 +184,9 @@
 	// NotRun reports whether the upstream states that it did not run the request
 	// and never will.
 	NotRun bool
+	// Leaving reports whether the upstream states that it leaves: it wants no new
+	// requests.
+	Leaving bool
 }
 
 // Dialect translates the heads of requests and answers between the header fields
