feat(schedule): an upstream that asks for a pause gets no request before its end

An upstream that turns a request away with 503 may add Retry-After. Nothing read it: after fullPause (100 ms) the entry went on sending, and callers of its only upstream were told to return at once.

Change: the dialects read Retry-After of an answer 503 in seconds, with fractions. A negative value is no pause, an unreadable one 1 s (the upstream asks for a pause of unknown length), one above 10 min is 10 min (who wants no requests for longer leaves); the gate logs each such value once for an upstream. The scheduler keeps the end of the pause with the statement of the upstream's identity, on the entry's own clock; a shorter answer does not shorten it. Until then the upstream has no slot to use or to grant, a dispatch that was decided before is withdrawn, and the rest of the pause counts as part of its expected time. So a job goes elsewhere at once, or waits if its time allows, or is refused with the reason "paused" and a Retry-After of the rest of the first pause plus the usual jitter; the limit of 3 s holds for the part after the pause. A service whose upstreams all pause asks peers for no slots. Retry budgets count as before.

TestPromisesHold draws the length of the pauses that its rejections ask for: with 1 s, as all had, most further requests would reach no upstream. Its checks are the same.

--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -11,7 +11,8 @@
 // (prompt,output) and Last-Event-ID. An upstream gets Agateward-Replica,
 // Agateward-Team, Agateward-Timeout and Last-Event-ID; it echoes
 // Agateward-Request, sets Agateward-Not-Run when it did not run a request, and sets
-// Agateward-Leaving to 1 on its answers when it wants no new requests.
+// Agateward-Leaving to 1 on its answers when it wants no new requests. With status 503
+// it may ask for a pause by Retry-After (seconds).
 package dialect
 
 import (
@@ -99,8 +100,10 @@
 // echoes a request's id.
 func (Native) Reply(status int, h http.Header) ward.ForwardReply {
 	id := h.Get(header.RequestID)
-	return ward.ForwardReply{
+	reply := ward.ForwardReply{
 		ID: id, Signed: id != "", NotRun: h.Get(fieldNotRun) != "" || status == http.StatusMisdirectedRequest,
 		Leaving: header.Flag(h, fieldLeaving),
 	}
+	header.ReadRetryAfter(&reply, status, h)
+	return reply
 }
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -138,7 +138,7 @@
 			c.size = float64(c.head.PromptTokens + c.head.MaxOutput)
 		}
 	}
-	r := quota.Request{Size: c.size, Plain: !c.head.HasTokens, Rank: c.route.Rank, Idle: c.gate.sched.Idle(c.service)}
+	r := quota.Request{Size: c.size, Plain: !c.head.HasTokens, Rank: c.route.Rank, Idle: c.gate.sched.Idle(c.service, now)}
 	if wait, ok := c.gate.ledger.Take(c.team, r, now); !ok {
 		return &quotaError{wait: wait, team: c.team.Name}
 	}
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -24,7 +24,7 @@
 	default:
 		var retry time.Duration
 		if k.Run == ward.NotRun && !c.mayHaveRun {
-			retry = 500 * time.Millisecond
+			retry = c.notRunRetry()
 		}
 		c.respond(k, retry, reason)
 	}
@@ -43,7 +43,7 @@
 	}
 	k := code.QueueFull
 	switch a.Reason {
-	case schedule.ReasonNoUpstream, schedule.ReasonLeaving:
+	case schedule.ReasonNoUpstream, schedule.ReasonLeaving, schedule.ReasonPaused:
 		k = code.NoUpstream
 	case schedule.ReasonUnreachable:
 		k = code.UpstreamUnreachable
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -70,6 +70,8 @@
 	budget  retry.Budget
 	waiters map[uint64]*waiter
 	lastID  uint64
+	// loggedFaults holds the upstreams of which an invalid Retry-After was logged.
+	loggedFaults map[schedule.Identity]bool
 
 	// shutdown is set while the entry stops.
 	shutdown atomic.Pointer[shutdown.Shutdown]
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -60,6 +60,9 @@
 	m.count("agateward_forward_upstreams_leaving_total{source=%q}", source)
 }
 
+// upstreamPaused counts an answer by which an upstream asked for a pause.
+func (m *Metrics) upstreamPaused() { m.count("agateward_forward_upstream_pauses_total") }
+
 // Values of the label source: who made the answer that a caller got.
 const (
 	sourceEntry    = "entry"
--- a/internal/forward/gate/promise_test.go
+++ b/internal/forward/gate/promise_test.go
@@ -21,6 +21,8 @@
 	id string
 	// notRun makes the answer state that its request did not run.
 	notRun bool
+	// retryAfter is the pause that it asks for, "" for 1 s.
+	retryAfter string
 }
 
 func (s statement) write(w io.Writer) {
@@ -31,7 +33,10 @@
 	if s.notRun {
 		fmt.Fprint(w, "Agateward-Not-Run: 1\r\n")
 	}
-	fmt.Fprint(w, "Retry-After: 1\r\nContent-Length: 4\r\n\r\nbusy")
+	if s.retryAfter == "" {
+		s.retryAfter = "1"
+	}
+	fmt.Fprintf(w, "Retry-After: %s\r\nContent-Length: 4\r\n\r\nbusy", s.retryAfter)
 }
 
 var promises = []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable}
@@ -106,6 +111,8 @@
 	mu         sync.Mutex
 	behaviours []string
 	runs       map[string]int
+	// retryAfter is the pause that its rejections ask for.
+	retryAfter string
 	// extra holds the answer that is repeated on a connection before the next one.
 	extra map[io.Writer]statement
 }
@@ -122,7 +129,7 @@
 		delete(u.extra, w)
 		e.write(w)
 	}
-	notRun := statement{status: 503, id: id, notRun: true}
+	notRun := statement{status: 503, id: id, notRun: true, retryAfter: u.retryAfter}
 	switch do {
 	case "not run", "not run twice":
 		notRun.write(w)
@@ -150,7 +157,7 @@
 	case "408", "429", "500", "503", "504":
 		var s int
 		fmt.Sscan(do, &s)
-		statement{status: s, id: id}.write(w)
+		statement{status: s, id: id, retryAfter: u.retryAfter}.write(w)
 		return true
 	}
 	if strings.HasPrefix(r.URL.Path, "/stream/") || strings.HasPrefix(r.URL.Path, "/once/") {
@@ -166,6 +173,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		u := &promiseUpstream{runs: make(map[string]int), extra: make(map[io.Writer]statement)}
 		u.behaviours = rapid.SliceOfN(rapid.SampledFrom(kinds), 1, 12).Draw(rt, "answers")
+		// In a long pause upstreams get no requests, so most pauses are short.
+		u.retryAfter = rapid.SampledFrom([]string{"0.01", "0.01", "1"}).Draw(rt, "pause")
 		paths := rapid.SliceOfN(rapid.SampledFrom([]string{"/safe/x", "/unsafe/x", "/stream/x", "/once/x"}), 1, 4).Draw(rt, "requests")
 		s := newGate(t, newUpstream(t, u.reply), newUpstream(t, u.reply), newUpstream(t, u.reply))
 		defer s.Close()
--- a/internal/forward/gate/statement.go
+++ b/internal/forward/gate/statement.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -19,6 +20,9 @@
 	if reply.Leaving {
 		c.noteLeaving(a)
 	}
+	if reply.HasRetryAfter {
+		c.notePause(a, reply)
+	}
 }
 
 func (c *call) noteLeaving(a schedule.Action) {
@@ -34,11 +38,51 @@
 	g.TriggerBroadcast()
 }
 
+// maxLoggedFaults bounds the upstreams of which an invalid Retry-After was logged.
+const maxLoggedFaults = 1024
+
+func (c *call) notePause(a schedule.Action, reply ward.ForwardReply) {
+	g, now, id := c.gate, time.Now(), schedule.IdentityOf(a.Upstream)
+	fault := reply.RetryAfterFault
+	g.mu.Lock()
+	until := g.sched.Pause(id, reply.RetryAfter, now)
+	if fault != "" {
+		if g.loggedFaults[id] {
+			fault = ""
+		} else if g.loggedFaults == nil || len(g.loggedFaults) >= maxLoggedFaults {
+			g.loggedFaults = make(map[schedule.Identity]bool)
+		}
+		g.loggedFaults[id] = true
+	}
+	g.mu.Unlock()
+	if fault != "" {
+		c.log.Info("retry-after-invalid", "upstream", id.ID, "value", fault, "used", reply.RetryAfter)
+	}
+	c.log.Info("upstream-pause", "upstream", id.ID, "born", id.Born, "seconds", reply.RetryAfter.Seconds(), "until", until.UTC().Format(time.RFC3339Nano), "source", sourceAnswer)
+	g.Metrics.upstreamPaused()
+}
+
+// notRunDelay is the retry delay of a request that upstreams turned away.
+const notRunDelay = 500 * time.Millisecond
+
+// notRunRetry returns the retry delay of a request that did not run: notRunDelay, or
+// what is left of its upstreams' pause with a random part, so that callers do not
+// return in one moment.
+func (c *call) notRunRetry() time.Duration {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	pause := c.gate.sched.PauseLeft(c.group, time.Now())
+	if pause == 0 {
+		return notRunDelay
+	}
+	return pause + time.Duration((1+rand.Float64())*float64(notRunDelay))
+}
+
 // maySend reports whether a dispatch may still be written.
 func (c *call) maySend(a schedule.Action) bool {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
-	return c.gate.sched.MaySend(a.Job.ID)
+	return c.gate.sched.MaySend(a.Job.ID, time.Now())
 }
 
 // withdraw ends an attempt of which no byte was written.
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -80,6 +80,9 @@
 func (s *Scheduler) demand(now time.Time) []Demand {
 	var list []Demand
 	for name, v := range s.services {
+		if v.pauseLeft(now) > 0 {
+			continue // a granted slot could not be used
+		}
 		for _, j := range v.queue {
 			d := s.demandOf(v, j, now)
 			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late {
@@ -145,7 +148,7 @@
 // mayGrant reports whether a slot that a request of this entry has freed may be granted.
 // The registration of u may have been replaced since the request was sent.
 func (s *Scheduler) mayGrant(u *upstream, now time.Time) bool {
-	if u.Draining || s.leaving(IdentityOf(&u.Replica)) {
+	if u.Draining || s.statements[IdentityOf(&u.Replica)].wantsNone(now) {
 		return false
 	}
 	return u.load() < u.Slots && !now.Before(u.backoffUntil) && u.failedAttempts == 0
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -66,7 +66,7 @@
 
 // late reports whether no upstream is expected to answer j in time any more.
 func (s *Scheduler) late(v *service, j *Job, now time.Time) bool {
-	return now.Add(s.minTimeToFirst(v, j)).After(j.Due)
+	return now.Add(s.minTimeToFirst(v, j, now)).After(j.Due)
 }
 
 // recordDeparture records that a job left the queue for an upstream.
@@ -101,7 +101,7 @@
 	}
 	switch {
 	case usable == 0:
-		return s.noUpstreamReason(v)
+		return v.noUpstreamReason(now)
 	case now.After(j.Expires):
 		return ReasonTooLate
 	case s.outlastsStop(v, j, now):
@@ -113,7 +113,7 @@
 		return ""
 	}
 	if s.waitsTooLong(v, j, s.countAhead(v, j, now), now) {
-		return ReasonQueueLong
+		return v.longWaitReason(now)
 	}
 	return ""
 }
@@ -121,7 +121,7 @@
 // waitsTooLong reports whether the expected wait of j behind ahead jobs takes too
 // much of its remaining time.
 func (s *Scheduler) waitsTooLong(v *service, j *Job, ahead int, now time.Time) bool {
-	left := j.Expires.Sub(now) - s.minTimeToFirst(v, j)
+	left := j.Expires.Sub(now) - s.minTimeToFirst(v, j, now)
 	return left < 0 || v.expectedWait(j, s.late(v, j, now), ahead) > time.Duration(maxWaitFraction*float64(left))
 }
 
@@ -129,14 +129,14 @@
 const maxIdleLoad = 0.7
 
 // Idle reports whether a service has an empty queue and spare capacity.
-func (s *Scheduler) Idle(name string) bool {
+func (s *Scheduler) Idle(name string, now time.Time) bool {
 	v := s.services[name]
 	if v == nil || len(v.queue) > 0 {
 		return false
 	}
 	slots, load := 0, 0
 	for _, u := range v.upstreams {
-		if !u.Draining {
+		if !u.Draining && !u.said.wantsNone(now) {
 			slots += u.Slots
 			load += u.load()
 		}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -98,6 +98,9 @@
 	// ReasonLeaving means that the service has no upstream left, of which at least one
 	// said that it leaves.
 	ReasonLeaving = "leaving"
+	// ReasonPaused means that every upstream of the service asked for a pause, which
+	// the job cannot wait for.
+	ReasonPaused = "paused"
 	// ReasonUnreachable means that the job expired while no upstream could be reached.
 	ReasonUnreachable = "unreachable"
 )
@@ -202,6 +205,7 @@
 		}
 		u.Replica = r
 		u.Draining = r.Draining || s.leaving(IdentityOf(&r))
+		u.said = s.statements[IdentityOf(&r)]
 		u.local = r.DataCentre == s.DataCentre
 		known[r.ID] = u
 	}
@@ -286,15 +290,15 @@
 			out = append(out, s.refuse(v, j, ReasonStopping, now))
 			continue
 		}
-		if !j.Resumed && now.After(j.Expires.Add(-s.minTimeToFirst(v, j))) || now.After(j.Expires) {
-			out = append(out, s.refuse(v, j, s.expiryReason(v), now))
+		if !j.Resumed && now.After(j.Expires.Add(-s.minTimeToFirst(v, j, now))) || now.After(j.Expires) {
+			out = append(out, s.refuse(v, j, s.expiryReason(v, now), now))
 			continue
 		}
 		if !j.turnedLate && !j.Resumed && s.late(v, j, now) {
 			// Jobs in time precede it from now on, so its wait is estimated anew.
 			j.turnedLate = true
 			if s.waitsTooLong(v, j, len(kept), now) {
-				out = append(out, s.refuse(v, j, ReasonQueueLong, now))
+				out = append(out, s.refuse(v, j, v.longWaitReason(now), now))
 				continue
 			}
 		}
@@ -330,12 +334,14 @@
 func (s *Scheduler) refuse(v *service, j *Job, reason string, now time.Time) Action {
 	wait := v.expectedWait(j, s.late(v, j, now), s.countAhead(v, j, now))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	pause := v.pauseLeft(now)
 	if reason == ReasonStopping {
-		wait = s.stoppingRetry(now)
+		// Another entry answers, which the upstreams did not ask for a pause.
+		wait, pause = s.stoppingRetry(now), 0
 	}
 	// Jitter up to the same length keeps the retries from forming another burst.
 	wait += time.Duration(s.Rand.Float64() * float64(wait))
-	return Action{Job: j, Reason: reason, RetryAfter: min(wait, maxRetryAfter), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
+	return Action{Job: j, Reason: reason, RetryAfter: pause + min(wait, maxRetryAfter), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
 }
 
 // stoppingRetry returns the retry delay of a job that is refused since this entry
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -93,11 +93,11 @@
 	}
 }
 
-// hasSlot reports whether this entry may send to u: u has at least sharedSlots free
-// slots, a free slot that is assigned to this entry, or a reserved one.
-func (u *upstream) hasSlot() bool {
+// hasSlot reports whether this entry may send to u: u takes requests, and has at least
+// sharedSlots free slots, a free slot that is assigned to this entry, or a reserved one.
+func (u *upstream) hasSlot(now time.Time) bool {
 	n := u.Slots - u.load()
-	if u.Draining || n < 1 {
+	if u.Draining || u.said.wantsNone(now) || n < 1 {
 		return false
 	}
 	return n >= min(sharedSlots, u.Slots) || u.ownLoad < u.assigned || u.reserved
@@ -130,5 +130,8 @@
 // grantable reports whether u has a free slot that only this entry may use.
 func (u *upstream) grantable(now time.Time) bool {
 	n := u.Slots - u.load()
-	return !u.Draining && n >= 1 && n < sharedSlots && u.ownLoad < u.assigned && now.After(u.backoffUntil) && u.failedAttempts == 0 && !u.unresponsive(now)
+	if u.Draining || u.said.wantsNone(now) {
+		return false
+	}
+	return n >= 1 && n < sharedSlots && u.ownLoad < u.assigned && now.After(u.backoffUntil) && u.failedAttempts == 0 && !u.unresponsive(now)
 }
--- a/internal/forward/schedule/statement.go
+++ b/internal/forward/schedule/statement.go
@@ -27,6 +27,8 @@
 type statement struct {
 	// leaving is final: a process that leaves does not return.
 	leaving bool
+	// pausedUntil is the end of the pause that it asked for.
+	pausedUntil time.Time
 	// number orders the statements by age.
 	number uint64
 }
@@ -40,6 +42,9 @@
 	if st == nil {
 		st = &statement{}
 		s.statements[id] = st
+		if u := s.byID[id.ID]; u != nil && u.Born == id.Born {
+			u.said = st
+		}
 		s.forgetStatements()
 	}
 	s.lastStatement++
@@ -84,37 +89,100 @@
 	return st != nil && st.leaving
 }
 
+// Pause records that a process of an upstream asked to get no requests for d, and
+// returns the end of its pause. A later answer does not shorten it.
+func (s *Scheduler) Pause(id Identity, d time.Duration, now time.Time) time.Time {
+	s.init()
+	st := s.statement(id)
+	if end := now.Add(d); end.After(st.pausedUntil) {
+		st.pausedUntil = end
+	}
+	return st.pausedUntil
+}
+
+// pauseLeft is how long the process wants no requests; it may be nil.
+func (st *statement) pauseLeft(now time.Time) time.Duration {
+	if st == nil {
+		return 0
+	}
+	return max(st.pausedUntil.Sub(now), 0)
+}
+
+// wantsNone reports whether the process wants no requests now; it may be nil.
+func (st *statement) wantsNone(now time.Time) bool {
+	return st != nil && (st.leaving || st.pauseLeft(now) > 0)
+}
+
+// pauseLeft is the time until the pause of the first upstream of the service ends. It
+// is 0 if one that does not drain has none.
+func (v *service) pauseLeft(now time.Time) time.Duration {
+	left := time.Duration(0)
+	for _, u := range v.upstreams {
+		if u.Draining {
+			continue
+		}
+		d := u.said.pauseLeft(now)
+		if d == 0 {
+			return 0
+		}
+		if left == 0 || d < left {
+			left = d
+		}
+	}
+	return left
+}
+
+// PauseLeft returns the time until the first upstream of a service takes requests
+// again if all of them have asked for a pause, else 0.
+func (s *Scheduler) PauseLeft(name string, now time.Time) time.Duration {
+	if v := s.services[name]; v != nil {
+		return v.pauseLeft(now)
+	}
+	return 0
+}
+
 // MaySend reports whether a dispatch that was not written yet may still be written. If
 // not, its upstream has said since that it wants no requests; the job is to be ended
 // by Done and to arrive anew.
-func (s *Scheduler) MaySend(id uint64) bool {
+func (s *Scheduler) MaySend(id uint64, now time.Time) bool {
 	r := s.jobs[id]
-	return r == nil || !s.leaving(IdentityOf(&r.upstream.Replica))
+	return r == nil || !s.statements[IdentityOf(&r.upstream.Replica)].wantsNone(now)
 }
 
 // expiryReason returns the reason to refuse a job that has expired while it waited.
-func (s *Scheduler) expiryReason(v *service) string {
-	if !v.unreachable() {
+func (s *Scheduler) expiryReason(v *service, now time.Time) string {
+	if !v.unreachable(now) {
 		return ReasonTooLate
 	}
 	for _, u := range v.upstreams {
-		if !u.Draining {
+		if !u.Draining && !u.said.wantsNone(now) {
 			return ReasonUnreachable
 		}
 	}
-	if s.noUpstreamReason(v) == ReasonLeaving {
-		return ReasonLeaving
+	if reason := v.noUpstreamReason(now); reason != ReasonNoUpstream {
+		return reason
 	}
 	return ReasonUnreachable
 }
 
 // noUpstreamReason returns the reason to refuse a job that no upstream of the service
 // may get.
-func (s *Scheduler) noUpstreamReason(v *service) string {
+func (v *service) noUpstreamReason(now time.Time) string {
+	if v.pauseLeft(now) > 0 {
+		return ReasonPaused
+	}
 	for _, u := range v.upstreams {
-		if s.leaving(IdentityOf(&u.Replica)) {
+		if u.said != nil && u.said.leaving {
 			return ReasonLeaving
 		}
 	}
 	return ReasonNoUpstream
 }
+
+// longWaitReason returns the reason to refuse a job whose wait would take too long.
+func (v *service) longWaitReason(now time.Time) string {
+	if v.pauseLeft(now) > 0 {
+		return ReasonPaused
+	}
+	return ReasonQueueLong
+}
--- a/internal/forward/schedule/statement_test.go
+++ b/internal/forward/schedule/statement_test.go
@@ -14,11 +14,12 @@
 
 // said is what the model knows of one process of an upstream.
 type said struct {
-	leaving bool
+	leaving     bool
+	pausedUntil time.Time
 }
 
-// statements is a model of one entry whose upstreams say that they leave while
-// lists, eras, cells and grants change.
+// statements is a model of one entry whose upstreams say that they leave or ask for
+// a pause, while lists, eras, cells and grants change.
 type statements struct {
 	*rapid.T
 	s       *Scheduler
@@ -41,14 +42,16 @@
 	return m.said[id]
 }
 
-// take records the actions of a call and checks the slots that they grant.
+// take records the actions of a call and checks the upstreams that they name.
 func (m *statements) take(actions []Action) {
 	for _, a := range actions {
+		if a.Upstream != nil {
+			if k := m.at(a); k.leaving || m.now.Before(k.pausedUntil) {
+				m.Fatalf("%v: a slot of %s is used or granted to %q, leaving %v, paused until %v", m.now.Sub(start), a.Upstream.ID, a.GrantTo, k.leaving, k.pausedUntil.Sub(start))
+			}
+		}
 		switch {
 		case a.GrantTo != "":
-			if k := m.at(a); k.leaving {
-				m.Fatalf("%v: a slot of %s is granted though it leaves", m.now.Sub(start), a.Upstream.ID)
-			}
 		case a.Upstream != nil:
 			m.decided = append(m.decided, a)
 		case a.RetryAfter <= 0 || a.Reason == "":
@@ -73,13 +76,13 @@
 	i := rapid.IntRange(0, len(m.decided)-1).Draw(m.T, "decided")
 	a := m.decided[i]
 	m.decided = append(m.decided[:i], m.decided[i+1:]...)
-	if !m.s.MaySend(a.Job.ID) {
+	if !m.s.MaySend(a.Job.ID, m.now) {
 		m.take(m.s.Done(a.Job.ID, OutcomeNeutral, m.now))
 		m.take(m.s.Arrive(a.Job, m.now))
 		return
 	}
-	if k := m.at(a); k.leaving {
-		m.Fatalf("%v: job %d is sent to %s (born %d) though it leaves", m.now.Sub(start), a.Job.ID, a.Upstream.ID, a.Upstream.Born)
+	if k := m.at(a); k.leaving || m.now.Before(k.pausedUntil) {
+		m.Fatalf("%v: job %d is sent to %s (born %d), leaving %v, paused until %v", m.now.Sub(start), a.Job.ID, a.Upstream.ID, a.Upstream.Born, k.leaving, k.pausedUntil.Sub(start))
 	}
 	m.sent = append(m.sent, a)
 }
@@ -94,9 +97,17 @@
 	id := Identity{ID: a.Upstream.ID, Born: a.Upstream.Born}
 	o := rapid.SampledFrom([]Outcome{OutcomeOK, OutcomeOK, OutcomeFailed, OutcomeUnreachable}).Draw(m.T, "outcome")
 	k := m.at(a)
-	if rapid.IntRange(0, 4).Draw(m.T, "statement") == 0 {
+	switch rapid.IntRange(0, 4).Draw(m.T, "statement") {
+	case 0:
 		m.s.Leave(id, m.now)
 		k.leaving, o = true, OutcomeOK
+	case 1:
+		d := time.Duration(rapid.SampledFrom([]int{100, 500, 3000}).Draw(m.T, "pause ms")) * time.Millisecond
+		m.s.Pause(id, d, m.now)
+		if end := m.now.Add(d); end.After(k.pausedUntil) {
+			k.pausedUntil = end
+		}
+		o = OutcomeFull
 	}
 	if o == OutcomeOK {
 		m.s.FirstEvent(a.Job.ID, m.now)
@@ -141,12 +152,12 @@
 }
 
 func (m *statements) pass() {
-	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 400).Draw(m.T, "ms")) * time.Millisecond)
+	m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 50, 150, 400}).Draw(m.T, "ms")) * time.Millisecond)
 	m.take(m.s.Tick(m.now))
 }
 
-// Guards against any path on which an upstream that said that it leaves gets a
-// request: lists of any age, cells, grants, queued requests and
+// Guards against any path on which an upstream that said that it leaves, or that asked
+// for a pause, gets a request: lists of any age, cells, grants, queued requests and
 // requests whose dispatch was decided before.
 func TestStatementsHold(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
@@ -161,7 +172,7 @@
 				m.list()
 			},
 		}
-		for _, event := range rapid.SliceOfN(rapid.SampledFrom([]string{"arrive", "arrive", "write", "write", "answer", "answer", "list", "peer", "pass", "cell"}), 60, 160).Draw(rt, "events") {
+		for _, event := range rapid.SliceOfN(rapid.SampledFrom([]string{"arrive", "arrive", "arrive", "write", "write", "write", "answer", "answer", "list", "peer", "pass", "pass", "cell"}), 60, 160).Draw(rt, "events") {
 			do[event]()
 		}
 	})
@@ -183,3 +194,44 @@
 		t.Error("the statement of a registered upstream or the newest one was forgotten")
 	}
 }
+
+// Guards against a pause that a later, shorter answer ends too soon.
+func TestShorterAnswerDoesNotShortenPause(t *testing.T) {
+	s := newScheduler("entry-1", engines(1, 3))
+	id := Identity{ID: "engine-0"}
+	s.Pause(id, 2*time.Second, start)
+	if end := s.Pause(id, 100*time.Millisecond, start.Add(time.Second)); !end.Equal(start.Add(2 * time.Second)) {
+		t.Errorf("the pause ends after %v, want 2s", end.Sub(start))
+	}
+	for _, at := range []time.Duration{1200 * time.Millisecond, 1990 * time.Millisecond} {
+		if a := s.Arrive(job(uint64(at), 0, start.Add(at)), start.Add(at)); len(a) != 0 {
+			t.Errorf("at %v: %+v, want that the job waits", at, a)
+		}
+	}
+	if a := s.Tick(start.Add(2 * time.Second)); len(a) == 0 {
+		t.Error("nothing is sent after the pause")
+	}
+}
+
+// Guards against a refusal that lets callers return within the pause, or all of them in
+// one moment, and against another reason in the log.
+func TestRefusalFollowsPause(t *testing.T) {
+	s := newScheduler("entry-1", engines(2, 3))
+	for i := range 2 {
+		s.Pause(Identity{ID: fmt.Sprint("engine-", i)}, time.Duration(i+20)*time.Second, start)
+	}
+	seen := make(map[time.Duration]bool)
+	for id := range uint64(20) {
+		a := s.Arrive(job(id, 0, start), start)
+		if len(a) != 1 || a[0].Reason != ReasonPaused {
+			t.Fatalf("job %d: %+v", id, a)
+		}
+		if d := a[0].RetryAfter; d < 20*time.Second || d > 20*time.Second+maxRetryAfter {
+			t.Errorf("retry after %v, the first pause ends in 20s", d)
+		}
+		seen[a[0].RetryAfter.Round(10*time.Millisecond)] = true
+	}
+	if len(seen) < 10 {
+		t.Errorf("20 callers return at %d moments", len(seen))
+	}
+}
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -54,6 +54,8 @@
 	ward.Replica
 	// local is true for an upstream in this entry's data centre.
 	local bool
+	// said is what the upstream said of itself, nil for nothing.
+	said *statement
 	// assigned is the number of slots assigned to this entry. reserved is true while
 	// one slot is kept for this entry's waiting jobs.
 	assigned int
@@ -154,11 +156,11 @@
 	return list
 }
 
-// unreachable reports whether no upstream of the service has answered since its last
-// failed attempt.
-func (v *service) unreachable() bool {
+// unreachable reports whether each upstream of the service wants no requests or has not
+// answered since its last failed attempt.
+func (v *service) unreachable(now time.Time) bool {
 	for _, u := range v.upstreams {
-		if !u.Draining && u.failedAttempts == 0 {
+		if !u.Draining && !u.said.wantsNone(now) && u.failedAttempts == 0 {
 			return false
 		}
 	}
@@ -168,21 +170,22 @@
 // hasFreeSlot reports whether any upstream of the service has a usable slot.
 func (v *service) hasFreeSlot(now time.Time) bool {
 	for _, u := range v.upstreams {
-		if u.hasSlot() && now.After(u.backoffUntil) {
+		if u.hasSlot(now) && now.After(u.backoffUntil) {
 			return true
 		}
 	}
 	return false
 }
 
-// minTimeToFirst is the shortest expected time to the first event of j.
-func (s *Scheduler) minTimeToFirst(v *service, j *Job) time.Duration {
+// minTimeToFirst is the shortest expected time to the first event of j, including the
+// rest of a pause.
+func (s *Scheduler) minTimeToFirst(v *service, j *Job, now time.Time) time.Duration {
 	best := time.Duration(0)
 	for _, u := range v.upstreams {
 		if u.Draining {
 			continue
 		}
-		if d := u.timeToFirst(j); best == 0 || d < best {
+		if d := u.said.pauseLeft(now) + u.timeToFirst(j); best == 0 || d < best {
 			best = d
 		}
 	}
@@ -227,7 +230,7 @@
 	var best *upstream
 	bestCost := 0.0
 	for _, u := range v.upstreams {
-		if !u.hasSlot() || slices.Contains(j.Avoid, u.ID) || !u.accepts(j, now) {
+		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(j, now) {
 			continue
 		}
 		cost := s.cost(v, u, j, now)
@@ -241,7 +244,7 @@
 	// If the best choice is late, waiting for a faster upstream is better as long as
 	// that one can still be in time.
 	late := now.Add(best.timeToFirst(j)).After(j.Due)
-	if late && !now.Add(s.minTimeToFirst(v, j)).After(j.Due) {
+	if late && !now.Add(s.minTimeToFirst(v, j, now)).After(j.Due) {
 		return nil
 	}
 	if s.missesDeadline(best, j, now) && s.canMeetDeadline(v, j, now) {
@@ -262,7 +265,7 @@
 		return false
 	}
 	for _, u := range v.upstreams {
-		if !u.Draining && now.After(u.backoffUntil) && !now.Add(u.timeToLast(j)).After(j.EndBy) {
+		if u.available(now) && !now.Add(u.timeToLast(j)).After(j.EndBy) {
 			return false
 		}
 	}
@@ -273,13 +276,18 @@
 // before its deadline.
 func (s *Scheduler) canMeetDeadline(v *service, j *Job, now time.Time) bool {
 	for _, u := range v.upstreams {
-		if !u.Draining && now.After(u.backoffUntil) && !s.missesDeadline(u, j, now) {
+		if u.available(now) && !s.missesDeadline(u, j, now) {
 			return true
 		}
 	}
 	return false
 }
 
+// available reports whether u takes requests now, with or without a free slot.
+func (u *upstream) available(now time.Time) bool {
+	return !u.Draining && !u.said.wantsNone(now) && now.After(u.backoffUntil)
+}
+
 // accepts reports whether u may get j. An unresponsive upstream gets only one
 // repeatable request per probeInterval as a probe.
 func (u *upstream) accepts(j *Job, now time.Time) bool {
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -187,6 +187,12 @@
 	// Leaving reports whether the upstream states that it leaves: it wants no new
 	// requests.
 	Leaving bool
+	// HasRetryAfter reports whether the upstream turned the request away and asked for
+	// a pause of RetryAfter, in which it wants no requests. RetryAfterFault is the
+	// value that it stated if RetryAfter is a bound instead, "" otherwise.
+	HasRetryAfter   bool
+	RetryAfter      time.Duration
+	RetryAfterFault string
 }
 
 // Dialect translates the heads of requests and answers between the header fields
