feat(schedule): an upstream returns from its pause gradually

With the pause alone, all slots were filled by what had waited in the moment of its end, and an upstream that asked for the pause because it was overloaded would be so again.

Change: after its pause an upstream has one request running until it has answered one; each answer doubles the number until it reaches the slots. Requests from before the pause that still run do not count; a dispatch decided before the pause is withdrawn also if it would be written after it. Another pause starts anew; an attempt without an answer neither raises the limit nor holds its place.

Seen: TestUnreachableUpstreamIsNamed failed once more under the race detector: /stream/x got 200 with the events of another test's stand-in, since another process had taken the port that the test had closed.

--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -37,6 +37,7 @@
 		return
 	}
 	r.started = true
+	s.answered(r)
 	ratio := now.Sub(r.sent).Seconds() / r.nominal
 	r.upstream.observeLatency(ratio)
 }
@@ -77,6 +78,12 @@
 		return nil
 	}
 	delete(s.jobs, id)
+	if r.pause != nil {
+		r.pause.open--
+	}
+	if o == OutcomeOK && !r.started {
+		s.answered(r)
+	}
 	u := r.upstream
 	u.ownLoad = max(u.ownLoad-1, 0)
 	if u.ownLoad == 0 {
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -156,6 +156,8 @@
 	sent     time.Time
 	// started is true after the first event.
 	started bool
+	// pause is the pause after which the upstream was returning, nil if it was not.
+	pause *pause
 	// nominal is the nominal time to the first event in seconds.
 	nominal float64
 }
@@ -326,7 +328,9 @@
 	a := Action{Job: j, Upstream: &to, Predicted: u.timeToFirst(j), Waited: now.Sub(j.Arrived), Running: u.load()}
 	u.ownLoad++
 	u.markSent(now)
-	s.jobs[j.ID] = &running{job: j, upstream: u, sent: now, nominal: nominalFirst(j)}
+	r := &running{job: j, upstream: u, sent: now, nominal: nominalFirst(j)}
+	u.said.begin(r)
+	s.jobs[j.ID] = r
 	v.recordDeparture(j.Rank, s.late(v, j, now), now)
 	return a
 }
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -97,7 +97,7 @@
 // sharedSlots free slots, a free slot that is assigned to this entry, or a reserved one.
 func (u *upstream) hasSlot(now time.Time) bool {
 	n := u.Slots - u.load()
-	if u.Draining || u.said.wantsNone(now) || n < 1 {
+	if u.Draining || !u.said.takesMore(now) || n < 1 {
 		return false
 	}
 	return n >= min(sharedSlots, u.Slots) || u.ownLoad < u.assigned || u.reserved
--- a/internal/forward/schedule/statement.go
+++ b/internal/forward/schedule/statement.go
@@ -27,8 +27,8 @@
 type statement struct {
 	// leaving is final: a process that leaves does not return.
 	leaving bool
-	// pausedUntil is the end of the pause that it asked for.
-	pausedUntil time.Time
+	// pause is the last pause that it asked for, nil once it has returned from it.
+	pause *pause
 	// number orders the statements by age.
 	number uint64
 }
@@ -89,66 +89,6 @@
 	return st != nil && st.leaving
 }
 
-// Pause records that a process of an upstream asked to get no requests for d, and
-// returns the end of its pause. A later answer does not shorten it.
-func (s *Scheduler) Pause(id Identity, d time.Duration, now time.Time) time.Time {
-	s.init()
-	st := s.statement(id)
-	if end := now.Add(d); end.After(st.pausedUntil) {
-		st.pausedUntil = end
-	}
-	return st.pausedUntil
-}
-
-// pauseLeft is how long the process wants no requests; it may be nil.
-func (st *statement) pauseLeft(now time.Time) time.Duration {
-	if st == nil {
-		return 0
-	}
-	return max(st.pausedUntil.Sub(now), 0)
-}
-
-// wantsNone reports whether the process wants no requests now; it may be nil.
-func (st *statement) wantsNone(now time.Time) bool {
-	return st != nil && (st.leaving || st.pauseLeft(now) > 0)
-}
-
-// pauseLeft is the time until the pause of the first upstream of the service ends. It
-// is 0 if one that does not drain has none.
-func (v *service) pauseLeft(now time.Time) time.Duration {
-	left := time.Duration(0)
-	for _, u := range v.upstreams {
-		if u.Draining {
-			continue
-		}
-		d := u.said.pauseLeft(now)
-		if d == 0 {
-			return 0
-		}
-		if left == 0 || d < left {
-			left = d
-		}
-	}
-	return left
-}
-
-// PauseLeft returns the time until the first upstream of a service takes requests
-// again if all of them have asked for a pause, else 0.
-func (s *Scheduler) PauseLeft(name string, now time.Time) time.Duration {
-	if v := s.services[name]; v != nil {
-		return v.pauseLeft(now)
-	}
-	return 0
-}
-
-// MaySend reports whether a dispatch that was not written yet may still be written. If
-// not, its upstream has said since that it wants no requests; the job is to be ended
-// by Done and to arrive anew.
-func (s *Scheduler) MaySend(id uint64, now time.Time) bool {
-	r := s.jobs[id]
-	return r == nil || !s.statements[IdentityOf(&r.upstream.Replica)].wantsNone(now)
-}
-
 // expiryReason returns the reason to refuse a job that has expired while it waited.
 func (s *Scheduler) expiryReason(v *service, now time.Time) string {
 	if !v.unreachable(now) {
