test(gate): hold the port of an upstream that refuses connections

Cause: two tests closed the port of their only upstream and expected that connections are refused. A closed port is free for any process; beside other test runs another stand-in got it. Seen twice: TestUnreachableUpstreamIsNamed on /stream/x with 502, and with 200 and the events of a stand-in of another test.

Change: the upstream's address is the own end of an open connection. Nothing listens there, so connections are refused, and the port is taken while the test runs. The checks are the same.

--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -187,9 +187,7 @@
 	if got := do(t, s, "POST", "/unsafe/x", nil); got.status != 503 || got.header.Get("Retry-After") == "" {
 		t.Errorf("without upstreams: %d, Retry-After %q", got.status, got.header.Get("Retry-After"))
 	}
-	u := newUpstream(t, func(io.Writer, *http.Request, int64) bool { return false })
-	u.Close()
-	s = newGate(t, u)
+	s = newGate(t, newRefusing(t))
 	if got := do(t, s, "POST", "/unsafe/x", nil); got.status != 503 {
 		t.Errorf("no listener: %d, want 503", got.status)
 	}
@@ -208,13 +206,11 @@
 	}
 }
 
-// TestUnreachableUpstreamIsNamed closes the port of the only upstream: the caller is
-// told that it can't be reached, and when to come back in whole seconds; at once if
+// TestUnreachableUpstreamIsNamed has one upstream, which refuses connections: the caller
+// is told that it can't be reached, and when to come back in whole seconds; at once if
 // the request itself found out, else once it has waited for the upstream's return.
 func TestUnreachableUpstreamIsNamed(t *testing.T) {
-	u := newUpstream(t, func(io.Writer, *http.Request, int64) bool { return false })
-	u.Close()
-	s := newGate(t, u)
+	s := newGate(t, newRefusing(t))
 	tests := []struct {
 		path string
 		most time.Duration
--- a/internal/forward/gate/upstream_test.go
+++ b/internal/forward/gate/upstream_test.go
@@ -60,6 +60,29 @@
 	}
 }
 
+// heldPort is the address of a connection's own end. Connections to it are refused, and
+// no other process gets the port while the connection is open.
+type heldPort struct {
+	net.Listener
+	conn net.Conn
+}
+
+func (p heldPort) Addr() net.Addr { return p.conn.LocalAddr() }
+
+// newRefusing returns an upstream whose port refuses connections.
+func newRefusing(t *testing.T) *upstream {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(); l.Close() })
+	return &upstream{Listener: heldPort{l, c}}
+}
+
 func ok(w io.Writer, r *http.Request, body string) bool {
 	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Agateward-Request"), len(body), body)
 	return true
