feat(peerstate): entries tell each other which upstreams said that they leave

An entry that an upstream has not answered since sends to it until the store's list says so.

Change: the peer state names the registered upstreams that leave, by id and time of birth, at most 100, the newest statements first. The receiver takes them as it takes its own answers, logs a line with the peer and counts it. An entry that hears it from an upstream requests an early broadcast. A pause is between an upstream and one entry and is not told. Builds without the field skip it; a message without it names none.

Evidence: with LearnDepartures left empty TestDeparturesReachPeers fails and TestStatementsHold fails after 4 tests (a slot is used, leaving true).

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -165,6 +165,7 @@
 	g.ledger.Entries, g.budget.Entries = entries, entries
 	g.ledger.UpdatePeer(m.Name, m.Start, m.Quota, now)
 	g.ledger.Inherit(m.QuotaLevels, now)
+	g.learnDepartures(m, now)
 	g.apply(g.sched.UpdatePeer(m.Name, m.Requests, now))
 }
 
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -53,6 +53,7 @@
 // answer to this entry, or a peer.
 const (
 	sourceAnswer = "answer"
+	sourcePeer   = "peer"
 )
 
 // upstreamLeaving counts an upstream of which this entry learned that it leaves.
--- a/internal/forward/gate/statement.go
+++ b/internal/forward/gate/statement.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"agateward/internal/forward/backend"
+	"agateward/internal/forward/peerstate"
 	"agateward/internal/forward/schedule"
 	"agateward/ward"
 )
@@ -38,6 +39,15 @@
 	g.TriggerBroadcast()
 }
 
+// learnDepartures records the upstreams that a peer names as leaving. The caller must
+// hold mu.
+func (g *Gate) learnDepartures(m peerstate.Message, now time.Time) {
+	for _, id := range g.sched.LearnDepartures(m.Requests.Departures, now) {
+		g.Log.Info("upstream-leaving", "upstream", id.ID, "born", id.Born, "source", sourcePeer, "peer", m.Name)
+		g.Metrics.upstreamLeaving(sourcePeer)
+	}
+}
+
 // maxLoggedFaults bounds the upstreams of which an invalid Retry-After was logged.
 const maxLoggedFaults = 1024
 
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -33,11 +33,13 @@
 	Leaving bool `msgpack:"x,omitempty"`
 	// ExitsIn is the time in which a stopping entry exits at the latest.
 	ExitsIn time.Duration `msgpack:"e,omitempty"`
+	// Departures lists the upstreams that said that they leave.
+	Departures []Identity `msgpack:"l,omitempty"`
 }
 
 // PeerState returns the state to send to the peers.
 func (s *Scheduler) PeerState(now time.Time) PeerState {
-	state := PeerState{Load: make(map[string]int), Demand: s.demand(now), Unresponsive: s.unresponsive(now), ReceivedGrants: make(map[string]uint64)}
+	state := PeerState{Load: make(map[string]int), Demand: s.demand(now), Unresponsive: s.unresponsive(now), ReceivedGrants: make(map[string]uint64), Departures: s.departures()}
 	if !s.stopEnd.IsZero() {
 		state.Leaving, state.ExitsIn = true, s.stopEnd.Sub(now)
 	}
--- a/internal/forward/schedule/statement.go
+++ b/internal/forward/schedule/statement.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"agateward/ward"
@@ -8,9 +10,9 @@
 
 // Identity identifies one process of an upstream.
 type Identity struct {
-	ID string
+	ID string `msgpack:"i"`
 	// Born distinguishes two processes with the same ID, as in ward.Replica.
-	Born int64
+	Born int64 `msgpack:"b,omitempty"`
 }
 
 // IdentityOf returns the identity of a registered upstream.
@@ -21,6 +23,10 @@
 // longer than any list may be old.
 const maxStatements = 4096
 
+// maxDepartures bounds the upstreams that one message to the peers names as leaving, to
+// some kilobytes.
+const maxDepartures = 100
+
 // statement is what a process of an upstream said of itself in its answers. It is kept
 // apart from the registrations, which may be older, be missing for a while or come
 // back.
@@ -84,6 +90,33 @@
 	return true
 }
 
+// LearnDepartures records the upstreams that a peer names as leaving, and returns those
+// that were not known.
+func (s *Scheduler) LearnDepartures(list []Identity, now time.Time) []Identity {
+	var news []Identity
+	for _, id := range list[:min(len(list), maxDepartures)] {
+		if s.Leave(id, now) {
+			news = append(news, id)
+		}
+	}
+	return news
+}
+
+// departures returns the registered upstreams that said that they leave, the newest
+// statements first.
+func (s *Scheduler) departures() []Identity {
+	var list []Identity
+	for id, st := range s.statements {
+		if u := s.byID[id.ID]; st.leaving && u != nil && u.Born == id.Born {
+			list = append(list, id)
+		}
+	}
+	slices.SortFunc(list, func(a, b Identity) int {
+		return cmp.Compare(s.statements[b].number, s.statements[a].number)
+	})
+	return list[:min(len(list), maxDepartures)]
+}
+
 func (s *Scheduler) leaving(id Identity) bool {
 	st := s.statements[id]
 	return st != nil && st.leaving
--- a/internal/forward/schedule/statement_test.go
+++ b/internal/forward/schedule/statement_test.go
@@ -38,8 +38,9 @@
 // names are the ids of the upstreams; the last is the only one of its service.
 var names = []string{"u0", "u1", "u2", "u3", "u4"}
 
-func (m *statements) at(a Action) *said {
-	id := Identity{ID: a.Upstream.ID, Born: a.Upstream.Born}
+func (m *statements) at(a Action) *said { return m.of(IdentityOf(a.Upstream)) }
+
+func (m *statements) of(id Identity) *said {
 	if m.said[id] == nil {
 		m.said[id] = &said{}
 	}
@@ -155,7 +156,8 @@
 	m.take(m.s.SetUpstreams(list, m.now))
 }
 
-// peer applies a message of a peer: its state, or a slot that it grants.
+// peer applies a message of a peer: its state, with upstreams that leave, or a slot that
+// it grants.
 func (m *statements) peer() {
 	id := rapid.SampledFrom(names).Draw(m.T, "upstream")
 	if rapid.Bool().Draw(m.T, "grants") {
@@ -163,6 +165,11 @@
 		m.take(m.s.ReceiveGrant("entry-2", id, m.granted, rapid.Bool().Draw(m.T, "used"), m.now))
 		return
 	}
+	if rapid.IntRange(0, 5).Draw(m.T, "names one that leaves") == 0 {
+		gone := Identity{ID: id, Born: int64(rapid.IntRange(1, 2).Draw(m.T, "born"))}
+		m.s.LearnDepartures([]Identity{gone}, m.now)
+		m.of(gone).leaving = true
+	}
 	d := Demand{Service: "menus", Count: rapid.IntRange(0, 3).Draw(m.T, "waiting"), Slack: 100 * time.Millisecond}
 	m.take(m.s.UpdatePeer("entry-2", PeerState{Load: map[string]int{id: rapid.IntRange(0, 3).Draw(m.T, "load")}, Demand: []Demand{d}}, m.now))
 }
@@ -210,3 +217,34 @@
 		t.Error("the statement of a registered upstream or the newest one was forgotten")
 	}
 }
+
+// Guards against entries that don't tell each other which upstreams leave, against
+// telling of a pause, and against messages that grow with the upstreams that are gone.
+func TestDeparturesReachPeers(t *testing.T) {
+	list := engines(2, 2)
+	list[0].Born = 7
+	a, b := newScheduler("entry-1", list), newScheduler("entry-2", list)
+	a.Leave(Identity{ID: "engine-0", Born: 6}, start) // an earlier process
+	a.Leave(Identity{ID: "engine-0", Born: 7}, start)
+	a.Pause(Identity{ID: "engine-1"}, time.Second, start)
+	told := a.PeerState(start).Departures
+	if len(told) != 1 || told[0] != (Identity{ID: "engine-0", Born: 7}) {
+		t.Fatalf("told %v", told)
+	}
+	if news := b.LearnDepartures(told, start); len(news) != 1 {
+		t.Errorf("news %v, want one", news)
+	}
+	if news := b.LearnDepartures(told, start); len(news) != 0 {
+		t.Errorf("news %v the second time", news)
+	}
+	for id := range uint64(2) {
+		if x := dispatched(t, b.Arrive(job(id, 0, start), start)); x.Upstream.ID != "engine-1" {
+			t.Errorf("job %d is sent to %s", id, x.Upstream.ID)
+		}
+	}
+	list[0].Born = 8
+	b.SetUpstreams(list, start)
+	if x := dispatched(t, b.Arrive(job(3, 0, start), start)); x.Upstream.ID != "engine-0" {
+		t.Errorf("a new process under the id gets nothing, job 3 is sent to %s", x.Upstream.ID)
+	}
+}
