--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -11,8 +11,9 @@
 // (prompt,output) and Last-Event-ID. An upstream gets Agateward-Replica,
 // Agateward-Team, Agateward-Timeout and Last-Event-ID; it echoes
 // Agateward-Request, sets Agateward-Not-Run when it did not run a request, and sets
-// Agateward-Leaving to 1 on its answers when it wants no new requests. With status 503
-// it may ask for a pause by Retry-After (seconds).
+// Agateward-Leaving to 1 on its answers when it wants no new requests; a process that
+// has said so does not return under its id. With status 503 it may ask for a pause by
+// Retry-After (seconds).
 package dialect
 
 import (
