--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -10,7 +10,10 @@
 // team's key, and may send Agateward-Timeout (milliseconds), Agateward-Tokens
 // (prompt,output) and Last-Event-ID. An upstream gets Agateward-Replica,
 // Agateward-Team, Agateward-Timeout and Last-Event-ID; it echoes
-// Agateward-Request, and sets Agateward-Not-Run when it did not run a request.
+// Agateward-Request, sets Agateward-Not-Run when it did not run a request, and sets
+// Agateward-Leaving to 1 on its answers when it wants no new requests; a process that
+// has said so does not return under its id. With status 503 it may ask for a pause by
+// Retry-After (seconds).
 package dialect
 
 import (
@@ -32,6 +35,7 @@
 	fieldReplica   = "Agateward-Replica"
 	fieldTeam      = "Agateward-Team"
 	fieldNotRun    = "Agateward-Not-Run"
+	fieldLeaving   = "Agateward-Leaving"
 	fieldLastEvent = "Last-Event-Id"
 	scheme         = "Bearer "
 )
@@ -97,7 +101,10 @@
 // echoes a request's id.
 func (Native) Reply(status int, h http.Header) ward.ForwardReply {
 	id := h.Get(header.RequestID)
-	return ward.ForwardReply{
+	reply := ward.ForwardReply{
 		ID: id, Signed: id != "", NotRun: h.Get(fieldNotRun) != "" || status == http.StatusMisdirectedRequest,
+		Leaving: header.Flag(h, fieldLeaving),
 	}
+	header.ReadRetryAfter(&reply, status, h)
+	return reply
 }
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -70,6 +70,8 @@
 	budget  retry.Budget
 	waiters map[uint64]*waiter
 	lastID  uint64
+	// loggedFaults holds the upstreams of which an invalid Retry-After was logged.
+	loggedFaults map[schedule.Identity]bool
 
 	// shutdown is set while the entry stops.
 	shutdown atomic.Pointer[shutdown.Shutdown]
@@ -163,6 +165,7 @@
 	g.ledger.Entries, g.budget.Entries = entries, entries
 	g.ledger.UpdatePeer(m.Name, m.Start, m.Quota, now)
 	g.ledger.Inherit(m.QuotaLevels, now)
+	g.learnDepartures(m, now)
 	g.apply(g.sched.UpdatePeer(m.Name, m.Requests, now))
 }
 
--- a/internal/forward/gate/promise_test.go
+++ b/internal/forward/gate/promise_test.go
@@ -36,6 +36,8 @@
 	framing framing
 	// body is "busy" when empty.
 	body string
+	// retryAfter is the pause that it asks for, "" for 1 s.
+	retryAfter string
 }
 
 func (s statement) write(w io.Writer) {
@@ -50,7 +52,10 @@
 	if body == "" {
 		body = "busy"
 	}
-	fmt.Fprint(w, "Retry-After: 1\r\n")
+	if s.retryAfter == "" {
+		s.retryAfter = "1"
+	}
+	fmt.Fprintf(w, "Retry-After: %s\r\n", s.retryAfter)
 	switch s.framing {
 	case length:
 		fmt.Fprintf(w, "Content-Length: %d\r\n\r\n%s", len(body), body)
@@ -176,6 +181,8 @@
 	mu         sync.Mutex
 	behaviours []string
 	runs       map[string]int
+	// retryAfter is the pause that its rejections ask for.
+	retryAfter string
 	// extra holds the answer that is repeated on a connection before the next one.
 	extra map[io.Writer]statement
 }
@@ -214,6 +221,7 @@
 		answer = statement{id: id}
 		fmt.Sscan(do, &answer.status)
 	}
+	answer.retryAfter = u.retryAfter
 	if strings.HasSuffix(do, " twice") {
 		u.extra[w] = answer
 	}
@@ -265,6 +273,8 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		u := &promiseUpstream{runs: make(map[string]int), extra: make(map[io.Writer]statement)}
 		u.behaviours = rapid.SliceOfN(rapid.SampledFrom(slices.Concat(rejections, runs)), 1, 12).Draw(rt, "answers")
+		// In a long pause upstreams get no requests, so most pauses are short.
+		u.retryAfter = rapid.SampledFrom([]string{"0.01", "0.01", "1"}).Draw(rt, "pause")
 		paths := rapid.SliceOfN(rapid.SampledFrom([]string{"/safe/x", "/unsafe/x", "/stream/x", "/once/x"}), 1, 4).Draw(rt, "requests")
 		long := rapid.Bool().Draw(rt, "long bodies")
 		early := rapid.Bool().Draw(rt, "answers before the body is read")
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -95,6 +95,12 @@
 	ReasonTooLate    = "too-late"
 	ReasonQueueLong  = "queue-long"
 	ReasonStopping   = "stopping"
+	// ReasonLeaving means that the service has no upstream left, of which at least one
+	// said that it leaves.
+	ReasonLeaving = "leaving"
+	// ReasonPaused means that every upstream of the service asked for a pause, which
+	// the job cannot wait for.
+	ReasonPaused = "paused"
 	// ReasonUnreachable means that the job expired while no upstream could be reached.
 	ReasonUnreachable = "unreachable"
 )
@@ -120,6 +126,10 @@
 	byID     map[string]*upstream
 	jobs     map[uint64]*running
 	peers    map[string]*peer
+	// statements holds what upstreams said of themselves; lastStatement is the number
+	// of the newest.
+	statements    map[Identity]*statement
+	lastStatement uint64
 	// entries holds the sorted names of the live peers and this entry; assignedTo
 	// holds the joined names of the last slot assignment.
 	entries    []string
@@ -146,6 +156,8 @@
 	sent     time.Time
 	// started is true after the first event.
 	started bool
+	// pause is the pause after which the upstream was returning, nil if it was not.
+	pause *pause
 	// nominal is the nominal time to the first event in seconds.
 	nominal float64
 }
@@ -187,9 +199,6 @@
 // kept.
 func (s *Scheduler) SetUpstreams(list []ward.Replica, now time.Time) []Action {
 	s.init()
-	for _, v := range s.services {
-		v.upstreams = v.upstreams[:0]
-	}
 	known := make(map[string]*upstream, len(list))
 	for _, r := range list {
 		u := s.byID[r.ID]
@@ -197,17 +206,13 @@
 			u = &upstream{}
 		}
 		u.Replica = r
+		u.Draining = r.Draining || s.leaving(IdentityOf(&r))
+		u.said = s.statements[IdentityOf(&r)]
 		u.local = r.DataCentre == s.DataCentre
 		known[r.ID] = u
-		v := s.service(r.Service)
-		v.upstreams = append(v.upstreams, u)
-	}
-	for _, v := range s.services {
-		v.upstreams = s.cellUpstreams(v.upstreams)
 	}
 	s.byID = known
-	s.assignedTo = ""
-	s.aggregatePeers(now)
+	s.assignServices(now)
 	return s.dispatchWaiting(now)
 }
 
@@ -287,12 +292,8 @@
 			out = append(out, s.refuse(v, j, ReasonStopping, now))
 			continue
 		}
-		if !j.Resumed && now.After(j.Expires.Add(-s.minTimeToFirst(v, j))) || now.After(j.Expires) {
-			reason := ReasonTooLate
-			if v.unreachable() {
-				reason = ReasonUnreachable
-			}
-			out = append(out, s.refuse(v, j, reason, now))
+		if !j.Resumed && now.After(j.Expires.Add(-s.minTimeToFirst(v, j, now))) || now.After(j.Expires) {
+			out = append(out, s.refuse(v, j, s.expiryReason(v, now), now))
 			continue
 		}
 		if !j.Resumed && s.late(v, j, now) {
@@ -300,7 +301,7 @@
 			// estimated anew.
 			j.turnedLate = true
 			if s.waitsTooLong(v, j, len(kept), now) {
-				out = append(out, s.refuse(v, j, ReasonQueueLong, now))
+				out = append(out, s.refuse(v, j, v.longWaitReason(now), now))
 				continue
 			}
 		}
@@ -328,7 +329,9 @@
 	a := Action{Job: j, Upstream: &to, Predicted: u.timeToFirst(j), Waited: now.Sub(j.Arrived), Running: u.load()}
 	u.ownLoad++
 	u.markSent(now)
-	s.jobs[j.ID] = &running{job: j, upstream: u, sent: now, nominal: nominalFirst(j)}
+	r := &running{job: j, upstream: u, sent: now, nominal: nominalFirst(j)}
+	u.said.begin(r)
+	s.jobs[j.ID] = r
 	v.recordDeparture(j.Rank, s.late(v, j, now), now)
 	return a
 }
@@ -336,12 +339,14 @@
 func (s *Scheduler) refuse(v *service, j *Job, reason string, now time.Time) Action {
 	wait := v.expectedWait(j, s.late(v, j, now), s.countAhead(v, j, now))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	pause := v.pauseLeft(now)
 	if reason == ReasonStopping {
-		wait = s.stoppingRetry(now)
+		// Another entry answers, which the upstreams did not ask for a pause.
+		wait, pause = s.stoppingRetry(now), 0
 	}
 	// Jitter up to the same length keeps the retries from forming another burst.
 	wait += time.Duration(s.Rand.Float64() * float64(wait))
-	return Action{Job: j, Reason: reason, RetryAfter: min(wait, maxRetryAfter), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
+	return Action{Job: j, Reason: reason, RetryAfter: pause + min(wait, maxRetryAfter), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
 }
 
 // stoppingRetry returns the retry delay of a job that is refused since this entry
