feat(memory): the platform in memory returns from an older copy

Copy and Restore, as the stand-in store of platform has them: what was written since is gone, revisions and fencing numbers are given out again, stamped with an era that rises by one. At era 0 nothing changes. TestRestore compares revisions, conditions and leases across a return.

--- a/internal/platform/memory/lease.go
+++ b/internal/platform/memory/lease.go
@@ -83,7 +83,7 @@
 	if held.Holder != "" && held.Holder != holder && now.Before(held.Expires) && !p.faults.LapseLeases {
 		return held, fmt.Errorf("lease %q is held by %q: %w", name, held.Holder, ward.ErrConflict)
 	}
-	lease := ward.Lease{Name: name, Holder: holder, Fence: held.Fence + 1, Expires: now.Add(ttl)}
+	lease := ward.Lease{Name: name, Holder: holder, Fence: p.stamp(held.Fence + 1), Expires: now.Add(ttl)}
 	if p.leases == nil {
 		p.leases = map[string]ward.Lease{}
 	}
--- a/internal/platform/memory/memory.go
+++ b/internal/platform/memory/memory.go
@@ -63,6 +63,7 @@
 	mu       sync.Mutex
 	faults   Faults
 	random   *rand.Rand
+	era      uint64
 	revision uint64
 	records  map[string]ward.Record
 	changed  map[string]chan struct{}
--- a/internal/platform/memory/memory_test.go
+++ b/internal/platform/memory/memory_test.go
@@ -76,3 +76,40 @@
 		}
 	})
 }
+
+// TestRestore restores a platform from a copy: revisions and fencing numbers that are
+// given out again must not equal the earlier ones.
+func TestRestore(t *testing.T) {
+	var p Platform
+	ctx := t.Context()
+	kept, err := p.CompareAndSwap(ctx, "config", 0, []byte("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied := p.Copy()
+	old, err := p.CompareAndSwap(ctx, "config", kept.Revision, []byte("b"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lease, err := p.Acquire(ctx, "duty", "e1", time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.Restore(copied)
+	rec, err := p.Get(ctx, "config")
+	if err != nil || string(rec.Value) != "a" || rec.Revision <= old.Revision {
+		t.Errorf("record %q at %s: %v", rec.Value, ward.RevisionText(rec.Revision), err)
+	}
+	if _, err := p.CompareAndSwap(ctx, "config", old.Revision, []byte("c")); !errors.Is(err, ward.ErrConflict) {
+		t.Errorf("a write under a revision of the earlier era: %v", err)
+	}
+	if _, err := p.Renew(ctx, lease, time.Minute); !errors.Is(err, ward.ErrLeaseLost) {
+		t.Errorf("renewal of a lease of the earlier era: %v", err)
+	}
+	if again, err := p.Acquire(ctx, "duty", "e2", time.Minute); err != nil || again.Fence <= lease.Fence {
+		t.Errorf("fence %s follows %s: %v", ward.RevisionText(again.Fence), ward.RevisionText(lease.Fence), err)
+	}
+	if rec, err := p.CompareAndSwap(ctx, "config", rec.Revision, []byte("d")); err != nil || rec.Revision <= old.Revision {
+		t.Errorf("the next write is at %s: %v", ward.RevisionText(rec.Revision), err)
+	}
+}
--- a/internal/platform/memory/store.go
+++ b/internal/platform/memory/store.go
@@ -130,7 +130,7 @@
 		p.records = map[string]ward.Record{}
 	}
 	p.revision++
-	rec := ward.Record{Key: key, Value: slices.Clone(value), Revision: p.revision}
+	rec := ward.Record{Key: key, Value: slices.Clone(value), Revision: p.stamp(p.revision)}
 	p.records[key] = rec
 	rec.Value = slices.Clone(value)
 	return rec
