fix(mover): the state of a move outlives a store that returns from an older copy

What goes wrong: entries order the states of a move by revision alone. After a return the copy's older state has the later revision, so a roll-out goes back to an earlier step, and one that was rolled back begins to be rolled back again. Where the copy has no record, each write fails on its condition and the move stands still. The status and the quarantine record that the copy lacks are never written again: the operator reads "running" of a roll-out that has ended.

Change: machine.Newer orders states of one era by revision as before, and those of different eras by ticket and progress along the chart. The holder writes against the revision that it read and not against that of the state. A state of an earlier era makes an ended move one that is still to be written: the holder writes it again, with the event of its status, and enqueues its quarantines. Events sent in an earlier era count as not sent. Entries send the state of a move until they know it of the present era. Each rewriting logs move-written-again.

Why it works: along any path of the chart ticket, state and step only rise, so within one era progress and revision agree and the order is total; entries that merge the same states in any order end with the same one.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -23,8 +23,13 @@
 	held  bool
 	// retryAt is the time of the next attempt to acquire the lease.
 	retryAt time.Time
-	// stale is set when the record must be read before it is written.
-	stale bool
+	// stale is set when the record must be read before it is written. record is its
+	// revision at the last read or write.
+	stale  bool
+	record uint64
+	// again is set when the store has returned from an older copy, until the record has
+	// been written again.
+	again bool
 }
 
 // Advance advances the moves whose leases this entry holds or can acquire.
@@ -45,13 +50,14 @@
 	}
 }
 
-// ended reports whether a move is in a final state and has no pending events.
+// ended reports whether a move is in a final state that the store holds, and has no
+// pending events.
 func (m *Mover) ended(x ward.Move) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.states[x.Name]
 	current := s.Ticket == x.Ticket || x.Cancelled && s.State != ""
-	return current && m.machine.Final(s) && len(s.PendingEvents) == 0
+	return current && m.machine.Final(s) && len(s.PendingEvents) == 0 && !machine.Lost(s, m.era())
 }
 
 func (m *Mover) advanceMove(ctx context.Context, c *ward.Config, x ward.Move) {
@@ -63,13 +69,21 @@
 	if !m.holdLease(ctx, x.Name, l) {
 		return
 	}
+	m.noteReturn(x, l)
 	if l.stale && !m.read(ctx, x.Name, l) {
 		return
 	}
+	if l.again {
+		m.restore(x)
+	}
 	s, changed := m.nextState(c, x, l)
 	if changed && !m.write(ctx, l, s) {
 		return
 	}
+	if l.again && changed {
+		l.again = false
+		m.reportAgain(x, s)
+	}
 	if s.State == "loading" {
 		m.sendOrders(ctx, c, x, l)
 	}
@@ -139,7 +153,7 @@
 	if err != nil {
 		return false
 	}
-	l.stale = false
+	l.stale, l.record = false, rec.Revision
 	if rec.Revision == 0 || len(rec.Value) == 0 {
 		return true
 	}
@@ -174,7 +188,7 @@
 		next.Holder = m.Self
 		changed = true
 	}
-	kept := slices.DeleteFunc(slices.Clone(next.PendingEvents), func(e ward.Event) bool { return m.notified[e.ID] })
+	kept := slices.DeleteFunc(slices.Clone(next.PendingEvents), func(e ward.Event) bool { return m.wasNotified(e) })
 	if len(kept) < len(next.PendingEvents) {
 		next.PendingEvents = kept
 		changed = true
@@ -223,12 +237,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	rec, err := m.Store.CompareAndSwap(ctx, acceptance.KeyMove(s.Move), s.Revision, b)
+	rec, err := m.Store.CompareAndSwap(ctx, acceptance.KeyMove(s.Move), l.record, b)
 	if err != nil {
 		l.stale = true
 		return false
 	}
-	s.Revision = rec.Revision
+	s.Revision, l.record = rec.Revision, rec.Revision
 	m.mu.Lock()
 	before := m.states[s.Move]
 	m.adopt(s)
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -77,6 +77,9 @@
 	Config func() *ward.Config
 	// Fleet returns the number of live entries and the index of this one.
 	Fleet func() split.Fleet
+	// Era returns the era of the store, which rises when the store returns from an older
+	// copy; nil means that it never does.
+	Era func() uint64
 	// Publish is called when there is new state to send to peers soon.
 	Publish func()
 	// LeaseTTL is the time to live of the lease on a move; 0 means order.LeaseTTL, which
@@ -107,7 +110,8 @@
 	holdUntil      time.Time
 	runs           map[string]*run
 	pending        []ward.Event
-	notified       map[string]bool
+	// notified holds the IDs of the events that were sent, with the store's era.
+	notified map[string]uint64
 	// leases is used only by the goroutine that calls Advance.
 	leases map[string]*leaseState
 }
@@ -159,7 +163,7 @@
 		totals:     map[evidence.Key]*analysis.Totals{},
 		ownCounted: map[evidence.Key]ward.Counts{},
 		runs:       map[string]*run{},
-		notified:   map[string]bool{},
+		notified:   map[string]uint64{},
 		leases:     map[string]*leaseState{},
 	}
 }
--- a/internal/entry/mover/mover_test.go
+++ b/internal/entry/mover/mover_test.go
@@ -64,6 +64,7 @@
 			Self: fmt.Sprint("entry-", i), Incarnation: 1, Store: f.store, Clock: ward.SystemClock{}, Notifier: f.notifier,
 			Log: logr.Discard(), Config: func() *ward.Config { return cfg },
 			Fleet: func() split.Fleet { return split.Fleet{Entries: n, Index: i} },
+			Era:   f.store.Era,
 		})
 		own, stop := context.WithCancel(ctx)
 		f.movers = append(f.movers, m)
--- a/internal/entry/mover/notify.go
+++ b/internal/entry/mover/notify.go
@@ -46,7 +46,7 @@
 			continue
 		}
 		for _, e := range s.PendingEvents {
-			if !m.notified[e.ID] {
+			if !m.wasNotified(e) {
 				events = append(events, e)
 			}
 		}
@@ -61,6 +61,7 @@
 func (m *Mover) notify(ctx context.Context, e ward.Event) {
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
+	era := m.era()
 	err := m.Notifier.Notify(ctx, e)
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -73,5 +74,12 @@
 	if len(m.notified) >= maxNotified {
 		clear(m.notified)
 	}
-	m.notified[e.ID] = true
+	m.notified[e.ID] = era
+}
+
+// wasNotified reports whether an event was sent in this era of the store. The trace of
+// one that was sent before may be lost.
+func (m *Mover) wasNotified(e ward.Event) bool {
+	era, ok := m.notified[e.ID]
+	return ok && era == m.era()
 }
--- a/internal/entry/mover/peers.go
+++ b/internal/entry/mover/peers.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"agateward/internal/move/evidence"
+	"agateward/internal/move/machine"
 	"agateward/ward"
 )
 
@@ -52,9 +53,9 @@
 	}
 }
 
-// adopt stores a state when its revision is higher than the known one's.
+// adopt stores a state when it is newer than the known one.
 func (m *Mover) adopt(s ward.MoveState) bool {
-	if have, ok := m.states[s.Move]; ok && have.Revision >= s.Revision {
+	if have, ok := m.states[s.Move]; ok && !machine.Newer(s, have) {
 		return false
 	}
 	m.states[s.Move] = s
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -25,6 +25,7 @@
 
 	"agateward/internal/entry/mover"
 	"agateward/internal/forward/peerstate"
+	"agateward/internal/move/machine"
 	"agateward/internal/move/split"
 	"agateward/internal/ticket/acceptance"
 	"agateward/ward"
@@ -63,6 +64,8 @@
 	// whether the fleet has several cells.
 	Fleet func() split.Fleet
 	Cells func() bool
+	// Era returns the era of the store; nil means that it has only one.
+	Era func() uint64
 	// Publish broadcasts the state of roll-outs. Changed is called when a split has
 	// changed.
 	Publish func(m peerstate.Moves)
@@ -74,6 +77,9 @@
 	plans  map[string]*plan
 	states map[string]ward.MoveState
 	splits map[string]ward.Split
+	// peerOutdated is set when a peer sent the state of a move from an earlier era of
+	// the store.
+	peerOutdated bool
 	// requests counts the requests by route and service.
 	requests map[routeKey]int
 	// inFlight counts the running requests on a version that is not in use, by service.
@@ -91,7 +97,7 @@
 	}
 	m := mover.New(mover.Deps{
 		Self: r.Self, Incarnation: ward.Incarnation(r.Start), Store: store, Clock: ward.SystemClock{}, Notifier: r,
-		Log: r.Log, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL,
+		Log: r.Log, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL, Era: r.Era,
 	})
 	r.mu.Lock()
 	r.mover = m
@@ -132,13 +138,14 @@
 		r.states[s.Move] = s
 	}
 	splits := make(map[string]ward.Split, len(r.plans))
-	changed, active := len(r.splits) != len(r.plans), false
+	changed, active := len(r.splits) != len(r.plans), r.peerOutdated
+	r.peerOutdated = false
 	for service, p := range r.plans {
 		s := splitFor(list, p)
 		old := r.splits[service]
 		changed = changed || old.Version != s.Version || old.Next != s.Next || old.Share != s.Share
 		splits[service] = s
-		active = active || !ended(r.states[service], p)
+		active = active || !ended(r.states[service], p) || machine.Lost(r.states[service], r.era())
 	}
 	r.splits = splits
 	r.mu.Unlock()
@@ -150,6 +157,13 @@
 	}
 }
 
+func (r *Rollout) era() uint64 {
+	if r.Era == nil {
+		return 0
+	}
+	return r.Era()
+}
+
 // publish broadcasts the own counts, the quarantines and the states of moves.
 func (r *Rollout) publish() {
 	quarantines, _, states := r.mover.Snapshot()
@@ -161,8 +175,15 @@
 
 // UpdatePeer merges the state of roll-outs received from a peer.
 func (r *Rollout) UpdatePeer(m peerstate.Moves) {
-	if current := r.currentMover(); current != nil {
-		current.Merge(m.Quarantines, m.Counts, m.States)
+	current := r.currentMover()
+	if current == nil {
+		return
+	}
+	current.Merge(m.Quarantines, m.Counts, m.States)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range m.States {
+		r.peerOutdated = r.peerOutdated || machine.Lost(s, r.era()) && !machine.Lost(r.states[s.Move], r.era())
 	}
 }
 
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -151,6 +151,14 @@
 	return d
 }
 
+// Era returns the era of the store, as far as this entry or a peer has seen it.
+func (v *View) Era() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	era, _ := ward.SplitRevision(v.revision)
+	return era
+}
+
 // State returns the documents for peers.
 func (v *View) State() State {
 	v.mu.Lock()
--- a/internal/move/machine/machine.go
+++ b/internal/move/machine/machine.go
@@ -190,7 +190,7 @@
 // adds it.
 func (ev *evaluation) addEvent(kind ward.EventKind, text string) {
 	e := ward.Event{
-		ID:     fmt.Sprintf("%s@%d/%s/%d", ev.state.Move, ev.state.Ticket, kind, ev.state.Step),
+		ID:     eventID(ev.state, kind, ev.state.Step),
 		Kind:   kind,
 		At:     ev.Now,
 		Ticket: ev.state.Ticket,
