fix(node): lost announcements do not make a fleet look small

What goes wrong: after a return from an older copy the store may list few entries or none, as each announces itself only when it notices. An entry that reads the list in between takes the fleet for that size: its cell, its share of quotas and its bound on requests to an unproven version are those of a fleet of one. An announcement that the store refuses right after the return is tried again only after 2 s.

Change: a list with fewer entries is taken over only when lists have shown fewer for 3 s, and is read again by then. An announcement lives for 5 minutes without its entry, so an entry that is really gone is noticed no later in practice. After a change of era the first retry comes after 0.5 s.

Evidence, before: TestAnnouncementsAfterReturn failed in all 3 cases: 1 entry instead of 41 0.5 s after the return, and not announced 0.5 s after a first refusal. It holds now, also with -race, on virtual time. All entries announce themselves at once after a return, as at a start of the fleet; that was not measured on a large one.

--- a/internal/forward/node/cell.go
+++ b/internal/forward/node/cell.go
@@ -13,6 +13,32 @@
 // follows it. A watch without changes is answered within this time.
 const maxStoreAge = 1500 * time.Millisecond
 
+// shrinkDelay is how long lists of the store must have fewer entries before the fleet is
+// taken for smaller. A store that has returned from an older copy lists them again only
+// once each has noticed it, which takes about the time of a watch.
+const shrinkDelay = 3 * time.Second
+
+// fleetSize decides which lists of entries are taken over. Its zero value takes the
+// first one.
+type fleetSize struct {
+	entries      int
+	smallerSince time.Time
+}
+
+// accept reports whether a list of n entries that was read at now is taken over.
+func (f *fleetSize) accept(n int, now time.Time) bool {
+	if n < f.entries {
+		if f.smallerSince.IsZero() {
+			f.smallerSince = now
+		}
+		if now.Sub(f.smallerSince) < shrinkDelay {
+			return false
+		}
+	}
+	*f = fleetSize{entries: n}
+	return true
+}
+
 // followsStore reports whether this entry follows the store itself. When the whole
 // fleet starts, none does before it has tried to learn its cell.
 func (n *Node) followsStore() bool {
@@ -28,6 +54,7 @@
 func (n *Node) announce(ctx context.Context) {
 	self := ward.ForwardEntry{Name: n.settings.Name, DataCentre: n.settings.DataCentre, Listen: n.peerAddress()}
 	var announced time.Time
+	var size fleetSize
 	pause := minListInterval
 	// When the whole fleet starts, a list right after the own announcement would lack
 	// most entries.
@@ -49,7 +76,9 @@
 		case <-time.After(time.Until(listAfter)):
 		}
 		if list, err := n.source.Entries(ctx); err == nil {
-			n.setCell(peers.CellOf(list, self))
+			if c := peers.CellOf(list, self); size.accept(c.FleetSize, time.Now()) {
+				n.setCell(c)
+			}
 		} else {
 			n.log.Info("entries-unknown", "error", err.Error())
 		}
@@ -58,12 +87,15 @@
 		n.mu.Unlock()
 		// Entries that start together are not all in the first lists.
 		pause = min(listIntervalGrowth*pause, maxListInterval)
+		if !size.smallerSince.IsZero() {
+			pause = min(pause, shrinkDelay)
+		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(pause):
 		case <-n.announceNow:
 			// The announcement went with the old era, as those of the other entries did.
-			announced, pause = time.Time{}, minListInterval
+			announced, pause = time.Time{}, minListInterval/listIntervalGrowth
 		}
 	}
 }
