fix(view): an order has one name at all entries after the store's return

What goes wrong: an entry that starts after a return knows an order only by the revision of the new era, its peers by that of the earlier one. The entry takes the lease, finds a record of another ticket and begins a roll-out that has ended; as its ticket is higher, its peers take its state. Entries that saw other writes than their peers never agreed, and fetched documents from one another without end.

Cause: the name of an order depended on what an entry had seen itself, and peers passed on only their result.

Entries exchange the sets, and a hash of them in their messages tells when they differ (DocumentVersions.Orders). The mover renames the tickets of states to the name in force, ignores states of orders that it has still to learn of, and does not write over their records. MoveState.To lets a fleet that has restarted learn the name from the record.

Why it works: the union of bounded sets, newest kept, does not depend on order or repetition, and the names are a function of the set.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -165,6 +165,10 @@
 	s.Revision = rec.Revision
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if _, known := m.ticket(s); !known {
+		l.stale = true // of an order that this entry has still to learn of
+		return false
+	}
 	m.adopt(s)
 	return true
 }
@@ -173,6 +177,9 @@
 func (m *Mover) nextState(c *ward.Config, x ward.Move, l *leaseState) (ward.MoveState, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if !m.recognize(x) {
+		return ward.MoveState{}, false
+	}
 	s := m.states[x.Name]
 	in := machine.Input{
 		Now: m.Clock.Now(), Move: x, Holder: m.Self, Fence: l.lease.Fence,
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -80,6 +80,9 @@
 	// Era returns the era of the store, which rises when the store returns from an older
 	// copy; nil means that it never does.
 	Era func() uint64
+	// Ticket returns the ticket by which the configuration knows that of a state, and
+	// whether this entry knows it. Nil means that each ticket has one number.
+	Ticket func(s ward.MoveState) (ticket uint64, known bool)
 	// Publish is called when there is new state to send to peers soon.
 	Publish func()
 	// LeaseTTL is the time to live of the lease on a move; 0 means order.LeaseTTL, which
--- a/internal/entry/mover/peers.go
+++ b/internal/entry/mover/peers.go
@@ -53,8 +53,12 @@
 	}
 }
 
-// adopt stores a state when it is newer than the known one.
+// adopt stores a state when it is newer than the known one and its ticket is known.
 func (m *Mover) adopt(s ward.MoveState) bool {
+	known := false
+	if s.Ticket, known = m.ticket(s); !known {
+		return false
+	}
 	if have, ok := m.states[s.Move]; ok && !machine.Newer(s, have) {
 		return false
 	}
--- a/internal/entry/mover/returned.go
+++ b/internal/entry/mover/returned.go
@@ -12,6 +12,29 @@
 	return m.Era()
 }
 
+func (m *Mover) ticket(s ward.MoveState) (uint64, bool) {
+	if m.Ticket == nil {
+		return s.Ticket, true
+	}
+	return m.Ticket(s)
+}
+
+// recognize renames the ticket of a move's known state to that of the configuration,
+// and reports whether both the state's ticket and that of x are still known by these
+// names. The caller holds mu.
+func (m *Mover) recognize(x ward.Move) bool {
+	if s, ok := m.states[x.Name]; ok {
+		t, known := m.ticket(s)
+		if !known {
+			return false
+		}
+		s.Ticket = t
+		m.states[x.Name] = s
+	}
+	t, known := m.ticket(ward.MoveState{Move: x.Name, Ticket: x.Ticket, To: x.To})
+	return known && t == x.Ticket
+}
+
 // noteReturn notes whether the known state of a move was written before the store
 // returned from an older copy.
 func (m *Mover) noteReturn(x ward.Move, l *leaseState) {
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -180,9 +180,13 @@
 	}
 }
 
+// lacks reports whether a peer with the versions o may have documents that an entry
+// with the versions v lacks.
+func lacks(v, o ward.DocumentVersions) bool { return v.OlderThan(o) || v.OrdersDiffer(o) }
+
 // catchUp fetches the documents of a peer that has newer ones.
 func (n *Node) catchUp(ctx context.Context, m peerstate.Message) {
-	if !n.view.Versions().OlderThan(m.Documents) {
+	if !lacks(n.view.Versions(), m.Documents) {
 		return
 	}
 	n.mu.Lock()
@@ -207,7 +211,7 @@
 		case <-time.After(wait):
 		}
 		own := n.view.Versions()
-		if !own.OlderThan(m.Documents) {
+		if !lacks(own, m.Documents) {
 			return
 		}
 		s, err := fetch(m.StateAddress, own)
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -107,7 +107,7 @@
 	pool := &backend.Pool{OnOpen: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
 	n.rollout = &rollout.Rollout{
 		Self: s.Name, Start: n.start, Source: p.Source, Log: p.Log, Orders: n.view.Rollouts, Upstreams: n.view.Upstreams,
-		Fleet: n.fleet, Cells: n.hasCells, Era: n.view.Era, Publish: n.broadcastMoves, Changed: func() { n.gate.Refresh() },
+		Fleet: n.fleet, Cells: n.hasCells, Era: n.view.Era, OrderOf: n.view.OrderOf, LearnOrder: n.view.LearnOrder, Publish: n.broadcastMoves, Changed: func() { n.gate.Refresh() },
 	}
 	n.gate = &gate.Gate{
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log, Rollout: n.rollout,
--- a/internal/forward/replicas/replicas.go
+++ b/internal/forward/replicas/replicas.go
@@ -73,7 +73,7 @@
 		return false
 	}
 	delete(s.returning, r.ID)
-	if e != nil && e.Draining && e.Born == r.Born && laterEra(revision, e.Revision) {
+	if e != nil && e.Draining && e.Born == r.Born && ward.LaterEra(revision, e.Revision) {
 		r.Draining = true // an older copy of the store may not have the news yet
 	}
 	s.Revision = max(s.Revision, revision)
@@ -109,7 +109,7 @@
 	seen := make(map[string]bool, len(list))
 	for _, e := range list {
 		seen[e.ID] = true
-		if left := s.removed[e.ID]; s.entries[e.ID] == nil && left > 0 && laterEra(e.Revision, left) {
+		if left := s.removed[e.ID]; s.entries[e.ID] == nil && left > 0 && ward.LaterEra(e.Revision, left) {
 			if s.returning == nil {
 				s.returning = make(map[string]returning)
 			}
@@ -165,13 +165,6 @@
 	return changed
 }
 
-// laterEra reports whether a revision is of a later era of the store than another.
-func laterEra(a, b uint64) bool {
-	x, _ := ward.SplitRevision(a)
-	y, _ := ward.SplitRevision(b)
-	return x > y
-}
-
 // Sweep removes the upstreams that were missing for MissingGrace, and accepts those
 // that an older copy of the store has listed for long enough. It returns the IDs of
 // both in order.
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -60,6 +60,11 @@
 	// Orders and Upstreams return the current data of the view.
 	Orders    func() []ward.Rollout
 	Upstreams func() []ward.Replica
+	// OrderOf identifies the order that the store held at a revision, and LearnOrder adds
+	// one that the record of a move names (view.View). Nil means that an order has one
+	// revision.
+	OrderOf    func(service string, revision uint64) (id uint64, known, newer bool)
+	LearnOrder func(ward.Rollout)
 	// Fleet returns the number of entries and the index of this one. Cells reports
 	// whether the fleet has several cells.
 	Fleet func() split.Fleet
@@ -73,6 +78,10 @@
 
 	mover *mover.Mover
 
+	unknownMu sync.Mutex
+	// unknown holds the orders that records name and this entry does not know, by service.
+	unknown map[string]ward.Rollout
+
 	mu     sync.Mutex
 	plans  map[string]*plan
 	states map[string]ward.MoveState
@@ -97,7 +106,7 @@
 	}
 	m := mover.New(mover.Deps{
 		Self: r.Self, Incarnation: ward.Incarnation(r.Start), Store: store, Clock: ward.SystemClock{}, Notifier: r,
-		Log: r.Log, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL, Era: r.Era,
+		Log: r.Log, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL, Era: r.Era, Ticket: r.ticketOf,
 	})
 	r.mu.Lock()
 	r.mover = m
@@ -124,6 +133,7 @@
 
 // reconcile applies new orders and steps.
 func (r *Rollout) reconcile(context.Context) {
+	r.learnOrders()
 	r.mu.Lock()
 	r.updatePlans(time.Now())
 	idle := len(r.plans) == 0 && len(r.splits) == 0
--- a/internal/forward/view/rollouts.go
+++ b/internal/forward/view/rollouts.go
@@ -5,36 +5,11 @@
 	"strings"
 	"time"
 
+	"agateward/internal/forward/orderlog"
 	"agateward/ward"
 )
 
-// rollout is an order of a roll-out with the time when it was issued, by this
-// entry's clock.
-type rollout struct {
-	ward.Rollout
-	orderedAt time.Time
-	// seen is the newest revision at which the store held this order. It differs from
-	// Revision, which identifies the order, once the store has returned from an older
-	// copy.
-	seen uint64
-	// earlier lists the store's own revisions of the orders that this one replaced.
-	earlier []uint64
-}
-
-// maxEarlier bounds the earlier orders of a service that are remembered.
-const maxEarlier = 16
-
-// repeats reports whether r, of a later era of the store, is this order or one that
-// it replaced: an older copy of the store may hold either.
-func (o *rollout) repeats(r ward.Rollout) bool {
-	era, own := ward.SplitRevision(r.Revision)
-	if was, _ := ward.SplitRevision(o.seen); era <= was {
-		return false
-	}
-	return r.Target == o.Target && r.Within == o.Within || slices.Contains(o.earlier, own)
-}
-
-// adoptRollouts replaces the known orders by newer ones.
+// adoptRollouts adds writes of orders to the logs of their services.
 func (v *View) adoptRollouts(list []ward.Rollout, source string) {
 	if len(list) == 0 {
 		return
@@ -43,28 +18,22 @@
 	changed := false
 	v.mu.Lock()
 	for _, r := range list {
-		known := v.rollouts[r.Service]
-		if r.Revision <= known.seen {
-			continue
-		}
-		if known.seen > 0 && known.repeats(r) {
-			if r.Target == known.Target {
-				known.seen = r.Revision
-				v.rollouts[r.Service] = known
+		l := v.rollouts[r.Service]
+		if l == nil {
+			l = &orderlog.Log{}
+			if v.rollouts == nil {
+				v.rollouts = make(map[string]*orderlog.Log)
 			}
-			continue
+			v.rollouts[r.Service] = l
 		}
-		if v.rollouts == nil {
-			v.rollouts = make(map[string]rollout)
+		before := l.Current()
+		if !l.Add(r, now.Add(-r.Age)) {
+			continue
 		}
-		earlier := known.earlier
-		if _, own := ward.SplitRevision(known.seen); own > 0 {
-			earlier = append(earlier, own)
-			earlier = earlier[max(len(earlier)-maxEarlier, 0):]
+		if o := l.Current(); o.Revision != before.Revision {
+			changed = true
+			v.logOrder(before, o, source)
 		}
-		v.rollouts[r.Service] = rollout{Rollout: r, orderedAt: now.Add(-r.Age), seen: r.Revision, earlier: earlier}
-		changed = true
-		v.Log.Info("rollout-ordered", "service", r.Service, "target", r.Target, "within", r.Within, "revision", ward.RevisionText(r.Revision), "age", r.Age, "source", source)
 	}
 	v.mu.Unlock()
 	if changed {
@@ -72,19 +41,67 @@
 	}
 }
 
+// logOrder logs an order in force that differs from the one before. An order that is
+// found to be an earlier one keeps its content.
+func (v *View) logOrder(before, o orderlog.Order, source string) {
+	if slices.Contains(o.Aliases, before.Revision) {
+		v.Log.Info("rollout-order-recognized", "service", o.Service, "target", o.Target, "revision", ward.RevisionText(o.Revision),
+			"before", ward.RevisionText(before.Revision), "source", source)
+		return
+	}
+	v.Log.Info("rollout-ordered", "service", o.Service, "target", o.Target, "within", o.Within, "revision", ward.RevisionText(o.Revision), "age", time.Since(o.At), "source", source)
+}
+
 // Rollouts returns the orders that were not removed, with their age, sorted by
 // service.
 func (v *View) Rollouts() []ward.Rollout {
-	now := time.Now()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	list := v.currentOrders(time.Now())
+	list = slices.DeleteFunc(list, func(r ward.Rollout) bool { return r.Target == "" })
+	slices.SortFunc(list, func(a, b ward.Rollout) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
+
+// currentOrders returns the orders in force, including removals. The caller holds mu.
+func (v *View) currentOrders(now time.Time) []ward.Rollout {
+	var list []ward.Rollout
+	for _, l := range v.rollouts {
+		o := l.Current()
+		o.Age = now.Sub(o.At)
+		list = append(list, o.Rollout)
+	}
+	return list
+}
+
+// orderWrites returns all known writes of orders. The caller holds mu.
+func (v *View) orderWrites(now time.Time) []ward.Rollout {
 	var list []ward.Rollout
-	for _, r := range v.rollouts {
-		if r.Target != "" {
-			r.Age = now.Sub(r.orderedAt)
-			list = append(list, r.Rollout)
+	for _, l := range v.rollouts {
+		for _, w := range l.Writes() {
+			w.Age = now.Sub(w.At)
+			list = append(list, w.Rollout)
 		}
 	}
-	slices.SortFunc(list, func(a, b ward.Rollout) int { return strings.Compare(a.Service, b.Service) })
 	return list
 }
+
+// OrderOf returns the revision by which this entry knows the order that the store held
+// at a revision. A revision that is not known is that of an earlier order, or of one
+// that this entry has still to learn of; known is false then, and newer reports which.
+// A service without orders knows every revision.
+func (v *View) OrderOf(service string, revision uint64) (id uint64, known, newer bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	l := v.rollouts[service]
+	if l == nil {
+		return revision, true, false
+	}
+	if id, known = l.Identify(revision); known {
+		return id, true, false
+	}
+	return revision, false, revision > l.Newest()
+}
+
+// LearnOrder adds the write of an order that the record of its move names.
+func (v *View) LearnOrder(r ward.Rollout) { v.adoptRollouts([]ward.Rollout{r}, "record") }
--- a/internal/forward/view/rollouts_test.go
+++ b/internal/forward/view/rollouts_test.go
@@ -37,3 +37,56 @@
 		}
 	}
 }
+
+// TestOrderOfFreshEntry starts an entry after a return, which sees an order only as it
+// was written again: once it has exchanged documents with its peers, both must know
+// the order by the same revision.
+func TestOrderOfFreshEntry(t *testing.T) {
+	order := func(target string, era, revision uint64) ward.Rollout {
+		return ward.Rollout{Service: "s", Target: target, Within: time.Minute, Revision: ward.StampRevision(era, revision)}
+	}
+	tests := []struct {
+		name        string
+		peer, fresh []ward.Rollout
+		want        uint64
+	}{
+		{"written again", []ward.Rollout{order("v2", 1, 57), order("v2", 2, 45)}, []ward.Rollout{order("v2", 2, 45)}, ward.StampRevision(1, 57)},
+		{"the peer has not seen it yet", []ward.Rollout{order("v2", 1, 57)}, []ward.Rollout{order("v2", 2, 45)}, ward.StampRevision(1, 57)},
+		{"given again on purpose", []ward.Rollout{order("v2", 1, 57), order("v2", 2, 57), order("v2", 2, 70)}, []ward.Rollout{order("v2", 2, 70)}, ward.StampRevision(2, 70)},
+		{"on purpose, and the peer has not seen the copy's", []ward.Rollout{order("v2", 1, 57), order("v2", 2, 70)}, []ward.Rollout{order("v2", 2, 57)}, ward.StampRevision(2, 70)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			peer, fresh := &View{Log: logr.Discard(), Changed: func() {}}, &View{Log: logr.Discard(), Changed: func() {}}
+			peer.adoptRollouts(tt.peer, "store")
+			fresh.adoptRollouts(tt.fresh, "store")
+			exchange(t, peer, fresh)
+			exchange(t, fresh, peer)
+			for name, v := range map[string]*View{"peer": peer, "fresh entry": fresh} {
+				if got := v.Rollouts(); len(got) != 1 || got[0].Revision != tt.want {
+					t.Errorf("%s: %+v, want the order at %s", name, got, ward.RevisionText(tt.want))
+				}
+			}
+			if peer.Versions().OlderThan(fresh.Versions()) || peer.Versions().OrdersDiffer(fresh.Versions()) {
+				t.Error("the entries still exchange documents")
+			}
+		})
+	}
+}
+
+// exchange passes on the documents of from that to lacks.
+func exchange(t *testing.T, from, to *View) {
+	t.Helper()
+	_, packed, err := from.Newer(to.Versions())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s State
+	if len(packed) == 0 {
+		return
+	}
+	if err := packed.Open(&s); err != nil {
+		t.Fatal(err)
+	}
+	to.Merge("peer", s)
+}
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -15,11 +15,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"agateward/internal/forward/document"
+	"agateward/internal/forward/orderlog"
 	"agateward/internal/forward/replicas"
 	"agateward/internal/forward/route"
 	"agateward/ward"
@@ -55,7 +57,8 @@
 	Replicas   []replicas.Entry
 	// Revision is the newest store revision among the changes of Replicas.
 	Revision uint64
-	Rollouts []ward.Rollout
+	// Rollouts are the orders in force, Writes all known writes of orders.
+	Rollouts, Writes []ward.Rollout
 }
 
 // View is one entry's copy of the documents. Source must be set.
@@ -84,8 +87,8 @@
 	revision     uint64
 	loggedFaults map[string]uint64
 	down         map[string]bool
-	// rollouts are the newest orders by service, including removed ones.
-	rollouts map[string]rollout
+	// rollouts are the writes of orders by service.
+	rollouts map[string]*orderlog.Log
 
 	packMu sync.Mutex
 	// packed is the configuration of packedVersion as it is sent to peers.
@@ -145,8 +148,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	d.Replicas = v.set.Revision
-	for _, r := range v.rollouts {
-		d.Rollouts = max(d.Rollouts, r.Revision)
+	for _, l := range v.rollouts {
+		d.Rollouts = max(d.Rollouts, l.Newest())
+		d.Orders += l.Digest()
 	}
 	return d
 }
@@ -164,11 +168,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	s := State{Replicas: v.set.All(now), Revision: v.set.Revision}
-	for _, r := range v.rollouts {
-		r.Age = now.Sub(r.orderedAt)
-		s.Rollouts = append(s.Rollouts, r.Rollout)
-	}
+	s := State{Replicas: v.set.All(now), Revision: v.set.Revision, Rollouts: v.currentOrders(now), Writes: v.orderWrites(now)}
 	if t := v.Table(); t != nil {
 		s.Forwarding = t.Config
 	}
@@ -179,8 +179,8 @@
 // for a peer. Each is empty unless it is newer than the version that the peer has.
 func (v *View) Newer(has ward.DocumentVersions) (c, u document.Packed, err error) {
 	s, own := v.State(), v.Versions()
-	if own.Replicas > has.Replicas || own.Rollouts > has.Rollouts {
-		if u, err = document.Pack(State{Replicas: s.Replicas, Revision: s.Revision, Rollouts: s.Rollouts}); err != nil {
+	if own.Replicas > has.Replicas || own.Rollouts > has.Rollouts || own.OrdersDiffer(has) {
+		if u, err = document.Pack(State{Replicas: s.Replicas, Revision: s.Revision, Rollouts: s.Rollouts, Writes: s.Writes}); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -203,7 +203,7 @@
 	if s.Forwarding.Version > 0 {
 		v.adopt(s.Forwarding, "peer "+from)
 	}
-	v.adoptRollouts(s.Rollouts, "peer "+from)
+	v.adoptRollouts(slices.Concat(s.Writes, s.Rollouts), "peer "+from)
 	v.mu.Lock()
 	changed := v.set.Merge(s.Replicas, s.Revision, time.Now())
 	v.mu.Unlock()
--- a/internal/move/machine/machine.go
+++ b/internal/move/machine/machine.go
@@ -148,6 +148,7 @@
 	ev.state = ward.MoveState{
 		Move:          ev.Move.Name,
 		Ticket:        ev.Move.Ticket,
+		To:            ev.Move.To,
 		Revision:      ev.state.Revision,
 		State:         moveChart.Initial,
 		Since:         ev.Now,
--- a/internal/move/machine/progress.go
+++ b/internal/move/machine/progress.go
@@ -14,7 +14,7 @@
 // an older state under a later revision, so states of different eras are compared by
 // ticket and by their progress along the chart, and only then by revision.
 func Newer(a, b ward.MoveState) bool {
-	if era(a) == era(b) {
+	if !ward.LaterEra(a.Revision, b.Revision) && !ward.LaterEra(b.Revision, a.Revision) {
 		return a.Revision > b.Revision
 	}
 	return cmp.Or(
@@ -31,14 +31,12 @@
 	return slices.IndexFunc(moveChart.States, func(s chart.State) bool { return s.Name == state })
 }
 
-func era(s ward.MoveState) uint64 {
-	e, _ := ward.SplitRevision(s.Revision)
-	return e
-}
-
 // Lost reports whether a state was written in an earlier era of the store, which may
 // not hold it any more.
-func Lost(s ward.MoveState, storeEra uint64) bool { return s.State != "" && era(s) < storeEra }
+func Lost(s ward.MoveState, storeEra uint64) bool {
+	era, _ := ward.SplitRevision(s.Revision)
+	return s.State != "" && era < storeEra
+}
 
 // Restored returns a state that is written again, with the event that reports it to
 // operators, whose copy of it may be lost too. The event has the ID of the first one.
--- a/internal/peer/check/check.go
+++ b/internal/peer/check/check.go
@@ -134,7 +134,7 @@
 
 // Move checks the state of one move.
 func Move(m ward.MoveState) error {
-	if m.Move == "" || !validNames(m.Move, m.State, m.Holder) || len(m.Reason) > MaxReason {
+	if m.Move == "" || !validNames(m.Move, m.To, m.State, m.Holder) || len(m.Reason) > MaxReason {
 		return refuse("move: a name is empty or too long")
 	}
 	if m.Share < 0 || m.Share > 1 || math.IsNaN(m.Share) || m.Step < 0 {
--- a/internal/peer/size/size.go
+++ b/internal/peer/size/size.go
@@ -76,7 +76,7 @@
 
 // Move returns the bound of a MoveState without pending events.
 func Move(m ward.MoveState) int {
-	n := headBytes + stringBytes(m.Move) + uintBytes(m.Ticket) + uintBytes(m.Revision) + stringBytes(m.State) + intBytes(m.Step) + 9
+	n := headBytes + stringBytes(m.Move) + uintBytes(m.Ticket) + headBytes + stringBytes(m.To) + uintBytes(m.Revision) + stringBytes(m.State) + intBytes(m.Step) + 9
 	return n + stringBytes(m.Holder) + uintBytes(m.Fence) + timeBytes + stringBytes(m.Reason) + headBytes
 }
 
--- a/ward/config.go
+++ b/ward/config.go
@@ -197,6 +197,8 @@
 type MoveState struct {
 	Move   string `json:"move"`
 	Ticket uint64 `json:"ticket"`
+	// To is the version that the ticket moves to.
+	To string `json:"to,omitempty" msgpack:",omitempty"`
 	// Revision is the store's revision of the move's record.
 	Revision uint64 `json:"revision"`
 	// State is a state of the move's state chart, Step the number of completed
--- a/ward/era.go
+++ b/ward/era.go
@@ -29,3 +29,8 @@
 func SplitRevision(stamped uint64) (era, revision uint64) {
 	return stamped >> revisionBits, stamped & (1<<revisionBits - 1)
 }
+
+// LaterEra reports whether stamped revision a is of a later era of the store than b.
+func LaterEra(a, b uint64) bool {
+	return a>>revisionBits > b>>revisionBits
+}
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -261,6 +261,8 @@
 	Config   uint64 `msgpack:"c"`
 	Replicas uint64 `msgpack:"r"`
 	Rollouts uint64 `msgpack:"o,omitempty"`
+	// Orders is a hash of the known writes of orders, 0 if none is known.
+	Orders uint64 `msgpack:"d,omitempty"`
 }
 
 // OlderThan reports whether at least one document of o is newer than that of v.
@@ -268,6 +270,12 @@
 	return o.Config > v.Config || o.Replicas > v.Replicas || o.Rollouts > v.Rollouts
 }
 
+// OrdersDiffer reports whether both entries know orders of roll-outs, but not from the
+// same writes of the store.
+func (v DocumentVersions) OrdersDiffer(o DocumentVersions) bool {
+	return v.Orders != 0 && o.Orders != 0 && v.Orders != o.Orders
+}
+
 // ForwardEntry is an entry of the forwarding surface and the address on which it
 // listens for its peers.
 type ForwardEntry struct {
