--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -25,6 +25,7 @@
 
 	"agateward/internal/entry/mover"
 	"agateward/internal/forward/peerstate"
+	"agateward/internal/move/machine"
 	"agateward/internal/move/split"
 	"agateward/internal/ticket/acceptance"
 	"agateward/ward"
@@ -59,10 +60,17 @@
 	// Orders and Upstreams return the current data of the view.
 	Orders    func() []ward.Rollout
 	Upstreams func() []ward.Replica
+	// OrderOf identifies the order that the store held at a revision, and LearnOrder adds
+	// one that the record of a move names (view.View). Nil means that an order has one
+	// revision.
+	OrderOf    func(service string, revision uint64) (id uint64, known, newer bool)
+	LearnOrder func(ward.Rollout)
 	// Fleet returns the number of entries and the index of this one. Cells reports
 	// whether the fleet has several cells.
 	Fleet func() split.Fleet
 	Cells func() bool
+	// Era returns the era of the store; nil means that it has only one.
+	Era func() uint64
 	// Publish broadcasts the state of roll-outs. Changed is called when a split has
 	// changed.
 	Publish func(m peerstate.Moves)
@@ -70,10 +78,17 @@
 
 	mover *mover.Mover
 
+	unknownMu sync.Mutex
+	// unknown holds the orders that records name and this entry does not know, by service.
+	unknown map[string]ward.Rollout
+
 	mu     sync.Mutex
 	plans  map[string]*plan
 	states map[string]ward.MoveState
 	splits map[string]ward.Split
+	// peerOutdated is set when a peer sent the state of a move from an earlier era of
+	// the store.
+	peerOutdated bool
 	// requests counts the requests by route and service.
 	requests map[routeKey]int
 	// inFlight counts the running requests on a version that is not in use, by service.
@@ -91,7 +106,7 @@
 	}
 	m := mover.New(mover.Deps{
 		Self: r.Self, Incarnation: ward.Incarnation(r.Start), Store: store, Clock: ward.SystemClock{}, Notifier: r,
-		Log: r.Log, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL,
+		Log: r.Log, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL, Era: r.Era, Ticket: r.ticketOf,
 	})
 	r.mu.Lock()
 	r.mover = m
@@ -118,6 +133,7 @@
 
 // reconcile applies new orders and steps.
 func (r *Rollout) reconcile(context.Context) {
+	r.learnOrders()
 	r.mu.Lock()
 	r.updatePlans(time.Now())
 	idle := len(r.plans) == 0 && len(r.splits) == 0
@@ -132,13 +148,14 @@
 		r.states[s.Move] = s
 	}
 	splits := make(map[string]ward.Split, len(r.plans))
-	changed, active := len(r.splits) != len(r.plans), false
+	changed, active := len(r.splits) != len(r.plans), r.peerOutdated
+	r.peerOutdated = false
 	for service, p := range r.plans {
 		s := splitFor(list, p)
 		old := r.splits[service]
 		changed = changed || old.Version != s.Version || old.Next != s.Next || old.Share != s.Share
 		splits[service] = s
-		active = active || !ended(r.states[service], p)
+		active = active || !ended(r.states[service], p) || machine.Lost(r.states[service], r.era())
 	}
 	r.splits = splits
 	r.mu.Unlock()
@@ -150,6 +167,13 @@
 	}
 }
 
+func (r *Rollout) era() uint64 {
+	if r.Era == nil {
+		return 0
+	}
+	return r.Era()
+}
+
 // publish broadcasts the own counts, the quarantines and the states of moves.
 func (r *Rollout) publish() {
 	quarantines, _, states := r.mover.Snapshot()
@@ -161,8 +185,15 @@
 
 // UpdatePeer merges the state of roll-outs received from a peer.
 func (r *Rollout) UpdatePeer(m peerstate.Moves) {
-	if current := r.currentMover(); current != nil {
-		current.Merge(m.Quarantines, m.Counts, m.States)
+	current := r.currentMover()
+	if current == nil {
+		return
+	}
+	current.Merge(m.Quarantines, m.Counts, m.States)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range m.States {
+		r.peerOutdated = r.peerOutdated || machine.Lost(s, r.era()) && !machine.Lost(r.states[s.Move], r.era())
 	}
 }
 
--- a/internal/move/machine/machine.go
+++ b/internal/move/machine/machine.go
@@ -148,6 +148,7 @@
 	ev.state = ward.MoveState{
 		Move:          ev.Move.Name,
 		Ticket:        ev.Move.Ticket,
+		To:            ev.Move.To,
 		Revision:      ev.state.Revision,
 		State:         moveChart.Initial,
 		Since:         ev.Now,
@@ -190,7 +191,7 @@
 // adds it.
 func (ev *evaluation) addEvent(kind ward.EventKind, text string) {
 	e := ward.Event{
-		ID:     fmt.Sprintf("%s@%d/%s/%d", ev.state.Move, ev.state.Ticket, kind, ev.state.Step),
+		ID:     eventID(ev.state, kind, ev.state.Step),
 		Kind:   kind,
 		At:     ev.Now,
 		Ticket: ev.state.Ticket,
