fix(schedule): a job does not wait for a pause that ends too late for it

Cause: a job that was sent to all upstreams but one, which pauses for longer than the job has time, counted that one as usable and was held until it expired.

Change: an upstream in a pause is usable for a job only if it returns in time to answer. The job is refused at once, with the ordinary Retry-After: the next request may go to the others.

Evidence: TestJobDoesNotWaitForLatePause failed before: reason "", want "no-upstream".

--- a/internal/forward/schedule/pause.go
+++ b/internal/forward/schedule/pause.go
@@ -53,6 +53,12 @@
 	return !st.wantsNone(now) && (st == nil || st.pause == nil || st.pause.open < st.pause.limit)
 }
 
+// returnsFor reports whether the upstream has no pause or returns in time to answer j.
+func (u *upstream) returnsFor(j *Job, now time.Time) bool {
+	left := u.said.pauseLeft(now)
+	return left == 0 || !now.Add(left+u.timeToFirst(j)).After(j.Expires)
+}
+
 // begin counts a request to a process that returns from a pause.
 func (st *statement) begin(r *running) {
 	if st != nil && st.pause != nil {
--- a/internal/forward/schedule/pause_test.go
+++ b/internal/forward/schedule/pause_test.go
@@ -92,3 +92,31 @@
 		dispatched(t, s.Arrive(job(2, 0, now), now))
 	}
 }
+
+// Guards against holding a request until it is of no use, if the only upstream that it
+// was not sent to returns from its pause too late.
+func TestJobDoesNotWaitForLatePause(t *testing.T) {
+	cases := []struct {
+		name  string
+		pause time.Duration
+		want  string
+	}{
+		{"in time", time.Second, ""},
+		{"too late", 10 * time.Second, ReasonNoUpstream},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newScheduler("entry-1", engines(2, 2))
+			s.Pause(Identity{ID: "engine-1"}, c.pause, start)
+			j := job(1, 0, start)
+			j.Avoid = []string{"engine-0"}
+			got := ""
+			for _, a := range s.Arrive(j, start) {
+				got = a.Reason
+			}
+			if got != c.want {
+				t.Errorf("reason %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -95,7 +95,7 @@
 func (s *Scheduler) rejectReason(v *service, j *Job, now time.Time) string {
 	usable := 0
 	for _, u := range v.upstreams {
-		if !u.Draining && (j.Resumed || !slices.Contains(j.Avoid, u.ID)) {
+		if !u.Draining && (j.Resumed || !slices.Contains(j.Avoid, u.ID) && u.returnsFor(j, now)) {
 			usable++
 		}
 	}
