--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -21,7 +21,6 @@
 	"agateward/internal/forward/static"
 	"agateward/internal/forward/view"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 )
 
@@ -41,8 +40,8 @@
 	return newGateWith(t, nil, upstreams...)
 }
 
-// newGateWith returns a gate that counts into set.
-func newGateWith(t *testing.T, set *metrics.Set, upstreams ...*upstream) *httptest.Server {
+// newGateWith returns a gate that change, if not nil, has changed before its start.
+func newGateWith(t *testing.T, change func(g *gate.Gate), upstreams ...*upstream) *httptest.Server {
 	var list []string
 	for i, u := range upstreams {
 		list = append(list, fmt.Sprintf(`{"id": "u%d", "service": "s", "version": "v1", "data-centre": "a", "address": %q, "slots": 4}`, i+1, u.Addr()))
@@ -55,8 +54,8 @@
 		Dialect: dialect.Native{}, Pool: &backend.Pool{}, Log: logr.Discard(), MaxBody: 1 << 20, Start: 1,
 		SendGrant: func(schedule.Action) {}, TriggerBroadcast: func() {},
 	}
-	if set != nil {
-		g.Metrics = &gate.Metrics{Set: set}
+	if change != nil {
+		change(g)
 	}
 	changed := make(chan struct{}, 8)
 	g.View = &view.View{Source: src.Feed(), Log: logr.Discard(), Changed: func() { g.Refresh(); changed <- struct{}{} }}
--- a/internal/forward/gate/pause_test.go
+++ b/internal/forward/gate/pause_test.go
@@ -5,11 +5,15 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"agateward/internal/forward/gate"
+
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr/funcr"
 )
 
 // pause writes an answer 503 that asks for a pause; it states that the request did not
@@ -37,7 +41,7 @@
 			// More requests than one upstream has slots press on both.
 			list, first := stating(t, 60*time.Millisecond, pause(c.retryAfter, c.notRun))
 			set := metrics.NewSet()
-			s := newGateWith(t, set, list[0], list[1])
+			s := newGateWith(t, func(g *gate.Gate) { g.Metrics = &gate.Metrics{Set: set} }, list[0], list[1])
 			if got := do(t, s, "POST", "/safe/x", nil); got.status != 200 {
 				t.Errorf("the request that was turned away: status %d, %v", got.status, got.err)
 			}
@@ -107,3 +111,31 @@
 		t.Errorf("requests at %v, want the second 0.3 s after the first or later", at)
 	}
 }
+
+// Guards against a log that an upstream fills with invalid values, and against a negative
+// value that keeps requests away.
+func TestInvalidRetryAfterIsLoggedOnce(t *testing.T) {
+	u := newUpstream(t, pause("-3", true))
+	var mu sync.Mutex
+	logged := 0
+	s := newGateWith(t, func(g *gate.Gate) {
+		g.Log = funcr.New(func(_, args string) {
+			mu.Lock()
+			defer mu.Unlock()
+			if strings.Contains(args, "retry-after-invalid") && strings.Contains(args, `"value"="-3"`) {
+				logged++
+			}
+		}, funcr.Options{})
+	}, u)
+	for i := range 3 {
+		do(t, s, "POST", "/unsafe/x", func(r *http.Request) { r.Header.Set("Agateward-Request", fmt.Sprint("r", i)) })
+	}
+	if n := u.runs.Load(); n != 3 {
+		t.Errorf("%d requests were sent, want 3", n)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	if logged != 1 {
+		t.Errorf("logged %d times, want once", logged)
+	}
+}
--- a/internal/forward/gate/statement_test.go
+++ b/internal/forward/gate/statement_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"agateward/internal/forward/gate"
+
 	"github.com/VictoriaMetrics/metrics"
 )
 
@@ -73,7 +75,7 @@
 			// More requests than one upstream has slots press on both.
 			list, first := stating(t, 60*time.Millisecond, c.say)
 			set := metrics.NewSet()
-			s := newGateWith(t, set, list[0], list[1])
+			s := newGateWith(t, func(g *gate.Gate) { g.Metrics = &gate.Metrics{Set: set} }, list[0], list[1])
 			do(t, s, "POST", "/safe/x", nil)
 			u := list[first.Load()]
 			before := u.runs.Load()
