--- /dev/null
+++ b/internal/forward/schedule/choose.go
@@ -0,0 +1,116 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+)
+
+// Costs of a choice, as multiples of the nominal time of the request.
+const (
+	// remoteCost is added for an upstream in another data centre.
+	remoteCost = 0.35
+	// loadCost is added in proportion to the slots in use.
+	loadCost = 0.6
+	// lateCost, deadlineCost and degradedCost are far above the other costs: such
+	// upstreams are chosen only if there is no other.
+	lateCost     = 20
+	deadlineCost = 40
+	degradedCost = 100
+)
+
+// choose returns the upstream for j, or nil when it is better to wait.
+func (s *Scheduler) choose(v *service, j *Job, now time.Time) *upstream {
+	var best *upstream
+	bestCost := 0.0
+	for _, u := range v.upstreams {
+		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(j, now) {
+			continue
+		}
+		cost := s.cost(v, u, j, now)
+		if best == nil || cost < bestCost {
+			best, bestCost = u, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	// If the best choice is late, waiting for a faster upstream is better as long as
+	// that one can still be in time.
+	late := now.Add(best.timeToFirst(j)).After(j.Due)
+	if late && !now.Add(s.minTimeToFirst(v, j, now)).After(j.Due) {
+		return nil
+	}
+	if s.missesDeadline(best, j, now) && s.canMeetDeadline(v, j, now) {
+		return nil
+	}
+	return best
+}
+
+// missesDeadline reports whether j is expected to exceed its deadline at u.
+func (s *Scheduler) missesDeadline(u *upstream, j *Job, now time.Time) bool {
+	return !j.Deadline.IsZero() && now.Add(u.timeToLast(j)).After(j.Deadline)
+}
+
+// outlastsStop reports whether the entry stops before any upstream is expected to
+// end j. A job whose answer has begun goes on until the stop.
+func (s *Scheduler) outlastsStop(v *service, j *Job, now time.Time) bool {
+	if j.EndBy.IsZero() || j.Resumed {
+		return false
+	}
+	for _, u := range v.upstreams {
+		if u.available(now) && !now.Add(u.timeToLast(j)).After(j.EndBy) {
+			return false
+		}
+	}
+	return true
+}
+
+// canMeetDeadline reports whether any upstream of the service is expected to end j
+// before its deadline.
+func (s *Scheduler) canMeetDeadline(v *service, j *Job, now time.Time) bool {
+	for _, u := range v.upstreams {
+		if u.available(now) && !s.missesDeadline(u, j, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// available reports whether u takes requests now, with or without a free slot.
+func (u *upstream) available(now time.Time) bool {
+	return !u.Draining && !u.said.wantsNone(now) && now.After(u.backoffUntil)
+}
+
+// accepts reports whether u may get j. An unresponsive upstream gets only one
+// repeatable request per probeInterval as a probe.
+func (u *upstream) accepts(j *Job, now time.Time) bool {
+	if now.Before(u.backoffUntil) {
+		return false
+	}
+	reported := now.Sub(u.reportedAt) < reportTTL && now.Sub(u.lastHeard) > reportTTL
+	if u.failedAttempts == 0 && !u.unresponsive(now) && !reported {
+		return true
+	}
+	return j.Repeatable && now.Sub(u.lastSent) > probeInterval
+}
+
+// cost returns the cost of sending j to u, in seconds, with a little noise to break
+// ties.
+func (s *Scheduler) cost(v *service, u *upstream, j *Job, now time.Time) float64 {
+	work := nominalFirst(j) + nominalRest(j)
+	rate := (u.latencyFactor()*nominalFirst(j) + u.tokenFactor()*nominalRest(j)) / work
+	cost := rate * (1 + loadCost*float64(u.load())/float64(u.Slots))
+	if !u.local {
+		cost += remoteCost
+	}
+	if now.Add(u.timeToFirst(j)).After(j.Due) {
+		cost += lateCost
+	}
+	if !j.Deadline.IsZero() && now.Add(u.timeToLast(j)).After(j.Deadline) {
+		cost += deadlineCost
+	}
+	if v.degraded(u) && (!j.Repeatable || now.Sub(u.lastSent) <= probeInterval) {
+		cost += degradedCost
+	}
+	return cost*work + s.Rand.Float64()*0.02*work
+}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -27,84 +27,6 @@
 	"agateward/ward"
 )
 
-// Job is one request to be dispatched to an upstream.
-type Job struct {
-	// ID is unique among the jobs of an entry.
-	ID      uint64
-	Request string
-	Service string
-	Route   string
-	// Rank orders waiting jobs, the lower first: the team's rank, then the route's.
-	Rank [2]int
-	// Arrived is when the caller's request came in.
-	Arrived time.Time
-	// Due is the target time for the first event (or the answer) to reach the
-	// caller; after Expires it is of no use.
-	Due     time.Time
-	Expires time.Time
-	// Deadline is when the last byte must have reached the caller; zero means no
-	// bound.
-	Deadline time.Time
-	// EndBy is when the stopping entry exits; zero means that it does not stop. The
-	// job is refused once no upstream is expected to end it by then.
-	EndBy time.Time
-	// Prompt and Output are the sizes in tokens, 0 for plain requests.
-	Prompt int
-	Output int
-	// Repeatable jobs may be used to probe an upstream that failed.
-	Repeatable bool
-	// Avoid lists the upstreams that the request was already sent to.
-	Avoid []string
-	// Resumed is true when part of the answer has reached the caller; the job is
-	// then not refused before Expires.
-	Resumed bool
-
-	// effective is the rank that orders the job while it waits; raised is true if it
-	// is above Rank.
-	effective [2]int
-	raised    bool
-	// turnedLate is true once the job cannot be in time any more.
-	turnedLate bool
-}
-
-// Action is a decision on one job: a dispatch if Upstream is set, else a refusal.
-// Without a job it grants a free slot of Upstream to the peer GrantTo.
-type Action struct {
-	Job      *Job
-	Upstream *ward.Replica
-	GrantTo  string
-	// Sequence numbers the slots granted to GrantTo. Used is true when a request of
-	// this entry occupied the slot until now.
-	Sequence uint64
-	Used     bool
-	// Predicted is the expected time to the first event.
-	Predicted time.Duration
-	// RetryAfter and Reason are set for a refusal.
-	RetryAfter time.Duration
-	Reason     string
-	// Waited is the time since the job's arrival; Running and Queued are the load of
-	// the upstream and the length of the queue at the decision.
-	Waited  time.Duration
-	Running int
-	Queued  int
-}
-
-// Reasons for a refusal.
-const (
-	ReasonNoUpstream = "no-upstream"
-	ReasonTooLate    = "too-late"
-	ReasonQueueLong  = "queue-long"
-	ReasonStopping   = "stopping"
-	// ReasonLeaving means that the service has no upstream left, of which at least one
-	// said that it leaves.
-	ReasonLeaving = "leaving"
-	// ReasonPaused means that every upstream of the service asked for a pause, which
-	// the job cannot wait for.
-	ReasonPaused = "paused"
-	// ReasonUnreachable means that the job expired while no upstream could be reached.
-	ReasonUnreachable = "unreachable"
-)
-
 // Scheduler assigns jobs to upstreams. The zero value is ready to use once Rand is
 // set.
 type Scheduler struct {
@@ -167,14 +89,6 @@
 	// peerTimeout is the age of a peer's state after which its requests count as
 	// ended: the peer was disconnected or killed.
 	peerTimeout = 1500 * time.Millisecond
-	// minRetryAfter and maxRetryAfter bound the retry delay of a refusal.
-	minRetryAfter = 300 * time.Millisecond
-	maxRetryAfter = 3 * time.Second
-	// otherEntryRetry is the retry delay of a stopping entry while most entries serve.
-	otherEntryRetry = 50 * time.Millisecond
-	// restartLag is the time from an entry's exit until a balancer sends it requests
-	// again.
-	restartLag = 1500 * time.Millisecond
 	// maxQueue bounds the queue of one service.
 	maxQueue = 2000
 )
@@ -336,39 +250,6 @@
 	return a
 }
 
-func (s *Scheduler) refuse(v *service, j *Job, reason string, now time.Time) Action {
-	wait := v.expectedWait(j, s.late(v, j, now), s.countAhead(v, j, now))
-	wait = min(max(wait, minRetryAfter), maxRetryAfter)
-	pause := v.pauseLeft(now)
-	if reason == ReasonStopping {
-		// Another entry answers, which the upstreams did not ask for a pause.
-		wait, pause = s.stoppingRetry(now), 0
-	}
-	// Jitter up to the same length keeps the retries from forming another burst.
-	wait += time.Duration(s.Rand.Float64() * float64(wait))
-	return Action{Job: j, Reason: reason, RetryAfter: pause + min(wait, maxRetryAfter), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
-}
-
-// stoppingRetry returns the retry delay of a job that is refused since this entry
-// stops: none to speak of while most entries serve, else the time until the first
-// one that stops is back.
-func (s *Scheduler) stoppingRetry(now time.Time) time.Duration {
-	first, serving := s.stopEnd, 0
-	for _, p := range s.peers {
-		if !p.state.Leaving {
-			serving++
-			continue
-		}
-		if end := p.lastUpdate.Add(p.state.ExitsIn); end.Before(first) {
-			first = end
-		}
-	}
-	if 2*serving > len(s.peers) {
-		return otherEntryRetry
-	}
-	return max(first.Sub(now), 0) + restartLag
-}
-
 // Stop begins a planned stop that ends at the given time.
 func (s *Scheduler) Stop(end time.Time) {
 	s.stopEnd = end
