feat(client): the first build reads the store's era

What goes wrong: the adapter of the first build took a revision or a fence for the same after the store had returned from an older copy. A write under a revision that was given out again replaced the record of the entry that was right, and two holders of a lease had the same fence.

Change: the bookkeeping of eras moves from platform to internal/platform/era, where both clients use it; platform keeps the name of its field. internal/platform/client stamps revisions and fences, refuses those of an earlier era before they are sent, and takes an answer of an earlier era for none. The stand-in's protocol states the era in a field of its own, answers with the store's own revisions, and plays the drill by POST /copy and POST /restore.

Evidence: with the new stand-in and the client as it was, TestRevisionsGivenOutTwice failed (fence 1 follows 1; the record is "late"), and TestAnswersOfEarlierEras in 3 of 6 cases. Both hold, also with -race, as do the tests of the client before and of platform.

--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -14,6 +14,9 @@
 //     answered that it did nothing, or the call was a read;
 //   - ward.ErrOutcomeUnknown: a write was sent and no valid answer arrived.
 //
+// Revisions and fences are stamped with the era of the store. Those of an earlier era
+// are refused before they are sent, as a conflict or a lost lease.
+//
 // Every call ends within its timeout, also when the platform accepts connections
 // and never answers.
 package client
@@ -32,6 +35,7 @@
 	"sync/atomic"
 	"time"
 
+	"agateward/internal/platform/era"
 	"agateward/internal/platform/meter"
 	"agateward/ward"
 )
@@ -77,6 +81,7 @@
 	timeout time.Duration
 	http    *http.Client
 	closed  atomic.Bool
+	era     era.Tracker
 }
 
 // New returns a client. It connects on the first call.
@@ -127,45 +132,56 @@
 	write bool
 }
 
-// call makes a call, decodes the answer and returns its status: 200, 409 or 410.
-func (r *rawClient) call(ctx context.Context, c call) (int, error) {
+// result is what an answer states besides its body: status 200, 409 or 410, and the
+// era of the store.
+type result struct {
+	status int
+	era    uint64
+}
+
+// call makes a call and decodes the answer.
+func (r *rawClient) call(ctx context.Context, c call) (result, error) {
 	if r.closed.Load() {
-		return 0, fmt.Errorf("the client is closed: %w", ward.ErrUnavailable)
+		return result{}, fmt.Errorf("the client is closed: %w", ward.ErrUnavailable)
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.timeout+c.wait)
 	defer cancel()
 	u := url.URL{Scheme: "http", Host: r.address, Path: c.path, RawQuery: c.query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, c.method, u.String(), bytes.NewReader(c.body))
 	if err != nil {
-		return 0, fmt.Errorf("platform call: %w: %w", ward.ErrUnavailable, err)
+		return result{}, fmt.Errorf("platform call: %w: %w", ward.ErrUnavailable, err)
 	}
 	res, err := r.http.Do(req)
 	if err != nil {
-		return 0, callError(c, err)
+		return result{}, callError(c, err)
 	}
 	defer res.Body.Close()
 	return r.read(c, res)
 }
 
-func (r *rawClient) read(c call, res *http.Response) (int, error) {
+func (r *rawClient) read(c call, res *http.Response) (result, error) {
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer+1))
 	if err == nil && len(body) > maxAnswer {
 		err = errTooLarge
 	}
 	if err != nil {
-		return 0, callError(c, err)
+		return result{}, callError(c, err)
 	}
 	switch res.StatusCode {
 	case http.StatusOK, http.StatusConflict, http.StatusGone:
 	case http.StatusServiceUnavailable, http.StatusBadRequest, http.StatusNotFound, http.StatusRequestEntityTooLarge:
-		return 0, fmt.Errorf("platform answered %s: %w: %.200s", res.Status, ward.ErrUnavailable, body)
+		return result{}, fmt.Errorf("platform answered %s: %w: %.200s", res.Status, ward.ErrUnavailable, body)
 	default:
-		return 0, callError(c, errors.New("platform answered "+res.Status))
+		return result{}, callError(c, errors.New("platform answered "+res.Status))
 	}
-	if err := json.Unmarshal(body, c.answer); err != nil {
-		return 0, callError(c, err)
+	answered, err := r.era.Note(res.Header.Get(era.Field))
+	if err == nil {
+		err = json.Unmarshal(body, c.answer)
+	}
+	if err != nil {
+		return result{}, callError(c, err)
 	}
-	return res.StatusCode, nil
+	return result{status: res.StatusCode, era: answered}, nil
 }
 
 // callError returns the error of a failed call: ward.ErrUnavailable when it had
--- a/internal/platform/server/lease.go
+++ b/internal/platform/server/lease.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 
+	"agateward/internal/platform/era"
 	"agateward/ward"
 
 	"github.com/julienschmidt/httprouter"
@@ -18,7 +19,7 @@
 		return
 	}
 	lease, err := h.platform.Acquire(r.Context(), pathParam(ps, "name"), body.Holder, body.TTL.Std())
-	reply(w, lease, err)
+	h.replyLease(w, lease, err)
 }
 
 func (h *handler) renew(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
@@ -30,9 +31,9 @@
 	if !decode(w, r, &body) {
 		return
 	}
-	lease := ward.Lease{Name: pathParam(ps, "name"), Holder: body.Holder, Fence: body.Fence}
+	lease := ward.Lease{Name: pathParam(ps, "name"), Holder: body.Holder, Fence: era.Stamp(body.Fence, h.platform.Era())}
 	lease, err := h.platform.Renew(r.Context(), lease, body.TTL.Std())
-	reply(w, lease, err)
+	h.replyLease(w, lease, err)
 }
 
 func (h *handler) release(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
@@ -41,17 +42,18 @@
 		http.Error(w, "fence: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	lease := ward.Lease{Name: pathParam(ps, "name"), Holder: r.URL.Query().Get("holder"), Fence: fence}
-	reply(w, lease, h.platform.Release(r.Context(), lease))
+	lease := ward.Lease{Name: pathParam(ps, "name"), Holder: r.URL.Query().Get("holder"), Fence: era.Stamp(fence, h.platform.Era())}
+	h.replyLease(w, lease, h.platform.Release(r.Context(), lease))
 }
 
 func (h *handler) lapse(w http.ResponseWriter, _ *http.Request, ps httprouter.Params) {
 	h.platform.Lapse(pathParam(ps, "name"))
-	reply(w, h.platform.Lease(pathParam(ps, "name")), nil)
+	h.replyLease(w, h.platform.Lease(pathParam(ps, "name")), nil)
 }
 
 func (h *handler) instances(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	list, err := h.platform.Instances(r.Context())
+	h.stateEra(w, 0)
 	reply(w, list, err)
 }
 
--- a/internal/platform/server/server.go
+++ b/internal/platform/server/server.go
@@ -21,8 +21,11 @@
 //	GET    /faults, PUT /faults           memory.Faults
 //	POST   /lapse/NAME                    end a lease before it expires
 //	GET    /calls                         counts of calls by family and kind
+//	POST   /copy                          take a copy of the store
+//	POST   /restore                       return from the copy; the era rises by one
 //
-// A conflict is answered with 409 and the current record or lease, a lost lease
+// Each answer of the store states its era (era.Field); the revisions and fences in it
+// are the store's own, without the era. A conflict is answered with 409 and the current record or lease, a lost lease
 // with 410, an outage with 503. To simulate a lost answer the server closes the
 // connection without one. The paths from /instances on are specific to the
 // stand-in; a real platform has others.
@@ -35,8 +38,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"agateward/internal/platform/era"
 	"agateward/internal/platform/memory"
 	"agateward/ward"
 
@@ -49,6 +54,9 @@
 // handler serves one memory.Platform.
 type handler struct {
 	platform *memory.Platform
+
+	mu     sync.Mutex
+	copied memory.Copy
 }
 
 // New returns an HTTP handler for p.
@@ -69,12 +77,14 @@
 	r.PUT("/faults", h.setFaults)
 	r.POST("/lapse/*name", h.lapse)
 	r.GET("/calls", h.calls)
+	r.POST("/copy", h.copy)
+	r.POST("/restore", h.restore)
 	return r
 }
 
 func (h *handler) get(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
 	rec, err := h.platform.Get(r.Context(), pathParam(ps, "key"))
-	reply(w, rec, err)
+	h.replyRecord(w, rec, err)
 }
 
 func (h *handler) put(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
@@ -96,8 +106,8 @@
 		http.Error(w, "revision: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	rec, err := h.platform.CompareAndSwap(r.Context(), pathParam(ps, "key"), revision, value)
-	reply(w, rec, err)
+	rec, err := h.platform.CompareAndSwap(r.Context(), pathParam(ps, "key"), era.Stamp(revision, h.platform.Era()), value)
+	h.replyRecord(w, rec, err)
 }
 
 func (h *handler) watch(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
@@ -111,8 +121,8 @@
 		http.Error(w, "wait: "+err.Error(), http.StatusBadRequest)
 		return
 	}
-	rec, err := h.platform.Watch(r.Context(), pathParam(ps, "key"), after, wait)
-	reply(w, rec, err)
+	rec, err := h.platform.Watch(r.Context(), pathParam(ps, "key"), era.Stamp(after, h.platform.Era()), wait)
+	h.replyRecord(w, rec, err)
 }
 
 func (h *handler) faults(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
