fix(shard): run records that a return of the store lost are written again

What went wrong: a key that was claimed after the copy was taken is unknown to the store that returns from it. A repeat of the request was taken for a new one and ran a second time, also at the entry that had run it.

A document of a later era than the last one, or none after one, makes it write them again before it decides on a batch. An archive that was written in the earlier era and that no document refers to is dropped.

Why it works: the decision needs only the revision of the document that the batch is decided against, and the records go into the same write as the batch, so no claim is answered over a document that lacks them.

An expired archive of an earlier era is not deleted, as its condition names the earlier revision.

--- a/internal/run/shard/commit.go
+++ b/internal/run/shard/commit.go
@@ -23,7 +23,7 @@
 		s.apply(now, r.Record)
 	case call == Write && r.Err == nil:
 		s.documentWritten()
-		s.commit(now)
+		s.commit(now, r.Record.Revision)
 		s.shortenInterval(now)
 	case call == Write && errors.Is(r.Err, ward.ErrConflict):
 		s.Stats.Conflicts++
@@ -58,10 +58,15 @@
 	for _, r := range s.archives.found {
 		doc.AddArchived(r)
 	}
-	changed := s.applyOutcomes(now, doc)
+	changed := false
+	if s.recent.lost(rec.Revision) {
+		s.dropLostArchive()
+		changed = s.recent.restore(now, doc)
+	}
+	changed = s.applyOutcomes(now, doc) || changed
 	changed = s.applyClaims(now, doc) || changed
 	if !changed {
-		s.commit(now)
+		s.commit(now, rec.Revision)
 		return
 	}
 	if s.archive(now, doc) {
@@ -134,9 +139,11 @@
 	}
 }
 
-// commit gives the verdicts of a batch that is in the store.
-func (s *Shard) commit(now time.Time) {
+// commit gives the verdicts of a batch that is in the store, in the document at a
+// revision.
+func (s *Shard) commit(now time.Time, revision uint64) {
 	limit := orDefault(s.Limits.Commit, DefaultCommit)
+	var begun []record.Claim
 	for i, c := range s.batch {
 		v := s.verdicts[i]
 		if v.Kind == record.Run && (c.dropped || now.Sub(c.since) > limit) {
@@ -146,11 +153,13 @@
 		}
 		if v.Kind == record.Run {
 			s.Stats.Committed++
+			begun = append(begun, c.Claim)
 		}
 		if !c.dropped {
 			s.actions = append(s.actions, Action{Kind: Reply, Attempt: c.Attempt, Verdict: v})
 		}
 	}
+	s.recent.note(now, revision, begun, s.settling)
 	s.batch, s.settling = nil, nil
 }
 
--- a/internal/run/shard/shard.go
+++ b/internal/run/shard/shard.go
@@ -110,6 +110,7 @@
 	target   target
 	attempts int
 	archives archives
+	recent   recent
 	// notBefore delays the next call after a failure. interval is the time between
 	// commits that the store's budget was found to allow.
 	notBefore time.Time
