test(soak): all engines answer wrongly at once

A fault of all four engines, about one in 10 s: both kinds of wrong answers with 503. Random numbers of its own again, so all other faults of a seed stay.

--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -42,6 +42,9 @@
 	// the next answer on their connection.
 	UpstreamRanRefused Kind = "upstream-ran-refused"
 	UpstreamRepeat     Kind = "upstream-repeat"
+	// EnginesRefuse makes all engines do both, with the status Variant: one request then
+	// meets answers of both kinds.
+	EnginesRefuse Kind = "engines-refuse"
 	// Configure puts a new version of the configuration in force.
 	Configure Kind = "configure"
 	// Rollout rolls out a version to a service, which is good or bad as Variant.
@@ -64,6 +67,8 @@
 	// meanAnswerInterval is the mean time between two faults of answers. It leaves most
 	// answers right, so that the other faults show.
 	meanAnswerInterval = 2 * time.Second
+	// meanRefusalInterval is the mean time between two faults of all engines.
+	meanRefusalInterval = 10 * time.Second
 	// settleTime is the time without faults at the beginning, for the start, and at the
 	// end, for the recovery.
 	settleTime = 3 * time.Second
@@ -132,6 +137,7 @@
 		list = append(list, f)
 	}
 	list = append(list, answerFaults(seed, length)...)
+	list = append(list, engineFaults(seed, length)...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
 	return list
 }
@@ -154,3 +160,16 @@
 	}
 	return list
 }
+
+// engineFaults draws the faults of all engines, also with random numbers of their own.
+func engineFaults(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 3))
+	var list []Fault
+	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanRefusalInterval)) }
+	for at := settleTime + next(); at < length-settleTime; at += next() {
+		f := newFault(r, at)
+		f.Kind, f.Variant = EnginesRefuse, "503"
+		list = append(list, f)
+	}
+	return list
+}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -26,33 +26,37 @@
 			}
 		}
 	}
-	if want := len(weights) + len(answerKinds); len(kinds) != want || !overlap {
+	if want := len(weights) + len(answerKinds) + 1; len(kinds) != want || !overlap {
 		t.Errorf("%d kinds of %d, overlapping %v", len(kinds), want, overlap)
 	}
 }
 
+func isOfAnswers(f Fault) bool {
+	return f.Kind == UpstreamRanRefused || f.Kind == UpstreamRepeat || f.Kind == EnginesRefuse
+}
+
 // Guards against a plan without wrong answers, and against one in which they crowd out
 // the other faults or change those of a seed that found something.
 func TestAnswerFaults(t *testing.T) {
 	count, variants := make(map[bool]int), make(map[string]bool)
 	for seed := range uint64(40) {
 		for _, f := range New(seed, 20*time.Second, []string{"busy"}) {
-			answer := f.Kind == UpstreamRanRefused || f.Kind == UpstreamRepeat
+			answer := isOfAnswers(f)
 			count[answer]++
 			if answer {
 				variants[string(f.Kind)+" "+f.Variant] = true
 			}
 		}
 	}
-	if len(variants) != 5 {
-		t.Errorf("variants %v, want 5", variants)
+	if len(variants) != 6 {
+		t.Errorf("variants %v, want 6", variants)
 	}
 	if count[true] < 40*2 || 2*count[true] > count[false] {
 		t.Errorf("%d faults of answers and %d others", count[true], count[false])
 	}
 	var first []Kind
 	for _, f := range New(1, 20*time.Second, []string{"busy"}) {
-		if f.Kind != UpstreamRanRefused && f.Kind != UpstreamRepeat {
+		if !isOfAnswers(f) {
 			first = append(first, f.Kind)
 		}
 	}
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -9,6 +9,8 @@
 	"agateward/internal/soak/ledger"
 	"agateward/internal/soak/plan"
 	"agateward/internal/soak/proxy"
+
+	"github.com/sourcegraph/conc"
 )
 
 const (
@@ -56,6 +58,14 @@
 		}
 	case plan.UpstreamRanRefused, plan.UpstreamRepeat:
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
+	case plan.EnginesRefuse:
+		var wg conc.WaitGroup
+		for _, r := range s.replicas[:engineCount] {
+			for _, kind := range []plan.Kind{plan.UpstreamRanRefused, plan.UpstreamRepeat} {
+				wg.Go(func() { s.injectAnswerFault(ctx, r, plan.Fault{Kind: kind, Duration: f.Duration, Variant: f.Variant}) })
+			}
+		}
+		wg.Wait()
 	default:
 		r := s.replicas[f.Target%len(s.replicas)]
 		if s.tryAcquire(&r.busy) {
