fix(gate): an answer to another request is no evidence about a version

Callers: none sees it directly; a roll-out could be taken back, or its bad version look no worse than the old one, by answers to other requests.

Cause: an answer that names another request, or none, was refused and reported to the roll-out as a failed answer of the version that got the request.

Change: on a connection that carried an earlier request such an answer counts as cancelled for the roll-out. On a new connection nothing else was sent, so the version made that answer to this request, and it stays a failed one; otherwise a version that names no request would never have evidence against it.

For the scheduler it stays a failed answer. The upstream sent an answer that belonged elsewhere, and the next request to it may meet another; a request that may run only once then ends with 502. Callers are served better by upstreams that don't do this.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -67,6 +67,9 @@
 	c.sends++
 	c.mayHaveRun = true
 	if reason != "" {
+		// Only on a connection that carried an earlier request can the answer be that
+		// request's. The upstream sent it in any case.
+		c.strayAnswer = x.Reused && reason == otherRequest
 		c.finishAttempt(a, schedule.OutcomeFailed)
 		c.log.Info("answer-refused", "upstream", a.Upstream.ID, "status", x.Status, "cause", reason, "answer-to", reply.ID, "elapsed", time.Since(c.arrived))
 		return !c.retry(code.AnswerMismatch, reason)
@@ -88,6 +91,9 @@
 	return statementNone
 }
 
+// otherRequest is the reason to refuse an answer that does not name the request.
+const otherRequest = "the answer belongs to another request"
+
 // mismatch returns why an answer does not belong to the request or was modified, or
 // "".
 func (c *call) mismatch(x *backend.Exchange, reply ward.ForwardReply) string {
@@ -97,7 +103,7 @@
 		// connection no other request can be meant.
 		return ""
 	case reply.ID != c.head.ID:
-		return "the answer belongs to another request"
+		return otherRequest
 	case reply.NotRun:
 		return ""
 	case x.Status < 300 && !reply.Signed:
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -164,7 +164,7 @@
 		return false
 	}
 	now := time.Now()
-	c.sentAt, c.firstAt = now, time.Time{}
+	c.sentAt, c.firstAt, c.strayAnswer = now, time.Time{}, false
 	hop := ward.ForwardHop{Replica: a.Upstream.ID, LastEvent: c.lastEvent}
 	if c.team != nil {
 		hop.Team = c.team.Name
@@ -217,7 +217,7 @@
 	out := ward.Outcome{
 		Request: c.head.ID, Upstream: a.Upstream.ID, Version: a.Upstream.Version, Connected: true,
 		OK:        o == schedule.OutcomeOK,
-		Cancelled: o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
+		Cancelled: c.strayAnswer || o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
 		At:        now, Total: now.Sub(c.sentAt), PromptTokens: c.head.PromptTokens, OutputTokens: c.head.MaxOutput,
 	}
 	if !c.firstAt.IsZero() {
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -41,6 +41,9 @@
 	sends, connectFailures int
 	// sentAt and firstAt are the times of the current attempt.
 	sentAt, firstAt time.Time
+	// strayAnswer is true when the answer of the current attempt may be that of an
+	// earlier request.
+	strayAnswer bool
 	// mayHaveRun is true when an upstream may have run the request.
 	mayHaveRun bool
 	tried      []string
--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -43,6 +43,15 @@
 
 // newGateWith returns a gate that counts into set.
 func newGateWith(t *testing.T, set *metrics.Set, upstreams ...*upstream) *httptest.Server {
+	return newChangedGate(t, func(g *gate.Gate) {
+		if set != nil {
+			g.Metrics = &gate.Metrics{Set: set}
+		}
+	}, upstreams...)
+}
+
+// newChangedGate returns a gate of which change sets further fields.
+func newChangedGate(t *testing.T, change func(g *gate.Gate), upstreams ...*upstream) *httptest.Server {
 	var list []string
 	for i, u := range upstreams {
 		list = append(list, fmt.Sprintf(`{"id": "u%d", "service": "s", "version": "v1", "data-centre": "a", "address": %q, "slots": 4}`, i+1, u.Addr()))
@@ -55,9 +64,7 @@
 		Dialect: dialect.Native{}, Pool: &backend.Pool{}, Log: logr.Discard(), MaxBody: 1 << 20, Start: 1,
 		SendGrant: func(schedule.Action) {}, TriggerBroadcast: func() {},
 	}
-	if set != nil {
-		g.Metrics = &gate.Metrics{Set: set}
-	}
+	change(g)
 	changed := make(chan struct{}, 8)
 	g.View = &view.View{Source: src.Feed(), Log: logr.Discard(), Changed: func() { g.Refresh(); changed <- struct{}{} }}
 	g.Prepare(gate.Setup{Name: "entry-1", DataCentre: "a", Retries: retry.Budget{Ratio: 1, Slack: 100, Window: time.Second, Entries: 1}})
