test(soak): upstreams that leave or ask for a pause

Random numbers of their own, so all other faults of a seed stay. The ledger finds "leaving": a request that reaches an upstream more than 3 s after its first such answer, unless the request's entry or the store was disturbed.

That a pause is kept is not checked: the upstream counts nothing yet that would show it.

--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -99,6 +99,7 @@
 	disturbances  []disturbance
 	acknowledged  map[uint64]time.Time
 	drainingSince map[string]time.Time
+	leavingSince  map[string]time.Time
 	// newest is, by process, the newest version that it used and when that was first
 	// observed.
 	newest   map[string]seen
@@ -113,7 +114,7 @@
 func (l *Ledger) init() {
 	if l.requests == nil {
 		l.requests, l.acknowledged, l.drainingSince = make(map[string]*record), make(map[uint64]time.Time), make(map[string]time.Time)
-		l.newest = make(map[string]seen)
+		l.newest, l.leavingSince = make(map[string]seen), make(map[string]time.Time)
 	}
 }
 
@@ -148,6 +149,14 @@
 	l.drainingSince[upstream] = at
 }
 
+// Leaving records that an upstream stated for the first time that it leaves.
+func (l *Ledger) Leaving(upstream string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	l.leavingSince[upstream] = at
+}
+
 // Sent records a request. It must be called before the request is written.
 func (l *Ledger) Sent(r Request) {
 	l.mu.Lock()
@@ -181,6 +190,10 @@
 	if at, ok := l.drainingSince[upstream]; ok && now.Sub(at) > l.Bounds.Drain && l.connected(r.Entry, at, now) {
 		l.addFinding("draining", id, now, "%s receives it %s after it was marked as draining", upstream, now.Sub(at))
 	}
+	// The entry that got the statement tells the others.
+	if at, ok := l.leavingSince[upstream]; ok && now.Sub(at) > l.Bounds.Drain && l.connected(r.Entry, at, now) {
+		l.addFinding("leaving", id, now, "%s receives it %s after it stated that it leaves", upstream, now.Sub(at))
+	}
 }
 
 // Answered records the end of a request at its caller.
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -81,6 +81,22 @@
 			l.Sent(request(ward.ForwardSafe, 3.5))
 			l.Ran("r", "i-1", "t", at(3.6))
 		}, ""},
+		{"request to a leaving upstream", func(l *Ledger) {
+			l.Leaving("i-1", at(0))
+			l.Sent(request(ward.ForwardSafe, 3.5))
+			l.Ran("r", "i-1", "t", at(3.6))
+		}, "leaving"},
+		{"request to an upstream that has just said so", func(l *Ledger) {
+			l.Leaving("i-1", at(0))
+			l.Sent(request(ward.ForwardSafe, 2.5))
+			l.Ran("r", "i-1", "t", at(2.6))
+		}, ""},
+		{"request to a leaving upstream from a disturbed entry", func(l *Ledger) {
+			l.Leaving("i-1", at(0))
+			l.Disturb("entry-1", false, at(1))(at(2))
+			l.Sent(request(ward.ForwardSafe, 3.5))
+			l.Ran("r", "i-1", "t", at(3.6))
+		}, ""},
 		{"answered after the time-out", func(l *Ledger) {
 			l.Sent(request(ward.ForwardSafe, 0))
 			l.Answered("r", Answer{Status: 504, Complete: true}, at(2.6))
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -45,6 +45,11 @@
 	// EnginesRefuse makes all engines do both, with the status Variant: one request then
 	// meets answers of both kinds.
 	EnginesRefuse Kind = "engines-refuse"
+	// UpstreamLeave makes an upstream state in its answers that it leaves, while it keeps
+	// serving, until it is removed. UpstreamPause makes it refuse some requests and ask for
+	// a pause of Variant seconds.
+	UpstreamLeave Kind = "upstream-leave"
+	UpstreamPause Kind = "upstream-pause"
 	// Configure puts a new version of the configuration in force.
 	Configure Kind = "configure"
 	// Rollout rolls out a version to a service, which is good or bad as Variant.
@@ -69,6 +74,9 @@
 	meanAnswerInterval = 2 * time.Second
 	// meanRefusalInterval is the mean time between two faults of all engines.
 	meanRefusalInterval = 10 * time.Second
+	// meanWishInterval is the mean time between two faults of upstreams that want no
+	// requests.
+	meanWishInterval = 10 * time.Second
 	// settleTime is the time without faults at the beginning, for the start, and at the
 	// end, for the recovery.
 	settleTime = 3 * time.Second
@@ -138,6 +146,7 @@
 	}
 	list = append(list, answerFaults(seed, length)...)
 	list = append(list, engineFaults(seed, length)...)
+	list = append(list, wishes(seed, length)...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
 	return list
 }
@@ -173,3 +182,20 @@
 	}
 	return list
 }
+
+// wishes draws the faults of upstreams that want no requests, also with random numbers
+// of their own.
+func wishes(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 4))
+	var list []Fault
+	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanWishInterval)) }
+	for at := settleTime + next(); at < length-settleTime; at += next() {
+		f := newFault(r, at)
+		f.Kind = UpstreamLeave
+		if r.IntN(2) == 0 {
+			f.Kind, f.Variant = UpstreamPause, "1"
+		}
+		list = append(list, f)
+	}
+	return list
+}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -26,13 +26,17 @@
 			}
 		}
 	}
-	if want := len(weights) + len(answerKinds) + 1; len(kinds) != want || !overlap {
+	if want := len(weights) + len(answerKinds) + 3; len(kinds) != want || !overlap {
 		t.Errorf("%d kinds of %d, overlapping %v", len(kinds), want, overlap)
 	}
 }
 
 func isOfAnswers(f Fault) bool {
-	return f.Kind == UpstreamRanRefused || f.Kind == UpstreamRepeat || f.Kind == EnginesRefuse
+	switch f.Kind {
+	case UpstreamRanRefused, UpstreamRepeat, EnginesRefuse, UpstreamLeave, UpstreamPause:
+		return true
+	}
+	return false
 }
 
 // Guards against a plan without wrong answers, and against one in which they crowd out
@@ -48,8 +52,8 @@
 			}
 		}
 	}
-	if len(variants) != 6 {
-		t.Errorf("variants %v, want 6", variants)
+	if len(variants) != 8 {
+		t.Errorf("variants %v, want 8", variants)
 	}
 	if count[true] < 40*2 || 2*count[true] > count[false] {
 		t.Errorf("%d faults of answers and %d others", count[true], count[false])
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -56,7 +56,7 @@
 			s.injectEntryFault(ctx, e, f)
 			s.release(&e.busy)
 		}
-	case plan.UpstreamRanRefused, plan.UpstreamRepeat:
+	case plan.UpstreamRanRefused, plan.UpstreamRepeat, plan.UpstreamPause:
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
 	case plan.EnginesRefuse:
 		var wg conc.WaitGroup
@@ -135,10 +135,14 @@
 		s.logError(s.Store.Register(r.reg))
 		s.ledger.Draining(r.server.ID, time.Now())
 		sleep(ctx, drainTime)
+	case plan.UpstreamLeave:
+		r.server.Leave()
+		sleep(ctx, drainTime)
 	case plan.UpstreamRestart:
 		id = r.server.ID
 	}
-	end := s.ledger.Disturb(r.server.ID, f.Kind == plan.UpstreamDrain, time.Now())
+	planned := f.Kind == plan.UpstreamDrain || f.Kind == plan.UpstreamLeave
+	end := s.ledger.Disturb(r.server.ID, planned, time.Now())
 	old, link, gone := r.server, r.link, r.reg.ID
 	old.Crash()
 	link.Close()
@@ -157,13 +161,16 @@
 	s.mu.Lock()
 	answers := r.answers
 	s.mu.Unlock()
-	status, err := strconv.ParseInt(f.Variant, 10, 64)
+	value, err := strconv.ParseInt(f.Variant, 10, 64)
 	s.logError(err)
 	fault := &answers.RanRefused
-	if f.Kind == plan.UpstreamRepeat {
+	switch f.Kind {
+	case plan.UpstreamRepeat:
 		fault = &answers.Repeat
+	case plan.UpstreamPause:
+		fault = &answers.Pause
 	}
-	fault.Store(status)
+	fault.Store(value)
 	sleep(ctx, f.Duration)
 	fault.Store(0)
 }
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -147,6 +147,7 @@
 	version := r.service + "/" + r.version
 	ran := func(id, upstream, team string) { s.recordRun(version, id, upstream, team) }
 	r.server = &upstream.Upstream{ID: id, Service: r.service, Engine: r.service == engines, Slots: slots, Dialect: s.Dialect, Faulty: r.bad, Answers: answers, OnRun: ran}
+	r.server.OnLeaving = func(upstream string) { s.ledger.Leaving(upstream, time.Now()) }
 	if err := r.server.Listen(); err != nil {
 		return err
 	}
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -17,6 +17,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -49,13 +50,18 @@
 	Answers *Answers
 	// OnRun is called when a request begins to run.
 	OnRun func(id, upstream, team string)
+	// OnLeaving is called when an answer states for the first time that the upstream
+	// leaves. Leave requires it.
+	OnLeaving func(upstream string)
 
-	l       net.Listener
-	server  *http.Server
-	slots   chan struct{}
-	waiting atomic.Int64
-	asked   atomic.Int64
-	runs    atomic.Int64
+	leaving   atomic.Bool
+	toldLeave sync.Once
+	l         net.Listener
+	server    *http.Server
+	slots     chan struct{}
+	waiting   atomic.Int64
+	asked     atomic.Int64
+	runs      atomic.Int64
 }
 
 // Answers selects faults of answers while an upstream runs. Its zero value selects
@@ -68,6 +74,9 @@
 	// run. Each answer that states this is sent again before the next answer on its
 	// connection.
 	Repeat atomic.Int64
+	// Pause is 0 or the pause in seconds that the answer to every third request asks for;
+	// the request does not run.
+	Pause atomic.Int64
 }
 
 // connection is a connection with the answer that is sent again on it, nil for none.
@@ -113,6 +122,9 @@
 // Address returns the address that the upstream listens on.
 func (u *Upstream) Address() string { return u.l.Addr().String() }
 
+// Leave makes the upstream state in all further answers that it leaves.
+func (u *Upstream) Leave() { u.leaving.Store(true) }
+
 // Crash stops the upstream and closes every connection at once.
 func (u *Upstream) Crash() {
 	_ = u.server.Close() // the server is not used any more
@@ -122,8 +134,8 @@
 	id, hop := u.Dialect.Hop(r.Header)
 	asked, repeat := u.asked.Add(1), int(u.Answers.Repeat.Load())
 	x := exchange{
-		w: w, conn: r.Context().Value(connectionKey{}).(*connection),
-		dialect: u.Dialect, reply: ward.ForwardReply{ID: id}, repeat: repeat > 0,
+		u: u, w: w, conn: r.Context().Value(connectionKey{}).(*connection),
+		reply: ward.ForwardReply{ID: id}, repeat: repeat > 0,
 	}
 	if asked%2 == 0 {
 		x.conn.sendAgain() // before the request runs; otherwise before its answer
@@ -136,6 +148,11 @@
 		x.refuse(repeat)
 		return
 	}
+	if pause := u.Answers.Pause.Load(); pause > 0 && asked%3 == 0 {
+		x.reply.HasRetryAfter, x.reply.RetryAfter = true, time.Duration(pause)*time.Second
+		x.refuse(http.StatusServiceUnavailable)
+		return
+	}
 	waiting := u.waiting.Add(1)
 	defer u.waiting.Add(-1)
 	if waiting > int64(u.Slots+queueLength) {
@@ -175,10 +192,10 @@
 
 // exchange is the answer to one request.
 type exchange struct {
-	w       http.ResponseWriter
-	conn    *connection
-	dialect ward.StandinDialect
-	reply   ward.ForwardReply
+	u     *Upstream
+	w     http.ResponseWriter
+	conn  *connection
+	reply ward.ForwardReply
 	// repeat makes a not-run answer be sent again.
 	repeat bool
 }
@@ -186,10 +203,14 @@
 // answer writes the head of the answer.
 func (x *exchange) answer(status int) {
 	x.conn.sendAgain()
-	for k, v := range x.dialect.Answer(x.reply) {
+	x.reply.Leaving = x.u.leaving.Load()
+	for k, v := range x.u.Dialect.Answer(x.reply) {
 		x.w.Header()[k] = v
 	}
 	x.w.WriteHeader(status)
+	if x.reply.Leaving {
+		x.u.toldLeave.Do(func() { x.u.OnLeaving(x.u.ID) })
+	}
 }
 
 // refuse answers that the request has not run.
@@ -197,7 +218,7 @@
 	x.reply.NotRun = true
 	x.answer(status)
 	if x.repeat {
-		x.conn.again = head(status, x.dialect.Answer(x.reply))
+		x.conn.again = head(status, x.u.Dialect.Answer(x.reply))
 	}
 }
 
--- a/internal/soak/upstream/upstream_test.go
+++ b/internal/soak/upstream/upstream_test.go
@@ -32,15 +32,17 @@
 	cases := []struct {
 		name               string
 		ranRefused, repeat int64
+		pause              int64
 		engine             bool
 		want               []string
 		ran                []string
 	}{
-		{"right", 0, 0, false, []string{"200 a false", "200 b false", "200 c false", "200 d false"}, []string{"a", "b", "c", "d"}},
-		{"ran and refused", 429, 0, false, []string{"200 a false", "429 b false", "200 c false", "429 d false"}, []string{"a", "b", "c", "d"}},
-		{"stream ran and refused", 503, 0, true, []string{"200 a false", "503 b false", "200 c false", "503 d false"}, []string{"a", "b", "c", "d"}},
-		{"not run twice", 0, 503, false, []string{"200 a false", "200 b false", "503 c true", "503 c true", "200 d false"}, []string{"a", "b", "d"}},
-		{"moved twice", 0, 421, true, []string{"200 a false", "200 b false", "421 c true", "421 c true", "200 d false"}, []string{"a", "b", "d"}},
+		{"right", 0, 0, 0, false, []string{"200 a false", "200 b false", "200 c false", "200 d false"}, []string{"a", "b", "c", "d"}},
+		{"ran and refused", 429, 0, 0, false, []string{"200 a false", "429 b false", "200 c false", "429 d false"}, []string{"a", "b", "c", "d"}},
+		{"stream ran and refused", 503, 0, 0, true, []string{"200 a false", "503 b false", "200 c false", "503 d false"}, []string{"a", "b", "c", "d"}},
+		{"not run twice", 0, 503, 0, false, []string{"200 a false", "200 b false", "503 c true", "503 c true", "200 d false"}, []string{"a", "b", "d"}},
+		{"pause", 0, 0, 1, false, []string{"200 a false", "200 b false", "503 c true", "200 d false"}, []string{"a", "b", "d"}},
+		{"moved twice", 0, 421, 0, true, []string{"200 a false", "200 b false", "421 c true", "421 c true", "200 d false"}, []string{"a", "b", "d"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -49,6 +51,7 @@
 			u.OnRun = func(id, _, _ string) { ran = append(ran, id) }
 			u.Answers.RanRefused.Store(c.ranRefused)
 			u.Answers.Repeat.Store(c.repeat)
+			u.Answers.Pause.Store(c.pause)
 			if err := u.Listen(); err != nil {
 				t.Fatal(err)
 			}
