fix(quota): leave silent peers their share of a bucket

Callers saw: nothing directly; upstreams got more of a team than its quota, the slack and the tolerance allow (rule QUOTA).

Cause: an entry counts a silent peer as live for 0.6 s, and until then spends the whole bucket, as the peer does. When the silence is noticed, the bucket is only cut to the live fraction of the burst, whatever was spent. The excess is repaid once the peers hear each other, but a restart of all forgets that debt.

Change: from 0.3 s of silence each live peer's share of what was left when it was last heard from is left to it. At the time-out the share is withheld from the bucket and fills at its rate. It comes back when the same process reports, since its usage is charged then; before, it was charged on top. A peer that restarted or expired gives nothing back, as its usage may never be reported.

Evidence: TestCutOffEntriesKeepToTheirShares before: 500000 tokens passed in 1 s, limit 320000.

--- a/internal/forward/quota/quota.go
+++ b/internal/forward/quota/quota.go
@@ -1,7 +1,7 @@
 // Package quota provides the quotas of teams over all entries. Every entry keeps a
 // token bucket for each team and takes out what it admits itself and what its peers
-// report as admitted. While peers are unresponsive, the bucket fills only in
-// proportion to the live entries.
+// report as admitted. The share of a silent peer is left to it; it comes back when the
+// same process of the peer reports what it used.
 //
 // # Usage
 //
@@ -26,6 +26,13 @@
 	// peerTimeout is the age of a peer's totals after which it counts as unresponsive:
 	// several messages were lost.
 	peerTimeout = 600 * time.Millisecond
+	// peerDelay is the age of a peer's totals from which its share of a bucket is left
+	// to it, though it still counts as live.
+	peerDelay = 300 * time.Millisecond
+	// slotCount is the number of slots that hold a bucket's recent usage; together they
+	// cover peerTimeout.
+	slotCount = 10
+	slotTime  = peerTimeout / slotCount
 	// peerExpiry is the age of a peer's totals after which the peer is removed.
 	peerExpiry = 60 * time.Second
 	// maxDebt bounds the debt of a bucket, as time at the team's rate: usage that an
@@ -80,6 +87,15 @@
 
 type bucket struct {
 	level float64
+	// withheld is what was left to the peers that are unresponsive.
+	withheld float64
+	// fraction is that of the live entries when the bucket was last filled.
+	fraction float64
+	burst    float64
+	// recent holds the usage of the last slots, of this entry and of its peers; slot is
+	// the number of the newest one.
+	recent [slotCount]float64
+	slot   int64
 	// created is when the bucket was first filled.
 	created time.Time
 	// rate is 0 until the first request of the team.
@@ -99,6 +115,7 @@
 	}
 	for other, p := range l.peers {
 		if now.Sub(p.updated) > peerExpiry {
+			l.release(false, now)
 			delete(l.peers, other)
 		}
 	}
@@ -108,12 +125,15 @@
 		p = &peer{start: start, started: now}
 		l.peers[name] = p
 	}
+	if known && now.Sub(p.updated) > peerTimeout {
+		l.release(p.start == start, now)
+	}
 	if p.start != start {
 		p.start, p.started, p.totals = start, now, nil
 	}
 	for team, total := range totals {
 		if b := l.buckets[team]; b != nil && known {
-			b.level -= max(total-p.totals[team], 0)
+			b.charge(max(total-p.totals[team], 0), now)
 			if b.rate > 0 {
 				b.level = max(b.level, -b.rate*maxDebt.Seconds())
 			}
@@ -204,11 +224,13 @@
 		if r.Idle && (l.StartFull || now.Sub(b.created) > slackDelay) {
 			floor -= fraction * l.Slack
 		}
-		if b.level <= floor {
-			wait := time.Duration((floor + 1 - b.level) / t.Rate * float64(time.Second))
+		left := b.level - floor
+		left -= l.silentShare(b, left, now)
+		if left <= 0 {
+			wait := time.Duration((1 - left) / t.Rate * float64(time.Second))
 			return min(wait, maxWait), false
 		}
-		b.level -= r.Size
+		b.charge(r.Size, now)
 	}
 	l.totals[t.Name] += r.Size
 	return 0, true
@@ -216,40 +238,122 @@
 
 // fill returns the team's bucket, filled up to now.
 func (l *Ledger) fill(t *ward.ForwardTeam, now time.Time) *bucket {
-	fraction := l.liveFraction(now)
-	limit := fraction * t.Burst
 	b := l.buckets[t.Name]
 	if b == nil {
 		b = &bucket{updated: now, created: now}
 		l.buckets[t.Name] = b
 	}
 	if b.rate == 0 {
+		fraction := l.liveFraction(now)
 		b.level = max(b.level, fraction*min(startFraction*l.Slack, t.Burst))
 		if l.StartFull {
-			b.level = limit
+			b.level = fraction * t.Burst
 		}
 	}
-	b.rate = t.Rate
-	b.level = min(b.level+fraction*t.Rate*now.Sub(b.updated).Seconds(), limit)
-	b.updated = now
+	b.rate, b.burst = t.Rate, t.Burst
+	l.advance(b, now)
 	return b
 }
 
+// advance fills a bucket up to now. The shares of peers that became unresponsive since
+// the last time are withheld.
+func (l *Ledger) advance(b *bucket, now time.Time) {
+	fraction := l.liveFraction(now)
+	if fraction < b.fraction {
+		share := max(b.level+b.usedSince(now.Add(-peerTimeout), now), 0) * (1 - fraction/b.fraction)
+		b.level -= share
+		b.withheld += share
+	}
+	b.fraction = fraction
+	unresponsive := float64(l.unresponsive(now)) / float64(l.entries())
+	elapsed := now.Sub(b.updated).Seconds()
+	b.level = min(b.level+fraction*b.rate*elapsed, fraction*b.burst)
+	b.withheld = min(b.withheld+unresponsive*b.rate*elapsed, unresponsive*b.burst)
+	b.updated = now
+}
+
+// release ends the withholding for one of the unresponsive peers. Its share goes back
+// to the buckets only if its usage is going to be charged.
+func (l *Ledger) release(charged bool, now time.Time) {
+	n := l.unresponsive(now)
+	for _, b := range l.buckets {
+		if b.rate == 0 {
+			continue
+		}
+		l.advance(b, now)
+		share := b.withheld / float64(n)
+		b.withheld -= share
+		if charged {
+			b.level += share
+		}
+	}
+}
+
+// silentShare returns the part of what is left in a bucket that is the share of the
+// live peers that are silent for peerDelay: for each, that of what was left when it was
+// last heard from, as it does not know what was used since, nor is its usage known.
+func (l *Ledger) silentShare(b *bucket, left float64, now time.Time) (sum float64) {
+	for _, p := range l.peers {
+		if silent := now.Sub(p.updated); silent > peerDelay && silent <= peerTimeout {
+			sum += max(left+b.usedSince(p.updated, now), 0)
+		}
+	}
+	return sum / float64(l.live(now))
+}
+
+// charge takes usage out of the bucket.
+func (b *bucket) charge(size float64, now time.Time) {
+	b.level -= size
+	b.toSlot(now)
+	b.recent[b.slot%slotCount] += size
+}
+
+// usedSince returns the usage since a time at most peerTimeout ago, to a slot.
+func (b *bucket) usedSince(t, now time.Time) (sum float64) {
+	b.toSlot(now)
+	for i := max(slotOf(t), b.slot-slotCount+1); i <= b.slot; i++ {
+		sum += b.recent[i%slotCount]
+	}
+	return sum
+}
+
+// toSlot makes the slot of now the newest one.
+func (b *bucket) toSlot(now time.Time) {
+	newest := max(slotOf(now), b.slot)
+	for i := max(b.slot+1, newest-slotCount+1); i <= newest; i++ {
+		b.recent[i%slotCount] = 0
+	}
+	b.slot = newest
+}
+
+func slotOf(t time.Time) int64 { return t.UnixNano() / int64(slotTime) }
+
 // liveFraction is the fraction of the entries that are live, with this one.
 func (l *Ledger) liveFraction(now time.Time) float64 {
-	live := 1
+	return float64(l.live(now)) / float64(l.entries())
+}
+
+// live is the number of live entries, with this one.
+func (l *Ledger) live(now time.Time) int { return len(l.peers) + 1 - l.unresponsive(now) }
+
+// unresponsive is the number of known peers that are unresponsive.
+func (l *Ledger) unresponsive(now time.Time) (n int) {
 	for _, p := range l.peers {
-		if now.Sub(p.updated) <= peerTimeout {
-			live++
+		if now.Sub(p.updated) > peerTimeout {
+			n++
 		}
 	}
-	return float64(live) / float64(max(l.Entries, len(l.peers)+1))
+	return n
 }
 
+// entries is the number of entries that share the quotas.
+func (l *Ledger) entries() int { return max(l.Entries, len(l.peers)+1) }
+
 // Refund returns the units of a request that was charged and did not run.
 func (l *Ledger) Refund(team string, size float64) {
 	if b := l.buckets[team]; b != nil {
 		b.level += size
+		b.recent[b.slot%slotCount] -= size
 	}
 	l.totals[team] = max(l.totals[team]-size, 0)
 }
--- a/internal/forward/quota/quota_test.go
+++ b/internal/forward/quota/quota_test.go
@@ -266,3 +266,26 @@
 		t.Errorf("passed by rank: %v of 1000 each; want rank 0 nearly whole and rank 2 refused first", passed)
 	}
 }
+
+// Entries cut off from each other spend the whole of a bucket, each of them.
+func TestCutOffEntriesKeepToTheirShares(t *testing.T) {
+	const n, tick = 4, 20 * time.Millisecond
+	f := newFleet(n)
+	start := time.Unix(1000, 0)
+	sum := 0.0
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * tick)
+		if i == 0 {
+			f.exchange(now)
+		}
+		for k := range 12 {
+			if _, ok := f.ledgers[k%n].Take(&f.team, Request{Size: 1000}, now); ok {
+				sum += 1000
+			}
+		}
+	}
+	// Burst and 1 s of the quota, and what is used before a silence is noticed.
+	if limit := 2*f.team.Rate + 4*f.team.Rate*peerDelay.Seconds(); sum > limit {
+		t.Errorf("%.0f tokens passed in 1 s, limit %.0f", sum, limit)
+	}
+}
