fix(gate): failed connections are told apart in the evidence of a roll-out

Callers: none sees it directly; an upstream that can't be reached made its version look bad, with one failed answer for each dial.

Cause: the outcome of an attempt always said that there was a connection, so the recorder's limit (one failed connection of an upstream in 10 s, as the request is sent elsewhere) never applied.

Change: Connected is set from what Pool.Send returned.

Evidence: TestFailedConnectionsCountOnce counted 2 instead of 1 in 4 of 4 runs before the change, and passes in 4 of 4 after it. TestFailedAnswersCountEach (each failed answer of one upstream counts) passes after it; it was not run against the code before or against a mutation. TestRollouts, three runs each: passes before (76.7 s) and after (76.7 s).

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -164,7 +164,7 @@
 		return false
 	}
 	now := time.Now()
-	c.sentAt, c.firstAt, c.strayAnswer = now, time.Time{}, false
+	c.sentAt, c.firstAt, c.connected, c.strayAnswer = now, time.Time{}, false, false
 	hop := ward.ForwardHop{Replica: a.Upstream.ID, LastEvent: c.lastEvent}
 	if c.team != nil {
 		hop.Team = c.team.Name
@@ -183,6 +183,7 @@
 		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body,
 		MaySend: func() bool { return c.maySend(a) },
 	})
+	c.connected = !errors.Is(err, ward.ErrNotConnected)
 	if errors.Is(err, backend.ErrWithdrawn) {
 		c.withdraw(a)
 		return false
@@ -215,7 +216,7 @@
 func (c *call) outcome(a schedule.Action, o schedule.Outcome) ward.Outcome {
 	now := time.Now()
 	out := ward.Outcome{
-		Request: c.head.ID, Upstream: a.Upstream.ID, Version: a.Upstream.Version, Connected: true,
+		Request: c.head.ID, Upstream: a.Upstream.ID, Version: a.Upstream.Version, Connected: c.connected,
 		OK:        o == schedule.OutcomeOK,
 		Cancelled: c.strayAnswer || o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
 		At:        now, Total: now.Sub(c.sentAt), PromptTokens: c.head.PromptTokens, OutputTokens: c.head.MaxOutput,
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -41,6 +41,8 @@
 	sends, connectFailures int
 	// sentAt and firstAt are the times of the current attempt.
 	sentAt, firstAt time.Time
+	// connected is true when the current attempt has a connection.
+	connected bool
 	// strayAnswer is true when the answer of the current attempt may be that of an
 	// earlier request.
 	strayAnswer bool
--- a/internal/forward/gate/rollout_test.go
+++ b/internal/forward/gate/rollout_test.go
@@ -128,3 +128,37 @@
 		})
 	}
 }
+
+// Guards against a version that looks bad because one of its upstreams can't be
+// reached: each dial of one request counted, and the limit of one in 10 s did not apply.
+func TestFailedConnectionsCountOnce(t *testing.T) {
+	var m *moves
+	s := newChangedGate(t, func(g *gate.Gate) { m = counting(t, g) }, newClosedUpstream(t))
+	for range 2 {
+		if got := do(t, s, "POST", "/safe/x", nil); got.status != 503 {
+			t.Errorf("status %d, %v; want 503", got.status, got.err)
+		}
+	}
+	if n := m.failed(); n != 1 {
+		t.Errorf("%d failed connections counted, want 1", n)
+	}
+}
+
+// Guards against failed answers passing for connections that can't be made, of which
+// only the first of an upstream counts.
+func TestFailedAnswersCountEach(t *testing.T) {
+	var m *moves
+	u := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool {
+		statement{status: 500, id: r.Header.Get("Agateward-Request")}.write(w)
+		return true
+	})
+	s := newChangedGate(t, func(g *gate.Gate) { m = counting(t, g) }, u)
+	for range 2 {
+		if got := do(t, s, "POST", "/unsafe/x", nil); got.status != 500 {
+			t.Errorf("status %d, %v; want 500", got.status, got.err)
+		}
+	}
+	if n := m.failed(); n != 2 {
+		t.Errorf("%d failed answers counted, want 2", n)
+	}
+}
