fix(schedule): a service of requests that run once returns after a failure

What callers saw: after one connection that was closed without an answer, a service with one upstream and routes that may not be repeated answered 503 from then on.

Cause: an upstream that failed gets requests that may be repeated as probes only, until one is answered. A service without such routes never sends one.

Change: while no upstream of a service answers, any request may be the probe, one for each probe interval; it would be refused otherwise. While another upstream answers, nothing changes.

Evidence: TestServiceOfUnrepeatableRequestsReturns failed before (no dispatch 4 s after the failure) and holds now; TestUnrepeatableRequestsProbeNothing held before and holds.

--- a/internal/forward/schedule/choose.go
+++ b/internal/forward/schedule/choose.go
@@ -22,8 +22,10 @@
 func (s *Scheduler) choose(v *service, j *Job, now time.Time) *upstream {
 	var best *upstream
 	bestCost := 0.0
+	// Without an upstream that answers, a job of any kind would wait in vain.
+	probe := j.Repeatable || v.unreachable(now)
 	for _, u := range v.upstreams {
-		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(j, now) {
+		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(probe, now) {
 			continue
 		}
 		cost := s.cost(v, u, j, now)
@@ -81,9 +83,9 @@
 	return !u.Draining && !u.said.wantsNone(now) && now.After(u.backoffUntil)
 }
 
-// accepts reports whether u may get j. An unresponsive upstream gets only one
-// repeatable request per probeInterval as a probe.
-func (u *upstream) accepts(j *Job, now time.Time) bool {
+// accepts reports whether u may get a job. An upstream that failed or is unresponsive
+// gets only one per probeInterval, of those that may probe.
+func (u *upstream) accepts(probe bool, now time.Time) bool {
 	if now.Before(u.backoffUntil) {
 		return false
 	}
@@ -91,7 +93,7 @@
 	if u.failedAttempts == 0 && !u.unresponsive(now) && !reported {
 		return true
 	}
-	return j.Repeatable && now.Sub(u.lastSent) > probeInterval
+	return probe && now.Sub(u.lastSent) > probeInterval
 }
 
 // cost returns the cost of sending j to u, in seconds, with a little noise to break
