--- /dev/null
+++ b/internal/forward/gate/stream.go
@@ -0,0 +1,102 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"agateward/internal/forward/backend"
+	"agateward/internal/forward/schedule"
+	"agateward/internal/upstream/sse"
+)
+
+// minPacedEvents is the least number of events from which the time per token is
+// derived.
+const minPacedEvents = 4
+
+func (c *call) recordPace(a schedule.Action, events int, d time.Duration) {
+	if events < minPacedEvents {
+		return
+	}
+	tokens := (events - 1) * c.table.Stride(c.service)
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.gate.sched.ObservePace(a.Job.ID, d/time.Duration(tokens))
+}
+
+// relayStream relays complete events as they arrive and reports whether the request is
+// finished.
+func (c *call) relayStream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *time.Timer) bool {
+	events := sse.Reader{R: x.Body, Max: maxEvent}
+	n := 0
+	var streamStart time.Time
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return c.handleTruncated(ctx, a, err)
+		}
+		if n == 0 {
+			c.recordFirst(a)
+			streamStart = time.Now()
+		} else if n%4 == 0 {
+			c.gate.mu.Lock()
+			c.gate.sched.Progress(a.Job.ID, time.Now())
+			c.gate.mu.Unlock()
+		}
+		n++
+		if c.route.Repeatable() && c.sends < c.route.Attempts {
+			stall.Reset(maxEventPause)
+		}
+		if err := c.relayEvent(e, x); err != nil {
+			return c.handleTruncated(ctx, a, err)
+		}
+	}
+	c.recordPace(a, n, time.Since(streamStart))
+	c.finishAttempt(a, schedule.OutcomeOK)
+	c.startAnswer(x)
+	c.log.Info("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "events", n, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.gate.Metrics.answered(c.route, x.Status, time.Since(c.arrived))
+	return true
+}
+
+// startAnswer writes the head of the answer once.
+func (c *call) startAnswer(x *backend.Exchange) {
+	if c.started {
+		return
+	}
+	c.started = true
+	c.copyHeader(x.Header)
+	c.w.Header().Del("Content-Length")
+	c.w.WriteHeader(x.Status)
+	c.gate.Metrics.first(c.route, time.Since(c.arrived))
+}
+
+// relayEvent relays one event. Events that the caller already has are skipped.
+func (c *call) relayEvent(e sse.Event, x *backend.Exchange) error {
+	if e.ID != "" {
+		id, err := strconv.ParseInt(e.ID, 10, 64)
+		if err == nil {
+			if id <= c.lastEvent {
+				return nil
+			}
+			if c.lastEvent >= 0 && id != c.lastEvent+1 {
+				return errEventMissing
+			}
+			c.lastEvent = id
+		}
+	}
+	c.startAnswer(x)
+	if _, err := c.w.Write(e.Raw); err != nil {
+		return err
+	}
+	if f, ok := c.w.(http.Flusher); ok {
+		f.Flush()
+	}
+	return nil
+}
