--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -39,23 +39,8 @@
 	errEventMissing   = errors.New("an event is missing from the stream")
 )
 
-// stallTimer returns a timer that cancels the attempt of a repeatable request if
-// nothing arrives.
-func (c *call) stallTimer(a schedule.Action, cancel context.CancelCauseFunc) *time.Timer {
-	if !c.route.Repeatable() || c.sends+1 >= c.route.Attempts {
-		return time.AfterFunc(time.Hour, func() {})
-	}
-	minimum := minPlainStall
-	if c.route.Kind == ward.ForwardStream {
-		minimum = minStreamStall
-	} else {
-		minimum = max(minimum, 2*c.route.Target.Std())
-	}
-	return time.AfterFunc(max(stallFactor*a.Predicted, minimum), func() { cancel(errStalled) })
-}
-
 // handleAnswer relays an answer and reports whether the request is finished.
-func (c *call) handleAnswer(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *time.Timer) bool {
+func (c *call) handleAnswer(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	reply := c.gate.Dialect.Reply(x.Status, x.Header)
 	c.gate.Metrics.upstreamAnswered(x.Status, c.statement(reply))
 	reason := c.mismatch(x, reply)
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -33,6 +33,14 @@
 	defaultTimeout = 30 * time.Second
 )
 
+// Reasons for which a request is not sent again.
+const (
+	noRetryAttempts   = "attempts-used"
+	noRetryMayHaveRun = "may-have-run"
+	noRetryBudget     = "retry-budget"
+	noRetryUpstream   = "no-upstream"
+)
+
 // Causes for which an attempt is cancelled.
 var (
 	errStalled  = errors.New("the upstream stopped responding")
@@ -176,8 +184,8 @@
 		"config", c.table.Config.Version, "send", c.sends+1, "prompt", a.Job.Prompt, "output", a.Job.Output, "waited", a.Waited, "predicted", a.Predicted, "running", a.Running, "queued", a.Queued)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stall := c.stallTimer(a, cancel)
-	defer stall.Stop()
+	stall := c.watchSilence(a, cancel)
+	defer stall.stop()
 	x, err := c.gate.Pool.Send(ctx, backend.Request{
 		Address: a.Upstream.Address, Method: c.r.Method, Target: c.target(), Host: c.r.Host,
 		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body,
@@ -270,11 +278,22 @@
 }
 
 // takeRetry reports whether another send is allowed; if so, it charges the retry
-// budget.
+// budget. If not, noRetry holds the reason.
 func (c *call) takeRetry() bool {
-	if c.sends >= c.route.Attempts || c.mayHaveRun && !c.route.Repeatable() {
-		return false
+	switch {
+	case c.sends >= c.route.Attempts:
+		c.noRetry = noRetryAttempts
+	case c.mayHaveRun && !c.route.Repeatable():
+		c.noRetry = noRetryMayHaveRun
+	case !c.chargeRetry():
+		c.noRetry = noRetryBudget
+	default:
+		c.noRetry = ""
 	}
+	return c.noRetry == ""
+}
+
+func (c *call) chargeRetry() bool {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	return c.gate.budget.Take(c.service, time.Now())
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -49,6 +49,8 @@
 	// mayHaveRun is true when an upstream may have run the request.
 	mayHaveRun bool
 	tried      []string
+	// noRetry is why the request was not sent again, "" if it was.
+	noRetry string
 	// started is true when part of the answer was sent to the caller. lastEvent is the
 	// id of the last event that the caller has, -1 for none.
 	started   bool
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -16,8 +16,10 @@
 func (c *call) fail(k code.Code, reason string) {
 	switch {
 	case c.started:
-		c.log.Info("answer-cut", "cause", reason, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived))
+		c.log.Info("answer-cut", "cause", reason, "no-retry", c.noRetry, "sends", c.sends, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived),
+			"config", c.table.Config.Version, "newest-config", c.gate.View.Table().Config.Version)
 		c.gate.Metrics.refused(code.AnswerCut.Number)
+		c.gate.Metrics.answerCut(c.noRetry)
 		panic(http.ErrAbortHandler)
 	case c.fallback != nil:
 		c.fallback.write(c)
@@ -33,6 +35,7 @@
 // rejected answers a request that the scheduler refused.
 func (c *call) rejected(a schedule.Action) {
 	if c.started || c.mayHaveRun || c.fallback != nil {
+		c.noRetry = noRetryUpstream
 		c.fail(code.UpstreamFailed, "no other upstream: "+a.Reason)
 		return
 	}
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -78,6 +78,12 @@
 	}
 }
 
+// answerCut counts a stream that ended before its last event, by the reason for which
+// no other attempt continued it; "" means that the deadline had passed.
+func (m *Metrics) answerCut(noRetry string) {
+	m.count("agateward_forward_answers_cut_total{no_retry=%q}", noRetry)
+}
+
 func (m *Metrics) first(r *ward.ForwardRoute, d time.Duration) {
 	if m != nil {
 		m.Set.GetOrCreateHistogram(fmt.Sprintf("agateward_forward_first_event_seconds{rank=\"%d\"}", r.Rank)).Update(d.Seconds())
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -29,7 +29,7 @@
 
 // relayStream relays complete events as they arrive and reports whether the request is
 // finished.
-func (c *call) relayStream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *time.Timer) bool {
+func (c *call) relayStream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	events := sse.Reader{R: x.Body, Max: maxEvent}
 	n := 0
 	var streamStart time.Time
@@ -51,7 +51,7 @@
 		}
 		n++
 		if c.route.Repeatable() && c.sends < c.route.Attempts {
-			stall.Reset(maxEventPause)
+			stall.reset(maxEventPause)
 		}
 		if err := c.relayEvent(e, x); err != nil {
 			return c.handleTruncated(ctx, a, err)
