test(gate): a silent upstream ends answers in hand

Streams end after two of four events, plain requests get 502. The test gate's setup can be changed, and its resumable route states the longest gap, as those of deployments do.

--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -30,7 +30,7 @@
     {"name": "safe", "host": "h", "prefix": "/safe/", "kind": "safe", "timeout": "2s", "target-latency": "200ms", "attempts": 2, "split": [{"service": "s", "weight": 1}]},
     {"name": "short", "host": "h", "prefix": "/safe/short/", "kind": "safe", "timeout": "150ms", "target-latency": "100ms", "attempts": 1, "split": [{"service": "s", "weight": 1}]},
     {"name": "unsafe", "host": "h", "prefix": "/unsafe/", "kind": "unsafe", "timeout": "2s", "target-latency": "200ms", "attempts": 3, "split": [{"service": "s", "weight": 1}]},
-    {"name": "stream", "host": "h", "prefix": "/stream/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "attempts": 2, "resumable": true, "split": [{"service": "s", "weight": 1}]},
+    {"name": "stream", "host": "h", "prefix": "/stream/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "max-gap": "400ms", "attempts": 2, "resumable": true, "split": [{"service": "s", "weight": 1}]},
     {"name": "once", "host": "h", "prefix": "/once/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "attempts": 2, "split": [{"service": "s", "weight": 1}]}
   ],
   "teams": [{"name": "guests", "keys": ["k1", "k2"]}],
@@ -42,6 +42,11 @@
 
 // newGateWith returns a gate that change, if not nil, has changed before its start.
 func newGateWith(t *testing.T, change func(g *gate.Gate), upstreams ...*upstream) *httptest.Server {
+	return newGateSetup(t, change, nil, upstreams...)
+}
+
+// newGateSetup also lets adjust, if not nil, change the gate's setup.
+func newGateSetup(t *testing.T, change func(g *gate.Gate), adjust func(s *gate.Setup), upstreams ...*upstream) *httptest.Server {
 	var list []string
 	for i, u := range upstreams {
 		list = append(list, fmt.Sprintf(`{"id": "u%d", "service": "s", "version": "v1", "data-centre": "a", "address": %q, "slots": 4}`, i+1, u.Addr()))
@@ -59,7 +64,11 @@
 	}
 	changed := make(chan struct{}, 8)
 	g.View = &view.View{Source: src.Feed(), Log: logr.Discard(), Changed: func() { g.Refresh(); changed <- struct{}{} }}
-	g.Prepare(gate.Setup{Name: "entry-1", DataCentre: "a", Retries: retry.Budget{Ratio: 1, Slack: 100, Window: time.Second, Entries: 1}})
+	setup := gate.Setup{Name: "entry-1", DataCentre: "a", Retries: retry.Budget{Ratio: 1, Slack: 100, Window: time.Second, Entries: 1}}
+	if adjust != nil {
+		adjust(&setup)
+	}
+	g.Prepare(setup)
 	ctx := t.Context()
 	go g.View.Run(ctx)
 	go g.Run(ctx)
--- /dev/null
+++ b/internal/forward/gate/silence_test.go
@@ -0,0 +1,136 @@
+package gate_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"agateward/internal/forward/gate"
+	"agateward/internal/forward/retry"
+)
+
+// noRetries leaves no retry to the gate.
+func noRetries(s *gate.Setup) { s.Retries = retry.Budget{Window: time.Second, Entries: 1} }
+
+// pieces returns the events from first to last as an upstream sends them.
+func pieces(first, last int) string {
+	var b strings.Builder
+	for id := first; id <= last; id++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", id, id)
+	}
+	return b.String()
+}
+
+// falls writes a whole answer with a pause of silent: within a stream after two of four
+// events, before the answer to other requests.
+func falls(silent time.Duration) reply {
+	return func(w io.Writer, r *http.Request, _ int64) bool {
+		if !strings.HasPrefix(r.URL.Path, "/stream/") {
+			time.Sleep(silent)
+			return ok(w, r, "fine")
+		}
+		events(w, r, 1, 2, false)
+		time.Sleep(silent)
+		for id := 3; id <= 4; id++ {
+			e := pieces(id, id)
+			fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
+		}
+		fmt.Fprint(w, "0\r\n\r\n")
+		return true
+	}
+}
+
+// Guards against answers in hand that end because a sound upstream falls silent for a
+// second or so, and no other upstream can take the request over: no retry is left, or
+// there is no free slot.
+func TestSilenceEndsNoAnswerInHand(t *testing.T) {
+	const silent = 1500 * time.Millisecond
+	cases := []struct {
+		name, path, body string
+		silent           time.Duration
+		change           func(*gate.Setup)
+		upstreams        int
+	}{
+		{"stream, no retry left", "/stream/x", pieces(1, 4), silent, noRetries, 2},
+		{"stream, no other upstream", "/stream/x", pieces(1, 4), silent, nil, 1},
+		{"plain, no retry left", "/safe/x", "fine", silent, noRetries, 2},
+		{"plain, no other upstream", "/safe/x", "fine", silent, nil, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var list []*upstream
+			for range c.upstreams {
+				list = append(list, newUpstream(t, falls(c.silent)))
+			}
+			s := newGateSetup(t, nil, c.change, list...)
+			if got := do(t, s, "POST", c.path, nil); got.status != 200 || got.body != c.body || got.err != nil {
+				t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
+			}
+			var runs int64
+			for _, u := range list {
+				runs += u.runs.Load()
+			}
+			if runs != 1 {
+				t.Errorf("the request was sent %d times, want once", runs)
+			}
+		})
+	}
+}
+
+// Guards against answers in hand that end because the upstream that took the request
+// over rejects it, though the first one falls silent only for a second or so.
+func TestSilenceOfASecondMovesNoStream(t *testing.T) {
+	full := func(w io.Writer, _ *http.Request, _ int64) bool {
+		fmt.Fprint(w, "HTTP/1.1 503 Full\r\nAgateward-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	first := falls(1500 * time.Millisecond)
+	var sends atomic.Int64
+	serve := func(w io.Writer, r *http.Request, _ int64) bool {
+		if sends.Add(1) == 1 {
+			return first(w, r, 1)
+		}
+		return full(w, r, 1)
+	}
+	s := newGate(t, newUpstream(t, serve), newUpstream(t, serve))
+	got := do(t, s, "POST", "/stream/x", nil)
+	if got.status != 200 || got.body != pieces(1, 4) || got.err != nil {
+		t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
+	}
+}
+
+// Guards against a caller that reads slowly being taken for an upstream that is silent:
+// its answer went to another upstream, or ended.
+func TestSlowCallerIsNoSilence(t *testing.T) {
+	const events, size = 40, 256 << 10
+	u := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Agateward-Request"))
+		for id := 1; id <= events; id++ {
+			e := fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", size))
+			fmt.Fprintf(w, "%x\r\n%s\r\n", len(e), e)
+		}
+		fmt.Fprint(w, "0\r\n\r\n")
+		return true
+	})
+	s := newGate(t, u)
+	c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /stream/x HTTP/1.1\r\nHost: h\r\nAgateward-Request: r1\r\nAuthorization: Bearer k1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	time.Sleep(1800 * time.Millisecond)
+	b, err := io.ReadAll(c)
+	if err != nil || !strings.HasSuffix(string(b), "0\r\n\r\n") || strings.Count(string(b), "data: ") != events {
+		t.Errorf("%d events, end %q, %v; want %d events and the end", strings.Count(string(b), "data: "), b[max(0, len(b)-9):], err, events)
+	}
+	if n := u.runs.Load(); n != 1 {
+		t.Errorf("the request was sent %d times, want once", n)
+	}
+}
