fix(gate): a silent attempt goes on until another upstream has room

Callers saw streams that ended after some events, and 502 for plain requests, while their upstream was sound and only silent for a second.

Cause: a timer closed the connection to the silent upstream, and only then asked the retry budget and the scheduler whether another upstream could go on. If either refused, the answer in hand was lost. The class: work is given up before its replacement is certain.

Change: a silent request is offered to the other upstreams while its attempt goes on. The attempt is cancelled when one has a free slot and the retry was charged; the first byte withdraws the offer. Without budget or place it stays.

TestSlowCallerIsNoSilence has two upstreams now, so that it still shows its own fault.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -23,15 +23,6 @@
 	maxRejection = 4 << 10
 	// maxEvent bounds one event of a stream in bytes.
 	maxEvent = 1 << 20
-	// A repeatable request is sent to another upstream if nothing arrives for
-	// stallFactor times the predicted time, but for no less than minStreamStall or
-	// minPlainStall.
-	stallFactor    = 6
-	minStreamStall = time.Second
-	minPlainStall  = 150 * time.Millisecond
-	// maxEventPause is the pause between two events after which a stream is resumed at
-	// another upstream.
-	maxEventPause = 1200 * time.Millisecond
 )
 
 var (
@@ -195,13 +186,17 @@
 		c.finishAttempt(a, schedule.OutcomeNeutral)
 		return false
 	}
-	if errors.Is(context.Cause(ctx), errStalled) {
+	moved := errors.Is(context.Cause(ctx), errStalled)
+	if moved {
 		err = errStalled
 		c.finishAttempt(a, schedule.OutcomeUnreachable)
 	} else {
 		c.finishAttempt(a, schedule.OutcomeFailed)
 	}
 	c.log.Info("answer-broken", "upstream", a.Upstream.ID, "error", err.Error(), "last-event", c.lastEvent, "elapsed", time.Since(c.arrived))
+	if moved {
+		return false
+	}
 	return !c.retry(code.AnswerCut, err.Error())
 }
 
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -41,11 +41,8 @@
 	noRetryUpstream   = "no-upstream"
 )
 
-// Causes for which an attempt is cancelled.
-var (
-	errStalled  = errors.New("the upstream stopped responding")
-	errDeadline = errors.New("the request's deadline has passed")
-)
+// errDeadline is the cause for which a request is cancelled at its deadline.
+var errDeadline = errors.New("the request's deadline has passed")
 
 // run sends the request until an attempt finishes it or no further one is allowed.
 func (c *call) run() {
@@ -58,8 +55,9 @@
 	group, release := c.gate.Rollout.Choose(c.route.Name, c.service, rand.Float64())
 	defer release()
 	c.group = group
+	defer c.releaseNext()
 	for {
-		a, err := c.await(ctx)
+		a, err := c.nextAction(ctx)
 		if err != nil {
 			c.cancelled(ctx)
 			return
@@ -79,16 +77,33 @@
 	}
 }
 
-// job returns the request as a job for the scheduler.
-func (c *call) job() *schedule.Job {
+// nextAction returns the dispatch that replaces the last attempt, or waits for one.
+func (c *call) nextAction(ctx context.Context) (schedule.Action, error) {
+	if a := c.next; a != nil {
+		c.next = nil
+		return *a, nil
+	}
+	return c.await(ctx)
+}
+
+// releaseNext frees the slot of a dispatch that is not used.
+func (c *call) releaseNext() {
+	if c.next != nil {
+		c.gate.release(*c.next)
+	}
+}
+
+// newJob returns the request as a job for the scheduler: one for the upstreams of group
+// except avoid. started is true when part of the answer has reached the caller.
+func (c *call) newJob(group string, avoid []string, started bool) *schedule.Job {
 	target := c.route.Target.Std()
 	if target == 0 {
 		target = defaultTarget
 	}
 	j := &schedule.Job{
-		Request: c.head.ID, Service: c.group, Route: c.route.Name, Rank: [2]int{0, c.route.Rank},
+		Request: c.head.ID, Service: group, Route: c.route.Name, Rank: [2]int{0, c.route.Rank},
 		Arrived: c.arrived, Due: c.arrived.Add(target), Expires: c.deadline, Deadline: c.deadline,
-		Repeatable: c.route.Repeatable(), Avoid: c.tried, Resumed: c.started,
+		Repeatable: c.route.Repeatable(), Avoid: avoid, Resumed: started,
 	}
 	if c.team != nil && c.team.HasRank {
 		j.Rank[0] = c.team.Rank
@@ -98,7 +113,7 @@
 	}
 	if c.route.Kind == ward.ForwardStream {
 		maxWait := max(minStreamWait, targetFactor*target, gapFactor*c.route.MaxGap.Std())
-		if limit := c.arrived.Add(time.Duration(streamWaitMargin * float64(maxWait))); limit.Before(j.Expires) && !c.started {
+		if limit := c.arrived.Add(time.Duration(streamWaitMargin * float64(maxWait))); limit.Before(j.Expires) && !started {
 			j.Expires = limit
 		}
 		j.Prompt, j.Output = c.head.PromptTokens, c.head.MaxOutput
@@ -129,39 +144,14 @@
 
 // await submits the request to the scheduler and waits for its decision.
 func (c *call) await(ctx context.Context) (schedule.Action, error) {
-	g := c.gate
-	w := &waiter{job: c.job(), action: make(chan schedule.Action, 1)}
-	g.mu.Lock()
-	g.lastID++
-	w.job.ID = g.lastID
-	g.waiters[w.job.ID] = w
-	g.apply(g.sched.Arrive(w.job, time.Now()))
-	waiting := g.waiters[w.job.ID] != nil
-	g.mu.Unlock()
-	if waiting {
-		g.TriggerBroadcast()
-		select {
-		case g.wake <- struct{}{}:
-		default:
-		}
-	}
+	w := c.gate.enqueue(c.newJob(c.group, c.tried, c.started))
 	select {
 	case a := <-w.action:
 		return a, nil
 	case <-ctx.Done():
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.waiters[w.job.ID] != nil {
-		delete(g.waiters, w.job.ID)
-		g.sched.Cancel(w.job)
+		c.gate.leaveQueue(w)
 		return schedule.Action{}, ctx.Err()
 	}
-	// The decision was made at the same time.
-	if a := <-w.action; a.Upstream != nil {
-		g.apply(g.sched.Done(a.Job.ID, schedule.OutcomeNeutral, time.Now()))
-	}
-	return schedule.Action{}, ctx.Err()
 }
 
 // attempt sends the request to one upstream and reports whether the request is
@@ -185,7 +175,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := c.watchSilence(a, cancel)
-	defer stall.stop()
+	defer func() { c.next = stall.end() }()
 	x, err := c.gate.Pool.Send(ctx, backend.Request{
 		Address: a.Upstream.Address, Method: c.r.Method, Target: c.target(), Host: c.r.Host,
 		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body,
@@ -261,8 +251,8 @@
 	}
 	c.sends++
 	c.mayHaveRun = true
-	if left {
-		return false
+	if left || errors.Is(context.Cause(ctx), errStalled) {
+		return false // run answers the request, or the next dispatch is there
 	}
 	return !c.retry(code.UpstreamFailed, "no answer from the upstream: "+err.Error())
 }
@@ -293,6 +283,13 @@
 	return c.noRetry == ""
 }
 
+// retryAllowed reports whether the retry budget allows another send.
+func (c *call) retryAllowed() bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return c.gate.budget.Allows(c.service, time.Now())
+}
+
 func (c *call) chargeRetry() bool {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -9,6 +9,7 @@
 
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/route"
+	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
 	"agateward/ward"
 
@@ -49,6 +50,8 @@
 	// mayHaveRun is true when an upstream may have run the request.
 	mayHaveRun bool
 	tried      []string
+	// next is the dispatch that replaces the last attempt, nil for none.
+	next *schedule.Action
 	// noRetry is why the request was not sent again, "" if it was.
 	noRetry string
 	// started is true when part of the answer was sent to the caller. lastEvent is the
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -235,6 +235,50 @@
 	}
 }
 
+// enqueue submits a job to the scheduler. The decision comes on the waiter's channel.
+func (g *Gate) enqueue(j *schedule.Job) *waiter {
+	w := &waiter{job: j, action: make(chan schedule.Action, 1)}
+	g.mu.Lock()
+	g.lastID++
+	j.ID = g.lastID
+	g.waiters[j.ID] = w
+	g.apply(g.sched.Arrive(j, time.Now()))
+	waiting := g.waiters[j.ID] != nil
+	g.mu.Unlock()
+	if waiting {
+		g.TriggerBroadcast()
+		select {
+		case g.wake <- struct{}{}:
+		default:
+		}
+	}
+	return w
+}
+
+// leaveQueue withdraws a job whose decision nobody waits for any more.
+func (g *Gate) leaveQueue(w *waiter) {
+	g.mu.Lock()
+	waiting := g.waiters[w.job.ID] != nil
+	if waiting {
+		delete(g.waiters, w.job.ID)
+		g.sched.Cancel(w.job)
+	}
+	g.mu.Unlock()
+	if !waiting {
+		g.release(<-w.action) // the decision was made at the same time
+	}
+}
+
+// release frees the slot of a dispatch that was not used.
+func (g *Gate) release(a schedule.Action) {
+	if a.Upstream == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(g.sched.Done(a.Job.ID, schedule.OutcomeNeutral, time.Now()))
+}
+
 // ServeHTTP serves one request of a caller.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.running.Add(1)
--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,21 +11,61 @@
 	"agateward/ward"
 )
 
-// silence cancels the attempt of a repeatable request whose upstream sends nothing.
+const (
+	// A repeatable request may move to another upstream if nothing arrives for
+	// stallFactor times the predicted time, but for no less than minStreamStall or
+	// minPlainStall.
+	stallFactor    = 6
+	minStreamStall = time.Second
+	minPlainStall  = 150 * time.Millisecond
+	// maxEventPause is the pause between two events after which a stream may be resumed
+	// at another upstream.
+	maxEventPause = 1200 * time.Millisecond
+	// moveRetryDelay is the time until a request that no other upstream could take is
+	// offered again.
+	moveRetryDelay = 250 * time.Millisecond
+)
+
+// errStalled is the cause for which an attempt is cancelled whose request has moved to
+// another upstream.
+var errStalled = errors.New("the upstream stopped responding")
+
+// silence moves a repeatable request to another upstream if its own sends nothing. The
+// attempt goes on until the other upstream has a free slot for the request and a retry
+// was charged: the answer may still come.
 type silence struct {
-	call     *call
-	upstream string
-	cancel   context.CancelCauseFunc
+	call   *call
+	action schedule.Action
+	cancel context.CancelCauseFunc
+	// avoid lists the upstreams that the request was sent to.
+	avoid []string
 
 	mu    sync.Mutex
 	timer *time.Timer
 	limit time.Duration
 	due   time.Time
+	// started is true when part of the answer has reached the caller.
+	started bool
+	ended   bool
+	// offer is the place in the queue for another upstream, nil for none.
+	offer *offer
+	// next is the dispatch that replaces the attempt, nil for none.
+	next *schedule.Action
+	// denied is the last logged reason for which the request did not move.
+	denied string
+}
+
+// offer is a request that waits for another upstream during its attempt.
+type offer struct {
+	waiter *waiter
+	// withdrawn is closed when the request no longer has to move.
+	withdrawn chan struct{}
 }
 
 // watchSilence returns the silence of an attempt that begins.
 func (c *call) watchSilence(a schedule.Action, cancel context.CancelCauseFunc) *silence {
-	s := &silence{call: c, upstream: a.Upstream.ID, cancel: cancel}
+	s := &silence{call: c, action: a, cancel: cancel, started: c.started}
+	s.avoid = append(slices.Clone(c.tried), a.Upstream.ID)
 	if !c.route.Repeatable() || c.sends+1 >= c.route.Attempts {
 		return s
 	}
@@ -33,34 +75,108 @@
 	} else {
 		minimum = max(minimum, 2*c.route.Target.Std())
 	}
-	s.reset(max(stallFactor*a.Predicted, minimum))
+	s.limit = max(stallFactor*a.Predicted, minimum)
+	s.due = time.Now().Add(s.limit)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer = time.AfterFunc(s.limit, s.expire)
 	return s
 }
 
-// reset starts the silence anew: something arrived.
-func (s *silence) reset(limit time.Duration) {
+// eventRelayed starts the silence anew after an event.
+func (s *silence) eventRelayed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limit, s.due = limit, time.Now().Add(limit)
-	if s.timer == nil {
-		s.timer = time.AfterFunc(limit, s.expire)
+	s.started = true
+	s.restart(maxEventPause)
+}
+
+// restart ends a silence and waits for the next. The caller must hold mu.
+func (s *silence) restart(limit time.Duration) {
+	if s.timer == nil || s.ended {
 		return
 	}
+	s.withdraw()
+	s.limit, s.due = limit, time.Now().Add(limit)
 	s.timer.Reset(limit)
 }
 
-func (s *silence) stop() {
+// withdraw takes the request out of the queue. The caller must hold mu.
+func (s *silence) withdraw() {
+	if s.offer != nil {
+		close(s.offer.withdrawn)
+		s.offer = nil
+	}
+}
+
+// end ends the watch with its attempt. It returns the dispatch that replaces the
+// attempt, nil for none.
+func (s *silence) end() *schedule.Action {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ended = true
+	s.withdraw()
 	if s.timer != nil {
 		s.timer.Stop()
 	}
+	return s.next
 }
 
+// expire offers the request to the other upstreams.
 func (s *silence) expire() {
 	s.mu.Lock()
-	limit, late := s.limit, time.Since(s.due)
+	if s.ended || s.offer != nil {
+		s.mu.Unlock()
+		return
+	}
+	late := time.Since(s.due)
+	c := s.call
+	if !c.retryAllowed() {
+		s.deny(noRetryBudget, late)
+		s.mu.Unlock()
+		return
+	}
+	o := &offer{waiter: c.gate.enqueue(c.newJob(c.service, s.avoid, s.started)), withdrawn: make(chan struct{})}
+	s.offer = o
 	s.mu.Unlock()
-	s.call.log.Info("attempt-silent", "upstream", s.upstream, "limit", limit, "timer-late", late, "elapsed", time.Since(s.call.arrived))
-	s.cancel(errStalled)
+	select {
+	case a := <-o.waiter.action:
+		s.move(o, a, late)
+	case <-o.withdrawn:
+		c.gate.leaveQueue(o.waiter)
+	}
+}
+
+// move replaces the attempt by a dispatch, unless the upstream was heard meanwhile.
+func (s *silence) move(o *offer, a schedule.Action, late time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.call
+	if s.offer != o {
+		c.gate.release(a)
+		return
+	}
+	s.offer = nil
+	switch {
+	case a.Upstream == nil:
+		s.deny(noRetryUpstream+": "+a.Reason, late)
+	case !c.chargeRetry():
+		c.gate.release(a)
+		s.deny(noRetryBudget, late)
+	default:
+		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.limit, "timer-late", late, "moved-to", a.Upstream.ID, "elapsed", time.Since(c.arrived))
+		s.next, s.ended = &a, true
+		s.cancel(errStalled)
+	}
+}
+
+// deny leaves the request where it is and offers it again later. The caller must hold
+// mu.
+func (s *silence) deny(reason string, late time.Duration) {
+	if reason != s.denied {
+		s.call.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.limit, "timer-late", late, "no-retry", reason, "elapsed", time.Since(s.call.arrived))
+		s.denied = reason
+	}
+	s.due = time.Now().Add(moveRetryDelay)
+	s.timer.Reset(moveRetryDelay)
 }
--- a/internal/forward/gate/silence_test.go
+++ b/internal/forward/gate/silence_test.go
@@ -109,7 +109,7 @@
 // its answer went to another upstream, or ended.
 func TestSlowCallerIsNoSilence(t *testing.T) {
 	const events, size = 40, 256 << 10
-	u := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool {
+	serve := func(w io.Writer, r *http.Request, _ int64) bool {
 		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Agateward-Request"))
 		for id := 1; id <= events; id++ {
 			e := fmt.Sprintf("id: %d\ndata: %s\n\n", id, strings.Repeat("x", size))
@@ -117,8 +117,9 @@
 		}
 		fmt.Fprint(w, "0\r\n\r\n")
 		return true
-	})
-	s := newGate(t, u)
+	}
+	list := []*upstream{newUpstream(t, serve), newUpstream(t, serve)}
+	s := newGate(t, list...)
 	c, err := net.Dial("tcp", strings.TrimPrefix(s.URL, "http://"))
 	if err != nil {
 		t.Fatal(err)
@@ -130,7 +131,7 @@
 	if err != nil || !strings.HasSuffix(string(b), "0\r\n\r\n") || strings.Count(string(b), "data: ") != events {
 		t.Errorf("%d events, end %q, %v; want %d events and the end", strings.Count(string(b), "data: "), b[max(0, len(b)-9):], err, events)
 	}
-	if n := u.runs.Load(); n != 1 {
+	if n := list[0].runs.Load() + list[1].runs.Load(); n != 1 {
 		t.Errorf("the request was sent %d times, want once", n)
 	}
 }
--- a/internal/forward/gate/statement.go
+++ b/internal/forward/gate/statement.go
@@ -98,7 +98,5 @@
 // withdraw ends an attempt of which no byte was written.
 func (c *call) withdraw(a schedule.Action) {
 	c.log.Info("dispatch-withdrawn", "upstream", a.Upstream.ID, "elapsed", time.Since(c.arrived))
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	c.gate.apply(c.gate.sched.Done(a.Job.ID, schedule.OutcomeNeutral, time.Now()))
+	c.gate.release(a)
 }
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -50,12 +50,10 @@
 			c.gate.mu.Unlock()
 		}
 		n++
-		if c.route.Repeatable() && c.sends < c.route.Attempts {
-			stall.reset(maxEventPause)
-		}
 		if err := c.relayEvent(e, x); err != nil {
 			return c.handleTruncated(ctx, a, err)
 		}
+		stall.eventRelayed()
 	}
 	c.recordPace(a, n, time.Since(streamStart))
 	c.finishAttempt(a, schedule.OutcomeOK)
--- a/internal/forward/retry/retry.go
+++ b/internal/forward/retry/retry.go
@@ -63,13 +63,19 @@
 	c.requests = append(c.requests, now)
 }
 
-// Take counts a retry and returns true, or returns false if the budget is exhausted.
-func (b *Budget) Take(service string, now time.Time) bool {
+// Allows reports whether the budget allows a retry now.
+func (b *Budget) Allows(service string, now time.Time) bool {
 	c := b.counts(service, now)
 	allowed := safety * (b.Ratio*float64(len(c.requests)) + b.Slack/float64(max(b.Entries, 1)))
-	if float64(len(c.retries)+1) > allowed {
+	return float64(len(c.retries)+1) <= allowed
+}
+
+// Take counts a retry and returns true, or returns false if the budget is exhausted.
+func (b *Budget) Take(service string, now time.Time) bool {
+	if !b.Allows(service, now) {
 		return false
 	}
+	c := b.counts(service, now)
 	c.retries = append(c.retries, now)
 	return true
 }
