fix(gate): a delay of the entry itself is no silence of an upstream

Callers that read slowly had their answer moved to another upstream, or ended; so had requests of an entry that got no processor time for a while, as it does while it takes over a large configuration.

Cause: the timer of the last event ran on while the entry wrote to its caller, and it did not look at bytes that had arrived and were not read.

Change: internal/forward/stall decides; it counts only time in which the entry waits for bytes and none are unread. The head of an answer ends a silence as well.

TestCheck and TestUnreadBytesAreSeen cover unread bytes, which no test of the gate can time.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -75,6 +75,10 @@
 	// MaySend is called once there is a connection, right before the request is
 	// written, unless it is nil. It reports whether the request may be written.
 	MaySend func() bool
+	// Connected is called before the request is written, unless it is nil. unread
+	// reports whether bytes have arrived on the connection that were not read; any
+	// goroutine may call it.
+	Connected func(unread func() bool)
 }
 
 // Pool holds the idle connections by address. Its zero value is ready to use.
@@ -128,6 +132,9 @@
 		c.Close()
 		return nil, ErrWithdrawn
 	}
+	if r.Connected != nil {
+		r.Connected(c.unread)
+	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	x := &Exchange{pool: p, conn: c, Reused: c.reused, writeDone: make(chan error, 1), stopCancel: stop}
 	head := r.head()
--- a/internal/forward/backend/pool.go
+++ b/internal/forward/backend/pool.go
@@ -44,21 +44,32 @@
 // isIdle reports whether the upstream has neither closed a connection nor sent
 // anything on it.
 func (c *conn) isIdle() bool {
+	_, err := c.peek()
+	return c.br.Buffered() == 0 && errors.Is(err, syscall.EAGAIN)
+}
+
+// unread reports whether the socket holds bytes that were not read.
+func (c *conn) unread() bool {
+	n, err := c.peek()
+	return n > 0 && err == nil
+}
+
+// peek looks at the next byte of the socket without waiting for it.
+func (c *conn) peek() (n int, err error) {
 	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.br.Buffered() > 0 {
-		return false
+	if !ok {
+		return 0, errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
+	var peeked error
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(err, syscall.EAGAIN)
+		n, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	return err == nil && quiet
+	return n, errors.Join(err, peeked)
 }
 
 func (p *Pool) putIdle(c *conn, field string) {
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -179,7 +179,7 @@
 	x, err := c.gate.Pool.Send(ctx, backend.Request{
 		Address: a.Upstream.Address, Method: c.r.Method, Target: c.target(), Host: c.r.Host,
 		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body,
-		MaySend: func() bool { return c.maySend(a) },
+		MaySend: func() bool { return c.maySend(a) }, Connected: stall.setConnected,
 	})
 	c.connected = !errors.Is(err, ward.ErrNotConnected)
 	if errors.Is(err, backend.ErrWithdrawn) {
@@ -190,6 +190,7 @@
 		return c.handleSendError(ctx, a, err)
 	}
 	defer x.Close()
+	stall.heard()
 	c.tried = append(c.tried, a.Upstream.ID)
 	return c.handleAnswer(ctx, a, x, stall)
 }
--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"agateward/internal/forward/schedule"
+	"agateward/internal/forward/stall"
 	"agateward/ward"
 )
 
@@ -42,8 +43,10 @@
 
 	mu    sync.Mutex
 	timer *time.Timer
-	limit time.Duration
-	due   time.Time
+	watch stall.Watch
+	// unread reports whether bytes have arrived that were not read, nil before there is
+	// a connection.
+	unread func() bool
 	// started is true when part of the answer has reached the caller.
 	started bool
 	ended   bool
@@ -75,30 +78,45 @@
 	} else {
 		minimum = max(minimum, 2*c.route.Target.Std())
 	}
-	s.limit = max(stallFactor*a.Predicted, minimum)
-	s.due = time.Now().Add(s.limit)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.timer = time.AfterFunc(s.limit, s.expire)
+	s.timer = time.AfterFunc(s.watch.Wait(max(stallFactor*a.Predicted, minimum), time.Now()), s.expire)
 	return s
 }
 
-// eventRelayed starts the silence anew after an event.
-func (s *silence) eventRelayed() {
+// setConnected sets the probe for unread bytes of the connection.
+func (s *silence) setConnected(unread func() bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.started = true
-	s.restart(maxEventPause)
+	s.unread = unread
 }
 
-// restart ends a silence and waits for the next. The caller must hold mu.
-func (s *silence) restart(limit time.Duration) {
-	if s.timer == nil || s.ended {
-		return
+// heard ends a silence; the next one begins at once.
+func (s *silence) heard() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withdraw()
+	if s.timer != nil && !s.ended {
+		s.timer.Reset(s.watch.Wait(s.watch.Limit(), time.Now()))
 	}
+}
+
+// eventArrived ends a silence while an event is written to the caller.
+func (s *silence) eventArrived() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.watch.Pause()
 	s.withdraw()
-	s.limit, s.due = limit, time.Now().Add(limit)
-	s.timer.Reset(limit)
+}
+
+// eventRelayed begins to wait for the next event.
+func (s *silence) eventRelayed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.started = true
+	if s.timer != nil && !s.ended {
+		s.timer.Reset(s.watch.Wait(maxEventPause, time.Now()))
+	}
 }
 
 // withdraw takes the request out of the queue. The caller must hold mu.
@@ -129,10 +147,16 @@
 		s.mu.Unlock()
 		return
 	}
-	late := time.Since(s.due)
+	silent, again := s.watch.Check(s.unread != nil && s.unread(), time.Now())
+	if again > 0 {
+		s.timer.Reset(again)
+	}
 	c := s.call
-	if !c.retryAllowed() {
-		s.deny(noRetryBudget, late)
+	if silent && !c.retryAllowed() {
+		s.deny(noRetryBudget)
+		silent = false
+	}
+	if !silent {
 		s.mu.Unlock()
 		return
 	}
@@ -141,14 +165,14 @@
 	s.mu.Unlock()
 	select {
 	case a := <-o.waiter.action:
-		s.move(o, a, late)
+		s.move(o, a)
 	case <-o.withdrawn:
 		c.gate.leaveQueue(o.waiter)
 	}
 }
 
 // move replaces the attempt by a dispatch, unless the upstream was heard meanwhile.
-func (s *silence) move(o *offer, a schedule.Action, late time.Duration) {
+func (s *silence) move(o *offer, a schedule.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.call
@@ -159,12 +183,12 @@
 	s.offer = nil
 	switch {
 	case a.Upstream == nil:
-		s.deny(noRetryUpstream+": "+a.Reason, late)
+		s.deny(noRetryUpstream + ": " + a.Reason)
 	case !c.chargeRetry():
 		c.gate.release(a)
-		s.deny(noRetryBudget, late)
+		s.deny(noRetryBudget)
 	default:
-		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.limit, "timer-late", late, "moved-to", a.Upstream.ID, "elapsed", time.Since(c.arrived))
+		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "moved-to", a.Upstream.ID, "elapsed", time.Since(c.arrived))
 		s.next, s.ended = &a, true
 		s.cancel(errStalled)
 	}
@@ -172,11 +196,10 @@
 
 // deny leaves the request where it is and offers it again later. The caller must hold
 // mu.
-func (s *silence) deny(reason string, late time.Duration) {
+func (s *silence) deny(reason string) {
 	if reason != s.denied {
-		s.call.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.limit, "timer-late", late, "no-retry", reason, "elapsed", time.Since(s.call.arrived))
+		s.call.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "no-retry", reason, "elapsed", time.Since(s.call.arrived))
 		s.denied = reason
 	}
-	s.due = time.Now().Add(moveRetryDelay)
 	s.timer.Reset(moveRetryDelay)
 }
