fix(gate): a stream waits longer for a silent upstream

Callers lost streams whose upstream was silent for a second or so: the request moved to another upstream, which rejected it, and with the attempts of the route used up the answer ended.

Cause: a pause of 1.2 s between two events counted as the end of an upstream. That is no more than the silence of a sound one.

Change: the pause is half of that after which the caller leaves, at least 1.2 s as before. The other half is left to the next upstream. Such a stream is late in any case; a connection that breaks is still noticed at once.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -96,10 +96,7 @@
 // newJob returns the request as a job for the scheduler: one for the upstreams of group
 // except avoid. started is true when part of the answer has reached the caller.
 func (c *call) newJob(group string, avoid []string, started bool) *schedule.Job {
-	target := c.route.Target.Std()
-	if target == 0 {
-		target = defaultTarget
-	}
+	target := c.target()
 	j := &schedule.Job{
 		Request: c.head.ID, Service: group, Route: c.route.Name, Rank: [2]int{0, c.route.Rank},
 		Arrived: c.arrived, Due: c.arrived.Add(target), Expires: c.deadline, Deadline: c.deadline,
@@ -112,8 +109,7 @@
 		j.Expires = c.arrived.Add(defaultTimeout)
 	}
 	if c.route.Kind == ward.ForwardStream {
-		maxWait := max(minStreamWait, targetFactor*target, gapFactor*c.route.MaxGap.Std())
-		if limit := c.arrived.Add(time.Duration(streamWaitMargin * float64(maxWait))); limit.Before(j.Expires) && !started {
+		if limit := c.arrived.Add(time.Duration(streamWaitMargin * float64(c.callerPatience()))); limit.Before(j.Expires) && !started {
 			j.Expires = limit
 		}
 		j.Prompt, j.Output = c.head.PromptTokens, c.head.MaxOutput
@@ -128,6 +124,20 @@
 	return j
 }
 
+// target returns the time in which the answer, or its first event, is in time.
+func (c *call) target() time.Duration {
+	if t := c.route.Target.Std(); t > 0 {
+		return t
+	}
+	return defaultTarget
+}
+
+// callerPatience returns the pause after which the caller of a stream is expected to
+// leave.
+func (c *call) callerPatience() time.Duration {
+	return max(minStreamWait, targetFactor*c.target(), gapFactor*c.route.MaxGap.Std())
+}
+
 // boundByStop bounds a job of a stopping entry.
 func (c *call) boundByStop(j *schedule.Job, s shutdown.Shutdown) {
 	end, sure := s.Bound(c.arrived)
@@ -177,7 +187,7 @@
 	stall := c.watchSilence(a, cancel)
 	defer func() { c.next = stall.end() }()
 	x, err := c.gate.Pool.Send(ctx, backend.Request{
-		Address: a.Upstream.Address, Method: c.r.Method, Target: c.target(), Host: c.r.Host,
+		Address: a.Upstream.Address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host,
 		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body,
 		MaySend: func() bool { return c.maySend(a) }, Connected: stall.setConnected,
 	})
@@ -195,7 +205,7 @@
 	return c.handleAnswer(ctx, a, x, stall)
 }
 
-func (c *call) target() string {
+func (c *call) requestTarget() string {
 	if t := c.r.RequestURI; t != "" && t[0] == '/' {
 		return t
 	}
--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -19,9 +19,12 @@
 	stallFactor    = 6
 	minStreamStall = time.Second
 	minPlainStall  = 150 * time.Millisecond
-	// maxEventPause is the pause between two events after which a stream may be resumed
-	// at another upstream.
-	maxEventPause = 1200 * time.Millisecond
+	// A stream that has begun may move after a pause of minEventPause, or of
+	// eventPauseFraction of the pause after which its caller leaves if that is longer:
+	// a sound upstream may pause for a second or so, and the answer ends if the next
+	// upstream fails. The rest of the time is left to that one.
+	minEventPause      = 1200 * time.Millisecond
+	eventPauseFraction = 0.5
 	// moveRetryDelay is the time until a request that no other upstream could take is
 	// offered again.
 	moveRetryDelay = 250 * time.Millisecond
@@ -84,6 +87,11 @@
 	return s
 }
 
+// maxEventPause returns the pause between two events after which a stream may move.
+func (c *call) maxEventPause() time.Duration {
+	return max(minEventPause, time.Duration(eventPauseFraction*float64(c.callerPatience())))
+}
+
 // setConnected sets the probe for unread bytes of the connection.
 func (s *silence) setConnected(unread func() bool) {
 	s.mu.Lock()
@@ -115,7 +123,7 @@
 	defer s.mu.Unlock()
 	s.started = true
 	if s.timer != nil && !s.ended {
-		s.timer.Reset(s.watch.Wait(maxEventPause, time.Now()))
+		s.timer.Reset(s.watch.Wait(s.call.maxEventPause(), time.Now()))
 	}
 }
 
