fix(gate): a missing answer does not hold its slot until the deadline

Since silent attempts go on until another upstream has room, a request whose answer was lost kept its slot until the deadline when the queue was too long for a second attempt, and the callers behind it were refused.

An upstream that sends nothing to anybody may have paused; one that answers other requests has lost this answer. Scheduler.Sending tells them apart, from the own requests and those of the peers.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -182,19 +182,19 @@
 // handleTruncated finishes an attempt with a truncated answer and reports whether the
 // request is finished.
 func (c *call) handleTruncated(ctx context.Context, a schedule.Action, err error) bool {
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled) {
+	silent := silentCause(ctx)
+	if ctx.Err() != nil && silent == nil {
 		c.finishAttempt(a, schedule.OutcomeNeutral)
 		return false
 	}
-	moved := errors.Is(context.Cause(ctx), errStalled)
-	if moved {
-		err = errStalled
+	if silent != nil {
+		err = silent
 		c.finishAttempt(a, schedule.OutcomeUnreachable)
 	} else {
 		c.finishAttempt(a, schedule.OutcomeFailed)
 	}
 	c.log.Info("answer-broken", "upstream", a.Upstream.ID, "error", err.Error(), "last-event", c.lastEvent, "elapsed", time.Since(c.arrived))
-	if moved {
+	if errors.Is(silent, errMoved) {
 		return false
 	}
 	return !c.retry(code.AnswerCut, err.Error())
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -239,7 +239,8 @@
 // handleSendError finishes an attempt without an answer and reports whether the
 // request is finished.
 func (c *call) handleSendError(ctx context.Context, a schedule.Action, err error) bool {
-	left := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errStalled)
+	silent := silentCause(ctx)
+	left := ctx.Err() != nil && silent == nil
 	sent := !errors.Is(err, ward.ErrNotConnected)
 	switch {
 	case left:
@@ -262,7 +263,7 @@
 	}
 	c.sends++
 	c.mayHaveRun = true
-	if left || errors.Is(context.Cause(ctx), errStalled) {
+	if left || errors.Is(silent, errMoved) {
 		return false // run answers the request, or the next dispatch is there
 	}
 	return !c.retry(code.UpstreamFailed, "no answer from the upstream: "+err.Error())
--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -30,13 +30,18 @@
 	moveRetryDelay = 250 * time.Millisecond
 )
 
-// errStalled is the cause for which an attempt is cancelled whose request has moved to
-// another upstream.
-var errStalled = errors.New("the upstream stopped responding")
+// Causes for which a silent attempt is cancelled.
+var (
+	errStalled = errors.New("the upstream stopped responding")
+	// errMoved means that another upstream has a free slot for the request and that the
+	// retry was charged.
+	errMoved = errors.New("the upstream stopped responding, and another one goes on")
+)
 
 // silence moves a repeatable request to another upstream if its own sends nothing. The
-// attempt goes on until the other upstream has a free slot for the request and a retry
-// was charged: the answer may still come.
+// attempt goes on until the other one has a free slot: the upstream may have paused.
+// Only if it answers other requests, and no part of the answer has reached the caller,
+// is the attempt given up without that.
 type silence struct {
 	call   *call
 	action schedule.Action
@@ -160,6 +165,12 @@
 		s.timer.Reset(again)
 	}
 	c := s.call
+	if silent && !s.started && s.sending(time.Now()) {
+		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "moved-to", "", "elapsed", time.Since(c.arrived))
+		s.ended = true
+		s.cancel(errStalled)
+		silent = false
+	}
 	if silent && !c.retryAllowed() {
 		s.deny(noRetryBudget)
 		silent = false
@@ -198,7 +209,7 @@
 	default:
 		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "moved-to", a.Upstream.ID, "elapsed", time.Since(c.arrived))
 		s.next, s.ended = &a, true
-		s.cancel(errStalled)
+		s.cancel(errMoved)
 	}
 }
 
@@ -211,3 +222,21 @@
 	}
 	s.timer.Reset(moveRetryDelay)
 }
+
+// sending reports whether the upstream sent anything else in the later half of the
+// silence.
+func (s *silence) sending(now time.Time) bool {
+	g := s.call.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.sched.Sending(s.action.Job.ID, now.Add(-s.watch.Silence(now)/2), now)
+}
+
+// silentCause returns the cause for which a silent attempt was cancelled, nil if it was
+// not.
+func silentCause(ctx context.Context) error {
+	if err := context.Cause(ctx); errors.Is(err, errStalled) || errors.Is(err, errMoved) {
+		return err
+	}
+	return nil
+}
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 )
 
@@ -111,3 +112,26 @@
 	}
 	s.assignSlots()
 }
+
+// Sending reports whether the upstream of a dispatched job has sent anything since the
+// given time: to this entry, or to a peer that has requests there. If it has and the
+// job's answer does not come, then that answer alone is missing.
+func (s *Scheduler) Sending(id uint64, since, now time.Time) bool {
+	r := s.jobs[id]
+	if r == nil {
+		return false
+	}
+	u := r.upstream
+	if u.lastHeard.After(since) {
+		return true
+	}
+	if now.Sub(since) < minSilence {
+		return false // peers report an upstream only after this time
+	}
+	for _, p := range s.peers {
+		if now.Sub(p.lastUpdate) <= peerTimeout && p.state.Load[u.ID] > 0 && !slices.Contains(p.state.Unresponsive, u.ID) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/forward/stall/stall.go
+++ b/internal/forward/stall/stall.go
@@ -32,11 +32,19 @@
 // Limit returns the silence from which the upstream counts as stalled.
 func (w *Watch) Limit() time.Duration { return w.limit }
 
+// Silence returns how long the entry has waited for bytes.
+func (w *Watch) Silence(now time.Time) time.Duration {
+	if w.since.IsZero() {
+		return 0
+	}
+	return now.Sub(w.since)
+}
+
 // Check reports whether the upstream has been silent for the limit, and else the time
 // until the next check, 0 if none is needed before the next Wait. unread is true if
 // bytes have arrived that the entry has not read.
 func (w *Watch) Check(unread bool, now time.Time) (silent bool, again time.Duration) {
-	switch left := w.limit - now.Sub(w.since); {
+	switch left := w.limit - w.Silence(now); {
 	case w.since.IsZero():
 		return false, 0
 	case left > 0:
