fix(gate): a body that arrives slowly is no silence of an upstream

Callers of plain repeatable routes got 502 for an answer that was arriving: it took longer than the limit of a silence from its head to its last byte. The request moved to another upstream, and if that one rejected it no attempt was left.

Cause: the head of an answer began the last silence of a plain answer. The bytes of its body did not end it; unread bytes count only if they lie in the socket at the moment of the check.

Change: each byte of a buffered body ends a silence.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -52,7 +52,7 @@
 	if c.route.Kind == ward.ForwardStream && x.Status < 300 {
 		return c.relayStream(ctx, a, x, stall)
 	}
-	return c.relayBuffered(ctx, a, x)
+	return c.relayBuffered(ctx, a, x, stall)
 }
 
 // statement returns what an upstream's answer says about its request, for the metrics.
@@ -141,9 +141,9 @@
 
 // relayBuffered reads an answer completely, relays it and reports whether the request
 // is finished.
-func (c *call) relayBuffered(ctx context.Context, a schedule.Action, x *backend.Exchange) bool {
+func (c *call) relayBuffered(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	c.recordFirst(a)
-	body, err := io.ReadAll(io.LimitReader(x.Body, maxBuffered+1))
+	body, err := io.ReadAll(io.LimitReader(silenceReader{x.Body, stall}, maxBuffered+1))
 	if err == nil && len(body) > maxBuffered {
 		err = errAnswerTooLarge
 	}
--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -109,6 +110,20 @@
 	}
 }
 
+// silenceReader reads a body; each of its bytes ends a silence.
+type silenceReader struct {
+	io.Reader
+	stall *silence
+}
+
+func (r silenceReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 {
+		r.stall.heard()
+	}
+	return n, err
+}
+
 // eventArrived ends a silence while an event is written to the caller.
 func (s *silence) eventArrived() {
 	s.mu.Lock()
--- a/internal/forward/gate/silence_test.go
+++ b/internal/forward/gate/silence_test.go
@@ -135,3 +135,30 @@
 		t.Errorf("the request was sent %d times, want once", n)
 	}
 }
+
+// Guards against a plain answer that arrives slowly but steadily being taken for
+// silence: it was given up with part of its body read, and the caller got a failure if
+// the next upstream rejected the request.
+func TestSlowBodyIsNoSilence(t *testing.T) {
+	const body = "a slow body that never pauses for long"
+	var sends atomic.Int64
+	serve := func(w io.Writer, r *http.Request, _ int64) bool {
+		if sends.Add(1) > 1 {
+			fmt.Fprint(w, "HTTP/1.1 503 Full\r\nAgateward-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Agateward-Request"), len(body))
+		for i := range body {
+			time.Sleep(30 * time.Millisecond)
+			io.WriteString(w, body[i:i+1])
+		}
+		return true
+	}
+	s := newGate(t, newUpstream(t, serve), newUpstream(t, serve))
+	if got := do(t, s, "POST", "/safe/x", nil); got.status != 200 || got.body != body || got.err != nil {
+		t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
+	}
+	if n := sends.Load(); n != 1 {
+		t.Errorf("the request was sent %d times, want once", n)
+	}
+}
