fix(gate): a caller that reads a plain answer slowly uses no retry

Callers got 502 without a second attempt although few attempts had failed: retries went to answers that were already read in full and only waited for their caller. Each also held a slot of another upstream until its caller had read the answer.

Cause: the watch for silence ran on while a buffered answer was written. Only streams paused it.

Change: it pauses once the body is read.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -144,6 +144,7 @@
 func (c *call) relayBuffered(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	c.recordFirst(a)
 	body, err := io.ReadAll(io.LimitReader(silenceReader{x.Body, stall}, maxBuffered+1))
+	stall.pause()
 	if err == nil && len(body) > maxBuffered {
 		err = errAnswerTooLarge
 	}
--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -124,8 +124,8 @@
 	return n, err
 }
 
-// eventArrived ends a silence while an event is written to the caller.
-func (s *silence) eventArrived() {
+// pause ends a silence while an event or a whole body is written to the caller.
+func (s *silence) pause() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watch.Pause()
--- a/internal/forward/gate/silence_test.go
+++ b/internal/forward/gate/silence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -162,3 +163,36 @@
 		t.Errorf("the request was sent %d times, want once", n)
 	}
 }
+
+// slowWriter is a caller that takes a second to read a body.
+type slowWriter struct{ *httptest.ResponseRecorder }
+
+func (w slowWriter) Write(b []byte) (int, error) {
+	time.Sleep(time.Second)
+	return w.ResponseRecorder.Write(b)
+}
+
+// Guards against a caller that reads a plain answer slowly using up a retry and a slot
+// of another upstream: a request whose upstream broke off then got no second attempt.
+func TestSlowCallerUsesNoRetry(t *testing.T) {
+	var cuts atomic.Int64
+	serve := func(w io.Writer, r *http.Request, _ int64) bool {
+		if r.URL.Path == "/safe/cut" && cuts.Add(1) == 1 {
+			return false
+		}
+		return ok(w, r, "fine")
+	}
+	oneRetry := func(s *gate.Setup) { s.Retries = retry.Budget{Slack: 2, Window: time.Minute, Entries: 1} }
+	s := newGateSetup(t, nil, oneRetry, newUpstream(t, serve), newUpstream(t, serve))
+	r := httptest.NewRequest(http.MethodPost, "http://h/safe/x", nil)
+	r.Header.Set("Agateward-Request", "r1")
+	r.Header.Set("Authorization", "Bearer k1")
+	w := slowWriter{httptest.NewRecorder()}
+	s.Config.Handler.ServeHTTP(w, r)
+	if w.Code != 200 || w.Body.String() != "fine" {
+		t.Errorf("slow caller: status %d, body %q", w.Code, w.Body)
+	}
+	if got := do(t, s, "POST", "/safe/cut", nil); got.status != 200 || got.body != "fine" {
+		t.Errorf("status %d, body %q, %v; want a second attempt", got.status, got.body, got.err)
+	}
+}
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -50,7 +50,7 @@
 			c.gate.mu.Unlock()
 		}
 		n++
-		stall.eventArrived()
+		stall.pause()
 		if err := c.relayEvent(e, x); err != nil {
 			return c.handleTruncated(ctx, a, err)
 		}
