fix(gate): a request moves only to an upstream with a connection

Callers lost streams whose upstream paused and would have gone on: the request moved to an upstream that could not be reached any more. No other one was left, and the answer ended at its deadline.

Cause: a free slot counted as enough to end the attempt. Whether the other upstream still accepts connections showed only after that.

Change: the connection is there first (Pool.Connect), and the next send uses it. One that fails counts against its upstream, and the attempt goes on; attempt-silent says no-connection.

--- a/internal/forward/backend/pool.go
+++ b/internal/forward/backend/pool.go
@@ -41,6 +41,20 @@
 	return &conn{Conn: raw, address: address, br: bufio.NewReaderSize(raw, bufferSize)}, nil
 }
 
+// Connect makes sure that there is an open connection to an address, which the next
+// Send to it uses. Its error means that the upstream can't be reached.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	c, err := p.acquire(ctx, address)
+	if err != nil {
+		return err
+	}
+	if c.expires.IsZero() {
+		c.expires = time.Now().Add(defaultIdleTimeout)
+	}
+	p.keep(c)
+	return nil
+}
+
 // isIdle reports whether the upstream has neither closed a connection nor sent
 // anything on it.
 func (c *conn) isIdle() bool {
@@ -81,12 +95,21 @@
 		}
 	}
 	c.expires, c.reused = time.Now().Add(kept), true
+	if kept <= 0 {
+		c.Close()
+		return
+	}
+	p.keep(c)
+}
+
+// keep adds a connection to the idle ones of its address if there is room.
+func (p *Pool) keep(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idle == nil {
 		p.idle = make(map[string][]*conn)
 	}
-	if kept <= 0 || len(p.idle[c.address]) >= maxIdlePerAddress {
+	if len(p.idle[c.address]) >= maxIdlePerAddress {
 		c.Close()
 		return
 	}
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -39,6 +39,7 @@
 	noRetryMayHaveRun = "may-have-run"
 	noRetryBudget     = "retry-budget"
 	noRetryUpstream   = "no-upstream"
+	noRetryConnection = "no-connection"
 )
 
 // errDeadline is the cause for which a request is cancelled at its deadline.
@@ -214,11 +215,8 @@
 
 // finishAttempt reports the outcome of an attempt to the scheduler and the roll-out.
 func (c *call) finishAttempt(a schedule.Action, o schedule.Outcome) {
-	g := c.gate
-	g.Rollout.Observe(c.route.Name, c.service, c.outcome(a, o))
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.apply(g.sched.Done(a.Job.ID, o, time.Now()))
+	c.gate.Rollout.Observe(c.route.Name, c.service, c.outcome(a, o))
+	c.gate.done(a, o)
 }
 
 // outcome returns the outcome of an attempt as evidence about the upstream's version.
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -271,12 +271,16 @@
 
 // release frees the slot of a dispatch that was not used.
 func (g *Gate) release(a schedule.Action) {
-	if a.Upstream == nil {
-		return
+	if a.Upstream != nil {
+		g.done(a, schedule.OutcomeNeutral)
 	}
+}
+
+// done reports the outcome of a dispatch to the scheduler.
+func (g *Gate) done(a schedule.Action, o schedule.Outcome) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.apply(g.sched.Done(a.Job.ID, schedule.OutcomeNeutral, time.Now()))
+	g.apply(g.sched.Done(a.Job.ID, o, time.Now()))
 }
 
 // ServeHTTP serves one request of a caller.
--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -36,8 +36,8 @@
 var errStalled = errors.New("the upstream stopped responding")
 
 // silence moves a repeatable request to another upstream if its own sends nothing. The
-// attempt goes on until the other upstream has a free slot for the request and a retry
-// was charged: the answer may still come.
+// attempt goes on until the other upstream has a free slot for the request and a
+// connection, and a retry was charged: the answer may still come.
 type silence struct {
 	call   *call
 	action schedule.Action
@@ -188,14 +188,24 @@
 	s.mu.Unlock()
 	select {
 	case a := <-o.waiter.action:
-		s.move(o, a)
+		s.move(o, a, c.connect(a))
 	case <-o.withdrawn:
 		c.gate.leaveQueue(o.waiter)
 	}
 }
 
+// connect opens a connection for a dispatch unless one is idle. It does not end with the
+// caller, as that would count as a failure of the upstream.
+func (c *call) connect(a schedule.Action) error {
+	if a.Upstream == nil {
+		return nil
+	}
+	return c.gate.Pool.Connect(context.WithoutCancel(c.r.Context()), a.Upstream.Address)
+}
+
 // move replaces the attempt by a dispatch, unless the upstream was heard meanwhile.
-func (s *silence) move(o *offer, a schedule.Action) {
+// unreachable is the error of the connection to the dispatch's upstream.
+func (s *silence) move(o *offer, a schedule.Action, unreachable error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.call
@@ -207,6 +217,9 @@
 	switch {
 	case a.Upstream == nil:
 		s.deny(noRetryUpstream + ": " + a.Reason)
+	case unreachable != nil:
+		c.gate.done(a, schedule.OutcomeUnreachable)
+		s.deny(noRetryConnection + ": " + unreachable.Error())
 	case !c.chargeRetry():
 		c.gate.release(a)
 		s.deny(noRetryBudget)
--- a/internal/forward/gate/silence_test.go
+++ b/internal/forward/gate/silence_test.go
@@ -196,3 +196,21 @@
 		t.Errorf("status %d, body %q, %v; want a second attempt", got.status, got.body, got.err)
 	}
 }
+
+// Guards against an answer in hand that ends because its request moves to an upstream
+// that can't be reached.
+func TestRequestMovesToNoUnreachableUpstream(t *testing.T) {
+	var list [2]*upstream
+	serve := func(other int) reply {
+		return func(w io.Writer, r *http.Request, n int64) bool {
+			list[other].Close()
+			return falls(2200*time.Millisecond)(w, r, n)
+		}
+	}
+	list[0], list[1] = newUpstream(t, serve(1)), newUpstream(t, serve(0))
+	s := newGate(t, list[:]...)
+	got := do(t, s, "POST", "/stream/x", nil)
+	if got.status != 200 || got.body != pieces(1, 4) || got.err != nil {
+		t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
+	}
+}
