--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -39,9 +40,9 @@
 )
 
 // silence moves a repeatable request to another upstream if its own sends nothing. The
-// attempt goes on until the other one has a free slot: the upstream may have paused.
-// Only if it answers other requests, and no part of the answer has reached the caller,
-// is the attempt given up without that.
+// attempt goes on until the other one has a free slot and a connection: the upstream
+// may have paused. Only if it answers other requests, and no part of the answer has
+// reached the caller, is the attempt given up without that.
 type silence struct {
 	call   *call
 	action schedule.Action
@@ -114,8 +115,22 @@
 	}
 }
 
-// eventArrived ends a silence while an event is written to the caller.
-func (s *silence) eventArrived() {
+// silenceReader reads a body; each of its bytes ends a silence.
+type silenceReader struct {
+	io.Reader
+	stall *silence
+}
+
+func (r silenceReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 {
+		r.stall.heard()
+	}
+	return n, err
+}
+
+// pause ends a silence while an event or a whole body is written to the caller.
+func (s *silence) pause() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watch.Pause()
@@ -184,14 +199,24 @@
 	s.mu.Unlock()
 	select {
 	case a := <-o.waiter.action:
-		s.move(o, a)
+		s.move(o, a, c.connect(a))
 	case <-o.withdrawn:
 		c.gate.leaveQueue(o.waiter)
 	}
 }
 
+// connect opens a connection for a dispatch unless one is idle. It does not end with the
+// caller, as that would count as a failure of the upstream.
+func (c *call) connect(a schedule.Action) error {
+	if a.Upstream == nil {
+		return nil
+	}
+	return c.gate.Pool.Connect(context.WithoutCancel(c.r.Context()), a.Upstream.Address)
+}
+
 // move replaces the attempt by a dispatch, unless the upstream was heard meanwhile.
-func (s *silence) move(o *offer, a schedule.Action) {
+// unreachable is the error of the connection to the dispatch's upstream.
+func (s *silence) move(o *offer, a schedule.Action, unreachable error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.call
@@ -203,6 +228,9 @@
 	switch {
 	case a.Upstream == nil:
 		s.deny(noRetryUpstream + ": " + a.Reason)
+	case unreachable != nil:
+		c.gate.done(a, schedule.OutcomeUnreachable)
+		s.deny(noRetryConnection + ": " + unreachable.Error())
 	case !c.chargeRetry():
 		c.gate.release(a)
 		s.deny(noRetryBudget)
--- a/internal/forward/gate/silence_test.go
+++ b/internal/forward/gate/silence_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -135,3 +136,81 @@
 		t.Errorf("the request was sent %d times, want once", n)
 	}
 }
+
+// Guards against a plain answer that arrives slowly but steadily being taken for
+// silence: it was given up with part of its body read, and the caller got a failure if
+// the next upstream rejected the request.
+func TestSlowBodyIsNoSilence(t *testing.T) {
+	const body = "a slow body that never pauses for long"
+	var sends atomic.Int64
+	serve := func(w io.Writer, r *http.Request, _ int64) bool {
+		if sends.Add(1) > 1 {
+			fmt.Fprint(w, "HTTP/1.1 503 Full\r\nAgateward-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Length: %d\r\n\r\n", r.Header.Get("Agateward-Request"), len(body))
+		for i := range body {
+			time.Sleep(30 * time.Millisecond)
+			io.WriteString(w, body[i:i+1])
+		}
+		return true
+	}
+	s := newGate(t, newUpstream(t, serve), newUpstream(t, serve))
+	if got := do(t, s, "POST", "/safe/x", nil); got.status != 200 || got.body != body || got.err != nil {
+		t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
+	}
+	if n := sends.Load(); n != 1 {
+		t.Errorf("the request was sent %d times, want once", n)
+	}
+}
+
+// slowWriter is a caller that takes a second to read a body.
+type slowWriter struct{ *httptest.ResponseRecorder }
+
+func (w slowWriter) Write(b []byte) (int, error) {
+	time.Sleep(time.Second)
+	return w.ResponseRecorder.Write(b)
+}
+
+// Guards against a caller that reads a plain answer slowly using up a retry and a slot
+// of another upstream: a request whose upstream broke off then got no second attempt.
+func TestSlowCallerUsesNoRetry(t *testing.T) {
+	var cuts atomic.Int64
+	serve := func(w io.Writer, r *http.Request, _ int64) bool {
+		if r.URL.Path == "/safe/cut" && cuts.Add(1) == 1 {
+			return false
+		}
+		return ok(w, r, "fine")
+	}
+	oneRetry := func(s *gate.Setup) { s.Retries = retry.Budget{Slack: 2, Window: time.Minute, Entries: 1} }
+	s := newGateSetup(t, nil, oneRetry, newUpstream(t, serve), newUpstream(t, serve))
+	r := httptest.NewRequest(http.MethodPost, "http://h/safe/x", nil)
+	r.Header.Set("Agateward-Request", "r1")
+	r.Header.Set("Authorization", "Bearer k1")
+	w := slowWriter{httptest.NewRecorder()}
+	s.Config.Handler.ServeHTTP(w, r)
+	if w.Code != 200 || w.Body.String() != "fine" {
+		t.Errorf("slow caller: status %d, body %q", w.Code, w.Body)
+	}
+	if got := do(t, s, "POST", "/safe/cut", nil); got.status != 200 || got.body != "fine" {
+		t.Errorf("status %d, body %q, %v; want a second attempt", got.status, got.body, got.err)
+	}
+}
+
+// Guards against an answer in hand that ends because its request moves to an upstream
+// that can't be reached.
+func TestRequestMovesToNoUnreachableUpstream(t *testing.T) {
+	var list [2]*upstream
+	serve := func(other int) reply {
+		return func(w io.Writer, r *http.Request, n int64) bool {
+			list[other].Close()
+			return falls(2200*time.Millisecond)(w, r, n)
+		}
+	}
+	list[0], list[1] = newUpstream(t, serve(1)), newUpstream(t, serve(0))
+	s := newGate(t, list[:]...)
+	got := do(t, s, "POST", "/stream/x", nil)
+	if got.status != 200 || got.body != pieces(1, 4) || got.err != nil {
+		t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
+	}
+}
