test(gate): a stream whose caller leaves soon may end with a silent upstream

Where the route's target latency and gap are short, the pause after which a stream moves stays 1.2 s. If the next upstream rejects the request, the two attempts of the route are used up.

--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -31,6 +31,7 @@
     {"name": "short", "host": "h", "prefix": "/safe/short/", "kind": "safe", "timeout": "150ms", "target-latency": "100ms", "attempts": 1, "split": [{"service": "s", "weight": 1}]},
     {"name": "unsafe", "host": "h", "prefix": "/unsafe/", "kind": "unsafe", "timeout": "2s", "target-latency": "200ms", "attempts": 3, "split": [{"service": "s", "weight": 1}]},
     {"name": "stream", "host": "h", "prefix": "/stream/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "max-gap": "400ms", "attempts": 2, "resumable": true, "split": [{"service": "s", "weight": 1}]},
+    {"name": "brief", "host": "h", "prefix": "/stream/brief/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "attempts": 2, "resumable": true, "split": [{"service": "s", "weight": 1}]},
     {"name": "once", "host": "h", "prefix": "/once/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "attempts": 2, "split": [{"service": "s", "weight": 1}]}
   ],
   "teams": [{"name": "guests", "keys": ["k1", "k2"]}],
--- a/internal/forward/gate/silence_test.go
+++ b/internal/forward/gate/silence_test.go
@@ -85,8 +85,13 @@
 }
 
 // Guards against answers in hand that end because the upstream that took the request
-// over rejects it, though the first one falls silent only for a second or so.
-func TestSilenceOfASecondMovesNoStream(t *testing.T) {
+// over rejects it, though the first one falls silent only for a second or so. The
+// callers of the brief route leave after two seconds.
+func TestSilenceOfASecondMovesNoStream(t *testing.T) { silenceMovesNoStream(t, "/stream/x") }
+
+func TestSilenceOfASecondMovesNoBriefStream(t *testing.T) { silenceMovesNoStream(t, "/stream/brief/x") }
+
+func silenceMovesNoStream(t *testing.T, path string) {
 	full := func(w io.Writer, _ *http.Request, _ int64) bool {
 		fmt.Fprint(w, "HTTP/1.1 503 Full\r\nAgateward-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		return true
@@ -100,7 +105,7 @@
 		return full(w, r, 1)
 	}
 	s := newGate(t, newUpstream(t, serve), newUpstream(t, serve))
-	got := do(t, s, "POST", "/stream/x", nil)
+	got := do(t, s, "POST", path, nil)
 	if got.status != 200 || got.body != pieces(1, 4) || got.err != nil {
 		t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
 	}
