--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -173,7 +173,7 @@
 		return false
 	}
 	now := time.Now()
-	c.sentAt, c.firstAt, c.connected, c.strayAnswer = now, time.Time{}, false, false
+	c.sentAt, c.firstAt, c.connected, c.strayAnswer, c.events = now, time.Time{}, false, false, 0
 	hop := ward.ForwardHop{Replica: a.Upstream.ID, LastEvent: c.lastEvent}
 	if c.team != nil {
 		hop.Team = c.team.Name
@@ -246,7 +246,7 @@
 	default:
 		c.finishAttempt(a, schedule.OutcomeUnreachable)
 	}
-	c.log.Info("attempt-failed", "upstream", a.Upstream.ID, "sent", sent, "error", err.Error(), "elapsed", time.Since(c.arrived))
+	c.log.Info("attempt-failed", "upstream", a.Upstream.ID, "born", a.Upstream.Born, "sent", sent, "parts", partsText(c.head.Parts), "error", err.Error(), "elapsed", time.Since(c.arrived))
 	c.tried = append(c.tried, a.Upstream.ID)
 	if !sent {
 		c.connectFailures++
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -47,6 +47,8 @@
 	// strayAnswer is true when the answer of the current attempt may be that of an
 	// earlier request.
 	strayAnswer bool
+	// events counts the events of the current attempt.
+	events int
 	// mayHaveRun is true when an upstream may have run the request.
 	mayHaveRun bool
 	tried      []string
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -6,11 +6,13 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/upstream/sse"
+	"agateward/ward"
 )
 
 // minPacedEvents is the least number of events from which the time per token is
@@ -31,7 +33,6 @@
 // finished.
 func (c *call) relayStream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	events := sse.Reader{R: x.Body, Max: maxEvent}
-	n := 0
 	var streamStart time.Time
 	for {
 		e, err := events.Next()
@@ -41,25 +42,25 @@
 		if err != nil {
 			return c.handleTruncated(ctx, a, err)
 		}
-		if n == 0 {
+		if c.events == 0 {
 			c.recordFirst(a)
 			streamStart = time.Now()
-		} else if n%4 == 0 {
+		} else if c.events%4 == 0 {
 			c.gate.mu.Lock()
 			c.gate.sched.Progress(a.Job.ID, time.Now())
 			c.gate.mu.Unlock()
 		}
-		n++
+		c.events++
 		stall.pause()
 		if err := c.relayEvent(e, x); err != nil {
 			return c.handleTruncated(ctx, a, err)
 		}
 		stall.eventRelayed()
 	}
-	c.recordPace(a, n, time.Since(streamStart))
+	c.recordPace(a, c.events, time.Since(streamStart))
 	c.finishAttempt(a, schedule.OutcomeOK)
 	c.startAnswer(x)
-	c.log.Info("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "events", n, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.log.Info("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "events", c.events, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, x.Status, time.Since(c.arrived))
 	return true
 }
@@ -99,3 +100,12 @@
 	}
 	return nil
 }
+
+// partsText returns the ids of parts of a prompt as callers write them.
+func partsText(parts []ward.PromptPart) string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = strconv.FormatUint(p.ID, 16)
+	}
+	return strings.Join(ids, ",")
+}
