fix(gate): parts of prompts that crash upstreams are kept from them

Callers of all kinds lost answers: requests with one part in their prompts ended the upstream that began to answer them, and with it all that ran there, one upstream after the other.

Cause: nothing looked at what the requests had in common whose upstream ended. Each entry saw a few broken connections, each a failure of that upstream alone, and sent the next request with the part to the next one. The class: failures are attributed to the upstream only, never to the request.

Change: internal/forward/poison attributes them. A crash speaks against the parts of the requests that the upstream had not begun to answer; a whole answer clears the parts of its request for that version. From the third crash that counts, requests with the part are refused before they are sent (503, code 2011), from the second on they are not repeated. A crash counts only if the version answered others since the last one, so that upstreams that end together are one. A part that was never answered explains the crashes of those that were: same key, first part and route go on. After 10 s, 20 s, 40 s and so on one entry at a time tries one request.

A crash is one fact, named by the process of the upstream, however many entries had requests there. Entries pass on what is new to them to others of the whole fleet, across cells and without the store; regular messages reach those that start later.

--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -8,7 +8,8 @@
 //
 // A caller sends Agateward-Request, the request's id, and Authorization with its
 // team's key, and may send Agateward-Timeout (milliseconds), Agateward-Tokens
-// (prompt,output) and Last-Event-ID. An upstream gets Agateward-Replica,
+// (prompt,output), Agateward-Prompt-Parts (the parts of the prompt as ID:TOKENS, the
+// last one its own) and Last-Event-ID. An upstream gets Agateward-Replica,
 // Agateward-Team, Agateward-Timeout and Last-Event-ID; it echoes
 // Agateward-Request, sets Agateward-Not-Run when it did not run a request, and sets
 // Agateward-Leaving to 1 on its answers when it wants no new requests; a process that
@@ -32,6 +33,7 @@
 const (
 	fieldTimeout   = "Agateward-Timeout"
 	fieldTokens    = "Agateward-Tokens"
+	fieldParts     = "Agateward-Prompt-Parts"
 	fieldReplica   = "Agateward-Replica"
 	fieldTeam      = "Agateward-Team"
 	fieldNotRun    = "Agateward-Not-Run"
@@ -85,6 +87,7 @@
 		}
 		head.PromptTokens, head.MaxOutput, head.HasTokens = int(a), int(b), true
 	}
+	head.Parts = header.SharedParts(h.Values(fieldParts))
 	return head, nil
 }
 
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -188,6 +188,7 @@
 		c.finishAttempt(a, schedule.OutcomeNeutral)
 		return false
 	}
+	c.crashed = endedWithUpstream(ctx, err)
 	if silent != nil {
 		err = silent
 		c.finishAttempt(a, schedule.OutcomeUnreachable)
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -40,6 +40,7 @@
 	noRetryBudget     = "retry-budget"
 	noRetryUpstream   = "no-upstream"
 	noRetryConnection = "no-connection"
+	noRetryPrompt     = "prompt-part"
 )
 
 // errDeadline is the cause for which a request is cancelled at its deadline.
@@ -58,6 +59,9 @@
 	c.group = group
 	defer c.releaseNext()
 	for {
+		if c.next == nil && c.promptBarred() {
+			return
+		}
 		a, err := c.nextAction(ctx)
 		if err != nil {
 			c.cancelled(ctx)
@@ -168,12 +172,18 @@
 // attempt sends the request to one upstream and reports whether the request is
 // finished.
 func (c *call) attempt(ctx context.Context, a schedule.Action) bool {
+	if v := c.checkPrompt(a); v.Blocked {
+		c.gate.release(a)
+		c.refusePrompt(v)
+		return true
+	}
+	defer c.endTrial()
 	if !c.maySend(a) {
 		c.withdraw(a)
 		return false
 	}
 	now := time.Now()
-	c.sentAt, c.firstAt, c.connected, c.strayAnswer, c.events = now, time.Time{}, false, false, 0
+	c.sentAt, c.firstAt, c.connected, c.strayAnswer, c.crashed, c.events = now, time.Time{}, false, false, false, 0
 	hop := ward.ForwardHop{Replica: a.Upstream.ID, LastEvent: c.lastEvent}
 	if c.team != nil {
 		hop.Team = c.team.Name
@@ -190,7 +200,7 @@
 	x, err := c.gate.Pool.Send(ctx, backend.Request{
 		Address: a.Upstream.Address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host,
 		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body,
-		MaySend: func() bool { return c.maySend(a) }, Connected: stall.setConnected,
+		MaySend: func() bool { return c.maySend(a) && c.stillAllowed(a) }, Connected: stall.setConnected,
 	})
 	c.connected = !errors.Is(err, ward.ErrNotConnected)
 	if errors.Is(err, backend.ErrWithdrawn) {
@@ -215,6 +225,7 @@
 
 // finishAttempt reports the outcome of an attempt to the scheduler and the roll-out.
 func (c *call) finishAttempt(a schedule.Action, o schedule.Outcome) {
+	c.observePrompt(a, o)
 	c.gate.Rollout.Observe(c.route.Name, c.service, c.outcome(a, o))
 	c.gate.done(a, o)
 }
@@ -225,7 +236,7 @@
 	out := ward.Outcome{
 		Request: c.head.ID, Upstream: a.Upstream.ID, Version: a.Upstream.Version, Connected: c.connected,
 		OK:        o == schedule.OutcomeOK,
-		Cancelled: c.strayAnswer || o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
+		Cancelled: c.strayAnswer || c.crashed && !c.mayRepeatPrompt() || o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
 		At:        now, Total: now.Sub(c.sentAt), PromptTokens: c.head.PromptTokens, OutputTokens: c.head.MaxOutput,
 	}
 	if !c.firstAt.IsZero() {
@@ -240,6 +251,7 @@
 	silent := silentCause(ctx)
 	left := ctx.Err() != nil && silent == nil
 	sent := !errors.Is(err, ward.ErrNotConnected)
+	c.crashed = sent && endedWithUpstream(ctx, err)
 	switch {
 	case left:
 		c.finishAttempt(a, schedule.OutcomeNeutral)
@@ -285,6 +297,8 @@
 		c.noRetry = noRetryAttempts
 	case c.mayHaveRun && !c.route.Repeatable():
 		c.noRetry = noRetryMayHaveRun
+	case !c.mayRepeatPrompt():
+		c.noRetry = noRetryPrompt
 	case !c.chargeRetry():
 		c.noRetry = noRetryBudget
 	default:
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"agateward/internal/forward/poison"
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/route"
 	"agateward/internal/forward/schedule"
@@ -47,6 +48,12 @@
 	// strayAnswer is true when the answer of the current attempt may be that of an
 	// earlier request.
 	strayAnswer bool
+	// parts holds the ids of the shared parts of the prompt. trial lists those of which
+	// the current attempt tries whether upstreams still crash under them.
+	parts []uint64
+	trial []poison.Part
+	// crashed is true when the current attempt ended with its upstream's connection.
+	crashed bool
 	// events counts the events of the current attempt.
 	events int
 	// mayHaveRun is true when an upstream may have run the request.
@@ -78,6 +85,7 @@
 		return code.BadHeader.Wrap(err, "read the head")
 	}
 	c.lastEvent = c.head.LastEvent
+	c.parts = c.sharedParts()
 	c.log = c.log.WithValues("request", c.head.ID)
 	if c.route = c.table.Route(c.r.Host, c.r.URL.Path); c.route == nil {
 		return code.UnknownRoute.New("host %q, path %q at version %d", c.r.Host, c.r.URL.Path, c.table.Config.Version)
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -24,12 +24,14 @@
 
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/peerstate"
+	"agateward/internal/forward/poison"
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/retry"
 	"agateward/internal/forward/rollout"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/forward/shutdown"
 	"agateward/internal/forward/view"
+	"agateward/internal/move/split"
 	"agateward/ward"
 
 	"github.com/go-logr/logr"
@@ -61,6 +63,11 @@
 	// TriggerBroadcast requests an early broadcast of the peer state. It must not
 	// block.
 	TriggerBroadcast func()
+	// Fleet returns the number of entries and the index of this one, nil for a single
+	// entry. PromptsChanged requests a broadcast of what is known of parts of prompts,
+	// unless it is nil. Neither may block.
+	Fleet          func() split.Fleet
+	PromptsChanged func(parts []poison.Part)
 	// Start is a number that no earlier process of this entry had.
 	Start int64
 
@@ -68,6 +75,7 @@
 	sched   schedule.Scheduler
 	ledger  quota.Ledger
 	budget  retry.Budget
+	prompts poison.Tracker
 	waiters map[uint64]*waiter
 	lastID  uint64
 	// loggedFaults holds the upstreams of which an invalid Retry-After was logged.
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -78,6 +78,12 @@
 	}
 }
 
+// promptCrashed counts an attempt whose upstream ended before it answered, promptRefused
+// a request with a part of a prompt under which upstreams crashed.
+func (m *Metrics) promptCrashed() { m.count("agateward_forward_prompt_crashes_total") }
+
+func (m *Metrics) promptRefused() { m.count("agateward_forward_prompts_refused_total") }
+
 // answerCut counts a stream that ended before its last event, by the reason for which
 // no other attempt continued it; "" means that the deadline had passed.
 func (m *Metrics) answerCut(noRetry string) {
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -161,7 +161,10 @@
 		if m.Moves != nil && n.isMember(m.Name) {
 			n.rollout.UpdatePeer(*m.Moves)
 		}
-		if m.Grant != "" || m.Moves != nil {
+		if len(m.Prompts) > 0 {
+			n.gate.MergePrompts(m.Name, m.Prompts)
+		}
+		if m.Grant != "" || m.Moves != nil || len(m.Prompts) > 0 {
 			continue
 		}
 		now := time.Now()
--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -25,6 +25,8 @@
 	Index, Count int
 	// Members are the entries of the cell, including this one.
 	Members []ward.ForwardEntry
+	// Addresses are those of all other entries of the fleet.
+	Addresses []string
 	// FleetSize is the number of all entries, FleetIndex the index of this one
 	// among them by name, from 0.
 	FleetSize, FleetIndex int
@@ -40,6 +42,9 @@
 		}
 	}
 	c := Cell{FleetSize: len(list)}
+	for _, e := range list[1:] {
+		c.Addresses = append(c.Addresses, e.Listen)
+	}
 	for _, e := range list {
 		if e.Name < self.Name {
 			c.FleetIndex++
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 
+	"agateward/internal/forward/poison"
 	"agateward/internal/forward/schedule"
 	"agateward/ward"
 
@@ -53,6 +54,9 @@
 	QuotaLevels map[string]float64 `msgpack:"u,omitempty"`
 	// Peers lists the addresses of the entries that the sender receives messages from.
 	Peers []string `msgpack:"p,omitempty"`
+	// Prompts is what the sender knows of parts of prompts under which upstreams crash.
+	// Such a message holds nothing else, and may come from any entry of the fleet.
+	Prompts []poison.Report `msgpack:"k,omitempty"`
 	// Moves is the sender's state of the roll-outs in progress. Such a message holds
 	// nothing else.
 	Moves *Moves `msgpack:"m,omitempty"`
--- /dev/null
+++ b/internal/forward/poison/check.go
@@ -0,0 +1,158 @@
+package poison
+
+import (
+	"hash/fnv"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Check decides whether a request with the given parts may be sent to a target.
+func (t *Tracker) Check(to Target, parts []uint64, f Fleet, now time.Time) Verdict {
+	var v Verdict
+	if len(t.parts) == 0 {
+		return v
+	}
+	for _, id := range parts {
+		p := Part{to, id}
+		n, last := t.blocked(p, now)
+		if n == 0 {
+			continue
+		}
+		wait := t.untilTrial(p, n, last, f, now)
+		if wait <= 0 {
+			v.Trial = append(v.Trial, p)
+			continue
+		}
+		if !v.Blocked || wait > v.RetryAfter {
+			v.Blocked, v.Part, v.Count, v.RetryAfter = true, p, n, wait
+		}
+	}
+	if v.Blocked {
+		v.Trial = nil
+	}
+	for _, p := range v.Trial {
+		if r := t.record(p, now); r != nil {
+			r.trial = now
+		}
+	}
+	return v
+}
+
+// Barred is Check without taking a turn to try a part.
+func (t *Tracker) Barred(to Target, parts []uint64, f Fleet, now time.Time) Verdict {
+	v := t.Check(to, parts, f, now)
+	t.Abandon(v.Trial, false, now)
+	return v
+}
+
+// MayRepeat reports whether a request with the given parts may be sent again after its
+// upstream crashed.
+func (t *Tracker) MayRepeat(service string, parts []uint64) bool {
+	for p, r := range t.parts {
+		if p.Service == service && r.count >= repeatCrashes && slices.Contains(parts, p.ID) && !t.explained(p, r) {
+			return false
+		}
+	}
+	return true
+}
+
+// Count returns the number of crashes under a part that count.
+func (t *Tracker) Count(p Part) int {
+	if r := t.parts[p]; r != nil {
+		return r.count
+	}
+	return 0
+}
+
+// blocked returns the crashes of a part and the time of the last one that bars its
+// requests from a target, 0 if none does. A part that crashes one version of a service
+// is barred from the others too, until they have answered it.
+func (t *Tracker) blocked(p Part, now time.Time) (n int, last time.Time) {
+	own := t.parts[p]
+	if own != nil && own.count >= blockCrashes && now.Sub(own.last) < blockTTL {
+		if t.explained(p, own) {
+			return 0, last
+		}
+		return own.count, own.last
+	}
+	if !t.answered.at(p).IsZero() {
+		return 0, last
+	}
+	for other, r := range t.parts {
+		if other.ID == p.ID && other.Service == p.Service && r.count >= blockCrashes && now.Sub(r.last) < blockTTL && !t.explained(other, r) {
+			n = max(n, r.count)
+			if own != nil {
+				last = own.last
+			}
+		}
+	}
+	return n, last
+}
+
+// explained reports whether another part explains the crashes of a part that was
+// answered before: one that never was, and that was there in all of them but one at
+// most.
+func (t *Tracker) explained(p Part, r *record) bool {
+	if t.answered.at(p).IsZero() {
+		return false
+	}
+	for other, o := range t.parts {
+		if other == p || other.Target != p.Target || o.count < repeatCrashes || !t.answered.at(other).IsZero() {
+			continue
+		}
+		shared := 0
+		for id := range r.crashes {
+			if _, ok := o.crashes[id]; ok {
+				shared++
+			}
+		}
+		if shared >= len(r.crashes)-1 {
+			return true
+		}
+	}
+	return false
+}
+
+// untilTrial returns the time until this entry may try a part with n crashes.
+func (t *Tracker) untilTrial(p Part, n int, last time.Time, f Fleet, now time.Time) time.Duration {
+	if r := t.parts[p]; r != nil && !r.trial.IsZero() && now.Sub(r.trial) < trialTimeout {
+		return trialTimeout - now.Sub(r.trial)
+	}
+	delay := maxTrial
+	if shift := n - blockCrashes; shift < 9 {
+		delay = min(firstTrial<<shift, maxTrial)
+	}
+	entries := max(f.Entries, 1)
+	turn := (f.Index - int(p.hash()%uint64(entries)) + entries) % entries
+	if last.IsZero() {
+		// Another version crashed under the part, this one has not been tried.
+		if turn == 0 {
+			return 0
+		}
+		return firstTrial
+	}
+	return last.Add(delay + time.Duration(turn)*trialStagger).Sub(now)
+}
+
+// hash spreads the first turns to try parts over the entries.
+func (p Part) hash() uint64 {
+	h := fnv.New64a()
+	for _, s := range []string{p.Service, p.Version, strconv.FormatUint(p.ID, 16)} {
+		// Write of a hash returns no error.
+		_, _ = h.Write([]byte(s))
+	}
+	return h.Sum64()
+}
+
+// Blocked returns the parts that are blocked now, sorted by ID.
+func (t *Tracker) Blocked(now time.Time) []Part {
+	var list []Part
+	for p := range t.parts {
+		if n, _ := t.blocked(p, now); n > 0 {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, comparePart)
+	return list
+}
--- /dev/null
+++ b/internal/forward/poison/exchange.go
@@ -0,0 +1,132 @@
+package poison
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxReports and maxReportedCrashes bound what one message tells.
+const (
+	maxReports         = 12
+	maxReportedCrashes = 40
+)
+
+// Reports returns what is known of the most suspect parts, for a message to other
+// entries.
+func (t *Tracker) Reports(now time.Time) []Report {
+	list := make([]Part, 0, len(t.parts))
+	for p, r := range t.parts {
+		if now.Sub(r.last) > r.ttl() {
+			delete(t.parts, p)
+			continue
+		}
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b Part) int {
+		ra, rb := t.parts[a], t.parts[b]
+		return cmp.Or(cmp.Compare(rb.count, ra.count), rb.last.Compare(ra.last), comparePart(a, b))
+	})
+	return t.ReportsOf(list, now)
+}
+
+// ReportsOf returns what is known of the given parts, as many as a message holds.
+func (t *Tracker) ReportsOf(parts []Part, now time.Time) []Report {
+	var out []Report
+	crashes := 0
+	for _, p := range parts {
+		r := t.parts[p]
+		if r == nil || len(out) >= maxReports || crashes+len(r.crashes) > maxReportedCrashes {
+			continue
+		}
+		crashes += len(r.crashes)
+		report := Report{Part: p, Count: r.count, AnsweredAge: -1, TargetAge: -1}
+		if times := t.answerTimes[p.Target]; len(times) > 0 {
+			report.TargetAge = now.Sub(times[len(times)-1]).Milliseconds()
+		}
+		if at := t.answered.at(p); !at.IsZero() {
+			report.AnsweredAge = now.Sub(at).Milliseconds()
+		}
+		for id, at := range r.crashes {
+			report.Crashes = append(report.Crashes, Crash{Process: id, Age: now.Sub(at).Milliseconds()})
+		}
+		slices.SortFunc(report.Crashes, func(a, b Crash) int {
+			return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Process.ID, b.Process.ID))
+		})
+		out = append(out, report)
+	}
+	return out
+}
+
+// Merge takes over the reports of another entry. It returns the parts of which
+// something new is known.
+func (t *Tracker) Merge(reports []Report, now time.Time) []Part {
+	t.init()
+	var changed []Part
+	for _, report := range reports[:min(len(reports), maxReports)] {
+		if t.merge(report, now) {
+			changed = append(changed, report.Part)
+		}
+	}
+	return changed
+}
+
+func (t *Tracker) merge(report Report, now time.Time) bool {
+	if t.parts[report.Part] == nil && len(report.Crashes) == 0 {
+		if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && t.answered.at(report.Part).IsZero() {
+			t.answered.set(report.Part, at)
+		}
+		return false
+	}
+	r := t.record(report.Part, now)
+	if r == nil {
+		return false
+	}
+	if report.TargetAge >= 0 {
+		t.recordAnswer(report.Target, age(now, report.TargetAge))
+	}
+	changed := false
+	if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && at.After(t.answered.at(report.Part).Add(maxAgeError)) {
+		changed = t.clear(report.Part, r, at)
+	}
+	newest := time.Time{}
+	for _, c := range report.Crashes[:min(len(report.Crashes), maxCrashes)] {
+		at := age(now, c.Age)
+		changed = t.add(report.Part, r, c.Process, at) || changed
+		if at.After(newest) {
+			newest = at
+		}
+	}
+	if n := min(report.Count, maxCrashes); n > r.count && newest.After(t.answered.at(report.Part)) {
+		r.count, changed = n, true
+	}
+	return changed
+}
+
+// maxAgeError is the error of the age of an answer that travelled between entries: an
+// answer that is later by less is the same one.
+const maxAgeError = 500 * time.Millisecond
+
+// clear removes the crashes before an answer and reports whether there were any.
+func (t *Tracker) clear(p Part, r *record, at time.Time) bool {
+	t.answered.set(p, at)
+	n := len(r.crashes)
+	for id, when := range r.crashes {
+		if !when.After(at) {
+			delete(r.crashes, id)
+		}
+	}
+	if n == len(r.crashes) {
+		return false
+	}
+	r.trial, r.count = time.Time{}, t.countOf(p.Target, r)
+	return true
+}
+
+func age(now time.Time, ms int64) time.Time {
+	return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond)
+}
+
+func comparePart(a, b Part) int {
+	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+}
--- /dev/null
+++ b/internal/forward/poison/poison.go
@@ -0,0 +1,286 @@
+// Package poison finds the parts of prompts under which upstreams crash, and keeps
+// requests with such parts away from upstreams.
+//
+// A crash speaks against each part of each request that the upstream had not begun to
+// answer. A whole answer clears the parts of its request for the version of the service
+// that gave it. A crash counts only if the version has answered other requests since the
+// last one that counted: upstreams that end together, or a service that is down, say
+// nothing about a part. A part that was never answered explains the crashes of parts
+// that were.
+//
+// # Usage
+//
+//	t := poison.Tracker{}
+//	v := t.Check(target, parts, fleet, now)            // before each send
+//	changed := t.Crashed(target, process, parts, now)  // an upstream ended
+//	changed = t.Answered(target, parts, now)           // a whole answer
+//	reports := t.Reports(now)                          // to other entries
+//	changed = t.Merge(reports, now)                    // from other entries
+//
+// The tracker reads no clock and does no I/O.
+package poison
+
+import (
+	"slices"
+	"time"
+
+	"agateward/internal/forward/schedule"
+)
+
+const (
+	// blockCrashes is the number of crashes from which requests with a part are blocked;
+	// repeatCrashes is the number from which they are not repeated.
+	blockCrashes  = 3
+	repeatCrashes = 2
+	// maxCrashes bounds the crashes that are kept of a part.
+	maxCrashes = 8
+	// firstTrial is the time from the last of blockCrashes crashes until one request with
+	// the part is tried. Each further crash doubles it, up to maxTrial.
+	firstTrial = 10 * time.Second
+	maxTrial   = time.Hour
+	// trialStagger is the time between the turns of two entries to try a part. It is
+	// longer than the outcome of a trial takes to reach all entries.
+	trialStagger = 2 * time.Second
+	// trialTimeout is the time after which a trial without an outcome is forgotten.
+	trialTimeout = 30 * time.Second
+	// suspectTTL and blockTTL are how long a part is remembered after its last crash.
+	suspectTTL = 10 * time.Minute
+	blockTTL   = 2 * maxTrial
+	// maxParts bounds the remembered parts, maxAnswered the parts that are known to have
+	// been answered.
+	maxParts    = 512
+	maxAnswered = 8192
+	// minAnswerGap is the least time between two answers of a version that are
+	// remembered, maxAnswerTimes their number.
+	minAnswerGap   = 20 * time.Millisecond
+	maxAnswerTimes = 256
+)
+
+// Target is a version of a service.
+type Target struct {
+	Service string `msgpack:"s"`
+	Version string `msgpack:"v"`
+}
+
+// Part is a part of the prompts sent to a target.
+type Part struct {
+	Target
+	ID uint64 `msgpack:"p"`
+}
+
+// Crash is the end of a process of an upstream.
+type Crash struct {
+	Process schedule.Identity `msgpack:"u"`
+	// Age is the time in milliseconds since the crash.
+	Age int64 `msgpack:"a"`
+}
+
+// Report is what an entry knows of a part.
+type Report struct {
+	Part
+	// Crashes lists the crashes since the part was last answered, Count how many of them
+	// count.
+	Crashes []Crash `msgpack:"c,omitempty"`
+	Count   int     `msgpack:"n,omitempty"`
+	// AnsweredAge is the time in milliseconds since the part was last answered
+	// completely, -1 for never.
+	AnsweredAge int64 `msgpack:"w"`
+	// TargetAge is the time in milliseconds since the target last answered any request of
+	// this entry completely, -1 for never.
+	TargetAge int64 `msgpack:"t"`
+}
+
+// Fleet is the number of entries and the index of this one among them.
+type Fleet struct{ Entries, Index int }
+
+// Verdict is the decision on a request.
+type Verdict struct {
+	// Blocked is true if the request must not be sent. Part is then the reason, Count the
+	// number of its crashes and RetryAfter the time until it may be tried.
+	Blocked    bool
+	Part       Part
+	Count      int
+	RetryAfter time.Duration
+	// Trial lists the blocked parts that the request tries.
+	Trial []Part
+}
+
+// Tracker holds what an entry knows of parts. Its zero value is ready to use.
+type Tracker struct {
+	parts    map[Part]*record
+	answered answers
+	// answerTimes holds when a target gave whole answers, oldest first.
+	answerTimes map[Target][]time.Time
+}
+
+// record is what is known of a part since it was last answered.
+type record struct {
+	crashes map[schedule.Identity]time.Time
+	// count is the number of crashes that count, last the time of the newest.
+	count int
+	last  time.Time
+	// trial is when this entry began to try the part; zero means that it does not.
+	trial time.Time
+}
+
+func (t *Tracker) init() {
+	if t.parts == nil {
+		t.parts, t.answerTimes = make(map[Part]*record), make(map[Target][]time.Time)
+	}
+}
+
+// Crashed records that a process of an upstream ended before it began to answer a
+// request with the given parts. It returns the parts of which something new is known.
+func (t *Tracker) Crashed(to Target, process schedule.Identity, parts []uint64, now time.Time) []Part {
+	t.init()
+	var changed []Part
+	for _, id := range parts {
+		p := Part{to, id}
+		r := t.record(p, now)
+		if r == nil {
+			continue
+		}
+		r.trial = time.Time{}
+		if t.add(p, r, process, now) {
+			changed = append(changed, p)
+		}
+	}
+	return changed
+}
+
+// Answered records a whole answer to a request with the given parts. It returns the
+// parts that it cleared.
+func (t *Tracker) Answered(to Target, parts []uint64, now time.Time) []Part {
+	t.init()
+	t.recordAnswer(to, now)
+	var cleared []Part
+	for _, id := range parts {
+		p := Part{to, id}
+		t.answered.set(p, now)
+		if r := t.parts[p]; r != nil && (len(r.crashes) > 0 || !r.trial.IsZero()) {
+			*r = record{crashes: make(map[schedule.Identity]time.Time), last: now}
+			cleared = append(cleared, p)
+		}
+	}
+	return cleared
+}
+
+// recordAnswer records that a target answered a request.
+func (t *Tracker) recordAnswer(to Target, at time.Time) {
+	times := t.answerTimes[to]
+	i, _ := slices.BinarySearchFunc(times, at, time.Time.Compare)
+	if i > 0 && at.Sub(times[i-1]) < minAnswerGap || i < len(times) && times[i].Sub(at) < minAnswerGap {
+		return
+	}
+	if times = slices.Insert(times, i, at); len(times) > maxAnswerTimes {
+		times = slices.Delete(times, 0, maxAnswerTimes/2)
+	}
+	t.answerTimes[to] = times
+}
+
+// Abandon ends a trial without an outcome. If the request was sent, the next one waits as
+// after a crash.
+func (t *Tracker) Abandon(parts []Part, sent bool, now time.Time) {
+	for _, p := range parts {
+		r := t.parts[p]
+		if r == nil || r.trial.IsZero() {
+			continue
+		}
+		r.trial = time.Time{}
+		if sent {
+			r.last = now
+		}
+	}
+}
+
+// record returns the record of a part, a new one if there is none, or nil if too many
+// parts are known that are at least as suspect.
+func (t *Tracker) record(p Part, now time.Time) *record {
+	if r := t.parts[p]; r != nil {
+		return r
+	}
+	if len(t.parts) >= maxParts && !t.evict(now) {
+		return nil
+	}
+	r := &record{crashes: make(map[schedule.Identity]time.Time), last: now}
+	t.parts[p] = r
+	return r
+}
+
+// evict makes room for a part: it drops those that have expired, or else the oldest with
+// at most one crash.
+func (t *Tracker) evict(now time.Time) bool {
+	n := len(t.parts)
+	var oldest *Part
+	for p, r := range t.parts {
+		switch {
+		case now.Sub(r.last) > r.ttl():
+			delete(t.parts, p)
+		case r.count <= 1 && (oldest == nil || r.last.Before(t.parts[*oldest].last)):
+			oldest = &p
+		}
+	}
+	if len(t.parts) == n && oldest != nil {
+		delete(t.parts, *oldest)
+	}
+	return len(t.parts) < n
+}
+
+func (r *record) ttl() time.Duration {
+	if r.count >= blockCrashes {
+		return blockTTL
+	}
+	return suspectTTL
+}
+
+// add adds a crash to a record and reports whether it is new.
+func (t *Tracker) add(p Part, r *record, process schedule.Identity, at time.Time) bool {
+	if _, known := r.crashes[process]; known || !at.After(t.answered.at(p)) {
+		return false
+	}
+	if len(r.crashes) >= maxCrashes {
+		oldest := process
+		for id, when := range r.crashes {
+			if oldest == process || when.Before(r.crashes[oldest]) {
+				oldest = id
+			}
+		}
+		delete(r.crashes, oldest)
+	}
+	r.crashes[process] = at
+	if at.After(r.last) {
+		r.last = at
+	}
+	r.count = min(max(r.count, t.countOf(p.Target, r)), maxCrashes)
+	return true
+}
+
+// countOf counts the crashes of a record of which each has an answer of the target
+// between it and the one counted before.
+func (t *Tracker) countOf(to Target, r *record) int {
+	times := make([]time.Time, 0, len(r.crashes))
+	for _, at := range r.crashes {
+		times = append(times, at)
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	n := 0
+	var counted time.Time
+	for _, at := range times {
+		if n == 0 || t.answeredBetween(to, counted, at) {
+			n, counted = n+1, at
+		}
+	}
+	return n
+}
+
+func (t *Tracker) answeredBetween(to Target, from, until time.Time) bool {
+	for _, at := range slices.Backward(t.answerTimes[to]) {
+		if at.Before(from) {
+			return false
+		}
+		if at.After(from) && at.Before(until) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -21,6 +21,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -162,6 +163,22 @@
 	}
 }
 
+// Versions returns the sorted versions of the upstreams of a service that do not drain.
+func (s *Scheduler) Versions(name string) []string {
+	v := s.services[name]
+	if v == nil {
+		return nil
+	}
+	var list []string
+	for _, u := range v.upstreams {
+		if !u.Draining && !slices.Contains(list, u.Version) {
+			list = append(list, u.Version)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
 // Tick refuses the jobs that have expired and dispatches those for which there is
 // capacity now.
 func (s *Scheduler) Tick(now time.Time) []Action {
--- a/internal/result/code/table.go
+++ b/internal/result/code/table.go
@@ -37,6 +37,7 @@
 	Stopping            = define(2008, "stopping", ward.NotRun, http.StatusServiceUnavailable, "ask again at once; another entry answers")
 	NotReady            = define(2009, "not-ready", ward.NotRun, http.StatusServiceUnavailable, "ask again at once; another entry answers")
 	UpstreamUnreachable = define(2010, "upstream-unreachable", ward.NotRun, http.StatusServiceUnavailable, "ask again after Retry-After")
+	PromptBlocked       = define(2011, "prompt-blocked", ward.NotRun, http.StatusServiceUnavailable, "change the named part of the prompt, or ask again after Retry-After")
 )
 
 // Codes of requests that were dispatched.
--- /dev/null
+++ b/internal/upstream/header/parts.go
@@ -0,0 +1,25 @@
+package header
+
+import (
+	"strconv"
+	"strings"
+
+	"agateward/ward"
+)
+
+// SharedParts reads the parts of a prompt, ID:TOKENS with the ID in hexadecimal,
+// separated by commas. The last part belongs to the request alone and is left out. A part
+// that can't be read is left out too: parts never decide whether a request is valid.
+func SharedParts(values []string) []ward.PromptPart {
+	list := strings.Split(strings.Join(values, ","), ",")
+	var parts []ward.PromptPart
+	for _, part := range list[:len(list)-1] {
+		id, tokens, ok := strings.Cut(strings.TrimSpace(part), ":")
+		n, errN := strconv.Atoi(tokens)
+		x, errX := strconv.ParseUint(id, 16, 64)
+		if ok && errN == nil && errX == nil {
+			parts = append(parts, ward.PromptPart{ID: x, Tokens: n})
+		}
+	}
+	return parts
+}
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -149,7 +149,8 @@
 	MaxOutput    int
 	HasTokens    bool
 	OutputHint   int
-	// Parts lists the shared parts of the prompt, in order.
+	// Parts lists the parts of the prompt that other requests may share, in order: all
+	// but the last.
 	Parts []PromptPart
 	// LastEvent is the id of the last event that the caller has received, -1 for
 	// none.
