fix(gate): a request stays with an upstream that is silent to all

Cause: the same class, a replacement that is not certain, and a guess about the upstream from peers that can't know yet.

Change: only what the entry itself hears shows that an upstream sends. A request without any part of its answer stays as long as a stream that has begun; a plain one for half of its time.

--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -20,12 +20,12 @@
 	stallFactor    = 6
 	minStreamStall = time.Second
 	minPlainStall  = 150 * time.Millisecond
-	// A stream that has begun may move after a pause of minEventPause, or of
-	// eventPauseFraction of the pause after which its caller leaves if that is longer:
-	// a sound upstream may pause for a second or so, and the answer ends if the next
-	// upstream fails. The rest of the time is left to that one.
-	minEventPause      = 1200 * time.Millisecond
-	eventPauseFraction = 0.5
+	// A stream may move after a pause of minEventPause, or of pauseFraction of the pause
+	// after which its caller leaves if that is longer; a plain request after pauseFraction
+	// of its time. A sound upstream may pause for a second or so, and the answer ends if
+	// the next upstream fails. The rest of the time is left to that one.
+	minEventPause = 1200 * time.Millisecond
+	pauseFraction = 0.5
 	// moveRetryDelay is the time until a request that no other upstream could take is
 	// offered again.
 	moveRetryDelay = 250 * time.Millisecond
@@ -93,9 +93,12 @@
 	return s
 }
 
-// maxEventPause returns the pause between two events after which a stream may move.
-func (c *call) maxEventPause() time.Duration {
-	return max(minEventPause, time.Duration(eventPauseFraction*float64(c.callerPatience())))
+// maxPause returns the silence of an upstream to all after which a request may move.
+func (c *call) maxPause() time.Duration {
+	if c.route.Kind != ward.ForwardStream {
+		return time.Duration(pauseFraction * float64(c.deadline.Sub(c.arrived)))
+	}
+	return max(minEventPause, time.Duration(pauseFraction*float64(c.callerPatience())))
 }
 
 // setConnected sets the probe for unread bytes of the connection.
@@ -143,7 +146,7 @@
 	defer s.mu.Unlock()
 	s.started = true
 	if s.timer != nil && !s.ended {
-		s.timer.Reset(s.watch.Wait(s.call.maxEventPause(), time.Now()))
+		s.timer.Reset(s.watch.Wait(s.call.maxPause(), time.Now()))
 	}
 }
 
@@ -180,11 +183,8 @@
 		s.timer.Reset(again)
 	}
 	c := s.call
-	if silent && !s.started && s.sending(time.Now()) {
-		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "moved-to", "", "elapsed", time.Since(c.arrived))
-		s.ended = true
-		s.cancel(errStalled)
-		silent = false
+	if silent && !s.started {
+		silent = s.expireUnbegun(time.Now())
 	}
 	if silent && !c.retryAllowed() {
 		s.deny(noRetryBudget)
@@ -214,6 +214,26 @@
 	return c.gate.Pool.Connect(context.WithoutCancel(c.r.Context()), a.Upstream.Address)
 }
 
+// expireUnbegun handles the silence of an attempt that the caller has no part of. If the
+// upstream answers other requests, the answer is missing, and the attempt is given up. If
+// it is silent to all, it may have paused; the request then stays for the time for which
+// a stream that has begun stays. It reports whether the request is to move. The caller
+// must hold mu.
+func (s *silence) expireUnbegun(now time.Time) bool {
+	c := s.call
+	if s.sending(now) {
+		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "moved-to", "", "elapsed", time.Since(c.arrived))
+		s.ended = true
+		s.cancel(errStalled)
+		return false
+	}
+	if left := s.call.maxPause() - s.watch.Silence(now); left > 0 {
+		s.timer.Reset(min(left, moveRetryDelay))
+		return false
+	}
+	return true
+}
+
 // move replaces the attempt by a dispatch, unless the upstream was heard meanwhile.
 // unreachable is the error of the connection to the dispatch's upstream.
 func (s *silence) move(o *offer, a schedule.Action, unreachable error) {
@@ -257,7 +277,7 @@
 	g := s.call.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.sched.Sending(s.action.Job.ID, now.Add(-s.watch.Silence(now)/2), now)
+	return g.sched.Sending(s.action.Job.ID, now.Add(-s.watch.Silence(now)/2))
 }
 
 // silentCause returns the cause for which a silent attempt was cancelled, nil if it was
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"slices"
 	"time"
 )
 
@@ -113,25 +112,11 @@
 	s.assignSlots()
 }
 
-// Sending reports whether the upstream of a dispatched job has sent anything since the
-// given time: to this entry, or to a peer that has requests there. If it has and the
-// job's answer does not come, then that answer alone is missing.
-func (s *Scheduler) Sending(id uint64, since, now time.Time) bool {
+// Sending reports whether the upstream of a dispatched job has sent this entry anything
+// since the given time. If it has and the job's answer does not come, then that answer
+// alone is missing. Peers don't count: one that has just sent a request there does not
+// report the upstream as unresponsive yet.
+func (s *Scheduler) Sending(id uint64, since time.Time) bool {
 	r := s.jobs[id]
-	if r == nil {
-		return false
-	}
-	u := r.upstream
-	if u.lastHeard.After(since) {
-		return true
-	}
-	if now.Sub(since) < minSilence {
-		return false // peers report an upstream only after this time
-	}
-	for _, p := range s.peers {
-		if now.Sub(p.lastUpdate) <= peerTimeout && p.state.Load[u.ID] > 0 && !slices.Contains(p.state.Unresponsive, u.ID) {
-			return true
-		}
-	}
-	return false
+	return r != nil && r.upstream.lastHeard.After(since)
 }
