test(soak): sound upstreams fall silent for a second or so

Its proxies hold answers back as well, but as a disturbance, which excuses an answer that ends early.

upstream-silence makes an upstream send nothing more of its successful answers for 0.8 to 1.6 s: within streams, before the first event, before and within plain answers. The ledger's promise "silence": an answer that an upstream fell silent in ends whole, unless the time-out of the route was reached, the caller may leave, or the entry or an upstream that ran the request was disturbed. Anything but a whole 200 breaks it. A reload of the entry and a disturbed link from the entry to the store still excuse, as the ledger does not tell them from other disturbances of the entry.

--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -14,6 +14,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -80,6 +81,10 @@
 	Request
 	runs   []time.Time
 	answer Answer
+	// upstreams are those that ran the request. silent is the first of them that fell
+	// silent before the end of its answer, "" for none.
+	upstreams []string
+	silent    string
 }
 
 type disturbance struct {
@@ -177,7 +182,7 @@
 		l.addFinding("asked-for", id, now, "%s runs a request that no caller sent", upstream)
 		return
 	}
-	r.runs = append(r.runs, now)
+	r.runs, r.upstreams = append(r.runs, now), append(r.upstreams, upstream)
 	if r.Team != team {
 		l.addFinding("team", id, now, "%s received team %q, but the key belongs to %q", upstream, team, r.Team)
 	}
@@ -196,6 +201,16 @@
 	}
 }
 
+// Silent records that a sound upstream fell silent during its answer to a request and will
+// go on with it.
+func (l *Ledger) Silent(id, upstream string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.requests[id]; r != nil && r.silent == "" {
+		r.silent = upstream
+	}
+}
+
 // Answered records the end of a request at its caller.
 func (l *Ledger) Answered(id string, a Answer, now time.Time) {
 	l.mu.Lock()
@@ -211,6 +226,9 @@
 	if !a.Complete && !r.MayLeave && len(r.runs) > 0 && l.undisturbed(r.Sent, now) && now.Sub(r.Sent) < r.Timeout {
 		l.addFinding("planned-stop", id, now, "status %d and no complete answer from %s, with no disturbance other than planned stops", a.Status, r.Entry)
 	}
+	if whole := a.Status == 200 && a.Complete; r.silent != "" && !whole && !r.MayLeave && now.Sub(r.Sent) < r.Timeout && !l.interrupted(r, now) {
+		l.addFinding("silence", id, now, "status %d, complete %v, from %s %s after it was sent; ran at %v, where %s was silent and went on", a.Status, a.Complete, r.Entry, now.Sub(r.Sent), r.upstreams, r.silent)
+	}
 	if late := now.Sub(r.Sent) - r.Timeout; late > l.Bounds.LateAnswer && l.connected(r.Entry, r.Sent, now) {
 		l.addFinding("time-out", id, now, "answered %s after the time-out of the route", late)
 	}
@@ -244,6 +262,12 @@
 	}
 }
 
+// interrupted reports whether the entry of a request or an upstream that ran it was
+// disturbed before its end at now.
+func (l *Ledger) interrupted(r *record, now time.Time) bool {
+	return l.disturbed(r.Sent, now, func(d disturbance) bool { return d.target == r.Entry || slices.Contains(r.upstreams, d.target) })
+}
+
 // connected reports whether neither the entry nor the store was disturbed between
 // from, less the recovery time, and to.
 func (l *Ledger) connected(entry string, from, to time.Time) bool {
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -16,6 +16,12 @@
 		return Request{ID: "r", Team: "t", Kind: kind, Service: "s", Entry: "entry-1", Start: 1, Sent: at(sent), Timeout: 2 * time.Second}
 	}
 	ok := Answer{Status: 200, Complete: true}
+	silent := func(l *Ledger, a Answer, end float64) {
+		l.Sent(request(ward.ForwardStream, 0))
+		l.Ran("r", "i-1", "t", at(0.1))
+		l.Silent("r", "i-1")
+		l.Answered("r", a, at(end))
+	}
 	cases := []struct {
 		name string
 		play func(l *Ledger)
@@ -113,6 +119,30 @@
 			l.Ran("r", "i-1", "t", at(0.2))
 			l.Answered("r", Answer{}, at(0.5))
 		}, ""},
+		{"cut beside a silence", func(l *Ledger) {
+			l.Disturb(Store, false, at(0))
+			l.Disturb("i-2", false, at(0))
+			silent(l, Answer{Status: 200}, 1.9)
+		}, "silence"},
+		{"failed beside a silence", func(l *Ledger) { silent(l, Answer{Status: 502, Complete: true}, 1.9) }, "silence"},
+		{"served after a silence", func(l *Ledger) { silent(l, ok, 1.9) }, ""},
+		{"failed at its time-out after a silence", func(l *Ledger) { silent(l, Answer{Status: 504, Complete: true}, 2.1) }, ""},
+		{"entry killed during a silence", func(l *Ledger) {
+			l.Disturb("entry-1", false, at(0.5))
+			silent(l, Answer{}, 0.6)
+		}, ""},
+		{"upstream crashed during its silence", func(l *Ledger) {
+			l.Disturb("i-1", false, at(0.5))
+			silent(l, Answer{Status: 502, Complete: true}, 0.6)
+		}, ""},
+		{"caller left during a silence", func(l *Ledger) {
+			r := request(ward.ForwardSafe, 0)
+			r.MayLeave = true
+			l.Sent(r)
+			l.Ran("r", "i-1", "t", at(0.1))
+			l.Silent("r", "i-1")
+			l.Answered("r", Answer{}, at(0.2))
+		}, ""},
 		{"old version in use long after the next", func(l *Ledger) {
 			l.Acknowledged(1, at(0))
 			l.Acknowledged(2, at(5))
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -50,6 +50,9 @@
 	// a pause of Variant seconds.
 	UpstreamLeave Kind = "upstream-leave"
 	UpstreamPause Kind = "upstream-pause"
+	// UpstreamSilence makes an upstream, which is sound, send nothing for a while; it then
+	// goes on with its answers.
+	UpstreamSilence Kind = "upstream-silence"
 	// Configure puts a new version of the configuration in force.
 	Configure Kind = "configure"
 	// Rollout rolls out a version to a service, which is good or bad as Variant.
@@ -77,6 +80,11 @@
 	// meanWishInterval is the mean time between two faults of upstreams that want no
 	// requests.
 	meanWishInterval = 10 * time.Second
+	// meanSilenceInterval is the mean time between two silences of upstreams. minSilence and
+	// maxSilence bound them: a second or so, as the pages allow to a sound upstream.
+	meanSilenceInterval = time.Second
+	minSilence          = 800 * time.Millisecond
+	maxSilence          = 1600 * time.Millisecond
 	// settleTime is the time without faults at the beginning, for the start, and at the
 	// end, for the recovery.
 	settleTime = 3 * time.Second
@@ -147,6 +155,7 @@
 	list = append(list, answerFaults(seed, length)...)
 	list = append(list, engineFaults(seed, length)...)
 	list = append(list, wishes(seed, length)...)
+	list = append(list, silences(seed, length)...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
 	return list
 }
@@ -199,3 +208,16 @@
 	}
 	return list
 }
+
+// silences draws the silences of sound upstreams, also with random numbers of their own.
+func silences(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 5))
+	var list []Fault
+	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanSilenceInterval)) }
+	for at := settleTime + next(); at < length-settleTime; at += next() {
+		f := newFault(r, at)
+		f.Kind, f.Duration = UpstreamSilence, minSilence+time.Duration(r.Float64()*float64(maxSilence-minSilence))
+		list = append(list, f)
+	}
+	return list
+}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 )
@@ -26,7 +27,7 @@
 			}
 		}
 	}
-	if want := len(weights) + len(answerKinds) + 3; len(kinds) != want || !overlap {
+	if want := len(weights) + len(answerKinds) + 4; len(kinds) != want || !overlap {
 		t.Errorf("%d kinds of %d, overlapping %v", len(kinds), want, overlap)
 	}
 }
@@ -39,12 +40,36 @@
 	return false
 }
 
+// withoutSilences returns the faults of a plan that are no silences.
+func withoutSilences(list []Fault) []Fault {
+	return slices.DeleteFunc(list, func(f Fault) bool { return f.Kind == UpstreamSilence })
+}
+
+// Guards against a plan without silences, and against those that no sound upstream has.
+func TestSilences(t *testing.T) {
+	for seed := range uint64(40) {
+		silences := 0
+		for _, f := range New(seed, 20*time.Second, []string{"busy"}) {
+			if f.Kind != UpstreamSilence {
+				continue
+			}
+			silences++
+			if f.Duration < 800*time.Millisecond || f.Duration > 1600*time.Millisecond {
+				t.Errorf("seed %d: silence of %s", seed, f.Duration)
+			}
+		}
+		if silences < 4 {
+			t.Errorf("seed %d: %d silences in 20 s", seed, silences)
+		}
+	}
+}
+
 // Guards against a plan without wrong answers, and against one in which they crowd out
 // the other faults or change those of a seed that found something.
 func TestAnswerFaults(t *testing.T) {
 	count, variants := make(map[bool]int), make(map[string]bool)
 	for seed := range uint64(40) {
-		for _, f := range New(seed, 20*time.Second, []string{"busy"}) {
+		for _, f := range withoutSilences(New(seed, 20*time.Second, []string{"busy"})) {
 			answer := isOfAnswers(f)
 			count[answer]++
 			if answer {
@@ -59,7 +84,7 @@
 		t.Errorf("%d faults of answers and %d others", count[true], count[false])
 	}
 	var first []Kind
-	for _, f := range New(1, 20*time.Second, []string{"busy"}) {
+	for _, f := range withoutSilences(New(1, 20*time.Second, []string{"busy"})) {
 		if !isOfAnswers(f) {
 			first = append(first, f.Kind)
 		}
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -58,6 +58,8 @@
 		}
 	case plan.UpstreamRanRefused, plan.UpstreamRepeat, plan.UpstreamPause:
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
+	case plan.UpstreamSilence:
+		s.injectSilence(ctx, s.replicas[f.Target%len(s.replicas)], f.Duration)
 	case plan.EnginesRefuse:
 		var wg conc.WaitGroup
 		for _, r := range s.replicas[:engineCount] {
@@ -175,6 +177,19 @@
 	fault.Store(0)
 }
 
+// injectSilence makes a replica send nothing for d, also while another fault affects it,
+// but not while it is silent already: the silence would get longer. It is no disturbance
+// either.
+func (s *Soak) injectSilence(ctx context.Context, r *replica, d time.Duration) {
+	s.mu.Lock()
+	answers := r.answers
+	s.mu.Unlock()
+	if answers.SilentUntil.CompareAndSwap(0, time.Now().Add(d).UnixNano()) {
+		sleep(ctx, d)
+		answers.SilentUntil.Store(0)
+	}
+}
+
 func (s *Soak) tryAcquire(busy *bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -148,6 +148,7 @@
 	ran := func(id, upstream, team string) { s.recordRun(version, id, upstream, team) }
 	r.server = &upstream.Upstream{ID: id, Service: r.service, Engine: r.service == engines, Slots: slots, Dialect: s.Dialect, Faulty: r.bad, Answers: answers, OnRun: ran}
 	r.server.OnLeaving = func(upstream string) { s.ledger.Leaving(upstream, time.Now()) }
+	r.server.OnSilence = s.ledger.Silent
 	if err := r.server.Listen(); err != nil {
 		return err
 	}
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -53,6 +53,9 @@
 	// OnLeaving is called when an answer states for the first time that the upstream
 	// leaves. Leave requires it.
 	OnLeaving func(upstream string)
+	// OnSilence is called when the upstream falls silent before the end of an answer with
+	// which it will go on. It may be nil if Answers selects no silence.
+	OnSilence func(id, upstream string)
 
 	leaving   atomic.Bool
 	toldLeave sync.Once
@@ -77,6 +80,14 @@
 	// Pause is 0 or the pause in seconds that the answer to every third request asks for;
 	// the request does not run.
 	Pause atomic.Int64
+	// SilentUntil is 0 or the Unix time in nanoseconds until which nothing more of the
+	// successful answers is sent. The work on them goes on afterwards.
+	SilentUntil atomic.Int64
+}
+
+// silence returns how long the silence still lasts, at most 0 without one.
+func (a *Answers) silence() time.Duration {
+	return time.Until(time.Unix(0, a.SilentUntil.Load()))
 }
 
 // connection is a connection with the answer that is sent again on it, nil for none.
@@ -184,10 +195,39 @@
 		x.answer(http.StatusInternalServerError)
 		return
 	}
+	if n%2 == 0 {
+		u.awaitSilenceEnd(r.Context(), id)
+	}
 	x.answer(http.StatusOK)
+	u.writeBody(w, r, id)
+}
+
+// writeBody writes the answer of a service. A silence begins within it.
+func (u *Upstream) writeBody(w http.ResponseWriter, r *http.Request, id string) {
 	// A failed write needs no handling: the caller reports the incomplete answer to
 	// the ledger.
-	_, _ = io.WriteString(w, Body(id))
+	body := Body(id)
+	if half := len(body) / 2; u.Answers.silence() > 0 {
+		_, _ = io.WriteString(w, body[:half])
+		w.(http.Flusher).Flush()
+		u.awaitSilenceEnd(r.Context(), id)
+		body = body[half:]
+	}
+	_, _ = io.WriteString(w, body)
+}
+
+// awaitSilenceEnd waits until a silence of the upstream has ended or the request was
+// cancelled.
+func (u *Upstream) awaitSilenceEnd(ctx context.Context, id string) {
+	d := u.Answers.silence()
+	if d <= 0 || ctx.Err() != nil {
+		return
+	}
+	u.OnSilence(id, u.ID)
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
 }
 
 // exchange is the answer to one request.
@@ -246,6 +286,7 @@
 		case <-r.Context().Done():
 			return
 		}
+		u.awaitSilenceEnd(r.Context(), id)
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Data(id, n)); err != nil {
 			return
 		}
--- a/internal/soak/upstream/upstream_test.go
+++ b/internal/soak/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,3 +85,36 @@
 		})
 	}
 }
+
+// Guards against a silence that ends an answer, or that the ledger is not told of.
+func TestSilenceGoesOn(t *testing.T) {
+	for _, engine := range []bool{false, true} {
+		for _, id := range []string{"a", "b"} { // silent within and before a plain answer
+			var silent []string
+			u := &Upstream{ID: "i-1", Engine: engine, Slots: 1, Dialect: headers{}, Answers: &Answers{}, OnRun: func(_, _, _ string) {}}
+			u.OnSilence = func(id, upstream string) { silent = append(silent, id+" "+upstream) }
+			if err := u.Listen(); err != nil {
+				t.Fatal(err)
+			}
+			defer u.Crash()
+			if id == "b" {
+				u.runs.Add(1)
+			}
+			end := time.Now().Add(100 * time.Millisecond)
+			u.Answers.SilentUntil.Store(end.UnixNano())
+			req, _ := http.NewRequest(http.MethodPost, "http://"+u.Address(), nil)
+			req.Header = http.Header{"Id": {id}, "Replica": {"i-1"}}
+			res, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			b, err := io.ReadAll(res.Body)
+			if whole := string(b) == Body(id) || engine && strings.Count(string(b), "data: ") == int(Events(id)); !whole || err != nil || time.Now().Before(end) {
+				t.Errorf("engine %v: %q, %v; want the whole answer after the silence", engine, b, err)
+			}
+			if want := []string{id + " i-1"}; !reflect.DeepEqual(silent, want) {
+				t.Errorf("engine %v: silences %q, want %q", engine, silent, want)
+			}
+		}
+	}
+}
