test(soak): a silent upstream sends nothing at all

While silent, the stand-in still refused requests and sent wrong answers, so that an entry that asks whether the upstream answers others could take a silence for a lost answer.

Now every answer waits for the end of the silence, and only a request without such an answer before its own counts.

--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -80,8 +80,8 @@
 	// Pause is 0 or the pause in seconds that the answer to every third request asks for;
 	// the request does not run.
 	Pause atomic.Int64
-	// SilentUntil is 0 or the Unix time in nanoseconds until which nothing more of the
-	// successful answers is sent. The work on them goes on afterwards.
+	// SilentUntil is 0 or the Unix time in nanoseconds until which nothing more is sent, of
+	// any answer. The work goes on afterwards.
 	SilentUntil atomic.Int64
 }
 
@@ -144,11 +144,12 @@
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, hop := u.Dialect.Hop(r.Header)
 	asked, repeat := u.asked.Add(1), int(u.Answers.Repeat.Load())
+	conn := r.Context().Value(connectionKey{}).(*connection)
 	x := exchange{
-		u: u, w: w, conn: r.Context().Value(connectionKey{}).(*connection),
+		u: u, ctx: r.Context(), w: w, conn: conn, sound: conn.again == nil,
 		reply: ward.ForwardReply{ID: id}, repeat: repeat > 0,
 	}
-	if asked%2 == 0 {
+	if asked%2 == 0 && u.Answers.silence() <= 0 {
 		x.conn.sendAgain() // before the request runs; otherwise before its answer
 	}
 	if hop.Replica != u.ID {
@@ -187,7 +188,7 @@
 	if u.Engine {
 		w.Header().Set("Content-Type", "text/event-stream")
 		x.answer(http.StatusOK)
-		u.stream(w, r, id, hop.LastEvent)
+		x.stream(hop.LastEvent)
 		return
 	}
 	time.Sleep(workTime)
@@ -196,52 +197,63 @@
 		return
 	}
 	if n%2 == 0 {
-		u.awaitSilenceEnd(r.Context(), id)
+		x.awaitSilenceEnd()
 	}
 	x.answer(http.StatusOK)
-	u.writeBody(w, r, id)
+	x.writeBody()
 }
 
 // writeBody writes the answer of a service. A silence begins within it.
-func (u *Upstream) writeBody(w http.ResponseWriter, r *http.Request, id string) {
+func (x *exchange) writeBody() {
 	// A failed write needs no handling: the caller reports the incomplete answer to
 	// the ledger.
-	body := Body(id)
-	if half := len(body) / 2; u.Answers.silence() > 0 {
-		_, _ = io.WriteString(w, body[:half])
-		w.(http.Flusher).Flush()
-		u.awaitSilenceEnd(r.Context(), id)
+	body := Body(x.reply.ID)
+	if half := len(body) / 2; x.u.Answers.silence() > 0 {
+		_, _ = io.WriteString(x.w, body[:half])
+		x.w.(http.Flusher).Flush()
+		x.awaitSilenceEnd()
 		body = body[half:]
 	}
-	_, _ = io.WriteString(w, body)
+	_, _ = io.WriteString(x.w, body)
 }
 
-// awaitSilenceEnd waits until a silence of the upstream has ended or the request was
-// cancelled.
-func (u *Upstream) awaitSilenceEnd(ctx context.Context, id string) {
-	d := u.Answers.silence()
-	if d <= 0 || ctx.Err() != nil {
-		return
+// awaitSilenceEnd waits within a successful answer until a silence of the upstream has
+// ended or the request was cancelled.
+func (x *exchange) awaitSilenceEnd() {
+	if x.u.Answers.silence() > 0 && x.ctx.Err() == nil {
+		if x.sound {
+			x.u.OnSilence(x.reply.ID, x.u.ID)
+		}
+		x.sleepSilence()
 	}
-	u.OnSilence(id, u.ID)
+}
+
+// sleepSilence waits likewise, for an answer that is no successful one.
+func (x *exchange) sleepSilence() {
 	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+	case <-time.After(x.u.Answers.silence()):
+	case <-x.ctx.Done():
 	}
 }
 
 // exchange is the answer to one request.
 type exchange struct {
 	u     *Upstream
+	ctx   context.Context
 	w     http.ResponseWriter
 	conn  *connection
 	reply ward.ForwardReply
+	// sound is set when no answer to another request is sent before this one.
+	sound bool
 	// repeat makes a not-run answer be sent again.
 	repeat bool
 }
 
 // answer writes the head of the answer.
 func (x *exchange) answer(status int) {
+	if status != http.StatusOK {
+		x.sleepSilence()
+	}
 	x.conn.sendAgain()
 	x.reply.Leaving = x.u.leaving.Load()
 	for k, v := range x.u.Dialect.Answer(x.reply) {
@@ -279,18 +291,19 @@
 	return b.Bytes()
 }
 
-func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, id string, last int64) {
+func (x *exchange) stream(last int64) {
+	id := x.reply.ID
 	for n := max(last, 0) + 1; n <= Events(id); n++ {
 		select {
 		case <-time.After(eventInterval):
-		case <-r.Context().Done():
+		case <-x.ctx.Done():
 			return
 		}
-		u.awaitSilenceEnd(r.Context(), id)
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Data(id, n)); err != nil {
+		x.awaitSilenceEnd()
+		if _, err := fmt.Fprintf(x.w, "id: %d\ndata: %s\n\n", n, Data(id, n)); err != nil {
 			return
 		}
-		w.(http.Flusher).Flush()
+		x.w.(http.Flusher).Flush()
 	}
 }
 
--- a/internal/soak/upstream/upstream_test.go
+++ b/internal/soak/upstream/upstream_test.go
@@ -118,3 +118,26 @@
 		}
 	}
 }
+
+// Guards against a silent upstream that still refuses requests: an entry then takes the
+// answers that are due for lost.
+func TestSilenceHoldsRefusals(t *testing.T) {
+	u := &Upstream{ID: "i-1", Slots: 1, Dialect: headers{}, Answers: &Answers{}}
+	u.OnSilence = func(id, _ string) { t.Errorf("silence in the answer to %s, which is refused", id) }
+	if err := u.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	defer u.Crash()
+	end := time.Now().Add(100 * time.Millisecond)
+	u.Answers.SilentUntil.Store(end.UnixNano())
+	req, _ := http.NewRequest(http.MethodPost, "http://"+u.Address(), nil)
+	req.Header = http.Header{"Id": {"a"}, "Replica": {"another"}}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusMisdirectedRequest || time.Now().Before(end) {
+		t.Errorf("status %d, %s before the end of the silence", res.StatusCode, time.Until(end))
+	}
+}
