--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -53,6 +53,9 @@
 	// OnLeaving is called when an answer states for the first time that the upstream
 	// leaves. Leave requires it.
 	OnLeaving func(upstream string)
+	// OnSilence is called when the upstream falls silent before the end of an answer with
+	// which it will go on. It may be nil if Answers selects no silence.
+	OnSilence func(id, upstream string)
 
 	leaving   atomic.Bool
 	toldLeave sync.Once
@@ -77,6 +80,14 @@
 	// Pause is 0 or the pause in seconds that the answer to every third request asks for;
 	// the request does not run.
 	Pause atomic.Int64
+	// SilentUntil is 0 or the Unix time in nanoseconds until which nothing more is sent, of
+	// any answer. The work goes on afterwards.
+	SilentUntil atomic.Int64
+}
+
+// silence returns how long the silence still lasts, at most 0 without one.
+func (a *Answers) silence() time.Duration {
+	return time.Until(time.Unix(0, a.SilentUntil.Load()))
 }
 
 // connection is a connection with the answer that is sent again on it, nil for none.
@@ -133,11 +144,12 @@
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, hop := u.Dialect.Hop(r.Header)
 	asked, repeat := u.asked.Add(1), int(u.Answers.Repeat.Load())
+	conn := r.Context().Value(connectionKey{}).(*connection)
 	x := exchange{
-		u: u, w: w, conn: r.Context().Value(connectionKey{}).(*connection),
+		u: u, ctx: r.Context(), w: w, conn: conn, sound: conn.again == nil,
 		reply: ward.ForwardReply{ID: id}, repeat: repeat > 0,
 	}
-	if asked%2 == 0 {
+	if asked%2 == 0 && u.Answers.silence() <= 0 {
 		x.conn.sendAgain() // before the request runs; otherwise before its answer
 	}
 	if hop.Replica != u.ID {
@@ -176,7 +188,7 @@
 	if u.Engine {
 		w.Header().Set("Content-Type", "text/event-stream")
 		x.answer(http.StatusOK)
-		u.stream(w, r, id, hop.LastEvent)
+		x.stream(hop.LastEvent)
 		return
 	}
 	time.Sleep(workTime)
@@ -184,24 +196,64 @@
 		x.answer(http.StatusInternalServerError)
 		return
 	}
+	if n%2 == 0 {
+		x.awaitSilenceEnd()
+	}
 	x.answer(http.StatusOK)
+	x.writeBody()
+}
+
+// writeBody writes the answer of a service. A silence begins within it.
+func (x *exchange) writeBody() {
 	// A failed write needs no handling: the caller reports the incomplete answer to
 	// the ledger.
-	_, _ = io.WriteString(w, Body(id))
+	body := Body(x.reply.ID)
+	if half := len(body) / 2; x.u.Answers.silence() > 0 {
+		_, _ = io.WriteString(x.w, body[:half])
+		x.w.(http.Flusher).Flush()
+		x.awaitSilenceEnd()
+		body = body[half:]
+	}
+	_, _ = io.WriteString(x.w, body)
+}
+
+// awaitSilenceEnd waits within a successful answer until a silence of the upstream has
+// ended or the request was cancelled.
+func (x *exchange) awaitSilenceEnd() {
+	if x.u.Answers.silence() > 0 && x.ctx.Err() == nil {
+		if x.sound {
+			x.u.OnSilence(x.reply.ID, x.u.ID)
+		}
+		x.sleepSilence()
+	}
+}
+
+// sleepSilence waits likewise, for an answer that is no successful one.
+func (x *exchange) sleepSilence() {
+	select {
+	case <-time.After(x.u.Answers.silence()):
+	case <-x.ctx.Done():
+	}
 }
 
 // exchange is the answer to one request.
 type exchange struct {
 	u     *Upstream
+	ctx   context.Context
 	w     http.ResponseWriter
 	conn  *connection
 	reply ward.ForwardReply
+	// sound is set when no answer to another request is sent before this one.
+	sound bool
 	// repeat makes a not-run answer be sent again.
 	repeat bool
 }
 
 // answer writes the head of the answer.
 func (x *exchange) answer(status int) {
+	if status != http.StatusOK {
+		x.sleepSilence()
+	}
 	x.conn.sendAgain()
 	x.reply.Leaving = x.u.leaving.Load()
 	for k, v := range x.u.Dialect.Answer(x.reply) {
@@ -239,17 +291,19 @@
 	return b.Bytes()
 }
 
-func (u *Upstream) stream(w http.ResponseWriter, r *http.Request, id string, last int64) {
+func (x *exchange) stream(last int64) {
+	id := x.reply.ID
 	for n := max(last, 0) + 1; n <= Events(id); n++ {
 		select {
 		case <-time.After(eventInterval):
-		case <-r.Context().Done():
+		case <-x.ctx.Done():
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, Data(id, n)); err != nil {
+		x.awaitSilenceEnd()
+		if _, err := fmt.Fprintf(x.w, "id: %d\ndata: %s\n\n", n, Data(id, n)); err != nil {
 			return
 		}
-		w.(http.Flusher).Flush()
+		x.w.(http.Flusher).Flush()
 	}
 }
 
