test(soak): a request that moved may fail at the next upstream

The promise silence is that no answer in hand ends and that no attempt is given up beside a sound upstream that is silent.

--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -125,6 +125,21 @@
 			silent(l, Answer{Status: 200}, 1.9)
 		}, "silence"},
 		{"failed beside a silence", func(l *Ledger) { silent(l, Answer{Status: 502, Complete: true}, 1.9) }, "silence"},
+		{"failed at the next upstream after a silence", func(l *Ledger) {
+			l.Sent(request(ward.ForwardSafe, 0))
+			l.Ran("r", "i-1", "t", at(0.1))
+			l.Silent("r", "i-1")
+			l.Ran("r", "i-2", "t", at(1.2))
+			l.Answered("r", Answer{Status: 502, Complete: true}, at(1.3))
+		}, ""},
+		{"cut at the next upstream after a silence", func(l *Ledger) {
+			l.Disturb(Store, false, at(0))
+			l.Sent(request(ward.ForwardSafe, 0))
+			l.Ran("r", "i-1", "t", at(0.1))
+			l.Silent("r", "i-1")
+			l.Ran("r", "i-2", "t", at(1.2))
+			l.Answered("r", Answer{Status: 200}, at(1.3))
+		}, "silence"},
 		{"served after a silence", func(l *Ledger) { silent(l, ok, 1.9) }, ""},
 		{"failed at its time-out after a silence", func(l *Ledger) { silent(l, Answer{Status: 504, Complete: true}, 2.1) }, ""},
 		{"entry killed during a silence", func(l *Ledger) {
