fix(gate): a stream waits for 1.6 s at least for a silent upstream

Callers of routes with a short target latency and gap lost streams whose upstream was silent for a second and a half: the pause after which such a stream moves was 1.2 s, and the next upstream may reject it.

Change: at least 1.6 s, above a second or so. Callers leave after 2 s at the earliest, so that the next upstream still has 0.4 s; a broken connection is noticed at once as before.

--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -24,7 +24,7 @@
 	// after which its caller leaves if that is longer; a plain request after pauseFraction
 	// of its time. A sound upstream may pause for a second or so, and the answer ends if
 	// the next upstream fails. The rest of the time is left to that one.
-	minEventPause = 1200 * time.Millisecond
+	minEventPause = 1600 * time.Millisecond
 	pauseFraction = 0.5
 	// moveRetryDelay is the time until a request that no other upstream could take is
 	// offered again.
