fix(gate): the time to connect is no silence of an upstream

The watch for silence began before the connection: an entry that got no processor time before it wrote the request counted that as the upstream's silence, with no bytes to be read that would show it. Found by the review, by reading; no test times it.

--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -50,6 +50,10 @@
 	// avoid lists the upstreams that the request was sent to.
 	avoid []string
 
+	// first is the silence before the head of the answer after which the request may
+	// move, 0 if it must not.
+	first time.Duration
+
 	mu    sync.Mutex
 	timer *time.Timer
 	watch stall.Watch
@@ -87,9 +91,7 @@
 	} else {
 		minimum = max(minimum, 2*c.route.Target.Std())
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.timer = time.AfterFunc(s.watch.Wait(max(stallFactor*a.Predicted, minimum), time.Now()), s.expire)
+	s.first = max(stallFactor*a.Predicted, minimum)
 	return s
 }
 
@@ -101,11 +103,15 @@
 	return max(minEventPause, time.Duration(pauseFraction*float64(c.callerPatience())))
 }
 
-// setConnected sets the probe for unread bytes of the connection.
+// setConnected begins the watch once the request is about to be written. The time to
+// connect has a bound of its own. unread is the probe for unread bytes.
 func (s *silence) setConnected(unread func() bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.unread = unread
+	if s.first > 0 && !s.ended {
+		s.timer = time.AfterFunc(s.watch.Wait(s.first, time.Now()), s.expire)
+	}
 }
 
 // heard ends a silence; the next one begins at once.
