--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -228,7 +228,7 @@
 func (s *silence) expireUnbegun(now time.Time) bool {
 	c := s.call
 	if s.sending(now) {
-		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "moved-to", "", "elapsed", time.Since(c.arrived))
+		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "given-up", true, "elapsed", time.Since(c.arrived))
 		s.ended = true
 		s.cancel(errStalled)
 		return false
