test(standin): requests carry the parts of their prompt

The soak's dialect wrote no X-Agateward-Prompt-Prefix, so that no fault of a part of a prompt could be played.

--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -169,6 +169,9 @@
 	// Replica is the expected ID of the upstream.
 	Replica string
 	Team    string
+	// Parts lists the parts of the prompt that other requests may share. An entry does not
+	// set it: the caller's field is passed on.
+	Parts []PromptPart
 	// Remaining is the time left until the caller's deadline; 0 means no limit.
 	Remaining time.Duration
 	// LastEvent is the event after which a stream continues, -1 for its start.
