--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -116,12 +117,19 @@
 			&cli.BoolFlag{Name: "checks-fence", Usage: "refuse orders with an old fencing number"},
 			&cli.StringFlag{Name: "fault-version", Usage: "`VERSION` that the fault affects"},
 			&cli.Float64Flag{Name: "cut-share", Usage: "`SHARE` of answers that are truncated"},
+			&cli.StringFlag{Name: "crash-part", Usage: "`ID`, in hexadecimal, of a part of prompts under which the engine crashes: the process exits"},
 			&cli.Float64Flag{Name: "cross-share", Usage: "`SHARE` of answers that carry another request's id"},
 		}, faultFlags()...),
 		Action: func(ctx context.Context, c *cli.Command) error {
 			ctx, stop := signalContext(ctx)
 			defer stop()
+			part, err := crashPart(c.String("crash-part"))
+			if err != nil {
+				return err
+			}
 			s := &engine.Server{
+				CrashPart:   part,
+				OnCrash:     func() { os.Exit(ExitFailed) },
 				Profile:     engineProfile(c),
 				Model:       c.String("model"),
 				LoadTime:    c.Duration("load-time"),
@@ -134,6 +142,18 @@
 	}
 }
 
+// crashPart reads the id of a part of prompts. An empty text is 0, no part.
+func crashPart(v string) (uint64, error) {
+	if v == "" {
+		return 0, nil
+	}
+	id, err := strconv.ParseUint(v, 16, 64)
+	if err != nil || id == 0 {
+		return 0, code.BadCommand.New("--crash-part %q is not a hexadecimal number above 0", v)
+	}
+	return id, nil
+}
+
 // engineProfile returns the speed and the fault of an engine from the flags.
 func engineProfile(c *cli.Command) batch.Profile {
 	return batch.Profile{
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 
 	"agateward/internal/standin/batch"
 	"agateward/internal/standin/text"
+	"agateward/internal/upstream/header"
 	"agateward/ward"
 
 	"github.com/cespare/xxhash/v2"
@@ -135,7 +137,8 @@
 		p.resume = p.output - 1
 	}
 	id := r.Header.Get(HeaderRequest)
-	j := &job{id: s.jobID(id), answer: p.answer, stream: p.call.Stream, changed: make(chan struct{}, 1)}
+	crashes := s.crashes(r.Header)
+	j := &job{id: s.jobID(id), answer: p.answer, stream: p.call.Stream || crashes, changed: make(chan struct{}, 1)}
 	p.id = id
 	if id == "" {
 		p.id = j.id
@@ -156,6 +159,10 @@
 	p.cut = draw(j.id, "cut") < s.CutShare
 	w.Header().Set(HeaderRequest, p.id)
 	w.Header().Set(HeaderVersion, p.version)
+	if crashes {
+		s.crash(w, r, p, j)
+		return
+	}
 	if p.call.Stream {
 		s.stream(w, r, p, j)
 		return
@@ -172,6 +179,23 @@
 	return id + "#" + strconv.Itoa(s.nextID)
 }
 
+// crashes reports whether the engine crashes under a shared part of the prompt.
+func (s *Server) crashes(h http.Header) bool {
+	return s.CrashPart != 0 && slices.ContainsFunc(header.SharedParts(h.Values(HeaderParts)), func(p ward.PromptPart) bool { return p.ID == s.CrashPart })
+}
+
+// crash ends the engine at the first token of an answer, unless the request is cancelled
+// before.
+func (s *Server) crash(w http.ResponseWriter, r *http.Request, p *reply, j *job) {
+	if _, err := s.wait(r.Context(), j, p.resume); err != nil {
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	s.OnCrash()
+	panic(http.ErrAbortHandler)
+}
+
 // answerJSON answers with one JSON object.
 func (s *Server) answerJSON(w http.ResponseWriter, r *http.Request, p *reply, j *job) {
 	for seen := p.resume; ; {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -42,6 +42,7 @@
 	HeaderResume  = "Agateward-Resume"
 	HeaderRoute   = "Agateward-Route"
 	HeaderVersion = "Agateward-Version"
+	HeaderParts   = "Agateward-Prompt-Parts"
 )
 
 const (
@@ -69,6 +70,11 @@
 	// of answers with another request's id, both from 0 to 1.
 	CutShare   float64
 	CrossShare float64
+	// CrashPart, if it is not 0, is the id of a part of prompts: when the engine begins to
+	// answer a request with it, it sends the head and calls OnCrash, which must end the
+	// engine and be set then.
+	CrashPart uint64
+	OnCrash   func()
 
 	once   sync.Once
 	router *httprouter.Router
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -183,6 +183,37 @@
 	}
 }
 
+// Guards against a stand-in that does not crash under its part, or before it begins to
+// answer, or under the part of a prompt that no other request shares.
+func TestCrashPart(t *testing.T) {
+	cases := []struct {
+		parts, body string
+		crash       bool
+	}{
+		{"a1:60,bad0:100,c1:5", fmt.Sprintf(chatBody, true), true},
+		{"bad0:100,c1:5", fmt.Sprintf(chatBody, false), true},
+		{"a1:60,bad0:100", fmt.Sprintf(chatBody, true), false},
+		{"a1:60,c1:5", fmt.Sprintf(chatBody, true), false},
+		{"", fmt.Sprintf(chatBody, false), false},
+	}
+	for _, c := range cases {
+		crashes := 0
+		srv := httptest.NewServer(&Server{CrashPart: 0xbad0, OnCrash: func() { crashes++ }})
+		r, _ := http.NewRequest(http.MethodPost, srv.URL+"/v1/chat/completions", strings.NewReader(c.body))
+		r.Header.Set(HeaderParts, c.parts)
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		srv.Close()
+		if resp.StatusCode != http.StatusOK || (err != nil) != c.crash || (crashes == 1) != c.crash || (len(b) == 0) != c.crash {
+			t.Errorf("%q: status %d, %d bytes, %v, %d crashes; want a crash: %v", c.parts, resp.StatusCode, len(b), err, crashes, c.crash)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(fmt.Sprintf(chatBody, true)), true)
 	f.Add([]byte(`{"prompt":["a","b"],"max_tokens":-1}`), false)
