test(soak): a part of prompts crashes engines

Requests to engines now carry parts: the first is that of the team, the second is one of five. From 3 to 4 s until the last faults (17 s of 20), requests of the large team with one bad part come at any entry every 300 ms on average, on both routes to engines. An engine that has a slot for one sends the head and ends; it is back after 1 to 2 s under a new id.

The ledger checks (users' BUDGET and LOST): at most 3 such requests, repeats too, arrive at engines later than 3 s after the fifth crash; from 6 s after it (after the last, if there are fewer) sound streams with the same key and first part are answered at least half as often as before the first crash (20 or more of each). Counted are entries in touch: neither they nor the store disturbed for 3 s.

TestNew and TestAnswerFaults know the new kind: it lasts longer than others, so its own bounds are checked. TestShortSoak also fails if no engine crashed.

--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 )
 
@@ -24,12 +25,18 @@
 	t.Setenv(runAsProgramEnv, "1")
 	dir := t.TempDir()
 	args := []string{"agateward", "soak", "--seed", "5", "--seeds", "2", "--length", "12s", "--entries", "3", "--callers", "10", "--dir", dir}
-	if got := Run(context.Background(), args); got != ExitOK {
-		t.Errorf("exit code %d", got)
-		logs, _ := filepath.Glob(filepath.Join(dir, "*", "soak.log"))
-		for _, file := range logs {
-			b, err := os.ReadFile(file)
+	got := Run(context.Background(), args)
+	logs, _ := filepath.Glob(filepath.Join(dir, "*", "soak.log"))
+	for _, file := range logs {
+		b, err := os.ReadFile(file)
+		if got != ExitOK {
 			t.Logf("%s (%v):\n%s", file, err, b)
 		}
+		if !strings.Contains(string(b), "engine-crashed") {
+			t.Errorf("%s: no engine crashed under a part of a prompt", file)
+		}
+	}
+	if got != ExitOK || len(logs) != 2 {
+		t.Errorf("exit code %d, logs %v", got, logs)
 	}
 }
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -42,6 +42,8 @@
 	Address    string
 	Host, Path string
 	Key        string
+	// Parts lists the shared parts of the prompt, none without a prompt.
+	Parts []ward.PromptPart
 	// LeaveAfter is when the caller closes the connection, 0 for never.
 	LeaveAfter time.Duration
 }
@@ -116,7 +118,7 @@
 		return ledger.Answer{Fault: err.Error()}, 0
 	}
 	r.Host = req.Host
-	r.Header = c.Dialect.Caller(ward.ForwardHead{ID: req.ID, Key: req.Key, Timeout: limit, LastEvent: -1})
+	r.Header = c.Dialect.Caller(ward.ForwardHead{ID: req.ID, Key: req.Key, Timeout: limit, Parts: req.Parts, LastEvent: -1})
 	res, err := client.Do(r)
 	if err != nil {
 		return ledger.Answer{}, 0
--- /dev/null
+++ b/internal/soak/ledger/crash.go
@@ -0,0 +1,129 @@
+package ledger
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"agateward/ward"
+)
+
+// reach is the arrival of a request at an engine.
+type reach struct {
+	request  *record
+	upstream string
+	at       time.Time
+}
+
+// Reached records that a request under which engines crash arrived at one.
+func (l *Ledger) Reached(id, upstream string, at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r := l.requests[id]; r != nil {
+		l.reaches = append(l.reaches, reach{r, upstream, at})
+	}
+}
+
+// Crashed records that an engine crashed as it began to answer a request.
+func (l *Ledger) Crashed(at time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.crashes = append(l.crashes, at)
+}
+
+// crashFindings checks how many requests under which engines crash still reach some once
+// that is known. Not counted are those sent by an entry that was disturbed, or through a
+// connection that may have held them up.
+func (l *Ledger) crashFindings() []Finding {
+	if len(l.crashes) < l.Bounds.Crashes {
+		return nil
+	}
+	sortTimes(l.crashes)
+	known := l.crashes[l.Bounds.Crashes-1].Add(l.Bounds.Contact)
+	var late []reach
+	for _, r := range l.reaches {
+		if r.at.After(known) && l.inTouch(r.request.Entry, r.at, r.at) && !l.heldUp(r) {
+			late = append(late, r)
+		}
+	}
+	if len(late) <= l.Bounds.CrashRequests {
+		return nil
+	}
+	slices.SortFunc(late, func(a, b reach) int { return a.at.Compare(b.at) })
+	last := late[len(late)-1]
+	return []Finding{{Promise: "crash-requests", ID: last.request.ID, At: last.at, What: fmt.Sprintf(
+		"%d requests with a part under which engines crash reach some from %s after crash %d of %d on, allowed are %d; the first is %s at %s, %s after that crash",
+		len(late), l.Bounds.Contact, l.Bounds.Crashes, len(l.crashes), l.Bounds.CrashRequests, late[0].request.ID, late[0].upstream, late[0].at.Sub(known)+l.Bounds.Contact)}}
+}
+
+// inTouch reports whether neither the entry nor the store was disturbed between from, less
+// Contact, and to.
+func (l *Ledger) inTouch(entry string, from, to time.Time) bool {
+	return !l.disturbed(from.Add(-l.Bounds.Contact), to, func(d disturbance) bool { return d.target == entry || d.target == Store })
+}
+
+// heldUp reports whether a disturbance of the engine may have delayed an arrival there.
+func (l *Ledger) heldUp(r reach) bool {
+	return l.disturbed(r.at.Add(-l.Bounds.Contact), r.at, func(d disturbance) bool { return d.target == r.upstream && !d.planned })
+}
+
+// soundFindings checks that sound requests are served while others come under which engines
+// crash. All requests of a team have the same key and the same first part. Not counted are
+// those at a disturbed entry, and those sent while all engines answered wrongly: no entry
+// can make up for that.
+func (l *Ledger) soundFindings() []Finding {
+	if len(l.crashes) == 0 {
+		return nil
+	}
+	sortTimes(l.crashes)
+	known := l.crashes[min(len(l.crashes), l.Bounds.Crashes)-1].Add(2 * l.Bounds.Contact)
+	team, last := l.lastCrashing()
+	var before, after share
+	for _, r := range l.order {
+		// A stream that may not be resumed fails with each wrong answer of an engine.
+		if r.Team != team || r.CrashesEngines || r.MayLeave || r.end.IsZero() || r.Kind != ward.ForwardStream || !r.Resumable {
+			continue
+		}
+		switch {
+		case r.Sent.Before(l.crashes[0]) && l.undisturbed(r.Sent, r.Sent):
+			before.add(r)
+		case !r.Sent.Before(known) && r.Sent.Before(last) && l.inTouch(r.Entry, r.Sent, r.end) && !l.wrongAnswers(r):
+			after.add(r)
+		}
+	}
+	if min(before.asked, after.asked) < l.Bounds.SoundRequests || after.of() >= l.Bounds.SoundShare*before.of() {
+		return nil
+	}
+	return []Finding{{Promise: "crash-sound-requests", ID: team, At: last, What: fmt.Sprintf(
+		"%d of %d sound requests with the key and first part of those under which engines crash were served from %s after crash %d on, %d of %d before the first",
+		after.served, after.asked, 2*l.Bounds.Contact, min(len(l.crashes), l.Bounds.Crashes), before.served, before.asked)}}
+}
+
+// lastCrashing returns the team of the requests under which engines crash and the time at
+// which the last one was sent.
+func (l *Ledger) lastCrashing() (team string, at time.Time) {
+	for _, r := range l.order {
+		if r.CrashesEngines {
+			team, at = r.Team, r.Sent
+		}
+	}
+	return team, at
+}
+
+// wrongAnswers reports whether all engines answered wrongly during a request.
+func (l *Ledger) wrongAnswers(r *record) bool {
+	return l.disturbed(r.Sent, r.end, func(d disturbance) bool { return d.target == Engines })
+}
+
+// share counts requests and those of which an answer began.
+type share struct{ asked, served int }
+
+func (s *share) add(r *record) {
+	s.asked++
+	if r.answer.Status == 200 {
+		s.served++
+	}
+}
+
+// of returns the part that was served.
+func (s *share) of() float64 { return float64(s.served) / float64(max(s.asked, 1)) }
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -23,8 +23,12 @@
 	"agateward/ward"
 )
 
-// Store is the target of Disturb that means the store.
-const Store = "store"
+// Targets of Disturb that are neither an entry nor an upstream: the store, and the answers
+// of all engines.
+const (
+	Store   = "store"
+	Engines = "engines"
+)
 
 // Request is a request that a caller sent.
 type Request struct {
@@ -43,6 +47,8 @@
 	// Version is the only configuration version that has the route, or 0 when all
 	// versions have it.
 	Version uint64
+	// CrashesEngines is set when its prompt has the part under which engines crash.
+	CrashesEngines bool
 	// MayLeave is set when the caller may close its connection before the answer.
 	MayLeave bool
 }
@@ -81,6 +87,8 @@
 	Request
 	runs   []time.Time
 	answer Answer
+	// end is when the caller had the answer, zero before.
+	end time.Time
 	// upstreams are those that ran the request. silent is the first of them that fell
 	// silent before the end of its answer, "" for none.
 	upstreams []string
@@ -109,6 +117,10 @@
 	// observed.
 	newest   map[string]seen
 	findings []Finding
+	// reaches are the arrivals at engines of requests under which they crash, crashes the
+	// times of these crashes.
+	reaches []reach
+	crashes []time.Time
 }
 
 type seen struct {
@@ -123,7 +135,7 @@
 	}
 }
 
-// Disturb records that a target (an entry, an upstream or Store) is disturbed from a
+// Disturb records that a target (an entry, an upstream, Store or Engines) is disturbed from a
 // time on, and returns the function that ends this. A planned disturbance excuses no
 // incomplete answer.
 func (l *Ledger) Disturb(target string, planned bool, from time.Time) (end func(time.Time)) {
@@ -216,7 +228,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.requests[id]
-	r.answer = a
+	r.answer, r.end = a, now
 	if a.Fault != "" {
 		l.addFinding("whole-answer", id, now, "%s", a.Fault)
 	}
@@ -308,13 +320,15 @@
 }
 
 // Findings returns all findings so far, sorted by time, including those of quotas
-// and retries over time windows.
+// and retries over time windows and those of prompts under which engines crash.
 func (l *Ledger) Findings() []Finding {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := append([]Finding(nil), l.findings...)
 	out = append(out, l.quotaFindings()...)
 	out = append(out, l.retryFindings()...)
+	out = append(out, l.crashFindings()...)
+	out = append(out, l.soundFindings()...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At.Before(out[j].At) })
 	return out
 }
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -53,6 +53,9 @@
 	// UpstreamSilence makes an upstream, which is sound, send nothing for a while; it then
 	// goes on with its answers.
 	UpstreamSilence Kind = "upstream-silence"
+	// PromptCrash makes requests come at any entry whose prompts have a part under which
+	// each engine that begins to answer crashes.
+	PromptCrash Kind = "prompt-crash"
 	// Configure puts a new version of the configuration in force.
 	Configure Kind = "configure"
 	// Rollout rolls out a version to a service, which is good or bad as Variant.
@@ -85,6 +88,10 @@
 	meanSilenceInterval = time.Second
 	minSilence          = 800 * time.Millisecond
 	maxSilence          = 1600 * time.Millisecond
+	// maxPromptCrashDelay is the longest time from the first faults to requests under which
+	// engines crash. They come until the last faults: the bounds that they are checked
+	// against begin up to 6 s after the fifth crash.
+	maxPromptCrashDelay = time.Second
 	// settleTime is the time without faults at the beginning, for the start, and at the
 	// end, for the recovery.
 	settleTime = 3 * time.Second
@@ -156,6 +163,7 @@
 	list = append(list, engineFaults(seed, length)...)
 	list = append(list, wishes(seed, length)...)
 	list = append(list, silences(seed, length)...)
+	list = append(list, promptCrashes(seed, length)...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
 	return list
 }
@@ -221,3 +229,15 @@
 	}
 	return list
 }
+
+// promptCrashes draws the time in which requests come under which engines crash, also with
+// random numbers of its own.
+func promptCrashes(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 6))
+	f := newFault(r, settleTime+time.Duration(r.Float64()*float64(maxPromptCrashDelay)))
+	f.Kind, f.Duration = PromptCrash, length-settleTime-f.At
+	if f.Duration < minDuration {
+		return nil
+	}
+	return []Fault{f}
+}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -22,12 +22,18 @@
 		for i, f := range list {
 			kinds[f.Kind] = true
 			overlap = overlap || i > 0 && list[i-1].At+list[i-1].Duration > f.At
+			if f.Kind == PromptCrash {
+				if f.At < settleTime || f.At > settleTime+time.Second || f.At+f.Duration != time.Minute-settleTime {
+					t.Fatalf("seed %d: %+v", seed, f)
+				}
+				continue
+			}
 			if f.At < settleTime || f.At > time.Minute-settleTime || f.Duration < minDuration || f.Duration > maxDuration {
 				t.Fatalf("seed %d: %+v", seed, f)
 			}
 		}
 	}
-	if want := len(weights) + len(answerKinds) + 4; len(kinds) != want || !overlap {
+	if want := len(weights) + len(answerKinds) + 5; len(kinds) != want || !overlap {
 		t.Errorf("%d kinds of %d, overlapping %v", len(kinds), want, overlap)
 	}
 }
@@ -40,9 +46,10 @@
 	return false
 }
 
-// withoutSilences returns the faults of a plan that are no silences.
-func withoutSilences(list []Fault) []Fault {
-	return slices.DeleteFunc(list, func(f Fault) bool { return f.Kind == UpstreamSilence })
+// withoutUpstreamEvents returns the faults of a plan that are neither silences of upstreams
+// nor crashes under a part of a prompt.
+func withoutUpstreamEvents(list []Fault) []Fault {
+	return slices.DeleteFunc(list, func(f Fault) bool { return f.Kind == UpstreamSilence || f.Kind == PromptCrash })
 }
 
 // Guards against a plan without silences, and against those that no sound upstream has.
@@ -69,7 +76,7 @@
 func TestAnswerFaults(t *testing.T) {
 	count, variants := make(map[bool]int), make(map[string]bool)
 	for seed := range uint64(40) {
-		for _, f := range withoutSilences(New(seed, 20*time.Second, []string{"busy"})) {
+		for _, f := range withoutUpstreamEvents(New(seed, 20*time.Second, []string{"busy"})) {
 			answer := isOfAnswers(f)
 			count[answer]++
 			if answer {
@@ -84,7 +91,7 @@
 		t.Errorf("%d faults of answers and %d others", count[true], count[false])
 	}
 	var first []Kind
-	for _, f := range withoutSilences(New(1, 20*time.Second, []string{"busy"})) {
+	for _, f := range withoutUpstreamEvents(New(1, 20*time.Second, []string{"busy"})) {
 		if !isOfAnswers(f) {
 			first = append(first, f.Kind)
 		}
@@ -93,3 +100,29 @@
 		t.Errorf("seed 1 begins with %v, want %v", first[:4], want)
 	}
 }
+
+// Guards against a plan in which requests under which engines crash come too late or too
+// briefly for what they are checked against.
+func TestPromptCrashes(t *testing.T) {
+	cases := []struct {
+		length time.Duration
+		want   int
+	}{{2 * settleTime, 0}, {12 * time.Second, 1}, {20 * time.Second, 1}}
+	for _, c := range cases {
+		for seed := range uint64(40) {
+			n := 0
+			for _, f := range New(seed, c.length, []string{"busy"}) {
+				if f.Kind != PromptCrash {
+					continue
+				}
+				n++
+				if f.At < settleTime || f.At > settleTime+time.Second || f.At+f.Duration != c.length-settleTime {
+					t.Errorf("%s, seed %d: %+v", c.length, seed, f)
+				}
+			}
+			if n != c.want {
+				t.Errorf("%s, seed %d: %d of them, want %d", c.length, seed, n, c.want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/run/crash.go
@@ -0,0 +1,138 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"agateward/internal/soak/caller"
+	"agateward/internal/soak/ledger"
+	"agateward/internal/soak/proxy"
+	"agateward/internal/soak/upstream"
+	"agateward/ward"
+
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// crashingInterval is the mean time between two requests under which engines crash.
+	crashingInterval = 300 * time.Millisecond
+	// crashingOnceShare is the share of them on the route that allows one run.
+	crashingOnceShare = 0.25
+	// minDown and maxDown bound the time until a crashed engine is back.
+	minDown, maxDown = time.Second, 2 * time.Second
+	// maxCrashed bounds the engines that wait for their restart.
+	maxCrashed = 64
+	// soundParts is the number of parts that sound requests share, beside their first one.
+	soundParts = 5
+)
+
+// crashPart is the part of prompts under which engines crash. firstParts is, by team, the
+// first part of all prompts.
+var (
+	crashPart  = ward.PromptPart{ID: 0xbad0, Tokens: 120}
+	firstParts = map[string]ward.PromptPart{largeTeam: {ID: 0xa1, Tokens: 800}, smallTeam: {ID: 0xa2, Tokens: 600}}
+)
+
+// soundPart returns the n-th of the parts that sound requests share.
+func soundPart(n int) ward.PromptPart {
+	return ward.PromptPart{ID: 0xc0 + uint64(n%soundParts), Tokens: 200}
+}
+
+// engineCrash is the crash of an engine of a replica.
+type engineCrash struct {
+	replica *replica
+	server  *upstream.Upstream
+	link    *proxy.Proxy
+	// end ends the disturbance of the engine.
+	end func(time.Time)
+}
+
+// sendCrashing sends requests with crashPart to any entry for d.
+func (s *Soak) sendCrashing(ctx context.Context, d time.Duration) {
+	r := rand.New(rand.NewPCG(s.Seed, 7))
+	c := caller.Caller{Dialect: s.Dialect, Ledger: &s.ledger}
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
+		req := s.crashingRequest(r)
+		wg.Go(func() { s.countAnswer(c.SendOnce(req)) })
+		sleep(ctx, time.Duration(r.ExpFloat64()*float64(crashingInterval)))
+	}
+}
+
+// crashingRequest returns a request with crashPart. It shares the key and its other parts
+// with sound requests.
+func (s *Soak) crashingRequest(r *rand.Rand) caller.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	e := s.drawEntry(r)
+	a := caller.Request{Address: e.address, Host: host, Key: largeKey, Path: "/stream/x"}
+	a.Request = ledger.Request{
+		ID: fmt.Sprintf("%d-%d", s.Seed, s.asked), Team: largeTeam, Kind: ward.ForwardStream, Resumable: true, Service: engines,
+		Entry: e.name, Start: e.StartCount(), Timeout: streamTimeout, CrashesEngines: true,
+	}
+	if r.Float64() < crashingOnceShare {
+		a.Path, a.Resumable = "/once/x", false
+	}
+	a.Parts = []ward.PromptPart{firstParts[largeTeam], crashPart}
+	if other := soundPart(r.IntN(soundParts)); r.IntN(2) == 0 {
+		a.Parts = append(a.Parts, other)
+	} else {
+		a.Parts = []ward.PromptPart{firstParts[largeTeam], other, crashPart}
+	}
+	return a
+}
+
+// crashEngine ends an engine that began to answer a request with crashPart.
+func (s *Soak) crashEngine(c engineCrash, request string) {
+	now := time.Now()
+	c.end = s.ledger.Disturb(c.server.ID, false, now)
+	s.ledger.Crashed(now)
+	s.Log.Info("engine-crashed", "upstream", c.server.ID, "request", request)
+	c.server.Crash()
+	c.link.Close()
+	select {
+	case s.crashed <- c:
+	default:
+		s.Log.Info("engine-not-restarted", "upstream", c.server.ID)
+	}
+}
+
+// restartCrashed starts each crashed engine again, under a new id, until ctx ends.
+func (s *Soak) restartCrashed(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.Seed, 8))
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case c := <-s.crashed:
+			down := minDown + time.Duration(r.Float64()*float64(maxDown-minDown))
+			wg.Go(func() { s.restartEngine(ctx, c, down) })
+		}
+	}
+}
+
+// restartEngine starts an engine again after the given time, or later if another fault
+// affects its replica. That fault may have replaced it by then.
+func (s *Soak) restartEngine(ctx context.Context, c engineCrash, down time.Duration) {
+	defer func() { c.end(time.Now()) }()
+	for acquired := s.tryAcquire(&c.replica.busy); !acquired; acquired = s.tryAcquire(&c.replica.busy) {
+		if ctx.Err() != nil {
+			return
+		}
+		sleep(ctx, statusInterval)
+	}
+	defer s.release(&c.replica.busy)
+	if c.replica.server != c.server {
+		return
+	}
+	sleep(ctx, down/2)
+	s.Store.Withdraw(c.server.ID)
+	sleep(ctx, down/2)
+	s.logError(s.startUpstream(c.replica, ""))
+}
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -45,6 +45,8 @@
 	server   *http.Server
 	entries  []*entry
 	replicas []*replica
+	// crashed receives the engines that crashed under a part of a prompt.
+	crashed chan engineCrash
 
 	mu            sync.Mutex
 	rand          *rand.Rand
@@ -71,7 +73,7 @@
 
 // Run runs the soak and ends every process that it started.
 func (s *Soak) Run(ctx context.Context) (Result, error) {
-	s.rand = rand.New(rand.NewPCG(s.Seed, 1))
+	s.rand, s.crashed = rand.New(rand.NewPCG(s.Seed, 1)), make(chan engineCrash, maxCrashed)
 	s.ledger.Bounds = ledger.DefaultBounds()
 	s.ledger.Bounds.Quotas = map[string]ledger.Quota{smallTeam: {Rate: smallRate, Burst: smallBurst}}
 	s.ledger.Bounds.QuotaSlack, s.ledger.Bounds.RetryRatio, s.ledger.Bounds.RetrySlack = quotaSlack, retryRatio, retrySlack
@@ -91,6 +93,7 @@
 			(&caller.Caller{Dialect: s.Dialect, Ledger: &s.ledger, Next: s.requestSource(), OnAnswer: s.countAnswer}).Run(ctx)
 		})
 	}
+	wg.Go(func() { s.restartCrashed(ctx) })
 	start := time.Now()
 	for _, f := range faults {
 		wg.Go(func() {
@@ -184,22 +187,28 @@
 	return func(keep bool) caller.Request {
 		s.mu.Lock()
 		if !keep || last == nil {
-			var open []*entry
-			for _, e := range s.entries {
-				if e.inRotation {
-					open = append(open, e)
-				}
-			}
-			if len(open) == 0 {
-				open = s.entries
-			}
-			last = open[s.rand.IntN(len(open))]
+			last = s.drawEntry(s.rand)
 		}
 		s.mu.Unlock()
 		return s.newRequest(last)
 	}
 }
 
+// drawEntry returns an entry to which a balancer would send a new connection. The caller
+// must hold mu.
+func (s *Soak) drawEntry(r *rand.Rand) *entry {
+	var open []*entry
+	for _, e := range s.entries {
+		if e.inRotation {
+			open = append(open, e)
+		}
+	}
+	if len(open) == 0 {
+		open = s.entries
+	}
+	return open[r.IntN(len(open))]
+}
+
 // Shares of the requests. Each kind, promise and team gets enough requests to show a
 // fault within some seconds.
 const (
@@ -238,6 +247,9 @@
 	if s.rand.Float64() < smallTeamShare {
 		a.Team, a.Key = smallTeam, smallKey
 	}
+	if a.Service == engines {
+		a.Parts = []ward.PromptPart{firstParts[a.Team], soundPart(s.asked)}
+	}
 	if s.rand.Float64() < leaveShare {
 		a.MayLeave = true
 		a.LeaveAfter = time.Duration(s.rand.Float64() * float64(200*time.Millisecond))
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -60,7 +60,11 @@
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
 	case plan.UpstreamSilence:
 		s.injectSilence(ctx, s.replicas[f.Target%len(s.replicas)], f.Duration)
+	case plan.PromptCrash:
+		s.sendCrashing(ctx, f.Duration)
 	case plan.EnginesRefuse:
+		// It excuses no incomplete answer, as a planned disturbance.
+		end := s.ledger.Disturb(ledger.Engines, true, time.Now())
 		var wg conc.WaitGroup
 		for _, r := range s.replicas[:engineCount] {
 			for _, kind := range []plan.Kind{plan.UpstreamRanRefused, plan.UpstreamRepeat} {
@@ -68,6 +72,7 @@
 			}
 		}
 		wg.Wait()
+		end(time.Now())
 	default:
 		r := s.replicas[f.Target%len(s.replicas)]
 		if s.tryAcquire(&r.busy) {
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -149,10 +149,16 @@
 	r.server = &upstream.Upstream{ID: id, Service: r.service, Engine: r.service == engines, Slots: slots, Dialect: s.Dialect, Faulty: r.bad, Answers: answers, OnRun: ran}
 	r.server.OnLeaving = func(upstream string) { s.ledger.Leaving(upstream, time.Now()) }
 	r.server.OnSilence = s.ledger.Silent
+	if r.service == engines {
+		r.server.CrashPart = crashPart.ID
+		r.server.OnReach = func(id, upstream string) { s.ledger.Reached(id, upstream, time.Now()) }
+	}
 	if err := r.server.Listen(); err != nil {
 		return err
 	}
 	r.link = &proxy.Proxy{Target: r.server.Address()}
+	server, link := r.server, r.link
+	server.OnCrash = func(request, _ string) { s.crashEngine(engineCrash{replica: r, server: server, link: link}, request) }
 	if err := r.link.Listen(); err != nil {
 		return err
 	}
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -46,6 +47,9 @@
 	Dialect ward.StandinDialect
 	// Faulty makes every second answer of a service fail.
 	Faulty bool
+	// CrashPart, if it is not 0, is a part of prompts: the upstream ends, through OnCrash,
+	// when it begins to answer a request with it.
+	CrashPart uint64
 	// Answers, which may be nil, makes some answers wrong.
 	Answers *Answers
 	// OnRun is called when a request begins to run.
@@ -56,9 +60,14 @@
 	// OnSilence is called when the upstream falls silent before the end of an answer with
 	// which it will go on. It may be nil if Answers selects no silence.
 	OnSilence func(id, upstream string)
+	// OnReach is called when a request with CrashPart arrives, whatever its answer. OnCrash
+	// is called once, after the head of an answer to one, and must end the upstream. Both
+	// may be nil without CrashPart.
+	OnReach, OnCrash func(id, upstream string)
 
 	leaving   atomic.Bool
 	toldLeave sync.Once
+	crash     sync.Once
 	l         net.Listener
 	server    *http.Server
 	slots     chan struct{}
@@ -143,6 +152,10 @@
 
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, hop := u.Dialect.Hop(r.Header)
+	crashes := u.CrashPart != 0 && slices.ContainsFunc(hop.Parts, func(p ward.PromptPart) bool { return p.ID == u.CrashPart })
+	if crashes {
+		u.OnReach(id, u.ID)
+	}
 	asked, repeat := u.asked.Add(1), int(u.Answers.Repeat.Load())
 	conn := r.Context().Value(connectionKey{}).(*connection)
 	x := exchange{
@@ -156,13 +169,7 @@
 		x.refuse(http.StatusMisdirectedRequest)
 		return
 	}
-	if repeat > 0 && asked%3 == 0 {
-		x.refuse(repeat)
-		return
-	}
-	if pause := u.Answers.Pause.Load(); pause > 0 && asked%3 == 0 {
-		x.reply.HasRetryAfter, x.reply.RetryAfter = true, time.Duration(pause)*time.Second
-		x.refuse(http.StatusServiceUnavailable)
+	if asked%3 == 0 && x.refuseByFault(repeat) {
 		return
 	}
 	waiting := u.waiting.Add(1)
@@ -180,6 +187,10 @@
 	n := u.runs.Add(1)
 	u.OnRun(id, u.ID, hop.Team)
 	x.reply.Signed = true
+	if crashes {
+		x.crash()
+		return
+	}
 	if status := int(u.Answers.RanRefused.Load()); status > 0 && n%2 == 0 {
 		time.Sleep(workTime)
 		x.answer(status)
@@ -203,6 +214,22 @@
 	x.writeBody()
 }
 
+// crash begins an answer and ends the upstream, unless the request was cancelled before.
+func (x *exchange) crash() {
+	x.sleepSilence()
+	if x.ctx.Err() != nil {
+		return
+	}
+	x.w.Header().Set("Content-Type", "text/event-stream")
+	x.answer(http.StatusOK)
+	x.w.(http.Flusher).Flush()
+	select {
+	case <-time.After(eventInterval):
+		x.u.crash.Do(func() { x.u.OnCrash(x.reply.ID, x.u.ID) })
+	case <-x.ctx.Done():
+	}
+}
+
 // writeBody writes the answer of a service. A silence begins within it.
 func (x *exchange) writeBody() {
 	// A failed write needs no handling: the caller reports the incomplete answer to
@@ -265,6 +292,21 @@
 	}
 }
 
+// refuseByFault refuses a request if Answers selects that, and reports whether it did.
+// repeat is Answers.Repeat at the request's arrival.
+func (x *exchange) refuseByFault(repeat int) bool {
+	if repeat > 0 {
+		x.refuse(repeat)
+		return true
+	}
+	pause := x.u.Answers.Pause.Load()
+	if pause > 0 {
+		x.reply.HasRetryAfter, x.reply.RetryAfter = true, time.Duration(pause)*time.Second
+		x.refuse(http.StatusServiceUnavailable)
+	}
+	return pause > 0
+}
+
 // refuse answers that the request has not run.
 func (x *exchange) refuse(status int) {
 	x.reply.NotRun = true
--- a/internal/soak/upstream/upstream_test.go
+++ b/internal/soak/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -20,7 +21,12 @@
 func (headers) Caller(ward.ForwardHead) http.Header { return nil }
 
 func (headers) Hop(h http.Header) (string, ward.ForwardHop) {
-	return h.Get("Id"), ward.ForwardHop{Replica: h.Get("Replica"), LastEvent: -1}
+	hop := ward.ForwardHop{Replica: h.Get("Replica"), LastEvent: -1}
+	for _, v := range h.Values("Part") {
+		id, _ := strconv.ParseUint(v, 16, 64) // an invalid one is 0, which is no part
+		hop.Parts = append(hop.Parts, ward.PromptPart{ID: id})
+	}
+	return h.Get("Id"), hop
 }
 
 func (headers) Answer(r ward.ForwardReply) http.Header {
@@ -141,3 +147,56 @@
 		t.Errorf("status %d, %s before the end of the silence", res.StatusCode, time.Until(end))
 	}
 }
+
+// Guards against an engine that does not crash under the part, crashes under others, before
+// it begins to answer, or without a trace in the ledger.
+func TestCrashPart(t *testing.T) {
+	cases := []struct {
+		name           string
+		parts          []string
+		replica        string
+		silence        time.Duration
+		status         int
+		crash, arrives bool
+	}{
+		{"the part", []string{"a", "bad"}, "i-1", 0, 200, true, true},
+		{"the part first", []string{"bad", "a"}, "i-1", 0, 200, true, true},
+		{"the part in a silence", []string{"a", "bad"}, "i-1", 100 * time.Millisecond, 200, true, true},
+		{"the part at another upstream", []string{"a", "bad"}, "i-2", 0, 421, false, true},
+		{"other parts", []string{"a", "b"}, "i-1", 0, 200, false, false},
+		{"no part", nil, "i-1", 0, 200, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var reached, crashed []string
+			u := &Upstream{ID: "i-1", Engine: true, Slots: 1, CrashPart: 0xbad, Dialect: headers{}, Answers: &Answers{}, OnRun: func(_, _, _ string) {}}
+			u.OnReach = func(id, upstream string) { reached = append(reached, id+" "+upstream) }
+			u.OnCrash = func(id, upstream string) {
+				crashed = append(crashed, id+" "+upstream)
+				u.Crash()
+			}
+			if err := u.Listen(); err != nil {
+				t.Fatal(err)
+			}
+			defer u.Crash()
+			begin := time.Now()
+			u.Answers.SilentUntil.Store(begin.Add(c.silence).UnixNano())
+			req, _ := http.NewRequest(http.MethodPost, "http://"+u.Address(), nil)
+			req.Header = http.Header{"Id": {"x"}, "Replica": {c.replica}, "Part": c.parts}
+			res, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if res.StatusCode != c.status || time.Since(begin) < c.silence {
+				t.Errorf("status %d after %s, want %d", res.StatusCode, time.Since(begin), c.status)
+			}
+			if b, err := io.ReadAll(res.Body); (err != nil) != c.crash || c.crash && len(b) > 0 {
+				t.Errorf("%q, %v; crash %v", b, err, c.crash)
+			}
+			_, err = net.Dial("tcp", u.Address())
+			if (err != nil) != c.crash || (len(crashed) == 1) != c.crash || (len(reached) == 1) != c.arrives {
+				t.Errorf("reached by %q, crashed by %q, then %v", reached, crashed, err)
+			}
+		})
+	}
+}
