fix(backend): the head of an answer has bounds

Callers saw: a safe request whose upstream sent header fields or interim heads (1xx) without end got 504 after its whole time, though another upstream was sound; an unsafe one too. Memory grew with what the upstream sent. A request without a timeout of its own or of its route would have been held for as long as the bytes came.

Cause: http.ReadResponse reads a head of any size, and interim heads were skipped one after the other without a count.

Change: the heads before a body, interim ones included, have 64 KiB, the limit that the transport of the product's own surface has; at most 32 of them are interim; each has 10 s from its first byte to its end. The wait for the first byte is not bounded here, as an upstream may think. The limit lies in Read of the connection: a comparison for each read, a read deadline only for a head that does not arrive in one piece.

TestHeadThatDoesNotEndIsCut with the limits switched off in a trial: its five slow heads end only with the context, after 10 s; with them they fail as "not an HTTP answer".

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -52,12 +52,26 @@
 	maxInlineBody = 2 << 10
 	// drainTimeout bounds the wait for the rest of a body that nobody needs.
 	drainTimeout = 20 * time.Millisecond
+	// maxHeadBytes bounds the head of an answer in bytes, with the interim heads before
+	// it.
+	maxHeadBytes = 64 << 10
+	// maxInterimHeads bounds the interim heads (status 1xx) before the head of an answer.
+	maxInterimHeads = 32
+	// DefaultHeadTimeout is the Pool.HeadTimeout of a pool that sets none.
+	DefaultHeadTimeout = 10 * time.Second
 )
 
 // ErrBadAnswer is returned when the upstream sends something else than an HTTP
 // answer.
 var ErrBadAnswer = errors.New("not an HTTP answer")
 
+// Causes for which a reply is not an HTTP answer.
+var (
+	errHeadTooLarge   = fmt.Errorf("the head exceeds %d bytes", maxHeadBytes)
+	errHeadLate       = errors.New("the head did not end within its time")
+	errTooManyInterim = fmt.Errorf("more than %d interim heads", maxInterimHeads)
+)
+
 // ErrWithdrawn is returned when MaySend of a request has reported false, so that no byte
 // was written.
 var ErrWithdrawn = errors.New("the request was withdrawn before it was written")
@@ -85,6 +99,9 @@
 type Pool struct {
 	// OnOpen is called for each new connection, unless it is nil.
 	OnOpen func()
+	// HeadTimeout bounds the time from the first byte of a head to its end; 0 means
+	// DefaultHeadTimeout.
+	HeadTimeout time.Duration
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -96,6 +113,7 @@
 	br      *bufio.Reader
 	expires time.Time
 	reused  bool
+	head    headLimit
 }
 
 // Exchange is a sent request with the answer that is being received.
@@ -175,24 +193,29 @@
 	return b.Bytes()
 }
 
+// readHead reads the head of the answer and the interim heads before it.
 func (x *Exchange) readHead(method string) error {
-	for {
+	x.conn.beginHeads()
+	defer x.conn.endHeads()
+	for range maxInterimHeads + 1 {
 		if _, err := x.conn.br.Peek(1); err != nil {
 			return fmt.Errorf("await the answer: %w", err)
 		}
+		x.conn.beginHead(x.pool.headTimeout())
 		//nolint:bodyclose // the exchange reads the body or closes the connection
 		res, err := http.ReadResponse(x.conn.br, &http.Request{Method: method})
+		x.conn.endHead()
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrBadAnswer, err)
 		}
 		if res.StatusCode >= 200 {
 			x.res = res
-			break
+			x.Status, x.Header, x.Length = res.StatusCode, res.Header, res.ContentLength
+			x.Body = eofReader{x}
+			return nil
 		}
 	}
-	x.Status, x.Header, x.Length = x.res.StatusCode, x.res.Header, x.res.ContentLength
-	x.Body = eofReader{x}
-	return nil
+	return fmt.Errorf("%w: %w", ErrBadAnswer, errTooManyInterim)
 }
 
 // eofReader sets bodyRead once the body was read to its end.
--- a/internal/forward/backend/backend_test.go
+++ b/internal/forward/backend/backend_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -58,3 +60,69 @@
 		t.Errorf("body %q, %v, unread %v", b, err, unread())
 	}
 }
+
+// Guards against a request without a deadline that is held for ever: the upstream sends
+// a head one byte at a time, or interim heads at long intervals.
+func TestHeadThatDoesNotEndIsCut(t *testing.T) {
+	cases := []struct {
+		name, head, unit string
+		interval         time.Duration
+		cut              bool
+	}{
+		{"slow status line", "HTTP/1.1 200 O", "K", time.Millisecond, true},
+		{"slow header field", "HTTP/1.1 200 OK\r\nX: ", "y", time.Millisecond, true},
+		{"slow header fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n", time.Millisecond, true},
+		{"slow head after an interim head", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 O", "K", time.Millisecond, true},
+		{"interim heads", "", "HTTP/1.1 102 Processing\r\n\r\n", 5 * time.Millisecond, true},
+		{"a pause longer than a head may take, after an interim head", "HTTP/1.1 100 Continue\r\n\r\n",
+			"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 4 * headTimeout, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			closed := make(chan struct{})
+			go func() {
+				defer close(closed)
+				sendSlowly(l, c.head, c.unit, c.interval)
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			p := backend.Pool{HeadTimeout: headTimeout}
+			x, err := p.Send(ctx, backend.Request{Address: l.Addr().String(), Method: "GET", Target: "/", Host: "h"})
+			if errors.Is(err, backend.ErrBadAnswer) != c.cut || (err == nil) == c.cut || ctx.Err() != nil {
+				t.Errorf("%v, %v; cut %v", err, ctx.Err(), c.cut)
+			}
+			if x != nil {
+				x.Close()
+				p.Retain(nil)
+			}
+			select {
+			case <-closed:
+			case <-time.After(10 * time.Second):
+				t.Error("the connection was not closed")
+			}
+		})
+	}
+}
+
+const headTimeout = 100 * time.Millisecond
+
+// sendSlowly answers one connection with head and then with a unit at each interval,
+// until the connection is closed.
+func sendSlowly(l net.Listener, head, unit string, interval time.Duration) {
+	c, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	for _, err = io.WriteString(c, head); err == nil; _, err = io.WriteString(c, unit) {
+		time.Sleep(interval)
+	}
+}
--- a/internal/forward/backend/pool.go
+++ b/internal/forward/backend/pool.go
@@ -38,7 +38,9 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	return &conn{Conn: raw, address: address, br: bufio.NewReaderSize(raw, bufferSize)}, nil
+	c := &conn{Conn: raw, address: address}
+	c.br = bufio.NewReaderSize(c, bufferSize)
+	return c, nil
 }
 
 // Connect makes sure that there is an open connection to an address, which the next
