fix(sse): blank lines before an event are bounded

Callers saw: a stream whose upstream sent blank lines without end got no further event until its time was over, and no other upstream resumed it. On the product's own surface and at the gate alike, the entry read on for as long as they came.

Cause: a blank line outside an event was dropped without being counted.

Evidence: TestReader/blank_lines_without_end on the code before: EOF instead of ErrTooLarge.

--- a/internal/upstream/sse/sse.go
+++ b/internal/upstream/sse/sse.go
@@ -18,7 +18,8 @@
 	"io"
 )
 
-// ErrTooLarge is returned for an event that is larger than Reader.Max.
+// ErrTooLarge is returned for an event that is larger than Reader.Max, with the blank
+// lines before it.
 var ErrTooLarge = errors.New("event is too large")
 
 // DefaultMax is the maximum size of an event in bytes if Reader.Max is 0.
@@ -40,12 +41,15 @@
 // Reader reads events from R.
 type Reader struct {
 	R io.Reader
-	// Max is the maximum size of an event in bytes, 0 for DefaultMax.
+	// Max is the maximum size in bytes of an event with the blank lines before it, 0 for
+	// DefaultMax.
 	Max int
 
 	buf  *bufio.Reader
 	raw  []byte
 	data []byte
+	// blank is the size in bytes of the blank lines before the event.
+	blank int
 }
 
 // Next returns the next event. It fails with io.EOF if R ends between two events
@@ -59,6 +63,7 @@
 	}
 	r.raw = r.raw[:0]
 	r.data = r.data[:0]
+	r.blank = 0
 	var e Event
 	fields := 0
 	for {
@@ -67,6 +72,7 @@
 			return Event{}, err
 		}
 		if len(line) == 0 && fields == 0 {
+			r.blank += len(r.raw)
 			r.raw = r.raw[:0]
 			continue
 		}
@@ -85,7 +91,7 @@
 	start := len(r.raw)
 	for {
 		part, err := r.buf.ReadSlice('\n')
-		if len(r.raw)+len(part) > r.Max {
+		if r.blank+len(r.raw)+len(part) > r.Max {
 			return nil, ErrTooLarge
 		}
 		r.raw = append(r.raw, part...)
--- a/internal/upstream/sse/sse_test.go
+++ b/internal/upstream/sse/sse_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 )
 
+// Guards against events that are lost, joined or taken for whole, and against bytes
+// without an event that are read for ever.
 func TestReader(t *testing.T) {
 	cases := []struct {
 		name, in string
@@ -20,6 +23,8 @@
 		{"blank lines between", "\n\ndata: a\n\n\n\n", []string{"a"}, io.EOF},
 		{"truncated in a field", "data: a\n\ndata: b", []string{"a"}, io.ErrUnexpectedEOF},
 		{"truncated before the blank line", "data: a\n", nil, io.ErrUnexpectedEOF},
+		{"blank lines without end", "data: a\n\n" + strings.Repeat("\n", 64), []string{"a"}, ErrTooLarge},
+		{"blank lines before each event", strings.Repeat("\n\r\n\ndata: a\n\n", 20), slices.Repeat([]string{"a"}, 20), io.EOF},
 		{"too large", "data: " + strings.Repeat("x", 64), nil, ErrTooLarge},
 	}
 	for _, c := range cases {
