fix(gate): a stream that brings no further event ends

Callers saw: a stream whose upstream sent comments, events without data or one event again and again went on until its time was over, or without end where neither caller nor route set one. Its slot stayed taken, and no other upstream resumed it, as bytes came.

Cause: each event was bounded by itself. Those that bring a stream no further were relayed or skipped without a count.

Change: after 1 MiB, the bound of one event, without an event that has a higher id (or data and no id) the attempt fails as a broken answer, "no further event of the stream in 1048576 bytes". An event that goes forward resets the count, so a sound stream has no bound in size.

Evidence: TestEndlessStreamIsCut before: in 4 of 10 cases (comments as events, also before the first one; events without data; the same event) the stand-in sent its 64 MiB, nothing was logged, and the stream then ended as if complete. Now it sees the close, the resumable stream goes on at the other upstream, and the other one is broken. TestLongStreamIsRelayedWhole has 3 MiB of events and of comments, with ids and without; it passes before and after.

The case "chunks" of TestEndlessAnswerIsCut sends larger chunks, as its bound is on bytes and not on chunks: with 4 bytes each it took 1.7 s of the route's 2 s under the race detector. Unsafe requests of that test have no timeout.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -23,11 +24,15 @@
 	maxRejection = 4 << 10
 	// maxEvent bounds one event of a stream in bytes.
 	maxEvent = 1 << 20
+	// maxQuiet bounds the bytes of a stream that bring no further event. An upstream may
+	// send comments while a request waits, some bytes a second.
+	maxQuiet = 1 << 20
 )
 
 var (
 	errAnswerTooLarge = errors.New("the answer exceeds the buffer limit")
 	errEventMissing   = errors.New("an event is missing from the stream")
+	errNoFurtherEvent = fmt.Errorf("no further event of the stream in %d bytes", maxQuiet)
 )
 
 // handleAnswer relays an answer and reports whether the request is finished.
--- a/internal/forward/gate/endless_test.go
+++ b/internal/forward/gate/endless_test.go
@@ -89,7 +89,7 @@
 	{"chunk extensions", "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nTransfer-Encoding: chunked\r\n\r\n", "1;e=" + strings.Repeat("x", 1000) + "\r\ny\r\n", endlessBodyLimit},
 	{"trailer field", "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\ny\r\n0\r\nX: ", "x", endlessBodyLimit},
 	{"trailer fields", "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\ny\r\n0\r\n", "X: y\r\n", endlessBodyLimit},
-	{"chunks", "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n", 10 * endlessBodyLimit / 4},
+	{"chunks", "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nTransfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("b", 1<<10) + "\r\n", 2 * endlessBodyLimit},
 	{"body without length", "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\n\r\n", "body", endlessBodyLimit},
 	{"body with a huge length", "HTTP/1.1 200 OK\r\nAgateward-Request: %s\r\nContent-Length: 1000000000000\r\n\r\n", "body", endlessBodyLimit},
 	{"body of a failure", "HTTP/1.1 500 No\r\nAgateward-Request: %s\r\n\r\n", "body", endlessBodyLimit},
@@ -156,7 +156,7 @@
 			if got, runs := playEndless(t, c, "/safe/x", then); got.status != 200 || got.body != "fine" || runs != 2 {
 				t.Errorf("safe: status %d, %v, %d runs; want the second upstream's answer", got.status, got.err, runs)
 			}
-			if got, runs := playEndless(t, c, "/unsafe/x", then); got.status != http.StatusBadGateway || runs != 1 {
+			if got, runs := playEndless(t, c, "/unsafe/untimed/x", then); got.status != http.StatusBadGateway || runs != 1 {
 				t.Errorf("unsafe: status %d, %v, %d runs; want 502 after one", got.status, got.err, runs)
 			}
 		})
--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -32,7 +32,10 @@
     {"name": "unsafe", "host": "h", "prefix": "/unsafe/", "kind": "unsafe", "timeout": "2s", "target-latency": "200ms", "attempts": 3, "split": [{"service": "s", "weight": 1}]},
     {"name": "stream", "host": "h", "prefix": "/stream/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "max-gap": "400ms", "attempts": 2, "resumable": true, "split": [{"service": "s", "weight": 1}]},
     {"name": "brief", "host": "h", "prefix": "/stream/brief/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "attempts": 2, "resumable": true, "split": [{"service": "s", "weight": 1}]},
-    {"name": "once", "host": "h", "prefix": "/once/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "attempts": 2, "split": [{"service": "s", "weight": 1}]}
+    {"name": "once", "host": "h", "prefix": "/once/", "kind": "stream", "timeout": "3s", "target-latency": "500ms", "attempts": 2, "split": [{"service": "s", "weight": 1}]},
+    {"name": "untimed", "host": "h", "prefix": "/unsafe/untimed/", "kind": "unsafe", "target-latency": "200ms", "attempts": 3, "split": [{"service": "s", "weight": 1}]},
+    {"name": "stream-untimed", "host": "h", "prefix": "/stream/untimed/", "kind": "stream", "target-latency": "500ms", "max-gap": "400ms", "attempts": 2, "resumable": true, "split": [{"service": "s", "weight": 1}]},
+    {"name": "once-untimed", "host": "h", "prefix": "/once/untimed/", "kind": "stream", "target-latency": "500ms", "attempts": 2, "split": [{"service": "s", "weight": 1}]}
   ],
   "teams": [{"name": "guests", "keys": ["k1", "k2"]}],
   "upstreams": [%s]}`
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,6 +34,7 @@
 // finished.
 func (c *call) relayStream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	events := sse.Reader{R: x.Body, Max: maxEvent}
+	progress := streamProgress{last: math.MinInt64}
 	var streamStart time.Time
 	for {
 		e, err := events.Next()
@@ -51,6 +53,9 @@
 			c.gate.mu.Unlock()
 		}
 		c.events++
+		if err := progress.note(e); err != nil {
+			return c.handleTruncated(ctx, a, err)
+		}
 		stall.pause()
 		if err := c.relayEvent(e, x); err != nil {
 			return c.handleTruncated(ctx, a, err)
@@ -65,6 +70,33 @@
 	return true
 }
 
+// streamProgress bounds the bytes of one attempt that bring no further event: comments,
+// events without data, and events that were sent before.
+type streamProgress struct {
+	// last is the highest id of an event.
+	last int64
+	// quiet is the number of bytes since the last event that brought the stream forward.
+	quiet int
+}
+
+// note adds an event. It fails with errNoFurtherEvent if the stream no longer goes
+// forward.
+func (p *streamProgress) note(e sse.Event) error {
+	id, err := strconv.ParseInt(e.ID, 10, 64)
+	switch {
+	case err == nil && id > p.last:
+		p.last, p.quiet = id, 0
+	case err != nil && len(e.Data) > 0:
+		p.quiet = 0
+	default:
+		p.quiet += len(e.Raw)
+	}
+	if p.quiet > maxQuiet {
+		return errNoFurtherEvent
+	}
+	return nil
+}
+
 // startAnswer writes the head of the answer once.
 func (c *call) startAnswer(x *backend.Exchange) {
 	if c.started {
