fix(gate): a request without a timeout needs progress

Callers saw: nothing, for ever. A request for which neither caller nor route sets a timeout stayed for as long as its upstream sent a byte now and then: of a body, a chunk extension, a trailer, one event, comments or blank lines.

Cause: only the deadline ends an attempt, and these requests have none. defaultTimeout bounds their wait for an upstream alone; its comment said more.

Change: such a request is cancelled an hour after its arrival, or after the last event that brought its stream forward, and is answered as one whose deadline has passed: 504 if it was sent, a broken stream if part of it is with the caller. A stream whose events arrive has no bound. A request with a deadline has no such timer, so nothing changes for it. The hour is chosen: far above the pause of any proper answer.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -29,8 +29,11 @@
 	streamWaitMargin = 0.85
 	// defaultTarget is the target latency of a route without one.
 	defaultTarget = time.Second
-	// defaultTimeout bounds a request without a timeout of the caller or the route.
+	// defaultTimeout bounds the wait for an upstream of a request without a timeout of the
+	// caller or the route.
 	defaultTimeout = 30 * time.Second
+	// DefaultProgressTimeout is the Gate.ProgressTimeout of a gate that sets none.
+	DefaultProgressTimeout = time.Hour
 )
 
 // Reasons for which a request is not sent again.
@@ -46,6 +49,9 @@
 // errDeadline is the cause for which a request is cancelled at its deadline.
 var errDeadline = errors.New("the request's deadline has passed")
 
+// errNoProgress is the cause for which a request without a deadline is cancelled.
+var errNoProgress = errors.New("no answer, or no further event, within the time for progress")
+
 // run sends the request until an attempt finishes it or no further one is allowed.
 func (c *call) run() {
 	ctx := c.r.Context()
@@ -53,6 +59,12 @@
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadlineCause(ctx, c.deadline, errDeadline)
 		defer cancel()
+	} else {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
+		c.progress = time.AfterFunc(c.gate.progressTimeout(), func() { cancel(errNoProgress) })
+		defer c.progress.Stop()
 	}
 	group, release := c.gate.Rollout.Choose(c.route.Name, c.service, rand.Float64())
 	defer release()
@@ -82,6 +94,13 @@
 	}
 }
 
+// noteProgress gives a request without a deadline its time for progress anew.
+func (c *call) noteProgress() {
+	if c.progress != nil {
+		c.progress.Reset(c.gate.progressTimeout())
+	}
+}
+
 // nextAction returns the dispatch that replaces the last attempt, or waits for one.
 func (c *call) nextAction(ctx context.Context) (schedule.Action, error) {
 	if a := c.next; a != nil {
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -37,6 +37,8 @@
 	size  float64
 	// deadline follows from the caller's timeout and the route's; zero means none.
 	deadline time.Time
+	// progress cancels a request without a deadline, nil for the others.
+	progress *time.Timer
 
 	// sends counts the attempts that may have reached an upstream, connectFailures
 	// those on which nothing was sent.
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -70,17 +70,18 @@
 
 // cancelled ends a request whose deadline has passed or whose caller has left.
 func (c *call) cancelled(ctx context.Context) {
-	if !errors.Is(context.Cause(ctx), errDeadline) {
+	cause := context.Cause(ctx)
+	if !errors.Is(cause, errDeadline) && !errors.Is(cause, errNoProgress) {
 		c.log.Info("caller-left", "elapsed", time.Since(c.arrived), "sends", c.sends, "last-event", c.lastEvent)
 		c.gate.Metrics.refused(code.CallerGone.Number)
 		panic(http.ErrAbortHandler)
 	}
 	switch {
 	case c.mayHaveRun:
-		c.fail(code.AnswerLate, errDeadline.Error())
+		c.fail(code.AnswerLate, cause.Error())
 	case c.connectFailures > 0:
 		c.fail(code.UpstreamUnreachable, "no connection to "+strings.Join(c.tried, ", "))
 	default:
-		c.fail(code.DeadlineUnreachable, errDeadline.Error())
+		c.fail(code.DeadlineUnreachable, cause.Error())
 	}
 }
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -47,7 +47,8 @@
 // The store usually answers within a few milliseconds.
 const configWait = 250 * time.Millisecond
 
-// Gate serves callers. All fields but Metrics and Rollout must be set, and Prepare called.
+// Gate serves callers. All fields but Metrics, Rollout and ProgressTimeout must be set,
+// and Prepare called.
 type Gate struct {
 	Dialect ward.Dialect
 	View    *view.View
@@ -58,6 +59,9 @@
 	Rollout *rollout.Rollout
 	// MaxBody bounds a request body in bytes if the configuration sets no limit.
 	MaxBody int
+	// ProgressTimeout bounds the time until the answer, or the next event, of a request
+	// without a timeout of the caller or the route; 0 means DefaultProgressTimeout.
+	ProgressTimeout time.Duration
 	// SendGrant grants a slot of an upstream to a peer. It must not block.
 	SendGrant func(a schedule.Action)
 	// TriggerBroadcast requests an early broadcast of the peer state. It must not
@@ -216,6 +220,13 @@
 	return g.MaxBody
 }
 
+func (g *Gate) progressTimeout() time.Duration {
+	if g.ProgressTimeout > 0 {
+		return g.ProgressTimeout
+	}
+	return DefaultProgressTimeout
+}
+
 // Stop begins a planned stop. Each caller's connection is closed after its next
 // answer, and requests that can't end in time are refused.
 func (g *Gate) Stop(s shutdown.Shutdown) {
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -34,7 +34,7 @@
 // finished.
 func (c *call) relayStream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	events := sse.Reader{R: x.Body, Max: maxEvent}
-	progress := streamProgress{last: math.MinInt64}
+	progress := streamProgress{last: math.MinInt64, forward: c.noteProgress}
 	var streamStart time.Time
 	for {
 		e, err := events.Next()
@@ -77,6 +77,8 @@
 	last int64
 	// quiet is the number of bytes since the last event that brought the stream forward.
 	quiet int
+	// forward is called for each event that brings the stream forward.
+	forward func()
 }
 
 // note adds an event. It fails with errNoFurtherEvent if the stream no longer goes
@@ -85,15 +87,15 @@
 	id, err := strconv.ParseInt(e.ID, 10, 64)
 	switch {
 	case err == nil && id > p.last:
-		p.last, p.quiet = id, 0
-	case err != nil && len(e.Data) > 0:
-		p.quiet = 0
-	default:
-		p.quiet += len(e.Raw)
-	}
-	if p.quiet > maxQuiet {
-		return errNoFurtherEvent
+		p.last = id
+	case err == nil || len(e.Data) == 0:
+		if p.quiet += len(e.Raw); p.quiet > maxQuiet {
+			return errNoFurtherEvent
+		}
+		return nil
 	}
+	p.quiet = 0
+	p.forward()
 	return nil
 }
 
