feat(mover): the evidence of each step is in the log

Logs could not tell the hypotheses of the slow version apart: no line says from which counts and how far evidence has come. At each step an entry now logs move-evidence for each route: the outcomes, failures and median latencies of both versions in the step before, and the evidence of both tests with its limit.

--- a/internal/entry/mover/evaluate.go
+++ b/internal/entry/mover/evaluate.go
@@ -101,6 +101,7 @@
 	routes := routesOf(c, x)
 	stepped := len(r.steps) == 0 || r.steps[len(r.steps)-1].step != s.Step
 	if stepped {
+		m.logEvidence(x, r, routes)
 		r.steps = append(r.steps, stepStart{s.Step, s.Share, now})
 	}
 	p := plan.Plan{Begin: s.Begin, Deadline: x.Deadline}
@@ -127,6 +128,26 @@
 	return nil
 }
 
+// logEvidence logs what the evidence of a run is when its next step is put in force:
+// the totals of the step before and the results of the analyses.
+func (m *Mover) logEvidence(x ward.Move, r *run, routes []ward.Route) {
+	if len(r.steps) == 0 {
+		return
+	}
+	step := r.steps[len(r.steps)-1].step
+	for _, route := range routes {
+		v := r.verdicts[route.Name]
+		k := evidence.Key{Move: evidence.StepName(evidence.RunName(x.Name, x.Ticket), step), Route: route.Name, Serves: route.Serves, Version: x.From}
+		old := m.total(k)
+		k.Version = x.To
+		next := m.total(k)
+		m.Log.Info("move-evidence", "move", x.Name, "ticket", x.Ticket, "route", route.Name, "step", step,
+			"old", old.Outcomes(), "old-failed", old.Failed, "old-median", analysis.Median(old.Latency),
+			"next", next.Outcomes(), "next-failed", next.Failed, "next-median", analysis.Median(next.Latency),
+			"failures", v.Failures, "slowness", v.Slowness, "limit", v.Limit, "pass", v.Pass)
+	}
+}
+
 // samples returns the totals of the previous step and of the current one, and the
 // number of outcomes in them.
 func (m *Mover) samples(name string, route ward.Route, x ward.Move, step int) ([]analysis.Sample, uint64) {
--- a/internal/move/analysis/analysis.go
+++ b/internal/move/analysis/analysis.go
@@ -98,6 +98,9 @@
 	// Suspicion is the natural logarithm of the evidence for harm, of the test that
 	// has more.
 	Suspicion float64
+	// Failures and Slowness are the natural logarithms of the evidence of both tests,
+	// Limit is the one at which harm is found.
+	Failures, Slowness, Limit float64
 }
 
 // Sample holds the totals of the requests that were sent during one step.
@@ -181,6 +184,7 @@
 	f := a.failure.mix.logEvidence()
 	l := a.latency.mix.logEvidence()
 	a.verdict.Suspicion = max(f, l)
+	a.verdict.Failures, a.verdict.Slowness, a.verdict.Limit = f, l, limit
 	switch {
 	case f >= limit:
 		a.verdict.Harm = true
@@ -189,7 +193,7 @@
 	case l >= limit:
 		a.verdict.Harm = true
 		a.verdict.Reason = fmt.Sprintf("slowness: in step %d median %.2f of the expected time against %.2f on the old version, %d and %d answers (evidence e^%.1f, limit e^%.1f)",
-			s.Step, median(s.Next.Latency), median(s.Old.Latency), s.Next.Succeeded, s.Old.Succeeded, l, limit)
+			s.Step, Median(s.Next.Latency), Median(s.Old.Latency), s.Next.Succeeded, s.Old.Succeeded, l, limit)
 	}
 	pass := math.Log(Beta)
 	a.verdict.Pass = !a.verdict.Harm && a.failure.pass <= pass && a.latency.pass <= pass
--- a/internal/move/analysis/latency.go
+++ b/internal/move/analysis/latency.go
@@ -193,8 +193,8 @@
 	return s
 }
 
-// median returns the median of a histogram, as a ratio to the expected time.
-func median(h [ward.LatencyBuckets]uint64) float64 {
+// Median returns the median of a histogram, as a ratio to the expected time.
+func Median(h [ward.LatencyBuckets]uint64) float64 {
 	total := uint64(0)
 	for _, n := range h {
 		total += n
