fix(rollout): expected times are learned before a roll-out

Callers got answers of a version that takes five times as long, and it was completed.

Cause: an entry learns a route's expected time from answers of the old version, and the answers reached it only once an order was known. Until 20 answers of a route had come at an entry, the ratio was taken to built-in coefficients, which expect many times what these upstreams take: both versions fell into the lowest latency bucket, in which nothing is slower than anything else.

Change: without a roll-out in progress answers teach the expected time. Each route has one of its own (Outcome.Sizing), those that are evaluated together too.

--- a/internal/entry/mover/evaluate.go
+++ b/internal/entry/mover/evaluate.go
@@ -51,6 +51,14 @@
 	}
 }
 
+// Learn updates the expected times with the outcome of a dispatch while no move is
+// known.
+func (m *Mover) Learn(o ward.Outcome) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.recorder.Learn(o.Route, o)
+}
+
 // Evaluate evaluates the evidence of each move and quarantines each new version that
 // is found to be harmful.
 func (m *Mover) Evaluate() {
--- a/internal/forward/rollout/choose.go
+++ b/internal/forward/rollout/choose.go
@@ -68,16 +68,25 @@
 	return false
 }
 
-// Observe records the outcome of one attempt of a request on a route.
+// Observe records the outcome of one attempt of a request on a route. Without a
+// roll-out in progress it teaches the expected time of the route.
 func (r *Rollout) Observe(route, service string, o ward.Outcome) {
 	r.mu.Lock()
 	p, m := r.plans[service], r.mover
+	idle := p == nil || ended(r.states[service], p)
+	inUse := r.splits[service].Version
 	r.mu.Unlock()
-	if p == nil || m == nil {
+	if m == nil {
 		return
 	}
-	o.Route = p.key(route)
-	m.Observe(o)
+	o.Sizing = route + "/" + service
+	switch {
+	case !idle:
+		o.Route = p.key(route)
+		m.Observe(o)
+	case p == nil || o.Version == inUse:
+		m.Learn(o)
+	}
 }
 
 // currentMover returns the mover, or nil before Run.
--- a/internal/move/evidence/evidence.go
+++ b/internal/move/evidence/evidence.go
@@ -30,6 +30,8 @@
 	unreachableInterval = 10 * time.Second
 	// maxKeys bounds the number of keys. Each version of a route in a step is one.
 	maxKeys = 512
+	// maxFits bounds the number of expected times by route. Further routes share one.
+	maxFits = 512
 )
 
 // Key identifies a count.
@@ -90,7 +92,7 @@
 		c.Failed++
 		return
 	}
-	f := r.fit(k.Route)
+	f := r.fit(o, k.Route)
 	c.Succeeded++
 	c.Latency[analysis.Bucket(f.ratio(o))]++
 	if old {
@@ -102,7 +104,7 @@
 // move counts it.
 func (r *Recorder) Learn(route string, o ward.Outcome) {
 	if o.OK && !o.Cancelled {
-		r.fit(route).learn(o)
+		r.fit(o, route).learn(o)
 	}
 }
 
@@ -178,12 +180,17 @@
 	return c
 }
 
-func (r *Recorder) fit(route string) *fit {
+// fit returns the expected time for an outcome on a route.
+func (r *Recorder) fit(o ward.Outcome, route string) *fit {
 	if r.fits == nil {
 		r.fits = map[string]*fit{}
 	}
-	if r.fits[route] == nil {
-		r.fits[route] = &fit{}
+	name := cmp.Or(o.Sizing, route)
+	if r.fits[name] == nil && len(r.fits) >= maxFits {
+		name = ""
 	}
-	return r.fits[route]
+	if r.fits[name] == nil {
+		r.fits[name] = &fit{}
+	}
+	return r.fits[name]
 }
--- a/ward/request.go
+++ b/ward/request.go
@@ -95,7 +95,10 @@
 	Upstream string
 	Version  string
 	Route    string
-	Tier     Tier
+	// Sizing is the name under which expected times are learned; empty means Route.
+	// Routes that are evaluated together have expected times of their own.
+	Sizing string
+	Tier   Tier
 	// OK reports whether the complete answer was received.
 	OK bool
 	// Cancelled reports whether the caller left or the entry cancelled the request;
