fix(gate): the outcome of a stream has the tokens that it generated

Callers got slow answers of a version that was several times slower, and it was completed.

Cause: for the expected time of a stream the outcome carried the limit of its output that the caller stated. Streams end anywhere below it, so the ratio to the expected time spread over most of the histogram on a sound version too, and a slow answer was hardly odd.

Change: an outcome has the tokens of the events that the attempt has relayed, as on the product's own surface (relay.outcome). Plain answers keep what the caller stated.

Evidence: TestOutcomeHasGeneratedTokens fails before (900 tokens, want 35).

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -239,6 +239,9 @@
 		Cancelled: c.strayAnswer || c.crashed && !c.mayRepeatPrompt() || o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
 		At:        now, Total: now.Sub(c.sentAt), PromptTokens: c.head.PromptTokens, OutputTokens: c.head.MaxOutput,
 	}
+	if c.route.Kind == ward.ForwardStream {
+		out.OutputTokens = c.events * c.table.Stride(c.service)
+	}
 	if !c.firstAt.IsZero() {
 		out.FirstToken = c.firstAt.Sub(c.sentAt)
 	}
