fix(move): no latency is counted before the expected time is known

Cause: until 20 answers of the old version on a route had taught an entry, ratios were taken to built-in coefficients. An entry that starts during a roll-out, or sees little of a route, so put both versions into the lowest bucket, beside the real ratios of other entries: the analysis took the mixture for the old version's distribution.

Change: such answers count as answered without a latency; the coefficients are gone. The weights of the latency test come from the answers that have a latency.

Evidence: TestNoLatencyBeforeExpectedTime and TestAnswersWithoutLatency fail before (the latter with evidence e^76 for nothing but missing latencies).

--- a/internal/move/analysis/counts_test.go
+++ b/internal/move/analysis/counts_test.go
@@ -102,6 +102,18 @@
 	}
 }
 
+// TestAnswersWithoutLatency feeds a version only part of whose answers have a latency, as
+// at an entry that has just started: that is no evidence.
+func TestAnswersWithoutLatency(t *testing.T) {
+	a := analysis.Analysis{Begin: time.Unix(0, 0), Window: time.Minute}
+	a.Step(1, 0.5)
+	old, next := succeeded(300), succeeded(40)
+	next.Succeeded = 300
+	if v := a.Update(time.Unix(1, 0), analysis.Sample{Step: 1, Old: old, Next: next}); v.Harm || v.Slowness > math.Log(2) {
+		t.Errorf("%+v", v)
+	}
+}
+
 // succeeded returns n answers that took the expected time.
 func succeeded(n uint64) analysis.Totals {
 	t := analysis.Totals{Succeeded: n}
--- a/internal/move/analysis/latency.go
+++ b/internal/move/analysis/latency.go
@@ -93,7 +93,8 @@
 // distribution is the mean of both, weighted by the answers that each version has.
 func (t *latencyTable) logEvidence(b block) latencyLogs {
 	var logs latencyLogs
-	part := float64(b.next.Succeeded) / float64(max(b.old.Succeeded+b.next.Succeeded, 1))
+	old, next := answers(b.old), answers(b.next)
+	part := float64(next) / float64(max(old+next, 1))
 	for i := range ward.LatencyBuckets {
 		x, y := float64(b.old.Latency[i]), float64(b.next.Latency[i])
 		if x == 0 && y == 0 {
@@ -112,6 +113,14 @@
 	return logs
 }
 
+// answers returns the number of answers whose latencies were counted.
+func answers(t Totals) (n uint64) {
+	for _, x := range t.Latency {
+		n += x
+	}
+	return n
+}
+
 // buildTable computes the distributions from the old version's latencies.
 func (t *latencyTest) buildTable() latencyTable {
 	var table latencyTable
--- a/internal/move/evidence/evidence.go
+++ b/internal/move/evidence/evidence.go
@@ -94,7 +94,9 @@
 	}
 	f := r.fit(o, k.Route)
 	c.Succeeded++
-	c.Latency[analysis.Bucket(f.ratio(o))]++
+	if f.usable() {
+		c.Latency[analysis.Bucket(f.ratio(o))]++
+	}
 	if old {
 		f.learn(o)
 	}
--- a/internal/move/evidence/evidence_test.go
+++ b/internal/move/evidence/evidence_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"agateward/internal/move/analysis"
 	"agateward/internal/move/evidence"
 	"agateward/ward"
 )
@@ -69,3 +70,25 @@
 		t.Errorf("got %+v, want 3 failures", c)
 	}
 }
+
+// Guards against answers whose expected time is not known: their ratio to a built-in
+// time put both versions into the lowest bucket.
+func TestNoLatencyBeforeExpectedTime(t *testing.T) {
+	r := evidence.Recorder{}
+	o := ward.Outcome{OK: true, Connected: true, PromptTokens: 2000, OutputTokens: 100, Total: 200 * time.Millisecond}
+	k := evidence.Key{Move: "m@1", Route: "r", Version: "v1"}
+	for range 40 {
+		r.Observe(k, o, true)
+	}
+	c := r.Counts()[0]
+	timed := uint64(0)
+	for i, n := range c.Latency {
+		timed += n
+		if n > 0 && i != analysis.Bucket(1) && i != analysis.Bucket(0.99) {
+			t.Errorf("%d answers of one size and time in bucket %d, want only those of the expected time", n, i)
+		}
+	}
+	if c.Succeeded != 40 || timed == 0 || timed == 40 {
+		t.Errorf("%d answers, %d with a latency; want 40, and fewer with one", c.Succeeded, timed)
+	}
+}
--- a/internal/move/evidence/fit.go
+++ b/internal/move/evidence/fit.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"time"
 
 	"agateward/ward"
 )
@@ -17,13 +16,6 @@
 	minFitWeight = 20
 )
 
-// Coefficients that are used until the weight reaches minFitWeight.
-const (
-	baseTime   = 50 * time.Millisecond
-	promptTime = 200 * time.Microsecond
-	outputTime = 20 * time.Millisecond
-)
-
 // fit is a linear model of the time of an answer by its prompt and output tokens.
 // It minimizes the squares of the relative error, with decaying weights of old
 // answers. The zero value uses the default coefficients.
@@ -41,15 +33,14 @@
 	return [3]float64{1, float64(o.PromptTokens), float64(o.OutputTokens)}
 }
 
+// usable reports whether the fit has learned from enough answers.
+func (f *fit) usable() bool { return f.weight >= minFitWeight }
+
 // ratio returns the ratio of an answer's time to the expected time.
 func (f *fit) ratio(o ward.Outcome) float64 {
-	x := f.x
-	if f.weight < minFitWeight {
-		x = [3]float64{baseTime.Seconds(), promptTime.Seconds(), outputTime.Seconds()}
-	}
 	expected := 0.0
 	for i, v := range features(o) {
-		expected += v * x[i]
+		expected += v * f.x[i]
 	}
 	if !(expected > 0) {
 		return 1
