fix(move): a request that ends overdue without its answer counts as failed

Callers got no answer of a version that never answers in time, and it was completed.

Cause: a request that ends at its deadline or with its caller is cancelled, and cancelled requests were no evidence at all. The slower a version, the fewer of its answers were counted; one that answers nothing had a clean record. The same holds on the product's own surface.

Change: an outcome says whether the request ended so (Outcome.Overrun). If it had then taken at least twice the time that is expected for the tokens it got, it counts as failed, for both versions alike. Other cancelled requests do not count, as before.

--- a/internal/entry/relay/answer.go
+++ b/internal/entry/relay/answer.go
@@ -166,6 +166,7 @@
 		Upstream: a.upstream.Name, Version: a.upstream.Version, Route: r.Route, Tier: r.Tier,
 		OK:           err == nil && a.status < http.StatusInternalServerError,
 		Cancelled:    cancelled(err),
+		Overrun:      overrun(err),
 		Connected:    !errors.Is(err, ward.ErrNotConnected),
 		PromptTokens: r.PromptTokens + a.dispatchOffset,
 		OutputTokens: a.tokens - a.dispatchOffset,
@@ -178,6 +179,12 @@
 	return o
 }
 
+// overrun reports whether the request ended at its deadline or with its caller.
+func overrun(err error) bool {
+	n := code.Of(err).Number
+	return n == code.CallerGone.Number || n == code.DeadlinePassed.Number
+}
+
 // cancelled reports whether err is not the fault of the upstream, such as a request
 // path that can't be sent.
 func cancelled(err error) bool {
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -234,6 +234,7 @@
 func (c *call) outcome(a schedule.Action, o schedule.Outcome) ward.Outcome {
 	now := time.Now()
 	out := ward.Outcome{
+		Overrun: o == schedule.OutcomeNeutral,
 		Request: c.head.ID, Upstream: a.Upstream.ID, Version: a.Upstream.Version, Connected: c.connected,
 		OK:        o == schedule.OutcomeOK,
 		Cancelled: c.strayAnswer || c.crashed && !c.mayRepeatPrompt() || o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
--- a/internal/forward/rollout/fleet_test.go
+++ b/internal/forward/rollout/fleet_test.go
@@ -123,7 +123,8 @@
 	}
 	o.Total = time.Duration(seconds * float64(time.Second))
 	if o.Total > f.callerTime {
-		o.Total, o.OK, o.Cancelled = f.callerTime, false, true
+		o.OutputTokens = int(float64(o.OutputTokens) * float64(f.callerTime) / float64(o.Total))
+		o.Total, o.OK, o.Cancelled, o.Overrun = f.callerTime, false, true, true
 	}
 	time.AfterFunc(o.Total, func() {
 		done()
@@ -142,8 +143,9 @@
 	return f.source.last(), float64(f.sent["v2"]) / float64(f.sent["v1"]+f.sent["v2"])
 }
 
-// Guards against a roll-out of a version that answers several times slower: it was
-// completed, as the expected times were learned only during the roll-out.
+// Guards against a roll-out of a version that answers several times slower or never: it
+// was completed, as expected times were learned only during the roll-out, and as requests
+// that callers gave up did not count.
 func TestSlowVersion(t *testing.T) {
 	cases := []struct {
 		name       string
@@ -154,6 +156,7 @@
 	}{
 		{"good", 1, 8 * time.Second, ward.RolloutCompleted, 1},
 		{"five times slower", 5, 8 * time.Second, ward.RolloutRolledBack, 0.1},
+		{"no answer before callers leave", 1000, 5 * time.Second, ward.RolloutRolledBack, 0.1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/move/evidence/evidence.go
+++ b/internal/move/evidence/evidence.go
@@ -30,6 +30,10 @@
 	unreachableInterval = 10 * time.Second
 	// maxKeys bounds the number of keys. Each version of a route in a step is one.
 	maxKeys = 512
+	// overrunRatio is the ratio to the expected time from which on a request that ended
+	// without its answer counts as failed. Below it the caller may have left for a reason
+	// of its own, or the request may have been sent shortly before its deadline.
+	overrunRatio = 2
 	// maxFits bounds the number of expected times by route. Further routes share one.
 	maxFits = 512
 )
@@ -75,9 +79,9 @@
 }
 
 // Observe counts an outcome; old reports whether it is of the old version. Cancelled
-// requests do not count.
+// requests do not count, unless their answers were overdue.
 func (r *Recorder) Observe(k Key, o ward.Outcome, old bool) {
-	if o.Cancelled || !o.Connected && !r.firstUnreachable(o) {
+	if o.Cancelled && !r.overdue(o, k.Route) || !o.Connected && !r.firstUnreachable(o) {
 		return
 	}
 	c := r.counterFor(k)
@@ -88,7 +92,7 @@
 		c.changed = true
 		r.changed = append(r.changed, c)
 	}
-	if !o.OK {
+	if !o.OK || o.Cancelled {
 		c.Failed++
 		return
 	}
@@ -151,6 +155,13 @@
 	)
 }
 
+// overdue reports whether a request ended without its answer after far more than the
+// expected time.
+func (r *Recorder) overdue(o ward.Outcome, route string) bool {
+	f := r.fit(o, route)
+	return o.Overrun && o.Connected && f.usable() && f.ratio(o) >= overrunRatio
+}
+
 // firstUnreachable reports whether a failed connection is the first one to its
 // upstream within unreachableInterval.
 func (r *Recorder) firstUnreachable(o ward.Outcome) bool {
--- a/internal/move/evidence/evidence_test.go
+++ b/internal/move/evidence/evidence_test.go
@@ -71,6 +71,44 @@
 	}
 }
 
+// Guards against a version that never answers: requests that ended at their deadline or
+// with their caller did not count, however long they had taken.
+func TestOverdueRequestsFail(t *testing.T) {
+	sized := ward.Outcome{OK: true, Connected: true, PromptTokens: 2000, OutputTokens: 100, Total: 200 * time.Millisecond}
+	overrun := func(total time.Duration, tokens int) ward.Outcome {
+		return ward.Outcome{Cancelled: true, Overrun: true, Connected: true, PromptTokens: 2000, OutputTokens: tokens, Total: total}
+	}
+	other := overrun(2*time.Second, 100)
+	other.Overrun = false
+	cases := []struct {
+		name    string
+		learned int
+		o       ward.Outcome
+		failed  uint64
+	}{
+		{"ten times the expected time", 100, overrun(2*time.Second, 100), 1},
+		{"within the expected time", 100, overrun(100*time.Millisecond, 100), 0},
+		{"cancelled for another reason", 100, other, 0},
+		{"no expected time", 1, overrun(2*time.Second, 100), 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := evidence.Recorder{}
+			for range c.learned {
+				r.Learn("r", sized)
+			}
+			r.Observe(evidence.Key{Move: "m@1", Route: "r", Version: "v2"}, c.o, false)
+			failed := uint64(0)
+			for _, x := range r.Counts() {
+				failed += x.Failed
+			}
+			if failed != c.failed {
+				t.Errorf("%d failures, want %d", failed, c.failed)
+			}
+		})
+	}
+}
+
 // Guards against answers whose expected time is not known: their ratio to a built-in
 // time put both versions into the lowest bucket.
 func TestNoLatencyBeforeExpectedTime(t *testing.T) {
--- a/ward/request.go
+++ b/ward/request.go
@@ -104,6 +104,10 @@
 	// Cancelled reports whether the caller left or the entry cancelled the request;
 	// the outcome is then no evidence against the upstream.
 	Cancelled bool
+	// Overrun reports whether the request was cancelled since its deadline passed or its
+	// caller left before the answer was complete. Total and OutputTokens are then those
+	// until the end of the request.
+	Overrun bool
 	// Connected is false if no connection was made, so that no byte can have reached
 	// the upstream.
 	Connected    bool
