fix(move): answers count however many steps later they come

Callers got answers of a slow version for longer, as its roll-out went on, or was completed.

Cause: the analysis took outcomes of the last two steps only. The last steps of a short move are made within a second or two, and the answers of a slow version take longer: just those were dropped, while its fast ones counted.

Change: the outcomes of all steps of a move are added, still compared within their step.

Evidence: TestAnswersOfEarlierStepsCount fails before.

--- a/internal/entry/mover/evaluate.go
+++ b/internal/entry/mover/evaluate.go
@@ -156,12 +156,12 @@
 	}
 }
 
-// samples returns the totals of the previous step and of the current one, and the
-// number of outcomes in them.
+// samples returns the totals of each step up to the current one, and the number of
+// outcomes in them.
 func (m *Mover) samples(name string, route ward.Route, x ward.Move, step int) ([]analysis.Sample, uint64) {
 	var list []analysis.Sample
 	var outcomes uint64
-	for n := max(step-1, 1); n <= step; n++ {
+	for n := 1; n <= step; n++ {
 		k := evidence.Key{Move: evidence.StepName(name, n), Route: route.Name, Serves: route.Serves, Version: x.From}
 		s := analysis.Sample{Step: n, Old: m.total(k)}
 		k.Version = x.To
--- a/internal/entry/mover/evaluate_test.go
+++ b/internal/entry/mover/evaluate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"agateward/internal/entry/mover"
+	"agateward/internal/move/analysis"
 	"agateward/internal/move/split"
 	"agateward/ward"
 
@@ -63,3 +64,33 @@
 		})
 	}
 }
+
+// Guards against a slow version whose answers do not count: they come after several
+// further steps have been made.
+func TestAnswersOfEarlierStepsCount(t *testing.T) {
+	clock := &steppingClock{now: time.Unix(1000, 0)}
+	begin := clock.now
+	cfg := &ward.Config{
+		Moves:  []ward.Move{{Name: "x", Serves: "s", From: "v1", To: "v2", Ticket: 2, Deadline: begin.Add(15 * time.Second)}},
+		Routes: []ward.Route{{Name: "r", Serves: "s", Version: "v1"}},
+	}
+	m := mover.New(mover.Deps{Self: "self", Clock: clock, Log: logr.Discard(), Config: func() *ward.Config { return cfg }, Fleet: func() split.Fleet { return split.Fleet{Entries: 2} }})
+	answers := func(version string, ratio float64, n uint64) []ward.Counts {
+		c := ward.Counts{Serves: "s", Version: version, Route: "r", Move: "x@2/1", Entry: "peer", Incarnation: 1, Succeeded: n}
+		c.Latency[analysis.Bucket(ratio)] = n
+		return []ward.Counts{c}
+	}
+	for step := 1; step <= 5; step++ {
+		clock.now = clock.now.Add(time.Second)
+		m.Merge(nil, answers("v1", 1, 300), []ward.MoveState{{
+			Move: "x", Ticket: 2, Revision: uint64(step), State: "stepping", Step: step, Share: 0.045, Begin: begin, Since: clock.now,
+		}})
+		m.Evaluate()
+	}
+	clock.now = clock.now.Add(time.Second)
+	m.Merge(nil, append(answers("v1", 1, 320), answers("v2", 5, 20)...), nil)
+	m.Evaluate()
+	if len(m.Quarantines()) == 0 {
+		t.Error("a version that is five times slower is not quarantined")
+	}
+}
--- a/internal/move/analysis/analysis.go
+++ b/internal/move/analysis/analysis.go
@@ -45,6 +45,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"agateward/ward"
@@ -56,6 +57,9 @@
 	Alpha = 0.003
 	// Beta is the probability that a version with the reference harm passes a step.
 	Beta = 0.001
+	// maxStrata is the number of steps whose outcomes are still added. Slow answers come
+	// several steps after their requests were sent, as the last steps of a move are short.
+	maxStrata = 8
 )
 
 // Totals are the outcomes of one version, summed over all entries.
@@ -124,8 +128,8 @@
 
 	lastBlock  time.Time
 	stepOnsets int
-	// strata are the last two steps, the newer one first.
-	strata  [2]stratum
+	// strata are the last maxStrata steps, the newest first.
+	strata  []stratum
 	failure failureTest
 	latency latencyTest
 	verdict Verdict
@@ -134,8 +138,8 @@
 // Step records that a step was made. The evidence for a pass is reset, and the
 // step becomes a possible onset of harm.
 func (a *Analysis) Step(step int, share float64) {
-	a.strata[1] = a.strata[0]
-	a.strata[0] = stratum{step: step, nextOnly: share >= 1}
+	a.strata = slices.Insert(a.strata, 0, stratum{step: step, nextOnly: share >= 1})
+	a.strata = a.strata[:min(len(a.strata), maxStrata)]
 	a.failure.pass = 0
 	a.latency.pass = 0
 	if a.stepOnsets < maxSteps && !a.lastBlock.IsZero() {
@@ -147,7 +151,7 @@
 }
 
 // Update adds the totals at now and returns the verdict. It ignores samples of
-// steps other than the last two, and totals that decreased because an entry was
+// steps before the last maxStrata, and totals that decreased because an entry was
 // removed.
 func (a *Analysis) Update(now time.Time, samples ...Sample) Verdict {
 	for i := range samples {
--- a/internal/move/analysis/mixture.go
+++ b/internal/move/analysis/mixture.go
@@ -43,7 +43,7 @@
 
 // multiply multiplies the products by the e-values of a block, given as
 // logarithms. weight is the weight of an onset at this block. A block that is not
-// current holds outcomes of the previous step.
+// current holds outcomes of an earlier step.
 func (m *mixture) multiply(logs []float64, weight float64, current bool) {
 	weight = min(weight, 1-m.used)
 	m.used += weight
