--- a/internal/forward/rollout/fleet_test.go
+++ b/internal/forward/rollout/fleet_test.go
@@ -51,13 +51,16 @@
 	// after which callers leave.
 	slowdown   float64
 	callerTime time.Duration
-	ordered    atomic.Bool
-	sent       map[string]int
+	// interval is the time between two requests of the whole fleet.
+	interval time.Duration
+	ordered  atomic.Bool
+	sent     map[string]int
 }
 
-func newFleet(ctx context.Context, wg *sync.WaitGroup, n int, slowdown float64, callerTime time.Duration, seed uint64) *fleet {
+func newFleet(ctx context.Context, wg *sync.WaitGroup, n int, slowdown float64, callerTime, interval time.Duration, seed uint64) *fleet {
 	f := &fleet{
-		rng: rand.New(rand.NewPCG(seed, 1)), source: &reports{store: &memory.Platform{Seed: seed}},
+		interval: interval,
+		rng:      rand.New(rand.NewPCG(seed, 1)), source: &reports{store: &memory.Platform{Seed: seed}},
 		slowdown: slowdown, callerTime: callerTime, sent: map[string]int{},
 	}
 	begin := time.Now()
@@ -97,8 +100,6 @@
 	// operator's limit.
 	warmUp    = 6 * time.Second
 	orderTime = 15 * time.Second
-	// requestInterval is the time between two requests of the whole fleet.
-	requestInterval = 18 * time.Millisecond
 )
 
 // send sends a request of a random size at a random entry. Callers state an upper limit
@@ -136,7 +137,7 @@
 // run sends requests until the operator's limit and returns the reported state and the
 // fraction of the requests that version v2 got.
 func (f *fleet) run() (state ward.RolloutState, share float64) {
-	for begin := time.Now(); time.Since(begin) < warmUp+orderTime; time.Sleep(requestInterval) {
+	for begin := time.Now(); time.Since(begin) < warmUp+orderTime; time.Sleep(f.interval) {
 		f.ordered.Store(time.Since(begin) >= warmUp)
 		f.send()
 	}
@@ -164,7 +165,7 @@
 				synctest.Test(t, func(t *testing.T) {
 					ctx, cancel := context.WithCancel(t.Context())
 					var wg sync.WaitGroup
-					state, share := newFleet(ctx, &wg, 8, c.slowdown, c.callerTime, seed).run()
+					state, share := newFleet(ctx, &wg, 8, c.slowdown, c.callerTime, 18*time.Millisecond, seed).run()
 					cancel()
 					wg.Wait()
 					t.Logf("seed %d: %s, share %.3f", seed, state, share)
@@ -176,3 +177,18 @@
 		})
 	}
 }
+
+// Guards against a version that never answers and is completed, where the requests of the
+// canary end long after the next steps.
+func TestNoAnswerWithLittleTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		state, share := newFleet(ctx, &wg, 8, 1000, 5*time.Second, 60*time.Millisecond, 0).run()
+		cancel()
+		wg.Wait()
+		if state != ward.RolloutRolledBack || share > 0.1 {
+			t.Errorf("%s with %.3f of the requests, want %s with 0.1 at most", state, share, ward.RolloutRolledBack)
+		}
+	})
+}
