--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -253,11 +253,15 @@
 func (c *call) outcome(a schedule.Action, o schedule.Outcome) ward.Outcome {
 	now := time.Now()
 	out := ward.Outcome{
+		Overrun: o == schedule.OutcomeNeutral,
 		Request: c.head.ID, Upstream: a.Upstream.ID, Version: a.Upstream.Version, Connected: c.connected,
 		OK:        o == schedule.OutcomeOK,
 		Cancelled: c.strayAnswer || c.crashed && !c.mayRepeatPrompt() || o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
 		At:        now, Total: now.Sub(c.sentAt), PromptTokens: c.head.PromptTokens, OutputTokens: c.head.MaxOutput,
 	}
+	if c.route.Kind == ward.ForwardStream {
+		out.OutputTokens = c.events * c.table.Stride(c.service)
+	}
 	if !c.firstAt.IsZero() {
 		out.FirstToken = c.firstAt.Sub(c.sentAt)
 	}
--- a/internal/move/analysis/latency.go
+++ b/internal/move/analysis/latency.go
@@ -93,7 +93,8 @@
 // distribution is the mean of both, weighted by the answers that each version has.
 func (t *latencyTable) logEvidence(b block) latencyLogs {
 	var logs latencyLogs
-	part := float64(b.next.Succeeded) / float64(max(b.old.Succeeded+b.next.Succeeded, 1))
+	old, next := answers(b.old), answers(b.next)
+	part := float64(next) / float64(max(old+next, 1))
 	for i := range ward.LatencyBuckets {
 		x, y := float64(b.old.Latency[i]), float64(b.next.Latency[i])
 		if x == 0 && y == 0 {
@@ -112,6 +113,14 @@
 	return logs
 }
 
+// answers returns the number of answers whose latencies were counted.
+func answers(t Totals) (n uint64) {
+	for _, x := range t.Latency {
+		n += x
+	}
+	return n
+}
+
 // buildTable computes the distributions from the old version's latencies.
 func (t *latencyTest) buildTable() latencyTable {
 	var table latencyTable
@@ -193,8 +202,8 @@
 	return s
 }
 
-// median returns the median of a histogram, as a ratio to the expected time.
-func median(h [ward.LatencyBuckets]uint64) float64 {
+// Median returns the median of a histogram, as a ratio to the expected time.
+func Median(h [ward.LatencyBuckets]uint64) float64 {
 	total := uint64(0)
 	for _, n := range h {
 		total += n
