fix(poison): crashes that an answer has cleared stay cleared

Cause: the age of a crash in a report doesn't hold the time that the message travelled. A late report of a crash that a whole answer had cleared showed a time after the answer, brought the crash back, was passed on, and so went round without end; an unrelated kill beside it then blocked the first part. The reported count was taken over besides, however many crashes the report named.

Change: a part remembers the crashes that were cleared and takes none of them back; a reported count is at most the number of reported crashes that are held.

--- a/internal/forward/poison/exchange.go
+++ b/internal/forward/poison/exchange.go
@@ -89,15 +89,14 @@
 	if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && at.After(t.answered.at(report.Part).Add(maxAgeError)) {
 		changed = t.clear(report.Part, r, at)
 	}
-	newest := time.Time{}
+	shared := 0
 	for _, c := range report.Crashes[:min(len(report.Crashes), maxCrashes)] {
-		at := age(now, c.Age)
-		changed = t.add(report.Part, r, c.Process, at) || changed
-		if at.After(newest) {
-			newest = at
+		changed = t.add(report.Part, r, c.Process, age(now, c.Age)) || changed
+		if _, ok := r.crashes[c.Process]; ok {
+			shared++
 		}
 	}
-	if n := min(report.Count, maxCrashes); n > r.count && newest.After(t.answered.at(report.Part)) {
+	if n := min(report.Count, shared); n > r.count {
 		r.count, changed = n, true
 	}
 	return changed
@@ -111,11 +110,7 @@
 func (t *Tracker) clear(p Part, r *record, at time.Time) bool {
 	t.answered.set(p, at)
 	n := len(r.crashes)
-	for id, when := range r.crashes {
-		if !when.After(at) {
-			delete(r.crashes, id)
-		}
-	}
+	r.clear(at)
 	if n == len(r.crashes) {
 		return false
 	}
--- a/internal/forward/poison/poison.go
+++ b/internal/forward/poison/poison.go
@@ -21,6 +21,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,8 +33,10 @@
 	// repeatCrashes is the number from which they are not repeated.
 	blockCrashes  = 3
 	repeatCrashes = 2
-	// maxCrashes bounds the crashes that are kept of a part.
+	// maxCrashes bounds the crashes that are kept of a part, maxDropped those that no
+	// longer are.
 	maxCrashes = 8
+	maxDropped = 64
 	// firstTrial is the time from the last of blockCrashes crashes until one request with
 	// the part is tried. Each further crash doubles it, up to maxTrial.
 	firstTrial = 10 * time.Second
@@ -116,6 +119,9 @@
 // record is what is known of a part since it was last answered.
 type record struct {
 	crashes map[schedule.Identity]time.Time
+	// dropped lists crashes from before the last answer, oldest first. A later report of one
+	// shows a later time, as ages don't hold the time that a message travelled.
+	dropped []schedule.Identity
 	// count is the number of crashes that count, last the time of the newest.
 	count int
 	last  time.Time
@@ -158,7 +164,8 @@
 		p := Part{to, id}
 		t.answered.set(p, now)
 		if r := t.parts[p]; r != nil && (len(r.crashes) > 0 || !r.trial.IsZero()) {
-			*r = record{crashes: make(map[schedule.Identity]time.Time), last: now}
+			r.clear(now)
+			r.count, r.last, r.trial = 0, now, time.Time{}
 			cleared = append(cleared, p)
 		}
 	}
@@ -235,7 +242,11 @@
 
 // add adds a crash to a record and reports whether it is new.
 func (t *Tracker) add(p Part, r *record, process schedule.Identity, at time.Time) bool {
-	if _, known := r.crashes[process]; known || !at.After(t.answered.at(p)) {
+	if _, known := r.crashes[process]; known || slices.Contains(r.dropped, process) {
+		return false
+	}
+	if !at.After(t.answered.at(p)) {
+		r.drop(process)
 		return false
 	}
 	if len(r.crashes) >= maxCrashes {
@@ -255,6 +266,30 @@
 	return true
 }
 
+// clear removes the crashes up to a time.
+func (r *record) clear(until time.Time) {
+	var old []schedule.Identity
+	for id, when := range r.crashes {
+		if !when.After(until) {
+			old = append(old, id)
+		}
+	}
+	slices.SortFunc(old, func(a, b schedule.Identity) int {
+		return cmp.Or(r.crashes[a].Compare(r.crashes[b]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+	})
+	for _, id := range old {
+		delete(r.crashes, id)
+		r.drop(id)
+	}
+}
+
+func (r *record) drop(process schedule.Identity) {
+	if len(r.dropped) >= maxDropped {
+		r.dropped = slices.Delete(r.dropped, 0, 1)
+	}
+	r.dropped = append(r.dropped, process)
+}
+
 // countOf counts the crashes of a record of which each has an answer of the target
 // between it and the one counted before.
 func (t *Tracker) countOf(to Target, r *record) int {
--- /dev/null
+++ b/internal/forward/poison/poison_test.go
@@ -0,0 +1,56 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"agateward/internal/forward/schedule"
+)
+
+var start = time.Unix(1000, 0)
+
+func process(n int) schedule.Identity { return schedule.Identity{ID: fmt.Sprint("i-", n)} }
+
+// crash records n crashes under a part, with an answer to another request before each.
+func crash(t *Tracker, to Target, part uint64, n int, now time.Time) time.Time {
+	for i := range n {
+		now = now.Add(100 * time.Millisecond)
+		t.Answered(to, nil, now)
+		now = now.Add(100 * time.Millisecond)
+		t.Crashed(to, process(i), []uint64{part}, now)
+	}
+	return now
+}
+
+// Guards against crashes that a whole answer has cleared and that come back with a late
+// message: its ages don't hold the time that it travelled.
+func TestClearedCrashStaysCleared(t *testing.T) {
+	var a, b Tracker
+	now := crash(&a, v1, firstPart, 4, start)
+	late := a.Reports(now)
+	b.Merge(late, now)
+	b.Answered(v1, []uint64{firstPart}, now.Add(100*time.Millisecond))
+	now = now.Add(400 * time.Millisecond)
+	b.Merge(late, now)
+	if n := b.Count(Part{v1, firstPart}); n != 0 {
+		t.Errorf("%d crashes count after an answer, want 0", n)
+	}
+	var c Tracker
+	c.Answered(v1, []uint64{firstPart}, now)
+	c.Merge(late, now.Add(-time.Millisecond)) // the crashes are from before the answer
+	c.Merge(late, now.Add(300*time.Millisecond))
+	if n := c.Count(Part{v1, firstPart}); n != 0 {
+		t.Errorf("%d crashes from before an answer count, want 0", n)
+	}
+}
+
+// Guards against a report whose count has no crashes behind it.
+func TestReportedCountNeedsItsCrashes(t *testing.T) {
+	var a Tracker
+	p := Part{v1, firstPart}
+	a.Merge([]Report{{Part: p, Count: 8, Crashes: []Crash{{Process: process(1)}}, AnsweredAge: -1, TargetAge: -1}}, start)
+	if n := a.Count(p); n != 1 {
+		t.Errorf("%d crashes count after a report of one, want 1", n)
+	}
+}
