fix(poison): crashes that newer ones replaced stay dropped

The bound of all control is 16 KB a second.

Cause: a part keeps its last 8 crashes. Entries that had seen more kept different ones, took the other's for news, dropped an older one for it and passed it on.

Change: a crash that was replaced is remembered with those that were cleared and is not taken back, and one older than all 8 is none. Crashes are sorted by time, then process, so that the same events give the same state.

Evidence: TestManyCrashesSettle fails before (news in round 20 of 20) and passes.

--- a/internal/forward/poison/poison.go
+++ b/internal/forward/poison/poison.go
@@ -22,6 +22,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -119,8 +120,9 @@
 // record is what is known of a part since it was last answered.
 type record struct {
 	crashes map[schedule.Identity]time.Time
-	// dropped lists crashes from before the last answer, oldest first. A later report of one
-	// shows a later time, as ages don't hold the time that a message travelled.
+	// dropped lists crashes from before the last answer, and those that newer ones
+	// replaced, oldest first. A later report of one shows a later time, as ages don't
+	// hold the time that a message travelled.
 	dropped []schedule.Identity
 	// count is the number of crashes that count, last the time of the newest.
 	count int
@@ -250,13 +252,13 @@
 		return false
 	}
 	if len(r.crashes) >= maxCrashes {
-		oldest := process
-		for id, when := range r.crashes {
-			if oldest == process || when.Before(r.crashes[oldest]) {
-				oldest = id
-			}
+		oldest := r.sorted()[0]
+		if !at.After(r.crashes[oldest]) {
+			r.drop(process)
+			return false
 		}
 		delete(r.crashes, oldest)
+		r.drop(oldest)
 	}
 	r.crashes[process] = at
 	if at.After(r.last) {
@@ -266,21 +268,21 @@
 	return true
 }
 
+// sorted returns the processes that crashed, the first one first.
+func (r *record) sorted() []schedule.Identity {
+	return slices.SortedFunc(maps.Keys(r.crashes), func(a, b schedule.Identity) int {
+		return cmp.Or(r.crashes[a].Compare(r.crashes[b]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+	})
+}
+
 // clear removes the crashes up to a time.
 func (r *record) clear(until time.Time) {
-	var old []schedule.Identity
-	for id, when := range r.crashes {
-		if !when.After(until) {
-			old = append(old, id)
+	for _, id := range r.sorted() {
+		if !r.crashes[id].After(until) {
+			delete(r.crashes, id)
+			r.drop(id)
 		}
 	}
-	slices.SortFunc(old, func(a, b schedule.Identity) int {
-		return cmp.Or(r.crashes[a].Compare(r.crashes[b]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
-	})
-	for _, id := range old {
-		delete(r.crashes, id)
-		r.drop(id)
-	}
 }
 
 func (r *record) drop(process schedule.Identity) {
@@ -293,14 +295,10 @@
 // countOf counts the crashes of a record of which each has an answer of the target
 // between it and the one counted before.
 func (t *Tracker) countOf(to Target, r *record) int {
-	times := make([]time.Time, 0, len(r.crashes))
-	for _, at := range r.crashes {
-		times = append(times, at)
-	}
-	slices.SortFunc(times, time.Time.Compare)
 	n := 0
 	var counted time.Time
-	for _, at := range times {
+	for _, id := range r.sorted() {
+		at := r.crashes[id]
 		if n == 0 || t.answeredBetween(to, counted, at) {
 			n, counted = n+1, at
 		}
--- a/internal/forward/poison/poison_test.go
+++ b/internal/forward/poison/poison_test.go
@@ -54,3 +54,30 @@
 		t.Errorf("%d crashes count after a report of one, want 1", n)
 	}
 }
+
+// Guards against messages without end: entries that tell each other the crashes that the
+// other one dropped, as each keeps the last ones only.
+func TestManyCrashesSettle(t *testing.T) {
+	const (
+		rounds = 20
+		travel = 10 * time.Millisecond
+	)
+	var a, b Tracker
+	now := start
+	for i := range 2 * maxCrashes {
+		now = now.Add(time.Millisecond)
+		a.Crashed(v1, process(i), []uint64{badPart}, now)
+		b.Crashed(v1, process(100+i), []uint64{badPart}, now)
+	}
+	last := 0
+	for i := range rounds {
+		fromA, fromB := a.Reports(now), b.Reports(now)
+		now = now.Add(travel)
+		if len(b.Merge(fromA, now))+len(a.Merge(fromB, now)) > 0 {
+			last = i
+		}
+	}
+	if last > rounds/2 {
+		t.Errorf("round %d still brought news", last)
+	}
+}
