fix(poison): ages of reports and versions are bounded

A malformed age above 292 years overflowed, and an answer lay in the future, so no crash of the part counted until then; and each version that ever answered was remembered until the end of the process.

Cause: ages were bounded below only; nothing removed the answers of old versions.

Change: an age is at most the lifetime of a record; the answers of 256 versions are kept.

Evidence: TestStateIsBounded fails before, by the age and, without that check, by the number of versions, and passes.

--- a/internal/forward/poison/exchange.go
+++ b/internal/forward/poison/exchange.go
@@ -118,8 +118,10 @@
 	return true
 }
 
+// age returns the time that was ms milliseconds before now, within the lifetime of a
+// record.
 func age(now time.Time, ms int64) time.Time {
-	return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond)
+	return now.Add(-time.Duration(min(max(ms, 0), blockTTL.Milliseconds())) * time.Millisecond)
 }
 
 func comparePart(a, b Part) int {
--- a/internal/forward/poison/poison.go
+++ b/internal/forward/poison/poison.go
@@ -58,6 +58,8 @@
 	// remembered, maxAnswerTimes their number.
 	minAnswerGap   = 20 * time.Millisecond
 	maxAnswerTimes = 256
+	// maxTargets bounds the versions whose answers are remembered.
+	maxTargets = 256
 )
 
 // Target is a version of a service.
@@ -176,7 +178,10 @@
 
 // recordAnswer records that a target answered a request.
 func (t *Tracker) recordAnswer(to Target, at time.Time) {
-	times := t.answerTimes[to]
+	times, known := t.answerTimes[to]
+	if !known && len(t.answerTimes) >= maxTargets {
+		t.dropOldestTarget()
+	}
 	i, _ := slices.BinarySearchFunc(times, at, time.Time.Compare)
 	if i > 0 && at.Sub(times[i-1]) < minAnswerGap || i < len(times) && times[i].Sub(at) < minAnswerGap {
 		return
@@ -187,6 +192,15 @@
 	t.answerTimes[to] = times
 }
 
+// dropOldestTarget forgets the answers of the target that answered least recently.
+func (t *Tracker) dropOldestTarget() {
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.answerTimes)), func(a, b Target) int {
+		x, y := t.answerTimes[a], t.answerTimes[b]
+		return cmp.Or(x[len(x)-1].Compare(y[len(y)-1]), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	delete(t.answerTimes, oldest)
+}
+
 // Abandon ends a trial without an outcome. If the request was sent, the next one waits as
 // after a crash.
 func (t *Tracker) Abandon(parts []Part, sent bool, now time.Time) {
