fix(gate): crashes count though upstreams finish no answer between them

Cause: a crash counted only after a whole answer since the last one. Upstreams that end faster than they answer give none, so the second crash never counted.

Change: the begin of an answer (its third event) shows as well that the version answers, and so does a second between two crashes: upstreams that end together end within it.

--- a/internal/forward/gate/prompt.go
+++ b/internal/forward/gate/prompt.go
@@ -86,6 +86,13 @@
 	c.respond(code.PromptBlocked, v.RetryAfter, reason)
 }
 
+// promptBegun records that an upstream has begun to answer.
+func (c *call) promptBegun(a schedule.Action) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.gate.prompts.Begun(c.promptTarget(a), time.Now())
+}
+
 // observePrompt records what the end of an attempt says about the parts of its prompt.
 func (c *call) observePrompt(a schedule.Action, o schedule.Outcome) {
 	g, now := c.gate, time.Now()
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -50,7 +50,9 @@
 			c.gate.sched.Progress(a.Job.ID, time.Now())
 			c.gate.mu.Unlock()
 		}
-		c.events++
+		if c.events++; c.events == maxUnbegunEvents+1 {
+			c.promptBegun(a)
+		}
 		stall.pause()
 		if err := c.relayEvent(e, x); err != nil {
 			return c.handleTruncated(ctx, a, err)
--- a/internal/forward/poison/poison.go
+++ b/internal/forward/poison/poison.go
@@ -3,9 +3,9 @@
 //
 // A crash speaks against each part of each request that the upstream had not begun to
 // answer. A whole answer clears the parts of its request for the version of the service
-// that gave it. A crash counts only if the version has answered other requests since the
-// last one that counted: upstreams that end together, or a service that is down, say
-// nothing about a part. A part that was never answered explains the crashes of parts
+// that gave it. A crash counts only if the version has answered other requests, or begun
+// to, since the last one that counted, or a second after it: upstreams that end together
+// say nothing about a part. A part that was never answered explains the crashes of parts
 // that were.
 //
 // # Usage
@@ -13,6 +13,7 @@
 //	t := poison.Tracker{}
 //	v := t.Check(target, parts, fleet, now)            // before each send
 //	changed := t.Crashed(target, process, parts, now)  // an upstream ended
+//	t.Begun(target, now)                               // the begin of an answer
 //	changed = t.Answered(target, parts, now)           // a whole answer
 //	reports := t.Reports(now)                          // to other entries
 //	changed = t.Merge(reports, now)                    // from other entries
@@ -58,6 +59,9 @@
 	// remembered, maxAnswerTimes their number.
 	minAnswerGap   = 20 * time.Millisecond
 	maxAnswerTimes = 256
+	// togetherTime is the time within which upstreams of a version that answers nothing
+	// may have ended together.
+	togetherTime = time.Second
 	// maxTargets bounds the versions whose answers are remembered.
 	maxTargets = 256
 )
@@ -91,8 +95,8 @@
 	// AnsweredAge is the time in milliseconds since the part was last answered
 	// completely, -1 for never.
 	AnsweredAge int64 `msgpack:"w"`
-	// TargetAge is the time in milliseconds since the target last answered any request of
-	// this entry completely, -1 for never.
+	// TargetAge is the time in milliseconds since the target last answered any request or
+	// began to, -1 for never.
 	TargetAge int64 `msgpack:"t"`
 }
 
@@ -115,7 +119,7 @@
 type Tracker struct {
 	parts    map[Part]*record
 	answered answers
-	// answerTimes holds when a target gave whole answers, oldest first.
+	// answerTimes holds when a target gave whole answers or began one, oldest first.
 	answerTimes map[Target][]time.Time
 }
 
@@ -158,6 +162,12 @@
 	return changed
 }
 
+// Begun records that a target has begun to answer a request.
+func (t *Tracker) Begun(to Target, now time.Time) {
+	t.init()
+	t.recordAnswer(to, now)
+}
+
 // Answered records a whole answer to a request with the given parts. It returns the
 // parts that it cleared.
 func (t *Tracker) Answered(to Target, parts []uint64, now time.Time) []Part {
@@ -176,7 +186,7 @@
 	return cleared
 }
 
-// recordAnswer records that a target answered a request.
+// recordAnswer records that a target answered a request or began to.
 func (t *Tracker) recordAnswer(to Target, at time.Time) {
 	times, known := t.answerTimes[to]
 	if !known && len(t.answerTimes) >= maxTargets {
@@ -306,14 +316,14 @@
 	r.dropped = append(r.dropped, process)
 }
 
-// countOf counts the crashes of a record of which each has an answer of the target
-// between it and the one counted before.
+// countOf counts the crashes of a record of which each has an answer of the target, or
+// togetherTime, between it and the one counted before.
 func (t *Tracker) countOf(to Target, r *record) int {
 	n := 0
 	var counted time.Time
 	for _, id := range r.sorted() {
 		at := r.crashes[id]
-		if n == 0 || t.answeredBetween(to, counted, at) {
+		if n == 0 || at.Sub(counted) >= togetherTime || t.answeredBetween(to, counted, at) {
 			n, counted = n+1, at
 		}
 	}
--- a/internal/forward/poison/property_test.go
+++ b/internal/forward/poison/property_test.go
@@ -50,10 +50,16 @@
 	}
 })
 
-// play plays a series and fills in what was seen of it.
-func (s *series) play() {
+// fleet returns the fleet of a series.
+func (s *series) fleet() *simFleet {
 	f := newSimFleet(rand.New(rand.NewPCG(s.seed, 1)), s.entries, s.upstreams)
 	f.loss, f.delay, f.answer, f.begin, f.buffered = s.loss, s.delay, s.answer, s.begin, s.buffered
+	return f
+}
+
+// play plays a series and fills in what was seen of it.
+func (s *series) play() {
+	f := s.fleet()
 	const calm, length = 6 * time.Second, 30 * time.Second
 	start := f.now
 	for f.now.Sub(start) < length {
