fix(poison): upstreams that end together count as one crash of a sound part

A first part that all requests of a kind share was refused by all entries for 10 s after its service was down for 2.8 s: 58 of 746 sound requests of a generated series. After a rack that ended within 0.1 s a common part was refused so as well.

Cause: a crash counts if the version answered since the last one. Answers of other entries were dated up to the time late that their report travelled, and lay between crashes of the same moment; and upstreams of a rack end some ms apart, while others answer.

Change: reported answers are dated half a second early, as crashes are never dated early. Against a part that the version has answered before, crashes within 0.2 s count once; a bad part was never answered. Of many crashes the ones that count are kept.

--- a/internal/forward/poison/exchange.go
+++ b/internal/forward/poison/exchange.go
@@ -83,7 +83,9 @@
 		return false
 	}
 	if report.TargetAge >= 0 {
-		t.recordAnswer(report.Target, age(now, report.TargetAge))
+		// A crash is never seen too early, so an answer must not be seen too late: one from
+		// before the crashes would lie between them.
+		t.recordAnswer(report.Target, age(now, report.TargetAge).Add(-maxAgeError))
 	}
 	changed := false
 	if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && at.After(t.answered.at(report.Part).Add(maxAgeError)) {
@@ -102,8 +104,8 @@
 	return changed
 }
 
-// maxAgeError is the error of the age of an answer that travelled between entries: an
-// answer that is later by less is the same one.
+// maxAgeError is the time by which an answer seems later than it was, after its age has
+// travelled between entries: an answer that is later by less is the same one.
 const maxAgeError = 500 * time.Millisecond
 
 // clear removes the crashes before an answer and reports whether there were any.
@@ -114,7 +116,7 @@
 	if n == len(r.crashes) {
 		return false
 	}
-	r.trial, r.count = time.Time{}, t.countOf(p.Target, r)
+	r.trial, r.count = time.Time{}, t.countOf(p, r)
 	return true
 }
 
--- a/internal/forward/poison/poison.go
+++ b/internal/forward/poison/poison.go
@@ -62,6 +62,10 @@
 	// togetherTime is the time within which upstreams of a version that answers nothing
 	// may have ended together.
 	togetherTime = time.Second
+	// minCrashGap is the least time between two crashes that count against a part that
+	// was answered before: a rack does not end in one moment, and the rest of the version
+	// answers meanwhile.
+	minCrashGap = 200 * time.Millisecond
 	// maxTargets bounds the versions whose answers are remembered.
 	maxTargets = 256
 )
@@ -276,7 +280,7 @@
 		return false
 	}
 	if len(r.crashes) >= maxCrashes {
-		oldest := r.sorted()[0]
+		oldest := t.replaceable(p, r)
 		if !at.After(r.crashes[oldest]) {
 			r.drop(process)
 			return false
@@ -288,10 +292,22 @@
 	if at.After(r.last) {
 		r.last = at
 	}
-	r.count = min(max(r.count, t.countOf(p.Target, r)), maxCrashes)
+	r.count = min(max(r.count, t.countOf(p, r)), maxCrashes)
 	return true
 }
 
+// replaceable returns the crash that a newer one replaces: the oldest that does not count,
+// or else the oldest.
+func (t *Tracker) replaceable(p Part, r *record) schedule.Identity {
+	list, counted := r.sorted(), t.counted(p, r)
+	for _, id := range list {
+		if !slices.Contains(counted, id) {
+			return id
+		}
+	}
+	return list[0]
+}
+
 // sorted returns the processes that crashed, the first one first.
 func (r *record) sorted() []schedule.Identity {
 	return slices.SortedFunc(maps.Keys(r.crashes), func(a, b schedule.Identity) int {
@@ -316,18 +332,26 @@
 	r.dropped = append(r.dropped, process)
 }
 
-// countOf counts the crashes of a record of which each has an answer of the target, or
+// countOf returns the number of crashes of a record that count.
+func (t *Tracker) countOf(p Part, r *record) int { return len(t.counted(p, r)) }
+
+// counted returns the crashes of a record of which each has an answer of the target, or
 // togetherTime, between it and the one counted before.
-func (t *Tracker) countOf(to Target, r *record) int {
-	n := 0
-	var counted time.Time
+func (t *Tracker) counted(p Part, r *record) []schedule.Identity {
+	var list []schedule.Identity
+	var last time.Time
+	minGap := minCrashGap
+	if t.answered.at(p).IsZero() {
+		minGap = 0
+	}
 	for _, id := range r.sorted() {
 		at := r.crashes[id]
-		if n == 0 || at.Sub(counted) >= togetherTime || t.answeredBetween(to, counted, at) {
-			n, counted = n+1, at
+		gap := at.Sub(last)
+		if len(list) == 0 || gap >= togetherTime || gap >= minGap && t.answeredBetween(p.Target, last, at) {
+			list, last = append(list, id), at
 		}
 	}
-	return n
+	return list
 }
 
 func (t *Tracker) answeredBetween(to Target, from, until time.Time) bool {
