fix(poison): each trial of a new version that crashes doubles the time to the next

A part that crashed one version was tried on the next one every 10 s: 5 requests in 55 s.

Cause: the delay followed from the crashes of the other version alone.

Change: crashes of the own version are added, so that the requests follow after 20 s, 40 s and so on. From its third crash on the version's own count decides, as before.

Evidence: TestNewVersionIsTriedByOneRequestAtATime fails before (5, at most 2 may) and passes, 1 to 40 entries.

--- a/internal/forward/poison/check.go
+++ b/internal/forward/poison/check.go
@@ -87,6 +87,9 @@
 			}
 		}
 	}
+	if n > 0 && own != nil {
+		n += own.count // each trial that crashed doubles the time until the next
+	}
 	return n, last
 }
 
