--- a/internal/forward/node/prompts.go
+++ b/internal/forward/node/prompts.go
@@ -15,16 +15,13 @@
 const (
 	// promptNewsTargets is the number of entries that news is sent to at once,
 	// promptTargets that of the regular messages.
-	promptNewsTargets = 4
+	promptNewsTargets = 8
 	promptTargets     = 2
 	// promptNewsInterval is the interval of the regular messages for promptNewsTime after
 	// news; after it they are for entries that started since.
 	promptNewsInterval = 200 * time.Millisecond
 	promptInterval     = time.Second
 	promptNewsTime     = 5 * time.Second
-	// maxPromptRate bounds the messages in bytes a second, within the 16 KB a second for
-	// all control of an entry.
-	maxPromptRate = 12 << 10
 )
 
 // promptsChanged requests a message about parts of prompts.
@@ -56,15 +53,14 @@
 	t := time.NewTimer(promptInterval)
 	defer t.Stop()
 	for {
-		sent := 0
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			sent = n.sendPrompts(n.gate.PromptReports(nil), promptTargets)
+			n.sendPrompts(n.gate.PromptReports(nil), promptTargets)
 		case <-n.promptsNow:
 			news = time.Now()
-			sent = n.sendPrompts(n.gate.PromptReports(n.takeChangedPrompts()), promptNewsTargets)
+			n.sendPrompts(n.gate.PromptReports(n.takeChangedPrompts()), promptNewsTargets)
 		}
 		interval := promptInterval
 		if time.Since(news) < promptNewsTime {
@@ -74,36 +70,27 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(promptPause(sent)):
+		case <-time.After(minPeerStateInterval):
 		}
 	}
 }
 
-// promptPause returns the time after a message of which sent bytes were sent until the
-// next one.
-func promptPause(sent int) time.Duration {
-	return max(minPeerStateInterval, time.Duration(sent)*time.Second/maxPromptRate)
-}
-
-// sendPrompts sends reports to some entries of the fleet, chosen at random. It returns
-// the number of bytes sent.
-func (n *Node) sendPrompts(reports []poison.Report, targets int) int {
+// sendPrompts sends reports to some entries of the fleet, chosen at random.
+func (n *Node) sendPrompts(reports []poison.Report, targets int) {
 	if len(reports) == 0 {
-		return 0
+		return
 	}
 	m := peerstate.Message{Name: n.settings.Name, Start: n.start, Listen: n.peerAddress(), Prompts: reports}
 	b, err := m.Encode()
 	if err != nil {
 		n.log.Error(err, "prompt-parts-not-told")
-		return 0
+		return
 	}
 	list := n.fleetAddresses()
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
-	targets = min(targets, len(list))
-	for _, to := range list[:targets] {
+	for _, to := range list[:min(targets, len(list))] {
 		n.send(b, to)
 	}
-	return targets * len(b)
 }
 
 // fleetAddresses returns the addresses of the other entries: those in the store's list
