--- a/internal/forward/poison/exchange.go
+++ b/internal/forward/poison/exchange.go
@@ -83,48 +83,47 @@
 		return false
 	}
 	if report.TargetAge >= 0 {
-		t.recordAnswer(report.Target, age(now, report.TargetAge))
+		// A crash is never seen too early, so an answer must not be seen too late: one from
+		// before the crashes would lie between them.
+		t.recordAnswer(report.Target, age(now, report.TargetAge).Add(-maxAgeError))
 	}
 	changed := false
 	if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && at.After(t.answered.at(report.Part).Add(maxAgeError)) {
 		changed = t.clear(report.Part, r, at)
 	}
-	newest := time.Time{}
+	shared := 0
 	for _, c := range report.Crashes[:min(len(report.Crashes), maxCrashes)] {
-		at := age(now, c.Age)
-		changed = t.add(report.Part, r, c.Process, at) || changed
-		if at.After(newest) {
-			newest = at
+		changed = t.add(report.Part, r, c.Process, age(now, c.Age)) || changed
+		if _, ok := r.crashes[c.Process]; ok {
+			shared++
 		}
 	}
-	if n := min(report.Count, maxCrashes); n > r.count && newest.After(t.answered.at(report.Part)) {
+	if n := min(report.Count, shared); n > r.count {
 		r.count, changed = n, true
 	}
 	return changed
 }
 
-// maxAgeError is the error of the age of an answer that travelled between entries: an
-// answer that is later by less is the same one.
+// maxAgeError is the time by which an answer seems later than it was, after its age has
+// travelled between entries: an answer that is later by less is the same one.
 const maxAgeError = 500 * time.Millisecond
 
 // clear removes the crashes before an answer and reports whether there were any.
 func (t *Tracker) clear(p Part, r *record, at time.Time) bool {
 	t.answered.set(p, at)
 	n := len(r.crashes)
-	for id, when := range r.crashes {
-		if !when.After(at) {
-			delete(r.crashes, id)
-		}
-	}
+	r.clear(at)
 	if n == len(r.crashes) {
 		return false
 	}
-	r.trial, r.count = time.Time{}, t.countOf(p.Target, r)
+	r.trial, r.count = time.Time{}, t.countOf(p, r)
 	return true
 }
 
+// age returns the time that was ms milliseconds before now, within the lifetime of a
+// record.
 func age(now time.Time, ms int64) time.Time {
-	return now.Add(-time.Duration(max(ms, 0)) * time.Millisecond)
+	return now.Add(-time.Duration(min(max(ms, 0), blockTTL.Milliseconds())) * time.Millisecond)
 }
 
 func comparePart(a, b Part) int {
--- a/internal/forward/poison/poison.go
+++ b/internal/forward/poison/poison.go
@@ -3,9 +3,9 @@
 //
 // A crash speaks against each part of each request that the upstream had not begun to
 // answer. A whole answer clears the parts of its request for the version of the service
-// that gave it. A crash counts only if the version has answered other requests since the
-// last one that counted: upstreams that end together, or a service that is down, say
-// nothing about a part. A part that was never answered explains the crashes of parts
+// that gave it. A crash counts only if the version has answered other requests, or begun
+// to, since the last one that counted, or a second after it: upstreams that end together
+// say nothing about a part. A part that was never answered explains the crashes of parts
 // that were.
 //
 // # Usage
@@ -13,6 +13,7 @@
 //	t := poison.Tracker{}
 //	v := t.Check(target, parts, fleet, now)            // before each send
 //	changed := t.Crashed(target, process, parts, now)  // an upstream ended
+//	t.Begun(target, now)                               // the begin of an answer
 //	changed = t.Answered(target, parts, now)           // a whole answer
 //	reports := t.Reports(now)                          // to other entries
 //	changed = t.Merge(reports, now)                    // from other entries
@@ -21,6 +22,8 @@
 package poison
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,8 +35,10 @@
 	// repeatCrashes is the number from which they are not repeated.
 	blockCrashes  = 3
 	repeatCrashes = 2
-	// maxCrashes bounds the crashes that are kept of a part.
+	// maxCrashes bounds the crashes that are kept of a part, maxDropped those that no
+	// longer are.
 	maxCrashes = 8
+	maxDropped = 64
 	// firstTrial is the time from the last of blockCrashes crashes until one request with
 	// the part is tried. Each further crash doubles it, up to maxTrial.
 	firstTrial = 10 * time.Second
@@ -54,6 +59,15 @@
 	// remembered, maxAnswerTimes their number.
 	minAnswerGap   = 20 * time.Millisecond
 	maxAnswerTimes = 256
+	// togetherTime is the time within which upstreams of a version that answers nothing
+	// may have ended together.
+	togetherTime = time.Second
+	// minCrashGap is the least time between two crashes that count against a part that
+	// was answered before: a rack does not end in one moment, and the rest of the version
+	// answers meanwhile.
+	minCrashGap = 200 * time.Millisecond
+	// maxTargets bounds the versions whose answers are remembered.
+	maxTargets = 256
 )
 
 // Target is a version of a service.
@@ -85,8 +99,8 @@
 	// AnsweredAge is the time in milliseconds since the part was last answered
 	// completely, -1 for never.
 	AnsweredAge int64 `msgpack:"w"`
-	// TargetAge is the time in milliseconds since the target last answered any request of
-	// this entry completely, -1 for never.
+	// TargetAge is the time in milliseconds since the target last answered any request or
+	// began to, -1 for never.
 	TargetAge int64 `msgpack:"t"`
 }
 
@@ -109,13 +123,17 @@
 type Tracker struct {
 	parts    map[Part]*record
 	answered answers
-	// answerTimes holds when a target gave whole answers, oldest first.
+	// answerTimes holds when a target gave whole answers or began one, oldest first.
 	answerTimes map[Target][]time.Time
 }
 
 // record is what is known of a part since it was last answered.
 type record struct {
 	crashes map[schedule.Identity]time.Time
+	// dropped lists crashes from before the last answer, and those that newer ones
+	// replaced, oldest first. A later report of one shows a later time, as ages don't
+	// hold the time that a message travelled.
+	dropped []schedule.Identity
 	// count is the number of crashes that count, last the time of the newest.
 	count int
 	last  time.Time
@@ -148,6 +166,12 @@
 	return changed
 }
 
+// Begun records that a target has begun to answer a request.
+func (t *Tracker) Begun(to Target, now time.Time) {
+	t.init()
+	t.recordAnswer(to, now)
+}
+
 // Answered records a whole answer to a request with the given parts. It returns the
 // parts that it cleared.
 func (t *Tracker) Answered(to Target, parts []uint64, now time.Time) []Part {
@@ -158,16 +182,20 @@
 		p := Part{to, id}
 		t.answered.set(p, now)
 		if r := t.parts[p]; r != nil && (len(r.crashes) > 0 || !r.trial.IsZero()) {
-			*r = record{crashes: make(map[schedule.Identity]time.Time), last: now}
+			r.clear(now)
+			r.count, r.last, r.trial = 0, now, time.Time{}
 			cleared = append(cleared, p)
 		}
 	}
 	return cleared
 }
 
-// recordAnswer records that a target answered a request.
+// recordAnswer records that a target answered a request or began to.
 func (t *Tracker) recordAnswer(to Target, at time.Time) {
-	times := t.answerTimes[to]
+	times, known := t.answerTimes[to]
+	if !known && len(t.answerTimes) >= maxTargets {
+		t.dropOldestTarget()
+	}
 	i, _ := slices.BinarySearchFunc(times, at, time.Time.Compare)
 	if i > 0 && at.Sub(times[i-1]) < minAnswerGap || i < len(times) && times[i].Sub(at) < minAnswerGap {
 		return
@@ -178,6 +206,15 @@
 	t.answerTimes[to] = times
 }
 
+// dropOldestTarget forgets the answers of the target that answered least recently.
+func (t *Tracker) dropOldestTarget() {
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(t.answerTimes)), func(a, b Target) int {
+		x, y := t.answerTimes[a], t.answerTimes[b]
+		return cmp.Or(x[len(x)-1].Compare(y[len(y)-1]), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	delete(t.answerTimes, oldest)
+}
+
 // Abandon ends a trial without an outcome. If the request was sent, the next one waits as
 // after a crash.
 func (t *Tracker) Abandon(parts []Part, sent bool, now time.Time) {
@@ -235,42 +272,86 @@
 
 // add adds a crash to a record and reports whether it is new.
 func (t *Tracker) add(p Part, r *record, process schedule.Identity, at time.Time) bool {
-	if _, known := r.crashes[process]; known || !at.After(t.answered.at(p)) {
+	if _, known := r.crashes[process]; known || slices.Contains(r.dropped, process) {
+		return false
+	}
+	if !at.After(t.answered.at(p)) {
+		r.drop(process)
 		return false
 	}
 	if len(r.crashes) >= maxCrashes {
-		oldest := process
-		for id, when := range r.crashes {
-			if oldest == process || when.Before(r.crashes[oldest]) {
-				oldest = id
-			}
+		oldest := t.replaceable(p, r)
+		if !at.After(r.crashes[oldest]) {
+			r.drop(process)
+			return false
 		}
 		delete(r.crashes, oldest)
+		r.drop(oldest)
 	}
 	r.crashes[process] = at
 	if at.After(r.last) {
 		r.last = at
 	}
-	r.count = min(max(r.count, t.countOf(p.Target, r)), maxCrashes)
+	r.count = min(max(r.count, t.countOf(p, r)), maxCrashes)
 	return true
 }
 
-// countOf counts the crashes of a record of which each has an answer of the target
-// between it and the one counted before.
-func (t *Tracker) countOf(to Target, r *record) int {
-	times := make([]time.Time, 0, len(r.crashes))
-	for _, at := range r.crashes {
-		times = append(times, at)
+// replaceable returns the crash that a newer one replaces: the oldest that does not count,
+// or else the oldest.
+func (t *Tracker) replaceable(p Part, r *record) schedule.Identity {
+	list, counted := r.sorted(), t.counted(p, r)
+	for _, id := range list {
+		if !slices.Contains(counted, id) {
+			return id
+		}
+	}
+	return list[0]
+}
+
+// sorted returns the processes that crashed, the first one first.
+func (r *record) sorted() []schedule.Identity {
+	return slices.SortedFunc(maps.Keys(r.crashes), func(a, b schedule.Identity) int {
+		return cmp.Or(r.crashes[a].Compare(r.crashes[b]), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Born, b.Born))
+	})
+}
+
+// clear removes the crashes up to a time.
+func (r *record) clear(until time.Time) {
+	for _, id := range r.sorted() {
+		if !r.crashes[id].After(until) {
+			delete(r.crashes, id)
+			r.drop(id)
+		}
+	}
+}
+
+func (r *record) drop(process schedule.Identity) {
+	if len(r.dropped) >= maxDropped {
+		r.dropped = slices.Delete(r.dropped, 0, 1)
+	}
+	r.dropped = append(r.dropped, process)
+}
+
+// countOf returns the number of crashes of a record that count.
+func (t *Tracker) countOf(p Part, r *record) int { return len(t.counted(p, r)) }
+
+// counted returns the crashes of a record of which each has an answer of the target, or
+// togetherTime, between it and the one counted before.
+func (t *Tracker) counted(p Part, r *record) []schedule.Identity {
+	var list []schedule.Identity
+	var last time.Time
+	minGap := minCrashGap
+	if t.answered.at(p).IsZero() {
+		minGap = 0
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	n := 0
-	var counted time.Time
-	for _, at := range times {
-		if n == 0 || t.answeredBetween(to, counted, at) {
-			n, counted = n+1, at
+	for _, id := range r.sorted() {
+		at := r.crashes[id]
+		gap := at.Sub(last)
+		if len(list) == 0 || gap >= togetherTime || gap >= minGap && t.answeredBetween(p.Target, last, at) {
+			list, last = append(list, id), at
 		}
 	}
-	return n
+	return list
 }
 
 func (t *Tracker) answeredBetween(to Target, from, until time.Time) bool {
