fix(gate): a part that crashes only a new version goes to the version in use

Callers that a roll-out had chosen for the new version got 503 when upstreams of that version crashed under a part of their prompt, though the version in use answers it.

Cause: the gate looked at the parts for the group that was chosen, and refused. Change: the request goes to the version in use then, as after a failed attempt. TestPartThatCrashesOnlyNewVersion needs the choice that the change adds; before it, promptBarred answered the request.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -71,7 +71,7 @@
 	c.group = group
 	defer c.releaseNext()
 	for {
-		if c.next == nil && c.promptBarred() {
+		if c.next == nil && !c.pickGroup() {
 			return
 		}
 		a, err := c.nextAction(ctx)
@@ -193,6 +193,9 @@
 func (c *call) attempt(ctx context.Context, a schedule.Action) bool {
 	if v := c.checkPrompt(a); v.Blocked {
 		c.gate.release(a)
+		if c.group != c.service {
+			return false // the version in use may take it
+		}
 		c.refusePrompt(v)
 		return true
 	}
--- a/internal/forward/gate/prompt.go
+++ b/internal/forward/gate/prompt.go
@@ -24,11 +24,25 @@
 	return poison.Target{Service: c.service, Version: a.Upstream.Version}
 }
 
-// promptBarred reports whether a part of the prompt bars the request from every version
-// that may serve it, and answers the request if so.
-func (c *call) promptBarred() bool {
+// pickGroup reports whether the prompt may be sent to the group of the request, or else
+// to the version in use. If a part bars it from both, the request is answered.
+func (c *call) pickGroup() bool {
+	v := c.promptBarred()
+	if v.Blocked && c.group != c.service {
+		c.group = c.service
+		v = c.promptBarred()
+	}
+	if v.Blocked {
+		c.refusePrompt(v)
+	}
+	return !v.Blocked
+}
+
+// promptBarred returns the verdict on a prompt that a part bars from every version of the
+// group.
+func (c *call) promptBarred() poison.Verdict {
 	if len(c.parts) == 0 {
-		return false
+		return poison.Verdict{}
 	}
 	g := c.gate
 	var v poison.Verdict
@@ -41,11 +55,7 @@
 		}
 	}
 	g.mu.Unlock()
-	if !v.Blocked {
-		return false
-	}
-	c.refusePrompt(v)
-	return true
+	return v
 }
 
 // checkPrompt decides whether a dispatch may be sent. A request that tries a blocked part
