--- a/internal/soak/upstream/upstream_test.go
+++ b/internal/soak/upstream/upstream_test.go
@@ -9,6 +9,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -168,11 +169,18 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			var mu sync.Mutex // orders the callbacks before the checks
 			var reached, crashed []string
 			u := &Upstream{ID: "i-1", Engine: true, Slots: 1, CrashPart: 0xbad, Dialect: headers{}, Answers: &Answers{}, OnRun: func(_, _, _ string) {}}
-			u.OnReach = func(id, upstream string) { reached = append(reached, id+" "+upstream) }
+			u.OnReach = func(id, upstream string) {
+				mu.Lock()
+				defer mu.Unlock()
+				reached = append(reached, id+" "+upstream)
+			}
 			u.OnCrash = func(id, upstream string) {
+				mu.Lock()
 				crashed = append(crashed, id+" "+upstream)
+				mu.Unlock()
 				u.Crash()
 			}
 			if err := u.Listen(); err != nil {
@@ -194,6 +202,8 @@
 				t.Errorf("%q, %v; crash %v", b, err, c.crash)
 			}
 			_, err = net.Dial("tcp", u.Address())
+			mu.Lock()
+			defer mu.Unlock()
 			if (err != nil) != c.crash || (len(crashed) == 1) != c.crash || (len(reached) == 1) != c.arrives {
 				t.Errorf("reached by %q, crashed by %q, then %v", reached, crashed, err)
 			}
