feat(gate): limits that upstreams name are read, logged and counted

Server-Limit (native: Agateward-Limit) is read from each answer that is the upstream's own; upstream-limit is logged when a limit is named, changed or ended, upstream-limit-invalid once for a value that cannot be used, and agateward_forward_upstream_limits_total counts the changes. The answer to a request from before the present statement neither loosens nor ends a limit. No decision uses the limit yet.

--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -14,7 +14,8 @@
 // Agateward-Request, sets Agateward-Not-Run when it did not run a request, and sets
 // Agateward-Leaving to 1 on its answers when it wants no new requests; a process that
 // has said so does not return under its id. With status 503 it may ask for a pause by
-// Retry-After (seconds).
+// Retry-After (seconds). Agateward-Limit on its answers is the number of requests a second
+// that it takes from all entries together; the first answer without it ends the limit.
 package dialect
 
 import (
@@ -38,6 +39,7 @@
 	fieldTeam      = "Agateward-Team"
 	fieldNotRun    = "Agateward-Not-Run"
 	fieldLeaving   = "Agateward-Leaving"
+	fieldLimit     = "Agateward-Limit"
 	fieldLastEvent = "Last-Event-Id"
 	scheme         = "Bearer "
 )
@@ -106,7 +108,7 @@
 	id := h.Get(header.RequestID)
 	reply := ward.ForwardReply{
 		ID: id, Signed: id != "", NotRun: h.Get(fieldNotRun) != "" || status == http.StatusMisdirectedRequest,
-		Leaving: header.Flag(h, fieldLeaving),
+		Leaving: header.Flag(h, fieldLeaving), Limit: header.ReadLimit(h, fieldLimit),
 	}
 	header.ReadRetryAfter(&reply, status, h)
 	return reply
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -82,8 +82,8 @@
 	prompts poison.Tracker
 	waiters map[uint64]*waiter
 	lastID  uint64
-	// loggedFaults holds the upstreams of which an invalid Retry-After was logged.
-	loggedFaults map[schedule.Identity]bool
+	// loggedFaults holds the upstreams and fields of which an invalid value was logged.
+	loggedFaults map[loggedFault]bool
 
 	// shutdown is set while the entry stops.
 	shutdown atomic.Pointer[shutdown.Shutdown]
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -64,6 +64,12 @@
 // upstreamPaused counts an answer by which an upstream asked for a pause.
 func (m *Metrics) upstreamPaused() { m.count("agateward_forward_upstream_pauses_total") }
 
+// upstreamLimit counts a limit of which this entry learned that an upstream named,
+// changed or ended it.
+func (m *Metrics) upstreamLimit(source string) {
+	m.count("agateward_forward_upstream_limits_total{source=%q}", source)
+}
+
 // Values of the label source: who made the answer that a caller got.
 const (
 	sourceEntry    = "entry"
--- a/internal/forward/gate/statement.go
+++ b/internal/forward/gate/statement.go
@@ -24,6 +24,7 @@
 	if reply.HasRetryAfter {
 		c.notePause(a, reply)
 	}
+	c.noteLimit(a, reply.Limit)
 }
 
 func (c *call) noteLeaving(a schedule.Action) {
@@ -48,21 +49,36 @@
 	}
 }
 
-// maxLoggedFaults bounds the upstreams of which an invalid Retry-After was logged.
+// maxLoggedFaults bounds the upstreams and fields of which an invalid value was logged.
 const maxLoggedFaults = 1024
 
+// loggedFault names a field of which an invalid value of one upstream was logged.
+type loggedFault struct {
+	upstream schedule.Identity
+	field    string
+}
+
+// firstFault reports whether no invalid value of the field was logged for the upstream yet.
+// The caller must hold mu.
+func (g *Gate) firstFault(id schedule.Identity, field string) bool {
+	f := loggedFault{id, field}
+	if g.loggedFaults[f] {
+		return false
+	}
+	if g.loggedFaults == nil || len(g.loggedFaults) >= maxLoggedFaults {
+		g.loggedFaults = make(map[loggedFault]bool)
+	}
+	g.loggedFaults[f] = true
+	return true
+}
+
 func (c *call) notePause(a schedule.Action, reply ward.ForwardReply) {
 	g, now, id := c.gate, time.Now(), schedule.IdentityOf(a.Upstream)
 	fault := reply.RetryAfterFault
 	g.mu.Lock()
 	until := g.sched.Pause(id, reply.RetryAfter, now)
-	if fault != "" {
-		if g.loggedFaults[id] {
-			fault = ""
-		} else if g.loggedFaults == nil || len(g.loggedFaults) >= maxLoggedFaults {
-			g.loggedFaults = make(map[schedule.Identity]bool)
-		}
-		g.loggedFaults[id] = true
+	if fault != "" && !g.firstFault(id, "retry-after") {
+		fault = ""
 	}
 	g.mu.Unlock()
 	if fault != "" {
--- a/internal/forward/schedule/statement.go
+++ b/internal/forward/schedule/statement.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"agateward/internal/forward/limit"
 	"agateward/ward"
 )
 
@@ -35,6 +36,8 @@
 	leaving bool
 	// pause is the last pause that it asked for, nil once it has returned from it.
 	pause *pause
+	// limit is the rate at which it takes requests.
+	limit limit.Limit
 	// number orders the statements by age.
 	number uint64
 }
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -197,6 +197,21 @@
 	HasRetryAfter   bool
 	RetryAfter      time.Duration
 	RetryAfterFault string
+	// Limit is what the answer says of the rate at which the upstream takes requests.
+	Limit RateLimit
+}
+
+// RateLimit is what one answer of an upstream says of the rate at which it takes
+// requests. Its zero value says that there is no limit.
+type RateLimit struct {
+	// Limited reports whether the upstream takes only PerSecond requests a second from
+	// all entries together.
+	Limited   bool
+	PerSecond float64
+	// Unknown reports whether the answer names a rate that cannot be read: it neither
+	// sets nor ends a limit. Fault is a stated value that was not used, "" for none.
+	Unknown bool
+	Fault   string
 }
 
 // Dialect translates the heads of requests and answers between the header fields
