--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -36,10 +36,19 @@
 // engine admits requests in the order of arrival into its slots.
 type engine struct {
 	slowdown float64
+	// limit returns the limit that an answer states; nil states none.
+	limit    func(now time.Time) ward.RateLimit
+	arrivals []arrival
 	running  int
 	waiting  []func(now time.Time)
 }
 
+// arrival is a request that reaches an engine.
+type arrival struct {
+	at    time.Time
+	entry int
+}
+
 // counts holds the results of the requests by rank.
 type counts struct {
 	requests, onTime, late, refused [3]int
@@ -66,10 +75,44 @@
 	counts  counts
 	ids     uint64
 	owner   map[uint64]int
+	// deliver returns how often a message from one entry reaches another, and when; nil
+	// means once after hopDelay.
+	deliver func(from, to int) []time.Duration
+	// told holds when an entry got the first answer of an engine that states a limit.
+	told map[string]map[int]time.Time
+}
+
+// message delivers a message between two entries.
+func (sim *simulation) message(from, to int, run func(now time.Time)) {
+	if sim.deliver == nil {
+		sim.after(hopDelay, run)
+		return
+	}
+	for _, d := range sim.deliver(from, to) {
+		sim.after(d, run)
+	}
+}
+
+// observeLimit hands the limit that an engine states in an answer to the entry.
+func (sim *simulation) observeLimit(i int, a Action, now time.Time) {
+	id := a.Upstream.ID
+	if sim.engines[id].limit == nil {
+		return
+	}
+	r := sim.engines[id].limit(now)
+	if r.Limited {
+		if sim.told[id] == nil {
+			sim.told[id] = make(map[int]time.Time)
+		}
+		if _, ok := sim.told[id][i]; !ok {
+			sim.told[id][i] = now
+		}
+	}
+	sim.entries[i].ObserveLimit(a.Job.ID, r, now)
 }
 
 func newSimulation(entries, engines, slots int, seed uint64) *simulation {
-	sim := &simulation{r: rand.New(rand.NewPCG(seed, 5)), now: start, engines: make(map[string]*engine), slots: slots, owner: make(map[uint64]int), dead: make([]bool, entries)}
+	sim := &simulation{r: rand.New(rand.NewPCG(seed, 5)), now: start, engines: make(map[string]*engine), slots: slots, owner: make(map[uint64]int), dead: make([]bool, entries), told: make(map[string]map[int]time.Time)}
 	list := make([]ward.Replica, engines)
 	for i := range list {
 		id := fmt.Sprintf("engine-%02d", i)
@@ -116,7 +159,7 @@
 			continue
 		}
 		n := s.PeerState(sim.now)
-		sim.after(hopDelay, func(now time.Time) { sim.execute(k, sim.entries[k].UpdatePeer(s.Name, n, now)) })
+		sim.message(i, k, func(now time.Time) { sim.execute(k, sim.entries[k].UpdatePeer(s.Name, n, now)) })
 	}
 }
 
@@ -127,7 +170,7 @@
 			for k, s := range sim.entries {
 				if s.Name == a.GrantTo {
 					from, id, n, used := sim.entries[i].Name, a.Upstream.ID, a.Sequence, a.Used
-					sim.after(hopDelay, func(now time.Time) { sim.execute(k, sim.entries[k].ReceiveGrant(from, id, n, used, now)) })
+					sim.message(i, k, func(now time.Time) { sim.execute(k, sim.entries[k].ReceiveGrant(from, id, n, used, now)) })
 				}
 			}
 		case a.Upstream == nil:
@@ -149,6 +192,7 @@
 		first := time.Duration(e.slowdown * nominalFirst(j) * float64(time.Second))
 		rest := time.Duration(e.slowdown * nominalRest(j) * float64(time.Second))
 		sim.after(first, func(now time.Time) {
+			sim.observeLimit(i, a, now)
 			s.FirstEvent(j.ID, now)
 			if now.Add(hopDelay).After(j.Due) {
 				sim.counts.late[j.Rank[1]]++
@@ -168,6 +212,7 @@
 		})
 	}
 	sim.after(hopDelay, func(now time.Time) {
+		e.arrivals = append(e.arrivals, arrival{now, i})
 		if e.running >= sim.slots {
 			sim.counts.waited++
 			e.waiting = append(e.waiting, begin)
