fix(schedule): the limit that an upstream names is one for all entries

What callers saw: nothing yet.

Cause: entries shared the slots of an upstream, but no rate. A statement that an upstream makes to all entries together was not read; the class is a bound on the whole fleet that no entry can keep by itself.

Change: internal/forward/limit paces a limit per process. All entries compute the same holders of a limit from the names of those that they hear (in a fleet with cells from the store's list), 2 requests a second a holder; the others send nothing there, unless a holder grants a request to a peer whose requests wait. The part of entries that are not heard stays unused, so the two sides of a partition together keep to the limit. News goes with the peer messages and, with cells, from entry to entry. An answer to a request that was sent after the statement ends the limit; a limit below 0.2 a second still gets that, and an upstream that got nothing for 2 s gets the next request, as only answers show that the need is over. Dispatches that were not written yet need a place in the limit; a canary without one goes to the version in use.

It works since only holders send, and their parts add up to the limit whatever the others believe.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -68,7 +68,9 @@
 	}
 	group, release := c.gate.Rollout.Choose(c.route.Name, c.service, rand.Float64())
 	defer release()
-	c.group = group
+	if c.group = group; group != c.service && !c.gate.withinLimits(group) {
+		c.group = c.service
+	}
 	defer c.releaseNext()
 	for {
 		if c.next == nil && !c.pickGroup() {
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -72,6 +72,9 @@
 	// unless it is nil. Neither may block.
 	Fleet          func() split.Fleet
 	PromptsChanged func(parts []poison.Part)
+	// LimitsChanged requests a broadcast of the limits of upstreams, unless it is nil. It
+	// must not block.
+	LimitsChanged func(list []schedule.LimitReport)
 	// Start is a number that no earlier process of this entry had.
 	Start int64
 
@@ -118,6 +121,7 @@
 	if g.Rollout == nil {
 		g.Rollout = &rollout.Rollout{}
 	}
+	g.Metrics.limited(g.limited)
 	g.budget, g.ledger = s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
@@ -178,6 +182,7 @@
 	g.ledger.UpdatePeer(m.Name, m.Start, m.Quota, now)
 	g.ledger.Inherit(m.QuotaLevels, now)
 	g.learnDepartures(m, now)
+	g.learnLimits(m, now)
 	g.apply(g.sched.UpdatePeer(m.Name, m.Requests, now))
 }
 
@@ -196,6 +201,7 @@
 	m.Requests = g.sched.PeerState(now)
 	m.Quota = g.ledger.Totals()
 	m.QuotaLevels = g.ledger.Levels(now)
+	m.Limits = g.sched.LimitNews(now)
 }
 
 // SetEntries sets the number of entries that share quotas and budgets.
@@ -205,11 +211,12 @@
 	g.ledger.Entries, g.budget.Entries = n, n
 }
 
-// SetCell sets the index of this entry's cell, of count cells in the data centre.
-func (g *Gate) SetCell(index, count int) {
+// SetCell sets the index of this entry's cell, of count cells in the data centre, and the
+// sorted names of all entries of the fleet.
+func (g *Gate) SetCell(index, count int, fleet []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sched.Cell, g.sched.Cells = index, count
+	g.sched.Cell, g.sched.Cells, g.sched.Fleet = index, count, fleet
 }
 
 // bodyLimit returns the limit of a body if the configuration sets none.
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -70,6 +70,16 @@
 	m.count("agateward_forward_upstream_limits_total{source=%q}", source)
 }
 
+// limited registers the number of upstreams that have a limit, and of the choices that a
+// limit changed.
+func (m *Metrics) limited(values func() (upstreams int, avoided uint64)) {
+	if m == nil {
+		return
+	}
+	m.Set.GetOrCreateGauge("agateward_forward_upstreams_limited", func() float64 { n, _ := values(); return float64(n) })
+	m.Set.GetOrCreateGauge("agateward_forward_limited_choices_total", func() float64 { _, n := values(); return float64(n) })
+}
+
 // Values of the label source: who made the answer that a caller got.
 const (
 	sourceEntry    = "entry"
--- a/internal/forward/limit/limit.go
+++ b/internal/forward/limit/limit.go
@@ -1,10 +1,18 @@
 // Package limit tracks the rate at which one process of an upstream takes requests from
-// all entries together, as its answers state it.
+// all entries together, as its answers state it, and paces the part of this entry.
+//
+// The entries agree on the parts without a coordinator: all compute the same holders of a
+// limit from the same names, and the others send nothing unless a holder grants them a
+// request. A part that belongs to an entry which is not heard stays unused, as that entry
+// may live on beyond a partition.
 //
 // # Usage
 //
 //	var l limit.Limit
-//	changed := l.Observe(reply.Limit, sent, now)
+//	changed := l.Observe(reply.Limit, sent, now) || l.Merge(report, now)
+//	f := limit.Fleet{Self: "entry-1", Entries: names, Known: len(names)}
+//	l.SetPart(f.Part("upstream-1", l.Rate()), now)
+//	if l.Take(now) { send() }
 //
 // The package reads no clock and does no I/O.
 package limit
@@ -25,6 +33,15 @@
 	PerSecond float64 `msgpack:"r,omitempty"`
 }
 
+const (
+	// minRate is the least rate, in requests a second, at which an upstream gets requests
+	// whatever limit it names: only its answers show that the limit has ended.
+	minRate = 0.2
+	// maxUnused bounds the time whose unused requests may be sent later, but not below one
+	// request.
+	maxUnused = 250 * time.Millisecond
+)
+
 // tighter reports whether s allows fewer requests than o.
 func (s State) tighter(o State) bool {
 	return s.Limited && (!o.Limited || s.PerSecond < o.PerSecond)
@@ -35,6 +52,80 @@
 	state State
 	// since is when this entry learned the version of the state.
 	since time.Time
+	// part is the part of this entry in requests a second, level the number of requests
+	// that it may send at the time updated.
+	part, level float64
+	updated     time.Time
+}
+
+// Limited reports whether there is a limit.
+func (l *Limit) Limited() bool { return l.state.Limited }
+
+// Rate returns the requests a second that all entries together may send.
+func (l *Limit) Rate() float64 { return max(l.state.PerSecond, minRate) }
+
+// SetPart sets the part of this entry in requests a second.
+func (l *Limit) SetPart(part float64, now time.Time) {
+	l.refill(now)
+	if l.part = part; part == 0 {
+		l.level = 0
+	}
+}
+
+func (l *Limit) refill(now time.Time) {
+	if d := now.Sub(l.updated).Seconds(); d > 0 {
+		l.level = min(l.level+d*l.part, max(l.part*maxUnused.Seconds(), 1))
+		l.updated = now
+	}
+}
+
+// Allows reports whether this entry may send a request now.
+func (l *Limit) Allows(now time.Time) bool {
+	if !l.state.Limited {
+		return true
+	}
+	l.refill(now)
+	return l.level >= 1
+}
+
+// Take counts a request that is sent now. It reports whether this entry may send it.
+func (l *Limit) Take(now time.Time) bool {
+	if !l.Allows(now) {
+		return false
+	}
+	if l.state.Limited {
+		l.level--
+	}
+	return true
+}
+
+// Wait returns the time until this entry may send a request. It reports false if this
+// entry has no part.
+func (l *Limit) Wait(now time.Time) (time.Duration, bool) {
+	if l.Allows(now) {
+		return 0, true
+	}
+	if l.part == 0 {
+		return 0, false
+	}
+	return time.Duration((1 - l.level) / l.part * float64(time.Second)), true
+}
+
+// Merge adopts the state that a peer reports if it is newer, and reports whether that is
+// news. Of two states with one version the tighter counts.
+func (l *Limit) Merge(s State, now time.Time) bool {
+	if s.Version < l.state.Version || s.Version == l.state.Version && !s.tighter(l.state) {
+		return false
+	}
+	l.adopt(s, now)
+	return true
+}
+
+func (l *Limit) adopt(s State, now time.Time) {
+	if !l.state.Limited {
+		l.level, l.updated = 0, now
+	}
+	l.state, l.since = s, now
 }
 
 // State returns the state, and when this entry learned of it.
@@ -52,6 +143,6 @@
 	if sent.Before(l.since) && !(l.state.Limited && s.tighter(l.state)) {
 		return false
 	}
-	l.state, l.since = s, now
+	l.adopt(s, now)
 	return true
 }
--- a/internal/forward/node/cell.go
+++ b/internal/forward/node/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"agateward/internal/forward/peers"
@@ -126,7 +127,7 @@
 func (n *Node) setCell(c peers.Cell) {
 	now := time.Now()
 	n.mu.Lock()
-	changed := c.Count != n.cell.Count || c.Index != n.cell.Index || len(c.Members) != len(n.cell.Members) || c.FleetSize != n.cell.FleetSize
+	changed := c.Count != n.cell.Count || c.Index != n.cell.Index || len(c.Members) != len(n.cell.Members) || !slices.Equal(c.Names, n.cell.Names)
 	n.cell = c
 	if changed {
 		n.peers.SetCell(c)
@@ -139,7 +140,7 @@
 	n.mu.Unlock()
 	if changed {
 		n.log.Info("cell-changed", "cell", c.Index, "cells", c.Count, "members", len(c.Members), "entries", c.FleetSize)
-		n.gate.SetCell(c.Index, c.Count)
+		n.gate.SetCell(c.Index, c.Count, c.Names)
 		n.gate.Refresh()
 	}
 }
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -164,7 +164,10 @@
 		if len(m.Prompts) > 0 {
 			n.gate.MergePrompts(m.Name, m.Prompts)
 		}
-		if m.Grant != "" || m.Moves != nil || len(m.Prompts) > 0 {
+		if m.News {
+			n.gate.MergeLimits(m)
+		}
+		if m.Grant != "" || m.Moves != nil || len(m.Prompts) > 0 || m.News {
 			continue
 		}
 		now := time.Now()
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -22,7 +22,6 @@
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/gate"
 	"agateward/internal/forward/peers"
-	"agateward/internal/forward/poison"
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/retry"
 	"agateward/internal/forward/rollout"
@@ -94,21 +93,17 @@
 	sequence     uint64
 	peerConn     *net.UDPConn
 	broadcastNow chan struct{}
-	// promptsNow requests an early message about parts of prompts.
-	promptsNow chan struct{}
 	// announceNow requests an early announcement.
 	announceNow chan struct{}
 
-	promptsMu sync.Mutex
-	// changedPrompts holds the parts of prompts of which the other entries are to hear.
-	changedPrompts []poison.Part
+	news news
 
 	stopping context.Context
 }
 
 // New composes a node. It opens no listener.
 func New(s forwarding.Settings, p Parts) *Node {
-	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), broadcastNow: make(chan struct{}, 1), announceNow: make(chan struct{}, 1), promptsNow: make(chan struct{}, 1)}
+	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), broadcastNow: make(chan struct{}, 1), announceNow: make(chan struct{}, 1), news: news{now: make(chan struct{}, 1)}}
 	n.peers.Self = s.Name
 	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.onChange, FollowsStore: n.followsStore, EraChanged: n.announceAgain}
 	pool := &backend.Pool{OnOpen: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
@@ -119,7 +114,7 @@
 	n.gate = &gate.Gate{
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log, Rollout: n.rollout,
 		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, SendGrant: n.sendGrant, TriggerBroadcast: n.triggerBroadcast,
-		Fleet: n.fleet, PromptsChanged: n.promptsChanged,
+		Fleet: n.fleet, PromptsChanged: n.promptsChanged, LimitsChanged: n.limitsChanged,
 	}
 	n.gate.Prepare(setup(s))
 	n.gate.SetEntries(initialEntries)
@@ -175,7 +170,7 @@
 	wg.Go(func() { n.announce(work) })
 	wg.Go(func() { n.broadcastLoop(work) })
 	wg.Go(func() { n.receiveLoop(work) })
-	wg.Go(func() { n.promptLoop(work) })
+	wg.Go(func() { n.newsLoop(work) })
 	wg.Go(func() { n.serveState(work, listeners.state) })
 	wg.Go(func() { n.serve(readyServer, listeners.ready) })
 	wg.Go(func() { n.serve(callers, listeners.callers) })
--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -25,8 +25,8 @@
 	Index, Count int
 	// Members are the entries of the cell, including this one.
 	Members []ward.ForwardEntry
-	// Addresses are those of all other entries of the fleet.
-	Addresses []string
+	// Addresses are those of all other entries of the fleet, Names the sorted names of all.
+	Addresses, Names []string
 	// FleetSize is the number of all entries, FleetIndex the index of this one
 	// among them by name, from 0.
 	FleetSize, FleetIndex int
@@ -46,10 +46,12 @@
 		c.Addresses = append(c.Addresses, e.Listen)
 	}
 	for _, e := range list {
+		c.Names = append(c.Names, e.Name)
 		if e.Name < self.Name {
 			c.FleetIndex++
 		}
 	}
+	sort.Strings(c.Names)
 	if len(list) <= maxUndividedFleet {
 		c.Members = list
 		return c
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -11,6 +11,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 
 	"agateward/internal/forward/poison"
 	"agateward/internal/forward/schedule"
@@ -57,6 +58,11 @@
 	// Prompts is what the sender knows of parts of prompts under which upstreams crash.
 	// Such a message holds nothing else, and may come from any entry of the fleet.
 	Prompts []poison.Report `msgpack:"k,omitempty"`
+	// Limits is what the sender knows of the request rates that upstreams named. A message
+	// with News set holds nothing besides but Prompts.
+	Limits []schedule.LimitReport `msgpack:"y,omitempty"`
+	// News is true for a message that may come from any entry of the fleet.
+	News bool `msgpack:"z,omitempty"`
 	// Moves is the sender's state of the roll-outs in progress. Such a message holds
 	// nothing else.
 	Moves *Moves `msgpack:"m,omitempty"`
@@ -98,5 +104,10 @@
 			return Message{}, fmt.Errorf("%w: load %d of upstream %q is below 0", errInvalidMessage, n, id)
 		}
 	}
+	for _, l := range m.Limits {
+		if r := l.State.PerSecond; !(r >= 0 && r < math.Inf(1)) {
+			return Message{}, fmt.Errorf("%w: limit %v of upstream %q is not a rate", errInvalidMessage, r, l.Upstream.ID)
+		}
+	}
 	return m, nil
 }
--- a/internal/forward/schedule/choose.go
+++ b/internal/forward/schedule/choose.go
@@ -11,6 +11,9 @@
 	remoteCost = 0.35
 	// loadCost is added in proportion to the slots in use.
 	loadCost = 0.6
+	// trialGain is subtracted for an upstream with a limit that got nothing for
+	// limitTrialInterval: only an answer shows that the limit has ended.
+	trialGain = 10
 	// lateCost, deadlineCost and degradedCost are far above the other costs: such
 	// upstreams are chosen only if there is no other.
 	lateCost     = 20
@@ -24,7 +27,9 @@
 	bestCost := 0.0
 	// Without an upstream that answers, a job of any kind would wait in vain.
 	probe := j.Repeatable || v.unreachable(now)
+	avoided := false
 	for _, u := range v.upstreams {
+		avoided = avoided || !u.limitAllows(now)
 		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(probe, now) {
 			continue
 		}
@@ -33,6 +38,9 @@
 			best, bestCost = u, cost
 		}
 	}
+	if avoided {
+		s.limits.avoided++
+	}
 	if best == nil {
 		return nil
 	}
@@ -80,7 +88,8 @@
 
 // available reports whether u takes requests now, with or without a free slot.
 func (u *upstream) available(now time.Time) bool {
-	return !u.Draining && !u.said.wantsNone(now) && now.After(u.backoffUntil)
+	_, held := u.limitWait(now)
+	return !u.Draining && !u.said.wantsNone(now) && held && now.After(u.backoffUntil)
 }
 
 // accepts reports whether u may get a job. An upstream that failed or is unresponsive
@@ -105,6 +114,9 @@
 	if !u.local {
 		cost += remoteCost
 	}
+	if u.limited() && now.Sub(u.lastSent) >= limitTrialInterval {
+		cost -= trialGain
+	}
 	if now.Add(u.timeToFirst(j)).After(j.Due) {
 		cost += lateCost
 	}
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -46,6 +46,7 @@
 	p.sequence++
 	p.grants = append(p.grants, SlotGrant{Upstream: u.ID, To: to, Sequence: p.sequence, at: now})
 	u.pendingGrants++
+	u.takeLimit(now)
 	slot := u.Replica
 	return Action{Upstream: &slot, GrantTo: to, Sequence: p.sequence}
 }
@@ -148,7 +149,7 @@
 // mayGrant reports whether a slot that a request of this entry has freed may be granted.
 // The registration of u may have been replaced since the request was sent.
 func (s *Scheduler) mayGrant(u *upstream, now time.Time) bool {
-	if u.Draining || s.statements[IdentityOf(&u.Replica)].wantsNone(now) {
+	if u.Draining || s.statements[IdentityOf(&u.Replica)].wantsNone(now) || u.held || !u.limitAllows(now) {
 		return false
 	}
 	return u.load() < u.Slots && !now.Before(u.backoffUntil) && u.failedAttempts == 0
@@ -193,6 +194,8 @@
 	if u == nil {
 		return nil
 	}
+	u.granted = true
+	defer func() { u.granted = false }()
 	return s.fillSlot(s.services[u.Service], u, now)
 }
 
--- a/internal/forward/schedule/pause.go
+++ b/internal/forward/schedule/pause.go
@@ -108,8 +108,8 @@
 }
 
 // MaySend reports whether a dispatch that was not written yet may still be written. If
-// not, its upstream has said since that it wants no requests; the job is to be ended
-// by Done and to arrive anew.
+// not, its upstream has said since that it wants no requests, or named a limit; the job is
+// to be ended by Done and to arrive anew.
 func (s *Scheduler) MaySend(id uint64, now time.Time) bool {
 	r := s.jobs[id]
 	if r == nil {
@@ -117,5 +117,12 @@
 	}
 	st := s.statements[IdentityOf(&r.upstream.Replica)]
 	// A dispatch from before the pause would pass by the limit after it.
-	return !st.wantsNone(now) && (st == nil || st.pause == nil || st.pause == r.pause)
+	if st.wantsNone(now) || st != nil && st.pause != nil && st.pause != r.pause {
+		return false
+	}
+	if st != nil && st.limit.Limited() && !r.paced {
+		r.paced = st.limit.Take(now)
+		return r.paced
+	}
+	return true
 }
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -60,8 +60,10 @@
 // UpdatePeer applies the state received from a peer.
 func (s *Scheduler) UpdatePeer(name string, state PeerState, now time.Time) []Action {
 	s.init()
+	s.hearPeer(name, now)
 	if state.Leaving && len(state.Load) == 0 {
 		delete(s.peers, name)
+		delete(s.limits.heard, name)
 		s.aggregatePeers(now)
 		return nil
 	}
@@ -110,6 +112,7 @@
 		s.countGrants(name, p, now)
 	}
 	s.assignSlots()
+	s.updateLimitFleet(now)
 }
 
 // Sending reports whether the upstream of a dispatched job has sent this entry anything
--- a/internal/forward/schedule/refusal.go
+++ b/internal/forward/schedule/refusal.go
@@ -14,6 +14,9 @@
 	// ReasonPaused means that every upstream of the service asked for a pause, which
 	// the job cannot wait for.
 	ReasonPaused = "paused"
+	// ReasonLimited means that the job would wait too long, as every upstream of the
+	// service has named a limit.
+	ReasonLimited = "rate-limited"
 	// ReasonUnreachable means that the job expired while no upstream could be reached.
 	ReasonUnreachable = "unreachable"
 )
@@ -100,5 +103,8 @@
 	if v.pauseLeft(now) > 0 {
 		return ReasonPaused
 	}
+	if v.allLimited() {
+		return ReasonLimited
+	}
 	return ReasonQueueLong
 }
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -41,6 +41,9 @@
 	// of a cell exchange state and share one part of the upstreams. With Cells 0 every
 	// entry uses all upstreams.
 	Cell, Cells int
+	// Fleet holds the sorted names of all entries that the store lists, nil while that is
+	// not known.
+	Fleet []string
 
 	// stopEnd is when this entry exits; zero means that it does not stop.
 	stopEnd time.Time
@@ -53,6 +56,7 @@
 	// of the newest.
 	statements    map[Identity]*statement
 	lastStatement uint64
+	limits        limits
 	// entries holds the sorted names of the live peers and this entry; assignedTo
 	// holds the joined names of the last slot assignment.
 	entries    []string
@@ -81,6 +85,8 @@
 	started bool
 	// pause is the pause after which the upstream was returning, nil if it was not.
 	pause *pause
+	// paced is true if the request was counted against a limit.
+	paced bool
 	// nominal is the nominal time to the first event in seconds.
 	nominal float64
 }
@@ -127,6 +133,7 @@
 		known[r.ID] = u
 	}
 	s.byID = known
+	s.keepLimits(now)
 	s.assignServices(now)
 	return s.dispatchWaiting(now)
 }
@@ -260,7 +267,8 @@
 	a := Action{Job: j, Upstream: &to, Predicted: u.timeToFirst(j), Waited: now.Sub(j.Arrived), Running: u.load()}
 	u.ownLoad++
 	u.markSent(now)
-	r := &running{job: j, upstream: u, sent: now, nominal: nominalFirst(j)}
+	r := &running{job: j, upstream: u, sent: now, paced: u.limited(), nominal: nominalFirst(j)}
+	u.takeLimit(now)
 	u.said.begin(r)
 	s.jobs[j.ID] = r
 	v.recordDeparture(j.Rank, s.late(v, j, now), now)
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -18,8 +18,15 @@
 // fewer, every cell uses all upstreams.
 const minCellUpstreams = 2
 
-// assignServices sets the upstreams of each service.
+// assignServices sets the upstreams of each service and divides their slots.
 func (s *Scheduler) assignServices(now time.Time) {
+	s.groupUpstreams(now)
+	s.assignedTo = ""
+	s.aggregatePeers(now)
+}
+
+// groupUpstreams sets the upstreams of each service.
+func (s *Scheduler) groupUpstreams(now time.Time) {
 	for _, v := range s.services {
 		v.upstreams = v.upstreams[:0]
 	}
@@ -29,10 +36,9 @@
 		v.upstreams = append(v.upstreams, u)
 	}
 	for _, v := range s.services {
-		v.upstreams = s.cellUpstreams(v.upstreams)
+		own := s.cellUpstreams(v.upstreams)
+		v.upstreams = append(own[:len(own):len(own)], s.heldElsewhere(v.upstreams, own, now)...)
 	}
-	s.assignedTo = ""
-	s.aggregatePeers(now)
 }
 
 // cellUpstreams returns the upstreams of a service that this entry uses: its cell's
@@ -95,11 +101,16 @@
 
 // hasSlot reports whether this entry may send to u: u takes requests, and has at least
 // sharedSlots free slots, a free slot that is assigned to this entry, or a reserved one.
+// The limit of an upstream, which one or few entries hold, replaces the rule for the last
+// slots.
 func (u *upstream) hasSlot(now time.Time) bool {
 	n := u.Slots - u.load()
 	if u.Draining || !u.said.takesMore(now) || n < 1 {
 		return false
 	}
+	if u.limited() {
+		return u.limitAllows(now)
+	}
 	return n >= min(sharedSlots, u.Slots) || u.ownLoad < u.assigned || u.reserved
 }
 
@@ -127,11 +138,16 @@
 	return out
 }
 
-// grantable reports whether u has a free slot that only this entry may use.
+// grantable reports whether u has a free slot that only this entry may use. A peer of this
+// cell can't use an upstream of another one.
 func (u *upstream) grantable(now time.Time) bool {
 	n := u.Slots - u.load()
-	if u.Draining || u.said.wantsNone(now) {
+	if u.Draining || u.said.wantsNone(now) || n < 1 {
 		return false
 	}
-	return n >= 1 && n < sharedSlots && u.ownLoad < u.assigned && now.After(u.backoffUntil) && u.failedAttempts == 0 && !u.unresponsive(now)
+	last := n < sharedSlots && u.ownLoad < u.assigned
+	if u.limited() {
+		last = !u.held && u.limitAllows(now)
+	}
+	return last && now.After(u.backoffUntil) && u.failedAttempts == 0 && !u.unresponsive(now)
 }
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -59,6 +59,9 @@
 	// one slot is kept for this entry's waiting jobs.
 	assigned int
 	reserved bool
+	// granted is true while a peer's grant lets this entry send one request whatever the
+	// upstream's limit. held is true for an upstream of another cell with a limit.
+	granted, held bool
 	// ownLoad and peerLoad count the running requests of this entry and of its peers.
 	ownLoad, peerLoad int
 	// pendingGrants counts the granted slots that the receiver's state does not show
@@ -177,14 +180,19 @@
 }
 
 // minTimeToFirst is the shortest expected time to the first event of j, including the
-// rest of a pause.
+// rest of a pause and the wait for a limit. It is 0 if all have limits of which this entry
+// holds no part.
 func (s *Scheduler) minTimeToFirst(v *service, j *Job, now time.Time) time.Duration {
 	best := time.Duration(0)
 	for _, u := range v.upstreams {
 		if u.Draining {
 			continue
 		}
-		if d := u.said.pauseLeft(now) + u.timeToFirst(j); best == 0 || d < best {
+		wait, ok := u.limitWait(now)
+		if !ok {
+			continue
+		}
+		if d := max(u.said.pauseLeft(now), wait) + u.timeToFirst(j); best == 0 || d < best {
 			best = d
 		}
 	}
