fix(schedule): an upstream with a low limit is asked again in time

And two holders of such a limit in a fleet with cells had 0.1 each, one request in 10 s.

A holder with requests of its own keeps a part below 0.5 a second for itself, and each holder has at least 0.2 a second. The test generates fleets of 1 to 12 entries with lost, late and doubled messages, partitions, frozen entries and restarts; TestLimitInFleetWithCells has 60 and 400 entries in cells.

--- a/internal/forward/limit/fleet.go
+++ b/internal/forward/limit/fleet.go
@@ -6,6 +6,9 @@
 )
 
 const (
+	// minRate is the least rate, in requests a second, at which a holder sends requests
+	// whatever the limit: only an answer shows that it has ended.
+	minRate = 0.2
 	// holderRate is the part of a limit, in requests a second, that one entry holds; a
 	// lower limit has one holder.
 	holderRate = 2
@@ -29,7 +32,7 @@
 }
 
 // Part returns the part of this entry, in requests a second, of a limit that all entries
-// together have at the process key of an upstream.
+// together have at the process key of an upstream: 0, or at least minRate.
 func (f Fleet) Part(key string, perSecond float64) float64 {
 	holders := min(max(int(perSecond/holderRate), f.LeastHolders, defaultLeastHolders), len(f.Entries))
 	own, before, member := weight(key, f.Self), 0, false
@@ -48,7 +51,8 @@
 	if !member {
 		return 0
 	}
-	return perSecond / float64(holders) * float64(len(f.Entries)) / float64(max(f.Known, len(f.Entries)))
+	heard := float64(len(f.Entries)) / float64(max(f.Known, len(f.Entries)))
+	return max(perSecond/float64(holders)*heard, minRate)
 }
 
 // weight orders the entries for an upstream; that with the highest one holds its limit
--- a/internal/forward/limit/limit.go
+++ b/internal/forward/limit/limit.go
@@ -11,7 +11,7 @@
 //	var l limit.Limit
 //	changed := l.Observe(reply.Limit, sent, now) || l.Merge(report, now)
 //	f := limit.Fleet{Self: "entry-1", Entries: names, Known: len(names)}
-//	l.SetPart(f.Part("upstream-1", l.Rate()), now)
+//	l.SetPart(f.Part("upstream-1", state.PerSecond), now)
 //	if l.Take(now) { send() }
 //
 // The package reads no clock and does no I/O.
@@ -33,14 +33,9 @@
 	PerSecond float64 `msgpack:"r,omitempty"`
 }
 
-const (
-	// minRate is the least rate, in requests a second, at which an upstream gets requests
-	// whatever limit it names: only its answers show that the limit has ended.
-	minRate = 0.2
-	// maxUnused bounds the time whose unused requests may be sent later, but not below one
-	// request.
-	maxUnused = 250 * time.Millisecond
-)
+// maxUnused bounds the time whose unused requests may be sent later, but not below one
+// request.
+const maxUnused = 250 * time.Millisecond
 
 // tighter reports whether s allows fewer requests than o.
 func (s State) tighter(o State) bool {
@@ -61,9 +56,6 @@
 // Limited reports whether there is a limit.
 func (l *Limit) Limited() bool { return l.state.Limited }
 
-// Rate returns the requests a second that all entries together may send.
-func (l *Limit) Rate() float64 { return max(l.state.PerSecond, minRate) }
-
 // SetPart sets the part of this entry in requests a second.
 func (l *Limit) SetPart(part float64, now time.Time) {
 	l.refill(now)
@@ -72,6 +64,9 @@
 	}
 }
 
+// Part returns the part of this entry in requests a second.
+func (l *Limit) Part() float64 { return l.part }
+
 func (l *Limit) refill(now time.Time) {
 	if d := now.Sub(l.updated).Seconds(); d > 0 {
 		l.level = min(l.level+d*l.part, max(l.part*maxUnused.Seconds(), 1))
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -80,16 +80,47 @@
 	deliver func(from, to int) []time.Duration
 	// told holds when an entry got the first answer of an engine that states a limit.
 	told map[string]map[int]time.Time
+	// frozen holds until when an entry does nothing. Requests to it wait meanwhile.
+	frozen map[int]time.Time
+	// cells holds the cell of each entry, nil if all entries exchange their state.
+	cells []string
 }
 
 // message delivers a message between two entries.
 func (sim *simulation) message(from, to int, run func(now time.Time)) {
-	if sim.deliver == nil {
-		sim.after(hopDelay, run)
+	delays := []time.Duration{hopDelay}
+	if sim.deliver != nil {
+		delays = sim.deliver(from, to)
+	}
+	for _, d := range delays {
+		sim.after(d, func(time.Time) { sim.whenAwake(to, run) })
+	}
+}
+
+// whenAwake runs an event of entry i once it is not frozen.
+func (sim *simulation) whenAwake(i int, run func(now time.Time)) {
+	if end := sim.frozen[i]; sim.now.Before(end) {
+		sim.after(end.Sub(sim.now), func(time.Time) { sim.whenAwake(i, run) })
 		return
 	}
-	for _, d := range sim.deliver(from, to) {
-		sim.after(d, run)
+	run(sim.now)
+}
+
+// gossipTargets is the number of entries of any cell that get news of limits.
+const gossipTargets = 8
+
+// gossip passes news of limits on to some entries of a fleet with cells.
+func (sim *simulation) gossip(i int, news []LimitChange) {
+	if len(news) == 0 || sim.cells == nil {
+		return
+	}
+	list := make([]LimitReport, len(news))
+	for n, c := range news {
+		list[n] = c.LimitReport
+	}
+	for range gossipTargets {
+		k := sim.r.IntN(len(sim.entries))
+		sim.message(i, k, func(now time.Time) { sim.gossip(k, sim.entries[k].LearnLimits(list, now)) })
 	}
 }
 
@@ -108,11 +139,13 @@
 			sim.told[id][i] = now
 		}
 	}
-	sim.entries[i].ObserveLimit(a.Job.ID, r, now)
+	if c, ok := sim.entries[i].ObserveLimit(a.Job.ID, r, now); ok {
+		sim.gossip(i, []LimitChange{c})
+	}
 }
 
 func newSimulation(entries, engines, slots int, seed uint64) *simulation {
-	sim := &simulation{r: rand.New(rand.NewPCG(seed, 5)), now: start, engines: make(map[string]*engine), slots: slots, owner: make(map[uint64]int), dead: make([]bool, entries), told: make(map[string]map[int]time.Time)}
+	sim := &simulation{r: rand.New(rand.NewPCG(seed, 5)), now: start, engines: make(map[string]*engine), slots: slots, owner: make(map[uint64]int), dead: make([]bool, entries), told: make(map[string]map[int]time.Time), frozen: make(map[int]time.Time)}
 	list := make([]ward.Replica, engines)
 	for i := range list {
 		id := fmt.Sprintf("engine-%02d", i)
@@ -149,19 +182,19 @@
 // broadcast periodically sends the state of entry i to the others.
 func (sim *simulation) broadcast(i int) {
 	sim.after(broadcastInterval, func(time.Time) { sim.broadcast(i) })
-	if sim.dead[i] {
+	if sim.dead[i] || sim.now.Before(sim.frozen[i]) {
 		return
 	}
 	s := sim.entries[i]
 	sim.execute(i, s.Tick(sim.now))
 	limits := s.LimitNews(sim.now)
 	for k := range sim.entries {
-		if k == i || sim.dead[k] {
+		if k == i || sim.dead[k] || sim.cells != nil && sim.cells[k] != sim.cells[i] {
 			continue
 		}
 		n := s.PeerState(sim.now)
 		sim.message(i, k, func(now time.Time) {
-			sim.entries[k].LearnLimits(limits, now)
+			sim.gossip(k, sim.entries[k].LearnLimits(limits, now))
 			sim.execute(k, sim.entries[k].UpdatePeer(s.Name, n, now))
 		})
 	}
@@ -196,8 +229,10 @@
 		first := time.Duration(e.slowdown * nominalFirst(j) * float64(time.Second))
 		rest := time.Duration(e.slowdown * nominalRest(j) * float64(time.Second))
 		sim.after(first, func(now time.Time) {
-			sim.observeLimit(i, a, now)
-			s.FirstEvent(j.ID, now)
+			sim.whenAwake(i, func(now time.Time) {
+				sim.observeLimit(i, a, now)
+				s.FirstEvent(j.ID, now)
+			})
 			if now.Add(hopDelay).After(j.Due) {
 				sim.counts.late[j.Rank[1]]++
 			} else {
@@ -211,8 +246,10 @@
 				e.waiting = e.waiting[1:]
 				next(now)
 			}
-			s.ObservePace(j.ID, rest/time.Duration(max(j.Output, 1)))
-			sim.execute(i, s.Done(j.ID, OutcomeOK, now))
+			sim.whenAwake(i, func(now time.Time) {
+				s.ObservePace(j.ID, rest/time.Duration(max(j.Output, 1)))
+				sim.execute(i, s.Done(j.ID, OutcomeOK, now))
+			})
 		})
 	}
 	sim.after(hopDelay, func(now time.Time) {
@@ -257,7 +294,7 @@
 			for sim.dead[i] {
 				i = (i + 1) % len(sim.entries)
 			}
-			sim.arrive(i)
+			sim.whenAwake(i, func(time.Time) { sim.arrive(i) })
 		})
 	}
 }
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -111,7 +111,7 @@
 // own ones. Without it, an entry would keep refilling its slots with requests of a
 // lower rank than those waiting at other entries.
 func (s *Scheduler) grantFreed(v *service, u *upstream, now time.Time) (Action, bool) {
-	if !s.mayGrant(u, now) {
+	if !s.mayGrant(u, now) || v.keepsForTrial(u, now) {
 		return Action{}, false
 	}
 	var own *Job
--- a/internal/forward/schedule/limit.go
+++ b/internal/forward/schedule/limit.go
@@ -152,6 +152,12 @@
 		s.limits.heard = make(map[string]time.Time)
 	}
 	s.limits.heard[name] = now
+	s.forgetPeers(now)
+}
+
+// forgetPeers drops the peers that were not heard for memberTTL.
+func (s *Scheduler) forgetPeers(now time.Time) {
+	maps.DeleteFunc(s.limits.heard, func(_ string, at time.Time) bool { return now.Sub(at) > memberTTL })
 }
 
 // updateLimitFleet divides the limits anew if the entries have changed that may hold them.
@@ -185,7 +191,7 @@
 	if len(f.Entries) == 0 {
 		f.Entries = slices.Clone(s.entries)
 	}
-	maps.DeleteFunc(s.limits.heard, func(_ string, at time.Time) bool { return now.Sub(at) > memberTTL })
+	s.forgetPeers(now)
 	f.Known = max(len(s.limits.heard)+1, len(s.Fleet))
 	return f
 }
@@ -197,8 +203,8 @@
 	s.limits.fleet, s.limits.fleetNames = f, strings.Join(f.Entries, " ")
 	for id, st := range s.limits.known {
 		part := 0.0
-		if st.limit.Limited() {
-			part = f.Part(id.ID, st.limit.Rate())
+		if state, _ := st.limit.State(); state.Limited {
+			part = f.Part(id.ID, state.PerSecond)
 		}
 		st.limit.SetPart(part, now)
 	}
@@ -248,6 +254,13 @@
 	}
 }
 
+// keepsForTrial reports whether this entry uses its part of u's limit only itself: at a low
+// limit a grant that is lost, or comes too late, would cost the only trial for seconds. An
+// entry without requests of its own grants it.
+func (v *service) keepsForTrial(u *upstream, now time.Time) bool {
+	return u.limited() && u.said.limit.Part()*limitTrialInterval.Seconds() < 1 && now.Sub(v.lastDeparture) < limitTrialInterval
+}
+
 // allLimited reports whether each upstream of the service that does not drain has named a
 // limit.
 func (v *service) allLimited() bool {
--- a/internal/forward/schedule/limit_test.go
+++ b/internal/forward/schedule/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -109,3 +110,78 @@
 		})
 	}
 }
+
+// cellSize is the number of entries of a cell in the simulation.
+const cellSize = 12
+
+// newFleetWithCells returns a fleet whose entries exchange their state in cells of their
+// data centre, and know the names of all.
+func newFleetWithCells(entries, engines int, seed uint64) *simulation {
+	sim := newSimulation(entries, engines, 6, seed)
+	local := make(map[string][]*Scheduler)
+	var names []string
+	for _, s := range sim.entries {
+		local[s.DataCentre] = append(local[s.DataCentre], s)
+		names = append(names, s.Name)
+	}
+	slices.Sort(names)
+	for i, s := range sim.entries {
+		of := local[s.DataCentre]
+		s.Fleet, s.Cells = names, (len(of)+cellSize-1)/cellSize
+		s.Cell = slices.Index(of, s) % s.Cells
+		sim.cells = append(sim.cells, fmt.Sprint(s.DataCentre, s.Cell))
+		sim.entries[i].assignServices(sim.now)
+	}
+	return sim
+}
+
+// Guards against a limit that each cell of a large fleet uses for itself, and against a
+// limited upstream that nobody uses as its holders belong to other cells.
+func TestLimitInFleetWithCells(t *testing.T) {
+	const from, to = time.Second, 9 * time.Second
+	tests := []struct {
+		name             string
+		entries, engines int
+		// limited lists the engines with a limit.
+		limited []int
+		rate    float64
+		// requests a second, at which the limited engines are needed
+		load float64
+	}{
+		{"engines of single cells", 60, 30, []int{0, 1, 4}, 2, 300},
+		{"engines that all cells use", 60, 3, []int{0, 1}, 2, 40},
+		{"a limit far below the number of entries", 60, 30, []int{0}, 0.1, 300},
+		{"400 entries", 400, 102, []int{0, 1, 4, 7, 9}, 1.7, 900},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			sim := newFleetWithCells(tt.entries, tt.engines, 11)
+			for _, i := range tt.limited {
+				sim.engines[engineName(i)].limit = limitBetween(tt.rate, from, to)
+			}
+			sim.load(tt.load, 0, to)
+			sim.run(from + limitContact)
+			for _, i := range tt.limited {
+				unaware := 0
+				for _, s := range sim.entries {
+					if !s.byID[engineName(i)].limited() {
+						unaware++
+					}
+				}
+				if unaware > 0 {
+					t.Errorf("%d of %d entries don't know the limit of %s after %v", unaware, tt.entries, engineName(i), limitContact)
+				}
+			}
+			sim.run(to)
+			for _, i := range tt.limited {
+				id := engineName(i)
+				if n := sim.excess(id, tt.rate, from, to); n > 0 {
+					t.Errorf("%s with a limit of %v a second got %d requests too many in %v", id, tt.rate, n, limitWindow)
+				}
+				if n, want := sim.between(id, from+limitContact, to), 0.5*tt.rate*(to-from-limitContact).Seconds(); float64(n) < want {
+					t.Errorf("%s with a limit of %v a second got %d requests, want %.0f", id, tt.rate, n, want)
+				}
+			}
+		})
+	}
+}
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -129,7 +129,7 @@
 			continue
 		}
 		for _, u := range v.upstreams {
-			for d.Count > 0 && u.grantable(now) {
+			for d.Count > 0 && u.grantable(now) && !v.keepsForTrial(u, now) {
 				d.Count--
 				out = append(out, s.grant(u, name, now))
 			}
