--- a/internal/forward/peerstate/peerstate_test.go
+++ b/internal/forward/peerstate/peerstate_test.go
@@ -1,8 +1,10 @@
 package peerstate
 
 import (
+	"math"
 	"testing"
 
+	"agateward/internal/forward/limit"
 	"agateward/internal/forward/schedule"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -41,3 +43,33 @@
 		t.Errorf("from a build without the list: %+v, %v", got.Requests, err)
 	}
 }
+
+// Guards against limits that are lost between entries, that a build without them does not
+// read past, and against rates that are no numbers.
+func TestLimitsBetweenBuilds(t *testing.T) {
+	m := Message{Name: "entry-1", Listen: "10.0.0.1:7600", Sequence: 4, News: true}
+	m.Limits = []schedule.LimitReport{{Upstream: schedule.Identity{ID: "i-2", Born: 7}, State: limit.State{Version: 3, Limited: true, PerSecond: 1.7}}}
+	b, err := m.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var old struct {
+		Name     string `msgpack:"n"`
+		Sequence uint64 `msgpack:"s"`
+	}
+	if err := msgpack.Unmarshal(b, &old); err != nil || old.Sequence != 4 {
+		t.Errorf("a build without limits reads %+v, %v", old, err)
+	}
+	if got, err := Decode(b); err != nil || len(got.Limits) != 1 || got.Limits[0] != m.Limits[0] || !got.News {
+		t.Errorf("read back %+v, %v", got, err)
+	}
+	for _, rate := range []float64{-1, math.NaN(), math.Inf(1)} {
+		m.Limits[0].State.PerSecond = rate
+		if b, err = m.Encode(); err != nil {
+			t.Fatal(err)
+		}
+		if _, err = Decode(b); err == nil {
+			t.Errorf("a limit of %v is read", rate)
+		}
+	}
+}
