test(soak): upstreams that name limits

A fault upstream-limit makes an upstream state 0.5, 2 or 5 requests a second for 5 to 9 s, with random numbers of its own, so that a seed gives the same other faults as before. The ledger checks the requests of entries that were told, by the users' bound. TestAnswerFaults and TestNew count the new fault apart from the faults of answers, whose numbers they check as before.

--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -121,6 +121,8 @@
 	// times of these crashes.
 	reaches []reach
 	crashes []time.Time
+	// limited holds the limits that each upstream has stated, in their order.
+	limited map[string][]*limitedUpstream
 }
 
 type seen struct {
@@ -319,8 +321,8 @@
 	l.findings = append(l.findings, Finding{Promise: promise, ID: id, What: fmt.Sprintf(format, args...), At: at})
 }
 
-// Findings returns all findings so far, sorted by time, including those of quotas
-// and retries over time windows and those of prompts under which engines crash.
+// Findings returns all findings so far, sorted by time, including those of quotas,
+// retries and limits over time windows and those of prompts under which engines crash.
 func (l *Ledger) Findings() []Finding {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -329,6 +331,7 @@
 	out = append(out, l.retryFindings()...)
 	out = append(out, l.crashFindings()...)
 	out = append(out, l.soundFindings()...)
+	out = append(out, l.limitFindings()...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At.Before(out[j].At) })
 	return out
 }
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -56,6 +56,9 @@
 	// PromptCrash makes requests come at any entry whose prompts have a part under which
 	// each engine that begins to answer crashes.
 	PromptCrash Kind = "prompt-crash"
+	// UpstreamLimit makes an upstream state in its answers that it takes only Variant
+	// requests a second from all entries together.
+	UpstreamLimit Kind = "upstream-limit"
 	// Configure puts a new version of the configuration in force.
 	Configure Kind = "configure"
 	// Rollout rolls out a version to a service, which is good or bad as Variant.
@@ -92,6 +95,11 @@
 	// engines crash. They come until the last faults: the bounds that they are checked
 	// against begin up to 6 s after the fifth crash.
 	maxPromptCrashDelay = time.Second
+	// meanLimitInterval is the mean time between two limits of upstreams. They last from
+	// minLimitTime to maxLimitTime, as the bound on them holds some seconds later.
+	meanLimitInterval = 8 * time.Second
+	minLimitTime      = 5 * time.Second
+	maxLimitTime      = 9 * time.Second
 	// settleTime is the time without faults at the beginning, for the start, and at the
 	// end, for the recovery.
 	settleTime = 3 * time.Second
@@ -131,6 +139,9 @@
 	{UpstreamRepeat, []string{"421", "503"}},
 }
 
+// limits are the rates that upstreams state, in requests a second.
+var limits = []string{"0.5", "2", "5"}
+
 // New draws the faults of a soak of the given length, sorted by time.
 func New(seed uint64, length time.Duration, storeFaults []string) []Fault {
 	r := rand.New(rand.NewPCG(seed, 0))
@@ -164,6 +175,7 @@
 	list = append(list, wishes(seed, length)...)
 	list = append(list, silences(seed, length)...)
 	list = append(list, promptCrashes(seed, length)...)
+	list = append(list, upstreamLimits(seed, length)...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
 	return list
 }
@@ -241,3 +253,18 @@
 	}
 	return []Fault{f}
 }
+
+// upstreamLimits draws the limits of upstreams, also with random numbers of their own. The
+// first one comes at once: few would be long enough in a short soak.
+func upstreamLimits(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 7))
+	var list []Fault
+	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanLimitInterval)) }
+	for at := settleTime; at+minLimitTime <= length-settleTime; at += next() {
+		f := newFault(r, at)
+		f.Kind, f.Variant = UpstreamLimit, limits[r.IntN(len(limits))]
+		f.Duration = min(minLimitTime+time.Duration(r.Float64()*float64(maxLimitTime-minLimitTime)), length-settleTime-at)
+		list = append(list, f)
+	}
+	return list
+}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -28,12 +28,16 @@
 				}
 				continue
 			}
-			if f.At < settleTime || f.At > time.Minute-settleTime || f.Duration < minDuration || f.Duration > maxDuration {
+			longest := maxDuration
+			if f.Kind == UpstreamLimit {
+				longest = maxLimitTime
+			}
+			if f.At < settleTime || f.At > time.Minute-settleTime || f.Duration < minDuration || f.Duration > longest {
 				t.Fatalf("seed %d: %+v", seed, f)
 			}
 		}
 	}
-	if want := len(weights) + len(answerKinds) + 5; len(kinds) != want || !overlap {
+	if want := len(weights) + len(answerKinds) + 6; len(kinds) != want || !overlap {
 		t.Errorf("%d kinds of %d, overlapping %v", len(kinds), want, overlap)
 	}
 }
@@ -46,10 +50,12 @@
 	return false
 }
 
-// withoutUpstreamEvents returns the faults of a plan that are neither silences of upstreams
-// nor crashes under a part of a prompt.
+// withoutUpstreamEvents returns the faults of a plan that are neither silences or limits of
+// upstreams nor crashes under a part of a prompt.
 func withoutUpstreamEvents(list []Fault) []Fault {
-	return slices.DeleteFunc(list, func(f Fault) bool { return f.Kind == UpstreamSilence || f.Kind == PromptCrash })
+	return slices.DeleteFunc(list, func(f Fault) bool {
+		return f.Kind == UpstreamSilence || f.Kind == UpstreamLimit || f.Kind == PromptCrash
+	})
 }
 
 // Guards against a plan without silences, and against those that no sound upstream has.
@@ -126,3 +132,24 @@
 		}
 	}
 }
+
+// Guards against a plan whose limits end before the bound on them holds.
+func TestUpstreamLimits(t *testing.T) {
+	for _, length := range []time.Duration{12 * time.Second, 20 * time.Second, time.Minute} {
+		for seed := range uint64(40) {
+			n := 0
+			for _, f := range New(seed, length, []string{"busy"}) {
+				if f.Kind != UpstreamLimit {
+					continue
+				}
+				n++
+				if f.Duration < 5*time.Second || f.At+f.Duration > length-settleTime {
+					t.Errorf("%s, seed %d: %+v", length, seed, f)
+				}
+			}
+			if n == 0 {
+				t.Errorf("%s, seed %d: no limit", length, seed)
+			}
+		}
+	}
+}
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -58,6 +58,8 @@
 		}
 	case plan.UpstreamRanRefused, plan.UpstreamRepeat, plan.UpstreamPause:
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
+	case plan.UpstreamLimit:
+		s.injectLimit(ctx, s.replicas[f.Target%len(s.replicas)], f)
 	case plan.UpstreamSilence:
 		s.injectSilence(ctx, s.replicas[f.Target%len(s.replicas)], f.Duration)
 	case plan.PromptCrash:
@@ -182,6 +184,20 @@
 	fault.Store(0)
 }
 
+// injectLimit makes a replica state a limit, unless it states one already. It is no
+// disturbance either.
+func (s *Soak) injectLimit(ctx context.Context, r *replica, f plan.Fault) {
+	perSecond, err := strconv.ParseFloat(f.Variant, 64)
+	s.logError(err)
+	s.mu.Lock()
+	answers := r.answers
+	s.mu.Unlock()
+	if answers.SetLimit(perSecond) {
+		sleep(ctx, f.Duration)
+		answers.Limit.Store(0)
+	}
+}
+
 // injectSilence makes a replica send nothing for d, also while another fault affects it,
 // but not while it is silent already: the silence would get longer. It is no disturbance
 // either.
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -147,6 +147,10 @@
 	version := r.service + "/" + r.version
 	ran := func(id, upstream, team string) { s.recordRun(version, id, upstream, team) }
 	r.server = &upstream.Upstream{ID: id, Service: r.service, Engine: r.service == engines, Slots: slots, Dialect: s.Dialect, Faulty: r.bad, Answers: answers, OnRun: ran}
+	r.server.OnArrive = func(id, upstream string) { s.ledger.Arrived(id, upstream, time.Now()) }
+	r.server.OnLimit = func(id, upstream string, perSecond float64) {
+		s.ledger.Limited(id, upstream, perSecond, time.Now())
+	}
 	r.server.OnLeaving = func(upstream string) { s.ledger.Leaving(upstream, time.Now()) }
 	r.server.OnSilence = s.ledger.Silent
 	if r.service == engines {
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -32,6 +32,8 @@
 	// two events of a stream.
 	workTime      = 15 * time.Millisecond
 	eventInterval = 20 * time.Millisecond
+	// limitUnit is the number of units of Answers.Limit in a request a second.
+	limitUnit = 1000
 	// A stream has minEvents to minEvents+eventRange-1 events.
 	minEvents  = 5
 	eventRange = 12
@@ -60,6 +62,11 @@
 	// OnSilence is called when the upstream falls silent before the end of an answer with
 	// which it will go on. It may be nil if Answers selects no silence.
 	OnSilence func(id, upstream string)
+	// OnArrive is called when a request that is meant for this upstream arrives, OnLimit
+	// when it is answered, with the limit that the answer states, 0 for none. Both may be
+	// nil.
+	OnArrive func(id, upstream string)
+	OnLimit  func(id, upstream string, perSecond float64)
 	// OnReach is called when a request with CrashPart arrives, whatever its answer. OnCrash
 	// is called once, after the head of an answer to one, and must end the upstream. Both
 	// may be nil without CrashPart.
@@ -89,6 +96,8 @@
 	// Pause is 0 or the pause in seconds that the answer to every third request asks for;
 	// the request does not run.
 	Pause atomic.Int64
+	// Limit is 0 or the limit that answers state, in thousandths of a request a second.
+	Limit atomic.Int64
 	// SilentUntil is 0 or the Unix time in nanoseconds until which nothing more is sent, of
 	// any answer. The work goes on afterwards.
 	SilentUntil atomic.Int64
@@ -99,6 +108,12 @@
 	return time.Until(time.Unix(0, a.SilentUntil.Load()))
 }
 
+// SetLimit makes further answers state a limit of requests a second. It reports false, and
+// changes nothing, if they state one already.
+func (a *Answers) SetLimit(perSecond float64) bool {
+	return a.Limit.CompareAndSwap(0, int64(perSecond*limitUnit))
+}
+
 // connection is a connection with the answer that is sent again on it, nil for none.
 // The server uses it for one request at a time.
 type connection struct {
@@ -169,6 +184,9 @@
 		x.refuse(http.StatusMisdirectedRequest)
 		return
 	}
+	if u.OnArrive != nil {
+		u.OnArrive(id, u.ID)
+	}
 	if asked%3 == 0 && x.refuseByFault(repeat) {
 		return
 	}
@@ -283,6 +301,9 @@
 	}
 	x.conn.sendAgain()
 	x.reply.Leaving = x.u.leaving.Load()
+	if status != http.StatusMisdirectedRequest {
+		x.stateLimit()
+	}
 	for k, v := range x.u.Dialect.Answer(x.reply) {
 		x.w.Header()[k] = v
 	}
@@ -292,6 +313,15 @@
 	}
 }
 
+// stateLimit adds the limit of the upstream to the answer.
+func (x *exchange) stateLimit() {
+	n := x.u.Answers.Limit.Load()
+	x.reply.Limit = ward.RateLimit{Limited: n > 0, PerSecond: float64(n) / limitUnit}
+	if x.u.OnLimit != nil {
+		x.u.OnLimit(x.reply.ID, x.u.ID, x.reply.Limit.PerSecond)
+	}
+}
+
 // refuseByFault refuses a request if Answers selects that, and reports whether it did.
 // repeat is Answers.Repeat at the request's arrival.
 func (x *exchange) refuseByFault(repeat int) bool {
--- a/internal/soak/upstream/upstream_test.go
+++ b/internal/soak/upstream/upstream_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,7 +34,41 @@
 }
 
 func (headers) Answer(r ward.ForwardReply) http.Header {
-	return http.Header{"Id": {r.ID}, "Not-Run": {fmt.Sprint(r.NotRun)}}
+	h := http.Header{"Id": {r.ID}, "Not-Run": {fmt.Sprint(r.NotRun)}}
+	if r.Limit.Limited {
+		h.Set("Limit", fmt.Sprint(r.Limit.PerSecond))
+	}
+	return h
+}
+
+// Guards against limits that are not stated, or not reported, so that the soak finds
+// nothing.
+func TestLimit(t *testing.T) {
+	var reported []float64
+	arrived := 0
+	u := &Upstream{ID: "i-1", Slots: 1, Dialect: headers{}, Answers: &Answers{}, OnRun: func(_, _, _ string) {}}
+	if err := u.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	defer u.Crash()
+	u.OnArrive = func(_, _ string) { arrived++ }
+	u.OnLimit = func(_, _ string, perSecond float64) { reported = append(reported, perSecond) }
+	get := func() string {
+		w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header = http.Header{"Id": {"r"}, "Replica": {"i-1"}}
+		u.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), connectionKey{}, &connection{})))
+		return w.Header().Get("Limit")
+	}
+	none := get()
+	if !u.Answers.SetLimit(1.7) || u.Answers.SetLimit(2) {
+		t.Error("the first limit is to be set, and the second is not")
+	}
+	named := get()
+	u.Answers.Limit.Store(0)
+	ended := get()
+	if none != "" || named != "1.7" || ended != "" || arrived != 3 || !slices.Equal(reported, []float64{0, 1.7, 0}) {
+		t.Errorf("stated %q, %q, %q, reported %v, %d arrivals", none, named, ended, reported, arrived)
+	}
 }
 
 // Guards against faults of answers that stop to happen, so that the soak finds nothing:
