--- a/internal/forward/limit/limit.go
+++ b/internal/forward/limit/limit.go
@@ -135,7 +135,7 @@
 	if r.Unknown || s.Limited == l.state.Limited && s.PerSecond == l.state.PerSecond {
 		return false
 	}
-	if sent.Before(l.since) && !(l.state.Limited && s.tighter(l.state)) {
+	if tightens := l.state.Limited && s.tighter(l.state); sent.Before(l.since) && !tightens {
 		return false
 	}
 	l.adopt(s, now)
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -9,6 +9,7 @@
 	"agateward/internal/soak/ledger"
 	"agateward/internal/soak/plan"
 	"agateward/internal/soak/proxy"
+	"agateward/internal/soak/upstream"
 
 	"github.com/sourcegraph/conc"
 )
@@ -56,10 +57,8 @@
 			s.injectEntryFault(ctx, e, f)
 			s.release(&e.busy)
 		}
-	case plan.UpstreamRanRefused, plan.UpstreamRepeat, plan.UpstreamPause:
+	case plan.UpstreamRanRefused, plan.UpstreamRepeat, plan.UpstreamPause, plan.UpstreamLimit:
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
-	case plan.UpstreamLimit:
-		s.injectLimit(ctx, s.replicas[f.Target%len(s.replicas)], f)
 	case plan.UpstreamSilence:
 		s.injectSilence(ctx, s.replicas[f.Target%len(s.replicas)], f.Duration)
 	case plan.PromptCrash:
@@ -170,6 +169,10 @@
 	s.mu.Lock()
 	answers := r.answers
 	s.mu.Unlock()
+	if f.Kind == plan.UpstreamLimit {
+		s.injectLimit(ctx, answers, f)
+		return
+	}
 	value, err := strconv.ParseInt(f.Variant, 10, 64)
 	s.logError(err)
 	fault := &answers.RanRefused
@@ -184,14 +187,10 @@
 	fault.Store(0)
 }
 
-// injectLimit makes a replica state a limit, unless it states one already. It is no
-// disturbance either.
-func (s *Soak) injectLimit(ctx context.Context, r *replica, f plan.Fault) {
+// injectLimit makes answers state a limit, unless they state one already.
+func (s *Soak) injectLimit(ctx context.Context, answers *upstream.Answers, f plan.Fault) {
 	perSecond, err := strconv.ParseFloat(f.Variant, 64)
 	s.logError(err)
-	s.mu.Lock()
-	answers := r.answers
-	s.mu.Unlock()
 	if answers.SetLimit(perSecond) {
 		sleep(ctx, f.Duration)
 		answers.Limit.Store(0)
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -184,9 +184,7 @@
 		x.refuse(http.StatusMisdirectedRequest)
 		return
 	}
-	if u.OnArrive != nil {
-		u.OnArrive(id, u.ID)
-	}
+	u.reportArrival(id)
 	if asked%3 == 0 && x.refuseByFault(repeat) {
 		return
 	}
@@ -232,6 +230,12 @@
 	x.writeBody()
 }
 
+func (u *Upstream) reportArrival(id string) {
+	if u.OnArrive != nil {
+		u.OnArrive(id, u.ID)
+	}
+}
+
 // crash begins an answer and ends the upstream, unless the request was cancelled before.
 func (x *exchange) crash() {
 	x.sleepSilence()
