fix(schedule): requests of a higher rank get the places in limits first

What callers saw: nothing yet; found by a simulation of a service whose nine engines each have a limit of 3 a second.

Cause: a holder used its places for its own requests, and granted some only when a peer's message came. And a request's wait was estimated by what left this entry's queue, which says little where others hold the limits.

Change: a holder grants a place to the first of all waiting requests that precede its own; a place that is not needed at once may be used or granted on for 0.5 s; the wait follows from the sum of the limits and all that waits.

--- a/internal/forward/limit/limit.go
+++ b/internal/forward/limit/limit.go
@@ -33,9 +33,13 @@
 	PerSecond float64 `msgpack:"r,omitempty"`
 }
 
-// maxUnused bounds the time whose unused requests may be sent later, but not below one
-// request.
-const maxUnused = 250 * time.Millisecond
+const (
+	// maxUnused bounds the time whose unused requests may be sent later, but not below one
+	// request.
+	maxUnused = 250 * time.Millisecond
+	// grantTime is the time in which a request that a peer granted may be sent.
+	grantTime = 500 * time.Millisecond
+)
 
 // tighter reports whether s allows fewer requests than o.
 func (s State) tighter(o State) bool {
@@ -51,6 +55,10 @@
 	// that it may send at the time updated.
 	part, level float64
 	updated     time.Time
+	// granted is the number of requests that peers granted and that may still be sent until
+	// grantEnd.
+	granted  int
+	grantEnd time.Time
 }
 
 // Limited reports whether there is a limit.
@@ -80,15 +88,29 @@
 		return true
 	}
 	l.refill(now)
-	return l.level >= 1
+	return l.level >= 1 || l.hasGrant(now)
 }
 
+// Grant lets this entry send one request that a peer granted, within grantTime.
+func (l *Limit) Grant(now time.Time) {
+	if !l.hasGrant(now) {
+		l.granted = 0
+	}
+	l.granted, l.grantEnd = l.granted+1, now.Add(grantTime)
+}
+
+func (l *Limit) hasGrant(now time.Time) bool { return l.granted > 0 && now.Before(l.grantEnd) }
+
 // Take counts a request that is sent now. It reports whether this entry may send it.
 func (l *Limit) Take(now time.Time) bool {
 	if !l.Allows(now) {
 		return false
 	}
-	if l.state.Limited {
+	switch {
+	case !l.state.Limited:
+	case l.hasGrant(now):
+		l.granted--
+	default:
 		l.level--
 	}
 	return true
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -111,6 +111,14 @@
 // own ones. Without it, an entry would keep refilling its slots with requests of a
 // lower rank than those waiting at other entries.
 func (s *Scheduler) grantFreed(v *service, u *upstream, now time.Time) (Action, bool) {
+	a, ok := s.grantFirst(v, u, now)
+	a.Used = ok
+	return a, ok
+}
+
+// grantFirst grants a slot of u to the peer whose waiting request precedes those of the
+// other peers, if it precedes the own ones.
+func (s *Scheduler) grantFirst(v *service, u *upstream, now time.Time) (Action, bool) {
 	if !s.mayGrant(u, now) || v.keepsForTrial(u, now) {
 		return Action{}, false
 	}
@@ -141,9 +149,7 @@
 		return Action{}, false
 	}
 	best.Count--
-	a := s.grant(u, to, now)
-	a.Used = true
-	return a, true
+	return s.grant(u, to, now), true
 }
 
 // mayGrant reports whether a slot that a request of this entry has freed may be granted.
@@ -194,8 +200,9 @@
 	if u == nil {
 		return nil
 	}
-	u.granted = true
-	defer func() { u.granted = false }()
+	if u.limited() {
+		u.said.limit.Grant(now)
+	}
 	return s.fillSlot(s.services[u.Service], u, now)
 }
 
--- a/internal/forward/schedule/limit.go
+++ b/internal/forward/schedule/limit.go
@@ -231,7 +231,7 @@
 
 // limitAllows reports whether its limit lets this entry send a request to u.
 func (u *upstream) limitAllows(now time.Time) bool {
-	return !u.limited() || u.granted || u.said.limit.Allows(now)
+	return !u.limited() || u.said.limit.Allows(now)
 }
 
 // limitWait returns the time until its limit lets this entry send a request to u. It
@@ -245,15 +245,31 @@
 
 // takeLimit counts a request to u.
 func (u *upstream) takeLimit(now time.Time) {
-	switch {
-	case !u.limited():
-	case u.granted:
-		u.granted = false
-	default:
+	if u.limited() {
 		u.said.limit.Take(now)
 	}
 }
 
+// grantLimits grants places in the limits of a service's upstreams to peers whose waiting
+// requests precede the own ones. Without it, those of the holders would be served before
+// requests of a higher rank at other entries.
+func (s *Scheduler) grantLimits(v *service, now time.Time) []Action {
+	if len(s.limits.known) == 0 {
+		return nil
+	}
+	var out []Action
+	for _, u := range v.upstreams {
+		for u.limited() && u.grantable(now) {
+			a, ok := s.grantFirst(v, u, now)
+			if !ok {
+				break
+			}
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
 // keepsForTrial reports whether this entry uses its part of u's limit only itself: at a low
 // limit a grant that is lost, or comes too late, would cost the only trial for seconds. An
 // entry without requests of its own grants it.
@@ -277,6 +293,39 @@
 	return n > 0
 }
 
+// limitRate is the sum of the limits of a service's upstreams, in requests a second, 0 if
+// at least one has none.
+func (v *service) limitRate() float64 {
+	if !v.allLimited() {
+		return 0
+	}
+	sum := 0.0
+	for _, u := range v.upstreams {
+		if !u.Draining {
+			state, _ := u.said.limit.State()
+			sum += state.PerSecond
+		}
+	}
+	return sum
+}
+
+// demandAhead counts the requests that wait at peers and precede j.
+func (s *Scheduler) demandAhead(v *service, j *Job, now time.Time) int {
+	n := 0
+	for _, p := range s.peers {
+		age := now.Sub(p.lastUpdate)
+		if age > maxDemandAge {
+			continue
+		}
+		for i := range p.state.Demand {
+			if d := &p.state.Demand[i]; d.Service == v.name && s.demandPrecedes(d, v, j, age, now) {
+				n += d.Count
+			}
+		}
+	}
+	return n
+}
+
 // LimitAllows reports whether this entry may send a request to an upstream of a group now
 // as far as limits are concerned.
 func (s *Scheduler) LimitAllows(group string, now time.Time) bool {
--- a/internal/forward/schedule/limit_test.go
+++ b/internal/forward/schedule/limit_test.go
@@ -111,6 +111,34 @@
 	}
 }
 
+// Guards against holders of limits that serve their own requests before those of a higher
+// rank at other entries, and against places in a limit that are lost on the way to a peer:
+// each engine has a limit, and the sum of the limits would serve all of the highest rank.
+func TestLimitsServeRanksInOrder(t *testing.T) {
+	const rate, load, end = 3, 42, 30 * time.Second
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			sim := newSimulation(8, 9, 6, seed)
+			used := 0
+			for i := range 9 {
+				sim.engines[engineName(i)].limit = limitBetween(rate, 0, end)
+			}
+			sim.load(load, 0, end)
+			sim.run(end)
+			for i := range 9 {
+				used += sim.between(engineName(i), 5*time.Second, end)
+			}
+			g := &sim.counts
+			if served := float64(g.onTime[0]+g.late[0]) / float64(g.requests[0]); served < 0.95 {
+				t.Errorf("%.3f of the highest rank served, %v refused", served, g.refused)
+			}
+			if all := 9 * rate * (end - 5*time.Second).Seconds(); float64(used) < 0.9*all {
+				t.Errorf("%d of %.0f places in the limits used", used, all)
+			}
+		})
+	}
+}
+
 // cellSize is the number of entries of a cell in the simulation.
 const cellSize = 12
 
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"slices"
 	"time"
 )
 
@@ -57,6 +58,17 @@
 	return state
 }
 
+// services returns the services for which requests of the peer wait.
+func (p *peer) services() []string {
+	var list []string
+	for _, d := range p.state.Demand {
+		if !slices.Contains(list, d.Service) {
+			list = append(list, d.Service)
+		}
+	}
+	return list
+}
+
 // UpdatePeer applies the state received from a peer.
 func (s *Scheduler) UpdatePeer(name string, state PeerState, now time.Time) []Action {
 	s.init()
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -122,7 +122,7 @@
 // much of its remaining time.
 func (s *Scheduler) waitsTooLong(v *service, j *Job, ahead int, now time.Time) bool {
 	left := j.Expires.Sub(now) - s.minTimeToFirst(v, j, now)
-	return left < 0 || v.expectedWait(j, s.late(v, j, now), ahead) > time.Duration(maxWaitFraction*float64(left))
+	return left < 0 || s.expectedWait(v, j, s.late(v, j, now), ahead, now) > time.Duration(maxWaitFraction*float64(left))
 }
 
 // maxIdleLoad is the fraction of slots in use below which a service counts as idle.
--- a/internal/forward/schedule/ranks.go
+++ b/internal/forward/schedule/ranks.go
@@ -108,8 +108,13 @@
 
 // expectedWait estimates how long j waits if ahead waiting jobs precede it.
 // Departures that jobs which arrive later take, since they are of a higher rank or
-// can be in time while j cannot, count as lost for j.
-func (v *service) expectedWait(j *Job, late bool, ahead int) time.Duration {
+// can be in time while j cannot, count as lost for j. If all upstreams have limits, the
+// requests of all entries leave at the sum of these.
+func (s *Scheduler) expectedWait(v *service, j *Job, late bool, ahead int, now time.Time) time.Duration {
+	interval := v.departureInterval
+	if rate := v.limitRate(); rate > 0 {
+		interval, ahead = 1/rate, ahead+s.demandAhead(v, j, now)
+	}
 	taken := 0.0
 	for r, c := range v.ranks {
 		if rankLess(r, j.Rank) {
@@ -118,7 +123,7 @@
 			taken += c.share
 		}
 	}
-	seconds := float64(ahead) * v.departureInterval / (1 - min(taken, maxTakenShare))
+	seconds := float64(ahead) * interval / (1 - min(taken, maxTakenShare))
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -221,10 +221,10 @@
 // dispatchService dispatches waiting jobs in order. A job that has to wait does not
 // block those behind it.
 func (s *Scheduler) dispatchService(v *service, now time.Time) []Action {
-	var out []Action
 	kept := v.queue[:0]
 	full := false
 	s.sortQueue(v, now)
+	out := s.grantLimits(v, now)
 	for i, j := range v.queue {
 		if s.outlastsStop(v, j, now) {
 			out = append(out, s.refuse(v, j, ReasonStopping, now))
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -122,6 +122,11 @@
 		return nil
 	}
 	var out []Action
+	for _, service := range p.services() {
+		if v := s.services[service]; v != nil {
+			out = append(out, s.grantLimits(v, now)...)
+		}
+	}
 	for i := range p.state.Demand {
 		d := &p.state.Demand[i]
 		v := s.services[d.Service]
@@ -129,7 +134,7 @@
 			continue
 		}
 		for _, u := range v.upstreams {
-			for d.Count > 0 && u.grantable(now) && !v.keepsForTrial(u, now) {
+			for d.Count > 0 && !u.limited() && u.grantable(now) {
 				d.Count--
 				out = append(out, s.grant(u, name, now))
 			}
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -59,9 +59,8 @@
 	// one slot is kept for this entry's waiting jobs.
 	assigned int
 	reserved bool
-	// granted is true while a peer's grant lets this entry send one request whatever the
-	// upstream's limit. held is true for an upstream of another cell with a limit.
-	granted, held bool
+	// held is true for an upstream of another cell of which this entry holds a limit.
+	held bool
 	// ownLoad and peerLoad count the running requests of this entry and of its peers.
 	ownLoad, peerLoad int
 	// pendingGrants counts the granted slots that the receiver's state does not show
