fix(schedule): entries of a cell divide slots without upstreams of other cells

An entry that holds the limit of another cell's upstream has it in its list, and counted its slots when the slots of the cell were dealt out in turn, so entries of one cell disagreed: in a simulation of 60 entries engines of 6 slots had 4 or 8 assigned (TestSlotsBesideHeldLimit, which failed before). Such upstreams are left out of the division. Only fleets with cells, and only while limits are named, are concerned.

--- a/internal/forward/schedule/limit.go
+++ b/internal/forward/schedule/limit.go
@@ -199,6 +199,9 @@
 // divideLimits sets this entry's part of each limit. In a fleet that is divided into cells
 // an entry also uses the upstreams of other cells whose limits it holds.
 func (s *Scheduler) divideLimits(now time.Time) {
+	if len(s.limits.known) == 0 {
+		return
+	}
 	f := s.limitFleet(now)
 	s.limits.fleet, s.limits.fleetNames = f, strings.Join(f.Entries, " ")
 	for id, st := range s.limits.known {
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -89,6 +89,9 @@
 		slot := 0
 		for _, u := range v.upstreams {
 			u.assigned = 0
+			if u.held {
+				continue // the other entries of the cell don't have it
+			}
 			for range u.Slots {
 				if slot%len(s.entries) == self {
 					u.assigned++
