--- a/internal/forward/schedule/limit.go
+++ b/internal/forward/schedule/limit.go
@@ -253,7 +253,7 @@
 	}
 }
 
-// grantLimits grants places in the limits of a service's upstreams to peers whose waiting
+// grantLimits grants permits of the limits of a service's upstreams to peers whose waiting
 // requests precede the own ones. Without it, those of the holders would be served before
 // requests of a higher rank at other entries.
 func (s *Scheduler) grantLimits(v *service, now time.Time) []Action {
--- a/internal/forward/schedule/limit_test.go
+++ b/internal/forward/schedule/limit_test.go
@@ -112,7 +112,7 @@
 }
 
 // Guards against holders of limits that serve their own requests before those of a higher
-// rank at other entries, and against places in a limit that are lost on the way to a peer:
+// rank at other entries, and against permits of a limit that are lost on the way to a peer:
 // each engine has a limit, and the sum of the limits would serve all of the highest rank.
 func TestLimitsServeRanksInOrder(t *testing.T) {
 	const rate, load, end = 3, 42, 30 * time.Second
@@ -133,7 +133,7 @@
 				t.Errorf("%.3f of the highest rank served, %v refused", served, g.refused)
 			}
 			if all := 9 * rate * (end - 5*time.Second).Seconds(); float64(used) < 0.9*all {
-				t.Errorf("%d of %.0f places in the limits used", used, all)
+				t.Errorf("%d of %.0f permits used", used, all)
 			}
 		})
 	}
--- a/internal/forward/schedule/pause.go
+++ b/internal/forward/schedule/pause.go
@@ -109,7 +109,7 @@
 
 // MaySend reports whether a dispatch that was not written yet may still be written. If
 // not, its upstream has said since that it wants no requests, or named a limit in which
-// there is no place for it; the job is to be ended by Done and to arrive anew.
+// there is no permit for it; the job is to be ended by Done and to arrive anew.
 func (s *Scheduler) MaySend(id uint64, now time.Time) bool {
 	r := s.jobs[id]
 	if r == nil {
