--- a/internal/forward/schedule/limit_slots_test.go
+++ b/internal/forward/schedule/limit_slots_test.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -60,3 +61,46 @@
 		}
 	}
 }
+
+// Guards against limits that do not hold in a fleet with cells if messages are lost or late
+// and entries freeze.
+func TestLimitInDisturbedFleetWithCells(t *testing.T) {
+	const (
+		entries, engines, limited = 60, 30, 6
+		rate                      = 2.0
+		from, to                  = time.Second, 12 * time.Second
+		loss                      = 0.3
+		maxDelay                  = 200 * time.Millisecond
+		freezes, frozenFor        = 5, 3 * time.Second
+	)
+	for seed := range uint64(2) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		sim := newFleetWithCells(entries, engines, seed)
+		for i := range limited {
+			sim.engines[engineName(i)].limit = limitBetween(rate, from, to)
+		}
+		sim.deliver = func(int, int) []time.Duration {
+			if r.Float64() < loss {
+				return nil
+			}
+			return []time.Duration{time.Duration(r.Float64() * float64(maxDelay))}
+		}
+		for k := range freezes {
+			i := r.IntN(entries)
+			sim.after(time.Duration(2+2*k)*time.Second, func(now time.Time) { sim.frozen[i] = now.Add(frozenFor) })
+		}
+		sim.load(300, 0, to)
+		sim.run(to)
+		for i := range limited {
+			id := engineName(i)
+			if n := sim.excess(id, rate, from, to); n > 0 {
+				t.Errorf("seed %d: %s with a limit of %v a second got %d requests too many in %v", seed, id, rate, n, limitWindow)
+			}
+			for k, s := range sim.entries {
+				if !s.byID[id].limited() {
+					t.Errorf("seed %d: entry %d doesn't know the limit of %s", seed, k, id)
+				}
+			}
+		}
+	}
+}
