--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -89,7 +89,7 @@
 		}
 		head.PromptTokens, head.MaxOutput, head.HasTokens = int(a), int(b), true
 	}
-	head.Parts = header.SharedParts(h.Values(fieldParts))
+	head.Parts, head.Prompt = header.SharedParts(h.Values(fieldParts)), strings.Join(h.Values(fieldParts), ",")
 	return head, nil
 }
 
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -200,7 +200,7 @@
 	} else {
 		c.finishAttempt(a, schedule.OutcomeFailed)
 	}
-	c.log.Info("answer-broken", "upstream", a.Upstream.ID, "born", a.Upstream.Born, "error", err.Error(), "events", c.events, "parts", partsText(c.head.Parts), "last-event", c.lastEvent, "elapsed", time.Since(c.arrived))
+	c.log.Info("answer-broken", "upstream", a.Upstream.ID, "born", a.Upstream.Born, "error", err.Error(), "events", c.events, "digest", c.digestText(), "parts", partsText(c.head.Parts), "last-event", c.lastEvent, "elapsed", time.Since(c.arrived))
 	if errors.Is(silent, errMoved) {
 		return false
 	}
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -286,7 +286,7 @@
 	default:
 		c.finishAttempt(a, schedule.OutcomeUnreachable)
 	}
-	c.log.Info("attempt-failed", "upstream", a.Upstream.ID, "born", a.Upstream.Born, "sent", sent, "parts", partsText(c.head.Parts), "error", err.Error(), "elapsed", time.Since(c.arrived))
+	c.log.Info("attempt-failed", "upstream", a.Upstream.ID, "born", a.Upstream.Born, "sent", sent, "digest", c.digestText(), "parts", partsText(c.head.Parts), "error", err.Error(), "elapsed", time.Since(c.arrived))
 	c.tried = append(c.tried, a.Upstream.ID)
 	if !sent {
 		c.connectFailures++
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -35,6 +35,8 @@
 	group string
 	body  []byte
 	size  float64
+	// digests identify the request by its content, once they are needed.
+	digests []uint64
 	// deadline follows from the caller's timeout and the route's; zero means none.
 	deadline time.Time
 	// progress cancels a request without a deadline, nil for the others.
--- a/internal/forward/gate/prompt.go
+++ b/internal/forward/gate/prompt.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"agateward/internal/forward/digest"
 	"agateward/internal/forward/poison"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
@@ -195,6 +196,24 @@
 	return ctx.Err() == nil && (errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE))
 }
 
+// contentDigests returns the digests of the request, the most specific one last.
+func (c *call) contentDigests() []uint64 {
+	if c.digests == nil {
+		r := digest.Request{Method: c.r.Method, Host: c.r.Host, Target: c.requestTarget(), Prompt: c.head.Prompt, Body: c.body}
+		if c.team != nil {
+			r.Team = c.team.Name
+		}
+		c.digests = r.Sums()
+	}
+	return c.digests
+}
+
+// digestText returns the most specific digest of the request for a log line.
+func (c *call) digestText() string {
+	list := c.contentDigests()
+	return strconv.FormatUint(list[len(list)-1], 16)
+}
+
 // sharedParts returns the ids of the shared parts of the prompt, each once.
 func (c *call) sharedParts() []uint64 {
 	var ids []uint64
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -152,6 +152,8 @@
 	// Parts lists the parts of the prompt that other requests may share, in order: all
 	// but the last.
 	Parts []PromptPart
+	// Prompt is the list of all parts of the prompt as the caller sent it, "" for none.
+	Prompt string
 	// LastEvent is the id of the last event that the caller has received, -1 for
 	// none.
 	LastEvent int64
