--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -55,7 +55,7 @@
 	// parts holds the ids of the shared parts of the prompt. trial lists those of which
 	// the current attempt tries whether upstreams still crash under them.
 	parts []uint64
-	trial []poison.Part
+	trial []poison.Suspect
 	// crashed is true when the current attempt ended with its upstream's connection.
 	crashed bool
 	// events counts the events of the current attempt.
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -71,7 +71,7 @@
 	// entry. PromptsChanged requests a broadcast of what is known of parts of prompts,
 	// unless it is nil. Neither may block.
 	Fleet          func() split.Fleet
-	PromptsChanged func(parts []poison.Part)
+	PromptsChanged func(parts []poison.Suspect)
 	// LimitsChanged requests a broadcast of the limits of upstreams, unless it is nil. It
 	// must not block.
 	LimitsChanged func(list []schedule.LimitReport)
--- a/internal/forward/gate/prompt.go
+++ b/internal/forward/gate/prompt.go
@@ -85,9 +85,9 @@
 
 // refusePrompt answers a request with a blocked part.
 func (c *call) refusePrompt(v poison.Verdict) {
-	part := strconv.FormatUint(v.Part.ID, 16)
+	part := strconv.FormatUint(v.Suspect.ID, 16)
 	c.gate.Metrics.promptRefused()
-	reason := fmt.Sprintf("%d upstreams of version %s crashed under part %s of the prompt", v.Count, v.Part.Version, part)
+	reason := fmt.Sprintf("%d upstreams of version %s crashed under part %s of the prompt", v.Count, v.Suspect.Version, part)
 	if c.started || c.mayHaveRun || c.fallback != nil {
 		c.noRetry = noRetryPrompt
 		c.fail(code.UpstreamFailed, reason)
@@ -143,7 +143,7 @@
 }
 
 // promptsChanged logs and broadcasts news of parts. The caller must hold mu of the gate.
-func (c *call) promptsChanged(event string, a schedule.Action, parts []poison.Part) {
+func (c *call) promptsChanged(event string, a schedule.Action, parts []poison.Suspect) {
 	for _, p := range parts {
 		c.log.Info(event, "part", strconv.FormatUint(p.ID, 16), "service", p.Service, "version", p.Version, "crashes", c.gate.prompts.Count(p),
 			"upstream", a.Upstream.ID, "born", a.Upstream.Born, "source", sourceAnswer)
@@ -152,7 +152,7 @@
 }
 
 // announcePrompts hands news of parts to the broadcast. The caller must hold mu.
-func (g *Gate) announcePrompts(parts []poison.Part) {
+func (g *Gate) announcePrompts(parts []poison.Suspect) {
 	if len(parts) == 0 || g.PromptsChanged == nil {
 		return
 	}
@@ -161,7 +161,7 @@
 
 // PromptReports returns what is known of the given parts, of the most suspect ones if
 // parts is nil.
-func (g *Gate) PromptReports(parts []poison.Part) []poison.Report {
+func (g *Gate) PromptReports(parts []poison.Suspect) []poison.Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if parts == nil {
--- a/internal/forward/node/news.go
+++ b/internal/forward/node/news.go
@@ -31,7 +31,7 @@
 // news holds what other entries of the fleet are to hear.
 type news struct {
 	mu     sync.Mutex
-	parts  []poison.Part
+	parts  []poison.Suspect
 	limits map[schedule.Identity]schedule.LimitReport
 	// now requests an early message.
 	now chan struct{}
@@ -46,7 +46,7 @@
 }
 
 // take returns what is to be told and forgets it.
-func (w *news) take() (parts []poison.Part, limits []schedule.LimitReport) {
+func (w *news) take() (parts []poison.Suspect, limits []schedule.LimitReport) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	parts, limits = w.parts, slices.Collect(maps.Values(w.limits))
@@ -55,7 +55,7 @@
 }
 
 // promptsChanged requests a message about parts of prompts.
-func (n *Node) promptsChanged(parts []poison.Part) {
+func (n *Node) promptsChanged(parts []poison.Suspect) {
 	n.news.mu.Lock()
 	defer n.news.mu.Unlock()
 	for _, p := range parts {
--- a/internal/forward/poison/answers.go
+++ b/internal/forward/poison/answers.go
@@ -5,21 +5,21 @@
 // answers holds when parts were last answered completely. Of the many parts of a day it
 // keeps the ones that were answered last.
 type answers struct {
-	recent, older map[Part]time.Time
+	recent, older map[Suspect]time.Time
 }
 
-func (a *answers) set(p Part, at time.Time) {
+func (a *answers) set(p Suspect, at time.Time) {
 	if len(a.recent) >= maxAnswered/2 {
 		a.recent, a.older = nil, a.recent
 	}
 	if a.recent == nil {
-		a.recent = make(map[Part]time.Time)
+		a.recent = make(map[Suspect]time.Time)
 	}
 	a.recent[p] = at
 }
 
 // at returns when a part was last answered, the zero time for never.
-func (a *answers) at(p Part) time.Time {
+func (a *answers) at(p Suspect) time.Time {
 	if at, ok := a.recent[p]; ok {
 		return at
 	}
--- a/internal/forward/poison/check.go
+++ b/internal/forward/poison/check.go
@@ -10,11 +10,11 @@
 // Check decides whether a request with the given parts may be sent to a target.
 func (t *Tracker) Check(to Target, parts []uint64, f Fleet, now time.Time) Verdict {
 	var v Verdict
-	if len(t.parts) == 0 {
+	if len(t.records) == 0 {
 		return v
 	}
 	for _, id := range parts {
-		p := Part{to, id}
+		p := Suspect{to, id}
 		n, last := t.blocked(p, now)
 		if n == 0 {
 			continue
@@ -25,7 +25,7 @@
 			continue
 		}
 		if !v.Blocked || wait > v.RetryAfter {
-			v.Blocked, v.Part, v.Count, v.RetryAfter = true, p, n, wait
+			v.Blocked, v.Suspect, v.Count, v.RetryAfter = true, p, n, wait
 		}
 	}
 	if v.Blocked {
@@ -49,7 +49,7 @@
 // MayRepeat reports whether a request with the given parts may be sent again after its
 // upstream crashed.
 func (t *Tracker) MayRepeat(service string, parts []uint64) bool {
-	for p, r := range t.parts {
+	for p, r := range t.records {
 		if p.Service == service && r.count >= repeatCrashes && slices.Contains(parts, p.ID) && !t.explained(p, r) {
 			return false
 		}
@@ -58,8 +58,8 @@
 }
 
 // Count returns the number of crashes under a part that count.
-func (t *Tracker) Count(p Part) int {
-	if r := t.parts[p]; r != nil {
+func (t *Tracker) Count(p Suspect) int {
+	if r := t.records[p]; r != nil {
 		return r.count
 	}
 	return 0
@@ -68,8 +68,8 @@
 // blocked returns the crashes of a part and the time of the last one that bars its
 // requests from a target, 0 if none does. A part that crashes one version of a service
 // is barred from the others too, until they have answered it.
-func (t *Tracker) blocked(p Part, now time.Time) (n int, last time.Time) {
-	own := t.parts[p]
+func (t *Tracker) blocked(p Suspect, now time.Time) (n int, last time.Time) {
+	own := t.records[p]
 	if own != nil && own.count >= blockCrashes && now.Sub(own.last) < blockTTL {
 		if t.explained(p, own) {
 			return 0, last
@@ -79,7 +79,7 @@
 	if !t.answered.at(p).IsZero() {
 		return 0, last
 	}
-	for other, r := range t.parts {
+	for other, r := range t.records {
 		if other.ID == p.ID && other.Service == p.Service && r.count >= blockCrashes && now.Sub(r.last) < blockTTL && !t.explained(other, r) {
 			n = max(n, r.count)
 			if own != nil {
@@ -96,11 +96,11 @@
 // explained reports whether another part explains the crashes of a part that was
 // answered before: one that never was, and that was there in all of them but one at
 // most.
-func (t *Tracker) explained(p Part, r *record) bool {
+func (t *Tracker) explained(p Suspect, r *record) bool {
 	if t.answered.at(p).IsZero() {
 		return false
 	}
-	for other, o := range t.parts {
+	for other, o := range t.records {
 		if other == p || other.Target != p.Target || o.count < repeatCrashes || !t.answered.at(other).IsZero() {
 			continue
 		}
@@ -118,8 +118,8 @@
 }
 
 // untilTrial returns the time until this entry may try a part with n crashes.
-func (t *Tracker) untilTrial(p Part, n int, last time.Time, f Fleet, now time.Time) time.Duration {
-	if r := t.parts[p]; r != nil && !r.trial.IsZero() && now.Sub(r.trial) < trialTimeout {
+func (t *Tracker) untilTrial(p Suspect, n int, last time.Time, f Fleet, now time.Time) time.Duration {
+	if r := t.records[p]; r != nil && !r.trial.IsZero() && now.Sub(r.trial) < trialTimeout {
 		return trialTimeout - now.Sub(r.trial)
 	}
 	delay := maxTrial
@@ -139,7 +139,7 @@
 }
 
 // hash spreads the first turns to try parts over the entries.
-func (p Part) hash() uint64 {
+func (p Suspect) hash() uint64 {
 	h := fnv.New64a()
 	for _, s := range []string{p.Service, p.Version, strconv.FormatUint(p.ID, 16)} {
 		// Write of a hash returns no error.
@@ -149,13 +149,13 @@
 }
 
 // Blocked returns the parts that are blocked now, sorted by ID.
-func (t *Tracker) Blocked(now time.Time) []Part {
-	var list []Part
-	for p := range t.parts {
+func (t *Tracker) Blocked(now time.Time) []Suspect {
+	var list []Suspect
+	for p := range t.records {
 		if n, _ := t.blocked(p, now); n > 0 {
 			list = append(list, p)
 		}
 	}
-	slices.SortFunc(list, comparePart)
+	slices.SortFunc(list, compareSuspects)
 	return list
 }
--- a/internal/forward/poison/exchange.go
+++ b/internal/forward/poison/exchange.go
@@ -15,32 +15,32 @@
 // Reports returns what is known of the most suspect parts, for a message to other
 // entries.
 func (t *Tracker) Reports(now time.Time) []Report {
-	list := make([]Part, 0, len(t.parts))
-	for p, r := range t.parts {
+	list := make([]Suspect, 0, len(t.records))
+	for p, r := range t.records {
 		if now.Sub(r.last) > r.ttl() {
-			delete(t.parts, p)
+			delete(t.records, p)
 			continue
 		}
 		list = append(list, p)
 	}
-	slices.SortFunc(list, func(a, b Part) int {
-		ra, rb := t.parts[a], t.parts[b]
-		return cmp.Or(cmp.Compare(rb.count, ra.count), rb.last.Compare(ra.last), comparePart(a, b))
+	slices.SortFunc(list, func(a, b Suspect) int {
+		ra, rb := t.records[a], t.records[b]
+		return cmp.Or(cmp.Compare(rb.count, ra.count), rb.last.Compare(ra.last), compareSuspects(a, b))
 	})
 	return t.ReportsOf(list, now)
 }
 
 // ReportsOf returns what is known of the given parts, as many as a message holds.
-func (t *Tracker) ReportsOf(parts []Part, now time.Time) []Report {
+func (t *Tracker) ReportsOf(parts []Suspect, now time.Time) []Report {
 	var out []Report
 	crashes := 0
 	for _, p := range parts {
-		r := t.parts[p]
+		r := t.records[p]
 		if r == nil || len(out) >= maxReports || crashes+len(r.crashes) > maxReportedCrashes {
 			continue
 		}
 		crashes += len(r.crashes)
-		report := Report{Part: p, Count: r.count, AnsweredAge: -1, TargetAge: -1}
+		report := Report{Suspect: p, Count: r.count, AnsweredAge: -1, TargetAge: -1}
 		if times := t.answerTimes[p.Target]; len(times) > 0 {
 			report.TargetAge = now.Sub(times[len(times)-1]).Milliseconds()
 		}
@@ -60,25 +60,25 @@
 
 // Merge takes over the reports of another entry. It returns the parts of which
 // something new is known.
-func (t *Tracker) Merge(reports []Report, now time.Time) []Part {
+func (t *Tracker) Merge(reports []Report, now time.Time) []Suspect {
 	t.init()
-	var changed []Part
+	var changed []Suspect
 	for _, report := range reports[:min(len(reports), maxReports)] {
 		if t.merge(report, now) {
-			changed = append(changed, report.Part)
+			changed = append(changed, report.Suspect)
 		}
 	}
 	return changed
 }
 
 func (t *Tracker) merge(report Report, now time.Time) bool {
-	if t.parts[report.Part] == nil && len(report.Crashes) == 0 {
-		if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && t.answered.at(report.Part).IsZero() {
-			t.answered.set(report.Part, at)
+	if t.records[report.Suspect] == nil && len(report.Crashes) == 0 {
+		if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && t.answered.at(report.Suspect).IsZero() {
+			t.answered.set(report.Suspect, at)
 		}
 		return false
 	}
-	r := t.record(report.Part, now)
+	r := t.record(report.Suspect, now)
 	if r == nil {
 		return false
 	}
@@ -88,12 +88,12 @@
 		t.recordAnswer(report.Target, age(now, report.TargetAge).Add(-maxAgeError))
 	}
 	changed := false
-	if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && at.After(t.answered.at(report.Part).Add(maxAgeError)) {
-		changed = t.clear(report.Part, r, at)
+	if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && at.After(t.answered.at(report.Suspect).Add(maxAgeError)) {
+		changed = t.clear(report.Suspect, r, at)
 	}
 	shared := 0
 	for _, c := range report.Crashes[:min(len(report.Crashes), maxCrashes)] {
-		changed = t.add(report.Part, r, c.Process, age(now, c.Age)) || changed
+		changed = t.add(report.Suspect, r, c.Process, age(now, c.Age)) || changed
 		if _, ok := r.crashes[c.Process]; ok {
 			shared++
 		}
@@ -109,7 +109,7 @@
 const maxAgeError = 500 * time.Millisecond
 
 // clear removes the crashes before an answer and reports whether there were any.
-func (t *Tracker) clear(p Part, r *record, at time.Time) bool {
+func (t *Tracker) clear(p Suspect, r *record, at time.Time) bool {
 	t.answered.set(p, at)
 	n := len(r.crashes)
 	r.clear(at)
@@ -126,6 +126,6 @@
 	return now.Add(-time.Duration(min(max(ms, 0), blockTTL.Milliseconds())) * time.Millisecond)
 }
 
-func comparePart(a, b Part) int {
+func compareSuspects(a, b Suspect) int {
 	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
 }
--- a/internal/forward/poison/fleet_test.go
+++ b/internal/forward/poison/fleet_test.go
@@ -39,7 +39,7 @@
 	bad                bool
 	sends              int
 	to                 Target
-	trial              []Part
+	trial              []Suspect
 	// begun and end are when the upstream has begun to answer and when it ends.
 	begun, end time.Time
 	told       bool // the entry has seen that the answer began
@@ -59,7 +59,7 @@
 	tracker     Tracker
 	incarnation int
 	started     time.Time
-	changed     []Part
+	changed     []Suspect
 	news        time.Time
 	next        time.Time
 }
@@ -226,7 +226,7 @@
 	f.entries[i] = &simEntry{incarnation: f.entries[i].incarnation + 1, started: f.now, next: f.now.Add(regularInterval)}
 }
 
-func (f *simFleet) changed(e *simEntry, parts []Part) {
+func (f *simFleet) changed(e *simEntry, parts []Suspect) {
 	e.changed = append(e.changed, parts...)
 }
 
@@ -271,7 +271,7 @@
 	switch {
 	case len(e.changed) > 0:
 		e.news = f.now
-		slices.SortFunc(e.changed, comparePart)
+		slices.SortFunc(e.changed, compareSuspects)
 		f.post(i, e.tracker.ReportsOf(slices.Compact(e.changed), f.now), newsTargets)
 		e.changed = nil
 	case !f.now.Before(e.next):
--- a/internal/forward/poison/poison.go
+++ b/internal/forward/poison/poison.go
@@ -51,9 +51,9 @@
 	// suspectTTL and blockTTL are how long a part is remembered after its last crash.
 	suspectTTL = 10 * time.Minute
 	blockTTL   = 2 * maxTrial
-	// maxParts bounds the remembered parts, maxAnswered the parts that are known to have
+	// maxSuspects bounds the remembered parts, maxAnswered the parts that are known to have
 	// been answered.
-	maxParts    = 512
+	maxSuspects    = 512
 	maxAnswered = 8192
 	// minAnswerGap is the least time between two answers of a version that are
 	// remembered, maxAnswerTimes their number.
@@ -76,8 +76,8 @@
 	Version string `msgpack:"v"`
 }
 
-// Part is a part of the prompts sent to a target.
-type Part struct {
+// Suspect is a part of the prompts sent to a target.
+type Suspect struct {
 	Target
 	ID uint64 `msgpack:"p"`
 }
@@ -91,7 +91,7 @@
 
 // Report is what an entry knows of a part.
 type Report struct {
-	Part
+	Suspect
 	// Crashes lists the crashes since the part was last answered, Count how many of them
 	// count.
 	Crashes []Crash `msgpack:"c,omitempty"`
@@ -109,19 +109,19 @@
 
 // Verdict is the decision on a request.
 type Verdict struct {
-	// Blocked is true if the request must not be sent. Part is then the reason, Count the
+	// Blocked is true if the request must not be sent. Suspect is then the reason, Count the
 	// number of its crashes and RetryAfter the time until it may be tried.
 	Blocked    bool
-	Part       Part
+	Suspect       Suspect
 	Count      int
 	RetryAfter time.Duration
 	// Trial lists the blocked parts that the request tries.
-	Trial []Part
+	Trial []Suspect
 }
 
 // Tracker holds what an entry knows of parts. Its zero value is ready to use.
 type Tracker struct {
-	parts    map[Part]*record
+	records  map[Suspect]*record
 	answered answers
 	// answerTimes holds when a target gave whole answers or began one, oldest first.
 	answerTimes map[Target][]time.Time
@@ -142,18 +142,18 @@
 }
 
 func (t *Tracker) init() {
-	if t.parts == nil {
-		t.parts, t.answerTimes = make(map[Part]*record), make(map[Target][]time.Time)
+	if t.records == nil {
+		t.records, t.answerTimes = make(map[Suspect]*record), make(map[Target][]time.Time)
 	}
 }
 
 // Crashed records that a process of an upstream ended before it began to answer a
 // request with the given parts. It returns the parts of which something new is known.
-func (t *Tracker) Crashed(to Target, process schedule.Identity, parts []uint64, now time.Time) []Part {
+func (t *Tracker) Crashed(to Target, process schedule.Identity, parts []uint64, now time.Time) []Suspect {
 	t.init()
-	var changed []Part
+	var changed []Suspect
 	for _, id := range parts {
-		p := Part{to, id}
+		p := Suspect{to, id}
 		r := t.record(p, now)
 		if r == nil {
 			continue
@@ -174,14 +174,14 @@
 
 // Answered records a whole answer to a request with the given parts. It returns the
 // parts that it cleared.
-func (t *Tracker) Answered(to Target, parts []uint64, now time.Time) []Part {
+func (t *Tracker) Answered(to Target, parts []uint64, now time.Time) []Suspect {
 	t.init()
 	t.recordAnswer(to, now)
-	var cleared []Part
+	var cleared []Suspect
 	for _, id := range parts {
-		p := Part{to, id}
+		p := Suspect{to, id}
 		t.answered.set(p, now)
-		if r := t.parts[p]; r != nil && (len(r.crashes) > 0 || !r.trial.IsZero()) {
+		if r := t.records[p]; r != nil && (len(r.crashes) > 0 || !r.trial.IsZero()) {
 			r.clear(now)
 			r.count, r.last, r.trial = 0, now, time.Time{}
 			cleared = append(cleared, p)
@@ -217,9 +217,9 @@
 
 // Abandon ends a trial without an outcome. If the request was sent, the next one waits as
 // after a crash.
-func (t *Tracker) Abandon(parts []Part, sent bool, now time.Time) {
+func (t *Tracker) Abandon(parts []Suspect, sent bool, now time.Time) {
 	for _, p := range parts {
-		r := t.parts[p]
+		r := t.records[p]
 		if r == nil || r.trial.IsZero() {
 			continue
 		}
@@ -232,35 +232,35 @@
 
 // record returns the record of a part, a new one if there is none, or nil if too many
 // parts are known that are at least as suspect.
-func (t *Tracker) record(p Part, now time.Time) *record {
-	if r := t.parts[p]; r != nil {
+func (t *Tracker) record(p Suspect, now time.Time) *record {
+	if r := t.records[p]; r != nil {
 		return r
 	}
-	if len(t.parts) >= maxParts && !t.evict(now) {
+	if len(t.records) >= maxSuspects && !t.evict(now) {
 		return nil
 	}
 	r := &record{crashes: make(map[schedule.Identity]time.Time), last: now}
-	t.parts[p] = r
+	t.records[p] = r
 	return r
 }
 
 // evict makes room for a part: it drops those that have expired, or else the oldest with
 // at most one crash.
 func (t *Tracker) evict(now time.Time) bool {
-	n := len(t.parts)
-	var oldest *Part
-	for p, r := range t.parts {
+	n := len(t.records)
+	var oldest *Suspect
+	for p, r := range t.records {
 		switch {
 		case now.Sub(r.last) > r.ttl():
-			delete(t.parts, p)
-		case r.count <= 1 && (oldest == nil || r.last.Before(t.parts[*oldest].last)):
+			delete(t.records, p)
+		case r.count <= 1 && (oldest == nil || r.last.Before(t.records[*oldest].last)):
 			oldest = &p
 		}
 	}
-	if len(t.parts) == n && oldest != nil {
-		delete(t.parts, *oldest)
+	if len(t.records) == n && oldest != nil {
+		delete(t.records, *oldest)
 	}
-	return len(t.parts) < n
+	return len(t.records) < n
 }
 
 func (r *record) ttl() time.Duration {
@@ -271,7 +271,7 @@
 }
 
 // add adds a crash to a record and reports whether it is new.
-func (t *Tracker) add(p Part, r *record, process schedule.Identity, at time.Time) bool {
+func (t *Tracker) add(p Suspect, r *record, process schedule.Identity, at time.Time) bool {
 	if _, known := r.crashes[process]; known || slices.Contains(r.dropped, process) {
 		return false
 	}
@@ -298,7 +298,7 @@
 
 // replaceable returns the crash that a newer one replaces: the oldest that does not count,
 // or else the oldest.
-func (t *Tracker) replaceable(p Part, r *record) schedule.Identity {
+func (t *Tracker) replaceable(p Suspect, r *record) schedule.Identity {
 	list, counted := r.sorted(), t.counted(p, r)
 	for _, id := range list {
 		if !slices.Contains(counted, id) {
@@ -333,11 +333,11 @@
 }
 
 // countOf returns the number of crashes of a record that count.
-func (t *Tracker) countOf(p Part, r *record) int { return len(t.counted(p, r)) }
+func (t *Tracker) countOf(p Suspect, r *record) int { return len(t.counted(p, r)) }
 
 // counted returns the crashes of a record of which each has an answer of the target, or
 // togetherTime, between it and the one counted before.
-func (t *Tracker) counted(p Part, r *record) []schedule.Identity {
+func (t *Tracker) counted(p Suspect, r *record) []schedule.Identity {
 	var list []schedule.Identity
 	var last time.Time
 	minGap := minCrashGap
--- a/internal/forward/poison/poison_test.go
+++ b/internal/forward/poison/poison_test.go
@@ -33,14 +33,14 @@
 	b.Answered(v1, []uint64{firstPart}, now.Add(100*time.Millisecond))
 	now = now.Add(400 * time.Millisecond)
 	b.Merge(late, now)
-	if n := b.Count(Part{v1, firstPart}); n != 0 {
+	if n := b.Count(Suspect{v1, firstPart}); n != 0 {
 		t.Errorf("%d crashes count after an answer, want 0", n)
 	}
 	var c Tracker
 	c.Answered(v1, []uint64{firstPart}, now)
 	c.Merge(late, now.Add(-time.Millisecond)) // the crashes are from before the answer
 	c.Merge(late, now.Add(300*time.Millisecond))
-	if n := c.Count(Part{v1, firstPart}); n != 0 {
+	if n := c.Count(Suspect{v1, firstPart}); n != 0 {
 		t.Errorf("%d crashes from before an answer count, want 0", n)
 	}
 }
@@ -48,8 +48,8 @@
 // Guards against a report whose count has no crashes behind it.
 func TestReportedCountNeedsItsCrashes(t *testing.T) {
 	var a Tracker
-	p := Part{v1, firstPart}
-	a.Merge([]Report{{Part: p, Count: 8, Crashes: []Crash{{Process: process(1)}}, AnsweredAge: -1, TargetAge: -1}}, start)
+	p := Suspect{v1, firstPart}
+	a.Merge([]Report{{Suspect: p, Count: 8, Crashes: []Crash{{Process: process(1)}}, AnsweredAge: -1, TargetAge: -1}}, start)
 	if n := a.Count(p); n != 1 {
 		t.Errorf("%d crashes count after a report of one, want 1", n)
 	}
@@ -86,7 +86,7 @@
 // part: the others of a rack answer meanwhile, and reports of answers from before arrive
 // between those of the crashes.
 func TestUpstreamsThatEndTogetherAreOneCrash(t *testing.T) {
-	p := Part{v1, firstPart}
+	p := Suspect{v1, firstPart}
 	var rack, late Tracker
 	rack.Answered(v1, []uint64{firstPart}, start)
 	late.Answered(v1, []uint64{firstPart}, start)
@@ -96,7 +96,7 @@
 		rack.Answered(v1, []uint64{middlePart}, now)
 		rack.Crashed(v1, process(i), []uint64{firstPart}, now.Add(5*time.Millisecond))
 		now = now.Add(25 * time.Millisecond)
-		late.Merge([]Report{{Part: p, Count: 1, Crashes: []Crash{{Process: process(i)}}, AnsweredAge: -1, TargetAge: 0}}, now)
+		late.Merge([]Report{{Suspect: p, Count: 1, Crashes: []Crash{{Process: process(i)}}, AnsweredAge: -1, TargetAge: 0}}, now)
 	}
 	if n := rack.Count(p); n > 2 {
 		t.Errorf("%d crashes of a rack count", n)
--- a/internal/forward/poison/state_test.go
+++ b/internal/forward/poison/state_test.go
@@ -14,7 +14,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "random"), 1))
 		targets := rapid.SampledFrom([]int{1, 3, 100, 4 * maxTargets}).Draw(t, "targets")
-		parts := rapid.SampledFrom([]int{1, 20, 2 * maxParts, 2 * maxAnswered}).Draw(t, "parts")
+		parts := rapid.SampledFrom([]int{1, 20, 2 * maxSuspects, 2 * maxAnswered}).Draw(t, "parts")
 		var tr Tracker
 		now := start
 		for range 800 {
@@ -33,7 +33,7 @@
 			case 2:
 				tr.Crashed(to, process(r.IntN(1000)), []uint64{id}, now)
 			default:
-				report := Report{Part: Part{to, id}, Count: r.IntN(20) - 5, AnsweredAge: r.Int64() - r.Int64(), TargetAge: r.Int64() - r.Int64()}
+				report := Report{Suspect: Suspect{to, id}, Count: r.IntN(20) - 5, AnsweredAge: r.Int64() - r.Int64(), TargetAge: r.Int64() - r.Int64()}
 				for range r.IntN(50) {
 					report.Crashes = append(report.Crashes, Crash{process(r.IntN(1000)), r.Int64() - r.Int64()})
 				}
@@ -45,8 +45,8 @@
 				}
 			}
 		}
-		if n := len(tr.parts); n > maxParts {
-			t.Errorf("%d parts, limit %d", n, maxParts)
+		if n := len(tr.records); n > maxSuspects {
+			t.Errorf("%d parts, limit %d", n, maxSuspects)
 		}
 		if n := len(tr.answered.recent) + len(tr.answered.older); n > maxAnswered {
 			t.Errorf("%d answered parts, limit %d", n, maxAnswered)
@@ -54,7 +54,7 @@
 		if n := len(tr.answerTimes); n > maxTargets {
 			t.Errorf("%d targets, limit %d", n, maxTargets)
 		}
-		for p, rec := range tr.parts {
+		for p, rec := range tr.records {
 			if len(rec.crashes) > maxCrashes || len(rec.dropped) > maxDropped || rec.count > maxCrashes || len(tr.answerTimes[p.Target]) > maxAnswerTimes {
 				t.Errorf("part %x: %d crashes, %d dropped, count %d", p.ID, len(rec.crashes), len(rec.dropped), rec.count)
 			}
