fix(node): news of crashes and limits no longer puts off the regular messages

Each message of news restarted the interval of the regular messages. While upstreams crash one after the other, news comes more often than every 0.2 s, so the regular messages, which make up for lost ones and tell of answers, were never sent. News now only brings the next regular message forward.

--- a/internal/forward/node/news.go
+++ b/internal/forward/node/news.go
@@ -87,6 +87,7 @@
 // ctx ends.
 func (n *Node) newsLoop(ctx context.Context) {
 	var last time.Time
+	next := time.Now().Add(refreshInterval)
 	t := time.NewTimer(refreshInterval)
 	defer t.Stop()
 	for {
@@ -94,11 +95,6 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			var limits []schedule.LimitReport
-			if n.hasCells() {
-				limits = n.gate.LimitReports()
-			}
-			n.sendNews(n.gate.PromptReports(nil), limits, refreshTargets)
 		case <-n.news.now:
 			last = time.Now()
 			parts, limits := n.news.take()
@@ -112,7 +108,15 @@
 		if time.Since(last) < newsTime {
 			interval = newsInterval
 		}
-		t.Reset(interval)
+		// News brings the next regular message forward, but never puts it off: only regular
+		// messages make up for lost ones.
+		if now := time.Now(); !now.Before(next) {
+			n.refresh()
+			next = now.Add(interval)
+		} else if soon := now.Add(interval); soon.Before(next) {
+			next = soon
+		}
+		t.Reset(time.Until(next))
 		select {
 		case <-ctx.Done():
 			return
@@ -121,6 +125,15 @@
 	}
 }
 
+// refresh sends a regular message.
+func (n *Node) refresh() {
+	var limits []schedule.LimitReport
+	if n.hasCells() {
+		limits = n.gate.LimitReports()
+	}
+	n.sendNews(n.gate.PromptReports(nil), limits, refreshTargets)
+}
+
 // sendNews sends reports to some entries of the fleet, chosen at random.
 func (n *Node) sendNews(prompts []poison.Report, limits []schedule.LimitReport, targets int) {
 	if len(prompts) == 0 && len(limits) == 0 {
--- a/internal/forward/poison/fleet_test.go
+++ b/internal/forward/poison/fleet_test.go
@@ -268,17 +268,19 @@
 
 // tell sends the messages of an entry that are due.
 func (f *simFleet) tell(i int, e *simEntry) {
-	switch {
-	case len(e.changed) > 0:
+	if len(e.changed) > 0 {
 		e.news = f.now
 		slices.SortFunc(e.changed, compareSuspects)
 		f.post(i, e.tracker.ReportsOf(slices.Compact(e.changed), f.now), newsTargets)
 		e.changed = nil
-	case !f.now.Before(e.next):
-		f.post(i, e.tracker.Reports(f.now), regularTargets)
-	default:
+		if next := f.now.Add(newsInterval); next.Before(e.next) {
+			e.next = next
+		}
+	}
+	if f.now.Before(e.next) {
 		return
 	}
+	f.post(i, e.tracker.Reports(f.now), regularTargets)
 	e.next = f.now.Add(regularInterval)
 	if f.now.Sub(e.news) < newsTime {
 		e.next = f.now.Add(newsInterval)
