--- a/internal/forward/digest/digest.go
+++ b/internal/forward/digest/digest.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	sums := digest.Request{Method: r.Method, Host: r.Host, Target: r.RequestURI, Team: team, Body: body}.Sums()
+//	sum := digest.Request{Method: r.Method, Host: r.Host, Target: r.RequestURI, Team: team, Body: body}.Sum()
 //
 // Fields that differ with each attempt of a caller (ids, deadlines, traces) are no part of
 // a digest, nor is the key: upstreams get the team instead.
@@ -21,26 +21,25 @@
 	Method, Host, Target string
 	// Team is the name of the caller's team, "" on a public route.
 	Team string
-	// Prompt lists the parts of the prompt as the caller sent them, "" for none.
+	Body []byte
+	// Prompt lists the parts of the prompt as the caller sent them, "" for none. It counts
+	// only without a body: a body holds the prompt, and the list may have a part that is
+	// new each time.
 	Prompt string
-	Body   []byte
 }
 
-// Sums returns the digests of a request, the most specific one last: without its prompt,
-// and with it if there is one. Model requests may differ in their prompts alone, and the
-// prompt of one that comes again may hold a part of its own.
-func (r Request) Sums() []uint64 {
+// Sum returns the digest of a request.
+func (r Request) Sum() uint64 {
 	h := sha256.New()
 	for _, s := range []string{r.Method, r.Host, r.Target, r.Team} {
 		write(h, []byte(s))
 	}
 	write(h, r.Body)
-	sums := []uint64{sum(h)}
-	if r.Prompt != "" {
+	if len(r.Body) == 0 {
 		write(h, []byte(r.Prompt))
-		sums = append(sums, sum(h))
 	}
-	return sums
+	var b [sha256.Size]byte
+	return binary.BigEndian.Uint64(h.Sum(b[:0]))
 }
 
 // write adds a value with its length, so that values can't run into each other.
@@ -51,8 +50,3 @@
 	_, _ = h.Write(n[:])
 	_, _ = h.Write(b)
 }
-
-func sum(h hash.Hash) uint64 {
-	var b [sha256.Size]byte
-	return binary.BigEndian.Uint64(h.Sum(b[:0]))
-}
--- a/internal/forward/digest/digest_test.go
+++ b/internal/forward/digest/digest_test.go
@@ -1,9 +1,6 @@
 package digest
 
-import (
-	"slices"
-	"testing"
-)
+import "testing"
 
 // Guards against two different requests with one digest: the second would be refused for
 // crashes under the first.
@@ -26,26 +23,30 @@
 		t.Run(c.name, func(t *testing.T) {
 			r := base
 			c.change(&r)
-			if slices.Equal(r.Sums(), base.Sums()) {
-				t.Errorf("digests %x of %+v and %+v are equal", r.Sums(), r, base)
+			if r.Sum() == base.Sum() {
+				t.Errorf("one digest %x of %+v and %+v", r.Sum(), r, base)
 			}
 		})
 	}
 }
 
 // Guards against a model request that is not recognised because one part of its prompt
-// is new, and against one that is taken for another with the same path and no body.
-func TestSumsOfPrompts(t *testing.T) {
+// is new each time, and against one that is taken for another with the same path and no
+// body.
+func TestSumOfPrompts(t *testing.T) {
 	a := Request{Method: "POST", Target: "/a/", Team: "t", Prompt: "1:5,2:5"}
 	b := a
 	b.Prompt = "1:5,3:5"
-	x, y := a.Sums(), b.Sums()
-	if len(x) != 2 || len(y) != 2 || x[0] != y[0] || x[1] == y[1] {
-		t.Errorf("digests %x and %x, want the first equal and the second not", x, y)
+	if a.Sum() == b.Sum() {
+		t.Errorf("one digest %x of two prompts without a body", a.Sum())
+	}
+	a.Body, b.Body = []byte("body"), []byte("body")
+	if a.Sum() != b.Sum() {
+		t.Errorf("digests %x and %x of one body", a.Sum(), b.Sum())
 	}
 }
 
-func BenchmarkSums(b *testing.B) {
+func BenchmarkSum(b *testing.B) {
 	for _, c := range []struct {
 		name string
 		body int
@@ -54,7 +55,7 @@
 			r := Request{Method: "POST", Host: "shop.example", Target: "/orders/17/items", Team: "team-1", Body: make([]byte, c.body)}
 			b.ReportAllocs()
 			for b.Loop() {
-				r.Sums()
+				r.Sum()
 			}
 		})
 	}
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -44,6 +44,7 @@
 	noRetryUpstream   = "no-upstream"
 	noRetryConnection = "no-connection"
 	noRetryPrompt     = "prompt-part"
+	noRetryRequest    = "request"
 )
 
 // errDeadline is the cause for which a request is cancelled at its deadline.
@@ -193,12 +194,12 @@
 // attempt sends the request to one upstream and reports whether the request is
 // finished.
 func (c *call) attempt(ctx context.Context, a schedule.Action) bool {
-	if v := c.checkPrompt(a); v.Blocked {
+	if v := c.checkCrashes(a); v.Blocked {
 		c.gate.release(a)
 		if c.group != c.service {
 			return false // the version in use may take it
 		}
-		c.refusePrompt(v)
+		c.refuseBlocked(v)
 		return true
 	}
 	defer c.endTrial()
@@ -249,7 +250,7 @@
 
 // finishAttempt reports the outcome of an attempt to the scheduler and the roll-out.
 func (c *call) finishAttempt(a schedule.Action, o schedule.Outcome) {
-	c.observePrompt(a, o)
+	c.observeCrash(a, o)
 	c.gate.Rollout.Observe(c.route.Name, c.service, c.outcome(a, o))
 	c.gate.done(a, o)
 }
@@ -261,7 +262,7 @@
 		Overrun: o == schedule.OutcomeNeutral,
 		Request: c.head.ID, Upstream: a.Upstream.ID, Version: a.Upstream.Version, Connected: c.connected,
 		OK:        o == schedule.OutcomeOK,
-		Cancelled: c.strayAnswer || c.crashed && !c.mayRepeatPrompt() || o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
+		Cancelled: c.strayAnswer || c.crashed && !c.mayRepeatCrashed() || o == schedule.OutcomeNeutral || o == schedule.OutcomeFull || o == schedule.OutcomeMoved,
 		At:        now, Total: now.Sub(c.sentAt), PromptTokens: c.head.PromptTokens, OutputTokens: c.head.MaxOutput,
 	}
 	if c.route.Kind == ward.ForwardStream {
@@ -325,7 +326,7 @@
 		c.noRetry = noRetryAttempts
 	case c.mayHaveRun && !c.route.Repeatable():
 		c.noRetry = noRetryMayHaveRun
-	case !c.mayRepeatPrompt():
+	case !c.mayRepeatCrashed():
 		c.noRetry = noRetryPrompt
 	case !c.chargeRetry():
 		c.noRetry = noRetryBudget
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -35,8 +35,8 @@
 	group string
 	body  []byte
 	size  float64
-	// digests identify the request by its content, once they are needed.
-	digests []uint64
+	// digest identifies the request by its content, 0 until it is needed.
+	digest uint64
 	// deadline follows from the caller's timeout and the route's; zero means none.
 	deadline time.Time
 	// progress cancels a request without a deadline, nil for the others.
@@ -52,8 +52,8 @@
 	// strayAnswer is true when the answer of the current attempt may be that of an
 	// earlier request.
 	strayAnswer bool
-	// parts holds the ids of the shared parts of the prompt. trial lists those of which
-	// the current attempt tries whether upstreams still crash under them.
+	// parts holds the ids of the shared parts of the prompt. trial lists the suspects of
+	// which the current attempt tries whether upstreams still crash under them.
 	parts []uint64
 	trial []poison.Suspect
 	// crashed is true when the current attempt ended with its upstream's connection.
--- a/internal/forward/gate/canary_internal_test.go
+++ b/internal/forward/gate/canary_internal_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/http"
+	"net/url"
 	"testing"
 	"time"
 
@@ -22,15 +24,15 @@
 		{ID: "u2", Service: "s@v2", Version: "v2", Address: "u2:1", Slots: 1},
 	}, now)
 	old, next := poison.Target{Service: "s", Version: "v1"}, poison.Target{Service: "s", Version: "v2"}
-	g.prompts.Answered(old, []uint64{part}, now)
+	g.crashes.Answered(old, poison.Content{Parts: []uint64{part}}, now)
 	for i := range 5 {
 		now = now.Add(2 * time.Second)
-		g.prompts.Answered(next, nil, now)
+		g.crashes.Answered(next, poison.Content{}, now)
 		now = now.Add(2 * time.Second)
-		g.prompts.Crashed(next, schedule.Identity{ID: fmt.Sprint("u2-", i)}, []uint64{part}, now)
+		g.crashes.Crashed(next, schedule.Identity{ID: fmt.Sprint("u2-", i)}, poison.Content{Parts: []uint64{part}}, now)
 	}
-	c := &call{gate: g, service: "s", group: "s@v2", parts: []uint64{part}}
-	if v := c.promptBarred(); !v.Blocked {
+	c := &call{gate: g, service: "s", group: "s@v2", parts: []uint64{part}, r: &http.Request{URL: &url.URL{Path: "/"}}}
+	if v := c.barred(); !v.Blocked {
 		t.Fatal("the part is not blocked on the new version")
 	}
 	if !c.pickGroup() || c.group != "s" {
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -68,10 +68,10 @@
 	// block.
 	TriggerBroadcast func()
 	// Fleet returns the number of entries and the index of this one, nil for a single
-	// entry. PromptsChanged requests a broadcast of what is known of parts of prompts,
+	// entry. SuspectsChanged requests a broadcast of what is known of suspects,
 	// unless it is nil. Neither may block.
-	Fleet          func() split.Fleet
-	PromptsChanged func(parts []poison.Suspect)
+	Fleet           func() split.Fleet
+	SuspectsChanged func(list []poison.Suspect)
 	// LimitsChanged requests a broadcast of the limits of upstreams, unless it is nil. It
 	// must not block.
 	LimitsChanged func(list []schedule.LimitReport)
@@ -82,7 +82,7 @@
 	sched   schedule.Scheduler
 	ledger  quota.Ledger
 	budget  retry.Budget
-	prompts poison.Tracker
+	crashes poison.Tracker
 	waiters map[uint64]*waiter
 	lastID  uint64
 	// loggedFaults holds the upstreams and fields of which an invalid value was logged.
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"agateward/internal/forward/poison"
 	"agateward/internal/result/code"
 	"agateward/ward"
 
@@ -94,11 +95,17 @@
 	}
 }
 
-// promptCrashed counts an attempt whose upstream ended before it answered, promptRefused
-// a request with a part of a prompt under which upstreams crashed.
+// promptCrashed counts an attempt whose upstream ended before it answered, crashRefused a
+// request that was refused as upstreams crashed under it or under a part of its prompt.
 func (m *Metrics) promptCrashed() { m.count("agateward_forward_prompt_crashes_total") }
 
-func (m *Metrics) promptRefused() { m.count("agateward_forward_prompts_refused_total") }
+func (m *Metrics) crashRefused(k poison.Kind) {
+	if k == poison.Request {
+		m.count("agateward_forward_requests_blocked_total")
+		return
+	}
+	m.count("agateward_forward_prompts_refused_total")
+}
 
 // answerCut counts a stream that ended before its last event, by the reason for which
 // no other attempt continued it; "" means that the deadline had passed.
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -53,7 +53,7 @@
 			c.gate.mu.Unlock()
 		}
 		if c.events++; c.events == maxUnbegunEvents+1 {
-			c.promptBegun(a)
+			c.answerBegun(a)
 		}
 		if err := progress.note(e); err != nil {
 			return c.handleTruncated(ctx, a, err)
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -162,7 +162,7 @@
 			n.rollout.UpdatePeer(*m.Moves)
 		}
 		if len(m.Prompts) > 0 {
-			n.gate.MergePrompts(m.Name, m.Prompts)
+			n.gate.MergeCrashes(m.Name, m.Prompts)
 		}
 		if m.News {
 			n.gate.MergeLimits(m)
--- a/internal/forward/node/news.go
+++ b/internal/forward/node/news.go
@@ -13,8 +13,8 @@
 	"agateward/internal/forward/schedule"
 )
 
-// Timing and fan-out of the messages to entries of all cells: about parts of prompts, and
-// about limits of upstreams. Each entry passes on what is new to it, so news reaches a fleet
+// Timing and fan-out of the messages to entries of all cells: about what upstreams crash
+// under, and about limits of upstreams. Each entry passes on what is new to it, so news reaches a fleet
 // of any size in a few rounds, without the store.
 const (
 	// newsTargets is the number of entries that news is sent to at once, refreshTargets
@@ -30,9 +30,9 @@
 
 // news holds what other entries of the fleet are to hear.
 type news struct {
-	mu     sync.Mutex
-	parts  []poison.Suspect
-	limits map[schedule.Identity]schedule.LimitReport
+	mu       sync.Mutex
+	suspects []poison.Suspect
+	limits   map[schedule.Identity]schedule.LimitReport
 	// now requests an early message.
 	now chan struct{}
 }
@@ -46,21 +46,22 @@
 }
 
 // take returns what is to be told and forgets it.
-func (w *news) take() (parts []poison.Suspect, limits []schedule.LimitReport) {
+func (w *news) take() (suspects []poison.Suspect, limits []schedule.LimitReport) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	parts, limits = w.parts, slices.Collect(maps.Values(w.limits))
-	w.parts, w.limits = nil, nil
-	return parts, limits
+	suspects, limits = w.suspects, slices.Collect(maps.Values(w.limits))
+	w.suspects, w.limits = nil, nil
+	return suspects, limits
 }
 
-// promptsChanged requests a message about parts of prompts.
-func (n *Node) promptsChanged(parts []poison.Suspect) {
+// suspectsChanged requests a message about requests, and parts of prompts, under which
+// upstreams crash.
+func (n *Node) suspectsChanged(list []poison.Suspect) {
 	n.news.mu.Lock()
 	defer n.news.mu.Unlock()
-	for _, p := range parts {
-		if !slices.Contains(n.news.parts, p) {
-			n.news.parts = append(n.news.parts, p)
+	for _, p := range list {
+		if !slices.Contains(n.news.suspects, p) {
+			n.news.suspects = append(n.news.suspects, p)
 		}
 	}
 	n.news.request()
@@ -83,8 +84,8 @@
 	n.news.request()
 }
 
-// newsLoop tells the other entries what is known of parts of prompts and of limits, until
-// ctx ends.
+// newsLoop tells the other entries what upstreams crash under, and their limits, until ctx
+// ends.
 func (n *Node) newsLoop(ctx context.Context) {
 	var last time.Time
 	next := time.Now().Add(refreshInterval)
@@ -97,10 +98,10 @@
 		case <-t.C:
 		case <-n.news.now:
 			last = time.Now()
-			parts, limits := n.news.take()
+			suspects, limits := n.news.take()
 			var reports []poison.Report
-			if len(parts) > 0 {
-				reports = n.gate.PromptReports(parts)
+			if len(suspects) > 0 {
+				reports = n.gate.CrashReports(suspects)
 			}
 			n.sendNews(reports, limits, newsTargets)
 		}
@@ -131,15 +132,15 @@
 	if n.hasCells() {
 		limits = n.gate.LimitReports()
 	}
-	n.sendNews(n.gate.PromptReports(nil), limits, refreshTargets)
+	n.sendNews(n.gate.CrashReports(nil), limits, refreshTargets)
 }
 
 // sendNews sends reports to some entries of the fleet, chosen at random.
-func (n *Node) sendNews(prompts []poison.Report, limits []schedule.LimitReport, targets int) {
-	if len(prompts) == 0 && len(limits) == 0 {
+func (n *Node) sendNews(crashes []poison.Report, limits []schedule.LimitReport, targets int) {
+	if len(crashes) == 0 && len(limits) == 0 {
 		return
 	}
-	m := peerstate.Message{Name: n.settings.Name, Start: n.start, Listen: n.peerAddress(), Prompts: prompts, Limits: limits, News: true}
+	m := peerstate.Message{Name: n.settings.Name, Start: n.start, Listen: n.peerAddress(), Prompts: crashes, Limits: limits, News: true}
 	b, err := m.Encode()
 	if err != nil {
 		n.log.Error(err, "fleet-news-not-sent")
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -114,7 +114,7 @@
 	n.gate = &gate.Gate{
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log, Rollout: n.rollout,
 		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, SendGrant: n.sendGrant, TriggerBroadcast: n.triggerBroadcast,
-		Fleet: n.fleet, PromptsChanged: n.promptsChanged, LimitsChanged: n.limitsChanged,
+		Fleet: n.fleet, SuspectsChanged: n.suspectsChanged, LimitsChanged: n.limitsChanged,
 	}
 	n.gate.Prepare(setup(s))
 	n.gate.SetEntries(initialEntries)
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -55,7 +55,8 @@
 	QuotaLevels map[string]float64 `msgpack:"u,omitempty"`
 	// Peers lists the addresses of the entries that the sender receives messages from.
 	Peers []string `msgpack:"p,omitempty"`
-	// Prompts is what the sender knows of parts of prompts under which upstreams crash.
+	// Prompts is what the sender knows of requests, and parts of prompts, under which
+	// upstreams crash.
 	// Such a message holds nothing else, and may come from any entry of the fleet.
 	Prompts []poison.Report `msgpack:"k,omitempty"`
 	// Limits is what the sender knows of the request rates that upstreams named. A message
--- a/internal/forward/poison/answers.go
+++ b/internal/forward/poison/answers.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// answers holds when parts were last answered completely. Of the many parts of a day it
-// keeps the ones that were answered last.
+// answers holds when suspects were last answered completely. Of the many of a day it keeps
+// the ones that were answered last.
 type answers struct {
 	recent, older map[Suspect]time.Time
 }
@@ -18,7 +18,7 @@
 	a.recent[p] = at
 }
 
-// at returns when a part was last answered, the zero time for never.
+// at returns when a suspect was last answered, the zero time for never.
 func (a *answers) at(p Suspect) time.Time {
 	if at, ok := a.recent[p]; ok {
 		return at
--- a/internal/forward/poison/check.go
+++ b/internal/forward/poison/check.go
@@ -7,14 +7,13 @@
 	"time"
 )
 
-// Check decides whether a request with the given parts may be sent to a target.
-func (t *Tracker) Check(to Target, parts []uint64, f Fleet, now time.Time) Verdict {
+// Check decides whether a request may be sent to a target.
+func (t *Tracker) Check(to Target, c Content, f Fleet, now time.Time) Verdict {
 	var v Verdict
-	if len(t.records) == 0 {
+	if len(t.withBlockCrashes()) == 0 {
 		return v
 	}
-	for _, id := range parts {
-		p := Suspect{to, id}
+	for _, p := range c.suspects(to) {
 		n, last := t.blocked(p, now)
 		if n == 0 {
 			continue
@@ -39,25 +38,29 @@
 	return v
 }
 
-// Barred is Check without taking a turn to try a part.
-func (t *Tracker) Barred(to Target, parts []uint64, f Fleet, now time.Time) Verdict {
-	v := t.Check(to, parts, f, now)
+// Barred is Check without taking a turn to try a suspect.
+func (t *Tracker) Barred(to Target, c Content, f Fleet, now time.Time) Verdict {
+	v := t.Check(to, c, f, now)
 	t.Abandon(v.Trial, false, now)
 	return v
 }
 
-// MayRepeat reports whether a request with the given parts may be sent again after its
-// upstream crashed.
-func (t *Tracker) MayRepeat(service string, parts []uint64) bool {
+// MayRepeat reports whether a request to a service may be sent again after its upstream
+// crashed.
+func (t *Tracker) MayRepeat(service string, c Content) bool {
 	for p, r := range t.records {
-		if p.Service == service && r.count >= repeatCrashes && slices.Contains(parts, p.ID) && !t.explained(p, r) {
+		if r.count < repeatCrashes {
+			continue
+		}
+		held := p.Kind == Request && c.Digest == p.ID || p.Kind == Part && p.Service == service && slices.Contains(c.Parts, p.ID)
+		if held && !t.explained(p, r) {
 			return false
 		}
 	}
 	return true
 }
 
-// Count returns the number of crashes under a part that count.
+// Count returns the number of crashes under a suspect that count.
 func (t *Tracker) Count(p Suspect) int {
 	if r := t.records[p]; r != nil {
 		return r.count
@@ -65,7 +68,7 @@
 	return 0
 }
 
-// blocked returns the crashes of a part and the time of the last one that bars its
+// blocked returns the crashes of a suspect and the time of the last one that bars its
 // requests from a target, 0 if none does. A part that crashes one version of a service
 // is barred from the others too, until they have answered it.
 func (t *Tracker) blocked(p Suspect, now time.Time) (n int, last time.Time) {
@@ -76,11 +79,12 @@
 		}
 		return own.count, own.last
 	}
-	if !t.answered.at(p).IsZero() {
+	if p.Kind == Request || !t.answeredAt(p).IsZero() {
 		return 0, last
 	}
-	for other, r := range t.records {
-		if other.ID == p.ID && other.Service == p.Service && r.count >= blockCrashes && now.Sub(r.last) < blockTTL && !t.explained(other, r) {
+	for _, other := range t.withBlockCrashes() {
+		r := t.records[other]
+		if other.Kind == p.Kind && other.ID == p.ID && other.Service == p.Service && now.Sub(r.last) < blockTTL && !t.explained(other, r) {
 			n = max(n, r.count)
 			if own != nil {
 				last = own.last
@@ -93,15 +97,16 @@
 	return n, last
 }
 
-// explained reports whether another part explains the crashes of a part that was
+// explained reports whether another suspect explains the crashes of one that was
 // answered before: one that never was, and that was there in all of them but one at
 // most.
 func (t *Tracker) explained(p Suspect, r *record) bool {
-	if t.answered.at(p).IsZero() {
+	if t.answeredAt(p).IsZero() {
 		return false
 	}
 	for other, o := range t.records {
-		if other == p || other.Target != p.Target || o.count < repeatCrashes || !t.answered.at(other).IsZero() {
+		sameTarget := other.Target == p.Target || other.Kind == Request || p.Kind == Request
+		if other == p || !sameTarget || o.count < repeatCrashes || !t.answeredAt(other).IsZero() {
 			continue
 		}
 		shared := 0
@@ -117,15 +122,12 @@
 	return false
 }
 
-// untilTrial returns the time until this entry may try a part with n crashes.
+// untilTrial returns the time until this entry may try a suspect with n crashes.
 func (t *Tracker) untilTrial(p Suspect, n int, last time.Time, f Fleet, now time.Time) time.Duration {
 	if r := t.records[p]; r != nil && !r.trial.IsZero() && now.Sub(r.trial) < trialTimeout {
 		return trialTimeout - now.Sub(r.trial)
 	}
-	delay := maxTrial
-	if shift := n - blockCrashes; shift < 9 {
-		delay = min(firstTrial<<shift, maxTrial)
-	}
+	delay := t.trialDelay(p, n)
 	entries := max(f.Entries, 1)
 	turn := (f.Index - int(p.hash()%uint64(entries)) + entries) % entries
 	if last.IsZero() {
@@ -138,7 +140,26 @@
 	return last.Add(delay + time.Duration(turn)*trialStagger).Sub(now)
 }
 
-// hash spreads the first turns to try parts over the entries.
+// trialDelay returns the time from the last crash or trial of a suspect with n crashes
+// until the next trial.
+func (t *Tracker) trialDelay(p Suspect, n int) time.Duration {
+	if p.Kind == Part {
+		if shift := n - blockCrashes; shift < 9 {
+			return min(firstTrial<<shift, maxTrial)
+		}
+		return maxTrial
+	}
+	switch r := t.records[p]; {
+	case r.trials >= maxRequestTrials:
+		return blockTTL
+	case r.trials == maxRequestTrials-1:
+		return maxTrial
+	default:
+		return firstRequestTrial << r.trials
+	}
+}
+
+// hash spreads the first turns to try suspects over the entries.
 func (p Suspect) hash() uint64 {
 	h := fnv.New64a()
 	for _, s := range []string{p.Service, p.Version, strconv.FormatUint(p.ID, 16)} {
@@ -148,7 +169,7 @@
 	return h.Sum64()
 }
 
-// Blocked returns the parts that are blocked now, sorted by ID.
+// Blocked returns the suspects that are blocked now, sorted by ID.
 func (t *Tracker) Blocked(now time.Time) []Suspect {
 	var list []Suspect
 	for p := range t.records {
--- a/internal/forward/poison/exchange.go
+++ b/internal/forward/poison/exchange.go
@@ -6,19 +6,18 @@
 	"time"
 )
 
-// maxReports and maxReportedCrashes bound what one message tells.
+// maxReports and maxReportedCrashes bound what one message tells of suspects of one kind.
 const (
 	maxReports         = 12
 	maxReportedCrashes = 40
 )
 
-// Reports returns what is known of the most suspect parts, for a message to other
-// entries.
+// Reports returns what is known of the most suspect, for a message to other entries.
 func (t *Tracker) Reports(now time.Time) []Report {
 	list := make([]Suspect, 0, len(t.records))
 	for p, r := range t.records {
 		if now.Sub(r.last) > r.ttl() {
-			delete(t.records, p)
+			t.remove(p)
 			continue
 		}
 		list = append(list, p)
@@ -30,21 +29,22 @@
 	return t.ReportsOf(list, now)
 }
 
-// ReportsOf returns what is known of the given parts, as many as a message holds.
-func (t *Tracker) ReportsOf(parts []Suspect, now time.Time) []Report {
+// ReportsOf returns what is known of the given suspects, as many as a message holds.
+func (t *Tracker) ReportsOf(list []Suspect, now time.Time) []Report {
 	var out []Report
-	crashes := 0
-	for _, p := range parts {
+	var reports, crashes [kinds]int
+	for _, p := range list {
 		r := t.records[p]
-		if r == nil || len(out) >= maxReports || crashes+len(r.crashes) > maxReportedCrashes {
+		if r == nil || reports[p.Kind] >= maxReports || crashes[p.Kind]+len(r.crashes) > maxReportedCrashes {
 			continue
 		}
-		crashes += len(r.crashes)
-		report := Report{Suspect: p, Count: r.count, AnsweredAge: -1, TargetAge: -1}
+		reports[p.Kind]++
+		crashes[p.Kind] += len(r.crashes)
+		report := Report{Suspect: p, Count: r.count, Trials: r.trials, AnsweredAge: -1, TargetAge: -1}
 		if times := t.answerTimes[p.Target]; len(times) > 0 {
 			report.TargetAge = now.Sub(times[len(times)-1]).Milliseconds()
 		}
-		if at := t.answered.at(p); !at.IsZero() {
+		if at := t.answeredAt(p); !at.IsZero() {
 			report.AnsweredAge = now.Sub(at).Milliseconds()
 		}
 		for id, at := range r.crashes {
@@ -58,13 +58,13 @@
 	return out
 }
 
-// Merge takes over the reports of another entry. It returns the parts of which
+// Merge takes over the reports of another entry. It returns the suspects of which
 // something new is known.
 func (t *Tracker) Merge(reports []Report, now time.Time) []Suspect {
 	t.init()
 	var changed []Suspect
-	for _, report := range reports[:min(len(reports), maxReports)] {
-		if t.merge(report, now) {
+	for _, report := range reports[:min(len(reports), int(kinds)*maxReports)] {
+		if report.Kind < kinds && t.merge(report, now) {
 			changed = append(changed, report.Suspect)
 		}
 	}
@@ -73,8 +73,8 @@
 
 func (t *Tracker) merge(report Report, now time.Time) bool {
 	if t.records[report.Suspect] == nil && len(report.Crashes) == 0 {
-		if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && t.answered.at(report.Suspect).IsZero() {
-			t.answered.set(report.Suspect, at)
+		if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && t.answeredAt(report.Suspect).IsZero() {
+			t.answered[report.Kind].set(report.Suspect, at)
 		}
 		return false
 	}
@@ -88,7 +88,7 @@
 		t.recordAnswer(report.Target, age(now, report.TargetAge).Add(-maxAgeError))
 	}
 	changed := false
-	if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && at.After(t.answered.at(report.Suspect).Add(maxAgeError)) {
+	if at := age(now, report.AnsweredAge); report.AnsweredAge >= 0 && at.After(t.answeredAt(report.Suspect).Add(maxAgeError)) {
 		changed = t.clear(report.Suspect, r, at)
 	}
 	shared := 0
@@ -99,7 +99,13 @@
 		}
 	}
 	if n := min(report.Count, shared); n > r.count {
-		r.count, changed = n, true
+		t.setCount(r, n)
+		changed = true
+	}
+	// A trial belongs to the crashes that it followed: those of before an answer are
+	// forgotten with them.
+	if n := min(report.Trials, maxTrials); n > r.trials && shared >= blockCrashes {
+		r.trials, r.last, changed = n, now, true
 	}
 	return changed
 }
@@ -110,13 +116,14 @@
 
 // clear removes the crashes before an answer and reports whether there were any.
 func (t *Tracker) clear(p Suspect, r *record, at time.Time) bool {
-	t.answered.set(p, at)
+	t.answered[p.Kind].set(p, at)
 	n := len(r.crashes)
 	r.clear(at)
 	if n == len(r.crashes) {
 		return false
 	}
-	r.trial, r.count = time.Time{}, t.countOf(p, r)
+	r.trial, r.trials = time.Time{}, 0
+	t.setCount(r, t.countOf(p, r))
 	return true
 }
 
@@ -127,5 +134,5 @@
 }
 
 func compareSuspects(a, b Suspect) int {
-	return cmp.Or(cmp.Compare(a.ID, b.ID), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
 }
--- a/internal/forward/poison/fleet_test.go
+++ b/internal/forward/poison/fleet_test.go
@@ -23,6 +23,7 @@
 
 const (
 	badPart    = 0xbad
+	badDigest  = 1 << 60
 	firstPart  = 0xa0
 	middlePart = 0xc00
 )
@@ -35,7 +36,7 @@
 // simRequest is a request at an entry of the simulated fleet.
 type simRequest struct {
 	entry, incarnation int
-	parts              []uint64
+	content            Content
 	bad                bool
 	sends              int
 	to                 Target
@@ -91,6 +92,7 @@
 	upstreams []*simUpstream
 	messages  []simMessage
 	processes int
+	digests   uint64
 	// loss is the share of lost messages, delay the longest time of one.
 	loss  float64
 	delay time.Duration
@@ -120,6 +122,11 @@
 	return f.processes
 }
 
+func (f *simFleet) newDigest() uint64 {
+	f.digests++
+	return f.digests
+}
+
 func (f *simFleet) fleet(i int) Fleet { return Fleet{Entries: len(f.entries), Index: i} }
 
 // anyUp returns a random upstream that is up, nil for none.
@@ -144,11 +151,12 @@
 		return false
 	}
 	q.to = Target{Service: v1.Service, Version: u.version}
-	v := e.tracker.Check(q.to, q.parts, f.fleet(q.entry), f.now)
+	v := e.tracker.Check(q.to, q.content, f.fleet(q.entry), f.now)
 	if v.Blocked {
 		return false
 	}
 	q.trial, q.incarnation = v.Trial, e.incarnation
+	f.changed(e, e.tracker.Tried(v.Trial, f.now))
 	q.sends++
 	q.begun = f.now.Add(time.Duration(f.r.ExpFloat64() * float64(f.begin)))
 	q.end = q.begun.Add(time.Duration((0.6 + 0.4*f.r.ExpFloat64()) * float64(f.answer)))
@@ -170,7 +178,7 @@
 
 // soundArrival handles a new sound request.
 func (f *simFleet) soundArrival(first, part uint64) {
-	q := &simRequest{entry: f.r.IntN(len(f.entries)), parts: []uint64{firstPart + first, middlePart + part}}
+	q := &simRequest{entry: f.r.IntN(len(f.entries)), content: Content{[]uint64{firstPart + first, middlePart + part}, f.newDigest()}}
 	up := f.anyUp() != nil
 	sent := f.send(q)
 	if up {
@@ -180,7 +188,13 @@
 
 // badArrival handles a new request with the bad part.
 func (f *simFleet) badArrival(first, part uint64) {
-	f.send(&simRequest{entry: f.r.IntN(len(f.entries)), parts: []uint64{firstPart + first, badPart, middlePart + part}, bad: true})
+	f.send(&simRequest{entry: f.r.IntN(len(f.entries)), content: Content{[]uint64{firstPart + first, badPart, middlePart + part}, f.newDigest()}, bad: true})
+}
+
+// badAgain handles a request that comes again and again, with parts that sound ones
+// share.
+func (f *simFleet) badAgain(first uint64) {
+	f.send(&simRequest{entry: f.r.IntN(len(f.entries)), content: Content{[]uint64{firstPart + first, middlePart + 1}, badDigest}, bad: true})
 }
 
 // end ends a process of an upstream with all its requests.
@@ -200,11 +214,11 @@
 		return
 	}
 	if q.begun.After(f.now) {
-		f.changed(e, e.tracker.Crashed(q.to, process, q.parts, f.now))
+		f.changed(e, e.tracker.Crashed(q.to, process, q.content, f.now))
 	}
 	e.tracker.Abandon(q.trial, true, f.now)
 	q.trial = nil
-	if q.sends < maxSends && e.tracker.MayRepeat(q.to.Service, q.parts) {
+	if q.sends < maxSends && e.tracker.MayRepeat(q.to.Service, q.content) {
 		f.send(q)
 	}
 }
@@ -259,7 +273,7 @@
 			continue
 		}
 		if e := f.entries[q.entry]; q.incarnation == e.incarnation {
-			f.changed(e, e.tracker.Answered(q.to, q.parts, f.now))
+			f.changed(e, e.tracker.Answered(q.to, q.content, f.now))
 			e.tracker.Abandon(q.trial, true, f.now)
 		}
 	}
--- a/internal/forward/poison/poison.go
+++ b/internal/forward/poison/poison.go
@@ -1,22 +1,26 @@
-// Package poison finds the parts of prompts under which upstreams crash, and keeps
-// requests with such parts away from upstreams.
+// Package poison finds the requests, and the parts of prompts, under which upstreams
+// crash, and keeps them away from upstreams.
 //
-// A crash speaks against each part of each request that the upstream had not begun to
-// answer. A whole answer clears the parts of its request for the version of the service
-// that gave it. A crash counts only if the version has answered other requests, or begun
-// to, since the last one that counted, or a second after it: upstreams that end together
-// say nothing about a part. A part that was never answered explains the crashes of parts
-// that were.
+// A crash speaks against each suspect of each request that the upstream had not begun to
+// answer: against the request itself, which may come again, and against each part of its
+// prompt, which other requests may share. A whole answer clears them: a part for the
+// version of the service that gave it, a request for all. A crash counts against a part
+// only if the version has answered other requests, or begun to, since the last one that
+// counted, or a second after it: upstreams that end together say nothing about a part.
+// Against a request each crash counts, as few upstreams run the same request at once,
+// unless it was answered just before: then crashes that come together are one. A suspect
+// that was never answered explains the crashes of those that were.
 //
 // # Usage
 //
 //	t := poison.Tracker{}
-//	v := t.Check(target, parts, fleet, now)            // before each send
-//	changed := t.Crashed(target, process, parts, now)  // an upstream ended
-//	t.Begun(target, now)                               // the begin of an answer
-//	changed = t.Answered(target, parts, now)           // a whole answer
-//	reports := t.Reports(now)                          // to other entries
-//	changed = t.Merge(reports, now)                    // from other entries
+//	v := t.Check(target, content, fleet, now)            // before each send
+//	changed := t.Tried(v.Trial, now)                     // a trial is sent
+//	changed = t.Crashed(target, process, content, now)   // an upstream ended
+//	t.Begun(target, now)                                 // the begin of an answer
+//	changed = t.Answered(target, content, now)           // a whole answer
+//	reports := t.Reports(now)                            // to other entries
+//	changed = t.Merge(reports, now)                      // from other entries
 //
 // The tracker reads no clock and does no I/O.
 package poison
@@ -31,11 +35,11 @@
 )
 
 const (
-	// blockCrashes is the number of crashes from which requests with a part are blocked;
-	// repeatCrashes is the number from which they are not repeated.
+	// blockCrashes is the number of crashes from which requests with a suspect are
+	// blocked; repeatCrashes is the number from which they are not repeated.
 	blockCrashes  = 3
 	repeatCrashes = 2
-	// maxCrashes bounds the crashes that are kept of a part, maxDropped those that no
+	// maxCrashes bounds the crashes that are kept of a suspect, maxDropped those that no
 	// longer are.
 	maxCrashes = 8
 	maxDropped = 64
@@ -43,25 +47,37 @@
 	// the part is tried. Each further crash doubles it, up to maxTrial.
 	firstTrial = 10 * time.Second
 	maxTrial   = time.Hour
-	// trialStagger is the time between the turns of two entries to try a part. It is
+	// maxRequestTrials bounds the tries of a request: one that comes again all day may
+	// reach upstreams three times at the most after it was blocked. The last of them waits
+	// for maxTrial.
+	maxRequestTrials = 3
+	// firstRequestTrial is firstTrial for a request.
+	firstRequestTrial = 30 * time.Second
+	// maxTrials bounds the trials of a suspect that a peer reports.
+	maxTrials = 64
+	// trialStagger is the time between the turns of two entries to try a suspect. It is
 	// longer than the outcome of a trial takes to reach all entries.
 	trialStagger = 2 * time.Second
 	// trialTimeout is the time after which a trial without an outcome is forgotten.
 	trialTimeout = 30 * time.Second
-	// suspectTTL and blockTTL are how long a part is remembered after its last crash.
+	// suspectTTL and blockTTL are how long a suspect is remembered after its last crash or
+	// trial.
 	suspectTTL = 10 * time.Minute
 	blockTTL   = 2 * maxTrial
-	// maxSuspects bounds the remembered parts, maxAnswered the parts that are known to have
-	// been answered.
-	maxSuspects    = 512
+	// maxSuspects bounds the remembered suspects, maxAnswered those of each kind that are
+	// known to have been answered.
+	maxSuspects = 1024
 	maxAnswered = 8192
 	// minAnswerGap is the least time between two answers of a version that are
 	// remembered, maxAnswerTimes their number.
 	minAnswerGap   = 20 * time.Millisecond
 	maxAnswerTimes = 256
-	// togetherTime is the time within which upstreams of a version that answers nothing
-	// may have ended together.
+	// togetherTime is the time within which upstreams may have ended together, if their
+	// version answers nothing or if they ran a request that is answered often.
 	togetherTime = time.Second
+	// frequentTime is the time since its last answer within which a request counts as one
+	// that is answered often.
+	frequentTime = 2 * time.Second
 	// minCrashGap is the least time between two crashes that count against a part that
 	// was answered before: a rack does not end in one moment, and the rest of the version
 	// answers meanwhile.
@@ -76,10 +92,46 @@
 	Version string `msgpack:"v"`
 }
 
-// Suspect is a part of the prompts sent to a target.
+// Kind tells what a suspect is.
+type Kind uint8
+
+// Kinds of suspects.
+const (
+	// Part is a part of the prompts sent to a target.
+	Part Kind = iota
+	// Request is a request that comes again, with any target.
+	Request
+
+	kinds
+)
+
+// Suspect is what upstreams may crash under.
 type Suspect struct {
+	// Target is that of a part, the zero value for a request.
 	Target
-	ID uint64 `msgpack:"p"`
+	// ID is the id of a part or the digest of a request.
+	ID   uint64 `msgpack:"p"`
+	Kind Kind   `msgpack:"q,omitempty"`
+}
+
+// Content is what of a request may crash upstreams.
+type Content struct {
+	// Parts lists the ids of the parts of the prompt that other requests may share.
+	Parts []uint64
+	// Digest identifies the whole request, 0 if that is not known.
+	Digest uint64
+}
+
+// suspects returns the suspects of a request to a target.
+func (c Content) suspects(to Target) []Suspect {
+	list := make([]Suspect, 0, len(c.Parts)+1)
+	for _, id := range c.Parts {
+		list = append(list, Suspect{Target: to, ID: id})
+	}
+	if c.Digest != 0 {
+		list = append(list, Suspect{ID: c.Digest, Kind: Request})
+	}
+	return list
 }
 
 // Crash is the end of a process of an upstream.
@@ -89,14 +141,16 @@
 	Age int64 `msgpack:"a"`
 }
 
-// Report is what an entry knows of a part.
+// Report is what an entry knows of a suspect.
 type Report struct {
 	Suspect
-	// Crashes lists the crashes since the part was last answered, Count how many of them
-	// count.
+	// Crashes lists the crashes since the suspect was last answered, Count how many of
+	// them count.
 	Crashes []Crash `msgpack:"c,omitempty"`
 	Count   int     `msgpack:"n,omitempty"`
-	// AnsweredAge is the time in milliseconds since the part was last answered
+	// Trials is the number of requests that tried it since then.
+	Trials int `msgpack:"r,omitempty"`
+	// AnsweredAge is the time in milliseconds since the suspect was last answered
 	// completely, -1 for never.
 	AnsweredAge int64 `msgpack:"w"`
 	// TargetAge is the time in milliseconds since the target last answered any request or
@@ -112,32 +166,37 @@
 	// Blocked is true if the request must not be sent. Suspect is then the reason, Count the
 	// number of its crashes and RetryAfter the time until it may be tried.
 	Blocked    bool
-	Suspect       Suspect
+	Suspect    Suspect
 	Count      int
 	RetryAfter time.Duration
-	// Trial lists the blocked parts that the request tries.
+	// Trial lists the blocked suspects that the request tries.
 	Trial []Suspect
 }
 
-// Tracker holds what an entry knows of parts. Its zero value is ready to use.
+// Tracker holds what an entry knows of suspects. Its zero value is ready to use.
 type Tracker struct {
-	records  map[Suspect]*record
-	answered answers
+	records map[Suspect]*record
+	// blocking lists the records with blockCrashes, nil while it is not up to date.
+	blocking []Suspect
+	answered [kinds]answers
 	// answerTimes holds when a target gave whole answers or began one, oldest first.
 	answerTimes map[Target][]time.Time
 }
 
-// record is what is known of a part since it was last answered.
+// record is what is known of a suspect since it was last answered.
 type record struct {
 	crashes map[schedule.Identity]time.Time
 	// dropped lists crashes from before the last answer, and those that newer ones
 	// replaced, oldest first. A later report of one shows a later time, as ages don't
 	// hold the time that a message travelled.
 	dropped []schedule.Identity
-	// count is the number of crashes that count, last the time of the newest.
+	// count is the number of crashes that count, last the time of the newest one or of the
+	// newest trial, which any entry made.
 	count int
 	last  time.Time
-	// trial is when this entry began to try the part; zero means that it does not.
+	// trials is the number of requests of all entries that tried the suspect.
+	trials int
+	// trial is when this entry began to try the suspect; zero means that it does not.
 	trial time.Time
 }
 
@@ -148,12 +207,11 @@
 }
 
 // Crashed records that a process of an upstream ended before it began to answer a
-// request with the given parts. It returns the parts of which something new is known.
-func (t *Tracker) Crashed(to Target, process schedule.Identity, parts []uint64, now time.Time) []Suspect {
+// request. It returns the suspects of which something new is known.
+func (t *Tracker) Crashed(to Target, process schedule.Identity, c Content, now time.Time) []Suspect {
 	t.init()
 	var changed []Suspect
-	for _, id := range parts {
-		p := Suspect{to, id}
+	for _, p := range c.suspects(to) {
 		r := t.record(p, now)
 		if r == nil {
 			continue
@@ -172,24 +230,69 @@
 	t.recordAnswer(to, now)
 }
 
-// Answered records a whole answer to a request with the given parts. It returns the
-// parts that it cleared.
-func (t *Tracker) Answered(to Target, parts []uint64, now time.Time) []Suspect {
+// Answered records a whole answer to a request. It returns the suspects that it cleared.
+func (t *Tracker) Answered(to Target, c Content, now time.Time) []Suspect {
 	t.init()
 	t.recordAnswer(to, now)
 	var cleared []Suspect
-	for _, id := range parts {
-		p := Suspect{to, id}
-		t.answered.set(p, now)
+	for _, p := range c.suspects(to) {
+		t.answered[p.Kind].set(p, now)
 		if r := t.records[p]; r != nil && (len(r.crashes) > 0 || !r.trial.IsZero()) {
 			r.clear(now)
-			r.count, r.last, r.trial = 0, now, time.Time{}
+			r.last, r.trials, r.trial = now, 0, time.Time{}
+			t.setCount(r, 0)
 			cleared = append(cleared, p)
 		}
 	}
 	return cleared
 }
 
+// answeredAt returns when a suspect was last answered, the zero time for never.
+func (t *Tracker) answeredAt(p Suspect) time.Time { return t.answered[p.Kind].at(p) }
+
+// Tried records that a request which tries suspects is sent. It returns those of which
+// other entries have to hear before there is an outcome: the requests, of which few may
+// be tried. A part is tried again soon if the outcome is lost, as sound requests have it.
+func (t *Tracker) Tried(list []Suspect, now time.Time) []Suspect {
+	var changed []Suspect
+	for _, p := range list {
+		if r := t.records[p]; r != nil && p.Kind == Request {
+			r.trials, r.last = r.trials+1, now
+			changed = append(changed, p)
+		}
+	}
+	return changed
+}
+
+// setCount sets the number of crashes of a record that count.
+func (t *Tracker) setCount(r *record, n int) {
+	if (r.count >= blockCrashes) != (n >= blockCrashes) {
+		t.blocking = nil
+	}
+	r.count = n
+}
+
+// remove forgets a suspect.
+func (t *Tracker) remove(p Suspect) {
+	if r := t.records[p]; r != nil {
+		t.setCount(r, 0)
+		delete(t.records, p)
+	}
+}
+
+// withBlockCrashes returns the suspects with blockCrashes, in no order.
+func (t *Tracker) withBlockCrashes() []Suspect {
+	if t.blocking == nil {
+		t.blocking = []Suspect{}
+		for p, r := range t.records {
+			if r.count >= blockCrashes {
+				t.blocking = append(t.blocking, p)
+			}
+		}
+	}
+	return t.blocking
+}
+
 // recordAnswer records that a target answered a request or began to.
 func (t *Tracker) recordAnswer(to Target, at time.Time) {
 	times, known := t.answerTimes[to]
@@ -217,8 +320,8 @@
 
 // Abandon ends a trial without an outcome. If the request was sent, the next one waits as
 // after a crash.
-func (t *Tracker) Abandon(parts []Suspect, sent bool, now time.Time) {
-	for _, p := range parts {
+func (t *Tracker) Abandon(list []Suspect, sent bool, now time.Time) {
+	for _, p := range list {
 		r := t.records[p]
 		if r == nil || r.trial.IsZero() {
 			continue
@@ -230,8 +333,8 @@
 	}
 }
 
-// record returns the record of a part, a new one if there is none, or nil if too many
-// parts are known that are at least as suspect.
+// record returns the record of a suspect, a new one if there is none, or nil if too many
+// are known that have as many crashes.
 func (t *Tracker) record(p Suspect, now time.Time) *record {
 	if r := t.records[p]; r != nil {
 		return r
@@ -244,21 +347,21 @@
 	return r
 }
 
-// evict makes room for a part: it drops those that have expired, or else the oldest with
-// at most one crash.
+// evict makes room for a suspect: it drops those that have expired, or else the oldest
+// with at most one crash.
 func (t *Tracker) evict(now time.Time) bool {
 	n := len(t.records)
 	var oldest *Suspect
 	for p, r := range t.records {
 		switch {
 		case now.Sub(r.last) > r.ttl():
-			delete(t.records, p)
+			t.remove(p)
 		case r.count <= 1 && (oldest == nil || r.last.Before(t.records[*oldest].last)):
 			oldest = &p
 		}
 	}
 	if len(t.records) == n && oldest != nil {
-		delete(t.records, *oldest)
+		t.remove(*oldest)
 	}
 	return len(t.records) < n
 }
@@ -275,7 +378,7 @@
 	if _, known := r.crashes[process]; known || slices.Contains(r.dropped, process) {
 		return false
 	}
-	if !at.After(t.answered.at(p)) {
+	if !at.After(t.answeredAt(p)) {
 		r.drop(process)
 		return false
 	}
@@ -292,7 +395,7 @@
 	if at.After(r.last) {
 		r.last = at
 	}
-	r.count = min(max(r.count, t.countOf(p, r)), maxCrashes)
+	t.setCount(r, min(max(r.count, t.countOf(p, r)), maxCrashes))
 	return true
 }
 
@@ -335,16 +438,20 @@
 // countOf returns the number of crashes of a record that count.
 func (t *Tracker) countOf(p Suspect, r *record) int { return len(t.counted(p, r)) }
 
-// counted returns the crashes of a record of which each has an answer of the target, or
-// togetherTime, between it and the one counted before.
+// counted returns the crashes of a record that count: of a part, those of which each has
+// an answer of the target, or togetherTime, between it and the one counted before.
 func (t *Tracker) counted(p Suspect, r *record) []schedule.Identity {
+	all := r.sorted()
+	if p.Kind == Request && (len(all) == 0 || r.crashes[all[0]].Sub(t.answeredAt(p)) > frequentTime) {
+		return all
+	}
 	var list []schedule.Identity
 	var last time.Time
 	minGap := minCrashGap
-	if t.answered.at(p).IsZero() {
+	if t.answeredAt(p).IsZero() {
 		minGap = 0
 	}
-	for _, id := range r.sorted() {
+	for _, id := range all {
 		at := r.crashes[id]
 		gap := at.Sub(last)
 		if len(list) == 0 || gap >= togetherTime || gap >= minGap && t.answeredBetween(p.Target, last, at) {
--- a/internal/forward/poison/poison_test.go
+++ b/internal/forward/poison/poison_test.go
@@ -10,15 +10,18 @@
 
 var start = time.Unix(1000, 0)
 
+// partsOf returns the content of a request whose prompt has the given parts.
+func partsOf(ids ...uint64) Content { return Content{Parts: ids} }
+
 func process(n int) schedule.Identity { return schedule.Identity{ID: fmt.Sprint("i-", n)} }
 
 // crash records n crashes under a part, with an answer to another request before each.
 func crash(t *Tracker, to Target, part uint64, n int, now time.Time) time.Time {
 	for i := range n {
 		now = now.Add(minCrashGap)
-		t.Answered(to, nil, now)
+		t.Answered(to, partsOf(), now)
 		now = now.Add(minCrashGap)
-		t.Crashed(to, process(i), []uint64{part}, now)
+		t.Crashed(to, process(i), partsOf(part), now)
 	}
 	return now
 }
@@ -30,17 +33,17 @@
 	now := crash(&a, v1, firstPart, 4, start)
 	late := a.Reports(now)
 	b.Merge(late, now)
-	b.Answered(v1, []uint64{firstPart}, now.Add(100*time.Millisecond))
+	b.Answered(v1, partsOf(firstPart), now.Add(100*time.Millisecond))
 	now = now.Add(400 * time.Millisecond)
 	b.Merge(late, now)
-	if n := b.Count(Suspect{v1, firstPart}); n != 0 {
+	if n := b.Count(Suspect{Target: v1, ID: firstPart}); n != 0 {
 		t.Errorf("%d crashes count after an answer, want 0", n)
 	}
 	var c Tracker
-	c.Answered(v1, []uint64{firstPart}, now)
+	c.Answered(v1, partsOf(firstPart), now)
 	c.Merge(late, now.Add(-time.Millisecond)) // the crashes are from before the answer
 	c.Merge(late, now.Add(300*time.Millisecond))
-	if n := c.Count(Suspect{v1, firstPart}); n != 0 {
+	if n := c.Count(Suspect{Target: v1, ID: firstPart}); n != 0 {
 		t.Errorf("%d crashes from before an answer count, want 0", n)
 	}
 }
@@ -48,7 +51,7 @@
 // Guards against a report whose count has no crashes behind it.
 func TestReportedCountNeedsItsCrashes(t *testing.T) {
 	var a Tracker
-	p := Suspect{v1, firstPart}
+	p := Suspect{Target: v1, ID: firstPart}
 	a.Merge([]Report{{Suspect: p, Count: 8, Crashes: []Crash{{Process: process(1)}}, AnsweredAge: -1, TargetAge: -1}}, start)
 	if n := a.Count(p); n != 1 {
 		t.Errorf("%d crashes count after a report of one, want 1", n)
@@ -66,8 +69,8 @@
 	now := start
 	for i := range 2 * maxCrashes {
 		now = now.Add(time.Millisecond)
-		a.Crashed(v1, process(i), []uint64{badPart}, now)
-		b.Crashed(v1, process(100+i), []uint64{badPart}, now)
+		a.Crashed(v1, process(i), partsOf(badPart), now)
+		b.Crashed(v1, process(100+i), partsOf(badPart), now)
 	}
 	last := 0
 	for i := range rounds {
@@ -86,15 +89,15 @@
 // part: the others of a rack answer meanwhile, and reports of answers from before arrive
 // between those of the crashes.
 func TestUpstreamsThatEndTogetherAreOneCrash(t *testing.T) {
-	p := Suspect{v1, firstPart}
+	p := Suspect{Target: v1, ID: firstPart}
 	var rack, late Tracker
-	rack.Answered(v1, []uint64{firstPart}, start)
-	late.Answered(v1, []uint64{firstPart}, start)
+	rack.Answered(v1, partsOf(firstPart), start)
+	late.Answered(v1, partsOf(firstPart), start)
 	now := start
 	for i := range 5 {
 		now = now.Add(25 * time.Millisecond)
-		rack.Answered(v1, []uint64{middlePart}, now)
-		rack.Crashed(v1, process(i), []uint64{firstPart}, now.Add(5*time.Millisecond))
+		rack.Answered(v1, partsOf(middlePart), now)
+		rack.Crashed(v1, process(i), partsOf(firstPart), now.Add(5*time.Millisecond))
 		now = now.Add(25 * time.Millisecond)
 		late.Merge([]Report{{Suspect: p, Count: 1, Crashes: []Crash{{Process: process(i)}}, AnsweredAge: -1, TargetAge: 0}}, now)
 	}
--- a/internal/forward/poison/trial_test.go
+++ b/internal/forward/poison/trial_test.go
@@ -24,18 +24,18 @@
 			now = now.Add(100 * time.Millisecond)
 			running := 0
 			for i := range entries {
-				v := trackers[i].Check(v2, []uint64{firstPart, badPart}, Fleet{Entries: entries, Index: i}, now)
+				v := trackers[i].Check(v2, partsOf(firstPart, badPart), Fleet{Entries: entries, Index: i}, now)
 				if v.Blocked {
 					continue
 				}
 				if running++; running > 1 {
 					t.Fatalf("%d requests try the new version at once", running)
 				}
-				if again := trackers[i].Check(v2, []uint64{badPart}, Fleet{Entries: entries, Index: i}, now); !again.Blocked {
+				if again := trackers[i].Check(v2, partsOf(badPart), Fleet{Entries: entries, Index: i}, now); !again.Blocked {
 					t.Fatal("a second request of the entry tries it too")
 				}
 				crashes++
-				trackers[i].Crashed(v2, process(1000+crashes), []uint64{firstPart, badPart}, now.Add(100*time.Millisecond))
+				trackers[i].Crashed(v2, process(1000+crashes), partsOf(firstPart, badPart), now.Add(100*time.Millisecond))
 				for k := range entries {
 					trackers[k].Merge(trackers[i].Reports(now.Add(100*time.Millisecond)), now.Add(200*time.Millisecond))
 				}
--- a/internal/result/code/table.go
+++ b/internal/result/code/table.go
@@ -38,6 +38,7 @@
 	NotReady            = define(2009, "not-ready", ward.NotRun, http.StatusServiceUnavailable, "ask again at once; another entry answers")
 	UpstreamUnreachable = define(2010, "upstream-unreachable", ward.NotRun, http.StatusServiceUnavailable, "ask again after Retry-After")
 	PromptBlocked       = define(2011, "prompt-blocked", ward.NotRun, http.StatusServiceUnavailable, "change the named part of the prompt, or ask again after Retry-After")
+	RequestBlocked      = define(2012, "request-blocked", ward.NotRun, http.StatusServiceUnavailable, "change the request, or ask again after Retry-After: upstreams crash under it")
 )
 
 // Codes of requests that were dispatched.
