feat(gate,links): an entry notices that it alone hears no upstream

Entries tell each other how long ago they last heard an upstream; one that heard none for 0.3 s, while two or more failed and a peer heard one later, logs upstreams-lost with the evidence, and upstreams-regained at the next byte. Two counters. No change of logic.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -27,6 +27,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"agateward/ward"
@@ -102,6 +103,11 @@
 	// HeadTimeout bounds the time from the first byte of a head to its end; 0 means
 	// DefaultHeadTimeout.
 	HeadTimeout time.Duration
+	// Dial opens a connection to an address, nil for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
+	// heard is when bytes last arrived, in nanoseconds since processStart; 0 for never.
+	heard atomic.Int64
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -109,6 +115,7 @@
 
 type conn struct {
 	net.Conn
+	pool    *Pool
 	address string
 	br      *bufio.Reader
 	expires time.Time
--- a/internal/forward/backend/head.go
+++ b/internal/forward/backend/head.go
@@ -47,7 +47,9 @@
 func (c *conn) Read(b []byte) (int, error) {
 	h := &c.head
 	if !h.reading {
-		return c.Conn.Read(b)
+		n, err := c.Conn.Read(b)
+		c.noteRead(n)
+		return n, err
 	}
 	if h.left == 0 {
 		return 0, errHeadTooLarge
@@ -60,6 +62,7 @@
 	}
 	n, err := c.Conn.Read(b[:min(len(b), h.left)])
 	h.left -= n
+	c.noteRead(n)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errHeadLate
 	}
--- a/internal/forward/backend/pool.go
+++ b/internal/forward/backend/pool.go
@@ -31,18 +31,47 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
+	raw, err := p.dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
+	p.noteHeard()
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	c := &conn{Conn: raw, address: address}
+	c := &conn{Conn: raw, pool: p, address: address}
 	c.br = bufio.NewReaderSize(c, bufferSize)
 	return c, nil
 }
 
+func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial != nil {
+		return p.Dial(ctx, address)
+	}
+	return (&net.Dialer{KeepAlive: -1}).DialContext(ctx, "tcp", address)
+}
+
+// LastHeard returns when bytes last arrived on any connection, or one was opened; the zero
+// time if none was.
+func (p *Pool) LastHeard() time.Time {
+	ns := p.heard.Load()
+	if ns == 0 {
+		return time.Time{}
+	}
+	return processStart.Add(time.Duration(ns))
+}
+
+// processStart is the base of Pool.heard, with a monotonic clock reading.
+var processStart = time.Now()
+
+func (p *Pool) noteHeard() { p.heard.Store(max(int64(time.Since(processStart)), 1)) }
+
+func (c *conn) noteRead(n int) {
+	if n > 0 {
+		c.pool.noteHeard()
+	}
+}
+
 // Connect makes sure that there is an open connection to an address, which the next
 // Send to it uses. Its error means that the upstream can't be reached.
 func (p *Pool) Connect(ctx context.Context, address string) error {
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -252,6 +252,9 @@
 func (c *call) finishAttempt(a schedule.Action, o schedule.Outcome) {
 	c.observeCrash(a, o)
 	c.gate.Rollout.Observe(c.route.Name, c.service, c.outcome(a, o))
+	if o == schedule.OutcomeUnreachable {
+		c.gate.linkFailed(a.Upstream.ID)
+	}
 	c.gate.done(a, o)
 }
 
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"agateward/internal/forward/backend"
+	"agateward/internal/forward/links"
 	"agateward/internal/forward/peerstate"
 	"agateward/internal/forward/poison"
 	"agateward/internal/forward/quota"
@@ -83,8 +84,12 @@
 	ledger  quota.Ledger
 	budget  retry.Budget
 	crashes poison.Tracker
-	waiters map[uint64]*waiter
-	lastID  uint64
+	links   links.Tracker
+	// lastHeard is when the pool last heard an upstream, by the last update of links; lostAt
+	// is when the links were last lost.
+	lastHeard, lostAt time.Time
+	waiters           map[uint64]*waiter
+	lastID            uint64
 	// loggedFaults holds the upstreams and fields of which an invalid value was logged.
 	loggedFaults map[loggedFault]bool
 
@@ -183,6 +188,7 @@
 	g.ledger.Inherit(m.QuotaLevels, now)
 	g.learnDepartures(m, now)
 	g.learnLimits(m, now)
+	g.learnLinks(m, now)
 	g.apply(g.sched.UpdatePeer(m.Name, m.Requests, now))
 }
 
@@ -202,6 +208,7 @@
 	m.Quota = g.ledger.Totals()
 	m.QuotaLevels = g.ledger.Levels(now)
 	m.Limits = g.sched.LimitNews(now)
+	g.reportLinks(m, now)
 }
 
 // SetEntries sets the number of entries that share quotas and budgets.
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -81,6 +81,12 @@
 	m.Set.GetOrCreateGauge("agateward_forward_limited_choices_total", func() float64 { _, n := values(); return float64(n) })
 }
 
+// linksLost counts that this entry lost its links to all upstreams, linksRegained that it
+// has them again.
+func (m *Metrics) linksLost() { m.count("agateward_forward_upstreams_lost_total") }
+
+func (m *Metrics) linksRegained() { m.count("agateward_forward_upstreams_regained_total") }
+
 // Values of the label source: who made the answer that a caller got.
 const (
 	sourceEntry    = "entry"
--- /dev/null
+++ b/internal/forward/links/links.go
@@ -0,0 +1,181 @@
+// Package links decides whether an entry has lost its links to all upstreams while its
+// peers have theirs.
+//
+// An entry that hears nothing from upstreams cannot tell by itself whether they are down
+// or it is cut off. Peers that hear upstreams meanwhile show that it is cut off. One byte
+// of any upstream, or a connection that an upstream accepts, shows that it is not.
+//
+// # Usage
+//
+//	var t links.Tracker
+//	t.Heard(now)                      // bytes of an upstream, or a new connection
+//	t.Failed("i-1", now)              // an attempt without a byte
+//	t.UpdatePeer("entry-2", age, now) // a peer heard an upstream that long ago
+//	change := t.Update(now)           // at intervals, and after evidence
+//	if t.Lost() { ... }
+//
+// The tracker reads no clock and does no I/O.
+package links
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// minQuiet is the time without a byte of any upstream from which the links may be
+	// lost. Answers of a busy entry come far more often.
+	minQuiet = 300 * time.Millisecond
+	// minFailed is the number of different upstreams that must have failed since the last
+	// byte: one may be silent, or down, alone.
+	minFailed = 2
+	// maxFailed bounds the upstreams that are remembered.
+	maxFailed = 16
+	// peerTTL is how long what a peer said counts.
+	peerTTL = 1500 * time.Millisecond
+	// probeInterval is the time between two connections that are tried while the links
+	// are lost.
+	probeInterval = 500 * time.Millisecond
+)
+
+// Never is the age that a peer reports that has heard no upstream.
+const Never = time.Duration(-1)
+
+// Change tells what an update changed.
+type Change int
+
+// Changes of the links.
+const (
+	Same Change = iota
+	Lost
+	Regained
+)
+
+// Evidence is why the links count as lost.
+type Evidence struct {
+	// Quiet is the time since this entry last heard an upstream.
+	Quiet time.Duration
+	// Failed lists the upstreams that failed since then.
+	Failed []string
+	// Peer is the peer that heard an upstream last, PeerQuiet the time since then.
+	Peer      string
+	PeerQuiet time.Duration
+}
+
+// peer is what a peer said.
+type peer struct {
+	at time.Time
+	// heard is when it last heard an upstream, zero for never.
+	heard time.Time
+}
+
+// Tracker holds what an entry knows of its links to upstreams. Its zero value is ready to
+// use.
+type Tracker struct {
+	heard time.Time
+	// failed lists the upstreams that failed since then, first is when the first one did.
+	failed []string
+	first  time.Time
+	peers  map[string]peer
+	lost   bool
+	probed time.Time
+}
+
+// Heard records that an upstream sent something or accepted a connection.
+func (t *Tracker) Heard(now time.Time) {
+	if now.After(t.heard) {
+		t.heard = now
+	}
+	t.failed = t.failed[:0]
+}
+
+// Failed records an attempt at an upstream, or a part of its time, without a byte.
+func (t *Tracker) Failed(upstream string, now time.Time) {
+	if !now.After(t.heard) || len(t.failed) >= maxFailed || slices.Contains(t.failed, upstream) {
+		return
+	}
+	if len(t.failed) == 0 {
+		t.first = now
+	}
+	t.failed = append(t.failed, upstream)
+}
+
+// UpdatePeer records how long ago a peer heard an upstream, Never if it did not.
+func (t *Tracker) UpdatePeer(name string, age time.Duration, now time.Time) {
+	if t.peers == nil {
+		t.peers = make(map[string]peer)
+	}
+	p := peer{at: now}
+	if age >= 0 {
+		p.heard = now.Add(-age)
+	}
+	t.peers[name] = p
+}
+
+// Age returns how long ago this entry heard an upstream, Never if it did not.
+func (t *Tracker) Age(now time.Time) time.Duration {
+	if t.heard.IsZero() {
+		return Never
+	}
+	return max(now.Sub(t.heard), 0)
+}
+
+// Lost reports whether the links to all upstreams are lost, by the last update.
+func (t *Tracker) Lost() bool { return t.lost }
+
+// Update decides anew and reports what changed.
+func (t *Tracker) Update(now time.Time) Change {
+	for name, p := range t.peers {
+		if now.Sub(p.at) > peerTTL {
+			delete(t.peers, name)
+		}
+	}
+	switch {
+	case t.lost && len(t.failed) == 0 && now.Sub(t.heard) < minQuiet:
+		t.lost = false
+		return Regained
+	case !t.lost && t.cutOff(now):
+		t.lost, t.probed = true, now
+		return Lost
+	}
+	return Same
+}
+
+// cutOff reports whether upstreams answer peers but not this entry.
+func (t *Tracker) cutOff(now time.Time) bool {
+	return len(t.failed) >= minFailed && now.Sub(t.heard) >= minQuiet && len(t.Connected(now)) > 0
+}
+
+// Connected returns the sorted names of the peers that heard an upstream after one failed
+// here.
+func (t *Tracker) Connected(now time.Time) []string {
+	var list []string
+	for name, p := range t.peers {
+		if now.Sub(p.at) <= peerTTL && p.heard.After(t.first) {
+			list = append(list, name)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Evidence returns why the links count as lost.
+func (t *Tracker) Evidence(now time.Time) Evidence {
+	e := Evidence{Quiet: t.Age(now), Failed: slices.Clone(t.failed), PeerQuiet: Never}
+	for _, name := range t.Connected(now) {
+		if quiet := now.Sub(t.peers[name].heard); e.Peer == "" || quiet < e.PeerQuiet {
+			e.Peer, e.PeerQuiet = name, quiet
+		}
+	}
+	return e
+}
+
+// ProbeDue reports whether a connection to an upstream is to be tried now, and counts it
+// as tried.
+func (t *Tracker) ProbeDue(now time.Time) bool {
+	if !t.lost || now.Sub(t.probed) < probeInterval {
+		return false
+	}
+	t.probed = now
+	return true
+}
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -39,6 +39,9 @@
 	Documents ward.DocumentVersions `msgpack:"v"`
 	// StoreAge is the time in milliseconds since the store last answered the sender.
 	StoreAge int64 `msgpack:"e"`
+	// UpstreamAge is the time in milliseconds since the sender last heard an upstream, plus
+	// 1; 0 if it heard none.
+	UpstreamAge int64 `msgpack:"j,omitempty"`
 	// Requests is the state of the sender's scheduler.
 	Requests schedule.PeerState `msgpack:"q"`
 	// Grant is the ID of an upstream of which the sender grants one slot to the
