--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -70,6 +70,8 @@
 	Source  ward.ForwardSource
 	Dialect ward.Dialect
 	Log     logr.Logger
+	// Dial opens a connection to an upstream, nil for TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 }
 
 // Node is one entry of the forwarding surface.
@@ -106,7 +108,7 @@
 	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), broadcastNow: make(chan struct{}, 1), announceNow: make(chan struct{}, 1), news: news{now: make(chan struct{}, 1)}}
 	n.peers.Self = s.Name
 	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.onChange, FollowsStore: n.followsStore, EraChanged: n.announceAgain}
-	pool := &backend.Pool{OnOpen: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
+	pool := &backend.Pool{Dial: p.Dial, OnOpen: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
 	n.rollout = &rollout.Rollout{
 		Self: s.Name, Start: n.start, Source: p.Source, Log: p.Log, Orders: n.view.Rollouts, Upstreams: n.view.Upstreams,
 		Fleet: n.fleet, Cells: n.hasCells, Era: n.view.Era, OrderOf: n.view.OrderOf, LearnOrder: n.view.LearnOrder, Publish: n.broadcastMoves, Changed: func() { n.gate.Refresh() },
