fix(gate,links,node): an entry without links to upstreams passes requests on

Cause: a cut entry took each upstream for failed and waited for one to come back; it did not know, or use, that its peers were served by the same upstreams.

Where all peers are cut off too, single requests ask other entries. Probes show the end; then failed attempts are forgotten. A cut entry reports no upstream as unresponsive.

Why it works: the entries' links to each other are there, and first tries from 1 s on do not depend on the entry's own links. Requests that may have run are repeated only where the route allows it.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -74,6 +74,9 @@
 	}
 	defer c.releaseNext()
 	for {
+		if c.relayIfLost(ctx) {
+			return
+		}
 		if c.next == nil && !c.pickGroup() {
 			return
 		}
@@ -83,7 +86,9 @@
 			return
 		}
 		if a.Upstream == nil {
-			c.rejected(a)
+			if !c.relayIfLost(ctx) {
+				c.rejected(a)
+			}
 			return
 		}
 		if c.attempt(ctx, a) {
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -5,10 +5,12 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"agateward/internal/forward/poison"
 	"agateward/internal/forward/quota"
+	"agateward/internal/forward/relay"
 	"agateward/internal/forward/route"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
@@ -67,6 +69,12 @@
 	next *schedule.Action
 	// noRetry is why the request was not sent again, "" if it was.
 	noRetry string
+	// relayed is true when the request was passed on to other entries.
+	relayed bool
+	// from is the entry that relays the request, "" for a caller's own; envelope is what
+	// it told.
+	from     string
+	envelope relay.Envelope
 	// started is true when part of the answer was sent to the caller. lastEvent is the
 	// id of the last event that the caller has, -1 for none.
 	started   bool
@@ -88,6 +96,12 @@
 	if c.head, err = c.gate.Dialect.Head(c.r.Header); err != nil {
 		return code.BadHeader.Wrap(err, "read the head")
 	}
+	if c.from != "" {
+		c.head.LastEvent = c.envelope.LastEvent
+		if d := c.envelope.Remaining; d > 0 {
+			c.head.Timeout = d
+		}
+	}
 	c.lastEvent = c.head.LastEvent
 	c.parts = c.sharedParts()
 	c.log = c.log.WithValues("request", c.head.ID)
@@ -152,6 +166,9 @@
 
 // takeQuota charges the request to its team's quota.
 func (c *call) takeQuota() error {
+	if c.from != "" {
+		return nil // charged by the entry that relays the request
+	}
 	now := time.Now()
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
@@ -215,6 +232,9 @@
 	if id := c.head.ID; id != "" {
 		h.Set(c.gate.Dialect.RequestID(), id)
 	}
+	if c.from != "" {
+		h.Set(relay.FieldRefused, strconv.Itoa(k.Number))
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(k.Status)
 	// A write error means that the caller has left; nothing else can be done.
--- a/internal/forward/gate/crash.go
+++ b/internal/forward/gate/crash.go
@@ -115,7 +115,7 @@
 	switch {
 	case o == schedule.OutcomeOK:
 		c.suspectsChanged(eventsCleared, a, g.crashes.Answered(c.crashTarget(a), c.crashContent(), now))
-	case c.crashed && c.events <= maxUnbegunEvents:
+	case c.crashed && c.events <= maxUnbegunEvents && !g.links.Lost():
 		g.Metrics.promptCrashed()
 		c.suspectsChanged(eventsSuspect, a, g.crashes.Crashed(c.crashTarget(a), schedule.IdentityOf(a.Upstream), c.crashContent(), now))
 	}
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -33,6 +33,7 @@
 	"agateward/internal/forward/shutdown"
 	"agateward/internal/forward/view"
 	"agateward/internal/move/split"
+	"agateward/internal/result/code"
 	"agateward/ward"
 
 	"github.com/go-logr/logr"
@@ -48,8 +49,8 @@
 // The store usually answers within a few milliseconds.
 const configWait = 250 * time.Millisecond
 
-// Gate serves callers. All fields but Metrics, Rollout and ProgressTimeout must be set,
-// and Prepare called.
+// Gate serves callers. All fields but Metrics, Rollout, Relay and ProgressTimeout must be
+// set, and Prepare called.
 type Gate struct {
 	Dialect ward.Dialect
 	View    *view.View
@@ -73,12 +74,16 @@
 	// unless it is nil. Neither may block.
 	Fleet           func() split.Fleet
 	SuspectsChanged func(list []poison.Suspect)
+	// Relay connects the gate to other entries, nil if requests are not relayed.
+	Relay *Relay
 	// LimitsChanged requests a broadcast of the limits of upstreams, unless it is nil. It
 	// must not block.
 	LimitsChanged func(list []schedule.LimitReport)
 	// Start is a number that no earlier process of this entry had.
 	Start int64
 
+	name string
+
 	mu      sync.Mutex
 	sched   schedule.Scheduler
 	ledger  quota.Ledger
@@ -127,7 +132,7 @@
 		g.Rollout = &rollout.Rollout{}
 	}
 	g.Metrics.limited(g.limited)
-	g.budget, g.ledger = s.Retries, s.Quotas
+	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
 }
@@ -318,17 +323,23 @@
 
 // ServeHTTP serves one request of a caller.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.serve(&call{gate: g, w: w, r: r, arrived: time.Now(), log: g.Log})
+}
+
+func (g *Gate) serve(c *call) {
 	g.running.Add(1)
 	defer g.running.Add(-1)
 	if g.shutdown.Load() != nil {
-		w.Header().Set("Connection", "close")
+		c.w.Header().Set("Connection", "close")
 	}
-	c := &call{gate: g, w: w, r: r, arrived: time.Now()}
-	c.log = g.Log
 	if err := c.accept(); err != nil {
 		c.refuse(err)
 		return
 	}
 	g.Metrics.arrived(c.route)
+	if c.from != "" && g.hearsNone() {
+		c.respond(code.UpstreamUnreachable, 0, "this entry reaches no upstream either")
+		return
+	}
 	c.run()
 }
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -87,6 +87,19 @@
 
 func (m *Metrics) linksRegained() { m.count("agateward_forward_upstreams_regained_total") }
 
+// Values of the label result of a relayed request.
+const (
+	relayAnswered     = "answered"
+	relayRefused      = "refused"
+	relayBroken       = "broken"
+	relayNotConnected = "not-connected"
+)
+
+// relayed counts a request that was passed on to another entry.
+func (m *Metrics) relayed(result string) {
+	m.count("agateward_forward_relayed_total{result=%q}", result)
+}
+
 // Values of the label source: who made the answer that a caller got.
 const (
 	sourceEntry    = "entry"
--- /dev/null
+++ b/internal/forward/gate/relay.go
@@ -0,0 +1,187 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"agateward/internal/forward/backend"
+	"agateward/internal/forward/relay"
+	"agateward/internal/result/code"
+	"agateward/internal/upstream/sse"
+	"agateward/ward"
+)
+
+// maxRelays bounds the entries to which one request is relayed.
+const maxRelays = 3
+
+// refusedElsewhere lists the codes with which another entry refuses a relayed request
+// that a third one may take: it stops, or reaches no upstream either.
+var refusedElsewhere = map[int]bool{
+	code.Stopping.Number: true, code.NotReady.Number: true, code.NoUpstream.Number: true, code.UpstreamUnreachable.Number: true,
+}
+
+// Relay connects a gate to those of other entries.
+type Relay struct {
+	// Pool holds the connections to other entries.
+	Pool *backend.Pool
+	// Entries returns the addresses at which the other entries of the fleet take relayed
+	// requests. It must not block.
+	Entries func() []string
+}
+
+// relayTargets returns addresses of entries that may reach upstreams, in random order:
+// those that heard some, or else any.
+func (g *Gate) relayTargets() []string {
+	g.mu.Lock()
+	list := g.links.Connected(time.Now())
+	g.mu.Unlock()
+	if len(list) == 0 {
+		list = g.Relay.Entries()
+	}
+	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	return list[:min(len(list), maxRelays)]
+}
+
+// relayIfLost passes the request on to another entry if this one has lost its links to
+// upstreams, and reports whether the request is finished.
+func (c *call) relayIfLost(ctx context.Context) bool {
+	if c.gate.Relay == nil || c.from != "" || c.relayed || !c.gate.relays() {
+		return false
+	}
+	c.relayed = true
+	for _, address := range c.gate.relayTargets() {
+		if c.relayTo(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
+// relayTo passes the request on to another entry and reports whether it is finished.
+func (c *call) relayTo(ctx context.Context, address string) bool {
+	g, now := c.gate, time.Now()
+	e := relay.Envelope{From: g.name, Sends: c.sends, LastEvent: c.lastEvent}
+	if !c.deadline.IsZero() {
+		e.Remaining = max(c.deadline.Sub(now), time.Millisecond)
+	}
+	c.log.Info("request-relayed", "to", address, "route", c.route.Name, "sends", c.sends, "last-event", c.lastEvent)
+	x, err := g.Relay.Pool.Send(ctx, backend.Request{
+		Address: address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host, Header: e.Wrap(c.r.Header), Body: c.body,
+	})
+	if errors.Is(err, ward.ErrNotConnected) && ctx.Err() == nil {
+		g.Metrics.relayed(relayNotConnected)
+		c.log.Info("relay-failed", "to", address, "sent", false, "error", err.Error())
+		return false
+	}
+	if err != nil {
+		return c.relayBroken(ctx, address, err)
+	}
+	defer x.Close()
+	if id := x.Header.Get(g.Dialect.RequestID()); id != c.head.ID {
+		return c.relayBroken(ctx, address, errOtherAnswer)
+	}
+	switch n, err := strconv.Atoi(x.Header.Get(relay.FieldRefused)); {
+	case err != nil:
+		g.relayServed(address)
+	case refusedElsewhere[n]:
+		x.Drain(maxRejection)
+		g.Metrics.relayed(relayRefused)
+		c.log.Info("relay-failed", "to", address, "sent", true, "code", n)
+		return false
+	}
+	return c.relayAnswer(ctx, address, x)
+}
+
+var errOtherAnswer = errors.New(otherRequest)
+
+// relayBroken handles the end of a relayed request without a whole answer: an upstream
+// may have run it. It reports whether the request is finished.
+func (c *call) relayBroken(ctx context.Context, address string, err error) bool {
+	c.sends++
+	c.mayHaveRun = true
+	c.gate.Metrics.relayed(relayBroken)
+	c.log.Info("relay-failed", "to", address, "sent", true, "error", err.Error(), "elapsed", time.Since(c.arrived))
+	if ctx.Err() != nil {
+		c.cancelled(ctx)
+		return true
+	}
+	return !c.retry(code.UpstreamFailed, "no answer from another entry: "+err.Error())
+}
+
+// relayAnswer passes on the answer of another entry and reports whether the request is
+// finished.
+func (c *call) relayAnswer(ctx context.Context, address string, x *backend.Exchange) bool {
+	if c.route.Kind == ward.ForwardStream && x.Status < 300 {
+		return c.relayEvents(ctx, address, x)
+	}
+	body, err := io.ReadAll(io.LimitReader(x.Body, maxBuffered+1))
+	if err == nil && len(body) > maxBuffered {
+		err = errAnswerTooLarge
+	}
+	if err != nil {
+		return c.relayBroken(ctx, address, err)
+	}
+	c.gate.Metrics.relayed(relayAnswered)
+	notRun := code.PromisesNotRun(x.Status)
+	if notRun {
+		c.refund()
+	}
+	switch {
+	case c.started:
+		c.fail(code.AnswerCut, "the resumed stream was refused with "+strconv.Itoa(x.Status))
+	case c.mayHaveRun && notRun:
+		c.fail(code.UpstreamFailed, "another entry refused the request with "+strconv.Itoa(x.Status))
+	default:
+		(&bufferedAnswer{upstream: address, status: x.Status, header: x.Header, body: body}).write(c)
+	}
+	return true
+}
+
+// relayEvents passes on a stream of another entry as its events arrive.
+func (c *call) relayEvents(ctx context.Context, address string, x *backend.Exchange) bool {
+	events := sse.Reader{R: x.Body, Max: maxEvent}
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err == nil {
+			c.noteProgress()
+			err = c.relayEvent(e, x)
+		}
+		if err != nil {
+			return c.relayBroken(ctx, address, err)
+		}
+	}
+	c.startAnswer(x)
+	c.gate.Metrics.relayed(relayAnswered)
+	c.log.Info("request-answered", "upstream", address, "status", x.Status, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.gate.Metrics.answered(c.route, x.Status, time.Since(c.arrived))
+	return true
+}
+
+// ServeRelayed serves a request that another entry relays. It charges no quota, as that
+// entry has, and relays it no further.
+func (g *Gate) ServeRelayed(w http.ResponseWriter, r *http.Request) {
+	e, err := relay.Open(r.Header)
+	if err != nil {
+		g.Log.Info("relayed-request-invalid", "from", r.RemoteAddr, "error", err.Error())
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	g.serve(&call{gate: g, w: w, r: r, arrived: time.Now(), from: e.From, envelope: e, sends: e.Sends, log: g.Log.WithValues("from", e.From)})
+}
+
+// DenyRelayed refuses a request whose sender is not known as an entry: another entry may
+// know it.
+func (g *Gate) DenyRelayed(w http.ResponseWriter, r *http.Request) {
+	g.Log.Info("relayed-request-denied", "from", r.RemoteAddr)
+	w.Header().Set(g.Dialect.RequestID(), r.Header.Get(g.Dialect.RequestID()))
+	w.Header().Set(relay.FieldRefused, strconv.Itoa(code.NotReady.Number))
+	w.WriteHeader(http.StatusForbidden)
+}
--- a/internal/forward/links/links.go
+++ b/internal/forward/links/links.go
@@ -10,9 +10,10 @@
 //	var t links.Tracker
 //	t.Heard(now)                      // bytes of an upstream, or a new connection
 //	t.Failed("i-1", now)              // an attempt without a byte
-//	t.UpdatePeer("entry-2", age, now) // a peer heard an upstream that long ago
+//	t.UpdatePeer(address, age, now)   // an entry heard an upstream that long ago
 //	change := t.Update(now)           // at intervals, and after evidence
 //	if t.Lost() { ... }
+//	if t.TrialDue(now) { ... }        // ask an entry of which nothing is known
 //
 // The tracker reads no clock and does no I/O.
 package links
@@ -31,11 +32,16 @@
 	minFailed = 2
 	// maxFailed bounds the upstreams that are remembered.
 	maxFailed = 16
+	// trialInterval is the time between two requests by which an entry without evidence
+	// of peers finds out whether others hear upstreams.
+	trialInterval = 200 * time.Millisecond
 	// peerTTL is how long what a peer said counts.
 	peerTTL = 1500 * time.Millisecond
-	// probeInterval is the time between two connections that are tried while the links
-	// are lost.
-	probeInterval = 500 * time.Millisecond
+	// minProbe is the time between two connections that are tried while the links are
+	// lost. It doubles, up to maxProbe, when they are lost again within flapTime.
+	minProbe = 500 * time.Millisecond
+	maxProbe = 4 * time.Second
+	flapTime = 10 * time.Second
 )
 
 // Never is the age that a peer reports that has heard no upstream.
@@ -57,7 +63,8 @@
 	Quiet time.Duration
 	// Failed lists the upstreams that failed since then.
 	Failed []string
-	// Peer is the peer that heard an upstream last, PeerQuiet the time since then.
+	// Peer is the address of the entry that heard an upstream last, PeerQuiet the time
+	// since then.
 	Peer      string
 	PeerQuiet time.Duration
 }
@@ -79,6 +86,10 @@
 	peers  map[string]peer
 	lost   bool
 	probed time.Time
+	tried  time.Time
+	// interval is the time between two probes, regained when the links were last regained.
+	interval time.Duration
+	regained time.Time
 }
 
 // Heard records that an upstream sent something or accepted a connection.
@@ -100,8 +111,9 @@
 	t.failed = append(t.failed, upstream)
 }
 
-// UpdatePeer records how long ago a peer heard an upstream, Never if it did not.
-func (t *Tracker) UpdatePeer(name string, age time.Duration, now time.Time) {
+// UpdatePeer records how long ago the entry with an address heard an upstream, Never if it
+// did not.
+func (t *Tracker) UpdatePeer(address string, age time.Duration, now time.Time) {
 	if t.peers == nil {
 		t.peers = make(map[string]peer)
 	}
@@ -109,7 +121,7 @@
 	if age >= 0 {
 		p.heard = now.Add(-age)
 	}
-	t.peers[name] = p
+	t.peers[address] = p
 }
 
 // Age returns how long ago this entry heard an upstream, Never if it did not.
@@ -125,17 +137,20 @@
 
 // Update decides anew and reports what changed.
 func (t *Tracker) Update(now time.Time) Change {
-	for name, p := range t.peers {
+	for address, p := range t.peers {
 		if now.Sub(p.at) > peerTTL {
-			delete(t.peers, name)
+			delete(t.peers, address)
 		}
 	}
 	switch {
 	case t.lost && len(t.failed) == 0 && now.Sub(t.heard) < minQuiet:
-		t.lost = false
+		t.lost, t.regained = false, now
 		return Regained
 	case !t.lost && t.cutOff(now):
 		t.lost, t.probed = true, now
+		if t.interval = min(2*t.interval, maxProbe); t.regained.IsZero() || now.Sub(t.regained) > flapTime {
+			t.interval = minProbe
+		}
 		return Lost
 	}
 	return Same
@@ -143,16 +158,31 @@
 
 // cutOff reports whether upstreams answer peers but not this entry.
 func (t *Tracker) cutOff(now time.Time) bool {
-	return len(t.failed) >= minFailed && now.Sub(t.heard) >= minQuiet && len(t.Connected(now)) > 0
+	return t.Suspect(now) && len(t.Connected(now)) > 0
+}
+
+// Suspect reports whether this entry hears no upstream, whatever peers hear.
+func (t *Tracker) Suspect(now time.Time) bool {
+	return len(t.failed) >= minFailed && now.Sub(t.heard) >= minQuiet
+}
+
+// TrialDue reports whether a request is to be passed on now to an entry of which nothing
+// is known, and counts it as passed on. All peers may be cut off as this entry is.
+func (t *Tracker) TrialDue(now time.Time) bool {
+	if t.lost || !t.Suspect(now) || now.Sub(t.tried) < trialInterval {
+		return false
+	}
+	t.tried = now
+	return true
 }
 
-// Connected returns the sorted names of the peers that heard an upstream after one failed
-// here.
+// Connected returns the sorted addresses of the entries that heard an upstream after one
+// failed here.
 func (t *Tracker) Connected(now time.Time) []string {
 	var list []string
-	for name, p := range t.peers {
+	for address, p := range t.peers {
 		if now.Sub(p.at) <= peerTTL && p.heard.After(t.first) {
-			list = append(list, name)
+			list = append(list, address)
 		}
 	}
 	slices.Sort(list)
@@ -162,9 +192,9 @@
 // Evidence returns why the links count as lost.
 func (t *Tracker) Evidence(now time.Time) Evidence {
 	e := Evidence{Quiet: t.Age(now), Failed: slices.Clone(t.failed), PeerQuiet: Never}
-	for _, name := range t.Connected(now) {
-		if quiet := now.Sub(t.peers[name].heard); e.Peer == "" || quiet < e.PeerQuiet {
-			e.Peer, e.PeerQuiet = name, quiet
+	for _, address := range t.Connected(now) {
+		if quiet := now.Sub(t.peers[address].heard); e.Peer == "" || quiet < e.PeerQuiet {
+			e.Peer, e.PeerQuiet = address, quiet
 		}
 	}
 	return e
@@ -173,7 +203,7 @@
 // ProbeDue reports whether a connection to an upstream is to be tried now, and counts it
 // as tried.
 func (t *Tracker) ProbeDue(now time.Time) bool {
-	if !t.lost || now.Sub(t.probed) < probeInterval {
+	if !t.lost || now.Sub(t.probed) < t.interval {
 		return false
 	}
 	t.probed = now
--- a/internal/forward/links/links_test.go
+++ b/internal/forward/links/links_test.go
@@ -110,3 +110,53 @@
 		}
 	})
 }
+
+// Guards against a data centre whose entries are all cut off, so that no peer can show it:
+// one request at a time asks an entry of another data centre.
+func TestTrialOfAnotherEntry(t *testing.T) {
+	var tr Tracker
+	now := start
+	tr.Failed("a", now)
+	if tr.TrialDue(now) {
+		t.Error("a trial after one failure")
+	}
+	tr.Failed("b", now)
+	trials := 0
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		tr.Update(now)
+		if tr.TrialDue(now) {
+			trials++
+		}
+	}
+	if want := int(time.Second / trialInterval); trials < want/2 || trials > want+1 {
+		t.Errorf("%d trials in a second, want about %d", trials, want)
+	}
+	tr.UpdatePeer("10.9.0.1:7600", 0, now)
+	if tr.Update(now) != Lost {
+		t.Error("not lost after another entry served a request")
+	}
+}
+
+// Guards against links that flap: each loss soon after the end of one lengthens the time
+// until the next probe.
+func TestProbesSlowDown(t *testing.T) {
+	var tr Tracker
+	now := start
+	for i, want := range []time.Duration{minProbe, 2 * minProbe, 4 * minProbe, maxProbe, maxProbe} {
+		tr.Failed("a", now)
+		tr.Failed("b", now)
+		now = now.Add(minQuiet)
+		tr.UpdatePeer("p", 0, now)
+		if tr.Update(now) != Lost {
+			t.Fatalf("loss %d is not seen", i)
+		}
+		if tr.ProbeDue(now.Add(want-time.Millisecond)) || !tr.ProbeDue(now.Add(want)) {
+			t.Errorf("loss %d: the probe is not due after %v", i, want)
+		}
+		now = now.Add(want)
+		tr.Heard(now)
+		tr.Update(now)
+		now = now.Add(time.Millisecond)
+	}
+}
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -116,7 +116,7 @@
 	n.gate = &gate.Gate{
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log, Rollout: n.rollout,
 		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, SendGrant: n.sendGrant, TriggerBroadcast: n.triggerBroadcast,
-		Fleet: n.fleet, SuspectsChanged: n.suspectsChanged, LimitsChanged: n.limitsChanged,
+		Relay: n.newRelay(), Fleet: n.fleet, SuspectsChanged: n.suspectsChanged, LimitsChanged: n.limitsChanged,
 	}
 	n.gate.Prepare(setup(s))
 	n.gate.SetEntries(initialEntries)
@@ -163,6 +163,7 @@
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(n.log), slog.LevelError),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(n.ready), ReadHeaderTimeout: headerTimeout}
+	relayServer := &http.Server{Handler: http.HandlerFunc(n.serveRelayed), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
 	metricsServer := &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	var wg conc.WaitGroup
 	wg.Go(func() { n.view.Run(work) })
@@ -176,6 +177,7 @@
 	wg.Go(func() { n.serveState(work, listeners.state) })
 	wg.Go(func() { n.serve(readyServer, listeners.ready) })
 	wg.Go(func() { n.serve(callers, listeners.callers) })
+	wg.Go(func() { n.serve(relayServer, listeners.relay) })
 	if listeners.metrics != nil {
 		wg.Go(func() { n.serve(metricsServer, listeners.metrics) })
 	}
@@ -186,6 +188,7 @@
 	// Errors are of no consequence here: the process ends.
 	_ = readyServer.Close()
 	_ = metricsServer.Close()
+	_ = relayServer.Close()
 	listeners.state.Close()
 	_ = n.peerConn.Close()
 	wg.Wait()
@@ -213,7 +216,7 @@
 }
 
 type listeners struct {
-	callers, ready, state, metrics net.Listener
+	callers, ready, state, metrics, relay net.Listener
 }
 
 func (n *Node) listen() (listeners, error) {
@@ -223,7 +226,7 @@
 		address string
 	}{
 		{&l.callers, n.settings.Listen.Callers}, {&l.ready, n.settings.Listen.Ready},
-		{&l.state, n.settings.Listen.State}, {&l.metrics, n.settings.Listen.Metrics},
+		{&l.state, n.settings.Listen.State}, {&l.metrics, n.settings.Listen.Metrics}, {&l.relay, n.peerAddress()},
 	} {
 		if a.address == "" {
 			continue
@@ -244,8 +247,9 @@
 	return l, nil
 }
 
-// peerAddress returns the address at which this entry receives the messages of its
-// peers: the host of the state listener with the news port.
+// peerAddress returns the address at which this entry receives the messages of its peers,
+// and over TCP the requests that they relay: the host of the state listener with the news
+// port.
 func (n *Node) peerAddress() string {
 	return n.peerAddressOf(n.settings.Listen.State)
 }
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -120,3 +120,14 @@
 	// This entry may reuse the freed slot.
 	return s.fillSlot(v, u, now)
 }
+
+// Forgive forgets the attempts that failed: this entry had lost its links to upstreams.
+func (s *Scheduler) Forgive(now time.Time) []Action {
+	for _, u := range s.byID {
+		u.failedAttempts, u.backoffUntil = 0, time.Time{}
+		if u.ownLoad > 0 {
+			u.awaitingSince = now
+		}
+	}
+	return s.dispatchWaiting(now)
+}
--- a/internal/upstream/header/header.go
+++ b/internal/upstream/header/header.go
@@ -69,12 +69,21 @@
 
 func strip(h http.Header) http.Header {
 	drop := named(h)
+	out := EndToEnd(h)
+	for key := range out {
+		if drop[key] || strings.HasPrefix(key, Prefix) {
+			delete(out, key)
+		}
+	}
+	return out
+}
+
+// EndToEnd returns the fields that do not apply to one connection by their own
+// definition, whatever Connection names.
+func EndToEnd(h http.Header) http.Header {
 	out := make(http.Header, len(h))
 	for name, values := range h {
 		key := textproto.CanonicalMIMEHeaderKey(name)
-		if drop[key] || strings.HasPrefix(key, Prefix) {
-			continue
-		}
 		out[key] = append(out[key], values...)
 	}
 	for _, name := range hopByHop {
