fix(schedule): entries send brittle upstreams no more requests than they have slots

Change: while a service is brittle, an entry uses only slots of its own, and slots that a peer lends for one request and gets back; a rejection stops all requests to that upstream for a second at all entries. One answer with the field makes the service brittle for 5 s.

Why it works: the owners of slots are computed alike by all entries and loans are accounted for at their owner, so the sum over the entries is that of the slots.

--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -16,6 +16,8 @@
 // has said so does not return under its id. With status 503 it may ask for a pause by
 // Retry-After (seconds). Agateward-Limit on its answers is the number of requests a second
 // that it takes from all entries together; the first answer without it ends the limit.
+// Agateward-Brittle on the answers of a service's upstreams is the number of requests that
+// one may reject in a second for want of room without falling over.
 package dialect
 
 import (
@@ -40,6 +42,7 @@
 	fieldNotRun    = "Agateward-Not-Run"
 	fieldLeaving   = "Agateward-Leaving"
 	fieldLimit     = "Agateward-Limit"
+	fieldBrittle   = "Agateward-Brittle"
 	fieldLastEvent = "Last-Event-Id"
 	scheme         = "Bearer "
 )
@@ -111,5 +114,6 @@
 		Leaving: header.Flag(h, fieldLeaving), Limit: header.ReadLimit(h, fieldLimit),
 	}
 	header.ReadRetryAfter(&reply, status, h)
+	header.ReadBrittle(&reply, h, fieldBrittle)
 	return reply
 }
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -194,6 +194,7 @@
 	g.learnDepartures(m, now)
 	g.learnLimits(m, now)
 	g.learnLinks(m, now)
+	g.learnBrittle(m, now)
 	g.apply(g.sched.UpdatePeer(m.Name, m.Requests, now))
 }
 
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -65,6 +65,11 @@
 // upstreamPaused counts an answer by which an upstream asked for a pause.
 func (m *Metrics) upstreamPaused() { m.count("agateward_forward_upstream_pauses_total") }
 
+// serviceBrittle counts a service of which this entry learned that it is brittle.
+func (m *Metrics) serviceBrittle(source string) {
+	m.count("agateward_forward_services_brittle_total{source=%q}", source)
+}
+
 // upstreamLimit counts a limit of which this entry learned that an upstream named,
 // changed or ended it.
 func (m *Metrics) upstreamLimit(source string) {
--- a/internal/forward/gate/statement.go
+++ b/internal/forward/gate/statement.go
@@ -25,6 +25,31 @@
 		c.notePause(a, reply)
 	}
 	c.noteLimit(a, reply.Limit)
+	if reply.Brittle {
+		c.noteBrittle(a, reply)
+	}
+}
+
+// noteBrittle records that an upstream said that its service is brittle.
+func (c *call) noteBrittle(a schedule.Action, reply ward.ForwardReply) {
+	g := c.gate
+	g.mu.Lock()
+	news := g.sched.ObserveBrittle(a.Job.ID, time.Now())
+	g.mu.Unlock()
+	if !news {
+		return
+	}
+	c.log.Info("service-brittle", "service", a.Upstream.Service, "upstream", a.Upstream.ID, "value", reply.BrittleValue, "source", sourceAnswer)
+	g.Metrics.serviceBrittle(sourceAnswer)
+	g.TriggerBroadcast()
+}
+
+// learnBrittle logs the services that a peer reports as brittle. The caller must hold mu.
+func (g *Gate) learnBrittle(m peerstate.Message, now time.Time) {
+	for _, name := range g.sched.LearnBrittle(m.Requests, now) {
+		g.Log.Info("service-brittle", "service", name, "source", sourcePeer, "peer", m.Name)
+		g.Metrics.serviceBrittle(sourcePeer)
+	}
 }
 
 func (c *call) noteLeaving(a schedule.Action) {
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -38,6 +38,7 @@
 	slowdown float64
 	// limit returns the limit that an answer states; nil states none.
 	limit    func(now time.Time) ward.RateLimit
+	brittle  *brittle
 	arrivals []arrival
 	running  int
 	waiting  []func(now time.Time)
@@ -195,6 +196,7 @@
 		n := s.PeerState(sim.now)
 		sim.message(i, k, func(now time.Time) {
 			sim.gossip(k, sim.entries[k].LearnLimits(limits, now))
+			sim.entries[k].LearnBrittle(n, now)
 			sim.execute(k, sim.entries[k].UpdatePeer(s.Name, n, now))
 		})
 	}
@@ -231,6 +233,9 @@
 		sim.after(first, func(now time.Time) {
 			sim.whenAwake(i, func(now time.Time) {
 				sim.observeLimit(i, a, now)
+				if e.brittle != nil && now.Sub(start) >= brittleStated {
+					s.ObserveBrittle(j.ID, now)
+				}
 				s.FirstEvent(j.ID, now)
 			})
 			if now.Add(hopDelay).After(j.Due) {
@@ -254,6 +259,14 @@
 	}
 	sim.after(hopDelay, func(now time.Time) {
 		e.arrivals = append(e.arrivals, arrival{now, i})
+		if b := e.brittle; b != nil && now.Before(b.down) {
+			sim.after(hopDelay, func(time.Time) { sim.rejected(i, a, OutcomeUnreachable) })
+			return
+		}
+		if e.running >= sim.slots && e.reject(now) {
+			sim.after(hopDelay, func(time.Time) { sim.rejected(i, a, OutcomeFull) })
+			return
+		}
 		if e.running >= sim.slots {
 			sim.counts.waited++
 			e.waiting = append(e.waiting, begin)
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -46,6 +46,10 @@
 	p.sequence++
 	p.grants = append(p.grants, SlotGrant{Upstream: u.ID, To: to, Sequence: p.sequence, at: now})
 	u.pendingGrants++
+	if u.brittle(now) {
+		p.loans = append(p.loans, p.grants[len(p.grants)-1])
+		u.lent++
+	}
 	u.takeLimit(now)
 	slot := u.Replica
 	return Action{Upstream: &slot, GrantTo: to, Sequence: p.sequence}
@@ -158,6 +162,9 @@
 	if u.Draining || s.statements[IdentityOf(&u.Replica)].wantsNone(now) || u.held || !u.limitAllows(now) {
 		return false
 	}
+	if u.brittle(now) && !u.ownSlot() {
+		return false
+	}
 	return u.load() < u.Slots && !now.Before(u.backoffUntil) && u.failedAttempts == 0
 }
 
@@ -203,6 +210,7 @@
 	if u.limited() {
 		u.said.limit.Grant(now)
 	}
+	s.lent = Loan{from, sequence}
 	return s.fillSlot(s.services[u.Service], u, now)
 }
 
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -86,6 +86,9 @@
 	}
 	u := r.upstream
 	u.ownLoad = max(u.ownLoad-1, 0)
+	if r.loan != nil {
+		u.borrowed = max(u.borrowed-1, 0)
+	}
 	if u.ownLoad == 0 {
 		u.awaitingSince = time.Time{}
 	}
@@ -101,6 +104,9 @@
 	case OutcomeFull:
 		u.markResponsive(now)
 		u.backoffUntil = now.Add(fullPause)
+		if u.brittle(now) {
+			u.reject(now)
+		}
 	case OutcomeUnreachable:
 		u.failedAttempts++
 		pause := min(minBackoff<<min(u.failedAttempts-1, 4), maxBackoff)
@@ -117,6 +123,9 @@
 	if a, ok := s.grantFreed(v, u, now); ok {
 		return []Action{a}
 	}
+	if u.brittle(now) {
+		return s.dispatchService(v, now)
+	}
 	// This entry may reuse the freed slot.
 	return s.fillSlot(v, u, now)
 }
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -13,6 +13,8 @@
 	// sequence is the number of the last one.
 	grants   []SlotGrant
 	sequence uint64
+	// loans lists the slots of brittle upstreams that the peer has not given back.
+	loans []SlotGrant
 	// lastReceived is the number of the last slot that the peer granted to this entry.
 	lastReceived uint64
 }
@@ -36,6 +38,13 @@
 	ExitsIn time.Duration `msgpack:"e,omitempty"`
 	// Departures lists the upstreams that said that they leave.
 	Departures []Identity `msgpack:"l,omitempty"`
+	// Brittle holds, by service, the time in milliseconds since one of its upstreams last
+	// said that it is brittle. Rejections lists what such upstreams just rejected.
+	Brittle    map[string]int64 `msgpack:"b,omitempty"`
+	Rejections []Rejection      `msgpack:"j,omitempty"`
+	// Loans lists the slots of brittle upstreams that the entry's requests use and that
+	// peers lent.
+	Loans []Loan `msgpack:"o,omitempty"`
 }
 
 // PeerState returns the state to send to the peers.
@@ -49,6 +58,7 @@
 			state.Load[id] = u.ownLoad
 		}
 	}
+	s.reportBrittle(&state, now)
 	for name, p := range s.peers {
 		state.Grants = append(state.Grants, p.grants...)
 		if p.lastReceived > 0 {
@@ -102,7 +112,7 @@
 // unresponsive, and drops the peers that timed out.
 func (s *Scheduler) aggregatePeers(now time.Time) {
 	for _, u := range s.byID {
-		u.peerLoad, u.pendingGrants = 0, 0
+		u.peerLoad, u.pendingGrants, u.lent = 0, 0, 0
 	}
 	s.entries = append(s.entries[:0], s.Name)
 	for name, p := range s.peers {
@@ -122,6 +132,7 @@
 			}
 		}
 		s.countGrants(name, p, now)
+		s.countLoans(p, now)
 	}
 	s.assignSlots()
 	s.updateLimitFleet(now)
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -57,6 +57,8 @@
 	statements    map[Identity]*statement
 	lastStatement uint64
 	limits        limits
+	// lent is the slot that a peer lends while ReceiveGrant fills it.
+	lent Loan
 	// entries holds the sorted names of the live peers and this entry; assignedTo
 	// holds the joined names of the last slot assignment.
 	entries    []string
@@ -74,6 +76,8 @@
 	lastDeparture     time.Time
 	// ranks counts the jobs by rank.
 	ranks map[[2]int]*rankCount
+	// brittleAt is when an upstream last said that it is brittle, zero for never.
+	brittleAt time.Time
 }
 
 // running is a dispatched job.
@@ -85,6 +89,8 @@
 	started bool
 	// pause is the pause after which the upstream was returning, nil if it was not.
 	pause *pause
+	// loan is the slot of a brittle upstream that a peer lent for it, nil for an own one.
+	loan *Loan
 	// paced is true if the request was counted against a limit.
 	paced bool
 	// nominal is the nominal time to the first event in seconds.
@@ -269,6 +275,9 @@
 	u.markSent(now)
 	r := &running{job: j, upstream: u, sent: now, paced: u.limited(), nominal: nominalFirst(j)}
 	u.takeLimit(now)
+	if u.reserved && u.brittle(now) {
+		u.borrow(r, s.lent)
+	}
 	u.said.begin(r)
 	s.jobs[j.ID] = r
 	v.recordDeparture(j.Rank, s.late(v, j, now), now)
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -34,6 +34,7 @@
 		u := s.byID[id]
 		v := s.service(u.Service)
 		v.upstreams = append(v.upstreams, u)
+		u.brittleAt = v.brittleAt
 	}
 	for _, v := range s.services {
 		own := s.cellUpstreams(v.upstreams)
@@ -105,7 +106,7 @@
 // hasSlot reports whether this entry may send to u: u takes requests, and has at least
 // sharedSlots free slots, a free slot that is assigned to this entry, or a reserved one.
 // The limit of an upstream, which one or few entries hold, replaces the rule for the last
-// slots.
+// slots. Of a brittle upstream it uses its own slots alone.
 func (u *upstream) hasSlot(now time.Time) bool {
 	n := u.Slots - u.load()
 	if u.Draining || !u.said.takesMore(now) || n < 1 {
@@ -114,6 +115,9 @@
 	if u.limited() {
 		return u.limitAllows(now)
 	}
+	if u.brittle(now) {
+		return u.reserved || u.ownSlot()
+	}
 	return n >= min(sharedSlots, u.Slots) || u.ownLoad < u.assigned || u.reserved
 }
 
@@ -154,6 +158,9 @@
 		return false
 	}
 	last := n < sharedSlots && u.ownLoad < u.assigned
+	if u.brittle(now) {
+		last = u.ownSlot()
+	}
 	if u.limited() {
 		last = !u.held && u.limitAllows(now)
 	}
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -63,6 +63,9 @@
 	held bool
 	// ownLoad and peerLoad count the running requests of this entry and of its peers.
 	ownLoad, peerLoad int
+	// borrowed counts the own requests that use a slot that a peer lent, lent the slots
+	// that were lent to peers. Both count slots of a brittle upstream alone.
+	borrowed, lent int
 	// pendingGrants counts the granted slots that the receiver's state does not show
 	// yet.
 	pendingGrants int
@@ -83,6 +86,9 @@
 	// after that was sent; zero means that none is outstanding.
 	lastHeard, awaitingSince time.Time
 	lastSent                 time.Time
+	// brittleAt is when an upstream of the service last said that it is brittle, rejectedAt
+	// when this one last rejected a request as it was.
+	brittleAt, rejectedAt time.Time
 	// reportedAt is when a peer last reported the upstream as unresponsive.
 	reportedAt time.Time
 }
--- a/internal/upstream/header/statement.go
+++ b/internal/upstream/header/statement.go
@@ -48,3 +48,12 @@
 	}
 	r.RetryAfterFault = v[:min(len(v), maxFault)]
 }
+
+// ReadBrittle reads the field in which an upstream states how many rejections in a second
+// it bears. Any value, one that is no number too, means that it is brittle.
+func ReadBrittle(reply *ward.ForwardReply, h http.Header, name string) {
+	if values := h.Values(name); len(values) > 0 {
+		v := strings.TrimSpace(values[0])
+		reply.Brittle, reply.BrittleValue = true, v[:min(len(v), maxFault)]
+	}
+}
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -201,6 +201,11 @@
 	RetryAfterFault string
 	// Limit is what the answer says of the rate at which the upstream takes requests.
 	Limit RateLimit
+	// Brittle reports whether the answer says that the upstreams of the service are
+	// brittle: one that has to reject too many requests in a second for want of room falls
+	// over. BrittleValue is the number as it was stated, at most some bytes of it.
+	Brittle      bool
+	BrittleValue string
 }
 
 // RateLimit is what one answer of an upstream says of the rate at which it takes
