test(runs): more keys, so that the least number of archives does not depend on scheduling

How many records a shard writes into one archive depends on which goroutine runs first: 300 runs made 10 to 16 archives.

--- a/internal/entry/runs/runs_test.go
+++ b/internal/entry/runs/runs_test.go
@@ -115,7 +115,7 @@
 // records have been archived.
 func TestNewEntryKnowsOldKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const keys = 200
+		const keys = 400
 		p := &memory.Platform{}
 		old := entries(t, p, 1, func(r *Runs) { r.Limits.ArchiveThreshold = 1 << 10 })[0]
 		for i := range keys {
