test(soak): one request comes again that crashes the upstreams that run it

New fault request-crash: beside all other faults, a request with one path, team and no body comes at any entry, three a second, and each plain upstream that begins to run it ends. Promise crash-requests: later than 3 s after the third crash at most three sends reach upstreams.

--- a/internal/soak/ledger/crash.go
+++ b/internal/soak/ledger/crash.go
@@ -8,14 +8,33 @@
 	"agateward/ward"
 )
 
-// reach is the arrival of a request at an engine.
+// Crash is why upstreams crash under a request.
+type Crash string
+
+// Causes of crashes: a part of the prompt, which other requests have too, or the request
+// itself, which comes again.
+const (
+	NoCrash      Crash = ""
+	PartCrash    Crash = "part"
+	RequestCrash Crash = "request"
+)
+
+// crashes returns the number of crashes from which requests with their cause are bounded.
+func (b Bounds) crashes(c Crash) int {
+	if c == RequestCrash {
+		return b.RequestCrashes
+	}
+	return b.Crashes
+}
+
+// reach is the arrival of a request at an upstream.
 type reach struct {
 	request  *record
 	upstream string
 	at       time.Time
 }
 
-// Reached records that a request under which engines crash arrived at one.
+// Reached records that a request under which upstreams crash arrived at one.
 func (l *Ledger) Reached(id, upstream string, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -24,25 +43,34 @@
 	}
 }
 
-// Crashed records that an engine crashed as it began to answer a request.
-func (l *Ledger) Crashed(at time.Time) {
+// Crashed records that an upstream crashed as it began to answer a request.
+func (l *Ledger) Crashed(c Crash, at time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.crashes = append(l.crashes, at)
+	if l.crashes == nil {
+		l.crashes = make(map[Crash][]time.Time)
+	}
+	l.crashes[c] = append(l.crashes[c], at)
 }
 
-// crashFindings checks how many requests under which engines crash still reach some once
+// crashFindings checks how many requests under which upstreams crash still reach some once
 // that is known. Not counted are those sent by an entry that was disturbed, or through a
 // connection that may have held them up.
 func (l *Ledger) crashFindings() []Finding {
-	if len(l.crashes) < l.Bounds.Crashes {
+	return slices.Concat(l.lateCrashes(PartCrash), l.lateCrashes(RequestCrash))
+}
+
+// lateCrashes is crashFindings for one cause of crashes.
+func (l *Ledger) lateCrashes(c Crash) []Finding {
+	crashes, bound := l.crashes[c], l.Bounds.crashes(c)
+	if len(crashes) < bound {
 		return nil
 	}
-	sortTimes(l.crashes)
-	known := l.crashes[l.Bounds.Crashes-1].Add(l.Bounds.Contact)
+	sortTimes(crashes)
+	known := crashes[bound-1].Add(l.Bounds.Contact)
 	var late []reach
 	for _, r := range l.reaches {
-		if r.at.After(known) && l.inTouch(r.request.Entry, r.at, r.at) && !l.heldUp(r) {
+		if r.request.Crash == c && r.at.After(known) && l.inTouch(r.request.Entry, r.at, r.at) && !l.heldUp(r) {
 			late = append(late, r)
 		}
 	}
@@ -52,8 +80,8 @@
 	slices.SortFunc(late, func(a, b reach) int { return a.at.Compare(b.at) })
 	last := late[len(late)-1]
 	return []Finding{{Promise: "crash-requests", ID: last.request.ID, At: last.at, What: fmt.Sprintf(
-		"%d requests with a part under which engines crash reach some from %s after crash %d of %d on, allowed are %d; the first is %s at %s, %s after that crash",
-		len(late), l.Bounds.Contact, l.Bounds.Crashes, len(l.crashes), l.Bounds.CrashRequests, late[0].request.ID, late[0].upstream, late[0].at.Sub(known)+l.Bounds.Contact)}}
+		"%d requests under which upstreams crash (%s) reach some from %s after crash %d of %d on, allowed are %d; the first is %s at %s, %s after that crash",
+		len(late), c, l.Bounds.Contact, bound, len(crashes), l.Bounds.CrashRequests, late[0].request.ID, late[0].upstream, late[0].at.Sub(known)+l.Bounds.Contact)}}
 }
 
 // inTouch reports whether neither the entry nor the store was disturbed between from, less
@@ -72,20 +100,21 @@
 // those at a disturbed entry, and those sent while all engines answered wrongly: no entry
 // can make up for that.
 func (l *Ledger) soundFindings() []Finding {
-	if len(l.crashes) == 0 {
+	crashes := l.crashes[PartCrash]
+	if len(crashes) == 0 {
 		return nil
 	}
-	sortTimes(l.crashes)
-	known := l.crashes[min(len(l.crashes), l.Bounds.Crashes)-1].Add(2 * l.Bounds.Contact)
+	sortTimes(crashes)
+	known := crashes[min(len(crashes), l.Bounds.Crashes)-1].Add(2 * l.Bounds.Contact)
 	team, last := l.lastCrashing()
 	var before, after share
 	for _, r := range l.order {
 		// A stream that may not be resumed fails with each wrong answer of an engine.
-		if r.Team != team || r.CrashesEngines || r.MayLeave || r.end.IsZero() || r.Kind != ward.ForwardStream || !r.Resumable {
+		if r.Team != team || r.Crash != NoCrash || r.MayLeave || r.end.IsZero() || r.Kind != ward.ForwardStream || !r.Resumable {
 			continue
 		}
 		switch {
-		case r.Sent.Before(l.crashes[0]) && l.undisturbed(r.Sent, r.Sent):
+		case r.Sent.Before(crashes[0]) && l.undisturbed(r.Sent, r.Sent):
 			before.add(r)
 		case !r.Sent.Before(known) && r.Sent.Before(last) && l.inTouch(r.Entry, r.Sent, r.end) && !l.wrongAnswers(r):
 			after.add(r)
@@ -96,14 +125,14 @@
 	}
 	return []Finding{{Promise: "crash-sound-requests", ID: team, At: last, What: fmt.Sprintf(
 		"%d of %d sound requests with the key and first part of those under which engines crash were served from %s after crash %d on, %d of %d before the first",
-		after.served, after.asked, 2*l.Bounds.Contact, min(len(l.crashes), l.Bounds.Crashes), before.served, before.asked)}}
+		after.served, after.asked, 2*l.Bounds.Contact, min(len(crashes), l.Bounds.Crashes), before.served, before.asked)}}
 }
 
-// lastCrashing returns the team of the requests under which engines crash and the time at
-// which the last one was sent.
+// lastCrashing returns the team of the requests with a part under which engines crash and
+// the time at which the last one was sent.
 func (l *Ledger) lastCrashing() (team string, at time.Time) {
 	for _, r := range l.order {
-		if r.CrashesEngines {
+		if r.Crash == PartCrash {
 			team, at = r.Team, r.Sent
 		}
 	}
--- a/internal/soak/ledger/crash_test.go
+++ b/internal/soak/ledger/crash_test.go
@@ -12,6 +12,15 @@
 type prompts struct {
 	l *Ledger
 	n int
+	// cause is why upstreams crash, PartCrash if it is empty.
+	cause Crash
+}
+
+func (p *prompts) crashes() Crash {
+	if p.cause == NoCrash {
+		return PartCrash
+	}
+	return p.cause
 }
 
 func second(s float64) time.Time {
@@ -27,8 +36,11 @@
 
 func (p *prompts) send(at float64, crashes bool) string {
 	p.n++
-	id := fmt.Sprint("r", p.n)
-	p.l.Sent(Request{ID: id, Team: "t", Kind: ward.ForwardStream, Resumable: true, Service: "s", Entry: "entry-1", Sent: second(at), Timeout: time.Second, CrashesEngines: crashes})
+	id, cause := fmt.Sprint("r", p.n), NoCrash
+	if crashes {
+		cause = p.crashes()
+	}
+	p.l.Sent(Request{ID: id, Team: "t", Kind: ward.ForwardStream, Resumable: true, Service: "s", Entry: "entry-1", Sent: second(at), Timeout: time.Second, Crash: cause})
 	return id
 }
 
@@ -36,7 +48,7 @@
 func (p *prompts) crash(n int, at float64) {
 	for i := range n {
 		p.reach(at + float64(i)/10)
-		p.l.Crashed(second(at + float64(i)/10))
+		p.l.Crashed(p.crashes(), second(at+float64(i)/10))
 	}
 }
 
@@ -68,6 +80,9 @@
 		want string
 	}{
 		{"four later requests", func(p *prompts) { p.crash(5, 10); reach(p, 4, 14) }, "crash-requests"},
+		{"four later sends of one request", func(p *prompts) { p.cause = RequestCrash; p.crash(3, 10); reach(p, 4, 14) }, "crash-requests"},
+		{"three later sends of one request", func(p *prompts) { p.cause = RequestCrash; p.crash(3, 10); reach(p, 3, 14) }, ""},
+		{"many sends after two crashes", func(p *prompts) { p.cause = RequestCrash; p.crash(2, 10); reach(p, 20, 14) }, ""},
 		{"three later requests", func(p *prompts) { p.crash(5, 10); reach(p, 3, 14) }, ""},
 		{"four repeats of one", func(p *prompts) {
 			p.crash(5, 10)
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -47,8 +47,8 @@
 	// Version is the only configuration version that has the route, or 0 when all
 	// versions have it.
 	Version uint64
-	// CrashesEngines is set when its prompt has the part under which engines crash.
-	CrashesEngines bool
+	// Crash is why upstreams crash under it, NoCrash if they don't.
+	Crash Crash
 	// MayLeave is set when the caller may close its connection before the answer.
 	MayLeave bool
 }
@@ -120,7 +120,7 @@
 	// reaches are the arrivals at engines of requests under which they crash, crashes the
 	// times of these crashes.
 	reaches []reach
-	crashes []time.Time
+	crashes map[Crash][]time.Time
 	// limited holds the limits that each upstream has stated, in their order.
 	limited map[string][]*limitedUpstream
 }
--- a/internal/soak/ledger/window.go
+++ b/internal/soak/ledger/window.go
@@ -25,12 +25,13 @@
 	// share of its requests and as a number of requests.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
-	// Contact is the time after which a crash under a part of a prompt is known, and after
-	// which a disturbance of an entry or of the store excuses no requests with it. Later than
-	// Contact after crash Crashes under one, at most CrashRequests requests with it may reach
-	// engines.
-	Contact                time.Duration
-	Crashes, CrashRequests int
+	// Contact is the time after which a crash under a part of a prompt, or under a request
+	// that comes again, is known, and after which a disturbance of an entry or of the store
+	// excuses no requests with it. Later than Contact after crash Crashes under a part, or
+	// RequestCrashes under a request, at most CrashRequests requests with it may reach
+	// upstreams.
+	Contact                                time.Duration
+	Crashes, RequestCrashes, CrashRequests int
 	// From 2 * Contact after that crash, sound requests that share the key and other parts
 	// are served at least SoundShare times as often as before the first crash, each counted
 	// over SoundRequests requests or more.
@@ -49,7 +50,7 @@
 		Drain: 3 * time.Second, LateAnswer: 500 * time.Millisecond,
 		QuotaWindow: 8 * time.Second, QuotaOvershoot: 0.1,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second,
-		Contact: 3 * time.Second, Crashes: 5, CrashRequests: 3, SoundShare: 0.5, SoundRequests: 20,
+		Contact: 3 * time.Second, Crashes: 5, RequestCrashes: 3, CrashRequests: 3, SoundShare: 0.5, SoundRequests: 20,
 	}
 }
 
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -56,6 +56,9 @@
 	// PromptCrash makes requests come at any entry whose prompts have a part under which
 	// each engine that begins to answer crashes.
 	PromptCrash Kind = "prompt-crash"
+	// RequestCrash makes one request come again at any entry under which each upstream that
+	// begins to run it crashes.
+	RequestCrash Kind = "request-crash"
 	// UpstreamLimit makes an upstream state in its answers that it takes only Variant
 	// requests a second from all entries together.
 	UpstreamLimit Kind = "upstream-limit"
@@ -175,6 +178,7 @@
 	list = append(list, wishes(seed, length)...)
 	list = append(list, silences(seed, length)...)
 	list = append(list, promptCrashes(seed, length)...)
+	list = append(list, requestCrashes(seed, length)...)
 	list = append(list, upstreamLimits(seed, length)...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
 	return list
@@ -245,9 +249,18 @@
 // promptCrashes draws the time in which requests come under which engines crash, also with
 // random numbers of its own.
 func promptCrashes(seed uint64, length time.Duration) []Fault {
-	r := rand.New(rand.NewPCG(seed, 6))
+	return crashes(PromptCrash, rand.New(rand.NewPCG(seed, 6)), length)
+}
+
+// requestCrashes draws the time in which one request comes again under which upstreams
+// crash, also with random numbers of its own.
+func requestCrashes(seed uint64, length time.Duration) []Fault {
+	return crashes(RequestCrash, rand.New(rand.NewPCG(seed, 8)), length)
+}
+
+func crashes(kind Kind, r *rand.Rand, length time.Duration) []Fault {
 	f := newFault(r, settleTime+time.Duration(r.Float64()*float64(maxPromptCrashDelay)))
-	f.Kind, f.Duration = PromptCrash, length-settleTime-f.At
+	f.Kind, f.Duration = kind, length-settleTime-f.At
 	if f.Duration < minDuration {
 		return nil
 	}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -22,7 +22,7 @@
 		for i, f := range list {
 			kinds[f.Kind] = true
 			overlap = overlap || i > 0 && list[i-1].At+list[i-1].Duration > f.At
-			if f.Kind == PromptCrash {
+			if f.Kind == PromptCrash || f.Kind == RequestCrash {
 				if f.At < settleTime || f.At > settleTime+time.Second || f.At+f.Duration != time.Minute-settleTime {
 					t.Fatalf("seed %d: %+v", seed, f)
 				}
@@ -37,7 +37,7 @@
 			}
 		}
 	}
-	if want := len(weights) + len(answerKinds) + 6; len(kinds) != want || !overlap {
+	if want := len(weights) + len(answerKinds) + 7; len(kinds) != want || !overlap {
 		t.Errorf("%d kinds of %d, overlapping %v", len(kinds), want, overlap)
 	}
 }
@@ -51,10 +51,10 @@
 }
 
 // withoutUpstreamEvents returns the faults of a plan that are neither silences or limits of
-// upstreams nor crashes under a part of a prompt.
+// upstreams nor crashes under requests.
 func withoutUpstreamEvents(list []Fault) []Fault {
 	return slices.DeleteFunc(list, func(f Fault) bool {
-		return f.Kind == UpstreamSilence || f.Kind == UpstreamLimit || f.Kind == PromptCrash
+		return f.Kind == UpstreamSilence || f.Kind == UpstreamLimit || f.Kind == PromptCrash || f.Kind == RequestCrash
 	})
 }
 
@@ -109,25 +109,29 @@
 
 // Guards against a plan in which requests under which engines crash come too late or too
 // briefly for what they are checked against.
-func TestPromptCrashes(t *testing.T) {
+func TestCrashes(t *testing.T) {
 	cases := []struct {
+		kind   Kind
 		length time.Duration
 		want   int
-	}{{2 * settleTime, 0}, {12 * time.Second, 1}, {20 * time.Second, 1}}
+	}{
+		{PromptCrash, 2 * settleTime, 0}, {PromptCrash, 12 * time.Second, 1}, {PromptCrash, 20 * time.Second, 1},
+		{RequestCrash, 2 * settleTime, 0}, {RequestCrash, 12 * time.Second, 1}, {RequestCrash, 20 * time.Second, 1},
+	}
 	for _, c := range cases {
 		for seed := range uint64(40) {
 			n := 0
 			for _, f := range New(seed, c.length, []string{"busy"}) {
-				if f.Kind != PromptCrash {
+				if f.Kind != c.kind {
 					continue
 				}
 				n++
 				if f.At < settleTime || f.At > settleTime+time.Second || f.At+f.Duration != c.length-settleTime {
-					t.Errorf("%s, seed %d: %+v", c.length, seed, f)
+					t.Errorf("%s, %s, seed %d: %+v", c.kind, c.length, seed, f)
 				}
 			}
 			if n != c.want {
-				t.Errorf("%s, seed %d: %d of them, want %d", c.length, seed, n, c.want)
+				t.Errorf("%s, %s, seed %d: %d of them, want %d", c.kind, c.length, seed, n, c.want)
 			}
 		}
 	}
--- a/internal/soak/run/crash.go
+++ b/internal/soak/run/crash.go
@@ -8,6 +8,7 @@
 
 	"agateward/internal/soak/caller"
 	"agateward/internal/soak/ledger"
+	"agateward/internal/soak/plan"
 	"agateward/internal/soak/proxy"
 	"agateward/internal/soak/upstream"
 	"agateward/ward"
@@ -26,6 +27,10 @@
 	maxCrashed = 64
 	// soundParts is the number of parts that sound requests share, beside their first one.
 	soundParts = 5
+	// promptCrashStream and requestCrashStream number the random numbers of requests under
+	// which upstreams crash.
+	promptCrashStream  = 7
+	requestCrashStream = 9
 )
 
 // crashPart is the part of prompts under which engines crash. firstParts is, by team, the
@@ -40,28 +45,59 @@
 	return ward.PromptPart{ID: 0xc0 + uint64(n%soundParts), Tokens: 200}
 }
 
-// engineCrash is the crash of an engine of a replica.
-type engineCrash struct {
+// upstreamCrash is the crash of an upstream of a replica.
+type upstreamCrash struct {
 	replica *replica
+	cause   ledger.Crash
 	server  *upstream.Upstream
 	link    *proxy.Proxy
-	// end ends the disturbance of the engine.
+	// end ends the disturbance of the upstream.
 	end func(time.Time)
 }
 
-// sendCrashing sends requests with crashPart to any entry for d.
-func (s *Soak) sendCrashing(ctx context.Context, d time.Duration) {
-	r := rand.New(rand.NewPCG(s.Seed, 7))
+// crashPath returns the path of the request that comes again and under which the upstreams
+// of orders crash, on a route that allows repeats or on one that does not.
+func (s *Soak) crashPath() string {
+	if s.Seed%2 == 0 {
+		return "/stock/crash"
+	}
+	return "/order/crash"
+}
+
+// sendCrashing sends requests under which upstreams crash to any entry, for the duration of
+// a fault.
+func (s *Soak) sendCrashing(ctx context.Context, f plan.Fault) {
+	r, next := rand.New(rand.NewPCG(s.Seed, promptCrashStream)), s.crashingRequest
+	if f.Kind == plan.RequestCrash {
+		r, next = rand.New(rand.NewPCG(s.Seed, requestCrashStream)), s.crashingAgain
+	}
 	c := caller.Caller{Dialect: s.Dialect, Ledger: &s.ledger}
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	for end := time.Now().Add(d); time.Now().Before(end) && ctx.Err() == nil; {
-		req := s.crashingRequest(r)
+	for end := time.Now().Add(f.Duration); time.Now().Before(end) && ctx.Err() == nil; {
+		req := next(r)
 		wg.Go(func() { s.countAnswer(c.SendOnce(req)) })
 		sleep(ctx, time.Duration(r.ExpFloat64()*float64(crashingInterval)))
 	}
 }
 
+// crashingAgain returns the request that comes again and under which upstreams crash.
+func (s *Soak) crashingAgain(r *rand.Rand) caller.Request {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	e := s.drawEntry(r)
+	a := caller.Request{Address: e.address, Host: host, Key: largeKey, Path: s.crashPath()}
+	a.Request = ledger.Request{
+		ID: fmt.Sprintf("%d-%d", s.Seed, s.asked), Team: largeTeam, Kind: ward.ForwardUnsafe, Service: orders,
+		Entry: e.name, Start: e.StartCount(), Timeout: restTimeout, Crash: ledger.RequestCrash,
+	}
+	if s.Seed%2 == 0 {
+		a.Kind = ward.ForwardSafe
+	}
+	return a
+}
+
 // crashingRequest returns a request with crashPart. It shares the key and its other parts
 // with sound requests.
 func (s *Soak) crashingRequest(r *rand.Rand) caller.Request {
@@ -72,7 +108,7 @@
 	a := caller.Request{Address: e.address, Host: host, Key: largeKey, Path: "/stream/x"}
 	a.Request = ledger.Request{
 		ID: fmt.Sprintf("%d-%d", s.Seed, s.asked), Team: largeTeam, Kind: ward.ForwardStream, Resumable: true, Service: engines,
-		Entry: e.name, Start: e.StartCount(), Timeout: streamTimeout, CrashesEngines: true,
+		Entry: e.name, Start: e.StartCount(), Timeout: streamTimeout, Crash: ledger.PartCrash,
 	}
 	if r.Float64() < crashingOnceShare {
 		a.Path, a.Resumable = "/once/x", false
@@ -87,21 +123,21 @@
 }
 
 // crashEngine ends an engine that began to answer a request with crashPart.
-func (s *Soak) crashEngine(c engineCrash, request string) {
+func (s *Soak) crashUpstream(c upstreamCrash, request string) {
 	now := time.Now()
 	c.end = s.ledger.Disturb(c.server.ID, false, now)
-	s.ledger.Crashed(now)
-	s.Log.Info("engine-crashed", "upstream", c.server.ID, "request", request)
+	s.ledger.Crashed(c.cause, now)
+	s.Log.Info("upstream-crashed", "upstream", c.server.ID, "request", request)
 	c.server.Crash()
 	c.link.Close()
 	select {
 	case s.crashed <- c:
 	default:
-		s.Log.Info("engine-not-restarted", "upstream", c.server.ID)
+		s.Log.Info("upstream-not-restarted", "upstream", c.server.ID)
 	}
 }
 
-// restartCrashed starts each crashed engine again, under a new id, until ctx ends.
+// restartCrashed starts each crashed upstream again, under a new id, until ctx ends.
 func (s *Soak) restartCrashed(ctx context.Context) {
 	r := rand.New(rand.NewPCG(s.Seed, 8))
 	var wg conc.WaitGroup
@@ -112,14 +148,14 @@
 			return
 		case c := <-s.crashed:
 			down := minDown + time.Duration(r.Float64()*float64(maxDown-minDown))
-			wg.Go(func() { s.restartEngine(ctx, c, down) })
+			wg.Go(func() { s.restartUpstream(ctx, c, down) })
 		}
 	}
 }
 
 // restartEngine starts an engine again after the given time, or later if another fault
 // affects its replica. That fault may have replaced it by then.
-func (s *Soak) restartEngine(ctx context.Context, c engineCrash, down time.Duration) {
+func (s *Soak) restartUpstream(ctx context.Context, c upstreamCrash, down time.Duration) {
 	defer func() { c.end(time.Now()) }()
 	for acquired := s.tryAcquire(&c.replica.busy); !acquired; acquired = s.tryAcquire(&c.replica.busy) {
 		if ctx.Err() != nil {
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -45,8 +45,8 @@
 	server   *http.Server
 	entries  []*entry
 	replicas []*replica
-	// crashed receives the engines that crashed under a part of a prompt.
-	crashed chan engineCrash
+	// crashed receives the upstreams that crashed under a request.
+	crashed chan upstreamCrash
 
 	mu            sync.Mutex
 	rand          *rand.Rand
@@ -73,7 +73,7 @@
 
 // Run runs the soak and ends every process that it started.
 func (s *Soak) Run(ctx context.Context) (Result, error) {
-	s.rand, s.crashed = rand.New(rand.NewPCG(s.Seed, 1)), make(chan engineCrash, maxCrashed)
+	s.rand, s.crashed = rand.New(rand.NewPCG(s.Seed, 1)), make(chan upstreamCrash, maxCrashed)
 	s.ledger.Bounds = ledger.DefaultBounds()
 	s.ledger.Bounds.Quotas = map[string]ledger.Quota{smallTeam: {Rate: smallRate, Burst: smallBurst}}
 	s.ledger.Bounds.QuotaSlack, s.ledger.Bounds.RetryRatio, s.ledger.Bounds.RetrySlack = quotaSlack, retryRatio, retrySlack
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -61,8 +61,8 @@
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
 	case plan.UpstreamSilence:
 		s.injectSilence(ctx, s.replicas[f.Target%len(s.replicas)], f.Duration)
-	case plan.PromptCrash:
-		s.sendCrashing(ctx, f.Duration)
+	case plan.PromptCrash, plan.RequestCrash:
+		s.sendCrashing(ctx, f)
 	case plan.EnginesRefuse:
 		// It excuses no incomplete answer, as a planned disturbance.
 		end := s.ledger.Disturb(ledger.Engines, true, time.Now())
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"agateward/internal/soak/ledger"
 	"agateward/internal/soak/process"
 	"agateward/internal/soak/proxy"
 	"agateward/internal/soak/upstream"
@@ -153,16 +154,21 @@
 	}
 	r.server.OnLeaving = func(upstream string) { s.ledger.Leaving(upstream, time.Now()) }
 	r.server.OnSilence = s.ledger.Silent
+	cause := ledger.RequestCrash
 	if r.service == engines {
-		r.server.CrashPart = crashPart.ID
-		r.server.OnReach = func(id, upstream string) { s.ledger.Reached(id, upstream, time.Now()) }
+		cause, r.server.CrashPart = ledger.PartCrash, crashPart.ID
+	} else {
+		r.server.CrashPath = s.crashPath()
 	}
+	r.server.OnReach = func(id, upstream string) { s.ledger.Reached(id, upstream, time.Now()) }
 	if err := r.server.Listen(); err != nil {
 		return err
 	}
 	r.link = &proxy.Proxy{Target: r.server.Address()}
 	server, link := r.server, r.link
-	server.OnCrash = func(request, _ string) { s.crashEngine(engineCrash{replica: r, server: server, link: link}, request) }
+	server.OnCrash = func(request, _ string) {
+		s.crashUpstream(upstreamCrash{replica: r, server: server, link: link, cause: cause}, request)
+	}
 	if err := r.link.Listen(); err != nil {
 		return err
 	}
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -52,6 +52,8 @@
 	// CrashPart, if it is not 0, is a part of prompts: the upstream ends, through OnCrash,
 	// when it begins to answer a request with it.
 	CrashPart uint64
+	// CrashPath, if it is not "", is the path of a request under which it ends likewise.
+	CrashPath string
 	// Answers, which may be nil, makes some answers wrong.
 	Answers *Answers
 	// OnRun is called when a request begins to run.
@@ -67,9 +69,9 @@
 	// nil.
 	OnArrive func(id, upstream string)
 	OnLimit  func(id, upstream string, perSecond float64)
-	// OnReach is called when a request with CrashPart arrives, whatever its answer. OnCrash
+	// OnReach is called when a request with CrashPart or CrashPath arrives, whatever its answer. OnCrash
 	// is called once, after the head of an answer to one, and must end the upstream. Both
-	// may be nil without CrashPart.
+	// may be nil without CrashPart and CrashPath.
 	OnReach, OnCrash func(id, upstream string)
 
 	leaving   atomic.Bool
@@ -165,9 +167,17 @@
 	_ = u.server.Close() // the server is not used any more
 }
 
+// crashesUnder reports whether the upstream ends under a request.
+func (u *Upstream) crashesUnder(path string, parts []ward.PromptPart) bool {
+	if u.CrashPath != "" && path == u.CrashPath {
+		return true
+	}
+	return u.CrashPart != 0 && slices.ContainsFunc(parts, func(p ward.PromptPart) bool { return p.ID == u.CrashPart })
+}
+
 func (u *Upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id, hop := u.Dialect.Hop(r.Header)
-	crashes := u.CrashPart != 0 && slices.ContainsFunc(hop.Parts, func(p ward.PromptPart) bool { return p.ID == u.CrashPart })
+	crashes := u.crashesUnder(r.URL.Path, hop.Parts)
 	if crashes {
 		u.OnReach(id, u.ID)
 	}
