--- a/internal/forward/poison/request_test.go
+++ b/internal/forward/poison/request_test.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -137,3 +138,52 @@
 		t.Check(v1, c, Fleet{Entries: 8}, now)
 	}
 }
+
+// Guards against news that does not reach all entries of a large fleet in time: entries
+// tell few others at once, and messages are lost and late.
+func TestBadRequestInLargeFleet(t *testing.T) {
+	const (
+		thirdCrash = 3
+		length     = 45 * time.Second
+	)
+	cases := []struct {
+		name               string
+		entries, upstreams int
+		loss               float64
+		delay              time.Duration
+		bad                float64
+	}{
+		{"no loss", 400, 100, 0, 50 * time.Millisecond, 20},
+		{"lost and late messages", 400, 100, 0.2, 500 * time.Millisecond, 20},
+		{"few upstreams", 200, 5, 0.1, 200 * time.Millisecond, 40},
+		{"a request now and then", 400, 100, 0.2, 200 * time.Millisecond, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newSimFleet(rand.New(rand.NewPCG(1, 2)), c.entries, c.upstreams)
+			f.loss, f.delay = c.loss, c.delay
+			start := f.now
+			for f.now.Sub(start) < length {
+				f.step()
+				f.load(200)
+				f.disturb(0.1, 0.5, 0.2)
+				for range f.arrivals(c.bad) {
+					f.badAgain(0)
+				}
+			}
+			if len(f.crashes) < thirdCrash {
+				t.Fatalf("%d crashes, want %d or more", len(f.crashes), thirdCrash)
+			}
+			bound := f.crashes[thirdCrash-1].Add(contact)
+			later := 0
+			for _, x := range f.badSends {
+				if x.inTouch && x.at.After(bound) {
+					later++
+				}
+			}
+			if later > maxLater {
+				t.Errorf("%d sends of the request after the bound, %d crashes in all", later, len(f.crashes))
+			}
+		})
+	}
+}
