fix(gate): a relayed request that an entry with another configuration refuses goes on

Found by reading: an entry whose configuration is older answers a relayed request of a new route or key with 404 or 401, which went to the caller although the entry that had accepted the request knew better. It now asks the next entry, as where the other one stops.

--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -19,10 +19,16 @@
 // maxRelays bounds the entries to which one request is relayed.
 const maxRelays = 3
 
-// refusedElsewhere lists the codes with which another entry refuses a relayed request
-// that a third one may take: it stops, or reaches no upstream either.
-var refusedElsewhere = map[int]bool{
-	code.Stopping.Number: true, code.NotReady.Number: true, code.NoUpstream.Number: true, code.UpstreamUnreachable.Number: true,
+// refusedElsewhere reports whether a third entry may take a relayed request that another
+// one refused with a code: that one stops, reaches no upstream either, or has another
+// configuration.
+func refusedElsewhere(number int) bool {
+	switch number {
+	case code.Stopping.Number, code.NotReady.Number, code.NoUpstream.Number, code.UpstreamUnreachable.Number,
+		code.UnknownRoute.Number, code.BadTeamKey.Number:
+		return true
+	}
+	return false
 }
 
 // Relay connects a gate to those of other entries.
@@ -88,7 +94,7 @@
 	switch n, err := strconv.Atoi(x.Header.Get(relay.FieldRefused)); {
 	case err != nil:
 		g.relayServed(address)
-	case refusedElsewhere[n]:
+	case refusedElsewhere(n):
 		x.Drain(maxRejection)
 		g.Metrics.relayed(relayRefused)
 		c.log.Info("relay-failed", "to", address, "sent", true, "code", n)
