--- a/internal/forward/poison/property_test.go
+++ b/internal/forward/poison/property_test.go
@@ -78,11 +78,7 @@
 		return
 	}
 	fifth := f.crashes[4]
-	for _, x := range f.badSends {
-		if x.inTouch && x.at.After(fifth.Add(contact)) {
-			s.later++
-		}
-	}
+	s.later = f.sendsAfter(fifth.Add(contact))
 	s.before = f.sentShare(s.first, start, start.Add(calm))
 	s.after = f.sentShare(s.first, fifth.Add(2*contact), f.now)
 }
@@ -104,6 +100,18 @@
 	})
 }
 
+// sendsAfter counts the sends under which upstreams crash after a time, by entries that run
+// for contact or longer.
+func (f *simFleet) sendsAfter(bound time.Time) int {
+	n := 0
+	for _, x := range f.badSends {
+		if x.inTouch && x.at.After(bound) {
+			n++
+		}
+	}
+	return n
+}
+
 // sentShare returns the share of the sound requests with a first part that were sent.
 func (f *simFleet) sentShare(first uint64, from, until time.Time) float64 {
 	n, sent := 0, 0
--- a/internal/forward/poison/request_test.go
+++ b/internal/forward/poison/request_test.go
@@ -41,12 +41,7 @@
 			return
 		}
 		bound := f.crashes[thirdCrash-1].Add(contact)
-		later := 0
-		for _, x := range f.badSends {
-			if x.inTouch && x.at.After(bound) {
-				later++
-			}
-		}
+		later := f.sendsAfter(bound)
 		if later > maxLater {
 			t.Errorf("%d sends of the request after the bound, %d crashes in all", later, len(f.crashes))
 		}
@@ -174,13 +169,7 @@
 			if len(f.crashes) < thirdCrash {
 				t.Fatalf("%d crashes, want %d or more", len(f.crashes), thirdCrash)
 			}
-			bound := f.crashes[thirdCrash-1].Add(contact)
-			later := 0
-			for _, x := range f.badSends {
-				if x.inTouch && x.at.After(bound) {
-					later++
-				}
-			}
+			later := f.sendsAfter(f.crashes[thirdCrash-1].Add(contact))
 			if later > maxLater {
 				t.Errorf("%d sends of the request after the bound, %d crashes in all", later, len(f.crashes))
 			}
