fix(links,gate): a pause of all upstreams is no loss of links

A peer now shows a loss only if it heard an upstream 0.3 s or more after this entry last did, and if that stays so for 0.15 s; a waiting request that no other entry takes waits on.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -86,9 +86,13 @@
 			return
 		}
 		if a.Upstream == nil {
-			if !c.relayIfLost(ctx) {
-				c.rejected(a)
+			if c.relayIfLost(ctx) {
+				return
 			}
+			if a.Reason == reasonLinksLost {
+				continue
+			}
+			c.rejected(a)
 			return
 		}
 		if c.attempt(ctx, a) {
--- a/internal/forward/gate/links.go
+++ b/internal/forward/gate/links.go
@@ -96,7 +96,7 @@
 		g.Metrics.linksLost()
 		// Kept connections may hang for long; a new one shows that the links are back.
 		g.Pool.Retain(nil)
-		g.refuseWaiting(now)
+		g.releaseWaiting(now)
 	case links.Regained:
 		g.Log.Info("upstreams-regained", "after", now.Sub(g.lostAt))
 		g.Metrics.linksRegained()
@@ -104,12 +104,16 @@
 	}
 }
 
-// refuseWaiting takes all requests out of the queue: another entry may serve them. The
-// caller must hold mu.
-func (g *Gate) refuseWaiting(now time.Time) {
+// reasonLinksLost is the reason for which a request is taken out of the queue that another
+// entry may serve.
+const reasonLinksLost = "links-lost"
+
+// releaseWaiting takes all requests out of the queue, so that they go to another entry or
+// wait again. The caller must hold mu.
+func (g *Gate) releaseWaiting(now time.Time) {
 	for id, w := range g.waiters {
 		delete(g.waiters, id)
 		g.sched.Cancel(w.job)
-		w.action <- schedule.Action{Job: w.job, Reason: schedule.ReasonUnreachable, Waited: now.Sub(w.job.Arrived)}
+		w.action <- schedule.Action{Job: w.job, Reason: reasonLinksLost, Waited: now.Sub(w.job.Arrived)}
 	}
 }
--- a/internal/forward/links/links.go
+++ b/internal/forward/links/links.go
@@ -27,6 +27,9 @@
 	// minQuiet is the time without a byte of any upstream from which the links may be
 	// lost. Answers of a busy entry come far more often.
 	minQuiet = 300 * time.Millisecond
+	// confirmTime is how long peers must be seen to hear upstreams meanwhile. When all
+	// upstreams pause, some entries hear them a little before the others again.
+	confirmTime = 150 * time.Millisecond
 	// minFailed is the number of different upstreams that must have failed since the last
 	// byte: one may be silent, or down, alone.
 	minFailed = 2
@@ -85,8 +88,11 @@
 	first  time.Time
 	peers  map[string]peer
 	lost   bool
-	probed time.Time
-	tried  time.Time
+	// cutSince is since when peers were seen to hear upstreams while this entry does not,
+	// zero if they don't.
+	cutSince time.Time
+	probed   time.Time
+	tried    time.Time
 	// interval is the time between two probes, regained when the links were last regained.
 	interval time.Duration
 	regained time.Time
@@ -97,7 +103,7 @@
 	if now.After(t.heard) {
 		t.heard = now
 	}
-	t.failed = t.failed[:0]
+	t.failed, t.cutSince = t.failed[:0], time.Time{}
 }
 
 // Failed records an attempt at an upstream, or a part of its time, without a byte.
@@ -146,7 +152,7 @@
 	case t.lost && len(t.failed) == 0 && now.Sub(t.heard) < minQuiet:
 		t.lost, t.regained = false, now
 		return Regained
-	case !t.lost && t.cutOff(now):
+	case !t.lost && t.confirmed(now):
 		t.lost, t.probed = true, now
 		if t.interval = min(2*t.interval, maxProbe); t.regained.IsZero() || now.Sub(t.regained) > flapTime {
 			t.interval = minProbe
@@ -161,6 +167,18 @@
 	return t.Suspect(now) && len(t.Connected(now)) > 0
 }
 
+// confirmed reports whether that has been so for confirmTime.
+func (t *Tracker) confirmed(now time.Time) bool {
+	if !t.cutOff(now) {
+		t.cutSince = time.Time{}
+		return false
+	}
+	if t.cutSince.IsZero() {
+		t.cutSince = now
+	}
+	return now.Sub(t.cutSince) >= confirmTime
+}
+
 // Suspect reports whether this entry hears no upstream, whatever peers hear.
 func (t *Tracker) Suspect(now time.Time) bool {
 	return len(t.failed) >= minFailed && now.Sub(t.heard) >= minQuiet
@@ -177,11 +195,16 @@
 }
 
 // Connected returns the sorted addresses of the entries that heard an upstream after one
-// failed here.
+// failed here, and minQuiet or more after this entry last heard one: all may have heard
+// the last bytes before a pause of all upstreams.
 func (t *Tracker) Connected(now time.Time) []string {
+	since := t.heard.Add(minQuiet)
+	if t.first.After(since) {
+		since = t.first
+	}
 	var list []string
 	for address, p := range t.peers {
-		if now.Sub(p.at) <= peerTTL && p.heard.After(t.first) {
+		if now.Sub(p.at) <= peerTTL && p.heard.After(since) {
 			list = append(list, address)
 		}
 	}
