test(soak): ports of entries that are free on all their hosts

Two soaks at once: an entry could not listen at port 43685 of its host, which the other soak's entry used for a connection to its peer. Ports now lie below the range of outgoing connections and are tried on the hosts of all entries.

--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -128,7 +128,7 @@
 			return err
 		}
 	}
-	port, err := freePorts(4)
+	port, err := freePorts(4, s.Entries)
 	if err != nil {
 		return err
 	}
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -82,26 +83,40 @@
 	return l.Addr().String(), nil
 }
 
-// freePorts returns the first of n consecutive ports. Only the first is known to be
-// free.
-func freePorts(n int) (int, error) {
+// Listening ports of entries lie below the range from which the kernel takes the ports of
+// outgoing connections: an entry that restarts must find its own ones free.
+const minPort, maxPort = 12000, 32000
+
+// freePorts returns the first of n consecutive ports that are free on the hosts of all
+// entries.
+func freePorts(n, entries int) (int, error) {
 	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return 0, err
-		}
-		first := l.Addr().(*net.TCPAddr).Port
-		l.Close()
-		if first+n < 1<<16 {
+		if first := minPort + rand.IntN(maxPort-minPort-n); portsFree(first, n, entries) {
 			return first, nil
 		}
 	}
 	return 0, fmt.Errorf("no range of %d ports found", n)
 }
 
+func portsFree(first, n, entries int) bool {
+	for i := range entries {
+		for port := first; port < first+n; port++ {
+			l, err := net.Listen("tcp", net.JoinHostPort(entryHost(i), strconv.Itoa(port)))
+			if err != nil {
+				return false
+			}
+			l.Close()
+		}
+	}
+	return true
+}
+
+// entryHost returns the loopback address of entry i.
+func entryHost(i int) string { return fmt.Sprintf("127.0.1.%d", firstHost+i) }
+
 // addEntry writes the settings of an entry and starts it.
 func (s *Soak) addEntry(i, port int, store string) error {
-	ip := fmt.Sprintf("127.0.1.%d", firstHost+i)
+	ip := entryHost(i)
 	e := &entry{name: fmt.Sprintf("entry-%d", i+1), address: net.JoinHostPort(ip, strconv.Itoa(port)), inRotation: true}
 	e.link = &proxy.Proxy{Target: store}
 	if err := e.link.Listen(); err != nil {
@@ -112,7 +127,7 @@
 		"listen": map[string]any{
 			"callers": e.address, "ready": net.JoinHostPort(ip, strconv.Itoa(port+1)), "state": net.JoinHostPort(ip, strconv.Itoa(port+2)),
 		},
-		"seeds":   []string{fmt.Sprintf("127.0.1.%d:%d", firstHost, port+2), fmt.Sprintf("127.0.1.%d:%d", firstHost+1, port+2)},
+		"seeds":   []string{net.JoinHostPort(entryHost(0), strconv.Itoa(port+2)), net.JoinHostPort(entryHost(1), strconv.Itoa(port+2))},
 		"stop":    map[string]any{"grace": grace.String()},
 		"retries": map[string]any{"ratio": retryRatio, "slack": retrySlack},
 		"quotas":  map[string]any{"slack": quotaSlack},
