--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -32,8 +32,10 @@
 		if got != ExitOK {
 			t.Logf("%s (%v):\n%s", file, err, b)
 		}
-		if !strings.Contains(string(b), "engine-crashed") {
-			t.Errorf("%s: no engine crashed under a part of a prompt", file)
+		for _, cause := range []string{"part", "request"} {
+			if !strings.Contains(string(b), "event=upstream-crashed cause="+cause) {
+				t.Errorf("%s: no upstream crashed, cause %s", file, cause)
+			}
 		}
 	}
 	if got != ExitOK || len(logs) != 2 {
--- a/internal/soak/run/crash.go
+++ b/internal/soak/run/crash.go
@@ -127,7 +127,7 @@
 	now := time.Now()
 	c.end = s.ledger.Disturb(c.server.ID, false, now)
 	s.ledger.Crashed(c.cause, now)
-	s.Log.Info("upstream-crashed", "upstream", c.server.ID, "request", request)
+	s.Log.Info("upstream-crashed", "cause", string(c.cause), "upstream", c.server.ID, "request", request)
 	c.server.Crash()
 	c.link.Close()
 	select {
