--- a/internal/forward/gate/crash.go
+++ b/internal/forward/gate/crash.go
@@ -165,7 +165,7 @@
 // suspectText returns the id of a suspect as log lines have it.
 func suspectText(p poison.Suspect) string { return strconv.FormatUint(p.ID, 16) }
 
-// suspectsChanged logs and broadcasts what an attempt brought to light. The caller must
+// suspectsChanged logs and broadcasts news of suspects that an attempt gave. The caller must
 // hold mu of the gate.
 func (c *call) suspectsChanged(e suspectEvents, a schedule.Action, list []poison.Suspect) {
 	l := c.log.WithValues("upstream", a.Upstream.ID, "born", a.Upstream.Born, "source", sourceAnswer)
