--- a/internal/forward/poison/property_test.go
+++ b/internal/forward/poison/property_test.go
@@ -88,6 +88,7 @@
 // entries that start anew. Guards also against sound requests with the same first part
 // that are refused with them.
 func TestBadPartIsKeptFromUpstreams(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawSeries.Draw(t, "series")
 		s.play()
--- a/internal/forward/poison/request_test.go
+++ b/internal/forward/poison/request_test.go
@@ -14,6 +14,7 @@
 // at most three sends may reach upstreams, trials of it included. Guards also against
 // sound requests with the same parts that are refused with it.
 func TestBadRequestIsKeptFromUpstreams(t *testing.T) {
+	t.Parallel()
 	const (
 		thirdCrash = 3
 		calm       = 4 * time.Second
@@ -137,6 +138,7 @@
 // Guards against news that does not reach all entries of a large fleet in time: entries
 // tell few others at once, and messages are lost and late.
 func TestBadRequestInLargeFleet(t *testing.T) {
+	t.Parallel()
 	const (
 		thirdCrash = 3
 		length     = 45 * time.Second
@@ -155,6 +157,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			f := newSimFleet(rand.New(rand.NewPCG(1, 2)), c.entries, c.upstreams)
 			f.loss, f.delay = c.loss, c.delay
 			start := f.now
--- a/internal/forward/poison/sound_test.go
+++ b/internal/forward/poison/sound_test.go
@@ -11,6 +11,7 @@
 // resets, a rack that ends at once and a service that is down, few are refused, and none
 // later than the delay of a first trial, the turns of all entries and an answer.
 func TestSoundPartsAreNotBlocked(t *testing.T) {
+	t.Parallel()
 	const (
 		disturbed  = 12 * time.Second
 		maxRefused = 0.03
--- a/internal/forward/schedule/brittle_test.go
+++ b/internal/forward/schedule/brittle_test.go
@@ -81,6 +81,7 @@
 	for _, c := range cases {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(c.name, " seed ", seed), func(t *testing.T) {
+				t.Parallel()
 				sim := newSimulation(c.entries, c.engines, 6, seed)
 				for _, e := range sim.engines {
 					e.brittle = &brittle{perSecond: bears}
