--- a/internal/config/forwarding/forwarding.go
+++ b/internal/config/forwarding/forwarding.go
@@ -39,6 +39,11 @@
 	Retries Retries `json:"retries"`
 	Quotas  Quotas  `json:"quotas"`
 	Limits  Limits  `json:"limits"`
+	// Scheduling turns on parts of the scheduler.
+	Scheduling Scheduling `json:"scheduling"`
+	// Regions holds the region of each data centre. A data centre that is not listed is a
+	// region of its own.
+	Regions map[string]string `json:"regions"`
 	// FirstStart is set when the whole fleet starts for the first time.
 	FirstStart bool `json:"first-start"`
 	// LogLevel is "error", "info" or "debug".
@@ -78,6 +83,20 @@
 	Slack float64 `json:"slack"`
 }
 
+// Scheduling turns on parts of the scheduler; all are off by default. A change takes effect
+// at the next start.
+type Scheduling struct {
+	// FairTeams divides the upstreams of a service between the teams of a rank.
+	FairTeams bool `json:"fair-teams"`
+	// PreferReturns serves callers that come back at the time that a refusal named before
+	// others of their rank.
+	PreferReturns bool `json:"prefer-returns"`
+	// LendSlots lets entries of different cells lend each other slots of upstreams.
+	LendSlots bool `json:"lend-slots"`
+	// LearnConcurrency learns how many requests each upstream takes well.
+	LearnConcurrency bool `json:"learn-concurrency"`
+}
+
 // Limits bound the resources of the process.
 type Limits struct {
 	// Memory is the process's limit in megabytes; 0 means none.
@@ -147,6 +166,9 @@
 	faultIf(s.Retries.Ratio < 0 || s.Retries.Slack < 0, "retries", "ratio and slack must be 0 or more")
 	faultIf(s.Quotas.Slack < 0, "quotas.slack", "must be 0 or more")
 	faultIf(s.Retries.Window <= 0, "retries.window", "must be greater than 0")
+	for name, region := range s.Regions {
+		faultIf(name == "" || region == "", "regions", "data centre %q has region %q; both must be given", name, region)
+	}
 	faultIf(s.Limits.Memory < 0 || s.Limits.MaxBody <= 0, "limits", "memory must be 0 or more, and max-body greater than 0")
 	faultIf(s.LogLevel != "error" && s.LogLevel != "info" && s.LogLevel != "debug", "log-level", "%q: allowed are error, info and debug", s.LogLevel)
 	return faults
--- a/internal/config/forwarding/forwarding_test.go
+++ b/internal/config/forwarding/forwarding_test.go
@@ -51,7 +51,7 @@
 		{"{{Ip}}", "10.0.0.1"}, {"{{InternalPortRange.1}}", "7615"}, {"{{InternalPortRange.0}}", "7600"},
 		{"{{Platform.Address|json}}", `"10.0.0.9:80"`}, {"{{Bounds.GraceS}}", "8"}, {"{{Bounds.RetryBudgetRatio}}", "0.2"},
 		{"{{Bounds.RetryBudgetSlack}}", "52"}, {"{{Bounds.BudgetWindowS}}", "10"}, {"{{Bounds.QuotaSlack}}", "190000"},
-		{"{{Bootstrap|json}}", "true"}, {"{{Limits.MemoryMb}}", "284"},
+		{"{{Bootstrap|json}}", "true"}, {"{{Limits.MemoryMb}}", "284"}, {"{{Zones|json}}", `{"z": "r"}`},
 	} {
 		s = strings.ReplaceAll(s, c.from, c.to)
 	}
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -138,8 +138,11 @@
 		Arrived: c.arrived, Due: c.arrived.Add(target), Expires: c.deadline, Deadline: c.deadline,
 		Repeatable: c.route.Repeatable(), Avoid: avoid, Resumed: started,
 	}
-	if c.team != nil && c.team.HasRank {
-		j.Rank[0] = c.team.Rank
+	if c.team != nil {
+		j.Team = c.team.Name
+		if c.team.HasRank {
+			j.Rank[0] = c.team.Rank
+		}
 	}
 	if j.Expires.IsZero() {
 		j.Expires = c.arrived.Add(defaultTimeout)
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -119,6 +119,7 @@
 	DataCentre string
 	Retries    retry.Budget
 	Quotas     quota.Ledger
+	Scheduling schedule.Options
 }
 
 // Prepare makes a gate ready to serve.
@@ -127,6 +128,8 @@
 		Name: s.Name, DataCentre: s.DataCentre,
 		Start: uint64(g.Start),
 		Rand:  rand.New(rand.NewPCG(uint64(g.Start), uint64(len(s.Name)))),
+
+		Options: s.Scheduling,
 	}
 	if g.Rollout == nil {
 		g.Rollout = &rollout.Rollout{}
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -25,6 +25,7 @@
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/retry"
 	"agateward/internal/forward/rollout"
+	"agateward/internal/forward/schedule"
 	"agateward/internal/forward/shutdown"
 	"agateward/internal/forward/view"
 	"agateward/internal/result/code"
@@ -129,6 +130,9 @@
 		Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
 	}, Quotas: quota.Ledger{
 		Slack: quotaSlackFraction * s.Quotas.Slack, StartFull: s.FirstStart,
+	}, Scheduling: schedule.Options{
+		FairTeams: s.Scheduling.FairTeams, PreferReturns: s.Scheduling.PreferReturns, LendSlots: s.Scheduling.LendSlots,
+		LearnConcurrency: s.Scheduling.LearnConcurrency, Regions: s.Regions,
 	}}
 }
 
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -13,6 +13,8 @@
 	Request string
 	Service string
 	Route   string
+	// Team is the name of the caller's team, "" for none.
+	Team string
 	// Rank orders waiting jobs, the lower first: the team's rank, then the route's.
 	Rank [2]int
 	// Arrived is when the caller's request came in.
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -28,6 +28,22 @@
 	"agateward/ward"
 )
 
+// Options turn on parts of the scheduler; all are off by default.
+type Options struct {
+	// FairTeams divides the upstreams of a service between the teams of a rank.
+	FairTeams bool
+	// PreferReturns serves callers that come back at the time that a refusal named before
+	// others of their rank.
+	PreferReturns bool
+	// LendSlots lends slots to entries of other cells, and borrows theirs.
+	LendSlots bool
+	// LearnConcurrency learns how many requests each upstream takes well.
+	LearnConcurrency bool
+	// Regions holds the region of each data centre. One that is not listed is a region of
+	// its own.
+	Regions map[string]string
+}
+
 // Scheduler assigns jobs to upstreams. The zero value is ready to use once Rand is
 // set.
 type Scheduler struct {
@@ -45,6 +61,8 @@
 	// not known.
 	Fleet []string
 
+	Options Options
+
 	// stopEnd is when this entry exits; zero means that it does not stop.
 	stopEnd time.Time
 
