feat(view,schedule): evacuated data centres get no requests

Cause: operators order an evacuation under op/evacuate/DATA-CENTRE; nothing read the key.

Change: the view keeps the newest change of each data centre by the store's revision, with ends as tombstones, and exchanges it with peers beside the other documents. A list of a restored store ends an evacuation only after 5 s, as operators write their keys again. Upstreams of an evacuated data centre drain, reversibly; dispatches that are not written yet are withdrawn. Entries of such a data centre divide the upstreams elsewhere between their cells.

--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -46,7 +46,7 @@
 	}
 	k := code.QueueFull
 	switch a.Reason {
-	case schedule.ReasonNoUpstream, schedule.ReasonLeaving, schedule.ReasonPaused:
+	case schedule.ReasonNoUpstream, schedule.ReasonLeaving, schedule.ReasonEvacuated, schedule.ReasonPaused:
 		k = code.NoUpstream
 	case schedule.ReasonUnreachable:
 		k = code.UpstreamUnreachable
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -135,6 +135,7 @@
 		g.Rollout = &rollout.Rollout{}
 	}
 	g.Metrics.limited(g.limited)
+	g.Metrics.evacuated(g.View.Evacuated)
 	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -86,6 +86,13 @@
 	m.Set.GetOrCreateGauge("agateward_forward_limited_choices_total", func() float64 { _, n := values(); return float64(n) })
 }
 
+// evacuated registers the number of evacuated data centres.
+func (m *Metrics) evacuated(n func() int) {
+	if m != nil {
+		m.Set.GetOrCreateGauge("agateward_forward_data_centres_evacuated", func() float64 { return float64(n()) })
+	}
+}
+
 // linksLost counts that this entry lost its links to all upstreams, linksRegained that it
 // has them again.
 func (m *Metrics) linksLost() { m.count("agateward_forward_upstreams_lost_total") }
--- a/internal/forward/schedule/pause.go
+++ b/internal/forward/schedule/pause.go
@@ -109,12 +109,15 @@
 
 // MaySend reports whether a dispatch that was not written yet may still be written. If
 // not, its upstream has said since that it wants no requests, or named a limit in which
-// there is no permit for it; the job is to be ended by Done and to arrive anew.
+// there is no permit for it, or its data centre was evacuated; the job is to be ended by Done and to arrive anew.
 func (s *Scheduler) MaySend(id uint64, now time.Time) bool {
 	r := s.jobs[id]
 	if r == nil {
 		return true
 	}
+	if u := s.byID[r.upstream.ID]; u != nil && u.Evacuated {
+		return false
+	}
 	st := s.statements[IdentityOf(&r.upstream.Replica)]
 	// A dispatch from before the pause would pass by the limit after it.
 	if st.wantsNone(now) || st != nil && st.pause != nil && st.pause != r.pause {
--- a/internal/forward/schedule/refusal.go
+++ b/internal/forward/schedule/refusal.go
@@ -11,6 +11,8 @@
 	// ReasonLeaving means that the service has no upstream left, of which at least one
 	// said that it leaves.
 	ReasonLeaving = "leaving"
+	// ReasonEvacuated means that the service has upstreams in evacuated data centres alone.
+	ReasonEvacuated = "evacuated"
 	// ReasonPaused means that every upstream of the service asked for a pause, which
 	// the job cannot wait for.
 	ReasonPaused = "paused"
@@ -90,12 +92,16 @@
 	if v.pauseLeft(now) > 0 {
 		return ReasonPaused
 	}
+	reason := ReasonNoUpstream
 	for _, u := range v.upstreams {
 		if u.said != nil && u.said.leaving {
 			return ReasonLeaving
 		}
+		if u.Evacuated {
+			reason = ReasonEvacuated
+		}
 	}
-	return ReasonNoUpstream
+	return reason
 }
 
 // longWaitReason returns the reason to refuse a job whose wait would take too long.
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -43,36 +43,56 @@
 }
 
 // cellUpstreams returns the upstreams of a service that this entry uses: its cell's
-// share of those in its data centre.
+// share of those in its data centre, or of those elsewhere while that one is evacuated.
 func (s *Scheduler) cellUpstreams(all []*upstream) []*upstream {
 	if s.Cells == 0 {
 		return all
 	}
-	var local []*upstream
+	var local, remote []*upstream
+	evacuated := false
 	for _, u := range all {
-		if u.local {
+		switch {
+		case u.local:
 			local = append(local, u)
+			evacuated = evacuated || u.Evacuated
+		case !u.Draining:
+			remote = append(remote, u)
 		}
 	}
-	if len(local) < minCellUpstreams*s.Cells {
-		return all
+	if evacuated {
+		local = remote
+	}
+	if own := s.cellShare(local); usable(own) >= minCellUpstreams {
+		return own
 	}
-	sort.Slice(local, func(i, k int) bool { return local[i].ID < local[k].ID })
+	return all
+}
+
+// cellShare returns this cell's share of the upstreams in a list, nil if there are too few
+// for all cells.
+func (s *Scheduler) cellShare(list []*upstream) []*upstream {
+	if len(list) < minCellUpstreams*s.Cells {
+		return nil
+	}
+	sort.Slice(list, func(i, k int) bool { return list[i].ID < list[k].ID })
 	var own []*upstream
-	usable := 0
-	for i, u := range local {
-		if i%s.Cells != s.Cell {
-			continue
+	for i, u := range list {
+		if i%s.Cells == s.Cell {
+			own = append(own, u)
 		}
-		own = append(own, u)
+	}
+	return own
+}
+
+// usable counts the upstreams that do not drain.
+func usable(list []*upstream) int {
+	n := 0
+	for _, u := range list {
 		if !u.Draining {
-			usable++
+			n++
 		}
 	}
-	if usable < minCellUpstreams {
-		return all
-	}
-	return own
+	return n
 }
 
 // assignSlots assigns each slot of a service's upstreams to one of the live entries,
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -126,6 +126,9 @@
 func (v *View) listOrders(ctx context.Context, _ uint64) (uint64, error) {
 	o, rev, err := v.Source.Orders(ctx)
 	v.applyOrders(o)
+	if err == nil {
+		v.adoptEvacuationList(o.Evacuations, rev, "list of the store")
+	}
 	if err == nil && o.Forwarding.Version == 0 {
 		err = errNoConfiguration
 	}
@@ -144,6 +147,7 @@
 		v.adopt(o.Forwarding, "store")
 	}
 	v.adoptRollouts(o.Rollouts, "store")
+	v.adoptEvacuations(o.Evacuations, "store")
 	for _, err := range o.Faults {
 		v.Log.Info("order-ignored", "error", err.Error())
 	}
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"agateward/internal/forward/document"
+	"agateward/internal/forward/evacuation"
 	"agateward/internal/forward/orderlog"
 	"agateward/internal/forward/replicas"
 	"agateward/internal/forward/route"
@@ -59,6 +60,8 @@
 	Revision uint64
 	// Rollouts are the orders in force, Writes all known writes of orders.
 	Rollouts, Writes []ward.Rollout
+	// Evacuations holds the newest change of each data centre.
+	Evacuations []ward.Evacuation
 }
 
 // View is one entry's copy of the documents. Source must be set.
@@ -88,7 +91,8 @@
 	loggedFaults map[string]uint64
 	down         map[string]bool
 	// rollouts are the writes of orders by service.
-	rollouts map[string]*orderlog.Log
+	rollouts    map[string]*orderlog.Log
+	evacuations evacuation.Set
 
 	packMu sync.Mutex
 	// packed is the configuration of packedVersion as it is sent to peers.
@@ -127,7 +131,7 @@
 	return v.answered
 }
 
-// Upstreams returns the registered upstreams.
+// Upstreams returns the registered upstreams. Those of evacuated data centres drain.
 func (v *View) Upstreams() []ward.Replica {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -135,6 +139,9 @@
 	list := make([]ward.Replica, len(all))
 	for i, e := range all {
 		list[i] = e.Replica
+		if v.evacuations.Active(e.DataCentre) {
+			list[i].Draining, list[i].Evacuated = true, true
+		}
 	}
 	return list
 }
@@ -152,6 +159,7 @@
 		d.Rollouts = max(d.Rollouts, l.Newest())
 		d.Orders += l.Digest()
 	}
+	d.Evacuations = v.evacuations.Newest()
 	return d
 }
 
@@ -168,7 +176,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
-	s := State{Replicas: v.set.All(now), Revision: v.set.Revision, Rollouts: v.currentOrders(now), Writes: v.orderWrites(now)}
+	s := State{Replicas: v.set.All(now), Revision: v.set.Revision, Rollouts: v.currentOrders(now), Writes: v.orderWrites(now), Evacuations: v.evacuations.All()}
 	if t := v.Table(); t != nil {
 		s.Forwarding = t.Config
 	}
@@ -179,8 +187,8 @@
 // for a peer. Each is empty unless it is newer than the version that the peer has.
 func (v *View) Newer(has ward.DocumentVersions) (c, u document.Packed, err error) {
 	s, own := v.State(), v.Versions()
-	if own.Replicas > has.Replicas || own.Rollouts > has.Rollouts || own.OrdersDiffer(has) {
-		if u, err = document.Pack(State{Replicas: s.Replicas, Revision: s.Revision, Rollouts: s.Rollouts, Writes: s.Writes}); err != nil {
+	if own.Replicas > has.Replicas || own.Rollouts > has.Rollouts || own.OrdersDiffer(has) || own.Evacuations > has.Evacuations {
+		if u, err = document.Pack(State{Replicas: s.Replicas, Revision: s.Revision, Rollouts: s.Rollouts, Writes: s.Writes, Evacuations: s.Evacuations}); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -204,6 +212,7 @@
 		v.adopt(s.Forwarding, "peer "+from)
 	}
 	v.adoptRollouts(slices.Concat(s.Writes, s.Rollouts), "peer "+from)
+	v.adoptEvacuations(s.Evacuations, "peer "+from)
 	v.mu.Lock()
 	changed := v.set.Merge(s.Replicas, s.Revision, time.Now())
 	v.mu.Unlock()
@@ -232,12 +241,15 @@
 	v.Changed()
 }
 
-// Sweep removes the upstreams whose registrations lapsed and did not return in
-// time. It is called several times a second.
+// Sweep removes the upstreams whose registrations lapsed, and the evacuations that a
+// restored store lacks, and that did not return in time. It is called several times a
+// second.
 func (v *View) Sweep(now time.Time) {
 	v.mu.Lock()
 	lapsed, returned := v.set.Sweep(now)
+	ended := v.evacuations.Sweep(now)
 	v.mu.Unlock()
+	v.evacuationsChanged(ended, "not written again to the restored store")
 	if len(lapsed) > 0 || len(returned) > 0 {
 		v.Log.Info("upstreams-lapsed", "upstreams", lapsed, "returned", returned)
 		v.Changed()
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -131,6 +131,8 @@
 	Slots int
 	// Draining reports whether it is excluded from new requests.
 	Draining bool
+	// Evacuated reports whether it is excluded as its data centre is evacuated.
+	Evacuated bool
 }
 
 // ForwardHead is the content of the head of a caller's request, independent of the
@@ -249,15 +251,28 @@
 	Fault string
 }
 
-// Orders holds the configuration and the roll-outs that the operator has ordered.
+// Orders holds the configuration, the roll-outs and the evacuations that the operator has
+// ordered.
 // Forwarding has Version 0 if there is no configuration.
 type Orders struct {
 	Forwarding Forwarding
 	Rollouts   []Rollout
+	// Evacuations are the data centres to which nothing may be sent.
+	Evacuations []Evacuation
 	// Faults describe the parts that could not be read; the other parts are valid.
 	Faults []error
 }
 
+// Evacuation is a change of an operator's order to send nothing to the upstreams of a data
+// centre.
+type Evacuation struct {
+	DataCentre string
+	// Revision is the store's revision of the change.
+	Revision uint64
+	// Ended reports whether the order was removed.
+	Ended bool
+}
+
 // Rollout is an order to move the traffic of a service to upstreams of another
 // version.
 type Rollout struct {
@@ -298,11 +313,14 @@
 	Rollouts uint64 `msgpack:"o,omitempty"`
 	// Orders is a hash of the known writes of orders, 0 if none is known.
 	Orders uint64 `msgpack:"d,omitempty"`
+	// Evacuations is the store's revision of the newest change to an evacuation, 0 if none
+	// was ever ordered.
+	Evacuations uint64 `msgpack:"x,omitempty"`
 }
 
 // OlderThan reports whether at least one document of o is newer than that of v.
 func (v DocumentVersions) OlderThan(o DocumentVersions) bool {
-	return o.Config > v.Config || o.Replicas > v.Replicas || o.Rollouts > v.Rollouts
+	return o.Config > v.Config || o.Replicas > v.Replicas || o.Rollouts > v.Rollouts || o.Evacuations > v.Evacuations
 }
 
 // OrdersDiffer reports whether both entries know orders of roll-outs, but not from the
