perf(peers,view): one entry of a cell follows the store, with fewer calls

In fleets with cells a reader pauses 400 ms after a change of the upstreams before it watches again. Configurations are read as fast as before. Fleets without cells are unchanged.

--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -108,7 +108,7 @@
 func New(s forwarding.Settings, p Parts) *Node {
 	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), broadcastNow: make(chan struct{}, 1), announceNow: make(chan struct{}, 1), news: news{now: make(chan struct{}, 1)}}
 	n.peers.Self = s.Name
-	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.onChange, FollowsStore: n.followsStore, EraChanged: n.announceAgain}
+	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.onChange, FollowsStore: n.followsStore, Cells: n.hasCells, EraChanged: n.announceAgain}
 	pool := &backend.Pool{Dial: p.Dial, OnOpen: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
 	n.rollout = &rollout.Rollout{
 		Self: s.Name, Start: n.start, Source: p.Source, Log: p.Log, Orders: n.view.Rollouts, Upstreams: n.view.Upstreams,
--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -100,8 +100,9 @@
 }
 
 // storeReaders is the number of entries of a cell that follow the store while it
-// answers them.
-const storeReaders = 2
+// answers them. When the store stops answering the reader, the others follow it within
+// maxStoreAge, well before a change has to be in force.
+const storeReaders = 1
 
 // maxLag is how long this entry may lack a version that a peer has before it
 // follows the store itself. A fetch from a peer takes a tenth of it, and the store
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -18,7 +18,7 @@
 		defer close(done)
 		v.follow(ctx, "orders", feed{list: v.listOrders, watch: v.watchOrders})
 	}()
-	v.follow(ctx, "upstreams", feed{list: v.listReplicas, watch: v.watchReplicas, peerRevision: v.replicasRevision})
+	v.follow(ctx, "upstreams", feed{list: v.listReplicas, watch: v.watchReplicas, peerRevision: v.replicasRevision, pause: v.upstreamsPause})
 	<-done
 }
 
@@ -31,6 +31,16 @@
 	// peerRevision returns the revision up to which peers sent the changes, 0 for
 	// none. Nil means that reading always starts with a list.
 	peerRevision func() uint64
+	// pause is the pause after a change. Nil means coalesceDelay.
+	pause func() time.Duration
+}
+
+// upstreamsPause is the pause after a change of the upstreams.
+func (v *View) upstreamsPause() time.Duration {
+	if v.Cells != nil && v.Cells() {
+		return cellCoalesceDelay
+	}
+	return coalesceDelay
 }
 
 // follow lists documents and then watches them, and lists again when the store no
@@ -40,6 +50,10 @@
 	list, watch := f.list, f.watch
 	var revision uint64
 	wait := minRetryDelay
+	pause := func() time.Duration { return coalesceDelay }
+	if f.pause != nil {
+		pause = f.pause
+	}
 	next, resume := list, false
 	for ctx.Err() == nil {
 		if v.FollowsStore != nil && !v.FollowsStore() {
@@ -73,7 +87,7 @@
 			changed := to != revision && revision > 0
 			revision, next, wait = to, watch, minRetryDelay
 			if changed {
-				sleep(ctx, coalesceDelay)
+				sleep(ctx, pause())
 			}
 		}
 	}
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -38,6 +38,10 @@
 	// coalesceDelay is the pause after a change, so that changes in quick
 	// succession come with one call.
 	coalesceDelay = 100 * time.Millisecond
+	// cellCoalesceDelay replaces it for the upstreams of a fleet that is divided into
+	// cells, where registrations change several times a second. An upstream that leaves
+	// has to be excluded within some seconds.
+	cellCoalesceDelay = 400 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the pause after a failed call.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
@@ -71,6 +75,8 @@
 	// FollowsStore reports whether this entry follows the store itself; otherwise
 	// it gets changes from peers. Nil means always.
 	FollowsStore func() bool
+	// Cells reports whether the fleet is divided into cells. Nil means that it is not.
+	Cells func() bool
 	// Changed is called after the configuration or the upstreams changed.
 	Changed func()
 	// EraChanged is called when the store has returned from an older copy, unless it
