feat(gate): bounds on what is held for slow callers

Cause: bodies were read without a bound on time or on bytes over all requests, and a caller that stopped reading held its stream and its upstream for ever.

Change: bodies are claimed from a budget of a quarter of the memory limit before they are read; beyond it a request is refused unread with 503 and code 2013. A body has the caller's or the route's time to arrive, then 408. A caller of a stream that takes nothing for the time after which it would leave is cut. Answers are counted and never refused.

The bytes at one upstream are not summed over the fleet: partial.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -148,7 +147,7 @@
 // is finished.
 func (c *call) relayBuffered(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	c.recordFirst(a)
-	body, err := io.ReadAll(io.LimitReader(silenceReader{x.Body, stall}, maxBuffered+1))
+	body, err := c.readHeld(silenceReader{x.Body, stall}, maxBuffered, c.holdAnswer)
 	stall.pause()
 	if err == nil && len(body) > maxBuffered {
 		err = errAnswerTooLarge
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -36,7 +36,9 @@
 	// service, or of a version that is being rolled out.
 	group string
 	body  []byte
-	size  float64
+	// held is the number of bytes that the request has claimed of Gate.Buffers.
+	held int
+	size float64
 	// digest identifies the request by its content, 0 until it is needed.
 	digest uint64
 	// deadline follows from the caller's timeout and the route's; zero means none.
@@ -138,15 +140,19 @@
 	if c.r.ContentLength == 0 {
 		return nil
 	}
+	defer c.boundRead()()
 	var err error
 	if n := c.r.ContentLength; n > 0 {
+		if !c.hold(int(n)) {
+			return code.MemoryUsed.Wrap(errNoMemory, "read the body")
+		}
 		c.body = make([]byte, n)
 		_, err = io.ReadFull(c.r.Body, c.body)
 	} else {
-		c.body, err = io.ReadAll(io.LimitReader(c.r.Body, int64(limit)+1))
+		c.body, err = c.readHeld(c.r.Body, limit, c.hold)
 	}
 	if err != nil {
-		return errBodyTruncated
+		return bodyError(err)
 	}
 	if len(c.body) > limit {
 		return code.BodyTooLarge.New("more than %d bytes", limit)
@@ -209,8 +215,12 @@
 	if errors.As(err, &q) {
 		k, retry = code.TeamLimit, min(max(q.wait, 200*time.Millisecond), 4*time.Second)
 	}
-	if k.Number == code.NotReady.Number {
+	switch k.Number {
+	case code.NotReady.Number:
 		retry = notReadyRetry
+	case code.MemoryUsed.Number, code.CallerTooSlow.Number:
+		retry = bufferRetry
+		c.w.Header().Set("Connection", "close") // the body was not read
 	}
 	c.respond(k, retry, err.Error())
 }
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"agateward/internal/forward/backend"
+	"agateward/internal/forward/buffer"
 	"agateward/internal/forward/links"
 	"agateward/internal/forward/peerstate"
 	"agateward/internal/forward/poison"
@@ -79,6 +80,8 @@
 	// LimitsChanged requests a broadcast of the limits of upstreams, unless it is nil. It
 	// must not block.
 	LimitsChanged func(list []schedule.LimitReport)
+	// Buffers counts what the gate holds of bodies and answers. Prepare sets its bound.
+	Buffers buffer.Budget
 	// Start is a number that no earlier process of this entry had.
 	Start int64
 
@@ -120,6 +123,8 @@
 	Retries    retry.Budget
 	Quotas     quota.Ledger
 	Scheduling schedule.Options
+	// Memory is the memory limit of the process in bytes, 0 for none.
+	Memory int64
 }
 
 // Prepare makes a gate ready to serve.
@@ -135,6 +140,8 @@
 		g.Rollout = &rollout.Rollout{}
 	}
 	g.Metrics.limited(g.limited)
+	g.Buffers.SetTotal(int64(bufferFraction * float64(s.Memory)))
+	g.Metrics.buffers(&g.Buffers)
 	g.Metrics.evacuated(g.View.Evacuated)
 	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
@@ -337,6 +344,8 @@
 	if g.shutdown.Load() != nil {
 		c.w.Header().Set("Connection", "close")
 	}
+	c.unboundWrite()
+	defer c.releaseHeld()
 	if err := c.accept(); err != nil {
 		c.refuse(err)
 		return
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"agateward/internal/forward/buffer"
 	"agateward/internal/forward/poison"
 	"agateward/internal/result/code"
 	"agateward/ward"
@@ -86,6 +87,18 @@
 	m.Set.GetOrCreateGauge("agateward_forward_limited_choices_total", func() float64 { _, n := values(); return float64(n) })
 }
 
+// callerCut counts a caller that took nothing of its answer for too long.
+func (m *Metrics) callerCut() { m.count("agateward_forward_callers_cut_total") }
+
+// buffers registers the number of bytes that the entry holds, and of the claims that
+// exceeded the bound.
+func (m *Metrics) buffers(b *buffer.Budget) {
+	if m != nil {
+		m.Set.GetOrCreateGauge("agateward_forward_buffered_bytes", func() float64 { return float64(b.Used()) })
+		m.Set.GetOrCreateGauge("agateward_forward_buffer_refusals_total", func() float64 { return float64(b.Refused()) })
+	}
+}
+
 // evacuated registers the number of evacuated data centres.
 func (m *Metrics) evacuated(n func() int) {
 	if m != nil {
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -59,7 +60,11 @@
 			return c.handleTruncated(ctx, a, err)
 		}
 		stall.pause()
-		if err := c.relayEvent(e, x); err != nil {
+		err = c.relayEvent(e, x)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.cutSlowCaller(a)
+		}
+		if err != nil {
 			return c.handleTruncated(ctx, a, err)
 		}
 		stall.eventRelayed()
@@ -128,6 +133,7 @@
 		}
 	}
 	c.startAnswer(x)
+	c.boundWrite()
 	if _, err := c.w.Write(e.Raw); err != nil {
 		return err
 	}
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -130,7 +130,7 @@
 		Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
 	}, Quotas: quota.Ledger{
 		Slack: quotaSlackFraction * s.Quotas.Slack, StartFull: s.FirstStart,
-	}, Scheduling: schedule.Options{
+	}, Memory: int64(s.Limits.Memory) << 20, Scheduling: schedule.Options{
 		FairTeams: s.Scheduling.FairTeams, PreferReturns: s.Scheduling.PreferReturns, LendSlots: s.Scheduling.LendSlots,
 		LearnConcurrency: s.Scheduling.LearnConcurrency, Regions: s.Regions,
 	}}
--- a/internal/result/code/table.go
+++ b/internal/result/code/table.go
@@ -39,6 +39,7 @@
 	UpstreamUnreachable = define(2010, "upstream-unreachable", ward.NotRun, http.StatusServiceUnavailable, "ask again after Retry-After")
 	PromptBlocked       = define(2011, "prompt-blocked", ward.NotRun, http.StatusServiceUnavailable, "change the named part of the prompt, or ask again after Retry-After")
 	RequestBlocked      = define(2012, "request-blocked", ward.NotRun, http.StatusServiceUnavailable, "change the request, or ask again after Retry-After: upstreams crash under it")
+	MemoryUsed          = define(2013, "memory-used", ward.NotRun, http.StatusServiceUnavailable, "ask again after Retry-After; another entry may take it at once")
 )
 
 // Codes of requests that were dispatched.
