feat(schedule): cold upstreams are paced by the limit of their service

Change: while an upstream is cold, internal/forward/limit paces it at the lower of the limit that it named and the cold rate, divided between the entries of its cell. A permit to a cold upstream is valid for 250 ms. A granted permit counts once however often its message arrives. The remaining time in a registration is no change of the upstream, so learned statistics stay.

No test of cold upstreams yet.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -136,6 +136,7 @@
 	}
 	g.Metrics.limited(g.limited)
 	g.Metrics.evacuated(g.View.Evacuated)
+	g.Metrics.cold(g.coldUpstreams)
 	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
@@ -174,7 +175,11 @@
 // Refresh updates the upstreams from the view.
 func (g *Gate) Refresh() {
 	list := g.View.Upstreams()
+	table := g.View.Table()
 	for i := range list {
+		if table != nil {
+			list[i].ColdTime, list[i].ColdRate = table.Cold(list[i].Service)
+		}
 		list[i].Service = g.Rollout.Group(list[i])
 	}
 	inUse := make(map[string]bool, len(list))
@@ -228,12 +233,12 @@
 	g.ledger.Entries, g.budget.Entries = n, n
 }
 
-// SetCell sets the index of this entry's cell, of count cells in the data centre, and the
-// sorted names of all entries of the fleet.
-func (g *Gate) SetCell(index, count int, fleet []string) {
+// SetCell sets the index of this entry's cell, of count cells in the data centre, the names
+// of its members, and the sorted names of all entries of the fleet.
+func (g *Gate) SetCell(index, count int, members, fleet []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sched.Cell, g.sched.Cells, g.sched.Fleet = index, count, fleet
+	g.sched.Cell, g.sched.Cells, g.sched.Members, g.sched.Fleet = index, count, members, fleet
 }
 
 // bodyLimit returns the limit of a body if the configuration sets none.
@@ -266,6 +271,7 @@
 // apply delivers the actions to the waiting requests and grants to the peers. The
 // caller must hold mu.
 func (g *Gate) apply(actions []schedule.Action) {
+	g.logCold()
 	for _, a := range actions {
 		if a.GrantTo != "" {
 			g.SendGrant(a)
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -38,6 +38,13 @@
 	m.Set.GetOrCreateHistogram(fmt.Sprintf("agateward_forward_seconds{kind=%q,rank=\"%d\"}", r.Kind, r.Rank)).Update(d.Seconds())
 }
 
+// cold registers the number of cold upstreams.
+func (m *Metrics) cold(upstreams func() int) {
+	if m != nil {
+		m.Set.NewGauge("agateward_forward_upstreams_cold", func() float64 { return float64(upstreams()) })
+	}
+}
+
 // Values of the label statement: what an upstream's answer says about its request.
 const (
 	statementNone   = "none"
--- a/internal/forward/limit/limit.go
+++ b/internal/forward/limit/limit.go
@@ -1,5 +1,6 @@
 // Package limit tracks the rate at which one process of an upstream takes requests from
-// all entries together, as its answers state it, and paces the part of this entry.
+// all entries together, as its answers state it, and paces the part of this entry. A
+// process that is cold, as it has just started, is paced in the same way.
 //
 // The entries agree on the parts without a coordinator: all compute the same holders of a
 // limit from the same names, and the others send nothing unless a holder grants them a
@@ -14,10 +15,14 @@
 //	l.SetPart(f.Part("upstream-1", state.PerSecond), now)
 //	if l.Take(now) { send() }
 //
+//	l.SetColdPart(f.Part("upstream-1", coldRate), now)
+//	l.Cool(now.Add(rest), now)
+//
 // The package reads no clock and does no I/O.
 package limit
 
 import (
+	"math"
 	"time"
 
 	"agateward/ward"
@@ -39,6 +44,9 @@
 	maxUnused = 250 * time.Millisecond
 	// grantTime is the time in which a request that a peer granted may be sent.
 	grantTime = 500 * time.Millisecond
+	// coldGrantTime is that time for a cold process. Permits that are used late arrive
+	// together with those of the next second, in which a bound holds.
+	coldGrantTime = 250 * time.Millisecond
 )
 
 // tighter reports whether s allows fewer requests than o.
@@ -59,11 +67,43 @@
 	// grantEnd.
 	granted  int
 	grantEnd time.Time
+	// coldUntil is when the process is not cold any more, coldPart the part of this entry
+	// until then, in requests a second.
+	coldUntil time.Time
+	coldPart  float64
 }
 
-// Limited reports whether there is a limit.
+// Limited reports whether the process has named a limit.
 func (l *Limit) Limited() bool { return l.state.Limited }
 
+// Cold reports whether the process is cold.
+func (l *Limit) Cold(now time.Time) bool { return now.Before(l.coldUntil) }
+
+// Paced reports whether there is a limit on what this entry may send now: the process has
+// named one, or is cold.
+func (l *Limit) Paced(now time.Time) bool { return l.state.Limited || l.Cold(now) }
+
+// Cool records that the process is cold until a time, and reports whether it was not cold
+// before. It does not shorten the time in which the process is cold.
+func (l *Limit) Cool(until, now time.Time) bool {
+	if !until.After(now) || !until.After(l.coldUntil) {
+		return false
+	}
+	begins := !l.Cold(now)
+	if begins {
+		l.level, l.updated = 0, now
+	}
+	l.coldUntil = until
+	return begins
+}
+
+// SetColdPart sets the part of this entry of the rate of a cold process, in requests a
+// second.
+func (l *Limit) SetColdPart(part float64, now time.Time) {
+	l.refill(now)
+	l.coldPart = part
+}
+
 // SetPart sets the part of this entry in requests a second.
 func (l *Limit) SetPart(part float64, now time.Time) {
 	l.refill(now)
@@ -77,26 +117,44 @@
 
 func (l *Limit) refill(now time.Time) {
 	if d := now.Sub(l.updated).Seconds(); d > 0 {
-		l.level = min(l.level+d*l.part, max(l.part*maxUnused.Seconds(), 1))
+		rate := l.rate(now)
+		l.level = min(l.level+d*rate, max(rate*maxUnused.Seconds(), 1))
 		l.updated = now
 	}
 }
 
+// rate is the number of requests a second that this entry may send now. While the process
+// is cold, an entry sends no more than either part: the holders of both may differ.
+func (l *Limit) rate(now time.Time) float64 {
+	switch {
+	case !l.Cold(now):
+		return l.part
+	case !l.state.Limited:
+		return l.coldPart
+	}
+	return min(l.part, l.coldPart)
+}
+
 // Allows reports whether this entry may send a request now.
 func (l *Limit) Allows(now time.Time) bool {
-	if !l.state.Limited {
+	if !l.Paced(now) {
 		return true
 	}
 	l.refill(now)
-	return l.level >= 1 || l.hasGrant(now)
+	return l.level >= 1 && l.rate(now) > 0 || l.hasGrant(now)
 }
 
-// Grant lets this entry send one request that a peer granted, within grantTime.
+// Grant lets this entry send one request that a peer granted, within grantTime, or
+// coldGrantTime if the process is cold.
 func (l *Limit) Grant(now time.Time) {
 	if !l.hasGrant(now) {
 		l.granted = 0
 	}
-	l.granted, l.grantEnd = l.granted+1, now.Add(grantTime)
+	valid := grantTime
+	if l.Cold(now) {
+		valid = coldGrantTime
+	}
+	l.granted, l.grantEnd = l.granted+1, now.Add(valid)
 }
 
 func (l *Limit) hasGrant(now time.Time) bool { return l.granted > 0 && now.Before(l.grantEnd) }
@@ -107,7 +165,7 @@
 		return false
 	}
 	switch {
-	case !l.state.Limited:
+	case !l.Paced(now):
 	case l.hasGrant(now):
 		l.granted--
 	default:
@@ -117,15 +175,22 @@
 }
 
 // Wait returns the time until this entry may send a request. It reports false if this
-// entry has no part.
+// entry has no part of a limit that the process has named.
 func (l *Limit) Wait(now time.Time) (time.Duration, bool) {
 	if l.Allows(now) {
 		return 0, true
 	}
-	if l.part == 0 {
+	if l.state.Limited && l.part == 0 {
 		return 0, false
 	}
-	return time.Duration((1 - l.level) / l.part * float64(time.Second)), true
+	wait := time.Duration(math.MaxInt64)
+	if rate := l.rate(now); rate > 0 {
+		wait = time.Duration((1 - l.level) / rate * float64(time.Second))
+	}
+	if l.Cold(now) && !l.state.Limited {
+		wait = min(wait, l.coldUntil.Sub(now))
+	}
+	return wait, true
 }
 
 // Merge adopts the state that a peer reports if it is newer, and reports whether that is
--- a/internal/forward/node/cell.go
+++ b/internal/forward/node/cell.go
@@ -140,7 +140,11 @@
 	n.mu.Unlock()
 	if changed {
 		n.log.Info("cell-changed", "cell", c.Index, "cells", c.Count, "members", len(c.Members), "entries", c.FleetSize)
-		n.gate.SetCell(c.Index, c.Count, c.Names)
+		members := make([]string, len(c.Members))
+		for i, e := range c.Members {
+			members[i] = e.Name
+		}
+		n.gate.SetCell(c.Index, c.Count, members, c.Names)
 		n.gate.Refresh()
 	}
 }
--- a/internal/forward/replicas/replicas.go
+++ b/internal/forward/replicas/replicas.go
@@ -5,7 +5,7 @@
 //
 //	var s replicas.Set
 //	s.ApplyList(list, 530, now)
-//	s.Put(r, 531)
+//	s.Put(r, 531, now)
 //	s.Remove(id, 532)
 //	s.Sweep(now)
 //	for _, r := range s.All(now) { ... }
@@ -40,8 +40,16 @@
 	MissingFor time.Duration
 	// missingSince is when the upstream was first missing from a list.
 	missingSince time.Time
+	// coldUntil is when the upstream is not cold any more, by its registration. All sets
+	// ColdFor accordingly.
+	coldUntil time.Time
 }
 
+// coldTolerance is by how much a registration may prolong the time in which its upstream is
+// cold without counting as a change. The remaining time counts down, but registrations
+// arrive with different delays.
+const coldTolerance = 100 * time.Millisecond
+
 // Set is the set of upstreams. Its zero value is empty.
 type Set struct {
 	// Revision is the newest store revision among the applied changes.
@@ -60,8 +68,9 @@
 }
 
 // Put adds or changes an upstream, and reports whether anything changed. An older
-// revision than the known one is ignored.
-func (s *Set) Put(r ward.Replica, revision uint64) bool {
+// revision than the known one is ignored. The remaining time of a cold upstream counts from
+// now, and the same revision does not prolong it.
+func (s *Set) Put(r ward.Replica, revision uint64, now time.Time) bool {
 	if s.entries == nil {
 		s.entries, s.removed = make(map[string]*Entry), make(map[string]uint64)
 	}
@@ -77,11 +86,17 @@
 		r.Draining = true // an older copy of the store may not have the news yet
 	}
 	s.Revision = max(s.Revision, revision)
+	coldUntil := now.Add(r.ColdFor)
+	r.ColdFor = 0
 	if e != nil && e.Replica == r {
+		changed := e.Revision < revision && coldUntil.After(now) && coldUntil.Sub(e.coldUntil) > coldTolerance
+		if changed {
+			e.coldUntil = coldUntil
+		}
 		e.Revision, e.missingSince = revision, time.Time{}
-		return false
+		return changed
 	}
-	s.entries[r.ID] = &Entry{Replica: r, Revision: revision}
+	s.entries[r.ID] = &Entry{Replica: r, Revision: revision, coldUntil: coldUntil}
 	return true
 }
 
@@ -116,7 +131,7 @@
 			s.returning[e.ID] = returning{entry: e, at: now.Add(returnGrace)}
 			continue
 		}
-		if s.Put(e.Replica, e.Revision) {
+		if s.Put(e.Replica, e.Revision, now) {
 			changed = true
 		}
 	}
@@ -151,7 +166,7 @@
 	seen := make(map[string]bool, len(list))
 	for _, e := range list {
 		seen[e.ID] = true
-		changed = s.Put(e.Replica, e.Revision) || changed
+		changed = s.Put(e.Replica, e.Revision, now) || changed
 		if own := s.entries[e.ID]; e.MissingFor > 0 && own != nil && own.Revision == e.Revision && own.missingSince.IsZero() {
 			own.missingSince = now.Add(-e.MissingFor)
 		}
@@ -179,7 +194,7 @@
 		if now.Before(r.at) {
 			continue
 		}
-		s.Put(r.entry.Replica, r.entry.Revision)
+		s.Put(r.entry.Replica, r.entry.Revision, now)
 		returned = append(returned, id)
 	}
 	sort.Strings(lapsed)
@@ -198,6 +213,7 @@
 		if !e.missingSince.IsZero() {
 			out.MissingFor = max(now.Sub(e.missingSince), 1)
 		}
+		out.ColdFor = max(e.coldUntil.Sub(now), 0)
 		all = append(all, out)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
--- a/internal/forward/replicas/replicas_test.go
+++ b/internal/forward/replicas/replicas_test.go
@@ -26,7 +26,7 @@
 	if s.Len() != 2 {
 		t.Fatal("an upstream that is missing from a list is removed at once")
 	}
-	s.Put(replica("b"), 10)
+	s.Put(replica("b"), 10, start)
 	if lapsed, _ := s.Sweep(start.Add(MissingGrace)); len(lapsed) != 0 {
 		t.Errorf("%v are removed after their return", lapsed)
 	}
@@ -58,9 +58,9 @@
 	var s Set
 	r := replica("a")
 	r.Born = 1
-	s.Put(r, 1)
+	s.Put(r, 1, start)
 	r.Born = 2
-	if !s.Put(r, 2) {
+	if !s.Put(r, 2, start) {
 		t.Error("a restart under the same id is not reported as a change")
 	}
 }
@@ -92,14 +92,14 @@
 			if c.removed {
 				to.Remove(c.id, c.rev)
 			} else {
-				to.Put(replica(c.id), c.rev)
+				to.Put(replica(c.id), c.rev, start)
 			}
 		}
 		for _, c := range order {
 			if c.removed {
 				s.Remove(c.id, c.rev)
 			} else {
-				s.Put(replica(c.id), c.rev)
+				s.Put(replica(c.id), c.rev, start)
 			}
 		}
 		s.Merge(peer.All(start), peer.Revision, start)
@@ -128,8 +128,8 @@
 	}
 	s.ApplyList(list, ward.StampRevision(1, 3), start)
 	s.Remove("left", ward.StampRevision(1, 4))
-	s.Put(draining, ward.StampRevision(1, 5))
-	s.Put(replica("new"), ward.StampRevision(1, 6))
+	s.Put(draining, ward.StampRevision(1, 5), start)
+	s.Put(replica("new"), ward.StampRevision(1, 6), start)
 	for i := range list {
 		_, own := ward.SplitRevision(list[i].Revision)
 		list[i].Revision = ward.StampRevision(2, own)
@@ -157,7 +157,7 @@
 			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
 		}
 	}
-	s.Put(replica("drains"), ward.StampRevision(2, 9))
+	s.Put(replica("drains"), ward.StampRevision(2, 9), start)
 	if s.All(start)[0].Draining {
 		t.Error("a registration of the present era is not believed")
 	}
--- a/internal/forward/route/route.go
+++ b/internal/forward/route/route.go
@@ -12,6 +12,7 @@
 import (
 	"sort"
 	"strings"
+	"time"
 
 	"agateward/ward"
 )
@@ -97,6 +98,15 @@
 	return 0
 }
 
+// Cold returns how long an upstream of a service is cold after its start, and the requests
+// a second that it takes meanwhile from all entries together; 0 means that it is never cold.
+func (t *Table) Cold(service string) (d time.Duration, perSecond float64) {
+	if s := t.services[service]; s != nil {
+		return s.ColdTime.Std(), s.ColdRate
+	}
+	return 0, 0
+}
+
 // Stride returns the number of tokens per event in a service's streams, at least 1.
 func (t *Table) Stride(service string) int {
 	if s := t.services[service]; s != nil {
--- a/internal/forward/schedule/choose.go
+++ b/internal/forward/schedule/choose.go
@@ -117,6 +117,9 @@
 	if u.limited() && now.Sub(u.lastSent) >= limitTrialInterval {
 		cost -= trialGain
 	}
+	if u.isCold(now) {
+		cost += coldCost
+	}
 	if now.Add(u.timeToFirst(j)).After(j.Due) {
 		cost += lateCost
 	}
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -198,6 +198,9 @@
 	if p.lastUpdate.IsZero() {
 		p.lastUpdate = now
 	}
+	repeated := slices.Contains(p.received[:], sequence)
+	p.received[p.nextReceived%len(p.received)] = sequence
+	p.nextReceived++
 	p.lastReceived = max(p.lastReceived, sequence)
 	if used && p.state.Load[id] > 0 {
 		p.state.Load[id]--
@@ -207,7 +210,7 @@
 	if u == nil {
 		return nil
 	}
-	if u.limited() {
+	if u.paced(now) && !repeated {
 		u.said.limit.Grant(now)
 	}
 	s.lent = Loan{from, sequence}
--- a/internal/forward/schedule/limit.go
+++ b/internal/forward/schedule/limit.go
@@ -162,7 +162,7 @@
 
 // updateLimitFleet divides the limits anew if the entries have changed that may hold them.
 func (s *Scheduler) updateLimitFleet(now time.Time) {
-	if len(s.limits.known) == 0 {
+	if len(s.limits.known) == 0 && s.cold.rated == 0 {
 		return
 	}
 	f := s.limitFleet(now)
@@ -170,6 +170,14 @@
 	if f.Known != s.limits.fleet.Known || names != s.limits.fleetNames {
 		s.divideLimits(now)
 	}
+	if s.cold.rated == 0 {
+		return
+	}
+	f = s.coldFleet(now)
+	if names = strings.Join(f.Entries, " "); f.Known != s.cold.known || names != s.cold.names {
+		s.cold.known, s.cold.names = f.Known, names
+		s.divideCold(now)
+	}
 }
 
 // limitFleet returns the entries that divide limits: those that are heard and do not stop,
@@ -178,6 +186,14 @@
 	if s.Cells > 0 {
 		return limit.Fleet{Self: s.Name, Entries: s.Fleet, Known: len(s.Fleet), LeastHolders: leastUnheardHolders}
 	}
+	f := s.heardFleet(now)
+	f.Known = max(len(s.limits.heard)+1, len(s.Fleet))
+	return f
+}
+
+// heardFleet returns the entries of this cell that are heard and do not stop, or all that
+// are heard if all stop.
+func (s *Scheduler) heardFleet(now time.Time) limit.Fleet {
 	f := limit.Fleet{Self: s.Name}
 	for _, name := range s.entries {
 		stops := name == s.Name && !s.stopEnd.IsZero()
@@ -192,7 +208,6 @@
 		f.Entries = slices.Clone(s.entries)
 	}
 	s.forgetPeers(now)
-	f.Known = max(len(s.limits.heard)+1, len(s.Fleet))
 	return f
 }
 
@@ -232,15 +247,18 @@
 // limited reports whether the upstream has named a limit.
 func (u *upstream) limited() bool { return u.said != nil && u.said.limit.Limited() }
 
+// paced reports whether the upstream has named a limit or is cold.
+func (u *upstream) paced(now time.Time) bool { return u.said != nil && u.said.limit.Paced(now) }
+
 // limitAllows reports whether its limit lets this entry send a request to u.
 func (u *upstream) limitAllows(now time.Time) bool {
-	return !u.limited() || u.said.limit.Allows(now)
+	return !u.paced(now) || u.said.limit.Allows(now)
 }
 
 // limitWait returns the time until its limit lets this entry send a request to u. It
 // reports false if this entry holds no part of it.
 func (u *upstream) limitWait(now time.Time) (time.Duration, bool) {
-	if !u.limited() {
+	if !u.paced(now) {
 		return 0, true
 	}
 	return u.said.limit.Wait(now)
@@ -248,7 +266,7 @@
 
 // takeLimit counts a request to u.
 func (u *upstream) takeLimit(now time.Time) {
-	if u.limited() {
+	if u.paced(now) {
 		u.said.limit.Take(now)
 	}
 }
@@ -257,12 +275,12 @@
 // requests precede the own ones. Without it, those of the holders would be served before
 // requests of a higher rank at other entries.
 func (s *Scheduler) grantLimits(v *service, now time.Time) []Action {
-	if len(s.limits.known) == 0 {
+	if len(s.limits.known) == 0 && s.cold.rated == 0 {
 		return nil
 	}
 	var out []Action
 	for _, u := range v.upstreams {
-		for u.limited() && u.grantable(now) {
+		for u.paced(now) && u.grantable(now) {
 			a, ok := s.grantFirst(v, u, now)
 			if !ok {
 				break
@@ -281,14 +299,14 @@
 }
 
 // allLimited reports whether each upstream of the service that does not drain has named a
-// limit.
-func (v *service) allLimited() bool {
+// limit or is cold.
+func (v *service) allLimited(now time.Time) bool {
 	n := 0
 	for _, u := range v.upstreams {
 		if u.Draining {
 			continue
 		}
-		if !u.limited() {
+		if !u.paced(now) {
 			return false
 		}
 		n++
@@ -298,20 +316,29 @@
 
 // limitRate is the sum of the limits of a service's upstreams, in requests a second, 0 if
 // at least one has none.
-func (v *service) limitRate() float64 {
-	if !v.allLimited() {
+func (v *service) limitRate(now time.Time) float64 {
+	if !v.allLimited(now) {
 		return 0
 	}
 	sum := 0.0
 	for _, u := range v.upstreams {
 		if !u.Draining {
-			state, _ := u.said.limit.State()
-			sum += state.PerSecond
+			sum += u.pacedRate(now)
 		}
 	}
 	return sum
 }
 
+// pacedRate is the rate, in requests a second, of an upstream that has named a limit or is
+// cold: the lower one.
+func (u *upstream) pacedRate(now time.Time) float64 {
+	state, _ := u.said.limit.State()
+	if cold := u.isCold(now); cold && (!state.Limited || u.ColdRate < state.PerSecond) {
+		return u.ColdRate
+	}
+	return state.PerSecond
+}
+
 // demandAhead counts the requests that wait at peers and precede j.
 func (s *Scheduler) demandAhead(v *service, j *Job, now time.Time) int {
 	n := 0
@@ -333,7 +360,7 @@
 // as far as limits are concerned.
 func (s *Scheduler) LimitAllows(group string, now time.Time) bool {
 	v := s.services[group]
-	if v == nil || !v.allLimited() {
+	if v == nil || !v.allLimited(now) {
 		return true
 	}
 	return slices.ContainsFunc(v.upstreams, func(u *upstream) bool { return !u.Draining && u.limitAllows(now) })
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -32,6 +32,7 @@
 	if r == nil {
 		return
 	}
+	s.outcomeCold(r.upstream, true, now)
 	r.upstream.markResponsive(now)
 	if r.started {
 		return
@@ -93,6 +94,12 @@
 		u.awaitingSince = time.Time{}
 	}
 	switch o {
+	case OutcomeOK, OutcomeFailed, OutcomeFull:
+		s.outcomeCold(u, true, now)
+	case OutcomeUnreachable:
+		s.outcomeCold(u, false, now)
+	}
+	switch o {
 	case OutcomeOK, OutcomeFailed:
 		u.markResponsive(now)
 		u.answers++
--- a/internal/forward/schedule/pause.go
+++ b/internal/forward/schedule/pause.go
@@ -108,8 +108,8 @@
 }
 
 // MaySend reports whether a dispatch that was not written yet may still be written. If
-// not, its upstream has said since that it wants no requests, or named a limit in which
-// there is no permit for it, or its data centre was evacuated; the job is to be ended by Done and to arrive anew.
+// not, its upstream has said since that it wants no requests, or named a limit or turned cold
+// and there is no permit for it, or its data centre was evacuated; the job is to be ended by Done and to arrive anew.
 func (s *Scheduler) MaySend(id uint64, now time.Time) bool {
 	r := s.jobs[id]
 	if r == nil {
@@ -123,9 +123,15 @@
 	if st.wantsNone(now) || st != nil && st.pause != nil && st.pause != r.pause {
 		return false
 	}
-	if st != nil && st.limit.Limited() && !r.paced {
-		r.paced = st.limit.Take(now)
-		return r.paced
+	if st == nil || !st.limit.Paced(now) {
+		return true
+	}
+	stale := st.limit.Cold(now) && now.Sub(r.paced) > permitTime
+	if r.paced.IsZero() || stale {
+		if !st.limit.Take(now) {
+			return false
+		}
+		r.paced = now
 	}
 	return true
 }
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -17,6 +17,10 @@
 	loans []SlotGrant
 	// lastReceived is the number of the last slot that the peer granted to this entry.
 	lastReceived uint64
+	// received holds the numbers of the last slots, nextReceived counts them: a message
+	// that arrives twice is one permit of a limit.
+	received     [16]uint64
+	nextReceived int
 }
 
 // PeerState is what an entry sends the others about its requests.
@@ -49,6 +53,7 @@
 
 // PeerState returns the state to send to the peers.
 func (s *Scheduler) PeerState(now time.Time) PeerState {
+	s.noteCall(now)
 	state := PeerState{Load: make(map[string]int), Demand: s.demand(now), Unresponsive: s.unresponsive(now), ReceivedGrants: make(map[string]uint64), Departures: s.departures()}
 	if !s.stopEnd.IsZero() {
 		state.Leaving, state.ExitsIn = true, s.stopEnd.Sub(now)
@@ -82,6 +87,7 @@
 // UpdatePeer applies the state received from a peer.
 func (s *Scheduler) UpdatePeer(name string, state PeerState, now time.Time) []Action {
 	s.init()
+	s.noteCall(now)
 	s.hearPeer(name, now)
 	if state.Leaving && len(state.Load) == 0 {
 		delete(s.peers, name)
@@ -128,6 +134,7 @@
 		}
 		for _, id := range p.state.Unresponsive {
 			if u := s.byID[id]; u != nil && p.lastUpdate.After(u.reportedAt) {
+				s.reportCold(u, p.lastUpdate, now)
 				u.reportedAt = p.lastUpdate
 			}
 		}
--- a/internal/forward/schedule/ranks.go
+++ b/internal/forward/schedule/ranks.go
@@ -112,7 +112,7 @@
 // requests of all entries leave at the sum of these.
 func (s *Scheduler) expectedWait(v *service, j *Job, late bool, ahead int, now time.Time) time.Duration {
 	interval := v.departureInterval
-	if rate := v.limitRate(); rate > 0 {
+	if rate := v.limitRate(now); rate > 0 {
 		interval, ahead = 1/rate, ahead+s.demandAhead(v, j, now)
 	}
 	taken := 0.0
--- a/internal/forward/schedule/refusal.go
+++ b/internal/forward/schedule/refusal.go
@@ -109,7 +109,7 @@
 	if v.pauseLeft(now) > 0 {
 		return ReasonPaused
 	}
-	if v.allLimited() {
+	if v.allLimited(now) {
 		return ReasonLimited
 	}
 	return ReasonQueueLong
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -60,6 +60,9 @@
 	// Fleet holds the sorted names of all entries that the store lists, nil while that is
 	// not known.
 	Fleet []string
+	// Members holds the names of the entries of this entry's cell, nil while they are not
+	// known.
+	Members []string
 
 	Options Options
 
@@ -75,6 +78,7 @@
 	statements    map[Identity]*statement
 	lastStatement uint64
 	limits        limits
+	cold          coldStarts
 	// lent is the slot that a peer lends while ReceiveGrant fills it.
 	lent Loan
 	// entries holds the sorted names of the live peers and this entry; assignedTo
@@ -109,8 +113,8 @@
 	pause *pause
 	// loan is the slot of a brittle upstream that a peer lent for it, nil for an own one.
 	loan *Loan
-	// paced is true if the request was counted against a limit.
-	paced bool
+	// paced is when the request was counted against a limit, zero if it was not.
+	paced time.Time
 	// nominal is the nominal time to the first event in seconds.
 	nominal float64
 }
@@ -144,11 +148,13 @@
 // kept.
 func (s *Scheduler) SetUpstreams(list []ward.Replica, now time.Time) []Action {
 	s.init()
-	known := make(map[string]*upstream, len(list))
+	s.noteCall(now)
+	known, fresh := make(map[string]*upstream, len(list)), make(map[string]bool)
 	for _, r := range list {
 		u := s.byID[r.ID]
 		if u == nil || u.Born != r.Born || u.Address != r.Address {
 			u = &upstream{}
+			fresh[r.ID] = true
 		}
 		u.Replica = r
 		u.Draining = r.Draining || s.leaving(IdentityOf(&r))
@@ -159,12 +165,14 @@
 	s.byID = known
 	s.keepLimits(now)
 	s.assignServices(now)
+	s.setCold(fresh, now)
 	return s.dispatchWaiting(now)
 }
 
 // Arrive adds a new job, which is dispatched, refused or queued.
 func (s *Scheduler) Arrive(j *Job, now time.Time) []Action {
 	s.init()
+	s.noteCall(now)
 	v := s.service(j.Service)
 	j.effective, j.raised = j.Rank, false
 	c := v.rank(j.Rank)
@@ -214,6 +222,7 @@
 // capacity now.
 func (s *Scheduler) Tick(now time.Time) []Action {
 	s.init()
+	s.noteCall(now)
 	s.aggregatePeers(now)
 	return s.dispatchWaiting(now)
 }
@@ -291,7 +300,10 @@
 	a := Action{Job: j, Upstream: &to, Predicted: u.timeToFirst(j), Waited: now.Sub(j.Arrived), Running: u.load()}
 	u.ownLoad++
 	u.markSent(now)
-	r := &running{job: j, upstream: u, sent: now, paced: u.limited(), nominal: nominalFirst(j)}
+	r := &running{job: j, upstream: u, sent: now, nominal: nominalFirst(j)}
+	if u.paced(now) {
+		r.paced = now
+	}
 	u.takeLimit(now)
 	if u.reserved && u.brittle(now) {
 		u.borrow(r, s.lent)
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -37,6 +37,7 @@
 		u.brittleAt = v.brittleAt
 	}
 	for _, v := range s.services {
+		s.markHomes(v.upstreams)
 		own := s.cellUpstreams(v.upstreams)
 		v.upstreams = append(own[:len(own):len(own)], s.heldElsewhere(v.upstreams, own, now)...)
 	}
@@ -132,7 +133,7 @@
 	if u.Draining || !u.said.takesMore(now) || n < 1 {
 		return false
 	}
-	if u.limited() {
+	if u.paced(now) {
 		return u.limitAllows(now)
 	}
 	if u.brittle(now) {
@@ -161,7 +162,7 @@
 			continue
 		}
 		for _, u := range v.upstreams {
-			for d.Count > 0 && !u.limited() && u.grantable(now) {
+			for d.Count > 0 && !u.paced(now) && u.grantable(now) {
 				d.Count--
 				out = append(out, s.grant(u, name, now))
 			}
@@ -181,7 +182,7 @@
 	if u.brittle(now) {
 		last = u.ownSlot()
 	}
-	if u.limited() {
+	if u.paced(now) {
 		last = !u.held && u.limitAllows(now)
 	}
 	return last && now.After(u.backoffUntil) && u.failedAttempts == 0 && !u.unresponsive(now)
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -61,6 +61,11 @@
 	reserved bool
 	// held is true for an upstream of another cell of which this entry holds a limit.
 	held bool
+	// home is true for an upstream that belongs to this entry's cell, in a fleet that is
+	// divided into cells. coldPart is this entry's part of its rate while it is cold, in
+	// requests a second.
+	home     bool
+	coldPart float64
 	// ownLoad and peerLoad count the running requests of this entry and of its peers.
 	ownLoad, peerLoad int
 	// borrowed counts the own requests that use a slot that a peer lent, lent the slots
@@ -89,8 +94,12 @@
 	// brittleAt is when an upstream of the service last said that it is brittle, rejectedAt
 	// when this one last rejected a request as it was.
 	brittleAt, rejectedAt time.Time
-	// reportedAt is when a peer last reported the upstream as unresponsive.
-	reportedAt time.Time
+	// reportedAt is when a peer last reported the upstream as unresponsive, reportedFrom
+	// the first of these reports without a pause.
+	reportedAt, reportedFrom time.Time
+	// lostSince is the first failed attempt since the last answer of an upstream that may
+	// be cold.
+	lostSince time.Time
 }
 
 func (u *upstream) load() int { return u.ownLoad + u.peerLoad + u.pendingGrants }
--- a/internal/forward/static/static.go
+++ b/internal/forward/static/static.go
@@ -82,8 +82,11 @@
 	fault(s.Version == 0, "version", "is missing; it starts at 1")
 	fault(len(s.Routes) == 0, "routes", "is empty")
 	services := make(map[string]bool)
-	for _, v := range s.Services {
+	for i, v := range s.Services {
 		services[v.Name] = true
+		key := fmt.Sprintf("services[%d]", i)
+		fault(v.ColdTime < 0, key+".cold-time", "%v is below 0", v.ColdTime)
+		fault(v.ColdRate < 0, key+".cold-rate", "%v is below 0", v.ColdRate)
 	}
 	for i, r := range s.Routes {
 		key := fmt.Sprintf("routes[%d]", i)
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -189,7 +189,7 @@
 	for _, r := range regs {
 		switch {
 		case !r.Removed && v.usable(r):
-			changed = v.set.Put(r.Replica, r.Revision) || changed
+			changed = v.set.Put(r.Replica, r.Revision, now) || changed
 		case v.down["upstreams"]:
 			v.set.MarkMissing(r.Replica.ID, r.Revision, now) // the first answer after an outage
 		case now.Sub(v.recovered) < replicas.MissingGrace:
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -83,6 +83,11 @@
 	// of tokens in one event of their streams, 0 when it is not known.
 	Engine bool `json:"engine"`
 	Stride int  `json:"stride"`
+	// ColdTime is how long an upstream is cold after its start, and ColdRate the number of
+	// requests a second that it takes well while cold, from all entries together. With a
+	// ColdRate of 0 no upstream of the service counts as cold.
+	ColdTime Duration `json:"cold-time"`
+	ColdRate float64  `json:"cold-rate"`
 }
 
 // ForwardTeam is a team of callers on the forwarding surface.
@@ -133,6 +138,12 @@
 	Draining bool
 	// Evacuated reports whether it is excluded as its data centre is evacuated.
 	Evacuated bool
+	// ColdFor is how long it is still cold, by its registration.
+	ColdFor time.Duration `msgpack:",omitempty"`
+	// ColdTime and ColdRate are those of its service. They are not part of the
+	// registration.
+	ColdTime time.Duration `msgpack:"-"`
+	ColdRate float64       `msgpack:"-"`
 }
 
 // ForwardHead is the content of the head of a caller's request, independent of the
