feat(returns): refused callers get promises and are served first when they come back

Change: with scheduling.prefer-returns a refusal for want of room promises a place within the departures expected at the rank and below. The entries of the data centre hear of it; a request with the digest is then served before others of its rank in its class (in time, late), and isn't refused for its wait.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -157,6 +157,7 @@
 		}
 		j.Output = max(j.Output, 1)
 	}
+	c.markReturn(j)
 	if s := c.gate.shutdown.Load(); s != nil {
 		c.boundByStop(j, *s)
 	}
@@ -193,6 +194,7 @@
 
 // await submits the request to the scheduler and waits for its decision.
 func (c *call) await(ctx context.Context) (schedule.Action, error) {
+	c.checkReturn()
 	w := c.gate.enqueue(c.newJob(c.group, c.tried, c.started))
 	select {
 	case a := <-w.action:
@@ -219,6 +221,7 @@
 		c.withdraw(a)
 		return false
 	}
+	c.countReturn()
 	now := time.Now()
 	c.sentAt, c.firstAt, c.connected, c.strayAnswer, c.crashed, c.events = now, time.Time{}, false, false, false, 0
 	hop := ward.ForwardHop{Replica: a.Upstream.ID, LastEvent: c.lastEvent}
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -11,6 +11,7 @@
 	"agateward/internal/forward/poison"
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/relay"
+	"agateward/internal/forward/returns"
 	"agateward/internal/forward/route"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
@@ -79,6 +80,10 @@
 	// id of the last event that the caller has, -1 for none.
 	started   bool
 	lastEvent int64
+	// returned is the promise that the request uses, nil for none. returnChecked is true
+	// once that was looked up. promised is true when the refusal is a promise.
+	returned                *returns.Promise
+	returnChecked, promised bool
 	// fallback is the complete answer of an upstream that failed. It is sent if no
 	// other attempt succeeds.
 	fallback *bufferedAnswer
@@ -221,9 +226,12 @@
 	if c.mayHaveRun && k.Run == ward.NotRun {
 		k, retry = code.UpstreamFailed, 0
 	}
-	c.log.Info("request-refused", "code", k.Number, "status", k.Status, "cause", reason, "retry-after", retry,
+	c.log.Info("request-refused", "code", k.Number, "status", k.Status, "cause", reason, "retry-after", retry, "promise", c.promised,
 		"elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.refused(k.Number)
+	if c.returned != nil {
+		c.gate.Metrics.returned(returnRefused)
+	}
 	c.gate.Metrics.notRunPromised(k.Status, sourceEntry, c.sends)
 	h := c.w.Header()
 	if retry > 0 {
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -35,11 +35,13 @@
 // rejected answers a request that the scheduler refused.
 func (c *call) rejected(a schedule.Action) {
 	if c.started || c.mayHaveRun || c.fallback != nil {
+		c.gate.withdrawOffer(a)
 		c.noRetry = noRetryUpstream
 		c.fail(code.UpstreamFailed, "no other upstream: "+a.Reason)
 		return
 	}
 	c.refund()
+	c.promiseReturn(&a)
 	if c.connectFailures > 0 {
 		c.respond(code.UpstreamUnreachable, a.RetryAfter, "no connection to "+strings.Join(c.tried, ", ")+": "+a.Reason)
 		return
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -79,6 +79,9 @@
 	// LimitsChanged requests a broadcast of the limits of upstreams, unless it is nil. It
 	// must not block.
 	LimitsChanged func(list []schedule.LimitReport)
+	// ReturnsChanged requests a message about promises to refused callers, unless it is
+	// nil. It must not block.
+	ReturnsChanged func()
 	// Start is a number that no earlier process of this entry had.
 	Start int64
 
@@ -136,6 +139,7 @@
 	}
 	g.Metrics.limited(g.limited)
 	g.Metrics.evacuated(g.View.Evacuated)
+	g.Metrics.promised(g.openPromises)
 	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -164,6 +164,9 @@
 		if len(m.Prompts) > 0 {
 			n.gate.MergeCrashes(m.Name, m.Prompts)
 		}
+		if m.Returns != nil {
+			n.gate.MergeReturns(m.Name, *m.Returns)
+		}
 		if m.News {
 			n.gate.MergeLimits(m)
 		}
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -100,13 +100,15 @@
 	announceNow chan struct{}
 
 	news news
+	// returnsNow requests a message about promises to refused callers.
+	returnsNow chan struct{}
 
 	stopping context.Context
 }
 
 // New composes a node. It opens no listener.
 func New(s forwarding.Settings, p Parts) *Node {
-	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), broadcastNow: make(chan struct{}, 1), announceNow: make(chan struct{}, 1), news: news{now: make(chan struct{}, 1)}}
+	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), broadcastNow: make(chan struct{}, 1), announceNow: make(chan struct{}, 1), news: news{now: make(chan struct{}, 1)}, returnsNow: make(chan struct{}, 1)}
 	n.peers.Self = s.Name
 	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.onChange, FollowsStore: n.followsStore, EraChanged: n.announceAgain}
 	pool := &backend.Pool{Dial: p.Dial, OnOpen: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
@@ -118,6 +120,7 @@
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log, Rollout: n.rollout,
 		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, SendGrant: n.sendGrant, TriggerBroadcast: n.triggerBroadcast,
 		Relay: n.newRelay(), Fleet: n.fleet, SuspectsChanged: n.suspectsChanged, LimitsChanged: n.limitsChanged,
+		ReturnsChanged: n.returnsChanged,
 	}
 	n.gate.Prepare(setup(s))
 	n.gate.SetEntries(initialEntries)
@@ -178,6 +181,7 @@
 	wg.Go(func() { n.broadcastLoop(work) })
 	wg.Go(func() { n.receiveLoop(work) })
 	wg.Go(func() { n.newsLoop(work) })
+	wg.Go(func() { n.returnsLoop(work) })
 	wg.Go(func() { n.serveState(work, listeners.state) })
 	wg.Go(func() { n.serve(readyServer, listeners.ready) })
 	wg.Go(func() { n.serve(callers, listeners.callers) })
--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -27,6 +27,8 @@
 	Members []ward.ForwardEntry
 	// Addresses are those of all other entries of the fleet, Names the sorted names of all.
 	Addresses, Names []string
+	// Local are the addresses of the other entries of the data centre.
+	Local []string
 	// FleetSize is the number of all entries, FleetIndex the index of this one
 	// among them by name, from 0.
 	FleetSize, FleetIndex int
@@ -44,6 +46,9 @@
 	c := Cell{FleetSize: len(list)}
 	for _, e := range list[1:] {
 		c.Addresses = append(c.Addresses, e.Listen)
+		if e.DataCentre == self.DataCentre {
+			c.Local = append(c.Local, e.Listen)
+		}
 	}
 	for _, e := range list {
 		c.Names = append(c.Names, e.Name)
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -14,6 +14,7 @@
 	"math"
 
 	"agateward/internal/forward/poison"
+	"agateward/internal/forward/returns"
 	"agateward/internal/forward/schedule"
 	"agateward/ward"
 
@@ -67,6 +68,10 @@
 	Limits []schedule.LimitReport `msgpack:"y,omitempty"`
 	// News is true for a message that may come from any entry of the fleet.
 	News bool `msgpack:"z,omitempty"`
+	// Returns is what the sender promised to refused callers, and which promises it used.
+	// Such a message has News set, so that entries without the field ignore it, and may come
+	// from any entry of the data centre.
+	Returns *returns.News `msgpack:"r,omitempty"`
 	// Moves is the sender's state of the roll-outs in progress. Such a message holds
 	// nothing else.
 	Moves *Moves `msgpack:"m,omitempty"`
--- /dev/null
+++ b/internal/forward/schedule/fleet_returns_test.go
@@ -0,0 +1,195 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+)
+
+// caller is a caller of the simulation that comes back once after a refusal.
+type caller struct {
+	first    *Job
+	attempts int
+}
+
+// callers counts callers by rank, from their first requests on.
+type callers struct {
+	// atOnce is the part of them that repeat at once, whatever Retry-After says.
+	atOnce float64
+	byJob  map[uint64]*caller
+	// all counts the callers, onTime and late those that were answered; refusedOnce those
+	// that came back, refusedAgain those of them that were refused again.
+	all, onTime, late, refusedOnce, refusedAgain [3]int
+	promised, taken                              int
+}
+
+// preferReturns has refused callers come back, and turns the option on or off.
+func (sim *simulation) preferReturns(on bool) *callers {
+	sim.callers = &callers{byJob: make(map[uint64]*caller)}
+	for _, s := range sim.entries {
+		s.Options.PreferReturns = on
+	}
+	return sim.callers
+}
+
+func (c *callers) arrived(sim *simulation, j *Job) {
+	if c == nil {
+		return
+	}
+	c.all[j.Rank[1]]++
+	c.byJob[j.ID] = &caller{first: j, attempts: 1}
+}
+
+func (c *callers) answered(j *Job, now time.Time) {
+	if c == nil {
+		return
+	}
+	if who := c.byJob[j.ID]; now.After(who.first.Arrived.Add(600 * time.Millisecond)) {
+		c.late[j.Rank[1]]++
+	} else {
+		c.onTime[j.Rank[1]]++
+	}
+}
+
+// refused has the caller of a refused job come back at another entry. It honours
+// Retry-After up to a third of its time.
+func (c *callers) refused(sim *simulation, i int, a Action) {
+	if c == nil {
+		return
+	}
+	who, rank := c.byJob[a.Job.ID], a.Job.Rank[1]
+	if who.attempts++; who.attempts > 2 {
+		c.refusedAgain[rank]++
+		return
+	}
+	c.refusedOnce[rank]++
+	wait := a.RetryAfter
+	if a.Offer != nil {
+		var ok bool
+		if wait, ok = sim.entries[i].Promise(a, who.first.ID, sim.now); ok {
+			c.promised++
+			sim.tellReturns(i)
+		}
+	}
+	wait = min(wait, who.first.Deadline.Sub(sim.now)/3)
+	if sim.r.Float64() < c.atOnce {
+		wait = 0
+	}
+	k := sim.r.IntN(len(sim.entries))
+	sim.after(wait+hopDelay, func(time.Time) {
+		for sim.dead[k] || k == i && len(sim.entries) > 1 {
+			k = (k + 1) % len(sim.entries)
+		}
+		sim.whenAwake(k, func(now time.Time) { c.comeBack(sim, who, k, now) })
+	})
+}
+
+func (c *callers) comeBack(sim *simulation, who *caller, k int, now time.Time) {
+	sim.ids++
+	s, j := sim.entries[k], job(sim.ids, who.first.Rank[1], now)
+	j.Prompt, j.Output, j.Deadline = who.first.Prompt, who.first.Output, who.first.Deadline
+	if s.ReturnsDue(now) {
+		if p, ok := s.TakeReturn(who.first.ID, now); ok {
+			c.taken++
+			j.Returned, j.Due, j.Arrived = true, p.Arrived.Add(j.Due.Sub(j.Arrived)), p.Arrived
+			sim.tellReturns(k)
+		}
+	}
+	c.byJob[j.ID] = who
+	sim.counts.requests[j.Rank[1]]++
+	sim.execute(k, s.Arrive(j, now))
+}
+
+// tellReturns sends what is new about promises to all other entries, as the node does.
+func (sim *simulation) tellReturns(i int) {
+	sim.after(time.Duration(sim.r.Float64()*float64(broadcastInterval)), func(now time.Time) {
+		n := sim.entries[i].ReturnNews(now)
+		if n.Empty() || sim.dead[i] {
+			return
+		}
+		for k := range sim.entries {
+			if k != i && !sim.dead[k] {
+				sim.message(i, k, func(now time.Time) { sim.entries[k].LearnReturns(n, now) })
+			}
+		}
+	})
+}
+
+// again is the share of callers that were refused again, of those that came back.
+func (c *callers) again() float64 {
+	return float64(sum(c.refusedAgain)) / float64(max(sum(c.refusedOnce), 1))
+}
+
+// served is the share of the callers of a rank that got an answer.
+func (c *callers) served(rank int) float64 {
+	return float64(c.onTime[rank]+c.late[rank]) / float64(max(c.all[rank], 1))
+}
+
+func (c *callers) inTime(rank int) float64 {
+	return float64(c.onTime[rank]) / float64(max(c.all[rank], 1))
+}
+
+func sum(n [3]int) int { return n[0] + n[1] + n[2] }
+
+func (c *callers) log(t *testing.T, name string) {
+	t.Helper()
+	t.Logf("%s: again %.3f (%d of %d), promised %d, used %d; in time %.3f %.3f %.3f; served %.3f %.3f %.3f",
+		name, c.again(), sum(c.refusedAgain), sum(c.refusedOnce), c.promised, c.taken,
+		c.inTime(0), c.inTime(1), c.inTime(2), c.served(0), c.served(1), c.served(2))
+}
+
+// TestReturns checks that refused callers which come back as told are refused again less
+// often than without promises, and that no rank pays for it.
+func TestReturns(t *testing.T) {
+	cases := []struct {
+		name string
+		load func(sim *simulation)
+	}{
+		{"overload of 1.5 that lasts", func(sim *simulation) { sim.load(1.5*capacity, 0, 12*time.Second) }},
+		{"bursts of 2 for 3 s", func(sim *simulation) {
+			sim.load(0.6*capacity, 0, 18*time.Second)
+			sim.load(1.4*capacity, 3*time.Second, 6*time.Second)
+			sim.load(1.4*capacity, 11*time.Second, 14*time.Second)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var total [2]callers
+			for seed := uint64(1); seed <= 8; seed++ {
+				for on := range 2 {
+					sim := newSimulation(8, 9, 6, seed)
+					got := sim.preferReturns(on == 1)
+					c.load(sim)
+					sim.run(24 * time.Second)
+					total[on].add(got)
+				}
+			}
+			total[0].log(t, "off")
+			total[1].log(t, "on")
+			if off, on := total[0].again(), total[1].again(); on > 0.85*off {
+				t.Errorf("%.3f of the returns are refused again, %.3f without promises", on, off)
+			}
+			for rank := range 3 {
+				if off, on := total[0].served(rank), total[1].served(rank); on < off-0.01 {
+					t.Errorf("rank %d: %.3f answered, %.3f without promises", rank, on, off)
+				}
+				// A return that is answered is late for its caller, so some answers in time
+				// are exchanged for more late ones.
+				if off, on := total[0].inTime(rank), total[1].inTime(rank); on < off-0.04 {
+					t.Errorf("rank %d: %.3f in time, %.3f without promises", rank, on, off)
+				}
+			}
+		})
+	}
+}
+
+func (c *callers) add(o *callers) {
+	for r := range c.all {
+		c.all[r] += o.all[r]
+		c.onTime[r] += o.onTime[r]
+		c.late[r] += o.late[r]
+		c.refusedOnce[r] += o.refusedOnce[r]
+		c.refusedAgain[r] += o.refusedAgain[r]
+	}
+	c.promised += o.promised
+	c.taken += o.taken
+}
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -85,6 +85,8 @@
 	frozen map[int]time.Time
 	// cells holds the cell of each entry, nil if all entries exchange their state.
 	cells []string
+	// callers has refused callers come back, nil if they don't.
+	callers *callers
 }
 
 // message delivers a message between two entries.
@@ -214,6 +216,7 @@
 			}
 		case a.Upstream == nil:
 			sim.counts.refused[a.Job.Rank[1]]++
+			sim.callers.refused(sim, i, a)
 			if j := a.Job; sim.now.Sub(j.Arrived) > time.Duration(heldFraction*float64(j.Expires.Sub(j.Arrived))) {
 				sim.counts.held++
 			}
@@ -238,6 +241,7 @@
 				}
 				s.FirstEvent(j.ID, now)
 			})
+			sim.callers.answered(j, now.Add(hopDelay))
 			if now.Add(hopDelay).After(j.Due) {
 				sim.counts.late[j.Rank[1]]++
 			} else {
@@ -290,6 +294,7 @@
 	j.Prompt = int(min(sim.r.ExpFloat64()*prompt, 10*prompt))
 	j.Output = 1 + int(min(sim.r.ExpFloat64()*output, 8*output))
 	sim.counts.requests[rank]++
+	sim.callers.arrived(sim, j)
 	sim.execute(i, sim.entries[i].Arrive(j, sim.now))
 }
 
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -15,6 +15,10 @@
 	Slack time.Duration `msgpack:"l"`
 	// Late is true if none of them can be in time.
 	Late bool `msgpack:"e,omitempty"`
+
+	// first is true for returns, which precede the others of their rank. It is not sent:
+	// their slack says it.
+	first bool
 }
 
 const (
@@ -90,7 +94,7 @@
 		}
 		for _, j := range v.queue {
 			d := s.demandOf(v, j, now)
-			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late {
+			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late && list[n-1].first == d.first {
 				list[n-1].Count++
 				list[n-1].Slack = min(list[n-1].Slack, d.Slack)
 				continue
@@ -102,9 +106,12 @@
 }
 
 // demandOf returns the demand of one job. A raised job precedes the others of its
-// effective rank.
+// effective rank; a return precedes those that are in time as it is, or late as it is.
 func (s *Scheduler) demandOf(v *service, j *Job, now time.Time) Demand {
 	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.Due.Sub(now), Late: s.late(v, j, now)}
+	if j.Returned {
+		d.Slack, d.first = min(d.Slack, 0), true
+	}
 	if j.raised {
 		d.Slack, d.Late = min(d.Slack, 0), false
 	}
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -39,6 +39,9 @@
 	// Resumed is true when part of the answer has reached the caller; the job is
 	// then not refused before Expires.
 	Resumed bool
+	// Returned is true when the caller was refused before and comes back as promised. The
+	// job precedes others of its rank and is not refused for its wait before Expires.
+	Returned bool
 
 	// effective is the rank that orders the job while it waits; raised is true if it
 	// is above Rank.
@@ -63,6 +66,10 @@
 	// RetryAfter and Reason are set for a refusal.
 	RetryAfter time.Duration
 	Reason     string
+	// WantsRoom is true for a refusal for want of room if returns are preferred. Offer is
+	// the place that may then be promised to the caller, nil for none.
+	WantsRoom bool
+	Offer     *Offer
 	// Waited is the time since the job's arrival; Running and Queued are the load of
 	// the upstream and the length of the queue at the decision.
 	Waited  time.Duration
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -30,6 +30,9 @@
 	if a.raised != b.raised {
 		return a.raised
 	}
+	if less, ok := returnLess(a, b); ok {
+		return less
+	}
 	return a.Due.Before(b.Due)
 }
 
@@ -106,7 +109,7 @@
 		return ReasonTooLate
 	case s.outlastsStop(v, j, now):
 		return ReasonStopping
-	case j.Resumed:
+	case j.Resumed || j.Returned:
 		return ""
 	}
 	if _, ok := v.underserved(j.Rank); ok && v.waitingOf(j.Rank) < maxRaised {
--- a/internal/forward/schedule/ranks.go
+++ b/internal/forward/schedule/ranks.go
@@ -124,6 +124,9 @@
 		}
 	}
 	seconds := float64(ahead) * interval / (1 - min(taken, maxTakenShare))
+	if n := s.returnsWithin(v, j, time.Duration(seconds*float64(time.Second)), now); n > 0 {
+		seconds += float64(n) * interval / (1 - min(taken, maxTakenShare))
+	}
 	return time.Duration(seconds * float64(time.Second))
 }
 
--- a/internal/forward/schedule/refusal.go
+++ b/internal/forward/schedule/refusal.go
@@ -47,7 +47,9 @@
 	}
 	// Jitter up to the same length keeps the retries from forming another burst.
 	wait += time.Duration(s.Rand.Float64() * float64(wait))
-	return Action{Job: j, Reason: reason, RetryAfter: pause + min(wait, maxRetryAfter), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
+	a := Action{Job: j, Reason: reason, RetryAfter: pause + min(wait, maxRetryAfter), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
+	s.placeReturn(v, &a, now)
+	return a
 }
 
 // stoppingRetry returns the retry delay of a job that is refused since this entry
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -25,6 +25,7 @@
 	"sort"
 	"time"
 
+	"agateward/internal/forward/returns"
 	"agateward/ward"
 )
 
@@ -75,6 +76,8 @@
 	statements    map[Identity]*statement
 	lastStatement uint64
 	limits        limits
+	// promises holds what callers that were refused have been promised.
+	promises returns.Book
 	// lent is the slot that a peer lends while ReceiveGrant fills it.
 	lent Loan
 	// entries holds the sorted names of the live peers and this entry; assignedTo
@@ -170,7 +173,7 @@
 	c := v.rank(j.Rank)
 	c.decay(now)
 	c.arrived++
-	if len(v.queue) >= maxQueue {
+	if len(v.queue) >= maxQueue && !j.Returned {
 		return []Action{s.refuse(v, j, ReasonQueueLong, now)}
 	}
 	if reason := s.rejectReason(v, j, now); reason != "" {
@@ -258,7 +261,7 @@
 			out = append(out, s.refuse(v, j, s.expiryReason(v, now), now))
 			continue
 		}
-		if !j.Resumed && s.late(v, j, now) {
+		if !j.Resumed && !j.Returned && s.late(v, j, now) {
 			// Jobs in time precede it, also those that arrive later, so its wait is
 			// estimated anew.
 			j.turnedLate = true
