--- a/internal/forward/schedule/fleet_returns_test.go
+++ b/internal/forward/schedule/fleet_returns_test.go
@@ -1,8 +1,12 @@
 package schedule
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"agateward/internal/forward/returns"
+	"agateward/ward"
 )
 
 // caller is a caller of the simulation that comes back once after a refusal.
@@ -193,3 +197,86 @@
 	c.promised += o.promised
 	c.taken += o.taken
 }
+
+// TestReturnsUnderFaults checks that what befalls promises costs no more than what it would
+// without them.
+func TestReturnsUnderFaults(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(sim *simulation)
+		// slack is the share of the returns that may be refused again beyond that without
+		// promises; below 0 it has to be less.
+		slack float64
+	}{
+		{"half of the messages lost", func(sim *simulation) { sim.deliver = sim.lossy(0.5, 0) }, 0},
+		{"messages late and doubled", func(sim *simulation) { sim.deliver = sim.lossy(0, 250*time.Millisecond) }, 0},
+		{"entries cut off from each other", func(sim *simulation) {
+			sim.deliver = func(from, to int) []time.Duration {
+				if at := sim.now.Sub(start); at > 4*time.Second && at < 8*time.Second && from%2 != to%2 {
+					return nil
+				}
+				return []time.Duration{hopDelay}
+			}
+		}, 0},
+		{"an entry that restarts", func(sim *simulation) {
+			sim.after(5*time.Second, func(time.Time) { sim.entries[1].promises = returns.Book{Seed: 1} })
+		}, -0.03},
+		{"upstreams that end while promises are open", func(sim *simulation) {
+			sim.after(5*time.Second, func(now time.Time) { sim.keepEngines(6, now) })
+		}, 0},
+		{"callers that repeat at once", func(sim *simulation) { sim.callers.atOnce = 1 }, 0.02},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var total [2]callers
+			for seed := uint64(1); seed <= 4; seed++ {
+				for on := range 2 {
+					sim := newSimulation(8, 9, 6, seed)
+					got := sim.preferReturns(on == 1)
+					c.fault(sim)
+					sim.load(1.5*capacity, 0, 12*time.Second)
+					sim.run(24 * time.Second)
+					total[on].add(got)
+				}
+			}
+			total[0].log(t, "off")
+			total[1].log(t, "on")
+			if off, on := total[0].again(), total[1].again(); on > off+c.slack {
+				t.Errorf("%.3f of the returns are refused again, %.3f without promises", on, off)
+			}
+			for rank := range 3 {
+				if off, on := total[0].served(rank), total[1].served(rank); on < off-0.02 {
+					t.Errorf("rank %d: %.3f answered, %.3f without promises", rank, on, off)
+				}
+			}
+		})
+	}
+}
+
+// lossy delivers messages with losses, or late and doubled.
+func (sim *simulation) lossy(loss float64, late time.Duration) func(from, to int) []time.Duration {
+	return func(int, int) []time.Duration {
+		switch x := sim.r.Float64(); {
+		case x < loss:
+			return nil
+		case late > 0 && x < 0.5:
+			return []time.Duration{hopDelay, late}
+		case late > 0:
+			return []time.Duration{late}
+		}
+		return []time.Duration{hopDelay}
+	}
+}
+
+// keepEngines has all entries learn that only the first n engines are left. Requests that run
+// at the others end normally.
+func (sim *simulation) keepEngines(n int, now time.Time) {
+	var list []ward.Replica
+	for i := range n {
+		id := fmt.Sprintf("engine-%02d", i)
+		list = append(list, ward.Replica{ID: id, Service: "menus", DataCentre: string(rune('a' + i%3)), Address: id, Slots: sim.slots, Version: "v1"})
+	}
+	for i, s := range sim.entries {
+		sim.execute(i, s.SetUpstreams(list, now))
+	}
+}
