--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -82,6 +82,9 @@
 	LimitsChanged func(list []schedule.LimitReport)
 	// Buffers counts what the gate holds of bodies and answers. Prepare sets its bound.
 	Buffers buffer.Budget
+	// ReturnsChanged requests a message about promises to refused callers, unless it is
+	// nil. It must not block.
+	ReturnsChanged func()
 	// Start is a number that no earlier process of this entry had.
 	Start int64
 
@@ -144,6 +147,7 @@
 	g.Metrics.buffers(&g.Buffers)
 	g.Metrics.evacuated(g.View.Evacuated)
 	g.Metrics.cold(g.coldUpstreams)
+	g.Metrics.promised(g.openPromises)
 	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
