feat(lending,schedule): slots lent between cells and data centres

Cause: a cell uses its own part of the upstreams alone, so requests were refused or late while slots of other cells and data centres were idle.

Change: with scheduling.lend-slots on, an entry whose requests wait asks up to 3 entries of other cells every 60 ms, those of its own data centre first. An entry lends free slots assigned to it, by rank, and counts them as its own load until a report of the borrower shows that they ended or can't be used any more. Upstreams of other cells are used without a loan only if nothing was lent for a second.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -137,6 +137,7 @@
 		Request: c.head.ID, Service: group, Route: c.route.Name, Rank: [2]int{0, c.route.Rank},
 		Arrived: c.arrived, Due: c.arrived.Add(target), Expires: c.deadline, Deadline: c.deadline,
 		Repeatable: c.route.Repeatable(), Avoid: avoid, Resumed: started,
+		NoLoan: group != c.service,
 	}
 	if c.team != nil {
 		j.Team = c.team.Name
@@ -228,7 +229,11 @@
 	if !c.deadline.IsZero() {
 		hop.Remaining = max(c.deadline.Sub(now), time.Millisecond)
 	}
-	c.log.Info("request-dispatched", "route", c.route.Name, "rank", a.Job.Rank, "upstream", a.Upstream.ID, "address", a.Upstream.Address, "version", a.Upstream.Version,
+	l := c.log
+	if a.Lender != "" {
+		l = l.WithValues("lender", a.Lender)
+	}
+	l.Info("request-dispatched", "route", c.route.Name, "rank", a.Job.Rank, "upstream", a.Upstream.ID, "address", a.Upstream.Address, "version", a.Upstream.Version,
 		"config", c.table.Config.Version, "send", c.sends+1, "prompt", a.Job.Prompt, "output", a.Job.Output, "waited", a.Waited, "predicted", a.Predicted, "running", a.Running, "queued", a.Queued)
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -66,6 +66,9 @@
 	ProgressTimeout time.Duration
 	// SendGrant grants a slot of an upstream to a peer. It must not block.
 	SendGrant func(a schedule.Action)
+	// SendLending sends a message about lent slots to an entry of another cell, nil if
+	// slots are not lent. It must not block.
+	SendLending func(to string, m schedule.LendingMessage)
 	// TriggerBroadcast requests an early broadcast of the peer state. It must not
 	// block.
 	TriggerBroadcast func()
@@ -136,6 +139,7 @@
 	}
 	g.Metrics.limited(g.limited)
 	g.Metrics.evacuated(g.View.Evacuated)
+	g.Metrics.loans(g.loanCounts)
 	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
@@ -214,6 +218,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.apply(g.sched.Lending(now))
 	m.Requests = g.sched.PeerState(now)
 	m.Quota = g.ledger.Totals()
 	m.QuotaLevels = g.ledger.Levels(now)
@@ -228,12 +233,13 @@
 	g.ledger.Entries, g.budget.Entries = n, n
 }
 
-// SetCell sets the index of this entry's cell, of count cells in the data centre, and the
-// sorted names of all entries of the fleet.
-func (g *Gate) SetCell(index, count int, fleet []string) {
+// SetCell sets the index of this entry's cell, of count cells in the data centre, the sorted
+// names of all entries of the fleet, and the other cells.
+func (g *Gate) SetCell(index, count int, fleet []string, others []schedule.OtherCell) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sched.Cell, g.sched.Cells, g.sched.Fleet = index, count, fleet
+	g.sched.SetOtherCells(others)
 }
 
 // bodyLimit returns the limit of a body if the configuration sets none.
@@ -267,6 +273,10 @@
 // caller must hold mu.
 func (g *Gate) apply(actions []schedule.Action) {
 	for _, a := range actions {
+		if a.Lending != nil {
+			g.sendLending(a)
+			continue
+		}
 		if a.GrantTo != "" {
 			g.SendGrant(a)
 			continue
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"agateward/internal/forward/lending"
 	"agateward/internal/forward/poison"
 	"agateward/internal/result/code"
 	"agateward/ward"
@@ -93,6 +94,22 @@
 	}
 }
 
+// loans registers the numbers of questions for slots of other cells, and of loans.
+func (m *Metrics) loans(values func() (lending.BorrowerCounts, lending.LenderCounts)) {
+	if m == nil {
+		return
+	}
+	for event, of := range map[string]func(b lending.BorrowerCounts, l lending.LenderCounts) uint64{
+		"asked":  func(b lending.BorrowerCounts, _ lending.LenderCounts) uint64 { return b.Asked },
+		"used":   func(b lending.BorrowerCounts, _ lending.LenderCounts) uint64 { return b.Used },
+		"unused": func(b lending.BorrowerCounts, _ lending.LenderCounts) uint64 { return b.Unused },
+		"given":  func(_ lending.BorrowerCounts, l lending.LenderCounts) uint64 { return l.Given },
+		"lapsed": func(_ lending.BorrowerCounts, l lending.LenderCounts) uint64 { return l.Lapsed },
+	} {
+		m.Set.GetOrCreateGauge(fmt.Sprintf("agateward_forward_loans_total{event=%q}", event), func() float64 { return float64(of(values())) })
+	}
+}
+
 // linksLost counts that this entry lost its links to all upstreams, linksRegained that it
 // has them again.
 func (m *Metrics) linksLost() { m.count("agateward_forward_upstreams_lost_total") }
--- a/internal/forward/node/cell.go
+++ b/internal/forward/node/cell.go
@@ -129,6 +129,7 @@
 	n.mu.Lock()
 	changed := c.Count != n.cell.Count || c.Index != n.cell.Index || len(c.Members) != len(n.cell.Members) || !slices.Equal(c.Names, n.cell.Names)
 	n.cell = c
+	n.setOtherAddresses(c)
 	if changed {
 		n.peers.SetCell(c)
 	}
@@ -140,7 +141,7 @@
 	n.mu.Unlock()
 	if changed {
 		n.log.Info("cell-changed", "cell", c.Index, "cells", c.Count, "members", len(c.Members), "entries", c.FleetSize)
-		n.gate.SetCell(c.Index, c.Count, c.Names)
+		n.gate.SetCell(c.Index, c.Count, c.Names, otherCells(c))
 		n.gate.Refresh()
 	}
 }
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -155,19 +155,7 @@
 			n.log.Info("news-ignored", "error", err.Error())
 			continue
 		}
-		if m.Grant != "" && n.isMember(m.Name) {
-			n.gate.ReceiveGrant(m.Name, m.Grant, m.GrantSequence, m.GrantUsed)
-		}
-		if m.Moves != nil && n.isMember(m.Name) {
-			n.rollout.UpdatePeer(*m.Moves)
-		}
-		if len(m.Prompts) > 0 {
-			n.gate.MergeCrashes(m.Name, m.Prompts)
-		}
-		if m.News {
-			n.gate.MergeLimits(m)
-		}
-		if m.Grant != "" || m.Moves != nil || len(m.Prompts) > 0 || m.News {
+		if n.receiveEvent(m) {
 			continue
 		}
 		now := time.Now()
@@ -186,6 +174,30 @@
 	}
 }
 
+// receiveEvent handles a message that is not the sender's whole state, and reports whether m
+// is one.
+func (n *Node) receiveEvent(m peerstate.Message) bool {
+	if m.Grant != "" && n.isMember(m.Name) {
+		n.gate.ReceiveGrant(m.Name, m.Grant, m.GrantSequence, m.GrantUsed)
+	}
+	if m.Moves != nil && n.isMember(m.Name) {
+		n.rollout.UpdatePeer(*m.Moves)
+	}
+	if len(m.Prompts) > 0 {
+		n.gate.MergeCrashes(m.Name, m.Prompts)
+	}
+	if m.Lending != nil {
+		if n.ofOtherCell(m.Name) {
+			n.gate.ReceiveLending(m.Name, *m.Lending)
+		}
+		return true
+	}
+	if m.News {
+		n.gate.MergeLimits(m)
+	}
+	return m.Grant != "" || m.Moves != nil || len(m.Prompts) > 0 || m.News
+}
+
 // lacks reports whether a peer with the versions o may have documents that an entry
 // with the versions v lacks.
 func lacks(v, o ward.DocumentVersions) bool { return v.OlderThan(o) || v.OrdersDiffer(o) }
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -89,6 +89,8 @@
 	mu    sync.Mutex
 	peers peers.Set
 	cell  peers.Cell
+	// otherAddresses holds the addresses of the entries of other cells by name.
+	otherAddresses map[string]string
 	// cellTried is set once the list of entries was read, or could not be.
 	cellTried bool
 	// fetching is set while documents are fetched from a peer.
@@ -117,7 +119,7 @@
 	n.gate = &gate.Gate{
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log, Rollout: n.rollout,
 		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, SendGrant: n.sendGrant, TriggerBroadcast: n.triggerBroadcast,
-		Relay: n.newRelay(), Fleet: n.fleet, SuspectsChanged: n.suspectsChanged, LimitsChanged: n.limitsChanged,
+		Relay: n.newRelay(), Fleet: n.fleet, SendLending: n.sendLending, SuspectsChanged: n.suspectsChanged, LimitsChanged: n.limitsChanged,
 	}
 	n.gate.Prepare(setup(s))
 	n.gate.SetEntries(initialEntries)
--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -1,6 +1,8 @@
 package peers
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -30,6 +32,14 @@
 	// FleetSize is the number of all entries, FleetIndex the index of this one
 	// among them by name, from 0.
 	FleetSize, FleetIndex int
+	// Others are the other cells of the fleet, nil if the whole fleet is one cell.
+	Others []OtherCell
+}
+
+// OtherCell is a cell of the fleet to which an entry does not belong.
+type OtherCell struct {
+	DataCentre string
+	Members    []ward.ForwardEntry
 }
 
 // CellOf returns the cell of an entry. Entries with the same list compute the same
@@ -56,25 +66,31 @@
 		c.Members = list
 		return c
 	}
-	var local []ward.ForwardEntry
+	byDataCentre := make(map[string][]ward.ForwardEntry)
 	for _, e := range list {
-		if e.DataCentre == self.DataCentre {
-			local = append(local, e)
-		}
+		byDataCentre[e.DataCentre] = append(byDataCentre[e.DataCentre], e)
 	}
-	sort.Slice(local, func(i, k int) bool { return local[i].Name < local[k].Name })
-	c.Count = (len(local) + maxCellSize - 1) / maxCellSize
-	for i, e := range local {
-		if e.Name == self.Name {
-			c.Index = i % c.Count
+	for _, name := range slices.Sorted(maps.Keys(byDataCentre)) {
+		cells := divide(byDataCentre[name])
+		for i, members := range cells {
+			if slices.ContainsFunc(members, func(e ward.ForwardEntry) bool { return e.Name == self.Name }) {
+				c.Index, c.Count, c.Members = i, len(cells), members
+				continue
+			}
+			c.Others = append(c.Others, OtherCell{DataCentre: name, Members: members})
 		}
 	}
+	return c
+}
+
+// divide divides the entries of a data centre into cells.
+func divide(local []ward.ForwardEntry) [][]ward.ForwardEntry {
+	sort.Slice(local, func(i, k int) bool { return local[i].Name < local[k].Name })
+	cells := make([][]ward.ForwardEntry, (len(local)+maxCellSize-1)/maxCellSize)
 	for i, e := range local {
-		if i%c.Count == c.Index {
-			c.Members = append(c.Members, e)
-		}
+		cells[i%len(cells)] = append(cells[i%len(cells)], e)
 	}
-	return c
+	return cells
 }
 
 // SetCell restricts the set to the members of a cell.
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -67,6 +67,9 @@
 	Limits []schedule.LimitReport `msgpack:"y,omitempty"`
 	// News is true for a message that may come from any entry of the fleet.
 	News bool `msgpack:"z,omitempty"`
+	// Lending is a message about slots lent between cells. Such a message has News set, so
+	// that entries that know no loans ignore it, and holds nothing else.
+	Lending *schedule.LendingMessage `msgpack:"c,omitempty"`
 	// Moves is the sender's state of the roll-outs in progress. Such a message holds
 	// nothing else.
 	Moves *Moves `msgpack:"m,omitempty"`
--- a/internal/forward/schedule/brittle.go
+++ b/internal/forward/schedule/brittle.go
@@ -35,7 +35,7 @@
 // ownSlot reports whether a slot of a brittle upstream is free that is assigned to this
 // entry and that it has not lent. The slots of all entries together are those of the
 // upstream, whatever they know of each other's requests.
-func (u *upstream) ownSlot() bool { return u.ownLoad-u.borrowed < u.assigned-u.lent }
+func (u *upstream) ownSlot() bool { return u.ownLoad+u.loaned-u.borrowed < u.assigned-u.lent }
 
 // borrow makes a request use a slot that a peer lent.
 func (u *upstream) borrow(r *running, l Loan) {
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -85,6 +85,8 @@
 	frozen map[int]time.Time
 	// cells holds the cell of each entry, nil if all entries exchange their state.
 	cells []string
+	// lendMessages counts the messages between entries of different cells.
+	lendMessages int
 }
 
 // message delivers a message between two entries.
@@ -205,6 +207,8 @@
 func (sim *simulation) execute(i int, actions []Action) {
 	for _, a := range actions {
 		switch {
+		case a.Lending != nil:
+			sim.lend(i, a)
 		case a.GrantTo != "":
 			for k, s := range sim.entries {
 				if s.Name == a.GrantTo {
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -159,7 +159,7 @@
 // mayGrant reports whether a slot that a request of this entry has freed may be granted.
 // The registration of u may have been replaced since the request was sent.
 func (s *Scheduler) mayGrant(u *upstream, now time.Time) bool {
-	if u.Draining || s.statements[IdentityOf(&u.Replica)].wantsNone(now) || u.held || !u.limitAllows(now) {
+	if u.Draining || s.statements[IdentityOf(&u.Replica)].wantsNone(now) || u.held || u.barred(now) || !u.limitAllows(now) {
 		return false
 	}
 	if u.brittle(now) && !u.ownSlot() {
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -40,6 +40,9 @@
 	// then not refused before Expires.
 	Resumed bool
 
+	// NoLoan is true for a request that uses no slot of another cell: a canary.
+	NoLoan bool
+
 	// effective is the rank that orders the job while it waits; raised is true if it
 	// is above Rank.
 	effective [2]int
@@ -58,6 +61,11 @@
 	// this entry occupied the slot until now.
 	Sequence uint64
 	Used     bool
+	// Lending is a message to the entry LendTo of another cell; nothing else is set
+	// besides. Lender is the entry that lent the slot of a dispatch, "" for an own one.
+	LendTo  string
+	Lending *LendingMessage
+	Lender  string
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
 	// RetryAfter and Reason are set for a refusal.
--- a/internal/forward/schedule/limit_test.go
+++ b/internal/forward/schedule/limit_test.go
@@ -146,6 +146,12 @@
 // data centre, and know the names of all.
 func newFleetWithCells(entries, engines int, seed uint64) *simulation {
 	sim := newSimulation(entries, engines, 6, seed)
+	sim.divide()
+	return sim
+}
+
+// divide divides the entries into cells of their data centre.
+func (sim *simulation) divide() {
 	local := make(map[string][]*Scheduler)
 	var names []string
 	for _, s := range sim.entries {
@@ -160,7 +166,6 @@
 		sim.cells = append(sim.cells, fmt.Sprint(s.DataCentre, s.Cell))
 		sim.entries[i].assignServices(sim.now)
 	}
-	return sim
 }
 
 // Guards against a limit that each cell of a large fleet uses for itself, and against a
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -120,6 +120,13 @@
 	if v == nil {
 		return nil
 	}
+	if r.borrowed != nil {
+		s.endLoan(r)
+		return append(s.dispatchService(v, now), s.Lending(now)...)
+	}
+	if a, ok := s.lend(v, u, now); ok {
+		return []Action{a}
+	}
 	if a, ok := s.grantFreed(v, u, now); ok {
 		return []Action{a}
 	}
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -54,8 +54,8 @@
 		state.Leaving, state.ExitsIn = true, s.stopEnd.Sub(now)
 	}
 	for id, u := range s.byID {
-		if u.ownLoad > 0 {
-			state.Load[id] = u.ownLoad
+		if n := u.ownLoad - u.foreign + u.loaned; n > 0 {
+			state.Load[id] = n
 		}
 	}
 	s.reportBrittle(&state, now)
@@ -134,6 +134,7 @@
 		s.countGrants(name, p, now)
 		s.countLoans(p, now)
 	}
+	s.countLoaned(now)
 	s.assignSlots()
 	s.updateLimitFleet(now)
 }
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -75,6 +75,7 @@
 	statements    map[Identity]*statement
 	lastStatement uint64
 	limits        limits
+	loans         loans
 	// lent is the slot that a peer lends while ReceiveGrant fills it.
 	lent Loan
 	// entries holds the sorted names of the live peers and this entry; assignedTo
@@ -96,6 +97,7 @@
 	ranks map[[2]int]*rankCount
 	// brittleAt is when an upstream last said that it is brittle, zero for never.
 	brittleAt time.Time
+	elsewhere elsewhere
 }
 
 // running is a dispatched job.
@@ -109,6 +111,8 @@
 	pause *pause
 	// loan is the slot of a brittle upstream that a peer lent for it, nil for an own one.
 	loan *Loan
+	// borrowed is the slot of another cell that it uses, nil for one of this cell.
+	borrowed *borrowedSlot
 	// paced is true if the request was counted against a limit.
 	paced bool
 	// nominal is the nominal time to the first event in seconds.
@@ -177,7 +181,7 @@
 		return []Action{s.refuse(v, j, reason, now)}
 	}
 	v.insert(j)
-	return s.dispatchService(v, now)
+	return append(s.dispatchService(v, now), s.askLoansFor(v, now)...)
 }
 
 // Cancel removes a waiting job whose caller has left.
@@ -215,7 +219,7 @@
 func (s *Scheduler) Tick(now time.Time) []Action {
 	s.init()
 	s.aggregatePeers(now)
-	return s.dispatchWaiting(now)
+	return append(s.dispatchWaiting(now), s.Lending(now)...)
 }
 
 // Waiting returns the number of waiting jobs.
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -37,6 +37,7 @@
 		u.brittleAt = v.brittleAt
 	}
 	for _, v := range s.services {
+		s.markShares(v, v.upstreams)
 		own := s.cellUpstreams(v.upstreams)
 		v.upstreams = append(own[:len(own):len(own)], s.heldElsewhere(v.upstreams, own, now)...)
 	}
@@ -129,7 +130,7 @@
 // slots. Of a brittle upstream it uses its own slots alone.
 func (u *upstream) hasSlot(now time.Time) bool {
 	n := u.Slots - u.load()
-	if u.Draining || !u.said.takesMore(now) || n < 1 {
+	if u.Draining || !u.said.takesMore(now) || n < 1 || u.barred(now) {
 		return false
 	}
 	if u.limited() {
@@ -138,7 +139,7 @@
 	if u.brittle(now) {
 		return u.reserved || u.ownSlot()
 	}
-	return n >= min(sharedSlots, u.Slots) || u.ownLoad < u.assigned || u.reserved
+	return n >= min(sharedSlots, u.Slots) || u.ownLoad+u.loaned < u.assigned || u.reserved
 }
 
 // grantFree grants free slots of this entry to a peer whose waiting requests precede
@@ -174,10 +175,10 @@
 // cell can't use an upstream of another one.
 func (u *upstream) grantable(now time.Time) bool {
 	n := u.Slots - u.load()
-	if u.Draining || u.said.wantsNone(now) || n < 1 {
+	if u.Draining || u.said.wantsNone(now) || n < 1 || u.barred(now) {
 		return false
 	}
-	last := n < sharedSlots && u.ownLoad < u.assigned
+	last := n < sharedSlots && u.ownLoad+u.loaned < u.assigned
 	if u.brittle(now) {
 		last = u.ownSlot()
 	}
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -69,6 +69,13 @@
 	// pendingGrants counts the granted slots that the receiver's state does not show
 	// yet.
 	pendingGrants int
+	// owned is true for an upstream that belongs to this cell alone. elsewhere is set for
+	// one that belongs to another cell, if slots are lent.
+	owned     bool
+	elsewhere *elsewhere
+	// loaned counts the slots lent to entries of other cells, foreign the own requests
+	// that use a slot of another cell.
+	loaned, foreign int
 	// latencyRatio is the observed time to the first event as a multiple of the
 	// nominal one; 0 means not measured.
 	latencyRatio float64
@@ -93,7 +100,7 @@
 	reportedAt time.Time
 }
 
-func (u *upstream) load() int { return u.ownLoad + u.peerLoad + u.pendingGrants }
+func (u *upstream) load() int { return u.ownLoad + u.loaned + u.peerLoad + u.pendingGrants }
 
 func (u *upstream) latencyFactor() float64 {
 	if u.latencyRatio == 0 {
