--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -67,6 +67,9 @@
 	ProgressTimeout time.Duration
 	// SendGrant grants a slot of an upstream to a peer. It must not block.
 	SendGrant func(a schedule.Action)
+	// SendLending sends a message about lent slots to an entry of another cell, nil if
+	// slots are not lent. It must not block.
+	SendLending func(to string, m schedule.LendingMessage)
 	// TriggerBroadcast requests an early broadcast of the peer state. It must not
 	// block.
 	TriggerBroadcast func()
@@ -148,6 +151,7 @@
 	g.Metrics.evacuated(g.View.Evacuated)
 	g.Metrics.cold(g.coldUpstreams)
 	g.Metrics.promised(g.openPromises)
+	g.Metrics.loans(g.loanCounts)
 	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
@@ -230,6 +234,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.apply(g.sched.Lending(now))
 	m.Requests = g.sched.PeerState(now)
 	m.Quota = g.ledger.Totals()
 	m.QuotaLevels = g.ledger.Levels(now)
@@ -245,11 +250,12 @@
 }
 
 // SetCell sets the index of this entry's cell, of count cells in the data centre, the names
-// of its members, and the sorted names of all entries of the fleet.
-func (g *Gate) SetCell(index, count int, members, fleet []string) {
+// of its members, the sorted names of all entries of the fleet, and the other cells.
+func (g *Gate) SetCell(index, count int, members, fleet []string, others []schedule.OtherCell) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sched.Cell, g.sched.Cells, g.sched.Members, g.sched.Fleet = index, count, members, fleet
+	g.sched.SetOtherCells(others)
 }
 
 // bodyLimit returns the limit of a body if the configuration sets none.
@@ -284,6 +290,10 @@
 func (g *Gate) apply(actions []schedule.Action) {
 	g.logCold()
 	for _, a := range actions {
+		if a.Lending != nil {
+			g.sendLending(a)
+			continue
+		}
 		if a.GrantTo != "" {
 			g.SendGrant(a)
 			continue
--- a/internal/forward/node/cell.go
+++ b/internal/forward/node/cell.go
@@ -129,6 +129,7 @@
 	n.mu.Lock()
 	changed := c.Count != n.cell.Count || c.Index != n.cell.Index || len(c.Members) != len(n.cell.Members) || !slices.Equal(c.Names, n.cell.Names)
 	n.cell = c
+	n.setOtherAddresses(c)
 	if changed {
 		n.peers.SetCell(c)
 	}
@@ -144,7 +145,7 @@
 		for i, e := range c.Members {
 			members[i] = e.Name
 		}
-		n.gate.SetCell(c.Index, c.Count, members, c.Names)
+		n.gate.SetCell(c.Index, c.Count, members, c.Names, otherCells(c))
 		n.gate.Refresh()
 	}
 }
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -72,6 +72,9 @@
 	// Such a message has News set, so that entries without the field ignore it, and may come
 	// from any entry of the data centre.
 	Returns *returns.News `msgpack:"r,omitempty"`
+	// Lending is a message about slots lent between cells. Such a message has News set, so
+	// that entries that know no loans ignore it, and holds nothing else.
+	Lending *schedule.LendingMessage `msgpack:"c,omitempty"`
 	// Moves is the sender's state of the roll-outs in progress. Such a message holds
 	// nothing else.
 	Moves *Moves `msgpack:"m,omitempty"`
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -87,6 +87,8 @@
 	cells []string
 	// callers has refused callers come back, nil if they don't.
 	callers *callers
+	// lendMessages counts the messages between entries of different cells.
+	lendMessages int
 }
 
 // message delivers a message between two entries.
@@ -207,6 +209,8 @@
 func (sim *simulation) execute(i int, actions []Action) {
 	for _, a := range actions {
 		switch {
+		case a.Lending != nil:
+			sim.lend(i, a)
 		case a.GrantTo != "":
 			for k, s := range sim.entries {
 				if s.Name == a.GrantTo {
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -38,6 +38,7 @@
 	}
 	for _, v := range s.services {
 		s.markHomes(v.upstreams)
+		s.markShares(v, v.upstreams)
 		own := s.cellUpstreams(v.upstreams)
 		v.upstreams = append(own[:len(own):len(own)], s.heldElsewhere(v.upstreams, own, now)...)
 	}
@@ -130,7 +131,7 @@
 // slots. Of a brittle upstream it uses its own slots alone.
 func (u *upstream) hasSlot(now time.Time) bool {
 	n := u.Slots - u.load()
-	if u.Draining || !u.said.takesMore(now) || n < 1 {
+	if u.Draining || !u.said.takesMore(now) || n < 1 || u.barred(now) {
 		return false
 	}
 	if u.paced(now) {
@@ -139,7 +140,7 @@
 	if u.brittle(now) {
 		return u.reserved || u.ownSlot()
 	}
-	return n >= min(sharedSlots, u.Slots) || u.ownLoad < u.assigned || u.reserved
+	return n >= min(sharedSlots, u.Slots) || u.ownLoad+u.loaned < u.assigned || u.reserved
 }
 
 // grantFree grants free slots of this entry to a peer whose waiting requests precede
@@ -175,10 +176,10 @@
 // cell can't use an upstream of another one.
 func (u *upstream) grantable(now time.Time) bool {
 	n := u.Slots - u.load()
-	if u.Draining || u.said.wantsNone(now) || n < 1 {
+	if u.Draining || u.said.wantsNone(now) || n < 1 || u.barred(now) {
 		return false
 	}
-	last := n < sharedSlots && u.ownLoad < u.assigned
+	last := n < sharedSlots && u.ownLoad+u.loaned < u.assigned
 	if u.brittle(now) {
 		last = u.ownSlot()
 	}
