feat(schedule,fairshare): fair shares between the teams of a rank

Cause: a team that sends several times its share took the capacity of teams of its rank that ask for little; their requests waited behind its own.

Only with Options.FairTeams.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -140,6 +140,9 @@
 	}
 	if c.team != nil {
 		j.Team = c.team.Name
+		if c.team.Tokens {
+			j.Weight = c.team.Rate
+		}
 		if c.team.HasRank {
 			j.Rank[0] = c.team.Rank
 		}
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -108,6 +108,11 @@
 			return Message{}, fmt.Errorf("%w: load %d of upstream %q is below 0", errInvalidMessage, n, id)
 		}
 	}
+	for _, r := range m.Requests.Teams {
+		if !r.Valid() {
+			return Message{}, fmt.Errorf("%w: sums of team %q are no times: asked %v, given %v, lacked %v, weight %v", errInvalidMessage, r.Team, r.Asked, r.Given, r.Lacked, r.Weight)
+		}
+	}
 	for _, l := range m.Limits {
 		if r := l.State.PerSecond; !(r >= 0 && r < math.Inf(1)) {
 			return Message{}, fmt.Errorf("%w: limit %v of upstream %q is not a rate", errInvalidMessage, r, l.Upstream.ID)
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -57,6 +57,38 @@
 	waited, sent int
 	// held counts the refused requests that had waited for heldFraction of their time.
 	held int
+	// teams holds the results by team.
+	teams map[string]*teamCounts
+}
+
+// teamCounts holds the results of the requests of one team. work is the engine time of those
+// in time, in seconds.
+type teamCounts struct {
+	requests, onTime, late, refused int
+	work                            float64
+}
+
+func (t *counts) team(name string) *teamCounts {
+	if t.teams == nil {
+		t.teams = make(map[string]*teamCounts)
+	}
+	if t.teams[name] == nil {
+		t.teams[name] = &teamCounts{}
+	}
+	return t.teams[name]
+}
+
+// started counts a request whose first event reached its caller.
+func (t *counts) started(j *Job, onTime bool) {
+	team := t.team(j.Team)
+	if !onTime {
+		t.late[j.Rank[1]]++
+		team.late++
+		return
+	}
+	t.onTime[j.Rank[1]]++
+	team.onTime++
+	team.work += engineTime(j)
 }
 
 func (t *counts) onTimeShare(rank int) float64 {
@@ -214,6 +246,7 @@
 			}
 		case a.Upstream == nil:
 			sim.counts.refused[a.Job.Rank[1]]++
+			sim.counts.team(a.Job.Team).refused++
 			if j := a.Job; sim.now.Sub(j.Arrived) > time.Duration(heldFraction*float64(j.Expires.Sub(j.Arrived))) {
 				sim.counts.held++
 			}
@@ -238,11 +271,7 @@
 				}
 				s.FirstEvent(j.ID, now)
 			})
-			if now.Add(hopDelay).After(j.Due) {
-				sim.counts.late[j.Rank[1]]++
-			} else {
-				sim.counts.onTime[j.Rank[1]]++
-			}
+			sim.counts.started(j, !now.Add(hopDelay).After(j.Due))
 		})
 		sim.after(first+rest, func(now time.Time) {
 			e.running--
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -6,7 +6,7 @@
 )
 
 // Demand summarizes the waiting requests of one entry for a service at one rank that
-// can still be in time, or that cannot.
+// can still be in time, or that cannot, and whose teams are within their share, or over it.
 type Demand struct {
 	Service string `msgpack:"s"`
 	Rank    [2]int `msgpack:"r"`
@@ -15,6 +15,9 @@
 	Slack time.Duration `msgpack:"l"`
 	// Late is true if none of them can be in time.
 	Late bool `msgpack:"e,omitempty"`
+	// Over is true if all are of teams over their share. Their Slack counts from the due
+	// time that orders them.
+	Over bool `msgpack:"o,omitempty"`
 }
 
 const (
@@ -90,7 +93,7 @@
 		}
 		for _, j := range v.queue {
 			d := s.demandOf(v, j, now)
-			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late {
+			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late && list[n-1].Over == d.Over {
 				list[n-1].Count++
 				list[n-1].Slack = min(list[n-1].Slack, d.Slack)
 				continue
@@ -104,9 +107,9 @@
 // demandOf returns the demand of one job. A raised job precedes the others of its
 // effective rank.
 func (s *Scheduler) demandOf(v *service, j *Job, now time.Time) Demand {
-	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.Due.Sub(now), Late: s.late(v, j, now)}
+	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.orderDue().Sub(now), Late: s.late(v, j, now), Over: j.over}
 	if j.raised {
-		d.Slack, d.Late = min(d.Slack, 0), false
+		d.Slack, d.Late, d.Over = min(d.Slack, 0), false, false
 	}
 	return d
 }
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -13,8 +13,10 @@
 	Request string
 	Service string
 	Route   string
-	// Team is the name of the caller's team, "" for none.
-	Team string
+	// Team is the name of the caller's team, "" for none. Weight is its token quota, 0
+	// for none, by which teams share the upstreams.
+	Team   string
+	Weight float64
 	// Rank orders waiting jobs, the lower first: the team's rank, then the route's.
 	Rank [2]int
 	// Arrived is when the caller's request came in.
@@ -44,6 +46,8 @@
 	// is above Rank.
 	effective [2]int
 	raised    bool
+	// over is true while the job's team got more than its share.
+	over bool
 	// turnedLate is true once the job cannot be in time any more.
 	turnedLate bool
 }
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"agateward/internal/forward/fairshare"
 )
 
 // peer holds what is known of another entry.
@@ -45,6 +47,8 @@
 	// Loans lists the slots of brittle upstreams that the entry's requests use and that
 	// peers lent.
 	Loans []Loan `msgpack:"o,omitempty"`
+	// Teams holds what teams asked for and were given at the entry, with FairTeams.
+	Teams []fairshare.Row `msgpack:"t,omitempty"`
 }
 
 // PeerState returns the state to send to the peers.
@@ -59,6 +63,7 @@
 		}
 	}
 	s.reportBrittle(&state, now)
+	s.reportTeams(&state, now)
 	for name, p := range s.peers {
 		state.Grants = append(state.Grants, p.grants...)
 		if p.lastReceived > 0 {
@@ -83,6 +88,7 @@
 func (s *Scheduler) UpdatePeer(name string, state PeerState, now time.Time) []Action {
 	s.init()
 	s.hearPeer(name, now)
+	s.hearTeams(name, state, now)
 	if state.Leaving && len(state.Load) == 0 {
 		delete(s.peers, name)
 		delete(s.limits.heard, name)
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -30,7 +30,7 @@
 	if a.raised != b.raised {
 		return a.raised
 	}
-	return a.Due.Before(b.Due)
+	return a.orderDue().Before(b.orderDue())
 }
 
 func (v *service) insert(j *Job) {
@@ -43,6 +43,7 @@
 // sortQueue sorts the queue. Within a rank, jobs that can still be in time precede
 // those that cannot; otherwise every job would be late under sustained overload.
 func (s *Scheduler) sortQueue(v *service, now time.Time) {
+	s.markTeams(v, now)
 	if len(v.queue) < 2 {
 		return
 	}
@@ -70,14 +71,15 @@
 }
 
 // recordDeparture records that a job left the queue for an upstream.
-func (v *service) recordDeparture(rank [2]int, late bool, now time.Time) {
-	own := v.rank(rank)
+func (v *service) recordDeparture(j *Job, late bool, now time.Time) {
+	own := v.rank(j.Rank)
 	own.decay(now)
 	own.dispatched++
 	for _, c := range v.ranks {
 		c.share -= departureWeight * c.share
 		c.lateShare -= departureWeight * c.lateShare
 	}
+	v.recordTeamDeparture(j, late)
 	if late {
 		own.lateShare += departureWeight
 	} else {
--- a/internal/forward/schedule/ranks.go
+++ b/internal/forward/schedule/ranks.go
@@ -26,7 +26,9 @@
 	// share and lateShare are the smoothed fractions of the departures that were of
 	// this rank and could be in time, or could not.
 	share, lateShare float64
-	updated          time.Time
+	// within and lateWithin are the parts of these that were of teams within their share.
+	within, lateWithin float64
+	updated            time.Time
 }
 
 // servedFraction is the fraction of the jobs that were dispatched; without any, all
@@ -107,8 +109,8 @@
 }
 
 // expectedWait estimates how long j waits if ahead waiting jobs precede it.
-// Departures that jobs which arrive later take, since they are of a higher rank or
-// can be in time while j cannot, count as lost for j. If all upstreams have limits, the
+// Departures that jobs which arrive later take, since they are of a higher rank, can be
+// in time while j cannot, or are of teams within their share, count as lost for j. If all upstreams have limits, the
 // requests of all entries leave at the sum of these.
 func (s *Scheduler) expectedWait(v *service, j *Job, late bool, ahead int, now time.Time) time.Duration {
 	interval := v.departureInterval
@@ -123,6 +125,7 @@
 			taken += c.share
 		}
 	}
+	taken += v.takenByTeams(j, late)
 	seconds := float64(ahead) * interval / (1 - min(taken, maxTakenShare))
 	return time.Duration(seconds * float64(time.Second))
 }
--- a/internal/forward/schedule/refusal.go
+++ b/internal/forward/schedule/refusal.go
@@ -38,6 +38,7 @@
 // refuse returns the refusal of a job, with the time after which its caller may ask
 // again.
 func (s *Scheduler) refuse(v *service, j *Job, reason string, now time.Time) Action {
+	s.lackTeam(v, j, now)
 	wait := s.expectedWait(v, j, s.late(v, j, now), s.countAhead(v, j, now), now)
 	wait = min(max(wait, minRetryAfter), maxRetryAfter)
 	pause := v.pauseLeft(now)
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -25,6 +25,7 @@
 	"sort"
 	"time"
 
+	"agateward/internal/forward/fairshare"
 	"agateward/ward"
 )
 
@@ -75,6 +76,8 @@
 	statements    map[Identity]*statement
 	lastStatement uint64
 	limits        limits
+	// teams holds what the teams of each rank asked for and were given.
+	teams fairshare.Ledger
 	// lent is the slot that a peer lends while ReceiveGrant fills it.
 	lent Loan
 	// entries holds the sorted names of the live peers and this entry; assignedTo
@@ -170,14 +173,19 @@
 	c := v.rank(j.Rank)
 	c.decay(now)
 	c.arrived++
+	s.askTeam(v, j, now)
+	var displaced *Job
 	if len(v.queue) >= maxQueue {
-		return []Action{s.refuse(v, j, ReasonQueueLong, now)}
+		if displaced = s.displaceable(v, j, now); displaced == nil {
+			return []Action{s.refuse(v, j, ReasonQueueLong, now)}
+		}
 	}
 	if reason := s.rejectReason(v, j, now); reason != "" {
 		return []Action{s.refuse(v, j, reason, now)}
 	}
+	out := s.displace(v, displaced, now)
 	v.insert(j)
-	return s.dispatchService(v, now)
+	return append(out, s.dispatchService(v, now)...)
 }
 
 // Cancel removes a waiting job whose caller has left.
@@ -261,6 +269,7 @@
 		if !j.Resumed && s.late(v, j, now) {
 			// Jobs in time precede it, also those that arrive later, so its wait is
 			// estimated anew.
+			s.lackTeam(v, j, now)
 			j.turnedLate = true
 			if s.waitsTooLong(v, j, len(kept), now) {
 				out = append(out, s.refuse(v, j, v.longWaitReason(now), now))
@@ -298,7 +307,8 @@
 	}
 	u.said.begin(r)
 	s.jobs[j.ID] = r
-	v.recordDeparture(j.Rank, s.late(v, j, now), now)
+	s.giveTeam(v, j, now)
+	v.recordDeparture(j, s.late(v, j, now), now)
 	return a
 }
 
--- /dev/null
+++ b/internal/forward/schedule/teams.go
@@ -0,0 +1,151 @@
+package schedule
+
+import (
+	"slices"
+	"time"
+
+	"agateward/internal/forward/fairshare"
+)
+
+// This file divides the upstreams of a service between the teams of a rank, with
+// Options.FairTeams: the waiting jobs of a team that got more than its share while others
+// lack theirs are ordered as if they were due later. See docs/design/teams.md.
+
+// overDelay is how much later jobs of teams over their share count as due. It covers the
+// age of the peers' states. With 150 ms neighbours of a team that sends 8 times its share to
+// two entries got 0.923 in time, with 300 ms 0.989. With 600 ms, or all jobs of such teams
+// last, they got 0.997, but up to 4.4% less was served in time in all: jobs close to their
+// due time waited for jobs with time left, and entries granted a slot for the same job
+// several times (TestFloodedTeams).
+const overDelay = 300 * time.Millisecond
+
+// orderDue is the due time by which j is ordered among those of its rank.
+func (j *Job) orderDue() time.Time {
+	if j.over {
+		return j.Due.Add(overDelay)
+	}
+	return j.Due
+}
+
+func teamKey(v *service, j *Job) fairshare.Key {
+	return fairshare.Key{Service: v.name, Rank: j.Rank, Team: j.Team}
+}
+
+// engineTime is the time in seconds for which j occupies a slot of a nominal upstream.
+func engineTime(j *Job) float64 { return nominalFirst(j) + nominalRest(j) }
+
+// askTeam records the arrival of j.
+func (s *Scheduler) askTeam(v *service, j *Job, now time.Time) {
+	j.over = false
+	if !s.Options.FairTeams {
+		return
+	}
+	k := teamKey(v, j)
+	s.teams.Ask(k, j.Weight, engineTime(j), now)
+	j.over = s.teams.Over(k, now)
+}
+
+// giveTeam records the dispatch of j.
+func (s *Scheduler) giveTeam(v *service, j *Job, now time.Time) {
+	if s.Options.FairTeams {
+		s.teams.Give(teamKey(v, j), engineTime(j), now)
+	}
+}
+
+// lackTeam records, once for a job, that j is refused or can't be in time any more.
+func (s *Scheduler) lackTeam(v *service, j *Job, now time.Time) {
+	if s.Options.FairTeams && !j.turnedLate {
+		s.teams.Lack(teamKey(v, j), engineTime(j), now)
+	}
+}
+
+// markTeams sets which waiting jobs are of teams over their share.
+func (s *Scheduler) markTeams(v *service, now time.Time) {
+	if !s.Options.FairTeams {
+		return
+	}
+	for _, j := range v.queue {
+		j.over = s.teams.Over(teamKey(v, j), now)
+	}
+}
+
+// recordTeamDeparture records a departure by whether its team is within its share. The
+// shares of the departures decay as those of the ranks.
+func (v *service) recordTeamDeparture(j *Job, late bool) {
+	for _, c := range v.ranks {
+		c.within -= departureWeight * c.within
+		c.lateWithin -= departureWeight * c.lateWithin
+	}
+	switch c := v.rank(j.Rank); {
+	case j.over:
+	case late:
+		c.lateWithin += departureWeight
+	default:
+		c.within += departureWeight
+	}
+}
+
+// takenByTeams is the fraction of the departures that teams within their share take from
+// j, besides those that jobs of its rank in time take from late ones.
+func (v *service) takenByTeams(j *Job, late bool) float64 {
+	switch {
+	case !j.over:
+		return 0
+	case late:
+		return v.rank(j.Rank).lateWithin
+	default:
+		return v.rank(j.Rank).within
+	}
+}
+
+// displaceable returns the waiting job that j displaces from a full queue, nil for none:
+// the last one of the team most over its share, of the rank of j or below, if the team of
+// j is within its own.
+func (s *Scheduler) displaceable(v *service, j *Job, now time.Time) *Job {
+	if j.over {
+		return nil
+	}
+	var last *Job
+	most := 0.0
+	for _, q := range v.queue {
+		if !q.over || q.Resumed || rankLess(q.Rank, j.Rank) {
+			continue
+		}
+		if x := s.teams.Excess(teamKey(v, q), now); x >= most {
+			last, most = q, x
+		}
+	}
+	return last
+}
+
+// displace refuses a waiting job, if it is not nil.
+func (s *Scheduler) displace(v *service, j *Job, now time.Time) []Action {
+	if j == nil {
+		return nil
+	}
+	v.queue = slices.DeleteFunc(v.queue, func(q *Job) bool { return q == j })
+	return []Action{s.refuse(v, j, ReasonQueueLong, now)}
+}
+
+// reportTeams adds the sums of this entry's teams to its state.
+func (s *Scheduler) reportTeams(state *PeerState, now time.Time) {
+	if s.Options.FairTeams {
+		state.Teams = s.teams.Rows(now)
+	}
+}
+
+// hearTeams records the sums of a peer's teams.
+func (s *Scheduler) hearTeams(name string, state PeerState, now time.Time) {
+	if s.Options.FairTeams {
+		s.teams.UpdatePeer(name, state.Teams, now)
+	}
+}
+
+// TeamChanges returns the teams that are over their share, or within it again, since the
+// last call.
+func (s *Scheduler) TeamChanges(now time.Time) []fairshare.Change {
+	if !s.Options.FairTeams {
+		return nil
+	}
+	return s.teams.Changes(now)
+}
