feat(gate,fairshare): team-share event, gauges; properties of shares and decisions

Cause: operators have to see which team is over its share, and decisions without one have to be those without the option.

A team that is alone in its rank is not over its share any more: the property test found one that stayed over after its neighbours' sums had gone.

--- a/internal/forward/fairshare/level.go
+++ b/internal/forward/fairshare/level.go
@@ -38,8 +38,8 @@
 // Change is a change of the state of a team. The sums are decayed seconds of a slot.
 type Change struct {
 	Key
-	Over                bool
-	Asked, Given, Share float64
+	Over                        bool
+	Asked, Given, Lacked, Share float64
 	// Peers is the number of peers whose sums count.
 	Peers int
 }
@@ -61,14 +61,19 @@
 	return t != nil && t.over
 }
 
+// AnyOver reports whether any team is over its share.
+func (l *Ledger) AnyOver(now time.Time) bool {
+	l.compute(now)
+	return l.anyOver
+}
+
 // Excess is the given engine time of a team as a multiple of its share if it is over it,
 // else 0.
 func (l *Ledger) Excess(k Key, now time.Time) float64 {
 	if !l.Over(k, now) {
 		return 0
 	}
-	t := l.states[k]
-	return t.given / max(t.share, minExcess)
+	return l.states[k].use()
 }
 
 // compute determines the states of all teams, at most every levelInterval.
@@ -150,9 +155,12 @@
 	}
 	fill(teams, given)
 	for _, t := range teams {
-		if t.over {
+		switch {
+		case len(teams) == 1:
+			t.over = false
+		case t.over:
 			t.over = lacked > calm*given && t.given > lowUse*t.share
-		} else {
+		default:
 			t.over = lacked > overload*given && t.given > t.share+minExcess
 		}
 		if t.over {
@@ -185,12 +193,38 @@
 		over := t.over || t.reported && now.Sub(t.overAt) < withinTime
 		if over != t.reported {
 			t.reported = over
-			list = append(list, Change{Key: k, Over: over, Asked: t.asked, Given: t.given, Share: t.share, Peers: len(l.peers)})
+			list = append(list, Change{Key: k, Over: over, Asked: t.asked, Given: t.given, Lacked: t.lacked, Share: t.share, Peers: len(l.peers)})
 		}
 	}
 	return list
 }
 
+// Teams returns the teams that are known, in order.
+func (l *Ledger) Teams() []string {
+	var list []string
+	for k := range l.states {
+		list = append(list, k.Team)
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
+// Use returns what a team was given as a multiple of its share, the highest of all services
+// and ranks, 0 for an unknown team.
+func (l *Ledger) Use(team string, now time.Time) float64 {
+	l.compute(now)
+	use := 0.0
+	for k, t := range l.states {
+		if k.Team == team {
+			use = max(use, t.use())
+		}
+	}
+	return use
+}
+
+// use is the given engine time as a multiple of the share.
+func (t *state) use() float64 { return t.given / max(t.share, minExcess) }
+
 // keys returns the keys of the teams in order.
 func (l *Ledger) keys() []Key {
 	return slices.SortedFunc(maps.Keys(l.states), func(a, b Key) int {
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -97,6 +97,8 @@
 	lastID            uint64
 	// loggedFaults holds the upstreams and fields of which an invalid value was logged.
 	loggedFaults map[loggedFault]bool
+	// teams holds the teams that have a gauge.
+	teams []string
 
 	// shutdown is set while the entry stops.
 	shutdown atomic.Pointer[shutdown.Shutdown]
@@ -219,6 +221,7 @@
 	m.QuotaLevels = g.ledger.Levels(now)
 	m.Limits = g.sched.LimitNews(now)
 	g.reportLinks(m, now)
+	g.noteTeams(now)
 }
 
 // SetEntries sets the number of entries that share quotas and budgets.
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -93,6 +93,16 @@
 	}
 }
 
+// teamOver counts that a team is over its share.
+func (m *Metrics) teamOver() { m.count("agateward_forward_teams_over_total") }
+
+// teamUse registers the use of a team as a multiple of its share.
+func (m *Metrics) teamUse(team string, use func() float64) {
+	if m != nil {
+		m.Set.GetOrCreateGauge(fmt.Sprintf("agateward_forward_team_use{team=%q}", team), use)
+	}
+}
+
 // linksLost counts that this entry lost its links to all upstreams, linksRegained that it
 // has them again.
 func (m *Metrics) linksLost() { m.count("agateward_forward_upstreams_lost_total") }
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -117,6 +117,8 @@
 	frozen map[int]time.Time
 	// cells holds the cell of each entry, nil if all entries exchange their state.
 	cells []string
+	// decided is called with the decisions of an entry, unless it is nil.
+	decided func(i int, actions []Action)
 }
 
 // message delivers a message between two entries.
@@ -235,6 +237,9 @@
 }
 
 func (sim *simulation) execute(i int, actions []Action) {
+	if sim.decided != nil {
+		sim.decided(i, actions)
+	}
 	for _, a := range actions {
 		switch {
 		case a.GrantTo != "":
--- a/internal/forward/schedule/teams.go
+++ b/internal/forward/schedule/teams.go
@@ -64,8 +64,9 @@
 	if !s.Options.FairTeams {
 		return
 	}
+	over := s.teams.AnyOver(now)
 	for _, j := range v.queue {
-		j.over = s.teams.Over(teamKey(v, j), now)
+		j.over = over && s.teams.Over(teamKey(v, j), now)
 	}
 }
 
@@ -149,3 +150,15 @@
 	}
 	return s.teams.Changes(now)
 }
+
+// Teams returns the teams that asked for something lately, in order.
+func (s *Scheduler) Teams() []string {
+	if !s.Options.FairTeams {
+		return nil
+	}
+	return s.teams.Teams()
+}
+
+// TeamUse returns what a team was given as a multiple of its share, the highest of all
+// services and ranks.
+func (s *Scheduler) TeamUse(team string, now time.Time) float64 { return s.teams.Use(team, now) }
