--- a/internal/forward/schedule/borrow.go
+++ b/internal/forward/schedule/borrow.go
@@ -173,7 +173,7 @@
 				continue
 			}
 			d := s.demandOf(v, j, now)
-			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late {
+			if n := len(list); n > 0 && list[n-1].like(d) {
 				list[n-1].Count++
 				list[n-1].Slack = min(list[n-1].Slack, d.Slack)
 				continue
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -6,7 +6,7 @@
 )
 
 // Demand summarizes the waiting requests of one entry for a service at one rank that
-// can still be in time, or that cannot.
+// can still be in time, or that cannot, and whose teams are within their share, or over it.
 type Demand struct {
 	Service string `msgpack:"s"`
 	Rank    [2]int `msgpack:"r"`
@@ -15,12 +15,20 @@
 	Slack time.Duration `msgpack:"l"`
 	// Late is true if none of them can be in time.
 	Late bool `msgpack:"e,omitempty"`
+	// Over is true if all are of teams over their share. Their Slack counts from the due
+	// time that orders them.
+	Over bool `msgpack:"o,omitempty"`
 
 	// first is true for returns, which precede the others of their rank. It is not sent:
 	// their slack says it.
 	first bool
 }
 
+// like reports whether d and o are summed up in one row.
+func (d Demand) like(o Demand) bool {
+	return d.Service == o.Service && d.Rank == o.Rank && d.Late == o.Late && d.Over == o.Over && d.first == o.first
+}
+
 const (
 	// slackMargin is how much less slack a peer's request must have than an own one of
 	// the same rank to get the slot. It covers the age of the peer's state.
@@ -88,13 +96,13 @@
 // demand returns the demand of this entry's waiting jobs.
 func (s *Scheduler) demand(now time.Time) []Demand {
 	var list []Demand
-	for name, v := range s.services {
+	for _, v := range s.services {
 		if v.pauseLeft(now) > 0 {
 			continue // a granted slot could not be used
 		}
 		for _, j := range v.queue {
 			d := s.demandOf(v, j, now)
-			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late && list[n-1].first == d.first {
+			if n := len(list); n > 0 && list[n-1].like(d) {
 				list[n-1].Count++
 				list[n-1].Slack = min(list[n-1].Slack, d.Slack)
 				continue
@@ -108,12 +116,12 @@
 // demandOf returns the demand of one job. A raised job precedes the others of its
 // effective rank; a return precedes those that are in time as it is, or late as it is.
 func (s *Scheduler) demandOf(v *service, j *Job, now time.Time) Demand {
-	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.Due.Sub(now), Late: s.late(v, j, now)}
+	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.orderDue().Sub(now), Late: s.late(v, j, now), Over: j.over}
 	if j.Returned {
 		d.Slack, d.first = min(d.Slack, 0), true
 	}
 	if j.raised {
-		d.Slack, d.Late = min(d.Slack, 0), false
+		d.Slack, d.Late, d.Over = min(d.Slack, 0), false, false
 	}
 	return d
 }
