--- a/internal/config/forwarding/forwarding.go
+++ b/internal/config/forwarding/forwarding.go
@@ -93,6 +93,9 @@
 	PreferReturns bool `json:"prefer-returns"`
 	// LendSlots lets entries of different cells lend each other slots of upstreams.
 	LendSlots bool `json:"lend-slots"`
+	// ProtectStreams keeps long prompts from engines where they would interrupt streams for
+	// longer than the callers' routes accept.
+	ProtectStreams bool `json:"protect-streams"`
 	// LearnConcurrency learns how many requests each upstream takes well.
 	LearnConcurrency bool `json:"learn-concurrency"`
 }
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -160,6 +160,7 @@
 			j.Output = hint
 		}
 		j.Output = max(j.Output, 1)
+		j.MaxGap, j.Stride = c.route.MaxGap.Std(), c.table.Stride(c.service)
 	}
 	c.markReturn(j)
 	if s := c.gate.shutdown.Load(); s != nil {
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -36,7 +36,8 @@
 func (c *call) relayStream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	events := sse.Reader{R: x.Body, Max: maxEvent}
 	progress := streamProgress{last: math.MinInt64, forward: c.noteProgress}
-	var streamStart time.Time
+	var streamStart, last time.Time
+	var longest time.Duration
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -45,9 +46,14 @@
 		if err != nil {
 			return c.handleTruncated(ctx, a, err)
 		}
+		arrived := time.Now()
+		if c.events > 0 {
+			longest = max(longest, arrived.Sub(last))
+		}
+		last = arrived
 		if c.events == 0 {
 			c.recordFirst(a)
-			streamStart = time.Now()
+			streamStart = arrived
 		} else if c.events%4 == 0 {
 			c.gate.mu.Lock()
 			c.gate.sched.Progress(a.Job.ID, time.Now())
@@ -72,7 +78,7 @@
 	c.recordPace(a, c.events, time.Since(streamStart))
 	c.finishAttempt(a, schedule.OutcomeOK)
 	c.startAnswer(x)
-	c.log.Info("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "events", c.events, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.log.Info("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "events", c.events, "last-event", c.lastEvent, "first", streamStart.Sub(c.arrived), "longest-gap", longest, "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, x.Status, time.Since(c.arrived))
 	return true
 }
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -137,7 +137,7 @@
 		Slack: quotaSlackFraction * s.Quotas.Slack, StartFull: s.FirstStart,
 	}, Memory: int64(s.Limits.Memory) << 20, Scheduling: schedule.Options{
 		FairTeams: s.Scheduling.FairTeams, PreferReturns: s.Scheduling.PreferReturns, LendSlots: s.Scheduling.LendSlots,
-		LearnConcurrency: s.Scheduling.LearnConcurrency, Regions: s.Regions,
+		ProtectStreams: s.Scheduling.ProtectStreams, LearnConcurrency: s.Scheduling.LearnConcurrency, Regions: s.Regions,
 	}}
 }
 
--- a/internal/forward/schedule/choose.go
+++ b/internal/forward/schedule/choose.go
@@ -50,6 +50,9 @@
 	if late && !now.Add(s.minTimeToFirst(v, j, now)).After(j.Due) {
 		return nil
 	}
+	if s.waitsForOthers(v, best, j, now) {
+		return nil
+	}
 	if s.missesDeadline(best, j, now) && s.canMeetDeadline(v, j, now) {
 		return nil
 	}
@@ -123,6 +126,9 @@
 	if now.Add(u.timeToFirst(j)).After(j.Due) {
 		cost += lateCost
 	}
+	if s.interrupts(u, j) {
+		cost += interruptCost * float64(u.load())
+	}
 	if !j.Deadline.IsZero() && now.Add(u.timeToLast(j)).After(j.Deadline) {
 		cost += deadlineCost
 	}
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -34,6 +34,10 @@
 	// Prompt and Output are the sizes in tokens, 0 for plain requests.
 	Prompt int
 	Output int
+	// MaxGap is the longest pause between two events that the caller accepts, 0 for no bound.
+	// Stride is the number of tokens in an event, 0 if it is not known.
+	MaxGap time.Duration
+	Stride int
 	// Repeatable jobs may be used to probe an upstream that failed.
 	Repeatable bool
 	// Avoid lists the upstreams that the request was already sent to.
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -41,6 +41,9 @@
 	LendSlots bool
 	// LearnConcurrency learns how many requests each upstream takes well.
 	LearnConcurrency bool
+	// ProtectStreams keeps long prompts from engines where they would interrupt streams for
+	// longer than callers accept.
+	ProtectStreams bool
 	// Regions holds the region of each data centre. One that is not listed is a region of
 	// its own.
 	Regions map[string]string
@@ -283,7 +286,7 @@
 			out = append(out, s.refuse(v, j, s.expiryReason(v, now), now))
 			continue
 		}
-		if !j.Resumed && !j.Returned && s.late(v, j, now) {
+		if !j.Resumed && s.late(v, j, now) {
 			// Jobs in time precede it, also those that arrive later, so its wait is
 			// estimated anew.
 			s.lackTeam(v, j, now)
