test(schedule): cold upstreams; slots of an earlier process are no permits

Cause: TestColdProperties found that a slot freed by a request to the process before, or granted by an entry that does not know yet that the upstream is cold, counted as a permit at the receiver (12 requests in a second where 11 are allowed).

Change: grants of slots of cold upstreams say that they are permits (peerstate field gp); others are none. A slot of an earlier process is not granted while the present one is paced.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -208,10 +208,14 @@
 }
 
 // ReceiveGrant accepts a slot that a peer grants.
-func (g *Gate) ReceiveGrant(peer, upstream string, sequence uint64, used bool) {
+func (g *Gate) ReceiveGrant(m peerstate.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.apply(g.sched.ReceiveGrant(peer, upstream, sequence, used, time.Now()))
+	receive := g.sched.ReceiveGrant
+	if m.GrantPermit {
+		receive = g.sched.ReceivePermit
+	}
+	g.apply(receive(m.Name, m.Grant, m.GrantSequence, m.GrantUsed, time.Now()))
 }
 
 // Report fills in the peer state of the scheduler and the quotas.
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -105,7 +105,7 @@
 	if to == "" || n.peerConn == nil {
 		return
 	}
-	m := peerstate.Message{Name: n.settings.Name, Listen: n.peerAddress(), Grant: a.Upstream.ID, GrantSequence: a.Sequence, GrantUsed: a.Used}
+	m := peerstate.Message{Name: n.settings.Name, Listen: n.peerAddress(), Grant: a.Upstream.ID, GrantSequence: a.Sequence, GrantUsed: a.Used, GrantPermit: a.Permit}
 	b, err := m.Encode()
 	if err != nil {
 		n.log.Error(err, "slot-not-yielded", "peer", a.GrantTo)
@@ -156,7 +156,7 @@
 			continue
 		}
 		if m.Grant != "" && n.isMember(m.Name) {
-			n.gate.ReceiveGrant(m.Name, m.Grant, m.GrantSequence, m.GrantUsed)
+			n.gate.ReceiveGrant(m)
 		}
 		if m.Moves != nil && n.isMember(m.Name) {
 			n.rollout.UpdatePeer(*m.Moves)
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -51,6 +51,8 @@
 	GrantSequence uint64 `msgpack:"h,omitempty"`
 	// GrantUsed reports whether a request of the sender used the slot until now.
 	GrantUsed bool `msgpack:"w,omitempty"`
+	// GrantPermit reports whether the slot is a permit for one request to a cold upstream.
+	GrantPermit bool `msgpack:"gp,omitempty"`
 	// Quota is the use of quotas that the sender admitted since its start, by team.
 	Quota map[string]float64 `msgpack:"t,omitempty"`
 	// QuotaLevels is what is left in the sender's buckets, by team. It is sent while a
--- a/internal/forward/schedule/brittle_test.go
+++ b/internal/forward/schedule/brittle_test.go
@@ -107,3 +107,28 @@
 		}
 	}
 }
+
+// write runs send when the request of a dispatch reaches its engine. An entry that has to
+// wait before it writes checks whether it still may.
+func (sim *simulation) write(i int, a Action, send func(now time.Time)) {
+	if sim.writeDelay == nil {
+		sim.after(hopDelay, send)
+		return
+	}
+	s := sim.entries[i]
+	sim.after(sim.writeDelay(), func(time.Time) {
+		sim.whenAwake(i, func(now time.Time) {
+			switch {
+			case sim.entries[i] != s: // the process has ended
+			case s.MaySend(a.Job.ID, now):
+				sim.after(hopDelay, send)
+			default:
+				sim.execute(i, s.Done(a.Job.ID, OutcomeNeutral, now))
+				j := *a.Job
+				sim.ids++
+				j.ID = sim.ids
+				sim.execute(i, s.Arrive(&j, now))
+			}
+		})
+	})
+}
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -37,8 +37,10 @@
 type engine struct {
 	slowdown float64
 	// limit returns the limit that an answer states; nil states none.
-	limit    func(now time.Time) ward.RateLimit
-	brittle  *brittle
+	limit   func(now time.Time) ward.RateLimit
+	brittle *brittle
+	// down is until when nobody listens there.
+	down     time.Time
 	arrivals []arrival
 	running  int
 	waiting  []func(now time.Time)
@@ -85,6 +87,8 @@
 	frozen map[int]time.Time
 	// cells holds the cell of each entry, nil if all entries exchange their state.
 	cells []string
+	// writeDelay is the time from a dispatch until its request is written, nil for none.
+	writeDelay func() time.Duration
 }
 
 // message delivers a message between two entries.
@@ -209,7 +213,13 @@
 			for k, s := range sim.entries {
 				if s.Name == a.GrantTo {
 					from, id, n, used := sim.entries[i].Name, a.Upstream.ID, a.Sequence, a.Used
-					sim.message(i, k, func(now time.Time) { sim.execute(k, sim.entries[k].ReceiveGrant(from, id, n, used, now)) })
+					sim.message(i, k, func(now time.Time) {
+						receive := sim.entries[k].ReceiveGrant
+						if a.Permit {
+							receive = sim.entries[k].ReceivePermit
+						}
+						sim.execute(k, receive(from, id, n, used, now))
+					})
 				}
 			}
 		case a.Upstream == nil:
@@ -257,7 +267,11 @@
 			})
 		})
 	}
-	sim.after(hopDelay, func(now time.Time) {
+	sim.write(i, a, func(now time.Time) {
+		if now.Before(e.down) {
+			sim.after(hopDelay, func(time.Time) { sim.rejected(i, a, OutcomeUnreachable) })
+			return
+		}
 		e.arrivals = append(e.arrivals, arrival{now, i})
 		if b := e.brittle; b != nil && now.Before(b.down) {
 			sim.after(hopDelay, func(time.Time) { sim.rejected(i, a, OutcomeUnreachable) })
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -50,9 +50,10 @@
 		p.loans = append(p.loans, p.grants[len(p.grants)-1])
 		u.lent++
 	}
+	permit := u.isCold(now)
 	u.takeLimit(now)
 	slot := u.Replica
-	return Action{Upstream: &slot, GrantTo: to, Sequence: p.sequence}
+	return Action{Upstream: &slot, GrantTo: to, Sequence: p.sequence, Permit: permit}
 }
 
 // countGrants counts the slots that were granted to and by a peer and that the
@@ -159,6 +160,9 @@
 // mayGrant reports whether a slot that a request of this entry has freed may be granted.
 // The registration of u may have been replaced since the request was sent.
 func (s *Scheduler) mayGrant(u *upstream, now time.Time) bool {
+	if next := s.byID[u.ID]; next != nil && next != u && next.paced(now) {
+		return false // a slot of the process before is no permit of the present one
+	}
 	if u.Draining || s.statements[IdentityOf(&u.Replica)].wantsNone(now) || u.held || !u.limitAllows(now) {
 		return false
 	}
@@ -190,15 +194,31 @@
 	return demandLess(&theirs, &mine)
 }
 
+// ReceivePermit accepts a slot like ReceiveGrant, of an upstream that is cold as far as the
+// peer knows.
+func (s *Scheduler) ReceivePermit(from, id string, sequence uint64, used bool, now time.Time) []Action {
+	if u := s.byID[id]; u != nil && u.isCold(now) && !s.received(from, sequence) {
+		u.said.limit.Grant(now)
+	}
+	return s.ReceiveGrant(from, id, sequence, used, now)
+}
+
+// received reports whether a peer's slot with the given number was received before.
+func (s *Scheduler) received(from string, sequence uint64) bool {
+	p := s.peers[from]
+	return p != nil && slices.Contains(p.received[:], sequence)
+}
+
 // ReceiveGrant accepts a slot of an upstream that a peer grants. used is true when a
-// request of the peer occupied it until now, which the peer's last state still shows.
+// request of the peer occupied it until now, which the peer's last state still shows. It is
+// no permit to send to a cold upstream: the peer does not know that it is cold.
 func (s *Scheduler) ReceiveGrant(from, id string, sequence uint64, used bool, now time.Time) []Action {
 	s.init()
 	p := s.peer(from)
 	if p.lastUpdate.IsZero() {
 		p.lastUpdate = now
 	}
-	repeated := slices.Contains(p.received[:], sequence)
+	repeated := s.received(from, sequence)
 	p.received[p.nextReceived%len(p.received)] = sequence
 	p.nextReceived++
 	p.lastReceived = max(p.lastReceived, sequence)
@@ -210,7 +230,7 @@
 	if u == nil {
 		return nil
 	}
-	if u.paced(now) && !repeated {
+	if u.limited() && !u.isCold(now) && !repeated {
 		u.said.limit.Grant(now)
 	}
 	s.lent = Loan{from, sequence}
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -58,6 +58,9 @@
 	// this entry occupied the slot until now.
 	Sequence uint64
 	Used     bool
+	// Permit is true for the slot of a cold upstream: the receiver may send one request
+	// there.
+	Permit bool
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
 	// RetryAfter and Reason are set for a refusal.
--- a/internal/forward/schedule/limit_property_test.go
+++ b/internal/forward/schedule/limit_property_test.go
@@ -118,7 +118,25 @@
 	for i := range p.limits {
 		sim.engines[engineName(i)].limit = p.limit(i)
 	}
-	sim.deliver = func(from, to int) []time.Duration {
+	sim.deliver = p.deliver(sim, r)
+	for _, d := range p.disturbances {
+		sim.after(d.at, func(now time.Time) {
+			switch d.kind {
+			case freeze:
+				sim.frozen[d.entry] = now.Add(d.span)
+			case restart:
+				sim.restart(d.entry, p.seed+uint64(d.at))
+			}
+		})
+	}
+	sim.load(p.rate, 0, limitRun)
+	return sim
+}
+
+// deliver returns how messages between entries are lost, late, doubled, or stopped by a
+// partition.
+func (p limitPlan) deliver(sim *simulation, r *rand.Rand) func(from, to int) []time.Duration {
+	return func(from, to int) []time.Duration {
 		for _, d := range p.disturbances {
 			at := sim.now.Sub(start)
 			if d.kind == partition && at >= d.at && at < d.at+d.span && (from <= d.entry) != (to <= d.entry) {
@@ -134,18 +152,6 @@
 		}
 		return list
 	}
-	for _, d := range p.disturbances {
-		sim.after(d.at, func(now time.Time) {
-			switch d.kind {
-			case freeze:
-				sim.frozen[d.entry] = now.Add(d.span)
-			case restart:
-				sim.restart(d.entry, p.seed+uint64(d.at))
-			}
-		})
-	}
-	sim.load(p.rate, 0, limitRun)
-	return sim
 }
 
 func engineName(i int) string { return fmt.Sprintf("engine-%02d", i) }
