--- a/internal/forward/limit/limit_test.go
+++ b/internal/forward/limit/limit_test.go
@@ -51,3 +51,52 @@
 		})
 	}
 }
+
+// TestCold guards against a cold process that gets the requests saved before it turned cold,
+// more than the lower of its two parts, or requests of an entry without a part; and against
+// one that stays paced when it is warm.
+func TestCold(t *testing.T) {
+	tests := []struct {
+		name        string
+		named, part float64 // a limit that the process named, and this entry's part
+		coldPart    float64
+		cold, warm  int // requests sent in 3 s while cold and in 1 s after it, of 100 a second
+	}{
+		{"cold alone", 0, 0, 2, 5, 100},
+		{"without a part", 0, 0, 0, 0, 100},
+		{"a lower limit", 4, 1, 2, 2, 1},
+		{"a higher limit", 40, 20, 2, 5, 20},
+		{"no part of the limit", 4, 0, 2, 0, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var l Limit
+			now := time.Unix(1000, 0)
+			if tt.named > 0 {
+				l.Merge(State{Version: 1, Limited: true, PerSecond: tt.named}, now)
+				l.SetPart(tt.part, now)
+				now = now.Add(10 * time.Second) // saves a request
+			}
+			l.SetColdPart(tt.coldPart, now)
+			if !l.Cool(now.Add(3*time.Second), now) || l.Cool(now.Add(time.Second), now) {
+				t.Error("it turns cold once")
+			}
+			send := func(n int) int {
+				sent := 0
+				for range n {
+					if l.Take(now) {
+						sent++
+					}
+					now = now.Add(10 * time.Millisecond)
+				}
+				return sent
+			}
+			if got := send(300); got != tt.cold {
+				t.Errorf("%d requests in 3 s while cold, want %d", got, tt.cold)
+			}
+			if got := send(100); got < tt.warm-1 || got > tt.warm+1 {
+				t.Errorf("%d requests in the second after it, want %d", got, tt.warm)
+			}
+		})
+	}
+}
--- a/internal/forward/replicas/replicas_test.go
+++ b/internal/forward/replicas/replicas_test.go
@@ -162,3 +162,38 @@
 		t.Error("a registration of the present era is not believed")
 	}
 }
+
+// TestColdRegistrations guards against renewed registrations that count as changes while
+// their remaining time counts down, and against one that forgets a cold upstream.
+func TestColdRegistrations(t *testing.T) {
+	cold := func(ms int) ward.Replica {
+		r := replica("a")
+		r.ColdFor = time.Duration(ms) * time.Millisecond
+		return r
+	}
+	tests := []struct {
+		name     string
+		after    time.Duration
+		ms       int
+		revision uint64
+		changed  bool
+		left     time.Duration
+	}{
+		{"first", 0, 3000, 1, true, 3 * time.Second},
+		{"renewed on time", 1200 * time.Millisecond, 1800, 2, false, 1800 * time.Millisecond},
+		{"the same from a peer, late", 1500 * time.Millisecond, 1800, 2, false, 1500 * time.Millisecond},
+		{"cold again", 2400 * time.Millisecond, 3000, 3, true, 3 * time.Second},
+		{"warm", 5400 * time.Millisecond, 0, 4, false, 0},
+		{"renewed while warm", 7 * time.Second, 0, 5, false, 0},
+	}
+	var s Set
+	for _, tt := range tests {
+		now := start.Add(tt.after)
+		if got := s.Put(cold(tt.ms), tt.revision, now); got != tt.changed {
+			t.Errorf("%s: changed %t, want %t", tt.name, got, tt.changed)
+		}
+		if got := s.All(now)[0].ColdFor; got != tt.left {
+			t.Errorf("%s: cold for %v, want %v", tt.name, got, tt.left)
+		}
+	}
+}
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -218,6 +218,7 @@
 // revision.
 func (v *View) usable(r ward.Registration) bool {
 	if r.Fault == "" {
+		v.logNote(r)
 		return true
 	}
 	if v.loggedFaults == nil {
@@ -229,3 +230,18 @@
 	}
 	return false
 }
+
+// maxNotes bounds the upstreams whose notes are kept.
+const maxNotes = 4096
+
+// logNote logs the note on a registration once. Registrations are renewed every second.
+func (v *View) logNote(r ward.Registration) {
+	if r.Note == "" || v.loggedNotes[r.Replica.ID] == r.Note {
+		return
+	}
+	if v.loggedNotes == nil || len(v.loggedNotes) >= maxNotes {
+		v.loggedNotes = make(map[string]string)
+	}
+	v.loggedNotes[r.Replica.ID] = r.Note
+	v.Log.Info("registration-value-replaced", "upstream", r.Replica.ID, "revision", ward.RevisionText(r.Revision), "value", r.Note)
+}
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -89,7 +89,9 @@
 	// revision is the newest revision of the store that this entry or a peer has seen.
 	revision     uint64
 	loggedFaults map[string]uint64
-	down         map[string]bool
+	// loggedNotes holds the notes on registrations that were logged, by upstream.
+	loggedNotes map[string]string
+	down        map[string]bool
 	// rollouts are the writes of orders by service.
 	rollouts    map[string]*orderlog.Log
 	evacuations evacuation.Set
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -260,6 +260,9 @@
 	// Fault is the reason why a registration cannot be used; only the ID is known
 	// then.
 	Fault string
+	// Note names a value of a usable registration that is read as another one, "" for
+	// none.
+	Note string
 }
 
 // Orders holds the configuration, the roll-outs and the evacuations that the operator has
