feat(schedule,gate,platform): requests stay in their homes

Change: a job carries the regions that its route and team allow (both bind). Choice, estimates, demand, grants and the entries to which a request is relayed keep to them; an entry of a cell without upstreams there uses a share of those elsewhere.

Not run under faults or load.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -134,7 +134,7 @@
 func (c *call) newJob(group string, avoid []string, started bool) *schedule.Job {
 	target := c.target()
 	j := &schedule.Job{
-		Request: c.head.ID, Service: group, Route: c.route.Name, Rank: [2]int{0, c.route.Rank},
+		Request: c.head.ID, Service: group, Route: c.route.Name, Homes: c.homes(), Rank: [2]int{0, c.route.Rank},
 		Arrived: c.arrived, Due: c.arrived.Add(target), Expires: c.deadline, Deadline: c.deadline,
 		Repeatable: c.route.Repeatable(), Avoid: avoid, Resumed: started,
 	}
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -95,6 +95,8 @@
 	lastHeard, lostAt time.Time
 	waiters           map[uint64]*waiter
 	lastID            uint64
+	// homesVersion is the configuration whose homes were checked.
+	homesVersion uint64
 	// loggedFaults holds the upstreams and fields of which an invalid value was logged.
 	loggedFaults map[loggedFault]bool
 
@@ -187,6 +189,7 @@
 		inUse[r.Address] = true
 	}
 	g.Pool.Retain(inUse)
+	g.logHomes(table, list)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.apply(g.sched.SetUpstreams(list, time.Now()))
--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,16 +39,22 @@
 	// Entries returns the addresses at which the other entries of the fleet take relayed
 	// requests. It must not block.
 	Entries func() []string
+	// DataCentre returns the data centre of the entry with an address, "" if it is not
+	// known. It must not block.
+	DataCentre func(address string) string
 }
 
 // relayTargets returns addresses of entries that may reach upstreams, in random order:
 // those that heard some, or else any.
-func (g *Gate) relayTargets() []string {
+// Entries to which the body may not go are left out.
+func (c *call) relayTargets() []string {
+	g := c.gate
 	g.mu.Lock()
 	list := g.links.Connected(time.Now())
 	g.mu.Unlock()
-	if len(list) == 0 {
-		list = g.Relay.Entries()
+	forbidden := func(address string) bool { return !c.mayRelayTo(address) }
+	if list = slices.DeleteFunc(list, forbidden); len(list) == 0 {
+		list = slices.DeleteFunc(g.Relay.Entries(), forbidden)
 	}
 	rand.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
 	return list[:min(len(list), maxRelays)]
@@ -60,7 +67,7 @@
 		return false
 	}
 	c.relayed = true
-	for _, address := range c.gate.relayTargets() {
+	for _, address := range c.relayTargets() {
 		if c.relayTo(ctx, address) {
 			return true
 		}
--- a/internal/forward/node/relay.go
+++ b/internal/forward/node/relay.go
@@ -12,7 +12,15 @@
 
 // newRelay returns the connections over which requests go to other entries.
 func (n *Node) newRelay() *gate.Relay {
-	return &gate.Relay{Pool: &backend.Pool{Dial: n.dialPeer}, Entries: n.fleetAddresses}
+	return &gate.Relay{Pool: &backend.Pool{Dial: n.dialPeer}, Entries: n.fleetAddresses, DataCentre: n.dataCentreOf}
+}
+
+// dataCentreOf returns the data centre of the entry with an address by the store's list of
+// entries, "" if it is not listed.
+func (n *Node) dataCentreOf(address string) string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cell.DataCentres[address]
 }
 
 // dialPeer opens a connection to another entry from the address by which that entry knows
--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -27,6 +27,8 @@
 	Members []ward.ForwardEntry
 	// Addresses are those of all other entries of the fleet, Names the sorted names of all.
 	Addresses, Names []string
+	// DataCentres holds the data centre of each entry by its address.
+	DataCentres map[string]string
 	// FleetSize is the number of all entries, FleetIndex the index of this one
 	// among them by name, from 0.
 	FleetSize, FleetIndex int
@@ -41,11 +43,12 @@
 			list = append(list, e)
 		}
 	}
-	c := Cell{FleetSize: len(list)}
+	c := Cell{FleetSize: len(list), DataCentres: make(map[string]string, len(list))}
 	for _, e := range list[1:] {
 		c.Addresses = append(c.Addresses, e.Listen)
 	}
 	for _, e := range list {
+		c.DataCentres[e.Listen] = e.DataCentre
 		c.Names = append(c.Names, e.Name)
 		if e.Name < self.Name {
 			c.FleetIndex++
--- a/internal/forward/schedule/choose.go
+++ b/internal/forward/schedule/choose.go
@@ -28,7 +28,7 @@
 	// Without an upstream that answers, a job of any kind would wait in vain.
 	probe := j.Repeatable || v.unreachable(now)
 	avoided := false
-	for _, u := range v.upstreams {
+	for _, u := range s.upstreamsFor(v, j) {
 		avoided = avoided || !u.limitAllows(now)
 		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(probe, now) {
 			continue
@@ -67,7 +67,7 @@
 	if j.EndBy.IsZero() || j.Resumed {
 		return false
 	}
-	for _, u := range v.upstreams {
+	for _, u := range s.upstreamsFor(v, j) {
 		if u.available(now) && !now.Add(u.timeToLast(j)).After(j.EndBy) {
 			return false
 		}
@@ -78,7 +78,7 @@
 // canMeetDeadline reports whether any upstream of the service is expected to end j
 // before its deadline.
 func (s *Scheduler) canMeetDeadline(v *service, j *Job, now time.Time) bool {
-	for _, u := range v.upstreams {
+	for _, u := range s.upstreamsFor(v, j) {
 		if u.available(now) && !s.missesDeadline(u, j, now) {
 			return true
 		}
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -15,6 +15,8 @@
 	Slack time.Duration `msgpack:"l"`
 	// Late is true if none of them can be in time.
 	Late bool `msgpack:"e,omitempty"`
+	// Homes are the regions of whose upstreams a slot is of use, nil for all.
+	Homes []string `msgpack:"h,omitempty"`
 }
 
 const (
@@ -91,7 +93,7 @@
 		}
 		for _, j := range v.queue {
 			d := s.demandOf(v, j, now)
-			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late {
+			if n := len(list); n > 0 && list[n-1].Service == name && list[n-1].Rank == d.Rank && list[n-1].Late == d.Late && slices.Equal(list[n-1].Homes, d.Homes) {
 				list[n-1].Count++
 				list[n-1].Slack = min(list[n-1].Slack, d.Slack)
 				continue
@@ -105,7 +107,7 @@
 // demandOf returns the demand of one job. A raised job precedes the others of its
 // effective rank.
 func (s *Scheduler) demandOf(v *service, j *Job, now time.Time) Demand {
-	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.Due.Sub(now), Late: s.late(v, j, now)}
+	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.Due.Sub(now), Late: s.late(v, j, now), Homes: j.Homes}
 	if j.raised {
 		d.Slack, d.Late = min(d.Slack, 0), false
 	}
@@ -124,12 +126,14 @@
 // grantFirst grants a slot of u to the peer whose waiting request precedes those of the
 // other peers, if it precedes the own ones.
 func (s *Scheduler) grantFirst(v *service, u *upstream, now time.Time) (Action, bool) {
-	if !s.mayGrant(u, now) || v.keepsForTrial(u, now) {
+	// Peers of this cell don't use an upstream that only requests with homes elsewhere do.
+	elsewhere := s.Cells > 0 && s.byID[u.ID] == u && !slices.Contains(v.upstreams, u)
+	if elsewhere || !s.mayGrant(u, now) || v.keepsForTrial(u, now) {
 		return Action{}, false
 	}
 	var own *Job
 	for _, j := range v.queue {
-		if !slices.Contains(j.Avoid, u.ID) {
+		if !slices.Contains(j.Avoid, u.ID) && s.Options.InHomes(j.Homes, u.DataCentre) {
 			own = j
 			break
 		}
@@ -142,7 +146,7 @@
 		}
 		for i := range p.state.Demand {
 			d := &p.state.Demand[i]
-			if d.Service != v.name || d.Count == 0 || !s.demandPrecedes(d, v, own, now.Sub(p.lastUpdate), now) {
+			if d.Service != v.name || d.Count == 0 || !s.Options.InHomes(d.Homes, u.DataCentre) || !s.demandPrecedes(d, v, own, now.Sub(p.lastUpdate), now) {
 				continue
 			}
 			if best == nil || demandLess(d, best) || !demandLess(best, d) && name < to {
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -15,6 +15,8 @@
 	Route   string
 	// Team is the name of the caller's team, "" for none.
 	Team string
+	// Homes are the regions whose upstreams may get the job, nil for all.
+	Homes []string
 	// Rank orders waiting jobs, the lower first: the team's rank, then the route's.
 	Rank [2]int
 	// Arrived is when the caller's request came in.
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -94,12 +94,15 @@
 // rejectReason returns the reason to refuse a job on arrival, or "".
 func (s *Scheduler) rejectReason(v *service, j *Job, now time.Time) string {
 	usable := 0
-	for _, u := range v.upstreams {
+	list := s.upstreamsFor(v, j)
+	for _, u := range list {
 		if !u.Draining && (j.Resumed || !slices.Contains(j.Avoid, u.ID) && u.returnsFor(j, now)) {
 			usable++
 		}
 	}
 	switch {
+	case len(list) == 0 && j.Homes != nil:
+		return ReasonNoUpstream
 	case usable == 0:
 		return v.noUpstreamReason(now)
 	case now.After(j.Expires):
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -91,7 +91,9 @@
 type service struct {
 	name      string
 	upstreams []*upstream
-	queue     []*Job
+	// all holds all registered upstreams, upstreams those that this entry uses.
+	all   []*upstream
+	queue []*Job
 	// departureInterval is the smoothed time between departures from the queue, in
 	// seconds.
 	departureInterval float64
@@ -276,7 +278,7 @@
 				continue
 			}
 		}
-		if full {
+		if full && j.Homes == nil {
 			kept = append(kept, j)
 			continue
 		}
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -38,6 +38,7 @@
 	}
 	for _, v := range s.services {
 		s.markHomes(v.upstreams)
+		v.all = append(v.all[:0], v.upstreams...)
 		own := s.cellUpstreams(v.upstreams)
 		v.upstreams = append(own[:len(own):len(own)], s.heldElsewhere(v.upstreams, own, now)...)
 	}
@@ -162,7 +163,7 @@
 			continue
 		}
 		for _, u := range v.upstreams {
-			for d.Count > 0 && !u.paced(now) && u.grantable(now) {
+			for d.Count > 0 && s.Options.InHomes(d.Homes, u.DataCentre) && !u.paced(now) && u.grantable(now) {
 				d.Count--
 				out = append(out, s.grant(u, name, now))
 			}
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -198,7 +198,7 @@
 // holds no part.
 func (s *Scheduler) minTimeToFirst(v *service, j *Job, now time.Time) time.Duration {
 	best := time.Duration(0)
-	for _, u := range v.upstreams {
+	for _, u := range s.upstreamsFor(v, j) {
 		if u.Draining {
 			continue
 		}
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -60,6 +60,8 @@
 	// Resumable reports whether another upstream may continue a stream after an
 	// event.
 	Resumable bool `json:"resumable"`
+	// Homes are the regions whose upstreams may get the requests, empty for all.
+	Homes []string `json:"homes"`
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -106,6 +108,9 @@
 	// a request that does not specify one.
 	Tokens      bool    `json:"tokens"`
 	PlainTokens float64 `json:"plain-tokens"`
+	// Homes are the regions whose upstreams may get the team's requests, empty for all.
+	// Where the route has homes as well, both bind.
+	Homes []string `json:"homes"`
 }
 
 // ForwardLimits are the limits on what a caller may send.
