--- a/internal/forward/schedule/cold_test.go
+++ b/internal/forward/schedule/cold_test.go
@@ -67,6 +67,9 @@
 	s := sim.entries[i]
 	s.Fleet, s.Members = nil, nil
 	for k, o := range sim.entries {
+		if sim.dead[k] {
+			continue
+		}
 		s.Fleet = append(s.Fleet, o.Name)
 		if sim.cells == nil || sim.cells[k] == sim.cells[i] {
 			s.Members = append(s.Members, o.Name)
@@ -260,7 +263,7 @@
 	p.starts = append(p.starts, coldStart{list, 5500 * time.Millisecond, off})
 	for range rapid.IntRange(0, 4).Draw(t, "disturbances") {
 		p.disturbances = append(p.disturbances, disturbance{
-			kind: rapid.SampledFrom([]string{freeze, restart, partition, cutOff}).Draw(t, "kind"), entry: rapid.IntRange(0, p.entries-1).Draw(t, "entry"),
+			kind: rapid.SampledFrom([]string{freeze, restart, partition, cutOff, added}).Draw(t, "kind"), entry: rapid.IntRange(0, p.entries-1).Draw(t, "entry"),
 			at:   time.Duration(rapid.IntRange(0, 9000).Draw(t, "at-ms")) * time.Millisecond,
 			span: time.Duration(rapid.IntRange(100, 6000).Draw(t, "span-ms")) * time.Millisecond,
 		})
@@ -268,8 +271,12 @@
 	return p
 }
 
-// cutOff is an entry that the store does not answer.
-const cutOff = "cut-off"
+const (
+	cutOff = "cut-off" // an entry that the store does not answer
+	added  = "added"   // an entry that starts; the others learn its name within listLag
+	// listLag is shorter than the interval of the lists, which is 15 s at most, as the run.
+	listLag = 2 * time.Second
+)
 
 // grace is the time from which the bound holds: entries learn from the registration alone
 // that an engine turned cold which could be reached all the time.
@@ -290,6 +297,13 @@
 	for _, c := range p.starts {
 		sim.start(c, time.Second)
 	}
+	for _, d := range p.disturbances {
+		// The first entry always serves.
+		sim.dead[d.entry] = sim.dead[d.entry] || d.kind == added && d.entry > 0
+	}
+	for i := range sim.entries {
+		sim.join(i)
+	}
 	for _, d := range p.disturbances {
 		sim.after(d.at, func(now time.Time) {
 			switch d.kind {
@@ -297,6 +311,8 @@
 				sim.frozen[d.entry] = now.Add(d.span)
 			case restart:
 				sim.restartCold(d.entry, p.seed+uint64(d.at))
+			case added:
+				sim.add(d.entry, p.seed+uint64(d.at))
 			case cutOff:
 				if p.starts[0].off > 0 { // else nothing shows it that an engine is cold
 					sim.cut[d.entry] = now.Add(d.span)
@@ -308,6 +324,19 @@
 	return sim
 }
 
+// add starts an entry that was not there. It keeps its cell: a fleet whose number of cells
+// changes is not simulated.
+func (sim *coldSim) add(i int, seed uint64) {
+	if !sim.dead[i] {
+		return
+	}
+	sim.dead[i] = false
+	sim.restartCold(i, seed)
+	for k := range sim.entries {
+		sim.after(time.Duration(sim.r.Float64()*float64(listLag)), func(time.Time) { sim.join(k) })
+	}
+}
+
 // restartCold replaces an entry by a new process, which reads the store's list.
 func (sim *coldSim) restartCold(i int, seed uint64) {
 	old := sim.entries[i]
@@ -327,6 +356,30 @@
 	sim.after(time.Second, func(time.Time) { sim.join(i) })
 }
 
+// Guards against the same in a large fleet, of which one run takes too long for many.
+func TestColdInLargeFleet(t *testing.T) {
+	p := coldPlan{entries: 400, engines: 102, seed: 5, load: 0.8, rate: coldTestRate, loss: 0.2, double: 0.1, delay: 200 * time.Millisecond, write: 300 * time.Millisecond}
+	c := coldStart{at: 5 * time.Second, off: 2 * time.Second}
+	for n := 1; n < p.engines; n += 3 {
+		c.engines = append(c.engines, n)
+	}
+	p.starts = []coldStart{c}
+	r := rand.New(rand.NewPCG(p.seed, 4))
+	for i := range 60 {
+		p.disturbances = append(p.disturbances, disturbance{
+			kind: []string{freeze, restart, cutOff, added}[i%4], entry: r.IntN(p.entries),
+			at:   time.Duration(1500+r.IntN(5500)) * time.Millisecond,
+			span: time.Duration(300+r.IntN(3000)) * time.Millisecond,
+		})
+	}
+	sim := p.run()
+	sim.run(9 * time.Second)
+	sim.check(t, p.grace())
+	if n := sim.whileCold(); n < 100 {
+		t.Errorf("%d requests at cold engines, want a part of their rate", n)
+	}
+}
+
 // Guards against more requests than a cold upstream bears, in any second and from all
 // entries together, with lost, late and doubled messages, partitions, entries that freeze,
 // restart or do not reach the store, and requests that are written late.
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -126,18 +126,10 @@
 // grantFirst grants a slot of u to the peer whose waiting request precedes those of the
 // other peers, if it precedes the own ones.
 func (s *Scheduler) grantFirst(v *service, u *upstream, now time.Time) (Action, bool) {
-	// Peers of this cell don't use an upstream that only requests with homes elsewhere do.
-	elsewhere := s.Cells > 0 && s.byID[u.ID] == u && !slices.Contains(v.upstreams, u)
-	if elsewhere || !s.mayGrant(u, now) || v.keepsForTrial(u, now) {
+	if s.elsewhere(v, u) || !s.mayGrant(u, now) || v.keepsForTrial(u, now) {
 		return Action{}, false
 	}
-	var own *Job
-	for _, j := range v.queue {
-		if !slices.Contains(j.Avoid, u.ID) && s.Options.InHomes(j.Homes, u.DataCentre) {
-			own = j
-			break
-		}
-	}
+	own := s.firstFor(v, u)
 	var best *Demand
 	to := ""
 	for name, p := range s.peers {
@@ -161,6 +153,22 @@
 	return s.grant(u, to, now), true
 }
 
+// elsewhere reports whether only requests with homes elsewhere use u. Peers of this cell
+// have no use for its slots.
+func (s *Scheduler) elsewhere(v *service, u *upstream) bool {
+	return s.Cells > 0 && s.byID[u.ID] == u && !slices.Contains(v.upstreams, u)
+}
+
+// firstFor returns the first waiting job that u may get, nil for none.
+func (s *Scheduler) firstFor(v *service, u *upstream) *Job {
+	for _, j := range v.queue {
+		if !slices.Contains(j.Avoid, u.ID) && s.Options.InHomes(j.Homes, u.DataCentre) {
+			return j
+		}
+	}
+	return nil
+}
+
 // mayGrant reports whether a slot that a request of this entry has freed may be granted.
 // The registration of u may have been replaced since the request was sent.
 func (s *Scheduler) mayGrant(u *upstream, now time.Time) bool {
