--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -104,6 +104,8 @@
 	lastHeard, lostAt time.Time
 	waiters           map[uint64]*waiter
 	lastID            uint64
+	// homesVersion is the configuration whose homes were checked.
+	homesVersion uint64
 	// loggedFaults holds the upstreams and fields of which an invalid value was logged.
 	loggedFaults map[loggedFault]bool
 	// teams holds the teams that have a gauge.
@@ -204,6 +206,7 @@
 		inUse[r.Address] = true
 	}
 	g.Pool.Retain(inUse)
+	g.logHomes(table, list)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.apply(g.sched.SetUpstreams(list, time.Now()))
@@ -225,10 +228,14 @@
 }
 
 // ReceiveGrant accepts a slot that a peer grants.
-func (g *Gate) ReceiveGrant(peer, upstream string, sequence uint64, used bool) {
+func (g *Gate) ReceiveGrant(m peerstate.Message) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.apply(g.sched.ReceiveGrant(peer, upstream, sequence, used, time.Now()))
+	receive := g.sched.ReceiveGrant
+	if m.GrantPermit {
+		receive = g.sched.ReceivePermit
+	}
+	g.apply(receive(m.Name, m.Grant, m.GrantSequence, m.GrantUsed, time.Now()))
 }
 
 // Report fills in the peer state of the scheduler and the quotas.
--- a/internal/forward/peers/cell.go
+++ b/internal/forward/peers/cell.go
@@ -31,6 +31,8 @@
 	Addresses, Names []string
 	// Local are the addresses of the other entries of the data centre.
 	Local []string
+	// DataCentres holds the data centre of each entry by its address.
+	DataCentres map[string]string
 	// FleetSize is the number of all entries, FleetIndex the index of this one
 	// among them by name, from 0.
 	FleetSize, FleetIndex int
@@ -53,7 +55,7 @@
 			list = append(list, e)
 		}
 	}
-	c := Cell{FleetSize: len(list)}
+	c := Cell{FleetSize: len(list), DataCentres: make(map[string]string, len(list))}
 	for _, e := range list[1:] {
 		c.Addresses = append(c.Addresses, e.Listen)
 		if e.DataCentre == self.DataCentre {
@@ -61,6 +63,7 @@
 		}
 	}
 	for _, e := range list {
+		c.DataCentres[e.Listen] = e.DataCentre
 		c.Names = append(c.Names, e.Name)
 		if e.Name < self.Name {
 			c.FleetIndex++
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -19,6 +19,9 @@
 	// time that orders them.
 	Over bool `msgpack:"o,omitempty"`
 
+	// Homes are the regions of whose upstreams a slot is of use, nil for all.
+	Homes []string `msgpack:"h,omitempty"`
+
 	// first is true for returns, which precede the others of their rank. It is not sent:
 	// their slack says it.
 	first bool
@@ -26,7 +29,7 @@
 
 // like reports whether d and o are summed up in one row.
 func (d Demand) like(o Demand) bool {
-	return d.Service == o.Service && d.Rank == o.Rank && d.Late == o.Late && d.Over == o.Over && d.first == o.first
+	return d.Service == o.Service && d.Rank == o.Rank && d.Late == o.Late && d.Over == o.Over && d.first == o.first && slices.Equal(d.Homes, o.Homes)
 }
 
 const (
@@ -62,9 +65,10 @@
 		p.loans = append(p.loans, p.grants[len(p.grants)-1])
 		u.lent++
 	}
+	permit := u.isCold(now)
 	u.takeLimit(now)
 	slot := u.Replica
-	return Action{Upstream: &slot, GrantTo: to, Sequence: p.sequence}
+	return Action{Upstream: &slot, GrantTo: to, Sequence: p.sequence, Permit: permit}
 }
 
 // countGrants counts the slots that were granted to and by a peer and that the
@@ -116,7 +120,7 @@
 // demandOf returns the demand of one job. A raised job precedes the others of its
 // effective rank; a return precedes those that are in time as it is, or late as it is.
 func (s *Scheduler) demandOf(v *service, j *Job, now time.Time) Demand {
-	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.orderDue().Sub(now), Late: s.late(v, j, now), Over: j.over}
+	d := Demand{Service: v.name, Rank: j.effective, Count: 1, Slack: j.orderDue().Sub(now), Late: s.late(v, j, now), Over: j.over, Homes: j.Homes}
 	if j.Returned {
 		d.Slack, d.first = min(d.Slack, 0), true
 	}
@@ -138,16 +142,10 @@
 // grantFirst grants a slot of u to the peer whose waiting request precedes those of the
 // other peers, if it precedes the own ones.
 func (s *Scheduler) grantFirst(v *service, u *upstream, now time.Time) (Action, bool) {
-	if !s.mayGrant(u, now) || v.keepsForTrial(u, now) {
+	if s.elsewhere(v, u) || !s.mayGrant(u, now) || v.keepsForTrial(u, now) {
 		return Action{}, false
 	}
-	var own *Job
-	for _, j := range v.queue {
-		if !slices.Contains(j.Avoid, u.ID) {
-			own = j
-			break
-		}
-	}
+	own := s.firstFor(v, u)
 	var best *Demand
 	to := ""
 	for name, p := range s.peers {
@@ -156,7 +154,7 @@
 		}
 		for i := range p.state.Demand {
 			d := &p.state.Demand[i]
-			if d.Service != v.name || d.Count == 0 || !s.demandPrecedes(d, v, own, now.Sub(p.lastUpdate), now) {
+			if d.Service != v.name || d.Count == 0 || !s.Options.InHomes(d.Homes, u.DataCentre) || !s.demandPrecedes(d, v, own, now.Sub(p.lastUpdate), now) {
 				continue
 			}
 			if best == nil || demandLess(d, best) || !demandLess(best, d) && name < to {
@@ -171,9 +169,28 @@
 	return s.grant(u, to, now), true
 }
 
+// elsewhere reports whether only requests with homes elsewhere use u. Peers of this cell
+// have no use for its slots.
+func (s *Scheduler) elsewhere(v *service, u *upstream) bool {
+	return s.Cells > 0 && s.byID[u.ID] == u && !slices.Contains(v.upstreams, u)
+}
+
+// firstFor returns the first waiting job that u may get, nil for none.
+func (s *Scheduler) firstFor(v *service, u *upstream) *Job {
+	for _, j := range v.queue {
+		if !slices.Contains(j.Avoid, u.ID) && s.Options.InHomes(j.Homes, u.DataCentre) {
+			return j
+		}
+	}
+	return nil
+}
+
 // mayGrant reports whether a slot that a request of this entry has freed may be granted.
 // The registration of u may have been replaced since the request was sent.
 func (s *Scheduler) mayGrant(u *upstream, now time.Time) bool {
+	if next := s.byID[u.ID]; next != nil && next != u && next.paced(now) {
+		return false // a slot of the process before is no permit of the present one
+	}
 	if u.Draining || s.statements[IdentityOf(&u.Replica)].wantsNone(now) || u.held || u.barred(now) || !u.limitAllows(now) {
 		return false
 	}
@@ -205,15 +222,31 @@
 	return demandLess(&theirs, &mine)
 }
 
+// ReceivePermit accepts a slot like ReceiveGrant, of an upstream that is cold as far as the
+// peer knows.
+func (s *Scheduler) ReceivePermit(from, id string, sequence uint64, used bool, now time.Time) []Action {
+	if u := s.byID[id]; u != nil && u.isCold(now) && !s.received(from, sequence) {
+		u.said.limit.Grant(now)
+	}
+	return s.ReceiveGrant(from, id, sequence, used, now)
+}
+
+// received reports whether a peer's slot with the given number was received before.
+func (s *Scheduler) received(from string, sequence uint64) bool {
+	p := s.peers[from]
+	return p != nil && slices.Contains(p.received[:], sequence)
+}
+
 // ReceiveGrant accepts a slot of an upstream that a peer grants. used is true when a
-// request of the peer occupied it until now, which the peer's last state still shows.
+// request of the peer occupied it until now, which the peer's last state still shows. It is
+// no permit to send to a cold upstream: the peer does not know that it is cold.
 func (s *Scheduler) ReceiveGrant(from, id string, sequence uint64, used bool, now time.Time) []Action {
 	s.init()
 	p := s.peer(from)
 	if p.lastUpdate.IsZero() {
 		p.lastUpdate = now
 	}
-	repeated := slices.Contains(p.received[:], sequence)
+	repeated := s.received(from, sequence)
 	p.received[p.nextReceived%len(p.received)] = sequence
 	p.nextReceived++
 	p.lastReceived = max(p.lastReceived, sequence)
@@ -225,7 +258,7 @@
 	if u == nil {
 		return nil
 	}
-	if u.paced(now) && !repeated {
+	if u.limited() && !u.isCold(now) && !repeated {
 		u.said.limit.Grant(now)
 	}
 	s.lent = Loan{from, sequence}
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -17,6 +17,8 @@
 	// for none, by which teams share the upstreams.
 	Team   string
 	Weight float64
+	// Homes are the regions whose upstreams may get the job, nil for all.
+	Homes []string
 	// Rank orders waiting jobs, the lower first: the team's rank, then the route's.
 	Rank [2]int
 	// Arrived is when the caller's request came in.
@@ -78,6 +80,9 @@
 	LendTo  string
 	Lending *LendingMessage
 	Lender  string
+	// Permit is true for the slot of a cold upstream: the receiver may send one request
+	// there.
+	Permit bool
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
 	// RetryAfter and Reason are set for a refusal.
