--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -81,9 +81,10 @@
 	started   bool
 	lastEvent int64
 	// returned is the promise that the request uses, nil for none. returnChecked is true
-	// once that was looked up. promised is true when the refusal is a promise.
-	returned                *returns.Promise
-	returnChecked, promised bool
+	// once that was looked up, returnCounted once it was dispatched. promised is true when
+	// the refusal is a promise.
+	returned                               *returns.Promise
+	returnChecked, returnCounted, promised bool
 	// fallback is the complete answer of an upstream that failed. It is sent if no
 	// other attempt succeeds.
 	fallback *bufferedAnswer
--- a/internal/forward/gate/returns.go
+++ b/internal/forward/gate/returns.go
@@ -52,7 +52,8 @@
 
 // countReturn counts the first dispatch of a returned request.
 func (c *call) countReturn() {
-	if c.returned != nil && c.sends == 0 {
+	if c.returned != nil && !c.returnCounted {
+		c.returnCounted = true
 		c.gate.Metrics.returned(returnServed)
 	}
 }
--- a/internal/forward/schedule/fleet_returns_test.go
+++ b/internal/forward/schedule/fleet_returns_test.go
@@ -157,7 +157,7 @@
 		seeds uint64
 		// most is the greatest part of the refused returns that remains.
 		most float64
-		load  func(sim *simulation)
+		load func(sim *simulation)
 	}{
 		{"overload of 1.5 that lasts", 8, 0.8, func(sim *simulation) { sim.load(1.5*capacity, 0, 12*time.Second) }},
 		{"bursts of 2 for 3 s", 8, 0.65, func(sim *simulation) {
