--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -139,7 +139,6 @@
 	}
 	g.Metrics.limited(g.limited)
 	g.Metrics.evacuated(g.View.Evacuated)
-	g.Metrics.loans(g.loanCounts)
 	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
@@ -240,6 +239,11 @@
 	defer g.mu.Unlock()
 	g.sched.Cell, g.sched.Cells, g.sched.Fleet = index, count, fleet
 	g.sched.SetOtherCells(others)
+	if g.sched.Options.LendSlots {
+		for _, c := range others {
+			g.Metrics.loans(c.DataCentre, g.loanCounts)
+		}
+	}
 }
 
 // bodyLimit returns the limit of a body if the configuration sets none.
--- a/internal/forward/gate/lending.go
+++ b/internal/forward/gate/lending.go
@@ -21,9 +21,9 @@
 	}
 }
 
-// loanCounts returns the questions and loans since the start.
-func (g *Gate) loanCounts() (lending.BorrowerCounts, lending.LenderCounts) {
+// loanCounts returns the questions and loans since the start that concern a data centre.
+func (g *Gate) loanCounts(dataCentre string) lending.Counts {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.sched.LoanCounts()
+	return g.sched.LoanCounts(dataCentre)
 }
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -94,19 +94,21 @@
 	}
 }
 
-// loans registers the numbers of questions for slots of other cells, and of loans.
-func (m *Metrics) loans(values func() (lending.BorrowerCounts, lending.LenderCounts)) {
+// loans registers the numbers of questions for slots of another cell in a data centre, and
+// of loans.
+func (m *Metrics) loans(dataCentre string, values func(dataCentre string) lending.Counts) {
 	if m == nil {
 		return
 	}
-	for event, of := range map[string]func(b lending.BorrowerCounts, l lending.LenderCounts) uint64{
-		"asked":  func(b lending.BorrowerCounts, _ lending.LenderCounts) uint64 { return b.Asked },
-		"used":   func(b lending.BorrowerCounts, _ lending.LenderCounts) uint64 { return b.Used },
-		"unused": func(b lending.BorrowerCounts, _ lending.LenderCounts) uint64 { return b.Unused },
-		"given":  func(_ lending.BorrowerCounts, l lending.LenderCounts) uint64 { return l.Given },
-		"lapsed": func(_ lending.BorrowerCounts, l lending.LenderCounts) uint64 { return l.Lapsed },
+	for event, of := range map[string]func(c lending.Counts) uint64{
+		"asked":  func(c lending.Counts) uint64 { return c.Asked },
+		"used":   func(c lending.Counts) uint64 { return c.Used },
+		"unused": func(c lending.Counts) uint64 { return c.Unused },
+		"given":  func(c lending.Counts) uint64 { return c.Given },
+		"lapsed": func(c lending.Counts) uint64 { return c.Lapsed },
 	} {
-		m.Set.GetOrCreateGauge(fmt.Sprintf("agateward_forward_loans_total{event=%q}", event), func() float64 { return float64(of(values())) })
+		name := fmt.Sprintf("agateward_forward_loans_total{event=%q,data_centre=%q}", event, dataCentre)
+		m.Set.GetOrCreateGauge(name, func() float64 { return float64(of(values(dataCentre))) })
 	}
 }
 
--- a/internal/forward/lending/borrower.go
+++ b/internal/forward/lending/borrower.go
@@ -12,21 +12,16 @@
 type Borrower struct {
 	// Start is higher than in earlier processes of this entry.
 	Start uint64
+	// Tally counts the questions and loans.
+	Tally Tally
 
-	targets []Target
-	lenders map[string]*lender
-	number  uint64
+	dataCentre string
+	targets    []Target
+	lenders    map[string]*lender
+	number     uint64
 	// asked is when the last round was sent, lentLocally when the last loan of the own data
 	// centre came.
 	asked, lentLocally time.Time
-	counts             BorrowerCounts
-}
-
-// BorrowerCounts counts the questions and loans of a borrower since its start.
-type BorrowerCounts struct {
-	// Asked counts the questions, Used the loans that requests used, Unused the loans that
-	// came too late or that no request needed.
-	Asked, Used, Unused uint64
 }
 
 // lender is what a borrower knows of one lender.
@@ -54,8 +49,11 @@
 	Report
 }
 
-// SetTargets replaces the entries that may be asked.
-func (b *Borrower) SetTargets(list []Target) { b.targets = slices.Clone(list) }
+// SetTargets sets the data centre of this entry, and replaces the entries that may be asked.
+func (b *Borrower) SetTargets(dataCentre string, list []Target) {
+	b.dataCentre, b.targets = dataCentre, slices.Clone(list)
+	b.Tally.setEntries(list)
+}
 
 // Ask returns the questions of a round: at most MaxTargets, at most every AskInterval.
 // local is true if requests wait that an entry of the own data centre may be asked for,
@@ -81,17 +79,15 @@
 		return nil
 	}
 	b.asked = now
-	out := make([]Question, 0, MaxTargets)
-	for _, t := range slices.Concat(near, far) {
-		part := len(far)
-		if t.Local {
-			part = len(near)
+	var out []Question
+	for _, list := range [][]Target{near, far} {
+		for _, target := range list {
+			l := b.lender(target.Name)
+			q := Question{To: target.Name, Local: target.DataCentre == b.dataCentre, Part: len(list), Report: b.report(l, now)}
+			l.open[q.Number], l.lastOpen = now, now
+			b.Tally.of(target.Name).Asked++
+			out = append(out, q)
 		}
-		l := b.lender(t.Name)
-		q := Question{To: t.Name, Local: t.Local, Part: part, Report: b.report(l, now)}
-		l.open[q.Number], l.lastOpen = now, now
-		b.counts.Asked++
-		out = append(out, q)
 	}
 	return out
 }
@@ -101,7 +97,7 @@
 func (b *Borrower) order(local bool, now time.Time, r *rand.Rand) []Target {
 	var list []Target
 	for _, t := range b.targets {
-		if t.Local == local {
+		if (t.DataCentre == b.dataCentre) == local {
 			list = append(list, t)
 		}
 	}
@@ -124,7 +120,8 @@
 		if b.lenders == nil {
 			b.lenders = make(map[string]*lender)
 		}
-		l = &lender{open: make(map[uint64]time.Time), seen: make(map[uint64][]uint64), used: make(map[uint64]Loan)}
+		// It was asked for nothing that may still be used.
+		l = &lender{closed: b.number, open: make(map[uint64]time.Time), seen: make(map[uint64][]uint64), used: make(map[uint64]Loan)}
 		b.lenders[name] = l
 	}
 	return l
@@ -162,7 +159,7 @@
 	}
 	if now.Sub(at) >= UseTime || len(l.used) >= maxUsed {
 		// A later report closes the question.
-		b.counts.Unused++
+		b.Tally.of(from).Unused++
 		return false
 	}
 	l.seen[ask] = append(l.seen[ask], n.Sequence)
@@ -173,8 +170,8 @@
 func (b *Borrower) Begin(from string, n Loan, now time.Time) {
 	l := b.lender(from)
 	l.used[n.Sequence], l.lent = n, now
-	b.counts.Used++
-	if slices.Contains(b.targets, Target{Name: from, Local: true}) {
+	b.Tally.of(from).Used++
+	if slices.Contains(b.targets, Target{Name: from, DataCentre: b.dataCentre}) {
 		b.lentLocally = now
 	}
 }
@@ -183,7 +180,7 @@
 func (b *Borrower) Return(from string, n Loan) {
 	l := b.lender(from)
 	l.returned, l.reportDue = append(l.returned, n.Sequence), true
-	b.counts.Unused++
+	b.Tally.of(from).Unused++
 }
 
 // End records that the request with a loan has ended.
@@ -215,9 +212,6 @@
 	return out
 }
 
-// Counts returns the questions and loans since the start.
-func (b *Borrower) Counts() BorrowerCounts { return b.counts }
-
 // MayAsk reports whether a round may be sent now.
 func (b *Borrower) MayAsk(now time.Time) bool {
 	return len(b.targets) > 0 && (b.asked.IsZero() || now.Sub(b.asked) >= AskInterval)
--- a/internal/forward/lending/lender.go
+++ b/internal/forward/lending/lender.go
@@ -10,17 +10,15 @@
 type Lender struct {
 	// Start is higher than any sequence of an earlier process of this entry.
 	Start uint64
+	// Tally counts the loans.
+	Tally Tally
 
 	borrowers map[string]*borrower
 	sequence  uint64
-	counts    LenderCounts
 }
 
-// LenderCounts counts the loans of a lender since its start.
-type LenderCounts struct {
-	// Given counts the loans given, Lapsed those that ended as the borrower was not heard.
-	Given, Lapsed uint64
-}
+// SetEntries sets the entries that may borrow, for the counts by data centre.
+func (l *Lender) SetEntries(list []Target) { l.Tally.setEntries(list) }
 
 // borrower is what a lender knows of one borrower.
 type borrower struct {
@@ -78,7 +76,7 @@
 	if b := l.borrowers[to]; b != nil {
 		b.ledger.Add(e)
 	}
-	l.counts.Given++
+	l.Tally.of(to).Given++
 	return e.Loan
 }
 
@@ -102,7 +100,7 @@
 		if now.Sub(b.heard) > SilentTime {
 			// What is known of the order of reports is kept for later ones only as long
 			// as a report may be late.
-			l.counts.Lapsed += uint64(b.ledger.Len())
+			l.Tally.of(name).Lapsed += uint64(b.ledger.Len())
 			b.ledger = Ledger{}
 			if now.Sub(b.heard) > 10*SilentTime {
 				delete(l.borrowers, name)
@@ -113,6 +111,3 @@
 	}
 	return lent
 }
-
-// Counts returns the loans given and lapsed since the start.
-func (l *Lender) Counts() LenderCounts { return l.counts }
--- a/internal/forward/lending/lending.go
+++ b/internal/forward/lending/lending.go
@@ -6,7 +6,7 @@
 // The entry whose requests wait:
 //
 //	var b lending.Borrower
-//	b.SetTargets(targets)
+//	b.SetTargets("mid-a", targets)
 //	for _, q := range b.Ask(needLocal, needRemote, now, rnd) { send(q) }
 //	if b.Accept("entry-7", answer, loan, now) { begin(request); b.Begin("entry-7", loan, now) }
 //	b.End("entry-7", loan)
@@ -85,7 +85,52 @@
 
 // Target is an entry of another cell that may be asked.
 type Target struct {
-	Name string
-	// Local is true for an entry in the data centre of the borrower.
-	Local bool
+	Name, DataCentre string
+}
+
+// Counts counts questions and loans since the start of an entry.
+type Counts struct {
+	// Asked counts the questions sent, Used the loans that requests used, Unused those that
+	// no request needed or that came too late.
+	Asked, Used, Unused uint64
+	// Given counts the loans given to others, Lapsed those that ended as the borrower was
+	// not heard.
+	Given, Lapsed uint64
+}
+
+// Tally holds the counts by the data centre of the other entry, "" if that is not known.
+// Its zero value has counted nothing.
+type Tally struct {
+	dataCentres map[string]string
+	counts      map[string]*Counts
+}
+
+// setEntries sets the data centres of the entries of other cells.
+func (t *Tally) setEntries(list []Target) {
+	t.dataCentres = make(map[string]string, len(list))
+	for _, e := range list {
+		t.dataCentres[e.Name] = e.DataCentre
+	}
+}
+
+// of returns the counts for an entry.
+func (t *Tally) of(name string) *Counts {
+	dc := t.dataCentres[name]
+	c := t.counts[dc]
+	if c == nil {
+		if t.counts == nil {
+			t.counts = make(map[string]*Counts)
+		}
+		c = &Counts{}
+		t.counts[dc] = c
+	}
+	return c
+}
+
+// Of returns the counts for a data centre.
+func (t *Tally) Of(dataCentre string) Counts {
+	if c := t.counts[dataCentre]; c != nil {
+		return *c
+	}
+	return Counts{}
 }
--- a/internal/forward/schedule/borrow.go
+++ b/internal/forward/schedule/borrow.go
@@ -57,12 +57,13 @@
 
 // allowed reports whether nothing was lent for long enough.
 func (e *elsewhere) allowed(now time.Time) bool {
-	return !e.unlent.IsZero() && now.Sub(e.unlent) >= fallBackAfter
+	age := now.Sub(e.unlent)
+	return !e.unlent.IsZero() && age >= fallBackAfter && age < fallBackAfter+fallBackTime
 }
 
 // wait records that requests wait.
 func (e *elsewhere) wait(now time.Time) {
-	if e.unlent.IsZero() || now.Sub(e.unlent) > fallBackAfter+fallBackTime {
+	if e.unlent.IsZero() || now.Sub(e.unlent) >= fallBackAfter+fallBackTime {
 		e.unlent = now
 	}
 }
@@ -78,10 +79,11 @@
 	for _, c := range list {
 		s.loans.cells[c.DataCentre]++
 		for _, name := range c.Members {
-			targets = append(targets, lending.Target{Name: name, Local: c.DataCentre == s.DataCentre})
+			targets = append(targets, lending.Target{Name: name, DataCentre: c.DataCentre})
 		}
 	}
-	s.loans.borrower.SetTargets(targets)
+	s.loans.borrower.SetTargets(s.DataCentre, targets)
+	s.loans.lender.SetEntries(targets)
 }
 
 // markShares records which upstreams of a service belong to this cell alone, and which to
@@ -201,7 +203,7 @@
 // refused without a slot of another data centre.
 func (s *Scheduler) needsRemote(v *service, j *Job, ahead int, now time.Time) bool {
 	late := s.late(v, j, now)
-	if late || !slices.ContainsFunc(v.upstreams, func(u *upstream) bool { return !u.Draining && u.elsewhere == nil }) {
+	if late || v.unreachable(now) || !slices.ContainsFunc(v.upstreams, func(u *upstream) bool { return !u.Draining && u.elsewhere == nil }) {
 		return true
 	}
 	wait := s.expectedWait(v, j, late, ahead+1, now)
@@ -229,7 +231,7 @@
 // useLoan begins the first waiting request that may use a loan, or gives the loan back.
 func (s *Scheduler) useLoan(from string, l lending.Loan, now time.Time) []Action {
 	u := s.byID[l.Upstream]
-	if u == nil || !u.borrowable(now) {
+	if u == nil || !u.borrowable(now) || s.service(u.Service).degraded(u) {
 		s.loans.borrower.Return(from, l)
 		return nil
 	}
@@ -267,7 +269,10 @@
 	s.loans.borrower.End(r.borrowed.lender, r.borrowed.loan)
 }
 
-// LoanCounts returns the questions and loans since the start.
-func (s *Scheduler) LoanCounts() (lending.BorrowerCounts, lending.LenderCounts) {
-	return s.loans.borrower.Counts(), s.loans.lender.Counts()
+// LoanCounts returns the questions and loans since the start that concern entries of a data
+// centre.
+func (s *Scheduler) LoanCounts(dataCentre string) lending.Counts {
+	b, l := s.loans.borrower.Tally.Of(dataCentre), s.loans.lender.Tally.Of(dataCentre)
+	b.Given, b.Lapsed = l.Given, l.Lapsed
+	return b
 }
--- a/internal/forward/schedule/brittle.go
+++ b/internal/forward/schedule/brittle.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"agateward/internal/forward/lending"
 )
 
 const (
@@ -47,17 +49,15 @@
 
 // countLoans counts the slots that a peer has not given back.
 func (s *Scheduler) countLoans(p *peer, now time.Time) {
-	kept := p.loans[:0]
-	for _, g := range p.loans {
-		used := slices.Contains(p.state.Loans, Loan{s.Name, g.Sequence})
-		if used || g.Sequence > p.state.ReceivedGrants[s.Name] && now.Sub(g.at) < loanLifetime {
-			kept = append(kept, g)
-			if u := s.byID[g.Upstream]; u != nil {
-				u.lent++
-			}
+	p.loans.Keep(func(e lending.Entry) bool {
+		used := slices.Contains(p.state.Loans, Loan{s.Name, e.Sequence})
+		return used || e.Sequence > p.state.ReceivedGrants[s.Name] && now.Sub(e.At) < loanLifetime
+	})
+	p.loans.Each(func(e lending.Entry) {
+		if u := s.byID[e.Upstream]; u != nil {
+			u.lent++
 		}
-	}
-	p.loans = kept
+	})
 }
 
 // ObserveBrittle records that the answer to a dispatched job says that the upstreams of its
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"agateward/internal/forward/lending"
 )
 
 // Demand summarizes the waiting requests of one entry for a service at one rank that
@@ -47,7 +49,7 @@
 	p.grants = append(p.grants, SlotGrant{Upstream: u.ID, To: to, Sequence: p.sequence, at: now})
 	u.pendingGrants++
 	if u.brittle(now) {
-		p.loans = append(p.loans, p.grants[len(p.grants)-1])
+		p.loans.Add(lending.Entry{Loan: lending.Loan{Sequence: p.sequence, Upstream: u.ID}, At: now})
 		u.lent++
 	}
 	u.takeLimit(now)
--- a/internal/forward/schedule/lend.go
+++ b/internal/forward/schedule/lend.go
@@ -127,6 +127,8 @@
 // lendable reports whether u has a free slot that is assigned to this entry and may be lent.
 func (s *Scheduler) lendable(v *service, u *upstream, now time.Time) bool {
 	switch {
+	case !s.stopEnd.IsZero(): // its peers would not know of the loan after its exit
+		return false
 	case !u.owned, u.held, !u.borrowable(now), u.said.wantsNone(now):
 		return false
 	case u.load() >= u.Slots, u.ownLoad+u.loaned >= u.assigned:
--- a/internal/forward/schedule/lend_test.go
+++ b/internal/forward/schedule/lend_test.go
@@ -113,8 +113,10 @@
 	t.Helper()
 	var asked, used, unused, given, lapsed uint64
 	for _, s := range sim.entries {
-		b, l := s.LoanCounts()
-		asked, used, unused, given, lapsed = asked+b.Asked, used+b.Used, unused+b.Unused, given+l.Given, lapsed+l.Lapsed
+		for _, dc := range []string{"a", "b", "c"} {
+			c := s.LoanCounts(dc)
+			asked, used, unused, given, lapsed = asked+c.Asked, used+c.Used, unused+c.Unused, given+c.Given, lapsed+c.Lapsed
+		}
 	}
 	c := &sim.counts
 	t.Logf("in time %.3f (%.3f %.3f %.3f); late %v, refused %v of %v; %d of %d waited in an engine; asked %d given %d used %d unused %d lapsed %d, messages %.2f a second and entry",
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"agateward/internal/forward/lending"
 )
 
 // peer holds what is known of another entry.
@@ -14,7 +16,7 @@
 	grants   []SlotGrant
 	sequence uint64
 	// loans lists the slots of brittle upstreams that the peer has not given back.
-	loans []SlotGrant
+	loans lending.Ledger
 	// lastReceived is the number of the last slot that the peer granted to this entry.
 	lastReceived uint64
 }
