--- a/internal/forward/node/lending.go
+++ b/internal/forward/node/lending.go
@@ -44,11 +44,15 @@
 	if address == "" || n.peerConn == nil {
 		return
 	}
-	m := peerstate.Message{Name: n.settings.Name, Listen: n.peerAddress(), News: true, Lending: &l}
-	b, err := m.Encode()
+	b, err := lendingMessage(n.settings.Name, n.peerAddress(), l).Encode()
 	if err != nil {
 		n.log.Error(err, "loan-not-sent", "entry", to)
 		return
 	}
 	n.send(b, address)
 }
+
+// lendingMessage returns a message that entries which know no loans ignore.
+func lendingMessage(name, listen string, l schedule.LendingMessage) peerstate.Message {
+	return peerstate.Message{Name: name, Listen: listen, News: true, Lending: &l}
+}
--- a/internal/forward/peers/cell_test.go
+++ b/internal/forward/peers/cell_test.go
@@ -24,7 +24,7 @@
 	for _, n := range []int{1, 6, 8, 12, 13, 65, 70, 300, 410} {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			all := fleetOf(n, 3)
-			cells := make(map[string]string)
+			cells, seen := make(map[string]string), make(map[string]string)
 			for _, self := range all {
 				r := rand.New(rand.NewPCG(uint64(n), 1))
 				shuffled := append([]ward.ForwardEntry(nil), all...)
@@ -43,6 +43,14 @@
 					t.Fatalf("cell %d of %d with %d members", c.Index, c.Count, len(c.Members))
 				}
 				id := fmt.Sprint(self.DataCentre, c.Index)
+				known := len(c.Members)
+				for _, o := range c.Others {
+					known += len(o.Members)
+					seen[o.Members[0].Name] = fmt.Sprint(o)
+				}
+				if own := fmt.Sprint(OtherCell{DataCentre: self.DataCentre, Members: c.Members}); known != n || seen[c.Members[0].Name] != "" && seen[c.Members[0].Name] != own {
+					t.Fatalf("%s knows %d entries of %d; its cell is %s to others, %s to itself", self.Name, known, n, seen[c.Members[0].Name], own)
+				}
 				for _, m := range c.Members {
 					if m.DataCentre != self.DataCentre {
 						t.Fatalf("%s and %s share a cell", m.Name, self.Name)
--- a/internal/forward/schedule/lend_test.go
+++ b/internal/forward/schedule/lend_test.go
@@ -95,7 +95,12 @@
 		}
 		x := sim.r.Float64() * sum
 		i := list[slices.IndexFunc(weights, func(w float64) bool { return x < w })]
-		sim.after(at, func(time.Time) { sim.whenAwake(i, func(time.Time) { sim.arrive(i) }) })
+		sim.after(at, func(time.Time) {
+			for sim.dead[i] {
+				i = (i + 3) % len(sim.entries)
+			}
+			sim.whenAwake(i, func(time.Time) { sim.arrive(i) })
+		})
 	}
 }
 
@@ -173,6 +178,64 @@
 	}
 }
 
+// TestLentSlotsUnderFailures guards against loans that overload engines, or help nobody,
+// when messages are lost, late and doubled, and entries freeze, end and restart.
+func TestLentSlotsUnderFailures(t *testing.T) {
+	const run = 14 * time.Second
+	tests := []struct {
+		name    string
+		disturb func(sim *simulation)
+		gain    float64
+	}{
+		{"messages lost, late and doubled", func(sim *simulation) {
+			sim.deliver = func(int, int) []time.Duration {
+				var list []time.Duration
+				for sim.r.Float64() > 0.2 && len(list) < 2 {
+					list = append(list, time.Duration(1+sim.r.IntN(60))*time.Millisecond)
+				}
+				return list
+			}
+		}, 0.1},
+		{"the data centre with the demand is cut off for 3 s", func(sim *simulation) {
+			sim.deliver = func(from, to int) []time.Duration {
+				t := sim.now.Sub(start)
+				if t > 4*time.Second && t < 7*time.Second && (sim.entries[from].DataCentre == "a") != (sim.entries[to].DataCentre == "a") {
+					return nil
+				}
+				return []time.Duration{hopDelay}
+			}
+		}, 0.08},
+		{"lenders and borrowers end, freeze and restart", func(sim *simulation) {
+			for n, i := range []int{1, 4, 7, 10, 13, 0, 3} {
+				at := time.Duration(3+n) * time.Second
+				sim.after(at, func(now time.Time) { sim.frozen[i] = now.Add(2 * time.Second) })
+				sim.after(at+500*time.Millisecond, func(time.Time) { sim.dead[i+15] = true })
+			}
+		}, 0.05},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var inTime, waited [2]float64
+			for n, on := range []bool{false, true} {
+				sim := newLendingFleet(3, 48, 24, 7, on)
+				tt.disturb(sim)
+				for dc, f := range []float64{1.4, 0.4, 0.4} {
+					sim.loadAt(string(rune('a'+dc)), func(time.Duration) float64 { return f * engineRate * 8 }, 1.5*engineRate*8, 1, run)
+				}
+				sim.run(run)
+				sim.logLoans(t, run)
+				inTime[n], waited[n] = sim.counts.inTime(), float64(sim.counts.waited)/float64(sim.counts.sent)
+			}
+			if inTime[1] < inTime[0]+tt.gain {
+				t.Errorf("%.3f in time with lending, %.3f without; want %.3f more", inTime[1], inTime[0], tt.gain)
+			}
+			if waited[1] > waited[0]+0.01 {
+				t.Errorf("%.3f of the requests waited in engines with lending, %.3f without", waited[1], waited[0])
+			}
+		})
+	}
+}
+
 // wave is a demand of 0.8 that swings by 0.27, out of phase by half a period between data
 // centres.
 func wave(dataCentre int, t time.Duration) float64 {
