feat(schedule,node): an entry that does not hear its cell lends nothing

Cause: an entry that has just started, or is cut off from its cell, counts all slots of the cell's upstreams as assigned to itself, and would lend them.

Change: it lends only while it hears more than half of its cell.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -232,12 +232,13 @@
 	g.ledger.Entries, g.budget.Entries = n, n
 }
 
-// SetCell sets the index of this entry's cell, of count cells in the data centre, the sorted
-// names of all entries of the fleet, and the other cells.
-func (g *Gate) SetCell(index, count int, fleet []string, others []schedule.OtherCell) {
+// SetCell sets the index of this entry's cell, of count cells in the data centre, the number
+// of its entries, the sorted names of all entries of the fleet, and the other cells.
+func (g *Gate) SetCell(index, count, size int, fleet []string, others []schedule.OtherCell) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.sched.Cell, g.sched.Cells, g.sched.Fleet = index, count, fleet
+	g.sched.CellSize = size
 	g.sched.SetOtherCells(others)
 	if g.sched.Options.LendSlots {
 		for _, c := range others {
--- a/internal/forward/node/cell.go
+++ b/internal/forward/node/cell.go
@@ -141,7 +141,7 @@
 	n.mu.Unlock()
 	if changed {
 		n.log.Info("cell-changed", "cell", c.Index, "cells", c.Count, "members", len(c.Members), "entries", c.FleetSize)
-		n.gate.SetCell(c.Index, c.Count, c.Names, otherCells(c))
+		n.gate.SetCell(c.Index, c.Count, len(c.Members), c.Names, otherCells(c))
 		n.gate.Refresh()
 	}
 }
--- a/internal/forward/schedule/lend.go
+++ b/internal/forward/schedule/lend.go
@@ -129,6 +129,10 @@
 	switch {
 	case !s.stopEnd.IsZero(): // its peers would not know of the loan after its exit
 		return false
+	case 2*len(s.entries) <= s.CellSize:
+		// It counts slots of peers that it does not hear as assigned to itself: it has just
+		// started or is cut off.
+		return false
 	case !u.owned, u.held, !u.borrowable(now), u.said.wantsNone(now):
 		return false
 	case u.load() >= u.Slots, u.ownLoad+u.loaned >= u.assigned:
--- a/internal/forward/schedule/loan_test.go
+++ b/internal/forward/schedule/loan_test.go
@@ -67,6 +67,10 @@
 		{"brittle", func(s *Scheduler) { s.learnBrittle("menus", start, start) }, 0},
 		{"unreachable", func(s *Scheduler) { s.byID["engine-0"].failedAttempts = 1 }, 2},
 		{"own request", func(s *Scheduler) { s.Arrive(job(1, 2, start), start) }, 3},
+		{"hears one of three peers", func(s *Scheduler) {
+			s.CellSize = 4
+			s.UpdatePeer("entry-3", PeerState{}, start)
+		}, 0},
 		{"stopping", func(s *Scheduler) { s.Stop(start.Add(time.Second)) }, 0},
 		{"peer of the cell with a higher rank", func(s *Scheduler) {
 			s.UpdatePeer("entry-3", PeerState{Demand: []Demand{{Service: "menus", Count: 9, Slack: time.Second}}}, start)
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -57,6 +57,8 @@
 	// of a cell exchange state and share one part of the upstreams. With Cells 0 every
 	// entry uses all upstreams.
 	Cell, Cells int
+	// CellSize is the number of entries of this cell that the store lists, 0 if not known.
+	CellSize int
 	// Fleet holds the sorted names of all entries that the store lists, nil while that is
 	// not known.
 	Fleet []string
