fix(schedule): upstreams that wait for loans are no spare capacity

Cause: Idle counted the slots of upstreams of other cells that may not be used without a loan, so a service of an evacuated data centre looked idle.

Change: it leaves them out. Without lend-slots nothing changes.

Result: the tests of loans, evacuation, statements and brittle services pass.

--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -136,7 +136,7 @@
 	}
 	slots, load := 0, 0
 	for _, u := range v.upstreams {
-		if !u.Draining && !u.said.wantsNone(now) && !u.limited() {
+		if !u.Draining && !u.said.wantsNone(now) && !u.limited() && !u.barred(now) {
 			slots += u.Slots
 			load += u.load()
 		}
