feat(schedule): sums of teams go to peers every 500 ms

Cause: a message may go out every 15 ms to 11 peers; 15 rows of 870 bytes with each would cost far more than what control may take.

--- a/internal/forward/fairshare/fairshare.go
+++ b/internal/forward/fairshare/fairshare.go
@@ -56,10 +56,10 @@
 	Service string  `msgpack:"s"`
 	Rank    [2]int  `msgpack:"r"`
 	Team    string  `msgpack:"t,omitempty"`
-	Weight  float64 `msgpack:"w,omitempty"`
-	Asked   float64 `msgpack:"a,omitempty"`
-	Given   float64 `msgpack:"g,omitempty"`
-	Lacked  float64 `msgpack:"l,omitempty"`
+	Weight  float32 `msgpack:"w,omitempty"`
+	Asked   float32 `msgpack:"a,omitempty"`
+	Given   float32 `msgpack:"g,omitempty"`
+	Lacked  float32 `msgpack:"l,omitempty"`
 }
 
 // maxNumber bounds the numbers of a row, so that sums of them are numbers too.
@@ -67,7 +67,7 @@
 
 // Valid reports whether the numbers of r can be used.
 func (r Row) Valid() bool {
-	for _, x := range []float64{r.Weight, r.Asked, r.Given, r.Lacked} {
+	for _, x := range []float32{r.Weight, r.Asked, r.Given, r.Lacked} {
 		if !(x >= 0 && x <= maxNumber) {
 			return false
 		}
@@ -151,11 +151,11 @@
 	return s
 }
 
-// UpdatePeer replaces the rows of a peer. Rows with numbers that are no sums are left out.
+// UpdatePeer replaces the rows of a peer; without rows, those of its last message stay.
+// Rows with numbers that are no sums are left out.
 func (l *Ledger) UpdatePeer(name string, rows []Row, now time.Time) {
 	rows = rows[:min(len(rows), MaxRows)]
 	if len(rows) == 0 {
-		delete(l.peers, name)
 		return
 	}
 	if l.peers == nil {
@@ -170,7 +170,8 @@
 	rows := make([]Row, 0, len(l.own))
 	for k, s := range l.own {
 		s.decay(now)
-		rows = append(rows, Row{Service: k.Service, Rank: k.Rank, Team: k.Team, Weight: s.weight, Asked: s.asked, Given: s.given, Lacked: s.lacked})
+		rows = append(rows, Row{Service: k.Service, Rank: k.Rank, Team: k.Team,
+			Weight: float32(s.weight), Asked: float32(s.asked), Given: float32(s.given), Lacked: float32(s.lacked)})
 	}
 	slices.SortFunc(rows, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(b.Asked+b.Given, a.Asked+a.Given), cmp.Compare(a.Service, b.Service),
--- a/internal/forward/fairshare/level.go
+++ b/internal/forward/fairshare/level.go
@@ -88,14 +88,14 @@
 	}
 	for k, s := range l.own {
 		s.decay(now)
-		l.add(k, Row{Weight: s.weight, Asked: s.asked, Given: s.given, Lacked: s.lacked}, 1)
+		l.add(k, sum{weight: s.weight, asked: s.asked, given: s.given, lacked: s.lacked})
 	}
 	// In a fixed order, so that entries and tests get the same sums from the same rows.
 	for _, name := range slices.Sorted(maps.Keys(l.peers)) {
 		r := l.peers[name]
 		f := decay(now.Sub(r.at))
 		for _, row := range r.rows {
-			l.add(Key{row.Service, row.Rank, row.Team}, row, f)
+			l.add(Key{row.Service, row.Rank, row.Team}, sum{weight: float64(row.Weight), asked: f * float64(row.Asked), given: f * float64(row.Given), lacked: f * float64(row.Lacked)})
 		}
 	}
 	groups := make(map[group][]*state)
@@ -118,8 +118,8 @@
 	}
 }
 
-// add adds the sums of a team at one entry, of which the part f is left.
-func (l *Ledger) add(k Key, r Row, f float64) {
+// add adds the sums of a team at one entry.
+func (l *Ledger) add(k Key, s sum) {
 	t := l.states[k]
 	if t == nil {
 		if l.states == nil {
@@ -129,10 +129,10 @@
 		l.states[k] = t
 	}
 	// Entries may still have different versions of the configuration.
-	t.weight = max(t.weight, r.Weight)
-	t.asked += f * r.Asked
-	t.given += f * r.Given
-	t.lacked += f * r.Lacked
+	t.weight = max(t.weight, s.weight)
+	t.asked += s.asked
+	t.given += s.given
+	t.lacked += s.lacked
 }
 
 // demand is the engine time that the team asked for. Requests that are given later than
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -47,7 +47,8 @@
 	// Loans lists the slots of brittle upstreams that the entry's requests use and that
 	// peers lent.
 	Loans []Loan `msgpack:"o,omitempty"`
-	// Teams holds what teams asked for and were given at the entry, with FairTeams.
+	// Teams holds what teams asked for and were given at the entry, with FairTeams. Most
+	// messages are without.
 	Teams []fairshare.Row `msgpack:"t,omitempty"`
 }
 
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -76,8 +76,11 @@
 	statements    map[Identity]*statement
 	lastStatement uint64
 	limits        limits
-	// teams holds what the teams of each rank asked for and were given.
+	// teams holds what the teams of each rank asked for and were given. It is used with
+	// FairTeams alone.
 	teams fairshare.Ledger
+	// teamsSent is when these sums were last sent to the peers.
+	teamsSent time.Time
 	// lent is the slot that a peer lends while ReceiveGrant fills it.
 	lent Loan
 	// entries holds the sorted names of the live peers and this entry; assignedTo
--- a/internal/forward/schedule/teams.go
+++ b/internal/forward/schedule/teams.go
@@ -139,11 +139,16 @@
 	return []Action{s.refuse(v, j, ReasonQueueLong, now)}
 }
 
-// reportTeams adds the sums of this entry's teams to its state.
+// teamRowsInterval is the time between two messages with the sums of this entry's teams.
+// They change within seconds, and a message may go out every 15 ms.
+const teamRowsInterval = 500 * time.Millisecond
+
+// reportTeams adds the sums of this entry's teams to its state, if they are due.
 func (s *Scheduler) reportTeams(state *PeerState, now time.Time) {
-	if s.Options.FairTeams {
-		state.Teams = s.teams.Rows(now)
+	if !s.Options.FairTeams || now.Sub(s.teamsSent) < teamRowsInterval && !now.Equal(s.teamsSent) {
+		return
 	}
+	state.Teams, s.teamsSent = s.teams.Rows(now), now
 }
 
 // hearTeams records the sums of a peer's teams.
