--- a/internal/forward/schedule/borrow.go
+++ b/internal/forward/schedule/borrow.go
@@ -235,7 +235,7 @@
 	v.elsewhere.unlent = time.Time{}
 	s.sortQueue(v, now)
 	for i, j := range v.queue {
-		if j.NoLoan || slices.Contains(j.Avoid, u.ID) || now.After(j.Expires) || !u.accepts(j.Repeatable, now) {
+		if j.NoLoan || slices.Contains(j.Avoid, u.ID) || !s.Options.InHomes(j.Homes, u.DataCentre) || now.After(j.Expires) || !u.accepts(j.Repeatable, now) {
 			continue
 		}
 		if !j.EndBy.IsZero() && !j.Resumed && now.Add(u.timeToLast(j)).After(j.EndBy) {
--- a/internal/forward/schedule/lend.go
+++ b/internal/forward/schedule/lend.go
@@ -106,7 +106,7 @@
 		}
 		for i := range a.demand {
 			d := &a.demand[i]
-			if d.Service == v.name && d.Count > 0 && s.demandPrecedes(d, v, own, now.Sub(a.at), now) && (best == nil || demandLess(d, best)) {
+			if d.Service == v.name && d.Count > 0 && s.Options.InHomes(d.Homes, u.DataCentre) && s.demandPrecedes(d, v, own, now.Sub(a.at), now) && (best == nil || demandLess(d, best)) {
 				best, to = d, name
 			}
 		}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -87,8 +87,11 @@
 	// promises holds what callers that were refused have been promised.
 	promises returns.Book
 	loans    loans
-	// teams holds what the teams of each rank asked for and were given.
+	// teams holds what the teams of each rank asked for and were given. It is used with
+	// FairTeams alone.
 	teams fairshare.Ledger
+	// teamsSent is when these sums were last sent to the peers.
+	teamsSent time.Time
 	// lent is the slot that a peer lends while ReceiveGrant fills it.
 	lent Loan
 	// entries holds the sorted names of the live peers and this entry; assignedTo
