--- a/internal/forward/schedule/interrupt.go
+++ b/internal/forward/schedule/interrupt.go
@@ -18,7 +18,11 @@
 // it reads the prompt of j.
 func (u *upstream) interruption(j *Job) time.Duration {
 	stride := max(j.Stride, 1)
-	read := u.latencyFactor() * firstPerToken * float64(min(j.Prompt, stride*chunkTokens))
+	perPromptToken, ok := u.reading.perToken()
+	if !ok {
+		perPromptToken = u.latencyFactor() * firstPerToken
+	}
+	read := perPromptToken * float64(min(j.Prompt, stride*chunkTokens))
 	return time.Duration((read + float64(stride)*perToken*u.tokenFactor()) * float64(time.Second))
 }
 
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -41,6 +41,9 @@
 	s.answered(r)
 	ratio := now.Sub(r.sent).Seconds() / r.nominal
 	r.upstream.observeLatency(ratio)
+	if r.job.Prompt > 0 {
+		r.upstream.reading.observe(float64(r.job.Prompt), now.Sub(r.sent).Seconds())
+	}
 }
 
 // Progress records the arrival of more of an answer.
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -87,6 +87,8 @@
 	// tokenRatio is the observed time per token as a multiple of the nominal one; 0
 	// means not measured.
 	tokenRatio float64
+	// reading estimates the time for each token of a prompt.
+	reading reading
 	// failureRate is the smoothed fraction of failures among answers.
 	failureRate float64
 	answers     int
