feat(concurrency,schedule): learn how many requests an upstream takes well

With scheduling.learn-concurrency it replaces the slots in the choice, the assignment, grants and idle room; entries exchange samples as growing counters with the peer state. fixed-concurrency excludes services. The engines of the simulation can have knees (quadratic above the knee) and share their speed.

--- a/internal/config/forwarding/forwarding.go
+++ b/internal/config/forwarding/forwarding.go
@@ -12,6 +12,7 @@
 import (
 	"net/netip"
 	"os"
+	"slices"
 	"time"
 
 	"agateward/internal/config/settings"
@@ -95,6 +96,8 @@
 	LendSlots bool `json:"lend-slots"`
 	// LearnConcurrency learns how many requests each upstream takes well.
 	LearnConcurrency bool `json:"learn-concurrency"`
+	// FixedConcurrency lists the services to which LearnConcurrency does not apply.
+	FixedConcurrency []string `json:"fixed-concurrency"`
 }
 
 // Limits bound the resources of the process.
@@ -169,7 +172,23 @@
 	for name, region := range s.Regions {
 		faultIf(name == "" || region == "", "regions", "data centre %q has region %q; both must be given", name, region)
 	}
+	s.Scheduling.check(faultIf)
 	faultIf(s.Limits.Memory < 0 || s.Limits.MaxBody <= 0, "limits", "memory must be 0 or more, and max-body greater than 0")
 	faultIf(s.LogLevel != "error" && s.LogLevel != "info" && s.LogLevel != "debug", "log-level", "%q: allowed are error, info and debug", s.LogLevel)
 	return faults
 }
+
+// Equal reports whether s and o turn on the same.
+func (s Scheduling) Equal(o Scheduling) bool {
+	return s.FairTeams == o.FairTeams && s.PreferReturns == o.PreferReturns && s.LendSlots == o.LendSlots &&
+		s.LearnConcurrency == o.LearnConcurrency && slices.Equal(s.FixedConcurrency, o.FixedConcurrency)
+}
+
+func (s Scheduling) check(faultIf func(bad bool, key, format string, args ...any)) {
+	const key = "scheduling.fixed-concurrency"
+	faultIf(len(s.FixedConcurrency) > 0 && !s.LearnConcurrency, key, "has no effect without learn-concurrency")
+	for i, name := range s.FixedConcurrency {
+		faultIf(name == "", key, "has an empty name of a service")
+		faultIf(slices.Contains(s.FixedConcurrency[:i], name), key, "names service %q twice", name)
+	}
+}
--- a/internal/config/forwarding/forwarding_test.go
+++ b/internal/config/forwarding/forwarding_test.go
@@ -20,12 +20,13 @@
   "store": "store.example:80",
   "news-port": 70000,
   "stop": {"grace": "0s"},
+  "scheduling": {"fixed-concurrency": ["", "menus", "menus"]},
   "log-level": "loud"
 }`))
 	if err == nil {
 		t.Fatal("a file with faults was accepted")
 	}
-	for _, want := range []string{"name: is missing", "listen.callers", "store", "news-port", "stop.grace", "log-level"} {
+	for _, want := range []string{"name: is missing", "listen.callers", "store", "news-port", "stop.grace", "log-level", "without learn-concurrency", "empty name", "twice"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("the error lacks %q:\n%v", want, err)
 		}
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -41,6 +41,7 @@
 	c.gate.Metrics.upstreamAnswered(x.Status, c.statement(reply))
 	reason := c.mismatch(x, reply)
 	c.noteStatements(a, x, reply, reason)
+	c.excludeSample(a, x, reason)
 	if reply.NotRun && reason == "" {
 		return c.handleNotRun(a, x, reply.ID)
 	}
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -84,12 +84,14 @@
 
 	name string
 
-	mu      sync.Mutex
-	sched   schedule.Scheduler
-	ledger  quota.Ledger
-	budget  retry.Budget
-	crashes poison.Tracker
-	links   links.Tracker
+	mu    sync.Mutex
+	sched schedule.Scheduler
+	// concurrencyAt is when the learned limits were last looked at.
+	concurrencyAt time.Time
+	ledger        quota.Ledger
+	budget        retry.Budget
+	crashes       poison.Tracker
+	links         links.Tracker
 	// lastHeard is when the pool last heard an upstream, by the last update of links; lostAt
 	// is when the links were last lost.
 	lastHeard, lostAt time.Time
@@ -214,6 +216,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
+	g.reportConcurrency(now)
 	m.Requests = g.sched.PeerState(now)
 	m.Quota = g.ledger.Totals()
 	m.QuotaLevels = g.ledger.Levels(now)
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -14,6 +14,8 @@
 // Metrics holds the counters and histograms of a gate. A nil value records nothing.
 type Metrics struct {
 	Set *metrics.Set
+	// concurrencyGauges holds the values of the upstreams' gauges by name.
+	concurrencyGauges map[string]int
 }
 
 func (m *Metrics) count(format string, args ...any) {
--- a/internal/forward/node/adjust.go
+++ b/internal/forward/node/adjust.go
@@ -24,7 +24,7 @@
 		{"name", old.Name != s.Name}, {"data-centre", old.DataCentre != s.DataCentre}, {"listen", old.Listen != s.Listen},
 		{"store", old.Store != s.Store}, {"seeds", !slices.Equal(old.Seeds, s.Seeds)}, {"news-port", old.PeerStatePort != s.PeerStatePort},
 		{"limits.memory", old.Limits.Memory != s.Limits.Memory}, {"log-level", old.LogLevel != s.LogLevel},
-		{"scheduling", old.Scheduling != s.Scheduling}, {"regions", !maps.Equal(old.Regions, s.Regions)},
+		{"scheduling", !old.Scheduling.Equal(s.Scheduling)}, {"regions", !maps.Equal(old.Regions, s.Regions)},
 	}
 	for _, d := range differ {
 		if d.changed {
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -132,7 +132,7 @@
 		Slack: quotaSlackFraction * s.Quotas.Slack, StartFull: s.FirstStart,
 	}, Scheduling: schedule.Options{
 		FairTeams: s.Scheduling.FairTeams, PreferReturns: s.Scheduling.PreferReturns, LendSlots: s.Scheduling.LendSlots,
-		LearnConcurrency: s.Scheduling.LearnConcurrency, Regions: s.Regions,
+		LearnConcurrency: s.Scheduling.LearnConcurrency, FixedConcurrency: s.Scheduling.FixedConcurrency, Regions: s.Regions,
 	}}
 }
 
--- a/internal/forward/schedule/choose.go
+++ b/internal/forward/schedule/choose.go
@@ -30,7 +30,7 @@
 	avoided := false
 	for _, u := range v.upstreams {
 		avoided = avoided || !u.limitAllows(now)
-		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(probe, now) {
+		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(probe, now) || !u.bears(j, now) {
 			continue
 		}
 		cost := s.cost(v, u, j, now)
@@ -110,7 +110,7 @@
 func (s *Scheduler) cost(v *service, u *upstream, j *Job, now time.Time) float64 {
 	work := nominalFirst(j) + nominalRest(j)
 	rate := (u.latencyFactor()*nominalFirst(j) + u.tokenFactor()*nominalRest(j)) / work
-	cost := rate * (1 + loadCost*float64(u.load())/float64(u.Slots))
+	cost := rate * (1 + loadCost*float64(u.load())/float64(u.slots()))
 	if !u.local {
 		cost += remoteCost
 	}
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -41,6 +41,7 @@
 	brittle  *brittle
 	arrivals []arrival
 	running  int
+	knee     *knee
 	waiting  []func(now time.Time)
 }
 
@@ -146,10 +147,16 @@
 }
 
 func newSimulation(entries, engines, slots int, seed uint64) *simulation {
+	return newSimulationWith(entries, engines, slots, seed, Options{})
+}
+
+func engineID(i int) string { return fmt.Sprintf("engine-%02d", i) }
+
+func newSimulationWith(entries, engines, slots int, seed uint64, options Options) *simulation {
 	sim := &simulation{r: rand.New(rand.NewPCG(seed, 5)), now: start, engines: make(map[string]*engine), slots: slots, owner: make(map[uint64]int), dead: make([]bool, entries), told: make(map[string]map[int]time.Time), frozen: make(map[int]time.Time)}
 	list := make([]ward.Replica, engines)
 	for i := range list {
-		id := fmt.Sprintf("engine-%02d", i)
+		id := engineID(i)
 		list[i] = ward.Replica{ID: id, Service: "menus", DataCentre: string(rune('a' + i%3)), Address: id, Slots: slots, Version: "v1"}
 		sim.engines[id] = &engine{slowdown: 0.7}
 		if i%3 == 2 {
@@ -157,7 +164,7 @@
 		}
 	}
 	for i := range entries {
-		s := &Scheduler{Name: fmt.Sprintf("entry-%02d", i), DataCentre: string(rune('a' + i%3)), Rand: rand.New(rand.NewPCG(seed, uint64(i)))}
+		s := &Scheduler{Name: fmt.Sprintf("entry-%02d", i), DataCentre: string(rune('a' + i%3)), Rand: rand.New(rand.NewPCG(seed, uint64(i))), Options: options}
 		s.SetUpstreams(list, sim.now)
 		sim.entries = append(sim.entries, s)
 		sim.after(time.Duration(sim.r.Float64()*float64(broadcastInterval)), func(time.Time) { sim.broadcast(i) })
@@ -189,6 +196,7 @@
 	s := sim.entries[i]
 	sim.execute(i, s.Tick(sim.now))
 	limits := s.LimitNews(sim.now)
+	s.ConcurrencyChanges(sim.now)
 	for k := range sim.entries {
 		if k == i || sim.dead[k] || sim.cells != nil && sim.cells[k] != sim.cells[i] {
 			continue
@@ -227,10 +235,10 @@
 	e, j, s := sim.engines[a.Upstream.ID], a.Job, sim.entries[i]
 	sim.counts.sent++
 	begin := func(now time.Time) {
+		sim.advance(e)
 		e.running++
-		first := time.Duration(e.slowdown * nominalFirst(j) * float64(time.Second))
-		rest := time.Duration(e.slowdown * nominalRest(j) * float64(time.Second))
-		sim.after(first, func(now time.Time) {
+		sim.process(e, nominalFirst(j), func(now time.Time) {
+			first := now
 			sim.whenAwake(i, func(now time.Time) {
 				sim.observeLimit(i, a, now)
 				if e.brittle != nil && now.Sub(start) >= brittleStated {
@@ -243,17 +251,18 @@
 			} else {
 				sim.counts.onTime[j.Rank[1]]++
 			}
-		})
-		sim.after(first+rest, func(now time.Time) {
-			e.running--
-			if len(e.waiting) > 0 {
-				next := e.waiting[0]
-				e.waiting = e.waiting[1:]
-				next(now)
-			}
-			sim.whenAwake(i, func(now time.Time) {
-				s.ObservePace(j.ID, rest/time.Duration(max(j.Output, 1)))
-				sim.execute(i, s.Done(j.ID, OutcomeOK, now))
+			sim.process(e, nominalRest(j), func(now time.Time) {
+				rest := now.Sub(first)
+				e.running-- // process has done the work until now
+				if len(e.waiting) > 0 {
+					next := e.waiting[0]
+					e.waiting = e.waiting[1:]
+					next(now)
+				}
+				sim.whenAwake(i, func(now time.Time) {
+					s.ObservePace(j.ID, rest/time.Duration(max(j.Output, 1)))
+					sim.execute(i, s.Done(j.ID, OutcomeOK, now))
+				})
 			})
 		})
 	}
--- a/internal/forward/schedule/grant.go
+++ b/internal/forward/schedule/grant.go
@@ -51,6 +51,7 @@
 		u.lent++
 	}
 	u.takeLimit(now)
+	u.noteTrial(now)
 	slot := u.Replica
 	return Action{Upstream: &slot, GrantTo: to, Sequence: p.sequence}
 }
@@ -165,7 +166,7 @@
 	if u.brittle(now) && !u.ownSlot() {
 		return false
 	}
-	return u.load() < u.Slots && !now.Before(u.backoffUntil) && u.failedAttempts == 0
+	return u.room(now) > 0 && !now.Before(u.backoffUntil) && u.failedAttempts == 0
 }
 
 // demandLess reports whether a is served before b.
@@ -211,6 +212,8 @@
 		u.said.limit.Grant(now)
 	}
 	s.lent = Loan{from, sequence}
+	u.setGranted(true)
+	defer u.setGranted(false)
 	return s.fillSlot(s.services[u.Service], u, now)
 }
 
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -40,6 +40,7 @@
 	s.answered(r)
 	ratio := now.Sub(r.sent).Seconds() / r.nominal
 	r.upstream.observeLatency(ratio)
+	s.sampleFirst(r, ratio, now)
 }
 
 // Progress records the arrival of more of an answer.
@@ -56,6 +57,7 @@
 		return
 	}
 	ratio := d.Seconds() / perToken
+	r.samplePace(ratio)
 	if r.upstream.tokenRatio == 0 {
 		r.upstream.tokenRatio = ratio
 		return
@@ -116,6 +118,7 @@
 		u.failedAttempts++
 		u.backoffUntil = now.Add(maxBackoff)
 	}
+	s.endSample(r, o, now)
 	v := s.services[r.job.Service]
 	if v == nil {
 		return nil
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -45,6 +45,8 @@
 	// Loans lists the slots of brittle upstreams that the entry's requests use and that
 	// peers lent.
 	Loans []Loan `msgpack:"o,omitempty"`
+	// Concurrency holds what the entry observed of how upstreams bear their load.
+	Concurrency []ConcurrencyReport `msgpack:"k,omitempty"`
 }
 
 // PeerState returns the state to send to the peers.
@@ -59,6 +61,7 @@
 		}
 	}
 	s.reportBrittle(&state, now)
+	state.Concurrency = s.reportConcurrency(now)
 	for name, p := range s.peers {
 		state.Grants = append(state.Grants, p.grants...)
 		if p.lastReceived > 0 {
@@ -91,6 +94,7 @@
 	}
 	p := s.peer(name)
 	p.lastUpdate, p.state = now, state
+	s.learnConcurrency(name, state.Concurrency, now)
 	s.aggregatePeers(now)
 	out := s.grantFree(name, now)
 	if s.Waiting() == 0 {
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -137,7 +137,7 @@
 	slots, load := 0, 0
 	for _, u := range v.upstreams {
 		if !u.Draining && !u.said.wantsNone(now) && !u.limited() {
-			slots += u.Slots
+			slots += u.slots()
 			load += u.load()
 		}
 	}
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -39,6 +39,9 @@
 	LendSlots bool
 	// LearnConcurrency learns how many requests each upstream takes well.
 	LearnConcurrency bool
+	// FixedConcurrency lists the services whose upstreams get as many requests as they have
+	// slots.
+	FixedConcurrency []string
 	// Regions holds the region of each data centre. One that is not listed is a region of
 	// its own.
 	Regions map[string]string
@@ -75,6 +78,7 @@
 	statements    map[Identity]*statement
 	lastStatement uint64
 	limits        limits
+	learning      learning
 	// lent is the slot that a peer lends while ReceiveGrant fills it.
 	lent Loan
 	// entries holds the sorted names of the live peers and this entry; assignedTo
@@ -113,6 +117,7 @@
 	paced bool
 	// nominal is the nominal time to the first event in seconds.
 	nominal float64
+	sample  sample
 }
 
 // Limits of the scheduler.
@@ -154,6 +159,7 @@
 		u.Draining = r.Draining || s.leaving(IdentityOf(&r))
 		u.said = s.statements[IdentityOf(&r)]
 		u.local = r.DataCentre == s.DataCentre
+		s.setLearned(u, now)
 		known[r.ID] = u
 	}
 	s.byID = known
@@ -297,6 +303,8 @@
 		u.borrow(r, s.lent)
 	}
 	u.said.begin(r)
+	u.noteTrial(now)
+	r.beginSample()
 	s.jobs[j.ID] = r
 	v.recordDeparture(j.Rank, s.late(v, j, now), now)
 	return a
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -113,12 +113,13 @@
 			if u.held {
 				continue // the other entries of the cell don't have it
 			}
-			for range u.Slots {
+			for range u.slots() {
 				if slot%len(s.entries) == self {
 					u.assigned++
 				}
 				slot++
 			}
+			u.setTries(slot%len(s.entries) == self)
 		}
 	}
 }
@@ -128,7 +129,7 @@
 // The limit of an upstream, which one or few entries hold, replaces the rule for the last
 // slots. Of a brittle upstream it uses its own slots alone.
 func (u *upstream) hasSlot(now time.Time) bool {
-	n := u.Slots - u.load()
+	n := u.room(now)
 	if u.Draining || !u.said.takesMore(now) || n < 1 {
 		return false
 	}
@@ -138,7 +139,7 @@
 	if u.brittle(now) {
 		return u.reserved || u.ownSlot()
 	}
-	return n >= min(sharedSlots, u.Slots) || u.ownLoad < u.assigned || u.reserved
+	return n >= min(sharedSlots, u.slots()) || u.ownLoad < u.assigned || u.reserved || u.trialOpen(now)
 }
 
 // grantFree grants free slots of this entry to a peer whose waiting requests precede
@@ -173,11 +174,11 @@
 // grantable reports whether u has a free slot that only this entry may use. A peer of this
 // cell can't use an upstream of another one.
 func (u *upstream) grantable(now time.Time) bool {
-	n := u.Slots - u.load()
+	n := u.room(now)
 	if u.Draining || u.said.wantsNone(now) || n < 1 {
 		return false
 	}
-	last := n < sharedSlots && u.ownLoad < u.assigned
+	last := n < sharedSlots && (u.ownLoad < u.assigned || u.trialOpen(now))
 	if u.brittle(now) {
 		last = u.ownSlot()
 	}
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -53,6 +53,8 @@
 	ward.Replica
 	// local is true for an upstream in this entry's data centre.
 	local bool
+	// learned is what is learned of its concurrency, nil if nothing is to be.
+	learned *learned
 	// said is what the upstream said of itself, nil for nothing.
 	said *statement
 	// assigned is the number of slots assigned to this entry. reserved is true while
@@ -141,6 +143,7 @@
 }
 
 func (u *upstream) markResponsive(now time.Time) {
+	u.noteSilence(now)
 	u.lastHeard, u.awaitingSince = now, time.Time{}
 	u.failedAttempts, u.backoffUntil = 0, time.Time{}
 }
