feat(concurrency,schedule): knees that move are found in seconds

The limit fell by one number at a time, most answers of entries with one request at the upstream counted as silence, and the means of single entries lagged.

Change: old samples at lower numbers give an estimate of the knee, which the next answers correct. A silence is one of answers that had begun. Requests that wait for four times the nominal time count before their first event. Samples of the cell at the present load raise the expected time of one more request. The simulation streams answers of engines with knees.

--- a/internal/forward/concurrency/decide.go
+++ b/internal/forward/concurrency/decide.go
@@ -14,6 +14,9 @@
 	// old samples at the lower number to count. If the upstream has only become slower as
 	// a whole, the limit is wrong until the next answers at the lower number.
 	steep = 1.5
+	// kneePower is the power with which times are taken to grow beyond a knee until lower
+	// numbers are tried. One by one that would take some seconds each.
+	kneePower = 3
 	// standardErrors is the number of standard errors by which a slowdown has to exceed what the
 	// samples' scatter explains.
 	standardErrors = 1.5
@@ -52,28 +55,53 @@
 	lower := 0.0
 	for n := 1; n < l.slots; n++ {
 		lower += min(l.bins[n-1].most, seenWeight)
+		b := &l.bins[n-1]
+		fresh := b.weight >= minWeight
+		if !fresh && b.most > 0 && lower >= seenWeight && l.noneAbove(ratios, n, steep) {
+			return l.estimate(ratios, n)
+		}
 		// A limit stays while there are too few samples at it to compare with.
-		fresh := l.bins[n-1].weight >= minWeight || n == l.value
-		if fresh && l.noneAbove(ratios, n, 1-minElasticity) || l.bins[n-1].most > 0 && lower >= seenWeight && l.noneAbove(ratios, n, steep) {
+		if (fresh || n == l.value) && l.noneAbove(ratios, n, 1-minElasticity) {
 			return n
 		}
 	}
 	return l.slots
 }
 
+// estimate returns the number up to which times would not grow if they grew with the power
+// kneePower above it, of which old samples at n and new ones above it are known. It is at
+// most n, and no number is skipped that was tried since.
+func (l *Limit) estimate(ratios []float64, n int) int {
+	high := l.slots
+	for high > n+1 && l.bins[high-1].most == 0 {
+		high--
+	}
+	v := int(math.Ceil(float64(high) * math.Exp(-(ratios[high-1]-ratios[n-1])/kneePower)))
+	v = max(v, 1)
+	for v < n && l.bins[v].weight >= seenWeight {
+		v++
+	}
+	return min(v, n)
+}
+
 // noneAbove reports whether, from n requests on, times grow at least with the given power of
 // the number of requests, as far as higher numbers are known, and for one of them by more
 // than the scatter.
 func (l *Limit) noneAbove(ratios []float64, n int, power float64) bool {
-	sure := false
+	sure, higher := false, 0.0
+	for m := n; m < l.slots; m++ {
+		higher += min(l.bins[m].most, minWeight)
+	}
 	low := &l.bins[n-1]
 	for m := n + 1; m <= l.slots; m++ {
 		b := &l.bins[m-1]
-		if !b.known() {
+		enough := higher >= minWeight
+		higher -= min(b.most, minWeight)
+		if b.most == 0 || !enough {
 			continue // a trial shows it
 		}
 		growth := math.Log(float64(m) / float64(n))
-		scatter := standardErrors * math.Sqrt(l.variance*(1/max(b.weight, minWeight)+1/max(low.weight, seenWeight)))
+		scatter := standardErrors * math.Sqrt(l.variance*(1/max(b.weight, seenWeight)+1/max(low.weight, seenWeight)))
 		excess := ratios[m-1] - ratios[n-1] - power*growth
 		if excess < 0 {
 			return false
--- a/internal/forward/concurrency/limit.go
+++ b/internal/forward/concurrency/limit.go
@@ -36,6 +36,9 @@
 	// seenWeight is the weight from which a number of requests may show that a higher one
 	// is far too slow.
 	seenWeight = 1.5
+	// expectedWeight is the weight from which samples predict a time. It is more than
+	// keptWeight, so that old ones do not.
+	expectedWeight = 0.9
 	// keptWeight is the least weight of an observed number: two answers of a trial then
 	// outweigh what was seen before.
 	keptWeight = 0.5
@@ -59,7 +62,7 @@
 	// upstream has changed; fadeOlder multiplies the weights of the samples with which it
 	// is then not comparable any more.
 	// fadeSame is that for older samples at the same number.
-	surprise, fadeOlder, fadeSame = 0.6, 0.8, 0.4
+	surprise, fadeOlder, fadeSame = 0.6, 0.35, 0.4
 )
 
 // bin holds the samples at one number of running requests.
@@ -237,6 +240,17 @@
 	return now.Sub(l.last)
 }
 
+// Expected returns the mean ratio that was seen lately while running requests ran, or the
+// nearest lower number for which there are samples, and false if there are none.
+func (l *Limit) Expected(running int) (ratio float64, ok bool) {
+	for n := min(running, l.slots); n > 0; n-- {
+		if b := &l.bins[n-1]; b.weight >= expectedWeight {
+			return math.Exp(b.mean()), true
+		}
+	}
+	return 0, false
+}
+
 // Samples returns the decayed number of samples, and the mean ratio at the limit and, if
 // it is known, at the next higher number; 0 is not known.
 func (l *Limit) Samples() (weight, at, above float64) {
--- a/internal/forward/schedule/concurrency.go
+++ b/internal/forward/schedule/concurrency.go
@@ -1,7 +1,6 @@
 package schedule
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -22,11 +21,16 @@
 	// trialSlack multiplies the expected time to the first event in the time that a
 	// request must have left to be sent beyond a limit.
 	trialSlack = 2
-	// longPrompt multiplies the mean prompt; beside a longer one the times of other
-	// requests don't count, as its processing takes from all.
+	// longPrompt multiplies the mean prompt. Beside a longer one a time doesn't count of
+	// which the processing of that prompt may be more than longPart.
 	longPrompt = 4
+	longPart   = 0.25
 	// promptWeight is the weight of one prompt in the mean.
 	promptWeight = 0.05
+	// earlyRatio is the multiple of the nominal time after which a request without a first
+	// event counts as slow, if the upstream has sent something within earlyHeard.
+	earlyRatio = 4
+	earlyHeard = 400 * time.Millisecond
 	// offsetWeight is the weight of one answer in the difference of its two ratios.
 	offsetWeight = 0.05
 )
@@ -40,9 +44,13 @@
 	granted bool
 	// silentAt is the end of the last silence, longAt when a long prompt last ran.
 	silentAt, longAt time.Time
-	// longRunning counts the running requests with long prompts.
+	// longRunning counts the running requests with long prompts, longTime is the nominal time
+	// to the first event of the last one.
 	longRunning int
-	meanPrompt  float64
+	longTime    float64
+	// streams counts the running requests whose answer has begun.
+	streams    int
+	meanPrompt float64
 	// offset is the mean difference of the logarithms of the ratios of the first event and
 	// of the pace at similar load: an upstream may differ in both.
 	offset  float64
@@ -50,19 +58,6 @@
 	namedAt time.Time
 }
 
-// sample is the observation of a dispatched job.
-type sample struct {
-	// running are the numbers of requests at the upstream at the dispatch and at the first
-	// event, with this one.
-	running, runningFirst int
-	// first and pace are the ratios of the observed times to the nominal ones, 0 for none.
-	first, pace float64
-	firstAt     time.Time
-	long        bool
-	// excluded is true if the answer says nothing of the upstream's load.
-	excluded bool
-}
-
 // ConcurrencyReport is what an entry observed at one process of an upstream.
 type ConcurrencyReport struct {
 	Upstream Identity           `msgpack:"u"`
@@ -111,6 +106,18 @@
 	return min(u.learned.limit.Value(), u.Slots)
 }
 
+// expected returns the ratio of the time of one more request to the nominal one, which is at
+// least the given one: the mean of this entry's last answers lags behind the load.
+func (u *upstream) expected(ratio float64) float64 {
+	if u.learned == nil {
+		return ratio
+	}
+	if r, ok := u.learned.limit.Expected(u.load() + 1); ok {
+		return max(ratio, r)
+	}
+	return ratio
+}
+
 // room returns the number of requests that the upstream may get now, which is negative if
 // it has too many.
 func (u *upstream) room(now time.Time) int {
@@ -159,99 +166,14 @@
 	}
 }
 
-// noteSilence records that an upstream that was silent sends again. The times of all that
-// ran there contain the silence.
+// noteSilence records that an upstream sends again that was silent although answers had
+// begun. The times of all that ran there contain the silence.
 func (u *upstream) noteSilence(now time.Time) {
-	if u.learned != nil && u.unresponsive(now) {
+	if u.learned != nil && u.learned.streams > 0 && now.Sub(u.lastHeard) > minSilence {
 		u.learned.silentAt = now
 	}
 }
 
-// beginSample begins to observe a dispatched job.
-func (r *running) beginSample() {
-	u := r.upstream
-	if u.learned == nil {
-		return
-	}
-	r.sample.running = u.load()
-	r.sample.excluded = r.job.Resumed
-	l := u.learned
-	if p := float64(r.job.Prompt); p > 0 {
-		if l.meanPrompt == 0 {
-			l.meanPrompt = p
-		}
-		l.meanPrompt += promptWeight * (p - l.meanPrompt)
-		r.sample.long = p > longPrompt*l.meanPrompt
-	}
-	if r.sample.long {
-		l.longRunning++
-	}
-}
-
-// sampleFirst counts the time to the first event as a multiple of the nominal one. It
-// counts at once: at an upstream beyond its knee answers take long to end.
-func (s *Scheduler) sampleFirst(r *running, ratio float64, now time.Time) {
-	p := &r.sample
-	p.first, p.firstAt, p.runningFirst = ratio, now, r.upstream.load()
-	if l := r.upstream.learned; l != nil && r.counts() {
-		s.observeConcurrency(r.upstream, float64(p.running+p.runningFirst)/2, ratio*math.Exp(-l.offset), now)
-	}
-}
-
-// counts reports whether the time of r says something of the upstream's load.
-func (r *running) counts() bool {
-	l, p := r.upstream.learned, &r.sample
-	beside := l.longRunning > 0 || r.sent.Before(l.longAt)
-	return !p.excluded && (p.long || !beside) && !r.sent.Before(l.silentAt) && r.loan == nil
-}
-
-// samplePace records the time per token as a multiple of the nominal one.
-func (r *running) samplePace(ratio float64) { r.sample.pace = ratio }
-
-// ExcludeSample keeps the answer to a dispatched job from counting as an observation of how
-// its upstream bears its load.
-func (s *Scheduler) ExcludeSample(id uint64) {
-	if r := s.jobs[id]; r != nil {
-		r.sample.excluded = true
-	}
-}
-
-// endSample counts the observation of a job that has ended with an outcome. The load of the
-// upstream contains it no more.
-func (s *Scheduler) endSample(r *running, o Outcome, now time.Time) {
-	u := r.upstream
-	l := u.learned
-	if l == nil {
-		return
-	}
-	counts := o == OutcomeOK && r.counts()
-	if r.sample.long {
-		l.longRunning--
-		l.longAt = now
-	}
-	if !counts {
-		return
-	}
-	p, last := &r.sample, u.load()+1
-	switch {
-	case p.first == 0:
-		s.observeConcurrency(u, float64(p.running+last)/2, now.Sub(r.sent).Seconds()/r.nominal, now)
-	case p.pace > 0:
-		if d := p.running - last; d >= -1 && d <= 1 {
-			l.offset += offsetWeight * (math.Log(p.first/p.pace) - l.offset)
-		}
-		s.observeConcurrency(u, float64(p.runningFirst+last)/2, p.pace, now)
-	}
-}
-
-// observeConcurrency counts one observation.
-func (s *Scheduler) observeConcurrency(u *upstream, running, ratio float64, now time.Time) {
-	before := u.learned.limit.Value()
-	if u.learned.limit.Observe(int(running+0.5), ratio, now) {
-		s.limitChanged(u, before, now)
-	}
-}
-
 // limitChanged has the slots assigned anew and notes the change.
 func (s *Scheduler) limitChanged(u *upstream, before int, now time.Time) {
 	s.assignedTo = ""
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -251,6 +251,7 @@
 			} else {
 				sim.counts.onTime[j.Rank[1]]++
 			}
+			sim.stream(i, j.ID, e)
 			sim.process(e, nominalRest(j), func(now time.Time) {
 				rest := now.Sub(first)
 				e.running-- // process has done the work until now
--- a/internal/forward/schedule/knee_test.go
+++ b/internal/forward/schedule/knee_test.go
@@ -39,6 +39,23 @@
 	sim.schedulePhase(e)
 }
 
+// streamInterval is the time between two parts of an answer that an entry hears.
+const streamInterval = 150 * time.Millisecond
+
+// stream lets entry i hear the parts of an answer until it ends.
+func (sim *simulation) stream(i int, id uint64, e *engine) {
+	if e.knee == nil {
+		return
+	}
+	sim.after(streamInterval, func(time.Time) {
+		if sim.entries[i].jobs[id] == nil {
+			return
+		}
+		sim.whenAwake(i, func(now time.Time) { sim.entries[i].Progress(id, now) })
+		sim.stream(i, id, e)
+	})
+}
+
 // advance does the work of the time since the last change. It has to be called before the
 // number of running requests changes.
 func (sim *simulation) advance(e *engine) {
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -221,6 +221,7 @@
 func (s *Scheduler) Tick(now time.Time) []Action {
 	s.init()
 	s.aggregatePeers(now)
+	s.sampleEarly(now)
 	return s.dispatchWaiting(now)
 }
 
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -99,9 +99,9 @@
 
 func (u *upstream) latencyFactor() float64 {
 	if u.latencyRatio == 0 {
-		return 1
+		return u.expected(1)
 	}
-	return u.latencyRatio
+	return u.expected(u.latencyRatio)
 }
 
 // tokenFactor is the multiple for the time per token: that of the first event until
