fix(schedule): a trial beyond the limit is not held off by old samples

Cause: the expected time of a trial came from the samples that the trial is to replace, so under overload a limit stayed at 5 of 8 slots for 20 s after the knee had gone.

Change: the expected time beyond the limit is that at the limit.

--- a/internal/forward/schedule/concurrency.go
+++ b/internal/forward/schedule/concurrency.go
@@ -112,7 +112,8 @@
 	if u.learned == nil {
 		return ratio
 	}
-	if r, ok := u.learned.limit.Expected(u.load() + 1); ok {
+	// What was seen beyond the limit is what a trial is to show anew.
+	if r, ok := u.learned.limit.Expected(min(u.load()+1, u.slots())); ok {
 		return max(ratio, r)
 	}
 	return ratio
--- a/internal/forward/schedule/fleet_test.go
+++ b/internal/forward/schedule/fleet_test.go
@@ -150,13 +150,11 @@
 	return newSimulationWith(entries, engines, slots, seed, Options{})
 }
 
-func engineID(i int) string { return fmt.Sprintf("engine-%02d", i) }
-
 func newSimulationWith(entries, engines, slots int, seed uint64, options Options) *simulation {
 	sim := &simulation{r: rand.New(rand.NewPCG(seed, 5)), now: start, engines: make(map[string]*engine), slots: slots, owner: make(map[uint64]int), dead: make([]bool, entries), told: make(map[string]map[int]time.Time), frozen: make(map[int]time.Time)}
 	list := make([]ward.Replica, engines)
 	for i := range list {
-		id := engineID(i)
+		id := engineName(i)
 		list[i] = ward.Replica{ID: id, Service: "menus", DataCentre: string(rune('a' + i%3)), Address: id, Slots: slots, Version: "v1"}
 		sim.engines[id] = &engine{slowdown: 0.7}
 		if i%3 == 2 {
--- a/internal/forward/schedule/knee_test.go
+++ b/internal/forward/schedule/knee_test.go
@@ -116,7 +116,7 @@
 	sim := newSimulationWith(entries, len(knees), slots, seed, Options{LearnConcurrency: learn})
 	carries := 0.0
 	for i, at := range knees {
-		e := sim.engines[engineID(i)]
+		e := sim.engines[engineName(i)]
 		e.knee, e.slowdown = &knee{at: at, updated: start}, slowdowns[i]
 		carries += float64(at) / slowdowns[i] / meanWork
 	}
@@ -172,7 +172,7 @@
 						sim.after(at, func(time.Time) {
 							p := sim.r.Perm(len(tt.knees))
 							for i := range tt.knees {
-								sim.setKnee(sim.engines[engineID(i)], tt.knees[p[i]])
+								sim.setKnee(sim.engines[engineName(i)], tt.knees[p[i]])
 							}
 						})
 					}
@@ -180,7 +180,7 @@
 					total += sim.counts.allOnTime() / 3
 					limits := make([]int, len(tt.knees))
 					for i := range limits {
-						limits[i] = sim.entries[0].byID[engineID(i)].slots()
+						limits[i] = sim.entries[0].byID[engineName(i)].slots()
 					}
 					t.Logf("learn %v seed %d: %.3f in time; late %v refused %v of %v; limits %v", learn, seed, sim.counts.allOnTime(), sim.counts.late, sim.counts.refused, sim.counts.requests, limits)
 				}
--- a/internal/forward/schedule/limit_property_test.go
+++ b/internal/forward/schedule/limit_property_test.go
@@ -153,7 +153,7 @@
 // restart replaces an entry by a new process that knows nothing.
 func (sim *simulation) restart(i int, seed uint64) {
 	old := sim.entries[i]
-	s := &Scheduler{Name: old.Name, DataCentre: old.DataCentre, Start: seed, Rand: rand.New(rand.NewPCG(seed, 1))}
+	s := &Scheduler{Name: old.Name, DataCentre: old.DataCentre, Start: seed, Rand: rand.New(rand.NewPCG(seed, 1)), Options: old.Options}
 	var list []ward.Replica
 	for _, u := range old.byID {
 		list = append(list, u.Replica)
