--- a/internal/forward/concurrency/limit.go
+++ b/internal/forward/concurrency/limit.go
@@ -241,11 +241,12 @@
 }
 
 // Expected returns the mean ratio that was seen lately while running requests ran, or the
-// nearest lower number for which there are samples, and false if there are none.
-func (l *Limit) Expected(running int) (ratio float64, ok bool) {
+// nearest lower number for which there are samples, 0 if there are none. Exact is true if
+// it is of that number.
+func (l *Limit) Expected(running int) (ratio float64, exact bool) {
 	for n := min(running, l.slots); n > 0; n-- {
 		if b := &l.bins[n-1]; b.weight >= expectedWeight {
-			return math.Exp(b.mean()), true
+			return math.Exp(b.mean()), n == running
 		}
 	}
 	return 0, false
--- a/internal/forward/schedule/concurrency.go
+++ b/internal/forward/schedule/concurrency.go
@@ -18,6 +18,10 @@
 	// are named, maxChanges bounds those that wait to be fetched.
 	changeInterval = time.Second
 	maxChanges     = 64
+	// staleRatio is the multiple of the cell's mean at the same load from which the mean of
+	// this entry's last answers is out of date. The lower mean in all cases served fewer
+	// requests in time (0.888 instead of 0.902 with knees near the capacity).
+	staleRatio = 10
 	// trialSlack multiplies the expected time to the first event in the time that a
 	// request must have left to be sent beyond a limit.
 	trialSlack = 2
@@ -106,17 +110,20 @@
 	return min(u.learned.limit.Value(), u.Slots)
 }
 
-// expected returns the ratio of the time of one more request to the nominal one, which is at
-// least the given one: the mean of this entry's last answers lags behind the load.
+// expected returns the ratio of the time of one more request to the nominal one. The given
+// mean of this entry's last answers lags behind the load, and stays at its last value at an
+// upstream that gets no requests because of it; far above what the cell sees it is out of
+// date.
 func (u *upstream) expected(ratio float64) float64 {
 	if u.learned == nil {
 		return ratio
 	}
 	// What was seen beyond the limit is what a trial is to show anew.
-	if r, ok := u.learned.limit.Expected(min(u.load()+1, u.slots())); ok {
-		return max(ratio, r)
+	r, exact := u.learned.limit.Expected(min(u.load()+1, u.slots()))
+	if exact && ratio > staleRatio*r {
+		return r
 	}
-	return ratio
+	return max(ratio, r)
 }
 
 // room returns the number of requests that the upstream may get now, which is negative if
