--- a/internal/forward/schedule/lend.go
+++ b/internal/forward/schedule/lend.go
@@ -58,7 +58,7 @@
 		for {
 			var best *upstream
 			for _, u := range v.upstreams {
-				if s.lendable(v, u, now) && u.Slots-u.load() > keptSlots && (best == nil || u.Slots-u.load() > best.Slots-best.load()) {
+				if s.lendable(v, u, now) && u.slots()-u.load() > keptSlots && (best == nil || u.slots()-u.load() > best.slots()-best.load()) {
 					best = u
 				}
 			}
@@ -148,7 +148,7 @@
 		return false
 	case !u.owned, u.held, !u.borrowable(now), u.said.wantsNone(now):
 		return false
-	case u.load() >= u.Slots, u.ownLoad+u.loaned >= u.assigned:
+	case u.load() >= u.slots(), u.ownLoad+u.loaned >= u.assigned:
 		return false
 	case !now.After(u.backoffUntil), u.failedAttempts > 0, u.unresponsive(now), v.degraded(u):
 		return false
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -44,6 +44,7 @@
 	if r.job.Prompt > 0 {
 		r.upstream.reading.observe(float64(r.job.Prompt), now.Sub(r.sent).Seconds())
 	}
+	s.sampleFirst(r, ratio, now)
 }
 
 // Progress records the arrival of more of an answer.
@@ -60,6 +61,7 @@
 		return
 	}
 	ratio := d.Seconds() / perToken
+	r.samplePace(ratio)
 	if r.upstream.tokenRatio == 0 {
 		r.upstream.tokenRatio = ratio
 		return
@@ -126,6 +128,7 @@
 		u.failedAttempts++
 		u.backoffUntil = now.Add(maxBackoff)
 	}
+	s.endSample(r, o, now)
 	v := s.services[r.job.Service]
 	if v == nil {
 		return nil
--- a/internal/forward/schedule/peers.go
+++ b/internal/forward/schedule/peers.go
@@ -55,6 +55,8 @@
 	// Teams holds what teams asked for and were given at the entry, with FairTeams. Most
 	// messages are without.
 	Teams []fairshare.Row `msgpack:"t,omitempty"`
+	// Concurrency holds what the entry observed of how upstreams bear their load.
+	Concurrency []ConcurrencyReport `msgpack:"k,omitempty"`
 }
 
 // PeerState returns the state to send to the peers.
@@ -71,6 +73,7 @@
 	}
 	s.reportBrittle(&state, now)
 	s.reportTeams(&state, now)
+	state.Concurrency = s.reportConcurrency(now)
 	for name, p := range s.peers {
 		state.Grants = append(state.Grants, p.grants...)
 		if p.lastReceived > 0 {
@@ -105,6 +108,7 @@
 	}
 	p := s.peer(name)
 	p.lastUpdate, p.state = now, state
+	s.learnConcurrency(name, state.Concurrency, now)
 	s.aggregatePeers(now)
 	out := s.grantFree(name, now)
 	if s.Waiting() == 0 {
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -44,6 +44,9 @@
 	// ProtectStreams keeps long prompts from engines where they would interrupt streams for
 	// longer than callers accept.
 	ProtectStreams bool
+	// FixedConcurrency lists the services whose upstreams get as many requests as they have
+	// slots.
+	FixedConcurrency []string
 	// Regions holds the region of each data centre. One that is not listed is a region of
 	// its own.
 	Regions map[string]string
@@ -92,6 +95,7 @@
 	teams fairshare.Ledger
 	// teamsSent is when these sums were last sent to the peers.
 	teamsSent time.Time
+	learning  learning
 	// lent is the slot that a peer lends while ReceiveGrant fills it.
 	lent Loan
 	// entries holds the sorted names of the live peers and this entry; assignedTo
@@ -135,6 +139,7 @@
 	paced time.Time
 	// nominal is the nominal time to the first event in seconds.
 	nominal float64
+	sample  sample
 }
 
 // Limits of the scheduler.
@@ -178,6 +183,7 @@
 		u.Draining = r.Draining || s.leaving(IdentityOf(&r))
 		u.said = s.statements[IdentityOf(&r)]
 		u.local = r.DataCentre == s.DataCentre
+		s.setLearned(u, now)
 		known[r.ID] = u
 	}
 	s.byID = known
@@ -248,6 +254,7 @@
 	s.init()
 	s.noteCall(now)
 	s.aggregatePeers(now)
+	s.sampleEarly(now)
 	return append(s.dispatchWaiting(now), s.Lending(now)...)
 }
 
@@ -334,6 +341,8 @@
 		u.borrow(r, s.lent)
 	}
 	u.said.begin(r)
+	u.noteTrial(now)
+	r.beginSample()
 	s.jobs[j.ID] = r
 	s.giveTeam(v, j, now)
 	v.recordDeparture(j, s.late(v, j, now), now)
--- a/internal/forward/schedule/upstream.go
+++ b/internal/forward/schedule/upstream.go
@@ -53,6 +53,8 @@
 	ward.Replica
 	// local is true for an upstream in this entry's data centre.
 	local bool
+	// learned is what is learned of its concurrency, nil if nothing is to be.
+	learned *learned
 	// said is what the upstream said of itself, nil for nothing.
 	said *statement
 	// assigned is the number of slots assigned to this entry. reserved is true while
@@ -115,9 +117,9 @@
 
 func (u *upstream) latencyFactor() float64 {
 	if u.latencyRatio == 0 {
-		return 1
+		return u.expected(1)
 	}
-	return u.latencyRatio
+	return u.expected(u.latencyRatio)
 }
 
 // tokenFactor is the multiple for the time per token: that of the first event until
@@ -159,6 +161,7 @@
 }
 
 func (u *upstream) markResponsive(now time.Time) {
+	u.noteSilence(now)
 	u.lastHeard, u.awaitingSince = now, time.Time{}
 	u.failedAttempts, u.backoffUntil = 0, time.Time{}
 }
