--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -98,6 +98,31 @@
 	if u.ownLoad == 0 {
 		u.awaitingSince = time.Time{}
 	}
+	s.noteOutcome(u, o, now)
+	s.endSample(r, o, now)
+	v := s.services[r.job.Service]
+	if v == nil {
+		return nil
+	}
+	if r.borrowed != nil {
+		s.endLoan(r)
+		return append(s.dispatchService(v, now), s.Lending(now)...)
+	}
+	if a, ok := s.lend(v, u, now); ok {
+		return []Action{a}
+	}
+	if a, ok := s.grantFreed(v, u, now); ok {
+		return []Action{a}
+	}
+	if u.brittle(now) {
+		return s.dispatchService(v, now)
+	}
+	// This entry may reuse the freed slot.
+	return s.fillSlot(v, u, now)
+}
+
+// noteOutcome records what an outcome says of the state of u.
+func (s *Scheduler) noteOutcome(u *upstream, o Outcome, now time.Time) {
 	switch o {
 	case OutcomeOK, OutcomeFailed, OutcomeFull:
 		s.outcomeCold(u, true, now)
@@ -128,26 +153,6 @@
 		u.failedAttempts++
 		u.backoffUntil = now.Add(maxBackoff)
 	}
-	s.endSample(r, o, now)
-	v := s.services[r.job.Service]
-	if v == nil {
-		return nil
-	}
-	if r.borrowed != nil {
-		s.endLoan(r)
-		return append(s.dispatchService(v, now), s.Lending(now)...)
-	}
-	if a, ok := s.lend(v, u, now); ok {
-		return []Action{a}
-	}
-	if a, ok := s.grantFreed(v, u, now); ok {
-		return []Action{a}
-	}
-	if u.brittle(now) {
-		return s.dispatchService(v, now)
-	}
-	// This entry may reuse the freed slot.
-	return s.fillSlot(v, u, now)
 }
 
 // Forgive forgets the attempts that failed: this entry had lost its links to upstreams.
