--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -17,9 +17,6 @@
 	// maxWaitFraction is the fraction of a job's remaining time up to which its
 	// expected wait is accepted; otherwise the job is refused on arrival.
 	maxWaitFraction = 0.6
-	// maxReturnWaitFraction is that fraction for a caller that came back as promised. One that
-	// finds no room even so is told at once: it would learn nothing better at its end.
-	maxReturnWaitFraction = 0.95
 )
 
 // jobLess reports whether a is dispatched before b.
@@ -117,7 +114,7 @@
 		return ReasonTooLate
 	case s.outlastsStop(v, j, now):
 		return ReasonStopping
-	case j.Resumed:
+	case j.Resumed || j.Returned:
 		return ""
 	}
 	if _, ok := v.underserved(j.Rank); ok && v.waitingOf(j.Rank) < maxRaised {
@@ -133,11 +130,7 @@
 // much of its remaining time.
 func (s *Scheduler) waitsTooLong(v *service, j *Job, ahead int, now time.Time) bool {
 	left := j.Expires.Sub(now) - s.minTimeToFirst(v, j, now)
-	fraction := maxWaitFraction
-	if j.Returned {
-		fraction = maxReturnWaitFraction
-	}
-	return left < 0 || s.expectedWait(v, j, s.late(v, j, now), ahead, now) > time.Duration(fraction*float64(left))
+	return left < 0 || s.expectedWait(v, j, s.late(v, j, now), ahead, now) > time.Duration(maxWaitFraction*float64(left))
 }
 
 // maxIdleLoad is the fraction of slots in use below which a service counts as idle.
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -298,7 +298,7 @@
 			out = append(out, s.refuse(v, j, s.expiryReason(v, now), now))
 			continue
 		}
-		if !j.Resumed && s.late(v, j, now) {
+		if !j.Resumed && !j.Returned && s.late(v, j, now) {
 			// Jobs in time precede it, also those that arrive later, so its wait is
 			// estimated anew.
 			s.lackTeam(v, j, now)
