--- a/internal/forward/schedule/cold_test.go
+++ b/internal/forward/schedule/cold_test.go
@@ -187,6 +187,7 @@
 // Guards against a data centre that crashes again as it returns: each entry connects at
 // once and fills the slots of its upstreams, which bear few requests while they are cold.
 func TestDataCentreReturnsCold(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name             string
 		entries, engines int
@@ -358,6 +359,7 @@
 
 // Guards against the same in a large fleet, of which one run takes too long for many.
 func TestColdInLargeFleet(t *testing.T) {
+	t.Parallel()
 	p := coldPlan{entries: 400, engines: 102, seed: 5, load: 0.8, rate: coldTestRate, loss: 0.2, double: 0.1, delay: 200 * time.Millisecond, write: 300 * time.Millisecond}
 	c := coldStart{at: 5 * time.Second, off: 2 * time.Second}
 	for n := 1; n < p.engines; n += 3 {
@@ -384,6 +386,7 @@
 // entries together, with lost, late and doubled messages, partitions, entries that freeze,
 // restart or do not reach the store, and requests that are written late.
 func TestColdProperties(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		p := drawColdPlan(rt)
 		sim := p.run()
--- a/internal/forward/schedule/fleet_returns_test.go
+++ b/internal/forward/schedule/fleet_returns_test.go
@@ -152,6 +152,7 @@
 // TestReturns checks that refused callers which come back as told are refused again less
 // often than without promises, and that no rank pays for it.
 func TestReturns(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name  string
 		seeds uint64
@@ -218,6 +219,7 @@
 // TestReturnsUnderFaults checks that what befalls promises costs no more than what it would
 // without them.
 func TestReturnsUnderFaults(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name  string
 		fault func(sim *simulation)
--- a/internal/forward/schedule/knee_property_test.go
+++ b/internal/forward/schedule/knee_property_test.go
@@ -131,6 +131,7 @@
 // and restarts. Cells exchange no samples, so one cell of a fleet is simulated: fleets of 80
 // and 400 entries in three data centres have cells of 9 and 12.
 func TestKneeProperties(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		cell int
--- a/internal/forward/schedule/knee_test.go
+++ b/internal/forward/schedule/knee_test.go
@@ -135,6 +135,7 @@
 // Guards against requests that are late at upstreams which slow down long before their
 // slots are full, and against a limit that costs room where there is no knee.
 func TestKnees(t *testing.T) {
+	t.Parallel()
 	const slots, low = 8, 2
 	same := []float64{1, 1, 1, 1, 1, 1, 1, 1, 1, 1}
 	speeds := []float64{1, 3, 1.2, 2.5, 1.4, 2, 1.6, 1.8, 1, 3}
--- a/internal/forward/schedule/lend_test.go
+++ b/internal/forward/schedule/lend_test.go
@@ -156,6 +156,7 @@
 // TestLentSlots guards against data centres and cells whose callers are refused or late
 // while slots elsewhere are idle.
 func TestLentSlots(t *testing.T) {
+	t.Parallel()
 	const run = 10 * time.Second
 	tests := []struct {
 		name                 string
@@ -202,6 +203,7 @@
 // TestLentSlotsUnderFailures guards against loans that overload engines, or help nobody,
 // when messages are lost, late and doubled, and entries freeze, end and restart.
 func TestLentSlotsUnderFailures(t *testing.T) {
+	t.Parallel()
 	const run = 10 * time.Second
 	tests := []struct {
 		name    string
--- a/internal/forward/schedule/teams_test.go
+++ b/internal/forward/schedule/teams_test.go
@@ -98,6 +98,7 @@
 // Guards against a team that sends several times its share and takes the capacity of teams
 // that ask for little: their requests waited behind its own.
 func TestFloodedTeams(t *testing.T) {
+	t.Parallel()
 	for _, teams := range []int{2, 5} {
 		for _, times := range []float64{2, 4, 8} {
 			for _, entries := range []int{0, 1, 2} {
