--- a/review/_standin/stop.go
+++ b/review/_standin/stop.go
@@ -40,12 +40,7 @@
 		engines = append(engines, e)
 		w.beat(e.id, "kitchen-llm", e.addr, 6)
 	}
-	routes := []map[string]any{{
-		"Name": "welcome-letter", "Host": host, "Prefix": "/letters/", "Kind": "stream", "TimeoutMs": streamDeadline.Milliseconds(), "TargetLatencyMs": 600,
-		"Priority": 0, "Service": "kitchen-llm", "MaxAttempts": 1, "Public": true, "Sticky": true, "Resumable": false, "GapAimMs": 400,
-	}}
-	services := []map[string]any{{"Name": "kitchen-llm", "HealthPath": "/health", "MaxConnections": 610, "Protocol": "h1", "Engine": map[string]any{"Slots": 6, "KvCapacity": 834298, "Stride": stride}}}
-	if err := w.configure(7, routes, services); err != nil {
+	if err := w.configure(7, streamRoutes(), streamServices()); err != nil {
 		return nil, err
 	}
 	if err := w.startEntries(2); err != nil {
