test(review): the cut answers come from half of four replicas

Cause: with one faulty replica of two the scheduler avoids it, so that some runs had hardly any answer that was broken off. Change: four replicas, of which two break off 5 in 100 answers for 5.6 s; small buffers.

--- a/review/_standin/cut_answers.go
+++ b/review/_standin/cut_answers.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -11,6 +12,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -21,8 +23,12 @@
 	uploadSize = 4_000_000
 	// answerSize is the size of a whole answer in bytes.
 	answerSize = 800
-	uploads    = 480
+	uploads    = 720
 	uploaders  = 4
+	// cutTime is for how long it does so.
+	cutTime = 5600 * time.Millisecond
+	// windowSize is the size in bytes of a replica's buffer for what arrives.
+	windowSize = 32 << 10
 	// cutShare is the share of its answers that the faulty replica breaks off.
 	cutShare = 0.05
 )
@@ -33,6 +39,7 @@
 	w      *world
 	id     string
 	faulty bool
+	end    time.Time
 	l      net.Listener
 
 	mu   sync.Mutex
@@ -41,7 +48,15 @@
 }
 
 func newEarlyReplica(w *world, id string, faulty bool) (*earlyReplica, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	// A small window, as the pages have it: a peer that does not read blocks the writer.
+	small := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var set error
+		err := c.Control(func(fd uintptr) {
+			set = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowSize)
+		})
+		return errors.Join(err, set)
+	}}
+	l, err := small.Listen(w.ctx, "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +94,7 @@
 		return
 	}
 	r.runs.Add(1)
-	cut := r.faulty && rand.Float64() < cutShare
+	cut := r.faulty && time.Now().Before(r.end) && rand.Float64() < cutShare
 	r.w.record("replica %s runs %s, breaks off: %v", r.id, id, cut)
 	// The work is done with the first bytes of the body: this replica answers early.
 	time.Sleep(15 * time.Millisecond)
@@ -112,8 +127,8 @@
 // complete.
 func playCutAnswers(w *world, trouble bool) ([]string, error) {
 	var replicas []*earlyReplica
-	for i := range 2 {
-		r, err := newEarlyReplica(w, "i-"+strconv.Itoa(i+1), trouble && i == 0)
+	for i := range 4 {
+		r, err := newEarlyReplica(w, "i-"+strconv.Itoa(i+1), trouble && i%2 == 0)
 		if err != nil {
 			return nil, err
 		}
@@ -131,6 +146,9 @@
 	if err := w.startEntries(1); err != nil {
 		return nil, err
 	}
+	for _, r := range replicas {
+		r.end = time.Now().Add(cutTime)
+	}
 	var mu sync.Mutex
 	var breaks []string
 	var next, whole, failed, cut atomic.Int64
@@ -142,7 +160,7 @@
 			for n := next.Add(1); n <= uploads; n = next.Add(1) {
 				id := fmt.Sprintf("r%04d", n)
 				got := send(w.entries[0].front, id)
-				isCut := replicas[0].wasCut(id)
+				isCut := replicas[0].wasCut(id) || replicas[2].wasCut(id)
 				if isCut {
 					cut.Add(1)
 				}
