test(review): after a release and a restart no request is served

Cause: an entry that starts after a completed roll-out takes the version of the release for the one that the order replaced, and leaves its upstreams out. The two cases of entries of another writer become one.

--- a/review/_standin/foreign_route.go
+++ b/review/_standin/foreign_entries.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-func init() { cases["foreign-route"] = playForeignRoute }
+func init() { cases["foreign-entries"] = playForeignEntries }
 
 const (
 	// foreignWrites is how often the other writer writes its entry, foreignInterval the time
@@ -18,9 +18,10 @@
 	routeRate = 31
 )
 
-// playForeignRoute writes an entry with fields missing below the id of a replica of another
-// service, as another writer does.
-func playForeignRoute(w *world, trouble bool) ([]string, error) {
+// playForeignEntries writes entries as another writer does: first one with fields missing,
+// below the id of a replica of another service, and last one of a service that no
+// configuration names.
+func playForeignEntries(w *world, trouble bool) ([]string, error) {
 	for i := range 3 {
 		s, err := newService(w, "i-book-"+strconv.Itoa(i+1), 6, 60*time.Millisecond)
 		if err != nil {
@@ -35,7 +36,7 @@
 	w.beat(archive.id, "archive", archive.addr, 6)
 	route := func(name, prefix, service string) map[string]any {
 		return map[string]any{
-			"Name": name, "Host": host, "Prefix": prefix, "Kind": "safe", "TimeoutMs": 1000, "TargetLatencyMs": 100,
+			"Name": name, "Host": host, "Prefix": prefix, "Kind": "safe", "TimeoutMs": checkTimeout.Milliseconds(), "TargetLatencyMs": 100,
 			"Priority": 2, "Service": service, "MaxAttempts": 2, "Public": true,
 		}
 	}
@@ -81,10 +82,13 @@
 	}
 	wg.Wait()
 	archive.mu.Lock()
-	defer archive.mu.Unlock()
-	w.record("%d requests for bookings, %d of them run by the replica of archive", ids.Load(), len(archive.runs))
-	if n := len(archive.runs); n > 0 {
-		return []string{fmt.Sprintf("ROUTE: %d of %d requests of a route to bookings were run by a replica of archive, to which no configuration sends them", n, ids.Load())}, nil
+	n := len(archive.runs)
+	archive.mu.Unlock()
+	w.record("%d requests for bookings, %d of them run by the replica of archive", ids.Load(), n)
+	var breaks []string
+	if n > 0 {
+		breaks = append(breaks, fmt.Sprintf("ROUTE: %d of %d requests of a route to bookings were run by a replica of archive, to which no configuration sends them", n, ids.Load()))
 	}
-	return nil, nil
+	more, err := w.watchUnnamed(trouble, &ids)
+	return append(breaks, more...), err
 }
--- a/review/_standin/rollout.go
+++ b/review/_standin/rollout.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -57,6 +58,8 @@
 	l           net.Listener
 	srv         *http.Server
 	end         chan struct{}
+	draining    atomic.Bool
+	beatNow     chan struct{}
 }
 
 func (f *fleet) add(id, version string) (*versioned, error) {
@@ -64,12 +67,16 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &versioned{f: f, id: id, version: version, slots: make(chan struct{}, 6), l: l, end: make(chan struct{})}
+	v := &versioned{f: f, id: id, version: version, slots: make(chan struct{}, 6), l: l, end: make(chan struct{}), beatNow: make(chan struct{}, 1)}
 	v.srv = &http.Server{Handler: v}
 	go func() { _ = v.srv.Serve(l) }() // ends with stop or the process
 	put := func(seq int) {
+		state := "ready"
+		if v.draining.Load() {
+			state = "draining"
+		}
 		b, _ := json.Marshal(map[string]any{ // never fails
-			"Service": "bookings", "Address": l.Addr().String(), "Zone": zone, "Version": version, "Slots": 6, "State": "ready", "ColdRemainingMs": 0, "Seq": seq, "born": f.w.start.UnixMilli(),
+			"Service": "bookings", "Address": l.Addr().String(), "Zone": zone, "Version": version, "Slots": 6, "State": state, "ColdRemainingMs": 0, "Seq": seq, "born": f.w.start.UnixMilli(),
 		})
 		f.w.store.Put("servers/"+id, b)
 	}
@@ -81,14 +88,22 @@
 			case <-v.end:
 				f.w.store.Delete("servers/" + id)
 				return
+			case <-v.beatNow:
 			case <-time.After(beatTime):
-				put(seq)
 			}
+			put(seq)
 		}
 	}()
 	return v, nil
 }
 
+// drain makes a replica say that it drains.
+func (v *versioned) drain() {
+	v.draining.Store(true)
+	v.beatNow <- struct{}{}
+	v.f.w.record("replica %s of version %s drains", v.id, v.version)
+}
+
 // stop ends a replica at once.
 func (v *versioned) stop() {
 	close(v.end)
