--- a/review/_standin/recover.go
+++ b/review/_standin/recover.go
@@ -43,7 +43,7 @@
 	if err := w.configure(7, bookingRoutes(), bookingServices()); err != nil {
 		return nil, err
 	}
-	if err := w.startEntries(3); err != nil {
+	if err := w.startEntries(6); err != nil {
 		return nil, err
 	}
 	c := f.clients()
