--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -48,8 +48,11 @@
 type entry struct {
 	name, front, ready string
 	settings, log      string
-	cmd                *exec.Cmd
-	done               chan struct{}
+	// document is the content of the settings.
+	document map[string]any
+	started  bool
+	cmd      *exec.Cmd
+	done     chan struct{}
 }
 
 func newWorld(recordFile string) (*world, error) {
@@ -178,25 +181,18 @@
 		e := &entry{name: fmt.Sprintf("front-cpt-a-%d", i+1), front: at(ip, 0), ready: at(ip, 1)}
 		e.settings, e.log = filepath.Join(w.dir, e.name+".jsonc"), filepath.Join(w.dir, e.name+".log")
 		// The keys of deploy/entry.jsonc.tmpl with the bounds of the site tafel-prod.
-		b, err := json.MarshalIndent(map[string]any{
+		e.document = map[string]any{
 			"name": e.name, "data-centre": zone,
 			"listen": map[string]any{"callers": e.front, "ready": e.ready, "state": at(ip, 2), "metrics": at(ip, 3)},
 			"store":  w.storeAddr, "seeds": seeds, "news-port": p[4],
-			"stop":        map[string]any{"grace": "8s"},
-			"retries":     map[string]any{"ratio": 0.2, "slack": 52, "window": "10s"},
-			"quotas":      map[string]any{"slack": 190000},
-			"first-start": true,
-			"limits":      map[string]any{"memory": 284},
+			"stop":    map[string]any{"grace": "8s"},
+			"retries": map[string]any{"ratio": 0.2, "slack": 52, "window": "10s"},
+			"quotas":  map[string]any{"slack": 190000},
+			"limits":  map[string]any{"memory": 284},
 			"scheduling": map[string]any{
 				"fair-teams": true, "prefer-returns": false, "lend-slots": true, "protect-streams": true, "learn-concurrency": false,
 			},
 			"regions": map[string]any{zone: region}, "log-level": "info",
-		}, "", "  ")
-		if err != nil {
-			return err
-		}
-		if err := os.WriteFile(e.settings, b, 0o600); err != nil {
-			return err
 		}
 		w.entries = append(w.entries, e)
 		if err := w.launch(e); err != nil {
@@ -206,8 +202,17 @@
 	return w.awaitReady()
 }
 
-// launch starts the process of an entry.
+// launch starts the process of an entry, with settings that are written anew at each start.
 func (w *world) launch(e *entry) error {
+	e.document["first-start"] = !e.started // Bootstrap
+	e.started = true
+	b, err := json.MarshalIndent(e.document, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(e.settings, b, 0o600); err != nil {
+		return err
+	}
 	log, err := os.OpenFile(e.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return err
