--- a/review/_standin/cut_answers.go
+++ b/review/_standin/cut_answers.go
@@ -82,7 +82,7 @@
 }
 
 func (r *earlyReplica) serve(c *net.TCPConn) {
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	br := bufio.NewReader(c)
 	req, err := http.ReadRequest(br)
 	if err != nil {
@@ -206,7 +206,7 @@
 	if err != nil {
 		return answer{err: err}
 	}
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(6 * time.Second))
 	go func() {
 		head := fmt.Sprintf("POST /confirm/table HTTP/1.1\r\nHost: %s\r\nX-Agateward-Request-Id: %s\r\nX-Agateward-Deadline-Ms: 5000\r\nContent-Length: %d\r\n\r\n", host, id, uploadSize)
--- a/review/_standin/foreign_entries.go
+++ b/review/_standin/foreign_entries.go
@@ -59,14 +59,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			b, _ := json.Marshal(map[string]any{ // never fails
-				"Service": "bookings", "Address": archive.addr, "Version": "v1", "Slots": 6, "State": "ready",
-			})
-			for range foreignWrites {
-				time.Sleep(foreignInterval)
-				w.store.Put("servers/"+archive.id, b)
-				w.record("another writer: servers/%s = %s", archive.id, b)
-			}
+			w.writeForeign(archive)
 		}()
 	}
 	for n := 0; time.Now().Before(end); n++ {
@@ -92,3 +85,15 @@
 	more, err := w.watchUnnamed(trouble, &ids)
 	return append(breaks, more...), err
 }
+
+// writeForeign writes the entry with fields missing below the id of a replica.
+func (w *world) writeForeign(s *service) {
+	b, _ := json.Marshal(map[string]any{ // never fails
+		"Service": "bookings", "Address": s.addr, "Version": "v1", "Slots": 6, "State": "ready",
+	})
+	for range foreignWrites {
+		time.Sleep(foreignInterval)
+		w.store.Put("servers/"+s.id, b)
+		w.record("another writer: servers/%s = %s", s.id, b)
+	}
+}
--- a/review/_standin/recover.go
+++ b/review/_standin/recover.go
@@ -70,6 +70,12 @@
 		time.AfterFunc(drainTime, v.stop)
 	}
 	time.Sleep(drainTime + contact)
+	return c.judgeRecovery(w, trouble)
+}
+
+// judgeRecovery brings the final fault about, right after a configuration is acknowledged,
+// and compares what is served before and after it.
+func (c *clients) judgeRecovery(w *world, trouble bool) ([]string, error) {
 	before := c.count(time.Now().Add(-contact), time.Now())
 	if err := w.configure(8, bookingRoutes(), bookingServices()); err != nil {
 		return nil, err
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -88,7 +88,7 @@
 	for _, e := range w.entries {
 		e.kill()
 	}
-	w.out.Close()
+	_ = w.out.Close() // nothing is written any more
 	_ = os.RemoveAll(w.dir)
 }
 
@@ -126,16 +126,6 @@
 	}()
 }
 
-// freePort returns a port that is free on an address.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 // freePorts returns n ports that are free on all addresses of entries.
 func freePorts(ips []string, n int) ([]int, error) {
 	var ports []int
@@ -217,7 +207,7 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }() // the process has its own descriptor
 	e.cmd = exec.Command(program, "forward")
 	e.cmd.Env = []string{"AGATEWARD_CONFIG=" + e.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8"}
 	e.cmd.Stdout, e.cmd.Stderr = log, log
