test(review): one case of planned stops, one of roll-outs

Cause: a stopping entry forgets SIGHUP, and choose ignores the time of the stop; the steps of a roll-out are made by the clock. Change: the two ways in which a planned stop loses requests become one case.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")" && folder=review/$(basename "$(pwd)") && cd ../.. || exit 2
 [ -x target/agateward ] && [ -x target/review-standin ] || exit 2
-exec target/review-standin stop "$folder"
+exec target/review-standin rollout "$folder"
--- a/review/_standin/hup.go
+++ b/review/_standin/hup.go
@@ -8,7 +8,27 @@
 	"time"
 )
 
-func init() { cases["hup"] = playHup }
+func init() { cases["planned-stop"] = playPlannedStop }
+
+// playPlannedStop plays the two ways in which a planned stop loses requests.
+func playPlannedStop(w *world, trouble bool) ([]string, error) {
+	breaks, err := playHup(w, trouble)
+	if err != nil {
+		return nil, err
+	}
+	second, err := w.again()
+	if err != nil {
+		return nil, err
+	}
+	defer func() {
+		second.stop()
+		for _, e := range second.entries {
+			e.kill()
+		}
+	}()
+	more, err := playStop(second, trouble)
+	return append(breaks, more...), err
+}
 
 const (
 	// hupAfter is the time from the SIGTERM to the SIGHUP.
--- a/review/_standin/stop.go
+++ b/review/_standin/stop.go
@@ -8,8 +8,6 @@
 	"time"
 )
 
-func init() { cases["stop"] = playStop }
-
 const (
 	// fastFactor and slowFactor are the speeds of the replicas of the site tafel-prod, as
 	// multiples of a time.
--- a/review/_standin/world.go
+++ b/review/_standin/world.go
@@ -75,6 +75,25 @@
 	return w, nil
 }
 
+// again ends the deployment and returns another one, with the same record.
+func (w *world) again() (*world, error) {
+	w.stop()
+	for _, e := range w.entries {
+		e.kill()
+	}
+	w.entries = nil
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	n := &world{store: &standin.Store{}, storeAddr: l.Addr().String(), dir: w.dir, start: w.start, out: w.out}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	s := &http.Server{Handler: n.store}
+	go func() { _ = s.Serve(l) }() // ends with the process
+	n.record("another deployment")
+	return n, nil
+}
+
 // record writes one line to the record.
 func (w *world) record(format string, args ...any) {
 	w.mu.Lock()
