--- a/review/_standin/recover.go
+++ b/review/_standin/recover.go
@@ -17,12 +17,15 @@
 	downTime = time.Second
 	// drainTime is how long a replica goes on serving after it said that it drains.
 	drainTime = 3 * time.Second
+	// firstRelease is the number of replicas that the first of two releases replaces: 0.51 of
+	// three, rounded up. releasePause is the time between the two.
+	firstRelease, releasePause = 2, 4 * time.Second
 	// releaseGap is the time between the replacement of two replicas.
 	releaseGap = time.Second
 )
 
 // playRecover moves a service to version v2 by an order, replaces its replicas by ones of
-// v3 in a release, and ends with the final fault: all processes are killed at once.
+// v3 in two releases, and ends with the final fault: all processes are killed at once.
 func playRecover(w *world, trouble bool) ([]string, error) {
 	f := &fleet{w: w, sent: map[string]time.Time{}}
 	add := func(name, version string) ([]*versioned, error) {
@@ -62,6 +65,10 @@
 	}
 	time.Sleep(contact)
 	for i, v := range second {
+		if i == firstRelease {
+			w.record("second release")
+			time.Sleep(releasePause)
+		}
 		if _, err := f.add(fmt.Sprintf("i-c-%d", i+1), "v3"); err != nil {
 			return nil, err
 		}
