feat(move): log what a step was made on

Change: the line has passed and suspicion of the analysis at that moment. Result: no change of logic; go test ./internal/entry/mover passes.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -27,6 +27,10 @@
 	// revision at the last read or write.
 	stale  bool
 	record uint64
+	// passed and suspicion are the results of the analysis from which the last state
+	// followed.
+	passed    bool
+	suspicion float64
 	// again is set when the store has returned from an older copy, until the record has
 	// been written again.
 	again bool
@@ -186,6 +190,7 @@
 		Loaded: order.Loaded(x, s.Orders), Evidence: func() []ward.Counts { return m.evidenceOf(c, x) },
 	}
 	in.Passed, in.Suspicion = m.verdict(c, x)
+	l.passed, l.suspicion = in.Passed, in.Suspicion
 	in.Quarantined, in.QuarantineReason = m.quarantined(c, x)
 	next, changed := m.machine.Next(s, in)
 	if !changed && next.Fence != l.lease.Fence {
@@ -255,7 +260,8 @@
 	m.adopt(s)
 	m.mu.Unlock()
 	if before.State != s.State || before.Step != s.Step {
-		m.Log.Info("move-state", "move", s.Move, "ticket", s.Ticket, "state", s.State, "step", s.Step, "share", s.Share, "fence", s.Fence, "reason", s.Reason)
+		m.Log.Info("move-state", "move", s.Move, "ticket", s.Ticket, "state", s.State, "step", s.Step, "share", s.Share, "fence", s.Fence, "reason", s.Reason,
+			"passed", l.passed, "suspicion", l.suspicion)
 	}
 	m.publish()
 	return true
