test(rollout): a bad version beside one disruption breaks the operator's bounds

What callers saw: requests went to a version that had failed 50 times, until its replicas were the only ones left. Change: a simulated site of six entries at 31 requests a second, five kinds of bad versions beside six disruptions, with the operator's own account.

--- /dev/null
+++ b/internal/forward/rollout/exposure_test.go
@@ -0,0 +1,365 @@
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"agateward/internal/forward/peerstate"
+	"agateward/internal/move/split"
+	"agateward/internal/platform/memory"
+	"agateward/ward"
+
+	"github.com/go-logr/logr"
+)
+
+// The operator's bounds on a bad version: the fraction of the requests between an order
+// and its time limit, with some requests on top, and the time after badAnswers of them
+// from which on it gets none.
+const (
+	exposeShare    = 0.1
+	exposeRequests = 50
+	badAnswers     = 50
+	rollbackTime   = 5 * time.Second
+)
+
+// badness is how a version is worse than the one in use. Its zero value is a good one.
+type badness struct {
+	// failed is the fraction of failures, slow that of answers that take slowFactor times
+	// as long. route limits both to one route, after to requests later than that after
+	// the order.
+	failed, slow float64
+	route        string
+	after        time.Duration
+	// silent is set if no request is answered.
+	silent bool
+}
+
+const slowFactor = 8
+
+// trouble is a disruption of a roll-out; its times count from the order.
+type trouble struct {
+	// turned is the number of entries that the store turns away from turnedAt to turnedTo.
+	turned             int
+	turnedAt, turnedTo time.Duration
+	// killed is when all entries are killed; 0 is never.
+	killed time.Duration
+	// failed is the fraction of requests that fail at both versions from failedAt on.
+	failed   float64
+	failedAt time.Duration
+}
+
+// turnedStore is a store that turns one entry away.
+type turnedStore struct {
+	ward.Store
+	away *atomic.Bool
+}
+
+func (s turnedStore) err() error {
+	if s.away.Load() {
+		return ward.ErrUnavailable
+	}
+	return nil
+}
+
+func (s turnedStore) Get(ctx context.Context, key string) (ward.Record, error) {
+	if err := s.err(); err != nil {
+		return ward.Record{}, err
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s turnedStore) CompareAndSwap(ctx context.Context, key string, revision uint64, value []byte) (ward.Record, error) {
+	if err := s.err(); err != nil {
+		return ward.Record{}, err
+	}
+	return s.Store.CompareAndSwap(ctx, key, revision, value)
+}
+
+func (s turnedStore) Acquire(ctx context.Context, name, holder string, ttl time.Duration) (ward.Lease, error) {
+	if err := s.err(); err != nil {
+		return ward.Lease{}, err
+	}
+	return s.Store.Acquire(ctx, name, holder, ttl)
+}
+
+func (s turnedStore) Renew(ctx context.Context, lease ward.Lease, ttl time.Duration) (ward.Lease, error) {
+	if err := s.err(); err != nil {
+		return lease, err
+	}
+	return s.Store.Renew(ctx, lease, ttl)
+}
+
+// site is a small deployment: entries that send the requests of a plain service.
+type site struct {
+	routes  map[string]float64 // requests a second by route
+	entries int
+	bad     badness
+	trouble trouble
+	rng     *rand.Rand
+	store   *memory.Platform
+
+	running []*siteEntry
+	wg      sync.WaitGroup
+	ordered time.Time // zero before the order
+
+	requests, exposed int
+	bads              int
+	fiftieth          time.Time
+	late              int
+	state             ward.RolloutState
+	reportMu          sync.Mutex
+}
+
+// siteEntry is one process of an entry.
+type siteEntry struct {
+	*Rollout
+	ctx    context.Context
+	cancel context.CancelFunc
+	away   atomic.Bool
+	known  time.Time // when this process learned of the order
+}
+
+// siteSource is the source of one entry's records.
+type siteSource struct {
+	ward.ForwardSource
+	site  *site
+	entry *siteEntry
+}
+
+func (s siteSource) Records() ward.Store { return turnedStore{s.site.store, &s.entry.away} }
+
+func (s siteSource) Report(_ context.Context, x ward.RolloutStatus) error {
+	if s.entry.away.Load() {
+		return ward.ErrUnavailable
+	}
+	s.site.reportMu.Lock()
+	defer s.site.reportMu.Unlock()
+	s.site.state = x.State
+	return nil
+}
+
+func (s *site) start(ctx context.Context, i int, incarnation int64) *siteEntry {
+	e := &siteEntry{}
+	e.ctx, e.cancel = context.WithCancel(ctx)
+	e.Rollout = &Rollout{
+		Self: fmt.Sprint("entry-", i), Start: incarnation, Source: siteSource{site: s, entry: e}, Log: logr.Discard(),
+		Orders: func() []ward.Rollout {
+			if s.ordered.IsZero() || time.Now().Before(s.ordered) {
+				return nil
+			}
+			if e.known.IsZero() {
+				e.known = time.Now()
+			}
+			return []ward.Rollout{{Service: "s", Target: "v2", Within: orderTime, Revision: 9, Age: time.Since(e.known)}}
+		},
+		Upstreams: upstreams("v1", "v1", "v1", "v2", "v2", "v2"),
+		Fleet:     func() split.Fleet { return split.Fleet{Entries: s.entries, Index: i} },
+		Cells:     func() bool { return false },
+		Changed:   func() {},
+	}
+	e.Publish = func(m peerstate.Moves) {
+		time.AfterFunc(20*time.Millisecond, func() {
+			for _, peer := range s.running {
+				if peer != e && peer.ctx.Err() == nil && e.ctx.Err() == nil {
+					peer.UpdatePeer(m)
+				}
+			}
+		})
+	}
+	s.wg.Go(func() { e.Run(e.ctx) })
+	return e
+}
+
+// send sends one request of a route at a random entry.
+func (s *site) send(route string) {
+	e := s.running[s.rng.IntN(len(s.running))]
+	u, spread := s.rng.Float64(), math.Exp(0.4*s.rng.NormFloat64())
+	failed, slow, troubled := s.rng.Float64(), s.rng.Float64(), s.rng.Float64()
+	if e.ctx.Err() != nil {
+		return // refused: the process is down
+	}
+	group, done := e.Choose(route, "s", u)
+	now := time.Now()
+	since := now.Sub(s.ordered)
+	o := ward.Outcome{Upstream: "a", Version: "v1", OK: true, Connected: true, Total: time.Duration(20 * spread * float64(time.Millisecond))}
+	bad := false
+	if group == groupName("s", "v2") || s.completed() {
+		o.Upstream, o.Version = "d", "v2"
+		hit := (s.bad.route == "" || s.bad.route == route) && since >= s.bad.after
+		switch {
+		case hit && s.bad.silent:
+			o.Total, o.OK, o.Cancelled, o.Overrun, bad = time.Second, false, true, true, true
+		case hit && failed < s.bad.failed:
+			o.OK, bad = false, true
+		case hit && slow < s.bad.slow:
+			o.Total, bad = slowFactor*o.Total, true
+		}
+	}
+	if t := s.trouble; t.failed > 0 && since >= t.failedAt && troubled < t.failed {
+		o.OK = false
+	}
+	s.count(o.Version, since, bad)
+
+	time.AfterFunc(o.Total, func() {
+		if bad && o.Version == "v2" {
+			if s.bads++; s.bads == badAnswers {
+				s.fiftieth = time.Now()
+			}
+		}
+		done()
+		if e.ctx.Err() == nil {
+			o.At = time.Now()
+			e.Observe(route, "s", o)
+		}
+	})
+}
+
+func (s *site) completed() bool {
+	s.reportMu.Lock()
+	defer s.reportMu.Unlock()
+	return s.state == ward.RolloutCompleted
+}
+
+func (s *site) count(version string, since time.Duration, bad bool) {
+	if s.ordered.IsZero() || since < 0 {
+		return
+	}
+	if version == "v2" && !s.fiftieth.IsZero() && time.Since(s.fiftieth) > rollbackTime {
+		s.late++
+	}
+	if since > orderTime {
+		return
+	}
+	s.requests++
+	if version == "v2" {
+		s.exposed++
+	}
+}
+
+// run plays the order and the time after it.
+func (s *site) run(ctx context.Context, seed uint64) {
+	s.rng, s.store = rand.New(rand.NewPCG(seed, 2)), &memory.Platform{Seed: seed}
+	for i := range s.entries {
+		s.running = append(s.running, s.start(ctx, i, 1))
+	}
+	begin := time.Now()
+	s.ordered = begin.Add(warmUp)
+	at := func(d time.Duration, f func()) {
+		if d > 0 {
+			time.AfterFunc(warmUp+d, f)
+		}
+	}
+	at(s.trouble.turnedAt, func() { s.turn(true) })
+	at(s.trouble.turnedTo, func() { s.turn(false) })
+	if s.trouble.killed > 0 {
+		at(s.trouble.killed, func() {
+			for _, e := range s.running {
+				e.cancel()
+			}
+		})
+		at(s.trouble.killed+time.Second, func() {
+			for i := range s.running {
+				s.running[i] = s.start(ctx, i, 2)
+			}
+		})
+	}
+	next := map[string]time.Time{}
+	for end := begin.Add(warmUp + 2*orderTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for _, route := range []string{"confirm", "check"} {
+			if now := time.Now(); !now.Before(next[route]) {
+				next[route] = now.Add(time.Duration(s.rng.ExpFloat64() / s.routes[route] * float64(time.Second)))
+				s.send(route)
+			}
+		}
+	}
+}
+
+// turn makes the store turn entries away, first the one that holds the lease, or serve
+// them again.
+func (s *site) turn(away bool) {
+	holder := s.store.Lease("move/s").Holder
+	left := s.trouble.turned
+	for i, e := range s.running {
+		first := away && fmt.Sprint("entry-", i) == holder
+		if !away || first || left > 1 {
+			e.away.Store(away)
+			left--
+		}
+	}
+}
+
+// play plays one seed and returns the site as it ended.
+func play(t *testing.T, seed uint64, bad badness, with trouble) *site {
+	s := &site{routes: map[string]float64{"confirm": 22.5, "check": 9}, entries: 6, bad: bad, trouble: with}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s.run(ctx, seed)
+		cancel()
+		s.wg.Wait()
+	})
+	return s
+}
+
+var badVersions = []struct {
+	name string
+	badness
+}{
+	{"slow", badness{slow: 0.5}},
+	{"fails", badness{failed: 0.4}},
+	{"fails on one route", badness{failed: 0.4, route: "check"}},
+	{"slow later", badness{slow: 0.5, after: 6 * time.Second}},
+	{"never answers", badness{silent: true}},
+}
+
+var troubles = []struct {
+	name string
+	trouble
+}{
+	{"undisturbed", trouble{}},
+	{"the store turns half away", trouble{turned: 3, turnedAt: 3 * time.Second, turnedTo: 12 * time.Second}},
+	{"the store turns all away", trouble{turned: 7, turnedAt: 4 * time.Second, turnedTo: 9 * time.Second}},
+	{"all are killed early", trouble{killed: 4 * time.Second}},
+	{"all are killed late", trouble{killed: 8 * time.Second}},
+	{"both versions fail", trouble{failed: 0.3, failedAt: 4 * time.Second}},
+}
+
+const exposureSeeds = 6
+
+// Guards against EXPOSURE: a version under suspicion got the whole traffic since its
+// steps were due, or since the evidence was lost with the processes.
+func TestBadVersionStaysWithinBounds(t *testing.T) {
+	for _, b := range badVersions {
+		for _, x := range troubles {
+			t.Run(b.name+"/"+x.name, func(t *testing.T) {
+				for seed := range uint64(exposureSeeds) {
+					s := play(t, seed, b.badness, x.trouble)
+					if limit := exposeShare*float64(s.requests) + exposeRequests; float64(s.exposed) > limit || s.late > 0 || s.state == ward.RolloutCompleted {
+						t.Errorf("seed %d: %q, %d of %d requests at the bad version (%.0f allowed), %d later than %v after its 50th bad answer",
+							seed, s.state, s.exposed, s.requests, limit, s.late, rollbackTime)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Guards against good versions that are rolled back since nothing is known of them in
+// time.
+func TestGoodVersionCompletes(t *testing.T) {
+	for _, x := range troubles {
+		t.Run(x.name, func(t *testing.T) {
+			for seed := range uint64(exposureSeeds) {
+				if s := play(t, seed, badness{}, x.trouble); s.state != ward.RolloutCompleted {
+					t.Errorf("seed %d: %q, %d of %d requests", seed, s.state, s.exposed, s.requests)
+				}
+			}
+		})
+	}
+}
