--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -18,6 +18,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -196,6 +197,9 @@
 func (g *Gate) Refresh() {
 	list := g.View.Upstreams()
 	table := g.View.Table()
+	if table != nil {
+		list = slices.DeleteFunc(list, func(r ward.Replica) bool { return !table.Names(r.Service) })
+	}
 	for i := range list {
 		if table != nil {
 			list[i].ColdTime, list[i].ColdRate = table.Cold(list[i].Service)
--- a/internal/forward/route/route.go
+++ b/internal/forward/route/route.go
@@ -23,17 +23,22 @@
 	byHost   map[string][]*ward.ForwardRoute
 	byKey    map[string]*ward.ForwardTeam
 	services map[string]*ward.ForwardService
+	// named holds the services that the configuration lists or a route leads to.
+	named map[string]bool
 }
 
 // New indexes a configuration.
 func New(f ward.Forwarding) *Table {
 	t := &Table{
 		Config: f, byHost: make(map[string][]*ward.ForwardRoute),
-		byKey: make(map[string]*ward.ForwardTeam), services: make(map[string]*ward.ForwardService),
+		byKey: make(map[string]*ward.ForwardTeam), services: make(map[string]*ward.ForwardService), named: make(map[string]bool),
 	}
 	for i := range f.Routes {
 		r := &f.Routes[i]
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		for _, s := range r.Split {
+			t.named[s.Service] = true
+		}
 	}
 	for _, list := range t.byHost {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -45,6 +50,7 @@
 	}
 	for i := range f.Services {
 		t.services[f.Services[i].Name] = &f.Services[i]
+		t.named[f.Services[i].Name] = true
 	}
 	return t
 }
@@ -89,6 +95,9 @@
 	return r.Split[len(r.Split)-1].Service
 }
 
+// Names reports whether the configuration names a service.
+func (t *Table) Names(service string) bool { return t.named[service] }
+
 // Connections returns the maximum number of connections that one upstream of a
 // service accepts from all entries together; 0 means no bound.
 func (t *Table) Connections(service string) int {
--- a/internal/forward/schedule/slots.go
+++ b/internal/forward/schedule/slots.go
@@ -116,17 +116,16 @@
 			if u.held {
 				continue // the other entries of the cell don't have it
 			}
-			for range u.slots() {
-				if slot%len(s.entries) == self {
-					u.assigned++
-				}
-				slot++
-			}
+			u.assigned = turns(slot+u.slots(), self, len(s.entries)) - turns(slot, self, len(s.entries))
+			slot += u.slots()
 			u.setTries(slot%len(s.entries) == self)
 		}
 	}
 }
 
+// turns returns how many of the first slots are the turn of entry self of n.
+func turns(slots, self, n int) int { return (slots + n - 1 - self) / n }
+
 // hasSlot reports whether this entry may send to u: u takes requests, and has at least
 // sharedSlots free slots, a free slot that is assigned to this entry, or a reserved one.
 // The limit of an upstream, which one or few entries hold, replaces the rule for the last
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -235,7 +235,7 @@
 		v.logNote(r)
 		return true
 	}
-	if v.loggedFaults == nil {
+	if v.loggedFaults == nil || len(v.loggedFaults) >= maxNotes {
 		v.loggedFaults = make(map[string]uint64)
 	}
 	if v.loggedFaults[r.Replica.ID] != r.Revision {
@@ -245,7 +245,7 @@
 	return false
 }
 
-// maxNotes bounds the upstreams whose notes are kept.
+// maxNotes bounds the upstreams whose notes, and those whose faults, are kept.
 const maxNotes = 4096
 
 // logNote logs the note on a registration once. Registrations are renewed every second.
