fix(gate): a resumed stream goes on with events alone

Cause: any success was taken as the rest of a stream that had begun: an answer of another media type, one without a body (204), an empty one, and events without an id. Change: the rest of a stream needs the status and the media type of its beginning, and its events need ids; else the attempt failed and another is made or the stream is cut. Errors with another status were not relayed before either.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -30,6 +30,8 @@
 
 var (
 	errAnswerTooLarge = errors.New("the answer exceeds the buffer limit")
+	errEventUnplaced  = errors.New("an event of the resumed stream has no id")
+	errOtherKind      = errors.New("the resumed stream was answered with something else")
 	errEventMissing   = errors.New("an event is missing from the stream")
 	errNoFurtherEvent = fmt.Errorf("no further event of the stream in %d bytes", maxQuiet)
 )
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"agateward/internal/forward/backend"
 	"agateward/internal/forward/poison"
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/relay"
@@ -82,6 +83,8 @@
 	// id of the last event that the caller has, -1 for none.
 	started   bool
 	lastEvent int64
+	// begun is the answer whose head the caller has, nil before the first.
+	begun *backend.Exchange
 	// returned is the promise that the request uses, nil for none. returnChecked is true
 	// once that was looked up, returnCounted once it was dispatched. promised is true when
 	// the refusal is a promise.
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"net/http"
@@ -34,6 +35,9 @@
 // relayStream relays complete events as they arrive and reports whether the request is
 // finished.
 func (c *call) relayStream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
+	if err := c.checkResumed(x); err != nil {
+		return c.handleTruncated(ctx, a, err)
+	}
 	events := sse.Reader{R: x.Body, Max: maxEvent}
 	progress := streamProgress{last: math.MinInt64, forward: c.noteProgress}
 	var streamStart, last time.Time
@@ -112,12 +116,27 @@
 	return nil
 }
 
+// checkResumed reports whether an answer can be the rest of the stream that the caller has
+// a part of. Any answer can be the beginning.
+func (c *call) checkResumed(x *backend.Exchange) error {
+	if begun := c.begun; begun != nil && (x.Status != begun.Status || mediaType(x) != mediaType(begun)) {
+		return fmt.Errorf("%w: status %d, %q after %d, %q", errOtherKind, x.Status, mediaType(x), begun.Status, mediaType(begun))
+	}
+	return nil
+}
+
+// mediaType returns the type of an answer's body without its parameters.
+func mediaType(x *backend.Exchange) string {
+	t, _, _ := strings.Cut(x.Header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
 // startAnswer writes the head of the answer once.
 func (c *call) startAnswer(x *backend.Exchange) {
 	if c.started {
 		return
 	}
-	c.started = true
+	c.started, c.begun = true, x
 	c.copyHeader(x.Header)
 	c.w.Header().Del("Content-Length")
 	c.w.WriteHeader(x.Status)
@@ -126,6 +145,9 @@
 
 // relayEvent relays one event. Events that the caller already has are skipped.
 func (c *call) relayEvent(e sse.Event, x *backend.Exchange) error {
+	if e.ID == "" && c.begun != nil && c.begun != x && len(e.Data) > 0 {
+		return errEventUnplaced
+	}
 	if e.ID != "" {
 		id, err := strconv.ParseInt(e.ID, 10, 64)
 		if err == nil {
