fix(backend): a reset beside a body's write is no regular end of an answer

Cause: a reset fails the write of the request's body, which takes the error of the socket; the read beside it sees the regular end of the connection. Change: an answer that only the end of its connection ends is complete if its request was sent completely. All answers of upstreams and of other entries are read this way; those of the store are JSON, of which half can't be decoded.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -66,6 +66,10 @@
 // answer.
 var ErrBadAnswer = errors.New("not an HTTP answer")
 
+// errSendBroken means that an answer without a length ended while its request was being
+// sent, so that it may have been cut.
+var errSendBroken = fmt.Errorf("the connection ended while the request was sent: %w", io.ErrUnexpectedEOF)
+
 // Causes for which a reply is not an HTTP answer.
 var (
 	errHeadTooLarge   = fmt.Errorf("the head exceeds %d bytes", maxHeadBytes)
@@ -79,6 +83,9 @@
 
 // Request is one request to an upstream.
 type Request struct {
+	// ID is the request's id, "" for none. A connection that carried a request of the same
+	// id is not used: an answer that comes twice could not be told from the new one.
+	ID string
 	// Address is an IP address and port, Target the path with its query as the
 	// caller sent it.
 	Address string
@@ -120,7 +127,10 @@
 	br      *bufio.Reader
 	expires time.Time
 	reused  bool
-	head    headLimit
+	// lastID is the id of the last request. Only its answer can come once more: one of an
+	// earlier request would have been read as that of the next, and refused.
+	lastID string
+	head   headLimit
 }
 
 // Exchange is a sent request with the answer that is being received.
@@ -149,10 +159,11 @@
 // connection, so that no byte was written, ErrWithdrawn if MaySend reports false, and
 // ErrBadAnswer if the answer is not HTTP.
 func (p *Pool) Send(ctx context.Context, r Request) (*Exchange, error) {
-	c, err := p.acquire(ctx, r.Address)
+	c, err := p.acquire(ctx, r.Address, r.ID)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ward.ErrNotConnected, err)
 	}
+	c.lastID = r.ID
 	if r.MaySend != nil && !r.MaySend() {
 		c.Close()
 		return nil, ErrWithdrawn
@@ -230,12 +241,33 @@
 
 func (r eofReader) Read(b []byte) (int, error) {
 	n, err := r.x.res.Body.Read(b)
-	if errors.Is(err, io.EOF) {
+	if errors.Is(err, io.EOF) && !r.x.bodyRead {
+		if r.x.endsWithConnection() && !r.x.written() {
+			return n, errSendBroken
+		}
 		r.x.bodyRead = true
 	}
 	return n, err
 }
 
+// endsWithConnection reports whether only the end of the connection ends the body.
+func (x *Exchange) endsWithConnection() bool {
+	return x.Length < 0 && len(x.res.TransferEncoding) == 0
+}
+
+// written reports whether the request was sent completely, after the upstream has closed
+// the connection. A reset that fails a write is not seen by the reads beside it, which
+// see a regular end.
+func (x *Exchange) written() bool {
+	select {
+	case err := <-x.writeDone:
+		x.writeDone <- err
+		return err == nil
+	case <-time.After(drainTimeout):
+		return false
+	}
+}
+
 // Drain reads the rest of the body, up to limit bytes, so that Close keeps the
 // connection. It gives up on an upstream that stops sending.
 func (x *Exchange) Drain(limit int64) {
@@ -249,7 +281,7 @@
 // Close ends the exchange. A request whose answer was not read to its end is
 // cancelled.
 func (x *Exchange) Close() {
-	if !x.bodyRead || x.res.Close || x.Length < 0 && len(x.res.TransferEncoding) == 0 {
+	if !x.bodyRead || x.res.Close || x.endsWithConnection() {
 		x.discard()
 		return
 	}
--- a/internal/forward/backend/backend_test.go
+++ b/internal/forward/backend/backend_test.go
@@ -126,3 +126,77 @@
 		time.Sleep(interval)
 	}
 }
+
+// Guards against half an answer that looks complete: the upstream reset the connection, and
+// the request's body, which was still being written, took the error.
+func TestResetWhileTheBodyIsWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buf := make([]byte, 32<<10)
+				_, _ = c.Read(buf)
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nhalf of the ans")
+				for range 8 {
+					_, _ = c.Read(buf)
+				}
+				_ = c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}()
+		}
+	}()
+	for range 20 {
+		var p backend.Pool
+		x, err := p.Send(t.Context(), backend.Request{Address: l.Addr().String(), Method: "POST", Target: "/", Host: "h", Body: make([]byte, 8<<20)})
+		if err != nil {
+			continue
+		}
+		time.Sleep(20 * time.Millisecond) // the reset arrives
+		if b, err := io.ReadAll(x.Body); err == nil {
+			t.Fatalf("%q looks complete", b)
+		}
+		x.Close()
+	}
+}
+
+// Guards against an answer without a length that is taken for cut: the upstream closes
+// the connection regularly as soon as it has read the whole body.
+func TestAnswerToTheEndOfTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+			}
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+			c.Close()
+		}
+	}()
+	for range 300 {
+		var p backend.Pool
+		x, err := p.Send(t.Context(), backend.Request{Address: l.Addr().String(), Method: "POST", Target: "/", Host: "h", Body: make([]byte, 256<<10)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b, err := io.ReadAll(x.Body); string(b) != "whole" || err != nil {
+			t.Fatalf("%q, %v", b, err)
+		}
+		x.Close()
+	}
+}
--- a/internal/forward/backend/pool.go
+++ b/internal/forward/backend/pool.go
@@ -5,25 +5,22 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 )
 
-// acquire returns an idle connection that is still open, or a new one.
-func (p *Pool) acquire(ctx context.Context, address string) (*conn, error) {
+// acquire returns an idle connection that is still open, and whose last request had
+// another id, or a new one.
+func (p *Pool) acquire(ctx context.Context, address, id string) (*conn, error) {
 	now := time.Now()
 	for {
-		p.mu.Lock()
-		list := p.idle[address]
-		if len(list) == 0 {
-			p.mu.Unlock()
+		c := p.takeIdle(address, id)
+		if c == nil {
 			break
 		}
-		c := list[len(list)-1]
-		p.idle[address] = list[:len(list)-1]
-		p.mu.Unlock()
 		if now.Before(c.expires) && c.isIdle() {
 			return c, nil
 		}
@@ -44,6 +41,21 @@
 	return c, nil
 }
 
+// takeIdle takes the newest idle connection of an address whose last request had another
+// id, nil if there is none.
+func (p *Pool) takeIdle(address, id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; id == "" || c.lastID != id {
+			p.idle[address] = slices.Delete(list, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
 	if p.Dial != nil {
 		return p.Dial(ctx, address)
@@ -75,7 +87,7 @@
 // Connect makes sure that there is an open connection to an address, which the next
 // Send to it uses. Its error means that the upstream can't be reached.
 func (p *Pool) Connect(ctx context.Context, address string) error {
-	c, err := p.acquire(ctx, address)
+	c, err := p.acquire(ctx, address, "")
 	if err != nil {
 		return err
 	}
