fix(gate): a refusal that comes twice is taken once

Cause: the id tells an answer from that of another request. A caller that sends a request again under its id met the refusal of the first time on the same connection. Change: a request does not use a connection whose last request had its id. Refusals of other ids, and without an id on a kept connection, were no promise before either.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -247,7 +247,7 @@
 	stall := c.watchSilence(a, cancel)
 	defer func() { c.next = stall.end() }()
 	x, err := c.gate.Pool.Send(ctx, backend.Request{
-		Address: a.Upstream.Address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host,
+		ID: c.head.ID, Address: a.Upstream.Address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host,
 		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body,
 		MaySend: func() bool { return c.beginSend(a) }, Connected: stall.setConnected,
 	})
--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -84,7 +84,7 @@
 	}
 	c.log.Info("request-relayed", "to", address, "route", c.route.Name, "sends", c.sends, "last-event", c.lastEvent)
 	x, err := g.Relay.Pool.Send(ctx, backend.Request{
-		Address: address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host, Header: e.Wrap(c.r.Header), Body: c.body,
+		ID: c.head.ID, Address: address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host, Header: e.Wrap(c.r.Header), Body: c.body,
 	})
 	if errors.Is(err, ward.ErrNotConnected) && ctx.Err() == nil {
 		g.Metrics.relayed(relayNotConnected)
