fix(cmd,schedule): a stopping entry outlasts SIGHUP and avoids slow upstreams

Cause: SIGHUP was registered only while settings are read again, so that before and after it had its default effect. The choice of an upstream did not compare the time to the last event with the exit, if any other upstream could have ended the request. Change: the first line of the command line registers SIGHUP for entries, for good. A job that has to end by the exit goes to no upstream that is expected to outlast it; it waits for another, and is refused when none can end it.

--- a/cmd/root.go
+++ b/cmd/root.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"agateward/internal/result/code"
 
@@ -29,6 +31,7 @@
 
 // Run runs the command line and returns the exit code.
 func Run(ctx context.Context, args []string) int {
+	outlastHangups(args)
 	root := rejectUnknown(rootCommand())
 	if err := root.Run(ctx, args); err != nil {
 		printError(os.Stderr, err)
@@ -37,6 +40,15 @@
 	return ExitOK
 }
 
+// outlastHangups keeps a SIGHUP from ending an entry, from its first line to its exit: the
+// signal says that a settings file has changed, also to a process that starts or stops.
+// Other commands end with their terminal.
+func outlastHangups(args []string) {
+	if len(args) > 1 && (args[1] == "entry" || args[1] == "forward") {
+		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	}
+}
+
 // rootCommand returns the root command, with its commands in the order of the
 // help text.
 func rootCommand() *cli.Command {
--- a/internal/forward/schedule/choose.go
+++ b/internal/forward/schedule/choose.go
@@ -30,7 +30,7 @@
 	avoided := false
 	for _, u := range s.upstreamsFor(v, j) {
 		avoided = avoided || !u.limitAllows(now)
-		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(probe, now) || !u.bears(j, now) {
+		if !u.hasSlot(now) || slices.Contains(j.Avoid, u.ID) || !u.accepts(probe, now) || !u.bears(j, now) || u.outlastsStop(j, now) {
 			continue
 		}
 		cost := s.cost(v, u, j, now)
@@ -71,13 +71,18 @@
 		return false
 	}
 	for _, u := range s.upstreamsFor(v, j) {
-		if u.available(now) && !now.Add(u.timeToLast(j)).After(j.EndBy) {
+		if u.available(now) && !u.outlastsStop(j, now) {
 			return false
 		}
 	}
 	return true
 }
 
+// outlastsStop reports whether the entry stops before u is expected to end j.
+func (u *upstream) outlastsStop(j *Job, now time.Time) bool {
+	return !j.EndBy.IsZero() && !j.Resumed && now.Add(u.timeToLast(j)).After(j.EndBy)
+}
+
 // canMeetDeadline reports whether any upstream of the service is expected to end j
 // before its deadline.
 func (s *Scheduler) canMeetDeadline(v *service, j *Job, now time.Time) bool {
--- a/internal/forward/schedule/stop_test.go
+++ b/internal/forward/schedule/stop_test.go
@@ -55,6 +55,26 @@
 	}
 }
 
+// Guards against a late request of a stopping entry that is cut at the exit: the fast
+// upstream had no room, and the slow one could not end it in time.
+func TestStoppingEntryAvoidsSlowUpstream(t *testing.T) {
+	s := newScheduler("entry-1", engines(2, 1))
+	fast, slow := s.services["menus"].upstreams[0], s.services["menus"].upstreams[1]
+	slow.tokenRatio = 4 * fast.tokenFactor()
+	first := job(1, 0, start)
+	first.Avoid = []string{slow.ID}
+	dispatched(t, s.Arrive(first, start))
+	s.Stop(start.Add(4 * time.Second))
+	late := job(9, 0, start)
+	late.Output, late.EndBy = 300, start.Add(4*time.Second)
+	if a := s.Arrive(late, start); len(a) != 0 {
+		t.Fatalf("%+v, want it to wait for the fast upstream", a)
+	}
+	if a := s.Tick(start.Add(3500 * time.Millisecond)); len(a) != 1 || a[0].Reason != ReasonStopping {
+		t.Errorf("%+v, want it refused when no upstream can end it", a)
+	}
+}
+
 // TestReturnAfterStop checks when a refused caller is told to come back while
 // entries are stopped in turn.
 func TestReturnAfterStop(t *testing.T) {
