--- a/internal/move/analysis/analysis.go
+++ b/internal/move/analysis/analysis.go
@@ -28,7 +28,8 @@
 //
 // The version passes a step when the same evidence, counted from the start of the
 // step, favours "no worse" by 1/beta over the reference harm (five points or a
-// factor of one and a half).
+// factor of one and a half). A pass is reported; what a step needs is an Approval,
+// which a few dozen outcomes can give.
 //
 // # Usage
 //
