fix(mover): each write of a running move's record holds the counts

What callers saw: nothing yet; found by reading the diff. Cause: a step, or the first write under a new lease, replaced the record without the counts, which were written once a second only. Processes that were killed in that second left no evidence. Change: every write of a move that runs has the newest counts.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -203,15 +203,15 @@
 		next.Holder = m.Self
 		changed = true
 	}
-	if m.countsDue(x, next, in.Now, l) {
-		next.Counts = m.recordCounts(x)
-		changed = changed || sumOf(next.Counts) > l.written
-	}
 	kept := slices.DeleteFunc(slices.Clone(next.PendingEvents), func(e ward.Event) bool { return m.wasNotified(e) })
 	if len(kept) < len(next.PendingEvents) {
 		next.PendingEvents = kept
 		changed = true
 	}
+	if running := !next.Begin.IsZero() && !m.machine.Final(next); running && (changed || m.countsDue(x, next, in.Now, l)) {
+		next.Counts = m.recordCounts(x)
+		changed = changed || sumOf(next.Counts) > l.written
+	}
 	return next, changed
 }
 
--- a/internal/entry/mover/totals.go
+++ b/internal/entry/mover/totals.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// countsDue reports whether the record of a run is to have the newest counts.
+// countsDue reports whether the record of a run is to be written for its counts alone.
 func (m *Mover) countsDue(x ward.Move, s ward.MoveState, now time.Time, l *leaseState) bool {
-	return !s.Begin.IsZero() && !m.machine.Final(s) && now.Sub(l.counted) >= max(countsInterval, x.Deadline.Sub(s.Begin)/ticksPerWindow)
+	return now.Sub(l.counted) >= max(countsInterval, x.Deadline.Sub(s.Begin)/ticksPerWindow)
 }
 
 // recordCounts returns the counts of a run over all entries. If there are too many, those
--- a/internal/forward/rollout/exposure_test.go
+++ b/internal/forward/rollout/exposure_test.go
@@ -62,6 +62,8 @@
 type turnedStore struct {
 	ward.Store
 	away *atomic.Bool
+	// bare counts the writes of a move's record that lack the counts.
+	bare *atomic.Int64
 }
 
 func (s turnedStore) err() error {
@@ -82,6 +84,10 @@
 	if err := s.err(); err != nil {
 		return ward.Record{}, err
 	}
+	var state ward.MoveState
+	if key == acceptance.KeyMove("s") && json.Unmarshal(value, &state) == nil && state.Step > 1 && state.Share > 0 && state.State != split.Done && len(state.Counts) == 0 {
+		s.bare.Add(1)
+	}
 	return s.Store.CompareAndSwap(ctx, key, revision, value)
 }
 
@@ -112,6 +118,7 @@
 	wg      sync.WaitGroup
 	ordered time.Time // zero before the order
 
+	bare              atomic.Int64
 	requests, exposed int
 	bads              int
 	fiftieth          time.Time
@@ -137,7 +144,9 @@
 	entry *siteEntry
 }
 
-func (s siteSource) Records() ward.Store { return turnedStore{s.site.store, &s.entry.away} }
+func (s siteSource) Records() ward.Store {
+	return turnedStore{s.site.store, &s.entry.away, &s.site.bare}
+}
 
 func (s siteSource) Report(_ context.Context, x ward.RolloutStatus) error {
 	if s.entry.away.Load() {
@@ -377,7 +386,11 @@
 		t.Run(x.name, func(t *testing.T) {
 			completed, why := 0, ""
 			for seed := range uint64(exposureSeeds) {
-				if s := play(t, seed, badness{}, x.trouble); s.state == ward.RolloutCompleted {
+				s := play(t, seed, badness{}, x.trouble)
+				if n := s.bare.Load(); n > 0 {
+					t.Errorf("seed %d: %d writes of the record without the evidence", seed, n)
+				}
+				if s.state == ward.RolloutCompleted {
 					completed++
 				} else {
 					why += fmt.Sprintf("\nseed %d: %q, %d of %d requests: %s", seed, s.state, s.exposed, s.requests, s.why)
