fix(move): traffic is thin only by what was seen for long enough

Cause: in a window of fewer than 50 requests the clock decides. The holder of the lease knew few of them: the window was 3.2 s, and its peers' counts were late or missing. Change: the number of requests is known after 3 s at the earliest, and is at least the holder's own times the entries.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -182,6 +182,7 @@
 
 // nextState returns the state that follows the known one, and whether it differs.
 func (m *Mover) nextState(c *ward.Config, x ward.Move, l *leaseState) (ward.MoveState, bool) {
+	entries := uint64(max(m.Fleet().Entries, 1))
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.recognize(x) {
@@ -192,7 +193,7 @@
 		Now: m.Clock.Now(), Move: x, Holder: m.Self, Fence: l.lease.Fence,
 		Loaded: order.Loaded(x, s.Orders), Evidence: func() []ward.Counts { return m.evidenceOf(c, x) },
 	}
-	m.judge(c, x, s.Step, &in)
+	m.judge(c, x, s.Step, entries, &in)
 	l.suspicion = in.Suspicion
 	in.Quarantined, in.QuarantineReason = m.quarantined(c, x)
 	next, changed := m.machine.Next(s, in)
@@ -215,8 +216,8 @@
 	return next, changed
 }
 
-// judge sets what the last evaluation found.
-func (m *Mover) judge(c *ward.Config, x ward.Move, step int, in *machine.Input) {
+// judge sets what the last evaluation found, in a fleet of a number of entries.
+func (m *Mover) judge(c *ward.Config, x ward.Move, step int, entries uint64, in *machine.Input) {
 	name := evidence.RunName(x.Name, x.Ticket)
 	r := m.runs[name]
 	if r == nil || len(r.steps) == 0 {
@@ -232,7 +233,8 @@
 		in.Requests += a.Requests
 	}
 	in.Approved = analysis.Approved(r.approvals, plan.Plan{Begin: r.begin, Deadline: x.Deadline}.Final(in.Now))
-	in.Requests -= min(r.before, in.Requests)
+	// Peers may be silent, so that their requests are missing.
+	in.Requests = max(in.Requests-min(r.before, in.Requests), m.ownRequests(name)*entries)
 	in.Observed = in.Now.Sub(r.steps[0].at)
 }
 
--- a/internal/entry/mover/evaluate.go
+++ b/internal/entry/mover/evaluate.go
@@ -170,6 +170,16 @@
 	return n
 }
 
+// ownRequests returns the number of requests of a run that this entry sent.
+func (m *Mover) ownRequests(name string) (n uint64) {
+	for _, c := range m.recorder.Counts() {
+		if evidence.RunOf(c.Move) == name {
+			n += c.Sent
+		}
+	}
+	return n
+}
+
 // logEvidence logs what the evidence of a run is when its next step is put in force:
 // the totals of the step before and the results of the analyses.
 func (m *Mover) logEvidence(x ward.Move, r *run, routes []ward.Route) {
--- a/internal/forward/rollout/exposure_test.go
+++ b/internal/forward/rollout/exposure_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -114,9 +115,12 @@
 	rng     *rand.Rand
 	store   *memory.Platform
 
-	running []*siteEntry
 	wg      sync.WaitGroup
-	ordered time.Time // zero before the order
+	ordered time.Time
+
+	// mu guards the fields below.
+	mu      sync.Mutex
+	running []*siteEntry
 
 	bare              atomic.Int64
 	requests, exposed int
@@ -125,7 +129,6 @@
 	late              int
 	state             ward.RolloutState
 	why               string
-	reportMu          sync.Mutex
 }
 
 // siteEntry is one process of an entry.
@@ -152,8 +155,8 @@
 	if s.entry.away.Load() {
 		return ward.ErrUnavailable
 	}
-	s.site.reportMu.Lock()
-	defer s.site.reportMu.Unlock()
+	s.site.mu.Lock()
+	defer s.site.mu.Unlock()
 	s.site.state = x.State
 	return nil
 }
@@ -164,9 +167,11 @@
 	e.Rollout = &Rollout{
 		Self: fmt.Sprint("entry-", i), Start: incarnation, Source: siteSource{site: s, entry: e}, Log: logr.Discard(),
 		Orders: func() []ward.Rollout {
-			if s.ordered.IsZero() || time.Now().Before(s.ordered) {
+			if time.Now().Before(s.ordered) {
 				return nil
 			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			if e.known.IsZero() {
 				e.known = time.Now()
 			}
@@ -180,7 +185,10 @@
 	}
 	e.Publish = func(m peerstate.Moves) {
 		time.AfterFunc(20*time.Millisecond, func() {
-			for _, peer := range s.running {
+			s.mu.Lock()
+			peers := slices.Clone(s.running)
+			s.mu.Unlock()
+			for _, peer := range peers {
 				if peer != e && peer.ctx.Err() == nil && e.ctx.Err() == nil {
 					peer.UpdatePeer(m)
 				}
@@ -193,7 +201,9 @@
 
 // send sends one request of a route at a random entry.
 func (s *site) send(route string) {
-	e := s.running[s.rng.IntN(len(s.running))]
+	s.mu.Lock()
+	e := s.running[s.rng.IntN(s.entries)]
+	s.mu.Unlock()
 	u, spread := s.rng.Float64(), math.Exp(0.4*s.rng.NormFloat64())
 	failed, slow, troubled := s.rng.Float64(), s.rng.Float64(), s.rng.Float64()
 	if e.ctx.Err() != nil {
@@ -224,9 +234,7 @@
 
 	time.AfterFunc(o.Total, func() {
 		if bad && o.Version == "v2" {
-			if s.bads++; s.bads == badAnswers {
-				s.fiftieth = time.Now()
-			}
+			s.countBad()
 		}
 		done()
 		if e.ctx.Err() == nil {
@@ -236,14 +244,24 @@
 	})
 }
 
+func (s *site) countBad() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.bads++; s.bads == badAnswers {
+		s.fiftieth = time.Now()
+	}
+}
+
 func (s *site) completed() bool {
-	s.reportMu.Lock()
-	defer s.reportMu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return s.state == ward.RolloutCompleted
 }
 
 func (s *site) count(version string, since time.Duration, bad bool) {
-	if s.ordered.IsZero() || since < 0 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if since < 0 {
 		return
 	}
 	if version == "v2" && !s.fiftieth.IsZero() && time.Since(s.fiftieth) > rollbackTime {
@@ -261,11 +279,14 @@
 // run plays the order and the time after it.
 func (s *site) run(ctx context.Context, seed uint64) {
 	s.rng, s.store = rand.New(rand.NewPCG(seed, 2)), &memory.Platform{Seed: seed}
-	for i := range s.entries {
-		s.running = append(s.running, s.start(ctx, i, 1))
-	}
 	begin := time.Now()
 	s.ordered = begin.Add(warmUp)
+	for i := range s.entries {
+		e := s.start(ctx, i, 1)
+		s.mu.Lock()
+		s.running = append(s.running, e)
+		s.mu.Unlock()
+	}
 	at := func(d time.Duration, f func()) {
 		if d > 0 {
 			time.AfterFunc(warmUp+d, f)
@@ -275,13 +296,18 @@
 	at(s.trouble.turnedTo, func() { s.turn(false) })
 	if s.trouble.killed > 0 {
 		at(s.trouble.killed, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
 			for _, e := range s.running {
 				e.cancel()
 			}
 		})
 		at(s.trouble.killed+time.Second, func() {
-			for i := range s.running {
-				s.running[i] = s.start(ctx, i, 2)
+			for i := range s.entries {
+				e := s.start(ctx, i, 2)
+				s.mu.Lock()
+				s.running[i] = e
+				s.mu.Unlock()
 			}
 		})
 	}
@@ -301,6 +327,8 @@
 func (s *site) turn(away bool) {
 	holder := s.store.Lease("move/s").Holder
 	left := s.trouble.turned
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for i, e := range s.running {
 		first := away && fmt.Sprint("entry-", i) == holder
 		if !away || first || left > 1 {
@@ -348,12 +376,14 @@
 	name string
 	trouble
 	// good is the least number of good versions that complete, of exposureSeeds: all if only
-	// the store is disturbed, half if the evidence is lost or both versions fail alike.
+	// the store is disturbed, half if the evidence is lost or both versions fail alike, and
+	// none if the store leaves no time for evidence.
 	good int
 }{
 	{"undisturbed", trouble{}, exposureSeeds},
 	{"the store turns half away", trouble{turned: 3, turnedAt: 3 * time.Second, turnedTo: 12 * time.Second}, exposureSeeds},
 	{"the store turns all away", trouble{turned: 7, turnedAt: 4 * time.Second, turnedTo: 9 * time.Second}, exposureSeeds},
+	{"the store is away at first", trouble{turned: 7, turnedAt: time.Millisecond, turnedTo: 9 * time.Second}, 0},
 	{"all are killed early", trouble{killed: 4 * time.Second}, exposureSeeds / 2},
 	{"all are killed late", trouble{killed: 8 * time.Second}, exposureSeeds / 2},
 	{"both versions fail", trouble{failed: 0.3, failedAt: 4 * time.Second}, exposureSeeds / 2},
--- a/internal/move/plan/plan.go
+++ b/internal/move/plan/plan.go
@@ -54,10 +54,11 @@
 	// that there is decides.
 	finalPart = 0.75
 	// fewRequests is the number of requests in the whole window from which on they can
-	// tell a bad version. A move with fewer is made by the clock.
+	// tell a bad version. A move with fewer is made by the clock, if the window is long
+	// enough to know.
 	fewRequests = 50
 	// leastObserved is the time after which the number of requests in a window is known,
-	// as a fraction of the window.
+	// as a fraction of the window, but at least PropagationTime.
 	leastObserved = 0.15
 	// minDwell is the least time between two steps, as a fraction of the window.
 	minDwell = 0.02
@@ -138,7 +139,7 @@
 // few reports whether the window has too few requests to tell a bad version. It is
 // false while that is not known.
 func (p Plan) few(e Evidence) bool {
-	return e.Observed >= p.fraction(leastObserved) && float64(e.Requests)*float64(p.Window()) < fewRequests*float64(e.Observed)
+	return e.Observed >= max(p.fraction(leastObserved), PropagationTime) && float64(e.Requests)*float64(p.Window()) < fewRequests*float64(e.Observed)
 }
 
 // Settled reports whether the new version, with the whole traffic since since,
