fix(rollout): a second order separates its version at once

Cause: a version that no plan names belongs to its service. The groups of upstreams are read again when a split changes; a second order of a service leaves the split as it was, so that its version stayed in the service's group until the next change of upstreams. Change: orders are planned before the groups are read, and a changed plan makes them be read again. Result: TestSecondOrderSeparatesItsVersion fails without the change of reconcile and passes.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -197,6 +197,7 @@
 func (g *Gate) Refresh() {
 	list := g.View.Upstreams()
 	table := g.View.Table()
+	g.Rollout.Plan()
 	if table != nil {
 		list = slices.DeleteFunc(list, func(r ward.Replica) bool { return !table.Names(r.Service) })
 	}
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -58,8 +58,20 @@
 	return route + "/" + p.Service
 }
 
-// updatePlans updates the plans from the current orders. The caller must hold mu.
-func (r *Rollout) updatePlans(now time.Time) {
+// Plan plans the orders that have arrived since, so that Group tells their upstreams
+// apart.
+func (r *Rollout) Plan() {
+	if r.Orders == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.updatePlans(time.Now())
+}
+
+// updatePlans updates the plans from the current orders, and reports whether Group may
+// return other groups since. The caller must hold mu.
+func (r *Rollout) updatePlans(now time.Time) (changed bool) {
 	orders := r.Orders()
 	ordered := make(map[string]bool, len(orders))
 	for _, o := range orders {
@@ -76,19 +88,23 @@
 			r.plans = make(map[string]*plan)
 		}
 		r.plans[o.Service] = p
+		changed = true
 		r.Log.Info("rollout-planned", "service", o.Service, "from", from, "to", o.Target, "deadline", p.deadline(ward.MoveState{}), "revision", o.Revision, "routes", p.routes)
 	}
 	for service, p := range r.plans {
 		if !ordered[service] {
 			delete(r.plans, service)
+			changed = true
 			r.Log.Info("rollout-order-gone", "service", service)
 			continue
 		}
 		// After the old upstreams are gone, the order no longer affects their version.
 		if s := r.states[service]; ended(s, p) && s.State == split.Done && !r.registered(service, p.from) {
+			changed = changed || p.from != ""
 			p.from = ""
 		}
 	}
+	return changed
 }
 
 // adoptRoutes evaluates the routes that the record of the move names.
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -140,10 +140,13 @@
 func (r *Rollout) reconcile(context.Context) {
 	r.learnOrders()
 	r.mu.Lock()
-	r.updatePlans(time.Now())
+	planned := r.updatePlans(time.Now())
 	idle := len(r.plans) == 0 && len(r.splits) == 0
 	r.mu.Unlock()
 	if idle {
+		if planned {
+			r.Changed()
+		}
 		return
 	}
 	list, states, doubted := r.mover.Splits(), r.mover.States(), r.mover.Doubted()
@@ -154,7 +157,7 @@
 		r.states[s.Move] = s
 	}
 	splits := make(map[string]ward.Split, len(r.plans))
-	changed, active := len(r.splits) != len(r.plans), r.peerOutdated
+	changed, active := planned || len(r.splits) != len(r.plans), r.peerOutdated
 	r.peerOutdated = false
 	for service, p := range r.plans {
 		p.adoptRoutes(r.states[service])
--- a/internal/forward/rollout/rollout_test.go
+++ b/internal/forward/rollout/rollout_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"agateward/internal/entry/mover"
+	"agateward/internal/forward/peerstate"
 	"agateward/internal/move/split"
+	"agateward/internal/platform/memory"
 	"agateward/ward"
 
 	"github.com/go-logr/logr"
@@ -79,6 +82,32 @@
 	}
 }
 
+// Guards against a bad version that gets the requests of its service since it was ordered
+// after another one: its upstreams stayed in the service's group until the next change.
+func TestSecondOrderSeparatesItsVersion(t *testing.T) {
+	orders := []ward.Rollout{{Service: "s", Target: "v2", Within: time.Minute, Revision: 9}}
+	changes := 0
+	r := Rollout{
+		Log: logr.Discard(), Upstreams: upstreams("v1", "v3"), Orders: func() []ward.Rollout { return orders },
+		Changed: func() { changes++ }, Fleet: func() split.Fleet { return split.Fleet{Entries: 1} }, Publish: func(peerstate.Moves) {},
+	}
+	r.mover = mover.New(mover.Deps{Store: &memory.Platform{Seed: 1}, Clock: ward.SystemClock{}, Log: r.Log, Config: r.config, Fleet: r.Fleet})
+	r.reconcile(t.Context())
+	r.states, r.splits = map[string]ward.MoveState{"s": {Ticket: 9, State: split.RolledBack}}, map[string]ward.Split{"s": {Version: "v1"}}
+	orders = []ward.Rollout{{Service: "s", Target: "v3", Within: time.Minute, Revision: 12}}
+	changes = 0
+	r.reconcile(t.Context())
+	if changes == 0 {
+		t.Error("the groups of upstreams were not read again after the second order")
+	}
+	orders = []ward.Rollout{{Service: "s", Target: "v3", Within: time.Minute, Revision: 15}}
+	r.plans = nil
+	r.Plan()
+	if got := r.Group(ward.Replica{Service: "s", Version: "v3"}); got != "s@v3" {
+		t.Errorf("right after the order its version is in group %q", got)
+	}
+}
+
 // TestChoose checks that requests and upstreams are grouped by the current split.
 func TestChoose(t *testing.T) {
 	planned := &plan{Rollout: ward.Rollout{Service: "s", Target: "v2"}, from: "v1"}
