fix(schedule,shutdown): late in a stop only requests with a bound are begun

Cause: a late request was taken if its expected time fitted before the exit. The expectation is a mean; an upstream that the entry has not used counts as fast as the nominal one, and one that pauses as if it did not. The bound for plain requests was the route's time-out, so that a route without one had none. Change: once the balancer has had time to notice, a request is dispatched only if its deadline (the caller's, or the route's) is not after the exit; this holds for new ones, for those that wait since before, and for borrowed slots. The rest of a begun stream goes on. Why it works: at its deadline a request is answered, so that none is running at the exit but those from before. A refused caller asks another entry. TestBounds replaces TestBound: the bound of a late request no longer depends on its kind.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -8,7 +8,6 @@
 
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/schedule"
-	"agateward/internal/forward/shutdown"
 	"agateward/internal/result/code"
 	"agateward/ward"
 )
@@ -164,7 +163,7 @@
 	}
 	c.markReturn(j)
 	if s := c.gate.shutdown.Load(); s != nil {
-		c.boundByStop(j, *s)
+		j.EndBy = s.End()
 	}
 	return j
 }
@@ -183,20 +182,6 @@
 	return max(minStreamWait, targetFactor*c.target(), gapFactor*c.route.MaxGap.Std())
 }
 
-// boundByStop bounds a job of a stopping entry.
-func (c *call) boundByStop(j *schedule.Job, s shutdown.Shutdown) {
-	end, sure := s.Bound(c.arrived)
-	j.EndBy = end
-	switch {
-	case !sure:
-	case c.route.Kind == ward.ForwardStream:
-		j.Output = max(c.head.MaxOutput, 1)
-	default:
-		// The answer of a plain service has no known bound but the route's time.
-		j.EndBy = end.Add(-c.route.Timeout.Std())
-	}
-}
-
 // await submits the request to the scheduler and waits for its decision.
 func (c *call) await(ctx context.Context) (schedule.Action, error) {
 	c.checkReturn()
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -301,7 +301,7 @@
 	g.shutdown.Store(&s)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sched.Stop(s.End())
+	g.sched.Stop(s.Late(), s.End())
 }
 
 // Running returns the number of requests that are being served.
--- a/internal/forward/schedule/borrow.go
+++ b/internal/forward/schedule/borrow.go
@@ -238,7 +238,7 @@
 		if j.NoLoan || slices.Contains(j.Avoid, u.ID) || !s.Options.InHomes(j.Homes, u.DataCentre) || now.After(j.Expires) || !u.accepts(j.Repeatable, now) {
 			continue
 		}
-		if u.outlastsStop(j, now) {
+		if u.outlastsStop(j, now) || s.unboundAtStop(j, now) {
 			continue
 		}
 		v.queue = slices.Delete(v.queue, i, i+1)
--- a/internal/forward/schedule/choose.go
+++ b/internal/forward/schedule/choose.go
@@ -64,12 +64,16 @@
 	return !j.Deadline.IsZero() && now.Add(u.timeToLast(j)).After(j.Deadline)
 }
 
-// outlastsStop reports whether the entry stops before any upstream is expected to
-// end j. A job whose answer has begun goes on until the stop.
+// outlastsStop reports whether j may outlast the entry: the entry stops before any upstream
+// is expected to end j or, from stopLate on, before j must have ended. A job whose answer
+// has begun goes on until the stop.
 func (s *Scheduler) outlastsStop(v *service, j *Job, now time.Time) bool {
 	if j.EndBy.IsZero() || j.Resumed {
 		return false
 	}
+	if s.unboundAtStop(j, now) {
+		return true
+	}
 	for _, u := range s.upstreamsFor(v, j) {
 		if u.available(now) && !u.outlastsStop(j, now) {
 			return false
@@ -78,6 +82,11 @@
 	return true
 }
 
+// unboundAtStop reports whether it is late in a stop and nothing ends j before the exit.
+func (s *Scheduler) unboundAtStop(j *Job, now time.Time) bool {
+	return !s.stopEnd.IsZero() && !now.Before(s.stopLate) && !j.Resumed && !j.endsBy(j.EndBy)
+}
+
 // outlastsStop reports whether the entry stops before u is expected to end j.
 func (u *upstream) outlastsStop(j *Job, now time.Time) bool {
 	return !j.EndBy.IsZero() && !j.Resumed && now.Add(u.timeToLast(j)).After(j.EndBy)
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -31,7 +31,8 @@
 	// bound.
 	Deadline time.Time
 	// EndBy is when the stopping entry exits; zero means that it does not stop. The
-	// job is refused once no upstream is expected to end it by then.
+	// job is refused once no upstream is expected to end it by then. Late in a stop it is
+	// refused unless its Deadline is not after EndBy.
 	EndBy time.Time
 	// Prompt and Output are the sizes in tokens, 0 for plain requests.
 	Prompt int
@@ -65,6 +66,9 @@
 	turnedLate bool
 }
 
+// endsBy reports whether j has ended by t however long its answer takes.
+func (j *Job) endsBy(t time.Time) bool { return !j.Deadline.IsZero() && !j.Deadline.After(t) }
+
 // Action is a decision on one job: a dispatch if Upstream is set, else a refusal.
 // Without a job it grants a free slot of Upstream to the peer GrantTo.
 type Action struct {
--- a/internal/forward/schedule/loan_test.go
+++ b/internal/forward/schedule/loan_test.go
@@ -71,7 +71,7 @@
 			s.Members = []string{"entry-1", "entry-2", "entry-3", "entry-4"}
 			s.UpdatePeer("entry-3", PeerState{}, start)
 		}, 0},
-		{"stopping", func(s *Scheduler) { s.Stop(start.Add(time.Second)) }, 0},
+		{"stopping", func(s *Scheduler) { s.Stop(start.Add(time.Second), start.Add(time.Second)) }, 0},
 		{"peer of the cell with a higher rank", func(s *Scheduler) {
 			s.UpdatePeer("entry-3", PeerState{Demand: []Demand{{Service: "menus", Count: 9, Slack: time.Second}}}, start)
 		}, 0},
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -74,8 +74,9 @@
 
 	Options Options
 
-	// stopEnd is when this entry exits; zero means that it does not stop.
-	stopEnd time.Time
+	// stopEnd is when this entry exits; zero means that it does not stop. From stopLate on
+	// it dispatches only jobs that must have ended by then.
+	stopLate, stopEnd time.Time
 
 	services map[string]*service
 	byID     map[string]*upstream
@@ -349,9 +350,10 @@
 	return a
 }
 
-// Stop begins a planned stop that ends at the given time.
-func (s *Scheduler) Stop(end time.Time) {
-	s.stopEnd = end
+// Stop begins a planned stop that ends at the given time. From late on no job is
+// dispatched that might last longer, whatever is expected of it.
+func (s *Scheduler) Stop(late, end time.Time) {
+	s.stopLate, s.stopEnd = late, end
 	for _, v := range s.services {
 		for _, j := range v.queue {
 			j.EndBy = end
--- a/internal/forward/schedule/stop_test.go
+++ b/internal/forward/schedule/stop_test.go
@@ -24,7 +24,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := newScheduler("entry-1", engines(2, 4))
-			s.Stop(start.Add(tt.left))
+			s.Stop(start.Add(tt.left), start.Add(tt.left))
 			j := job(1, 0, start)
 			j.Output, j.EndBy = tt.output, start.Add(tt.left)
 			a := s.Arrive(j, start)
@@ -45,7 +45,7 @@
 	if a := s.Arrive(long, start); len(a) != 0 {
 		t.Fatalf("with no free slot: %+v", a)
 	}
-	s.Stop(start.Add(6 * time.Second))
+	s.Stop(start.Add(6*time.Second), start.Add(6*time.Second))
 	if a := s.Tick(start.Add(300 * time.Millisecond)); len(a) != 0 {
 		t.Fatalf("with time to end: %+v", a)
 	}
@@ -64,7 +64,7 @@
 	first := job(1, 0, start)
 	first.Avoid = []string{slow.ID}
 	dispatched(t, s.Arrive(first, start))
-	s.Stop(start.Add(4 * time.Second))
+	s.Stop(start.Add(4*time.Second), start.Add(4*time.Second))
 	late := job(9, 0, start)
 	late.Output, late.EndBy = 300, start.Add(4*time.Second)
 	if a := s.Arrive(late, start); len(a) != 0 {
@@ -75,6 +75,54 @@
 	}
 }
 
+// Guards against a request that comes late in a stop, is expected to end in time, and is
+// cut at the exit: its upstream is slower than expected, or pauses.
+func TestLateRequestsEndBeforeTheExit(t *testing.T) {
+	const late, end = 2600 * time.Millisecond, 7200 * time.Millisecond
+	tests := []struct {
+		name            string
+		sent            time.Duration
+		deadline        time.Duration
+		output          int
+		resumed, queued bool
+		want            string
+	}{
+		{"early, may outlast the exit", time.Second, 8 * time.Second, 10, false, false, ""},
+		{"late, may outlast the exit", late, 8 * time.Second, 10, false, false, ReasonStopping},
+		{"late, no deadline", late, 0, 10, false, false, ReasonStopping},
+		{"late, deadline before the exit", late, 4 * time.Second, 10, false, false, ""},
+		{"late plain request", 5 * time.Second, time.Second, 0, false, false, ""},
+		{"late plain request, no deadline", 5 * time.Second, 0, 0, false, false, ReasonStopping},
+		{"rest of a stream", 6 * time.Second, 8 * time.Second, 10, true, false, ""},
+		{"waits since before", time.Second, 8 * time.Second, 10, false, true, ReasonStopping},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newScheduler("entry-1", engines(1, 1))
+			if tt.queued {
+				dispatched(t, s.Arrive(job(1, 0, start), start))
+			}
+			s.Stop(start.Add(late), start.Add(end))
+			now := start.Add(tt.sent)
+			j := job(2, 0, now)
+			j.Output, j.EndBy, j.Resumed, j.Deadline = tt.output, start.Add(end), tt.resumed, time.Time{}
+			if tt.deadline > 0 {
+				j.Deadline = now.Add(tt.deadline)
+			}
+			a := s.Arrive(j, now)
+			if tt.queued {
+				if len(a) != 0 {
+					t.Fatalf("with no free slot: %+v", a)
+				}
+				a = s.Done(1, OutcomeOK, start.Add(late))
+			}
+			if len(a) != 1 || a[0].Reason != tt.want || (a[0].Upstream != nil) != (tt.want == "") {
+				t.Errorf("actions %+v, want reason %q", a, tt.want)
+			}
+		})
+	}
+}
+
 // TestReturnAfterStop checks when a refused caller is told to come back while
 // entries are stopped in turn.
 func TestReturnAfterStop(t *testing.T) {
@@ -96,7 +144,7 @@
 			for i, p := range tt.peers {
 				s.UpdatePeer(string(rune('a'+i)), p, start)
 			}
-			s.Stop(start.Add(5 * time.Second))
+			s.Stop(start.Add(5*time.Second), start.Add(5*time.Second))
 			j := job(1, 0, start)
 			j.Output, j.EndBy = 5000, start.Add(5*time.Second)
 			a := s.Arrive(j, start)
--- a/internal/forward/shutdown/shutdown.go
+++ b/internal/forward/shutdown/shutdown.go
@@ -3,13 +3,16 @@
 //
 // A balancer may go on sending requests to a stopping entry: until it has noticed
 // the stop, and for longer if most entries of the data centre stop together. The
-// entry therefore takes connections as long as it runs requests, serves what it
-// can finish before its grace ends, and refuses the rest at once.
+// entry therefore takes connections as long as it runs requests, and serves what it is
+// expected to finish before its grace ends. Once the balancer has had time to notice,
+// it serves only requests whose deadline is before its exit: how long an answer takes
+// is an estimate, and a refusal costs the caller no more than another attempt. The rest
+// is refused at once.
 //
 // # Usage
 //
 //	s := shutdown.Shutdown{Begin: now, Grace: 8 * time.Second}
-//	end, sure := s.Bound(now)  // for each request that arrives
+//	scheduler.Stop(s.Late(), s.End())
 //	if s.Exit(now, running) {  // whenever requests end or time has passed
 //		...
 //	}
@@ -43,19 +46,13 @@
 	return s.Begin.Add(time.Duration(graceFraction * float64(s.Grace)))
 }
 
-// Bound returns the time by which a request that arrives now has to end. If sure
-// is true, it is served only if even its longest possible answer ends by then: the
-// balancer has had time to notice the stop.
-func (s Shutdown) Bound(now time.Time) (end time.Time, sure bool) {
-	return s.End(), !now.Before(s.lagEnd())
+// Late returns the time from which requests are served only if their deadline is before
+// End: the balancer has had time to notice the stop.
+func (s Shutdown) Late() time.Time {
+	return s.Begin.Add(min(BalancerLag, time.Duration(maxLagFraction*float64(s.Grace))))
 }
 
 // Exit reports whether the process exits now, with a number of running requests.
 func (s Shutdown) Exit(now time.Time, running int) bool {
-	return !now.Before(s.End()) || running == 0 && !now.Before(s.lagEnd())
-}
-
-// lagEnd returns when the balancer has noticed the stop.
-func (s Shutdown) lagEnd() time.Time {
-	return s.Begin.Add(min(BalancerLag, time.Duration(maxLagFraction*float64(s.Grace))))
+	return !now.Before(s.End()) || running == 0 && !now.Before(s.Late())
 }
--- a/internal/forward/shutdown/shutdown_test.go
+++ b/internal/forward/shutdown/shutdown_test.go
@@ -33,16 +33,19 @@
 	}
 }
 
-func TestBound(t *testing.T) {
-	s := shutdown.Shutdown{Begin: time.Unix(100, 0), Grace: 8 * time.Second}
+func TestBounds(t *testing.T) {
+	begin := time.Unix(100, 0)
 	tests := []struct {
-		after time.Duration
-		sure  bool
-	}{{0, false}, {2 * time.Second, false}, {3 * time.Second, true}, {7 * time.Second, true}}
+		grace, late, end time.Duration
+	}{
+		{8 * time.Second, 2600 * time.Millisecond, 7200 * time.Millisecond},
+		{2 * time.Second, time.Second, 1800 * time.Millisecond},
+		{0, 0, 0},
+	}
 	for _, tt := range tests {
-		end, sure := s.Bound(s.Begin.Add(tt.after))
-		if want := s.Begin.Add(7200 * time.Millisecond); !end.Equal(want) || sure != tt.sure {
-			t.Errorf("after %v: end %v, sure %v", tt.after, end, sure)
+		s := shutdown.Shutdown{Begin: begin, Grace: tt.grace}
+		if late, end := s.Late().Sub(begin), s.End().Sub(begin); late != tt.late || end != tt.end {
+			t.Errorf("grace %v: late %v, end %v; want %v, %v", tt.grace, late, end, tt.late, tt.end)
 		}
 	}
 }
