fix(gate,node): requests that run at the exit of an entry are answered

What callers saw: LOST at the end of a planned stop: connections closed without an answer, also for requests of which no byte had been answered, and for those that may not be repeated. Cause: at the exit the listeners were closed 100 ms after the end of the grace's part for requests, with all connections. Change: at the exit each request that still runs is ended by the entry: 503 if it was not sent, 502 (code 3008) if an upstream may have run it; only an answer that has begun is cut. The listeners are shut down until 0.96 of the grace, so that these answers are written; that of relayed requests as well. Why it works: a request leaves the entry by an answer or, once its answer has begun, by a cut that shows.

--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -52,9 +52,15 @@
 // errNoProgress is the cause for which a request without a deadline is cancelled.
 var errNoProgress = errors.New("no answer, or no further event, within the time for progress")
 
+// errExit is the cause for which the requests that still run are cancelled at the exit of
+// the entry.
+var errExit = errors.New("this entry exits")
+
 // run sends the request until an attempt finishes it or no further one is allowed.
 func (c *call) run() {
-	ctx := c.r.Context()
+	ctx, exit := context.WithCancelCause(c.r.Context())
+	defer exit(nil)
+	defer context.AfterFunc(c.gate.ending, func() { exit(errExit) })()
 	if !c.deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadlineCause(ctx, c.deadline, errDeadline)
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -73,6 +73,10 @@
 // cancelled ends a request whose deadline has passed or whose caller has left.
 func (c *call) cancelled(ctx context.Context) {
 	cause := context.Cause(ctx)
+	if errors.Is(cause, errExit) {
+		c.endAtExit()
+		return
+	}
 	if !errors.Is(cause, errDeadline) && !errors.Is(cause, errNoProgress) {
 		c.log.Info("caller-left", "elapsed", time.Since(c.arrived), "sends", c.sends, "last-event", c.lastEvent)
 		c.gate.Metrics.refused(code.CallerGone.Number)
@@ -87,3 +91,13 @@
 		c.fail(code.DeadlineUnreachable, cause.Error())
 	}
 }
+
+// endAtExit ends a request that still runs at the exit of the entry.
+func (c *call) endAtExit() {
+	if c.started || c.mayHaveRun || c.fallback != nil {
+		c.fail(code.GraceUsedUp, errExit.Error())
+		return
+	}
+	c.refund()
+	c.respond(code.Stopping, otherEntryRetry, errExit.Error())
+}
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -47,6 +47,9 @@
 // notReadyRetry is the retry delay that an entry without a configuration advises.
 const notReadyRetry = 500 * time.Millisecond
 
+// otherEntryRetry is the retry delay that an entry advises at its exit: another one serves.
+const otherEntryRetry = 50 * time.Millisecond
+
 // configWait is how long a request waits for the first configuration after a start.
 // The store usually answers within a few milliseconds.
 const configWait = 250 * time.Millisecond
@@ -114,8 +117,10 @@
 	// teams holds the teams that have a gauge.
 	teams []string
 
-	// shutdown is set while the entry stops.
-	shutdown atomic.Pointer[shutdown.Shutdown]
+	// shutdown is set while the entry stops. ending ends at its exit, by endRequests.
+	shutdown    atomic.Pointer[shutdown.Shutdown]
+	ending      context.Context
+	endRequests context.CancelCauseFunc
 	// running counts the requests that are being served.
 	running atomic.Int64
 	// maxBody replaces MaxBody after the settings were reloaded.
@@ -161,6 +166,7 @@
 	g.name, g.budget, g.ledger = s.Name, s.Retries, s.Quotas
 	g.waiters = make(map[uint64]*waiter)
 	g.wake = make(chan struct{}, 1)
+	g.ending, g.endRequests = context.WithCancelCause(context.Background())
 }
 
 // Adjust applies changed settings. Usage counted so far is kept.
@@ -304,6 +310,11 @@
 	g.sched.Stop(s.Late(), s.End())
 }
 
+// EndRequests answers the requests that still run at the exit of the entry: as not run, or as
+// failed if an upstream may have run them. An answer that has begun is cut. A request that
+// comes later is refused.
+func (g *Gate) EndRequests() { g.endRequests(errExit) }
+
 // Running returns the number of requests that are being served.
 func (g *Gate) Running() int { return int(g.running.Load()) }
 
@@ -393,6 +404,11 @@
 		return
 	}
 	g.Metrics.arrived(c.route)
+	if g.ending.Err() != nil {
+		c.refund()
+		c.respond(code.Stopping, otherEntryRetry, "this entry stops")
+		return
+	}
 	if c.from != "" && g.hearsNone() {
 		c.respond(code.UpstreamUnreachable, 0, "this entry reaches no upstream either")
 		return
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -48,9 +48,9 @@
 	maxHeader = 64 << 10
 	// exitInterval is the interval at which a stopping entry checks whether it exits.
 	exitInterval = 20 * time.Millisecond
-	// closeTimeout bounds the time for connections on which a request has just begun
-	// to arrive.
-	closeTimeout = 100 * time.Millisecond
+	// minCloseTime is the least time for the last answers, and for connections on which a
+	// request has just begun to arrive.
+	minCloseTime = 100 * time.Millisecond
 	// memoryLimitFraction is the fraction of the memory limit that is set as the soft
 	// limit of the runtime, from which the garbage collector works harder.
 	memoryLimitFraction = 0.75
@@ -196,12 +196,11 @@
 	}
 	n.log.Info("started", "name", n.settings.Name, "data-centre", n.settings.DataCentre, "callers", n.settings.Listen.Callers)
 	<-ctx.Done()
-	n.stop(callers)
+	n.stop(callers, relayServer)
 	end()
 	// Errors are of no consequence here: the process ends.
 	_ = readyServer.Close()
 	_ = metricsServer.Close()
-	_ = relayServer.Close()
 	listeners.state.Close()
 	_ = n.peerConn.Close()
 	wg.Wait()
@@ -209,8 +208,9 @@
 	return nil
 }
 
-// stop serves callers until the entry may exit, and closes their connections.
-func (n *Node) stop(callers *http.Server) {
+// stop serves callers and other entries until this one may exit, ends the requests that
+// remain, and closes the connections.
+func (n *Node) stop(servers ...*http.Server) {
 	n.mu.Lock()
 	grace := n.settings.Stop.Grace.Std()
 	n.mu.Unlock()
@@ -220,12 +220,21 @@
 	for !s.Exit(time.Now(), n.gate.Running()) {
 		time.Sleep(exitInterval)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	if running := n.gate.Running(); running > 0 {
+		n.log.Info("grace-used-up", "running", running)
+	}
+	n.gate.EndRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(s.Close()), minCloseTime))
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
-		n.log.Info("grace-used-up", "running", n.gate.Running(), "error", err.Error())
-		_ = callers.Close()
+	var wg conc.WaitGroup
+	for _, server := range servers {
+		wg.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				_ = server.Close() // the process ends
+			}
+		})
 	}
+	wg.Wait()
 }
 
 type listeners struct {
--- a/internal/forward/shutdown/shutdown.go
+++ b/internal/forward/shutdown/shutdown.go
@@ -27,8 +27,11 @@
 	// probes once a second and removes an entry after two negative answers.
 	BalancerLag = 2600 * time.Millisecond
 	// graceFraction is the fraction of the grace after which the remaining requests
-	// are aborted.
+	// are ended.
 	graceFraction = 0.9
+	// closeFraction is the fraction of the grace until which the answers of these requests
+	// are written.
+	closeFraction = 0.96
 	// maxLagFraction bounds BalancerLag as a fraction of the grace.
 	maxLagFraction = 0.5
 )
@@ -41,11 +44,16 @@
 	Grace time.Duration
 }
 
-// End returns when the remaining requests are aborted.
+// End returns when the remaining requests are ended.
 func (s Shutdown) End() time.Time {
 	return s.Begin.Add(time.Duration(graceFraction * float64(s.Grace)))
 }
 
+// Close returns when the connections of callers are closed that are still in use.
+func (s Shutdown) Close() time.Time {
+	return s.Begin.Add(time.Duration(closeFraction * float64(s.Grace)))
+}
+
 // Late returns the time from which requests are served only if their deadline is before
 // End: the balancer has had time to notice the stop.
 func (s Shutdown) Late() time.Time {
