fix(gate): a stopping entry takes no relayed request, and relays none late

What callers saw: a request that one entry had passed on to a stopping one could be cut at the exit of that one; a late request at a stopping entry without links was passed on without a look at its exit. Cause: relayed requests were taken until the exit, and the bound of a stop was applied in the queue alone, which a relayed request passes by. Late in a stop only a request that ends before the exit is relayed. A refused relayed request no longer refunds a quota that was charged elsewhere; where nothing had been charged that was a write to a nil map, which closed the connection without an answer. Why it works: other entries serve relayed requests as well, and the bound holds on both ways out. The test TestStoppingEntryTakesNoRelayedRequest failed before: status 502 after a run; with the first half of the change, a panic in the refund.

--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -60,9 +60,10 @@
 	c.respond(k, a.RetryAfter, a.Reason)
 }
 
-// refund returns the quota of a request that did not run.
+// refund returns the quota of a request that did not run. A relayed request was charged by
+// the entry that relays it.
 func (c *call) refund() {
-	if c.team == nil {
+	if c.team == nil || c.from != "" {
 		return
 	}
 	c.gate.mu.Lock()
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -404,7 +404,7 @@
 		return
 	}
 	g.Metrics.arrived(c.route)
-	if g.ending.Err() != nil {
+	if g.ending.Err() != nil || c.from != "" && g.shutdown.Load() != nil {
 		c.refund()
 		c.respond(code.Stopping, otherEntryRetry, "this entry stops")
 		return
--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -63,7 +63,7 @@
 // relayIfLost passes the request on to another entry if this one has lost its links to
 // upstreams, and reports whether the request is finished.
 func (c *call) relayIfLost(ctx context.Context) bool {
-	if c.gate.Relay == nil || c.from != "" || c.relayed || !c.gate.relays() {
+	if c.gate.Relay == nil || c.from != "" || c.relayed || c.outlastsStop() || !c.gate.relays() {
 		return false
 	}
 	c.relayed = true
@@ -75,6 +75,16 @@
 	return false
 }
 
+// outlastsStop reports whether it is late in a stop of the entry and nothing ends the
+// request before the exit, so that no part of it is begun any more.
+func (c *call) outlastsStop() bool {
+	s := c.gate.shutdown.Load()
+	if s == nil || c.started || time.Now().Before(s.Late()) {
+		return false
+	}
+	return c.deadline.IsZero() || c.deadline.After(s.End())
+}
+
 // relayTo passes the request on to another entry and reports whether it is finished.
 func (c *call) relayTo(ctx context.Context, address string) bool {
 	g, now := c.gate, time.Now()
