fix(gate): a stream that no other entry takes stays with this one

Cause: while all upstreams of a service are silent, the entry takes its links for lost. A request that had just moved to another upstream was then passed on to another entry, its place there given up; that entry refused it as not run, and a refusal ended a stream that had begun. Change: a request that has another upstream is not relayed. A refusal that says "not run" leaves the rest of a stream with this entry, which tries the next entry and then its own upstreams; any other answer than the rest of the stream is a failed attempt. Why it works: nothing that was chosen is given up for a question that may be refused.

--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -61,9 +62,10 @@
 }
 
 // relayIfLost passes the request on to another entry if this one has lost its links to
-// upstreams, and reports whether the request is finished.
+// upstreams, and reports whether the request is finished. One that no entry takes stays with
+// this one.
 func (c *call) relayIfLost(ctx context.Context) bool {
-	if c.gate.Relay == nil || c.from != "" || c.relayed || c.outlastsStop() || !c.gate.relays() {
+	if c.next != nil || c.gate.Relay == nil || c.from != "" || c.relayed || c.outlastsStop() || !c.gate.relays() {
 		return false
 	}
 	c.relayed = true
@@ -111,7 +113,7 @@
 	switch n, err := strconv.Atoi(x.Header.Get(relay.FieldRefused)); {
 	case err != nil:
 		g.relayServed(address)
-	case refusedElsewhere(n):
+	case refusedElsewhere(n) || c.started && code.PromisesNotRun(x.Status):
 		x.Drain(maxRejection)
 		g.Metrics.relayed(relayRefused)
 		c.log.Info("relay-failed", "to", address, "sent", true, "code", n)
@@ -156,7 +158,7 @@
 	}
 	switch {
 	case c.started:
-		c.fail(code.AnswerCut, "the resumed stream was refused with "+strconv.Itoa(x.Status))
+		return c.relayBroken(ctx, address, fmt.Errorf("%w: status %d", errOtherKind, x.Status))
 	case c.mayHaveRun && notRun:
 		c.fail(code.UpstreamFailed, "another entry refused the request with "+strconv.Itoa(x.Status))
 	default:
