fix(gate): an attempt ends when another upstream has begun to answer

Cause: a silent attempt was cancelled as soon as another upstream had a slot and a connection, or, for a request without any part of its answer, as soon as the upstream was seen to answer others. The other one may be silent too, reject the request or fail; nothing was left to go on then. Change: the request is sent to the other upstream beside the silent attempt. Only a head that can be the rest of the answer ends that one; otherwise it stays, and the next offer follows while sends are left. If the silent one breaks off meanwhile, the send beside it is awaited. Each send counts for attempts, the retry budget and the exposure of versions as before. Why it works: at each moment one upstream has the request and nothing has shown that it does not answer. TestSilentAnswerOutlivesItsSuccessor and TestSlowAnswerIsNotGivenUp failed before.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -268,6 +268,10 @@
 	}
 }
 
+// Unread reports whether bytes have arrived on the connection that were not read; any
+// goroutine may call it.
+func (x *Exchange) Unread() bool { return x.conn.unread() }
+
 // Drain reads the rest of the body, up to limit bytes, so that Close keeps the
 // connection. It gives up on an upstream that stops sending.
 func (x *Exchange) Drain(limit int64) {
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -43,6 +43,9 @@
 	reason := c.mismatch(x, reply)
 	c.noteStatements(a, x, reply, reason)
 	c.excludeSample(a, x, reason)
+	if reply.NotRun || reason != "" {
+		c.endSilence(stall, false)
+	}
 	if reply.NotRun && reason == "" {
 		return c.handleNotRun(a, x, reply.ID)
 	}
@@ -151,12 +154,14 @@
 func (c *call) relayBuffered(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	c.recordFirst(a)
 	body, err := c.readHeld(silenceReader{x.Body, stall}, maxBuffered, c.holdAnswer)
-	stall.pause()
+	if !stall.pause() && err != nil {
+		err = errMoved
+	}
 	if err == nil && len(body) > maxBuffered {
 		err = errAnswerTooLarge
 	}
 	if err != nil {
-		return c.handleTruncated(ctx, a, err)
+		return c.handleTruncated(ctx, a, err, stall)
 	}
 	// The upstream ran the request, so a status that promises the opposite is no answer.
 	unconfirmed := code.PromisesNotRun(x.Status)
@@ -165,6 +170,7 @@
 	if failed {
 		o = schedule.OutcomeFailed
 	}
+	c.endSilence(stall, false)
 	c.finishAttempt(a, o)
 	out := &bufferedAnswer{upstream: a.Upstream.ID, status: x.Status, header: x.Header, body: body}
 	if failed && !c.started {
@@ -189,23 +195,21 @@
 
 // handleTruncated finishes an attempt with a truncated answer and reports whether the
 // request is finished.
-func (c *call) handleTruncated(ctx context.Context, a schedule.Action, err error) bool {
-	silent := silentCause(ctx)
-	if ctx.Err() != nil && silent == nil {
+func (c *call) handleTruncated(ctx context.Context, a schedule.Action, err error, stall *silence) bool {
+	moved := hasMoved(ctx)
+	if ctx.Err() != nil && !moved {
 		c.finishAttempt(a, schedule.OutcomeNeutral)
 		return false
 	}
 	c.crashed = endedWithUpstream(ctx, err)
-	if silent != nil {
-		err = silent
+	c.endSilence(stall, !moved)
+	if moved {
+		err = errMoved
 		c.finishAttempt(a, schedule.OutcomeUnreachable)
 	} else {
 		c.finishAttempt(a, schedule.OutcomeFailed)
 	}
 	c.log.Info("answer-broken", "upstream", a.Upstream.ID, "born", a.Upstream.Born, "error", err.Error(), "events", c.events, "digest", c.digestText(), "parts", partsText(c.head.Parts), "last-event", c.lastEvent, "elapsed", time.Since(c.arrived))
-	if errors.Is(silent, errMoved) {
-		return false
-	}
 	return !c.retry(code.AnswerCut, err.Error())
 }
 
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -42,6 +42,7 @@
 	noRetryBudget     = "retry-budget"
 	noRetryUpstream   = "no-upstream"
 	noRetryConnection = "no-connection"
+	noRetrySuccessor  = "successor"
 	noRetryPrompt     = "prompt-part"
 	noRetryRequest    = "request"
 )
@@ -85,22 +86,22 @@
 		if c.next == nil && !c.pickGroup() {
 			return
 		}
-		a, err := c.nextAction(ctx)
+		d, err := c.nextDispatch(ctx)
 		if err != nil {
 			c.cancelled(ctx)
 			return
 		}
-		if a.Upstream == nil {
+		if d.Upstream == nil {
 			if c.relayIfLost(ctx) {
 				return
 			}
-			if a.Reason == reasonLinksLost {
+			if d.Reason == reasonLinksLost {
 				continue
 			}
-			c.rejected(a)
+			c.rejected(d.Action)
 			return
 		}
-		if c.attempt(ctx, a) {
+		if c.attempt(ctx, d) {
 			return
 		}
 		if ctx.Err() != nil {
@@ -118,19 +119,20 @@
 	}
 }
 
-// nextAction returns the dispatch that replaces the last attempt, or waits for one.
-func (c *call) nextAction(ctx context.Context) (schedule.Action, error) {
-	if a := c.next; a != nil {
+// nextDispatch returns the dispatch that replaces the last attempt, or waits for one.
+func (c *call) nextDispatch(ctx context.Context) (*dispatch, error) {
+	if d := c.next; d != nil {
 		c.next = nil
-		return *a, nil
+		return d, nil
 	}
-	return c.await(ctx)
+	a, err := c.await(ctx)
+	return &dispatch{Action: a}, err
 }
 
 // releaseNext frees the slot of a dispatch that is not used.
 func (c *call) releaseNext() {
 	if c.next != nil {
-		c.gate.release(*c.next)
+		c.next.release(c.gate)
 	}
 }
 
@@ -201,31 +203,66 @@
 	}
 }
 
-// attempt sends the request to one upstream and reports whether the request is
+// attempt sends the request to one upstream, unless that was done, and reports whether the
+// request is finished.
+func (c *call) attempt(ctx context.Context, d *dispatch) bool {
+	a, request := d.Action, ctx
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	x := d.exchange
+	if x == nil {
+		if ok, finished := c.beginAttempt(a); !ok {
+			return finished
+		}
+		defer c.endTrial()
+	}
+	c.countReturn()
+	c.firstAt, c.connected, c.strayAnswer, c.crashed, c.events = time.Time{}, false, false, false, 0
+	stall := c.watchSilence(request, a, cancel)
+	defer c.endSilence(stall, false)
+	if x != nil {
+		c.sentAt = d.sentAt
+		defer context.AfterFunc(ctx, func() { d.end(context.Cause(ctx)) })()
+		defer d.end(nil)
+		stall.setConnected(x.Unread)
+	} else {
+		var err error
+		c.sentAt = time.Now()
+		x, err = c.gate.Pool.Send(ctx, c.request(a, c.hop(a, c.lastEvent, c.sentAt), func() bool { return c.beginSend(a) }, stall.setConnected))
+		if errors.Is(err, backend.ErrWithdrawn) {
+			c.withdraw(a)
+			return false
+		}
+		if err != nil {
+			c.connected = !errors.Is(err, ward.ErrNotConnected)
+			return c.handleSendError(ctx, a, err, stall)
+		}
+	}
+	c.connected = true
+	defer x.Close()
+	current := stall.heard()
+	c.tried = append(c.tried, a.Upstream.ID)
+	if !current {
+		return c.handleSendError(ctx, a, errMoved, stall)
+	}
+	return c.handleAnswer(ctx, a, x, stall)
+}
+
+// beginAttempt reports whether a dispatch may be sent, and if not, whether the request is
 // finished.
-func (c *call) attempt(ctx context.Context, a schedule.Action) bool {
+func (c *call) beginAttempt(a schedule.Action) (ok, finished bool) {
 	if v := c.checkCrashes(a); v.Blocked {
 		c.gate.release(a)
 		if c.group != c.service {
-			return false // the version in use may take it
+			return false, false // the version in use may take it
 		}
 		c.refuseBlocked(v)
-		return true
+		return false, true
 	}
-	defer c.endTrial()
 	if !c.maySend(a) {
+		c.endTrial()
 		c.withdraw(a)
-		return false
-	}
-	c.countReturn()
-	now := time.Now()
-	c.sentAt, c.firstAt, c.connected, c.strayAnswer, c.crashed, c.events = now, time.Time{}, false, false, false, 0
-	hop := ward.ForwardHop{Replica: a.Upstream.ID, LastEvent: c.lastEvent}
-	if c.team != nil {
-		hop.Team = c.team.Name
-	}
-	if !c.deadline.IsZero() {
-		hop.Remaining = max(c.deadline.Sub(now), time.Millisecond)
+		return false, false
 	}
 	l := c.log
 	if a.Lender != "" {
@@ -233,27 +270,28 @@
 	}
 	l.Info("request-dispatched", "route", c.route.Name, "rank", a.Job.Rank, "upstream", a.Upstream.ID, "address", a.Upstream.Address, "version", a.Upstream.Version,
 		"config", c.table.Config.Version, "send", c.sends+1, "prompt", a.Job.Prompt, "output", a.Job.Output, "waited", a.Waited, "predicted", a.Predicted, "running", a.Running, "queued", a.Queued)
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	stall := c.watchSilence(a, cancel)
-	defer func() { c.next = stall.end() }()
-	x, err := c.gate.Pool.Send(ctx, backend.Request{
-		ID: c.head.ID, Address: a.Upstream.Address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host,
-		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body,
-		MaySend: func() bool { return c.beginSend(a) }, Connected: stall.setConnected,
-	})
-	c.connected = !errors.Is(err, ward.ErrNotConnected)
-	if errors.Is(err, backend.ErrWithdrawn) {
-		c.withdraw(a)
-		return false
+	return true, false
+}
+
+// hop returns what the upstream of a dispatch is told that the caller did not say. last is
+// the last event that the caller has, -1 for none.
+func (c *call) hop(a schedule.Action, last int64, now time.Time) ward.ForwardHop {
+	hop := ward.ForwardHop{Replica: a.Upstream.ID, LastEvent: last}
+	if c.team != nil {
+		hop.Team = c.team.Name
 	}
-	if err != nil {
-		return c.handleSendError(ctx, a, err)
+	if !c.deadline.IsZero() {
+		hop.Remaining = max(c.deadline.Sub(now), time.Millisecond)
+	}
+	return hop
+}
+
+// request returns the request as it is sent to the upstream of a dispatch.
+func (c *call) request(a schedule.Action, hop ward.ForwardHop, maySend func() bool, connected func(unread func() bool)) backend.Request {
+	return backend.Request{
+		ID: c.head.ID, Address: a.Upstream.Address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host,
+		Header: c.gate.Dialect.Outgoing(c.r.Header, hop), Body: c.body, MaySend: maySend, Connected: connected,
 	}
-	defer x.Close()
-	stall.heard()
-	c.tried = append(c.tried, a.Upstream.ID)
-	return c.handleAnswer(ctx, a, x, stall)
 }
 
 // beginSend reports whether a request may be written now that it has a connection, and
@@ -304,11 +342,11 @@
 
 // handleSendError finishes an attempt without an answer and reports whether the
 // request is finished.
-func (c *call) handleSendError(ctx context.Context, a schedule.Action, err error) bool {
-	silent := silentCause(ctx)
-	left := ctx.Err() != nil && silent == nil
+func (c *call) handleSendError(ctx context.Context, a schedule.Action, err error, stall *silence) bool {
+	left := ctx.Err() != nil && !hasMoved(ctx)
 	sent := !errors.Is(err, ward.ErrNotConnected)
 	c.crashed = sent && endedWithUpstream(ctx, err)
+	c.endSilence(stall, ctx.Err() == nil)
 	switch {
 	case left:
 		c.finishAttempt(a, schedule.OutcomeNeutral)
@@ -330,8 +368,8 @@
 	}
 	c.sends++
 	c.mayHaveRun = true
-	if left || errors.Is(silent, errMoved) {
-		return false // run answers the request, or the next dispatch is there
+	if left {
+		return false // run answers the request
 	}
 	return !c.retry(code.UpstreamFailed, "no answer from the upstream: "+err.Error())
 }
@@ -350,6 +388,8 @@
 // budget. If not, noRetry holds the reason.
 func (c *call) takeRetry() bool {
 	switch {
+	case c.next != nil: // another upstream goes on already
+		c.noRetry = ""
 	case c.sends >= c.route.Attempts:
 		c.noRetry = noRetryAttempts
 	case c.mayHaveRun && !c.route.Repeatable():
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -14,7 +14,6 @@
 	"agateward/internal/forward/relay"
 	"agateward/internal/forward/returns"
 	"agateward/internal/forward/route"
-	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
 	"agateward/ward"
 
@@ -70,7 +69,7 @@
 	mayHaveRun bool
 	tried      []string
 	// next is the dispatch that replaces the last attempt, nil for none.
-	next *schedule.Action
+	next *dispatch
 	// noRetry is why the request was not sent again, "" if it was.
 	noRetry string
 	// relayed is true when the request was passed on to other entries.
--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -169,7 +169,7 @@
 
 // relayEvents passes on a stream of another entry as its events arrive.
 func (c *call) relayEvents(ctx context.Context, address string, x *backend.Exchange) bool {
-	if err := c.checkResumed(x); err != nil {
+	if err := checkResumed(c.begun, x); err != nil {
 		return c.relayBroken(ctx, address, err)
 	}
 	events := sse.Reader{R: x.Body, Max: maxEvent}
--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"agateward/internal/forward/backend"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/forward/stall"
 	"agateward/ward"
@@ -31,24 +32,25 @@
 	moveRetryDelay = 250 * time.Millisecond
 )
 
-// Causes for which a silent attempt is cancelled.
-var (
-	errStalled = errors.New("the upstream stopped responding")
-	// errMoved means that another upstream has a free slot for the request and that the
-	// retry was charged.
-	errMoved = errors.New("the upstream stopped responding, and another one goes on")
-)
+// errMoved is the cause for which a silent attempt is cancelled: another upstream has begun
+// to answer the request.
+var errMoved = errors.New("the upstream stopped responding, and another one goes on")
 
 // silence moves a repeatable request to another upstream if its own sends nothing. The
-// attempt goes on until the other one has a free slot and a connection: the upstream
-// may have paused. Only if it answers other requests, and no part of the answer has
-// reached the caller, is the attempt given up without that.
+// attempt goes on until the other one has begun to answer: the upstream may have paused,
+// and the other one may be silent too, or reject the request.
 type silence struct {
 	call   *call
 	action schedule.Action
 	cancel context.CancelCauseFunc
+	// open returns a context for a send beside the attempt, which ends with the request.
+	open func() (context.Context, context.CancelCauseFunc)
 	// avoid lists the upstreams that the request was sent to.
 	avoid []string
+	// left is the number of sends that are allowed beside the attempt or after it. sends
+	// counts those beside it, tried lists their upstreams.
+	left, sends int
+	tried       []string
 
 	// first is the silence before the head of the answer after which the request may
 	// move, 0 if it must not.
@@ -66,7 +68,7 @@
 	// offer is the place in the queue for another upstream, nil for none.
 	offer *offer
 	// next is the dispatch that replaces the attempt, nil for none.
-	next *schedule.Action
+	next *dispatch
 	// denied is the last logged reason for which the request did not move.
 	denied string
 }
@@ -74,15 +76,26 @@
 // offer is a request that waits for another upstream during its attempt.
 type offer struct {
 	waiter *waiter
-	// withdrawn is closed when the request no longer has to move.
-	withdrawn chan struct{}
+	// ctx ends when the request no longer has to move, or with the request.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// sent is true once the request is sent to the other upstream. done is closed when
+	// it is decided what came of that.
+	sent bool
+	done chan struct{}
+	// last is the last event that the caller has at that time, begun the answer whose head
+	// it has.
+	last  int64
+	begun *backend.Exchange
 }
 
-// watchSilence returns the silence of an attempt that begins.
-func (c *call) watchSilence(a schedule.Action, cancel context.CancelCauseFunc) *silence {
-	s := &silence{call: c, action: a, cancel: cancel, started: c.started}
+// watchSilence returns the silence of an attempt that begins. cancel ends the attempt, ctx
+// the request.
+func (c *call) watchSilence(ctx context.Context, a schedule.Action, cancel context.CancelCauseFunc) *silence {
+	s := &silence{call: c, action: a, cancel: cancel, started: c.started, left: c.route.Attempts - c.sends - 1}
+	s.open = func() (context.Context, context.CancelCauseFunc) { return context.WithCancelCause(ctx) }
 	s.avoid = append(slices.Clone(c.tried), a.Upstream.ID)
-	if !c.route.Repeatable() || c.sends+1 >= c.route.Attempts {
+	if !c.route.Repeatable() || s.left <= 0 {
 		return s
 	}
 	minimum := minPlainStall
@@ -114,14 +127,16 @@
 	}
 }
 
-// heard ends a silence; the next one begins at once.
-func (s *silence) heard() {
+// heard ends a silence; the next one begins at once. It reports whether the attempt goes
+// on: it may just have been replaced.
+func (s *silence) heard() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.withdraw()
 	if s.timer != nil && !s.ended {
 		s.timer.Reset(s.watch.Wait(s.watch.Limit(), time.Now()))
 	}
+	return s.next == nil
 }
 
 // silenceReader reads a body; each of its bytes ends a silence.
@@ -138,12 +153,14 @@
 	return n, err
 }
 
-// pause ends a silence while an event or a whole body is written to the caller.
-func (s *silence) pause() {
+// pause ends a silence while an event or a whole body is written to the caller. It reports
+// whether the attempt goes on: it may just have been replaced.
+func (s *silence) pause() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watch.Pause()
 	s.withdraw()
+	return s.next == nil
 }
 
 // eventRelayed begins to wait for the next event.
@@ -159,28 +176,39 @@
 // withdraw takes the request out of the queue. The caller must hold mu.
 func (s *silence) withdraw() {
 	if s.offer != nil {
-		close(s.offer.withdrawn)
+		s.offer.cancel(nil)
 		s.offer = nil
 	}
 }
 
-// end ends the watch with its attempt. It returns the dispatch that replaces the
-// attempt, nil for none.
-func (s *silence) end() *schedule.Action {
+// endSilence ends the watch with its attempt, and sets the dispatch that replaces the
+// attempt, if there is one. broken is true if the attempt has failed by itself: then a send
+// beside it that another upstream may be about to answer is awaited.
+func (c *call) endSilence(s *silence, broken bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if o := s.offer; broken && o != nil && o.sent {
+		s.mu.Unlock()
+		<-o.done
+		s.mu.Lock()
+	}
 	s.ended = true
 	s.withdraw()
 	if s.timer != nil {
 		s.timer.Stop()
 	}
-	return s.next
+	c.sends += s.sends
+	c.tried = append(c.tried, s.tried...)
+	if s.next != nil {
+		c.next = s.next
+	}
+	s.sends, s.tried, s.next = 0, nil, nil
 }
 
 // expire offers the request to the other upstreams.
 func (s *silence) expire() {
 	s.mu.Lock()
-	if s.ended || s.offer != nil {
+	if s.ended || s.offer != nil || s.left <= 0 {
 		s.mu.Unlock()
 		return
 	}
@@ -200,13 +228,17 @@
 		s.mu.Unlock()
 		return
 	}
-	o := &offer{waiter: c.gate.enqueue(c.newJob(c.service, s.avoid, s.started)), withdrawn: make(chan struct{})}
+	o := &offer{waiter: c.gate.enqueue(c.newJob(c.service, s.avoid, s.started)), done: make(chan struct{})}
+	o.ctx, o.cancel = s.open()
 	s.offer = o
 	s.mu.Unlock()
 	select {
 	case a := <-o.waiter.action:
-		s.move(o, a, c.connect(a))
-	case <-o.withdrawn:
+		if s.mayBegin(o, a, c.connect(a)) {
+			d, err := s.beginSuccessor(o, a)
+			s.succeed(o, a, d, err)
+		}
+	case <-o.ctx.Done():
 		c.gate.leaveQueue(o.waiter)
 	}
 }
@@ -221,17 +253,13 @@
 }
 
 // expireUnbegun handles the silence of an attempt that the caller has no part of. If the
-// upstream answers other requests, the answer is missing, and the attempt is given up. If
+// upstream answers other requests, the answer is missing, and the request is to move. If
 // it is silent to all, it may have paused; the request then stays for the time for which
 // a stream that has begun stays. It reports whether the request is to move. The caller
 // must hold mu.
 func (s *silence) expireUnbegun(now time.Time) bool {
-	c := s.call
 	if s.sending(now) {
-		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "given-up", true, "elapsed", time.Since(c.arrived))
-		s.ended = true
-		s.cancel(errStalled)
-		return false
+		return true
 	}
 	if left := s.call.maxPause() - s.watch.Silence(now); left > 0 {
 		s.timer.Reset(min(left, moveRetryDelay))
@@ -240,31 +268,40 @@
 	return true
 }
 
-// move replaces the attempt by a dispatch, unless the upstream was heard meanwhile.
-// unreachable is the error of the connection to the dispatch's upstream.
-func (s *silence) move(o *offer, a schedule.Action, unreachable error) {
+// mayBegin reports whether the request is sent to the upstream of a dispatch, unless its own
+// one was heard meanwhile. unreachable is the error of the connection to that upstream.
+func (s *silence) mayBegin(o *offer, a schedule.Action, unreachable error) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.call
 	if s.offer != o {
 		c.gate.release(a)
-		return
+		return false
 	}
-	s.offer = nil
+	reason := ""
 	switch {
 	case a.Upstream == nil:
-		s.deny(noRetryUpstream + ": " + a.Reason)
+		reason = noRetryUpstream + ": " + a.Reason
 	case unreachable != nil:
 		c.gate.done(a, schedule.OutcomeUnreachable)
-		s.deny(noRetryConnection + ": " + unreachable.Error())
+		reason = noRetryConnection + ": " + unreachable.Error()
+	case c.barredBeside(a):
+		c.gate.release(a)
+		reason = noRetryRequest
 	case !c.chargeRetry():
 		c.gate.release(a)
-		s.deny(noRetryBudget)
+		reason = noRetryBudget
 	default:
-		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "moved-to", a.Upstream.ID, "elapsed", time.Since(c.arrived))
-		s.next, s.ended = &a, true
-		s.cancel(errMoved)
+		o.sent, o.last, o.begun = true, c.lastEvent, c.begun
+		s.left--
+		s.sends++
+		s.tried = append(s.tried, a.Upstream.ID)
+		return true
 	}
+	s.offer = nil
+	o.cancel(nil)
+	s.deny(reason)
+	return false
 }
 
 // deny leaves the request where it is and offers it again later. The caller must hold
@@ -286,11 +323,5 @@
 	return g.sched.Sending(s.action.Job.ID, now.Add(-s.watch.Silence(now)/2))
 }
 
-// silentCause returns the cause for which a silent attempt was cancelled, nil if it was
-// not.
-func silentCause(ctx context.Context) error {
-	if err := context.Cause(ctx); errors.Is(err, errStalled) || errors.Is(err, errMoved) {
-		return err
-	}
-	return nil
-}
+// hasMoved reports whether an attempt was cancelled since another upstream goes on.
+func hasMoved(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errMoved) }
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -35,8 +35,8 @@
 // relayStream relays complete events as they arrive and reports whether the request is
 // finished.
 func (c *call) relayStream(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
-	if err := c.checkResumed(x); err != nil {
-		return c.handleTruncated(ctx, a, err)
+	if err := checkResumed(c.begun, x); err != nil {
+		return c.handleTruncated(ctx, a, err, stall)
 	}
 	events := sse.Reader{R: x.Body, Max: maxEvent}
 	progress := streamProgress{last: math.MinInt64, forward: c.noteProgress}
@@ -48,7 +48,7 @@
 			break
 		}
 		if err != nil {
-			return c.handleTruncated(ctx, a, err)
+			return c.handleTruncated(ctx, a, err, stall)
 		}
 		arrived := time.Now()
 		if c.events > 0 {
@@ -67,15 +67,17 @@
 			c.answerBegun(a)
 		}
 		if err := progress.note(e); err != nil {
-			return c.handleTruncated(ctx, a, err)
+			return c.handleTruncated(ctx, a, err, stall)
+		}
+		if !stall.pause() {
+			return c.handleTruncated(ctx, a, errMoved, stall)
 		}
-		stall.pause()
 		err = c.relayEvent(e, x)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.cutSlowCaller(a)
 		}
 		if err != nil {
-			return c.handleTruncated(ctx, a, err)
+			return c.handleTruncated(ctx, a, err, stall)
 		}
 		stall.eventRelayed()
 	}
@@ -116,10 +118,10 @@
 	return nil
 }
 
-// checkResumed reports whether an answer can be the rest of the stream that the caller has
-// a part of. Any answer can be the beginning.
-func (c *call) checkResumed(x *backend.Exchange) error {
-	if begun := c.begun; begun != nil && (x.Status != begun.Status || mediaType(x) != mediaType(begun)) {
+// checkResumed reports whether an answer can be the rest of the stream whose head begun the
+// caller has. Any answer can be the beginning.
+func checkResumed(begun, x *backend.Exchange) error {
+	if begun != nil && (x.Status != begun.Status || mediaType(x) != mediaType(begun)) {
 		return fmt.Errorf("%w: status %d, %q after %d, %q", errOtherKind, x.Status, mediaType(x), begun.Status, mediaType(begun))
 	}
 	return nil
