fix(gate): a relayed request keeps the deadline under which it came

What callers saw: a request in flight could end with 504 before its time, if it was passed on to an entry that already had a configuration with a shorter time-out of the route. Cause: the other entry applied its own time-out from the arrival there, besides the rest of the time that it was told. Change: only the entry that takes the request from the caller applies the route's time-out. Other clocks of requests in flight, by reading: the route with its attempts, time-out and split are those of the configuration at the arrival; groups of upstreams change for new choices alone; idle connections to upstreams that are gone are closed, those in use are not; idle limits of callers are not taken from the configuration. The test TestRelayedRequestKeepsItsDeadline failed before: 504 after 150 ms.

--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -168,9 +168,11 @@
 	return nil
 }
 
+// setDeadline sets the deadline from the caller's timeout and the route's. That of a relayed
+// request was set by the entry that relays it, under the configuration under which it came.
 func (c *call) setDeadline() {
 	left := c.head.Timeout
-	if t := c.route.Timeout.Std(); t > 0 && (left == 0 || t < left) {
+	if t := c.route.Timeout.Std(); c.from == "" && t > 0 && (left == 0 || t < left) {
 		left = t
 	}
 	if left > 0 {
--- a/internal/forward/gate/relay_test.go
+++ b/internal/forward/gate/relay_test.go
@@ -82,3 +82,24 @@
 		})
 	}
 }
+
+// Guards against a relayed request that ends before the deadline under which it came, as the
+// other entry already has a configuration with a shorter time-out.
+func TestRelayedRequestKeepsItsDeadline(t *testing.T) {
+	u := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool {
+		time.Sleep(400 * time.Millisecond)
+		return ok(w, r, "fine")
+	})
+	var g *gate.Gate
+	newGateWith(t, func(made *gate.Gate) { g = made }, u)
+	r := httptest.NewRequest(http.MethodPost, "http://h/safe/short/x", nil) // 150 ms
+	r.Header.Set("Agateward-Request", "r1")
+	r.Header.Set("Authorization", "Bearer k1")
+	e := relay.Envelope{From: "entry-2", Remaining: 2 * time.Second, LastEvent: -1}
+	r.Header = e.Wrap(r.Header)
+	w := httptest.NewRecorder()
+	g.ServeRelayed(w, r)
+	if w.Code != http.StatusOK || w.Body.String() != "fine" {
+		t.Errorf("status %d, body %q; want the answer", w.Code, w.Body)
+	}
+}
