test(soak): late requests on kept connections, and a silent service beside a change

Guards against what the soak did not play: a stopping entry got no request later than its balancer's notice, as callers reuse their connections at once; and engines fell silent one by one alone. Each stop now has four requests on connections that were kept, at any time of the grace; engines-silence makes all engines silent for 1 to 2.2 s right after a new configuration, with random numbers of its own, so that the other faults of a seed stay. TestNew counts one kind more, and TestAnswerFaults leaves the new kind out as it does the other silences.

--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -86,6 +86,16 @@
 	return a
 }
 
+// SendTwice sends two requests on one connection, unless the first answer closes it. between is
+// called after the first one.
+func (c *Caller) SendTwice(first, second Request, between func()) {
+	client := newClient()
+	defer client.CloseIdleConnections()
+	c.send(client, first)
+	between()
+	c.send(client, second)
+}
+
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -53,6 +53,9 @@
 	// UpstreamSilence makes an upstream, which is sound, send nothing for a while; it then
 	// goes on with its answers.
 	UpstreamSilence Kind = "upstream-silence"
+	// EnginesSilence makes all engines, which are sound, send nothing for a while, right after
+	// a new version of the configuration.
+	EnginesSilence Kind = "engines-silence"
 	// PromptCrash makes requests come at any entry whose prompts have a part under which
 	// each engine that begins to answer crashes.
 	PromptCrash Kind = "prompt-crash"
@@ -94,6 +97,11 @@
 	meanSilenceInterval = time.Second
 	minSilence          = 800 * time.Millisecond
 	maxSilence          = 1600 * time.Millisecond
+	// meanEnginesSilenceInterval is the mean time between two silences of all engines.
+	// minEnginesSilence and maxEnginesSilence bound them.
+	meanEnginesSilenceInterval = 8 * time.Second
+	minEnginesSilence          = time.Second
+	maxEnginesSilence          = 2200 * time.Millisecond
 	// maxPromptCrashDelay is the longest time from the first faults to requests under which
 	// engines crash. They come until the last faults: the bounds that they are checked
 	// against begin up to 6 s after the fifth crash.
@@ -177,6 +185,7 @@
 	list = append(list, engineFaults(seed, length)...)
 	list = append(list, wishes(seed, length)...)
 	list = append(list, silences(seed, length)...)
+	list = append(list, engineSilences(seed, length)...)
 	list = append(list, promptCrashes(seed, length)...)
 	list = append(list, requestCrashes(seed, length)...)
 	list = append(list, upstreamLimits(seed, length)...)
@@ -246,6 +255,19 @@
 	return list
 }
 
+// engineSilences draws the silences of all engines, also with random numbers of their own.
+func engineSilences(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 9))
+	var list []Fault
+	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanEnginesSilenceInterval)) }
+	for at := settleTime + next(); at < length-settleTime; at += next() {
+		f := newFault(r, at)
+		f.Kind, f.Duration = EnginesSilence, minEnginesSilence+time.Duration(r.Float64()*float64(maxEnginesSilence-minEnginesSilence))
+		list = append(list, f)
+	}
+	return list
+}
+
 // promptCrashes draws the time in which requests come under which engines crash, also with
 // random numbers of its own.
 func promptCrashes(seed uint64, length time.Duration) []Fault {
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -37,7 +37,7 @@
 			}
 		}
 	}
-	if want := len(weights) + len(answerKinds) + 7; len(kinds) != want || !overlap {
+	if want := len(weights) + len(answerKinds) + 8; len(kinds) != want || !overlap {
 		t.Errorf("%d kinds of %d, overlapping %v", len(kinds), want, overlap)
 	}
 }
@@ -54,7 +54,7 @@
 // upstreams nor crashes under requests.
 func withoutUpstreamEvents(list []Fault) []Fault {
 	return slices.DeleteFunc(list, func(f Fault) bool {
-		return f.Kind == UpstreamSilence || f.Kind == UpstreamLimit || f.Kind == PromptCrash || f.Kind == RequestCrash
+		return f.Kind == UpstreamSilence || f.Kind == EnginesSilence || f.Kind == UpstreamLimit || f.Kind == PromptCrash || f.Kind == RequestCrash
 	})
 }
 
@@ -77,6 +77,26 @@
 	}
 }
 
+// Guards against a plan in which a whole service is never silent, or for longer than the
+// callers of a stream wait.
+func TestEngineSilences(t *testing.T) {
+	n := 0
+	for seed := range uint64(40) {
+		for _, f := range New(seed, 20*time.Second, []string{"busy"}) {
+			if f.Kind != EnginesSilence {
+				continue
+			}
+			n++
+			if f.Duration < time.Second || f.Duration > 2200*time.Millisecond {
+				t.Errorf("seed %d: silence of %s", seed, f.Duration)
+			}
+		}
+	}
+	if n < 40 {
+		t.Errorf("%d silences in 40 plans, want one in each", n)
+	}
+}
+
 // Guards against a plan without wrong answers, and against one in which they crowd out
 // the other faults or change those of a seed that found something.
 func TestAnswerFaults(t *testing.T) {
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
+	"agateward/internal/soak/caller"
 	"agateward/internal/soak/ledger"
 	"agateward/internal/soak/plan"
 	"agateward/internal/soak/proxy"
 	"agateward/internal/soak/upstream"
+	"agateward/ward"
 
 	"github.com/sourcegraph/conc"
 )
@@ -23,6 +27,8 @@
 	drainTime = 4 * time.Second
 	// graceSlack is how long after its grace period a process may end.
 	graceSlack = time.Second
+	// lateRequests is the number of requests on kept connections to an entry that stops.
+	lateRequests = 4
 )
 
 // injectFault injects one fault and removes it after its duration.
@@ -61,6 +67,13 @@
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
 	case plan.UpstreamSilence:
 		s.injectSilence(ctx, s.replicas[f.Target%len(s.replicas)], f.Duration)
+	case plan.EnginesSilence:
+		s.logError(s.configure())
+		var wg conc.WaitGroup
+		for _, r := range s.replicas[:engineCount] {
+			wg.Go(func() { s.injectSilence(ctx, r, f.Duration) })
+		}
+		wg.Wait()
 	case plan.PromptCrash, plan.RequestCrash:
 		s.sendCrashing(ctx, f)
 	case plan.EnginesRefuse:
@@ -103,6 +116,7 @@
 		e.link.Set(proxy.Pass)
 		end(time.Now())
 	case plan.EntryStop:
+		defer s.askLate(e, f).Wait()
 		end := s.ledger.Disturb(e.name, true, time.Now())
 		e.Signal(syscall.SIGTERM)
 		noticed := time.AfterFunc(balancerNotice, func() { s.setInRotation(e, false) })
@@ -117,6 +131,30 @@
 	}
 }
 
+// askLate keeps connections to an entry that is about to be stopped, and sends requests on
+// them later in its grace.
+func (s *Soak) askLate(e *entry, f plan.Fault) *conc.WaitGroup {
+	r := rand.New(rand.NewPCG(s.Seed, uint64(f.At)))
+	var wg conc.WaitGroup
+	var kept sync.WaitGroup
+	for range lateRequests {
+		at := time.Now().Add(time.Duration(r.Float64() * float64(grace)))
+		first, late := s.newRequest(e), s.newRequest(e)
+		first.Path, first.Kind, first.Resumable, first.Service, first.Timeout = "/stock/x", ward.ForwardSafe, false, orders, restTimeout
+		first.Version, first.MayLeave, first.LeaveAfter = 0, false, 0
+		kept.Add(1)
+		wg.Go(func() {
+			c := caller.Caller{Dialect: s.Dialect, Ledger: &s.ledger}
+			c.SendTwice(first, late, func() {
+				kept.Done()
+				time.Sleep(time.Until(at))
+			})
+		})
+	}
+	kept.Wait()
+	return &wg
+}
+
 // restart kills an entry and starts it again after the given time.
 func (s *Soak) restart(ctx context.Context, e *entry, after time.Duration) {
 	end := s.ledger.Disturb(e.name, false, time.Now())
