test(soak): an early request that lasts into the end of the grace is allowed

A request that is sent later, or is cut before the last sixth, still counts; three cases of the ledger's test say so.

--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -237,7 +237,7 @@
 	if code.PromisesNotRun(a.Status) && len(r.runs) > 0 {
 		l.addFinding(r.refusalPromise(), id, now, "status %d promises that it has not run, but it has", a.Status)
 	}
-	if !a.Complete && !r.MayLeave && len(r.runs) > 0 && l.undisturbed(r.Sent, now) && now.Sub(r.Sent) < r.Timeout {
+	if !a.Complete && !r.MayLeave && len(r.runs) > 0 && l.undisturbed(r.Sent, now) && now.Sub(r.Sent) < r.Timeout && !l.outlasted(r, now) {
 		l.addFinding("planned-stop", id, now, "status %d and no complete answer from %s, with no disturbance other than planned stops", a.Status, r.Entry)
 	}
 	if r.silent != "" && !a.Complete && !r.MayLeave && now.Sub(r.Sent) < r.Timeout && !l.interrupted(r, now) {
@@ -276,6 +276,14 @@
 	}
 }
 
+// outlasted reports whether a request that ends at now was sent early in a planned stop of its
+// entry, or before, and lasted into the last sixth of the grace.
+func (l *Ledger) outlasted(r *record, now time.Time) bool {
+	return l.Bounds.Grace > 0 && l.disturbed(r.Sent, now, func(d disturbance) bool {
+		return d.planned && d.target == r.Entry && r.Sent.Sub(d.from) <= l.Bounds.EarlyRequest && now.Sub(d.from) >= l.Bounds.Grace*5/6
+	})
+}
+
 // interrupted reports whether the entry of a request or an upstream that ran it was
 // disturbed before its end at now.
 func (l *Ledger) interrupted(r *record, now time.Time) bool {
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -113,6 +113,27 @@
 			l.Ran("r", "i-1", "t", at(0.2))
 			l.Answered("r", Answer{}, at(0.5))
 		}, "planned-stop"},
+		{"sent early in a stop, cut at its end", func(l *Ledger) {
+			l.Bounds.Grace = 4 * time.Second
+			l.Disturb("entry-1", true, at(0))
+			l.Sent(request(ward.ForwardSafe, 1.9))
+			l.Ran("r", "i-1", "t", at(2))
+			l.Answered("r", Answer{Status: 200}, at(3.6))
+		}, ""},
+		{"sent early in a stop, cut before its end", func(l *Ledger) {
+			l.Bounds.Grace = 4 * time.Second
+			l.Disturb("entry-1", true, at(0))
+			l.Sent(request(ward.ForwardSafe, 1.9))
+			l.Ran("r", "i-1", "t", at(2))
+			l.Answered("r", Answer{Status: 200}, at(3.2))
+		}, "planned-stop"},
+		{"sent late in a stop", func(l *Ledger) {
+			l.Bounds.Grace = 4 * time.Second
+			l.Disturb("entry-1", true, at(0))
+			l.Sent(request(ward.ForwardSafe, 3.1))
+			l.Ran("r", "i-1", "t", at(3.2))
+			l.Answered("r", Answer{Status: 200}, at(3.6))
+		}, "planned-stop"},
 		{"interrupted by a kill", func(l *Ledger) {
 			l.Disturb("entry-1", false, at(0.3))
 			l.Sent(request(ward.ForwardSafe, 0.1))
--- a/internal/soak/ledger/window.go
+++ b/internal/soak/ledger/window.go
@@ -15,6 +15,10 @@
 	// one. Drain is the time after which a draining upstream must receive no more
 	// requests. LateAnswer is how long after the time-out an answer may come.
 	Config, StaleConfig, Drain, LateAnswer time.Duration
+	// A planned stop may cut an answer in the last sixth of Grace, the time that an entry
+	// has to stop, if its request was sent no later than EarlyRequest after the signal. No
+	// stop may if Grace is 0.
+	Grace, EarlyRequest time.Duration
 	// Quotas are the quotas by team. Over QuotaWindow a team may exceed its quota by
 	// the share QuotaOvershoot and QuotaSlack requests.
 	Quotas         map[string]Quota
@@ -47,7 +51,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		Recovery: 4 * time.Second, Config: 3 * time.Second, StaleConfig: 250 * time.Millisecond,
-		Drain: 3 * time.Second, LateAnswer: 500 * time.Millisecond,
+		Drain: 3 * time.Second, LateAnswer: 500 * time.Millisecond, EarlyRequest: 3 * time.Second,
 		QuotaWindow: 8 * time.Second, QuotaOvershoot: 0.1,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second,
 		Contact: 3 * time.Second, Crashes: 5, RequestCrashes: 3, CrashRequests: 3, SoundShare: 0.5, SoundRequests: 20,
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -75,6 +75,7 @@
 func (s *Soak) Run(ctx context.Context) (Result, error) {
 	s.rand, s.crashed = rand.New(rand.NewPCG(s.Seed, 1)), make(chan upstreamCrash, maxCrashed)
 	s.ledger.Bounds = ledger.DefaultBounds()
+	s.ledger.Bounds.Grace = grace
 	s.ledger.Bounds.Quotas = map[string]ledger.Quota{smallTeam: {Rate: smallRate, Burst: smallBurst}}
 	s.ledger.Bounds.QuotaSlack, s.ledger.Bounds.RetryRatio, s.ledger.Bounds.RetrySlack = quotaSlack, retryRatio, retrySlack
 	defer s.stop()
