fix(rollout): the record of a move names the version that it began from

Cause: an entry that starts after the order takes the most frequent version other than the target for the one that was in use at the order, here the releases' version, and puts it aside as replaced. Change: the record holds `from`, and entries adopt it; a completed order is over once no upstream of its target is registered. Why it works: the entries agree on what the order replaced, and no old order leaves a service without upstreams.

--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -98,8 +98,9 @@
 			r.Log.Info("rollout-order-gone", "service", service)
 			continue
 		}
-		// After the old upstreams are gone, the order no longer affects their version.
-		if s := r.states[service]; ended(s, p) && s.State == split.Done && !r.registered(service, p.from) {
+		// After the old upstreams are gone, the order no longer affects their version. Without
+		// upstreams of the target it is over too: releases have replaced them.
+		if s := r.states[service]; ended(s, p) && s.State == split.Done && (!r.registered(service, p.from) || !r.registered(service, p.Target)) {
 			changed = changed || p.from != ""
 			p.from = ""
 		}
@@ -107,11 +108,21 @@
 	return changed
 }
 
-// adoptRoutes evaluates the routes that the record of the move names.
-func (p *plan) adoptRoutes(s ward.MoveState) {
-	if s.Ticket == p.Revision && len(s.Evaluated) > 0 {
+// adopt takes the routes that are evaluated, and the version that was in use at the order,
+// from the record of the move, and reports whether Group may return other groups since. An
+// entry that starts after releases knows neither.
+func (p *plan) adopt(s ward.MoveState) (changed bool) {
+	if s.Ticket != p.Revision {
+		return false
+	}
+	if len(s.Evaluated) > 0 {
 		p.routes = s.Evaluated
 	}
+	if s.From == "" || p.from == "" || p.from == s.From {
+		return false
+	}
+	p.from = s.From
+	return true
 }
 
 // updateUse updates what the bound on the exposure depends on besides the requests.
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -160,7 +160,7 @@
 	changed, active := planned || len(r.splits) != len(r.plans), r.peerOutdated
 	r.peerOutdated = false
 	for service, p := range r.plans {
-		p.adoptRoutes(r.states[service])
+		changed = p.adopt(r.states[service]) || changed
 		p.updateUse(r.states[service], entries, doubted[service], now)
 		s := splitFor(list, p)
 		old := r.splits[service]
--- a/internal/forward/rollout/rollout_test.go
+++ b/internal/forward/rollout/rollout_test.go
@@ -82,6 +82,40 @@
 	}
 }
 
+// Guards against a service that gets no request any more: after a completed roll-out, releases
+// of a third version and a restart of all entries, that version was taken for the one that the
+// order had replaced.
+func TestReleasesAfterCompletedOrder(t *testing.T) {
+	order := ward.Rollout{Service: "s", Target: "v2", Within: 30 * time.Second, Revision: 9}
+	cases := []struct {
+		name      string
+		upstreams []string
+		from      string
+		want      map[string]string
+	}{
+		{"all replaced", []string{"v3", "v3"}, "v1", map[string]string{"v3": "s"}},
+		{"all replaced, an earlier build's record", []string{"v3", "v3"}, "", map[string]string{"v3": "s"}},
+		{"some replaced", []string{"v3", "v3", "v2"}, "v1", map[string]string{"v2": "s", "v3": "s"}},
+		{"the earlier version is back", []string{"v1", "v1"}, "v1", map[string]string{"v1": "s"}},
+		{"none replaced, old ones still there", []string{"v1", "v2"}, "v1", map[string]string{"v1": "s@v1", "v2": "s"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := Rollout{Log: logr.Discard(), Upstreams: upstreams(c.upstreams...), Orders: func() []ward.Rollout { return []ward.Rollout{order} }}
+			r.updatePlans(time.Unix(1000, 0)) // a process that starts
+			r.states = map[string]ward.MoveState{"s": {Ticket: 9, State: split.Done, From: c.from}}
+			r.splits = map[string]ward.Split{"s": {Version: "v2"}}
+			r.plans["s"].adopt(r.states["s"])
+			r.updatePlans(time.Unix(1000, 0))
+			for version, want := range c.want {
+				if got := r.Group(ward.Replica{Service: "s", Version: version}); got != want {
+					t.Errorf("%s is in group %q, want %q", version, got, want)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a bad version that gets the requests of its service since it was ordered
 // after another one: its upstreams stayed in the service's group until the next change.
 func TestSecondOrderSeparatesItsVersion(t *testing.T) {
--- a/internal/move/machine/machine.go
+++ b/internal/move/machine/machine.go
@@ -169,6 +169,7 @@
 		Move:          ev.Move.Name,
 		Ticket:        ev.Move.Ticket,
 		To:            ev.Move.To,
+		From:          ev.Move.From,
 		Evaluated:     ev.Move.Evaluated,
 		Revision:      ev.state.Revision,
 		State:         moveChart.Initial,
--- a/ward/config.go
+++ b/ward/config.go
@@ -200,8 +200,10 @@
 type MoveState struct {
 	Move   string `json:"move"`
 	Ticket uint64 `json:"ticket"`
-	// To is the version that the ticket moves to.
-	To string `json:"to,omitempty" msgpack:",omitempty"`
+	// To is the version that the ticket moves to, From the one that was in use when the run
+	// began, "" in records of builds that did not write it.
+	To   string `json:"to,omitempty" msgpack:",omitempty"`
+	From string `json:"from,omitempty" msgpack:",omitempty"`
 	// Revision is the store's revision of the move's record.
 	Revision uint64 `json:"revision"`
 	// State is a state of the move's state chart, Step the number of completed
