--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -68,25 +68,11 @@
 	case plan.UpstreamSilence:
 		s.injectSilence(ctx, s.replicas[f.Target%len(s.replicas)], f.Duration)
 	case plan.EnginesSilence:
-		s.logError(s.configure())
-		var wg conc.WaitGroup
-		for _, r := range s.replicas[:engineCount] {
-			wg.Go(func() { s.injectSilence(ctx, r, f.Duration) })
-		}
-		wg.Wait()
+		s.silenceEngines(ctx, f.Duration)
 	case plan.PromptCrash, plan.RequestCrash:
 		s.sendCrashing(ctx, f)
 	case plan.EnginesRefuse:
-		// It excuses no incomplete answer, as a planned disturbance.
-		end := s.ledger.Disturb(ledger.Engines, true, time.Now())
-		var wg conc.WaitGroup
-		for _, r := range s.replicas[:engineCount] {
-			for _, kind := range []plan.Kind{plan.UpstreamRanRefused, plan.UpstreamRepeat} {
-				wg.Go(func() { s.injectAnswerFault(ctx, r, plan.Fault{Kind: kind, Duration: f.Duration, Variant: f.Variant}) })
-			}
-		}
-		wg.Wait()
-		end(time.Now())
+		s.refuseAtEngines(ctx, f)
 	default:
 		r := s.replicas[f.Target%len(s.replicas)]
 		if s.tryAcquire(&r.busy) {
@@ -248,6 +234,30 @@
 	}
 }
 
+// silenceEngines makes all engines send nothing for d, right after a new configuration.
+func (s *Soak) silenceEngines(ctx context.Context, d time.Duration) {
+	s.logError(s.configure())
+	var wg conc.WaitGroup
+	for _, r := range s.replicas[:engineCount] {
+		wg.Go(func() { s.injectSilence(ctx, r, d) })
+	}
+	wg.Wait()
+}
+
+// refuseAtEngines injects both faults of answers at all engines. It excuses no incomplete
+// answer, as a planned disturbance.
+func (s *Soak) refuseAtEngines(ctx context.Context, f plan.Fault) {
+	end := s.ledger.Disturb(ledger.Engines, true, time.Now())
+	var wg conc.WaitGroup
+	for _, r := range s.replicas[:engineCount] {
+		for _, kind := range []plan.Kind{plan.UpstreamRanRefused, plan.UpstreamRepeat} {
+			wg.Go(func() { s.injectAnswerFault(ctx, r, plan.Fault{Kind: kind, Duration: f.Duration, Variant: f.Variant}) })
+		}
+	}
+	wg.Wait()
+	end(time.Now())
+}
+
 func (s *Soak) tryAcquire(busy *bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
