fix(mover): one evaluation reads the configuration once

What callers saw: nothing yet; an entry would have ended by itself. Cause: Mover.activeAtPeer read the configuration a second time, which is nil if the last order was removed in between. Change: the evaluation hands its configuration on. TestOrderRemovedDuringEvaluation failed before with a nil pointer.

--- a/internal/entry/mover/evaluate.go
+++ b/internal/entry/mover/evaluate.go
@@ -94,7 +94,7 @@
 		active[name] = true
 		found = append(found, m.evaluateMove(c, x, s, now)...)
 	}
-	m.cleanup(active)
+	m.cleanup(c, active)
 	added := m.quarantines.Merge(found)
 	for _, b := range added {
 		m.enqueue(quarantineEvent(b))
@@ -232,7 +232,7 @@
 
 // cleanup removes the state of runs that have ended. It scans the counts of peers
 // only after a run has ended here, and at every cleanupTicks-th evaluation.
-func (m *Mover) cleanup(active map[string]bool) {
+func (m *Mover) cleanup(c *ward.Config, active map[string]bool) {
 	dropped := 0
 	for name := range m.runs {
 		if !active[name] {
@@ -245,7 +245,7 @@
 	}
 	m.recorder.Retain(func(run string) bool { return active[run] })
 	for k := range m.peerCounts {
-		if run := evidence.RunOf(k.key.Move); !active[run] && !m.activeAtPeer(run) {
+		if run := evidence.RunOf(k.key.Move); !active[run] && !m.activeAtPeer(c, run) {
 			delete(m.peerCounts, k)
 			dropped++
 		}
@@ -257,8 +257,8 @@
 
 // activeAtPeer reports whether a run that is not active here may be active at a peer:
 // it is in the configuration and no final state is known.
-func (m *Mover) activeAtPeer(name string) bool {
-	for _, x := range m.Config().Moves {
+func (m *Mover) activeAtPeer(c *ward.Config, name string) bool {
+	for _, x := range c.Moves {
 		if evidence.RunName(x.Name, x.Ticket) == name {
 			return !m.machine.Final(split.StateOf(x, []ward.MoveState{m.states[x.Name]}))
 		}
--- a/internal/entry/mover/evaluate_test.go
+++ b/internal/entry/mover/evaluate_test.go
@@ -94,3 +94,26 @@
 		t.Error("a version that is five times slower is not quarantined")
 	}
 }
+
+// Guards against an entry that ends by itself: the last order was removed between two reads
+// of the configuration in one evaluation.
+func TestOrderRemovedDuringEvaluation(t *testing.T) {
+	clock := &steppingClock{now: time.Unix(1000, 0)}
+	cfg := &ward.Config{
+		Moves:  []ward.Move{{Name: "x", Serves: "s", From: "v1", To: "v2", Ticket: 2, Deadline: clock.now.Add(time.Hour)}},
+		Routes: []ward.Route{{Name: "r", Serves: "s", Version: "v1"}},
+	}
+	reads := 0
+	config := func() *ward.Config {
+		if reads++; reads%2 == 0 {
+			return nil
+		}
+		return cfg
+	}
+	m := mover.New(mover.Deps{Self: "self", Clock: clock, Log: logr.Discard(), Config: config, Fleet: func() split.Fleet { return split.Fleet{Entries: 2} }})
+	m.Merge(nil, []ward.Counts{{Serves: "s", Version: "v1", Route: "r", Move: "x@2/1", Entry: "peer", Incarnation: 1, Succeeded: 1}}, nil)
+	for range 200 {
+		clock.now = clock.now.Add(time.Second)
+		m.Evaluate()
+	}
+}
