fix(retry): a restarted process gets its share of the fixed allowance bit by bit

Cause: each process began with the whole share of its entry, whatever its predecessor had used: known in memory alone, needed after a restart. Change: a process that is no first start of the system gets its share of the fixed allowance over two windows; the ratio of its own requests counts from the first one. Why it works: in any window the shares of all processes of an entry add up to no more than one and a half, of which 0.7 is used; it needs no word from a peer or the store, which may be away. Ways weighed: a count in the state of peers (lost when all are killed), a record in the store (a call for each retry).

--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -133,7 +133,7 @@
 
 // setup returns the parts of the gate that come from the settings.
 func setup(s forwarding.Settings) gate.Setup {
-	return gate.Setup{Name: s.Name, DataCentre: s.DataCentre, Retries: retry.Budget{
+	out := gate.Setup{Name: s.Name, DataCentre: s.DataCentre, Retries: retry.Budget{
 		Ratio: s.Retries.Ratio, Slack: s.Retries.Slack, Window: s.Retries.Window.Std(),
 	}, Quotas: quota.Ledger{
 		Slack: quotaSlackFraction * s.Quotas.Slack, StartFull: s.FirstStart,
@@ -142,6 +142,10 @@
 		ProtectStreams: s.Scheduling.ProtectStreams, LearnConcurrency: s.Scheduling.LearnConcurrency,
 		FixedConcurrency: s.Scheduling.FixedConcurrency, Regions: s.Regions,
 	}}
+	if !s.FirstStart {
+		out.Retries.Start = time.Now()
+	}
+	return out
 }
 
 // quotaSlackFraction is the fraction of a quota's tolerance that entries may use. The
--- a/internal/forward/retry/retry.go
+++ b/internal/forward/retry/retry.go
@@ -1,6 +1,7 @@
 // Package retry provides the retry budget of each service, shared by all entries.
 // Each entry may use its share of a fixed allowance, and a ratio of the requests that
-// it received itself.
+// it received itself. A process that replaces another one of its entry does not know what
+// that one used, so it gets its share of the fixed allowance bit by bit.
 //
 // # Usage
 //
@@ -17,6 +18,10 @@
 // may overlap two windows of an entry.
 const safety = 0.7
 
+// startWindows is the number of windows after which a process that replaces another one has
+// its whole share of the fixed allowance.
+const startWindows = 2
+
 // Budget counts requests and retries. The zero value allows no retries.
 type Budget struct {
 	// Ratio is the number of retries per request, Slack the fixed number of retries of
@@ -25,6 +30,9 @@
 	Slack   float64
 	Window  time.Duration
 	Entries int
+	// Start is when this process replaced an earlier one of its entry, zero if there was
+	// none.
+	Start time.Time
 
 	services map[string]*counts
 }
@@ -66,10 +74,19 @@
 // Allows reports whether the budget allows a retry now.
 func (b *Budget) Allows(service string, now time.Time) bool {
 	c := b.counts(service, now)
-	allowed := safety * (b.Ratio*float64(len(c.requests)) + b.Slack/float64(max(b.Entries, 1)))
+	allowed := safety * (b.Ratio*float64(len(c.requests)) + b.share(now))
 	return float64(len(c.retries)+1) <= allowed
 }
 
+// share returns this entry's share of the fixed allowance.
+func (b *Budget) share(now time.Time) float64 {
+	share := b.Slack / float64(max(b.Entries, 1))
+	if full := startWindows * b.Window; !b.Start.IsZero() && now.Sub(b.Start) < full {
+		share *= max(now.Sub(b.Start).Seconds(), 0) / full.Seconds()
+	}
+	return share
+}
+
 // Take counts a retry and returns true, or returns false if the budget is exhausted.
 func (b *Budget) Take(service string, now time.Time) bool {
 	if !b.Allows(service, now) {
