--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -234,12 +234,9 @@
 	}
 }
 
-// silenceEngines makes all engines send nothing for d, right after a new configuration. It
-// excuses no incomplete answer, as a planned disturbance.
+// silenceEngines makes all engines send nothing for d, right after a new configuration.
 func (s *Soak) silenceEngines(ctx context.Context, d time.Duration) {
 	s.logError(s.configure())
-	end := s.ledger.Disturb(ledger.Engines, true, time.Now())
-	defer func() { end(time.Now()) }()
 	var wg conc.WaitGroup
 	for _, r := range s.replicas[:engineCount] {
 		wg.Go(func() { s.injectSilence(ctx, r, d) })
