--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -404,6 +404,7 @@
 		return
 	}
 	g.Metrics.arrived(c.route)
+	// Other entries take what this one does not, so a stop begins nothing that they relay.
 	if g.ending.Err() != nil || c.from != "" && g.shutdown.Load() != nil {
 		c.refund()
 		c.respond(code.Stopping, otherEntryRetry, "this entry stops")
