fix(rollout): an unproven version gets as many requests of each route

Cause: requests of all routes went to the version at the same rate, so that a route with 9 of 31.5 requests a second gave 11 of the first 40 outcomes. That none of these fails happens in 2 of 100 roll-outs. Change: while a version is unproven, the fraction of a route's requests that it gets is inverse to the route's part of the requests, at most twice as high; the sum and the operator's bound stay. Why it works: the outcomes of a thin route are as many as the others, from the same number of requests. TestCanaryHasAsManyOutcomesOfEachRoute failed before: 750 and 250.

--- a/internal/forward/rollout/choose.go
+++ b/internal/forward/rollout/choose.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"agateward/internal/entry/mover"
-	"agateward/internal/move/exposure"
 	"agateward/ward"
 )
 
@@ -41,7 +40,7 @@
 	if p != nil {
 		p.use.All++
 	}
-	if s.Next == "" || !r.takesNext(s, p, u) || s.MaxInFlight > 0 && r.inFlight[service] >= s.MaxInFlight || !r.hasUpstream(service, s.Next) {
+	if s.Next == "" || !r.takesNext(s, p, route, u) || s.MaxInFlight > 0 && r.inFlight[service] >= s.MaxInFlight || !r.hasUpstream(service, s.Next) {
 		return service, func() {}
 	}
 	if p != nil {
@@ -58,13 +57,13 @@
 	}
 }
 
-// takesNext reports whether a request goes to the new version, given a random number u: by
-// the share of the step, or while the version is unproven, by the bound on its exposure.
-func (r *Rollout) takesNext(s ward.Split, p *plan, u float64) bool {
+// takesNext reports whether a request on a route goes to the new version, given a random number
+// u: by the share of the step, or while the version is unproven, by the bound on its exposure.
+func (r *Rollout) takesNext(s ward.Split, p *plan, route string, u float64) bool {
 	if p == nil || s.Share <= 0 || r.states[p.Service].Approved {
 		return u < s.Share
 	}
-	return u < exposure.MaxShare && r.Exposure.Allows(p.use)
+	return u < p.canaryShare(route) && r.Exposure.Allows(p.use)
 }
 
 func (r *Rollout) countRequest(k routeKey) {
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -34,6 +34,9 @@
 	// routes lists the routes that are evaluated separately; otherRoutes in it stands
 	// for all others.
 	routes []string
+	// parts holds the fraction of the service's requests by the name under which the
+	// outcomes of a route are counted, as of the last update.
+	parts map[string]float64
 	// use is what this entry has used of the bound on the target's exposure.
 	use exposure.Use
 	// recordRead is set once this process has read the records of the move.
@@ -58,6 +61,36 @@
 	return route + "/" + p.Service
 }
 
+// maxCanaryFactor bounds how much more of a route's requests than of all requests an unproven
+// version gets.
+const maxCanaryFactor = 2
+
+// canaryShare returns the fraction of a route's requests that an unproven version gets. It is
+// higher for a route with few requests, so that their outcomes are as many as those of the
+// others: a version that fails on that route alone would pass by chance.
+func (p *plan) canaryShare(route string) float64 {
+	part := p.parts[p.key(route)]
+	if part == 0 {
+		return exposure.MaxShare
+	}
+	return exposure.MaxShare * min(maxCanaryFactor, 1/(float64(len(p.routes))*part))
+}
+
+// updateParts updates the fractions of the service's requests. The caller must hold mu.
+func (r *Rollout) updateParts(p *plan) {
+	all, counts := 0, make(map[string]int, len(p.routes))
+	for k, n := range r.requests {
+		if k.service == p.Service {
+			all += n
+			counts[p.key(k.route)] += n
+		}
+	}
+	p.parts = make(map[string]float64, len(counts))
+	for key, n := range counts {
+		p.parts[key] = float64(n) / float64(all)
+	}
+}
+
 // Plan plans the orders that have arrived since, so that Group tells their upstreams
 // apart.
 func (r *Rollout) Plan() {
@@ -92,6 +125,7 @@
 		r.Log.Info("rollout-planned", "service", o.Service, "from", from, "to", o.Target, "deadline", p.deadline(ward.MoveState{}), "revision", o.Revision, "routes", p.routes)
 	}
 	for service, p := range r.plans {
+		r.updateParts(p)
 		if !ordered[service] {
 			delete(r.plans, service)
 			changed = true
--- a/internal/forward/rollout/rollout_test.go
+++ b/internal/forward/rollout/rollout_test.go
@@ -6,6 +6,7 @@
 
 	"agateward/internal/entry/mover"
 	"agateward/internal/forward/peerstate"
+	"agateward/internal/move/exposure"
 	"agateward/internal/move/split"
 	"agateward/internal/platform/memory"
 	"agateward/ward"
@@ -199,6 +200,32 @@
 	}
 }
 
+// Guards against EXPOSURE: a version that fails on a route with few requests was approved by
+// chance, as that route gave few outcomes.
+func TestCanaryHasAsManyOutcomesOfEachRoute(t *testing.T) {
+	orders := []ward.Rollout{{Service: "s", Target: "v2", Within: time.Minute, Revision: 9}}
+	r := Rollout{Log: logr.Discard(), Upstreams: upstreams("v1", "v2"), Orders: func() []ward.Rollout { return orders }, Exposure: exposure.Bound{Share: 1, Requests: 1 << 20}}
+	routes := []string{"large", "large", "large", "small"}
+	for i := range 400 {
+		r.countRequest(routeKey{routes[i%len(routes)], "s"})
+	}
+	r.updatePlans(time.Unix(1000, 0))
+	r.plans["s"].use.Entries = 1
+	r.states, r.splits = map[string]ward.MoveState{"s": {}}, map[string]ward.Split{"s": {Version: "v1", Next: "v2", Share: 0.045}}
+	count := map[string]int{}
+	for i := range 4000 {
+		route := routes[i%len(routes)]
+		group, done := r.Choose(route, "s", float64(i/len(routes))/1000)
+		if group != "s" {
+			count[route]++
+		}
+		done()
+	}
+	if large, small := count["large"], count["small"]; 10*small < 9*large || 10*large < 9*small || 4*(large+small) > 4000+400 {
+		t.Errorf("%d and %d requests of 4,000 at the version, want as many of each route and a quarter of all", large, small)
+	}
+}
+
 // TestEvaluatedRoutes checks that routes with at least minRouteShare of the requests
 // are evaluated separately.
 func TestEvaluatedRoutes(t *testing.T) {
