refactor(schedule,gate,shutdown): one rule for requests that may outlast a stop

Change: shutdown.Outlasts, which both call; Job.endsBy goes. No bound changes. Result: the tests of stops in schedule, gate and shutdown hold as they were.

--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -13,6 +13,7 @@
 
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/relay"
+	"agateward/internal/forward/shutdown"
 	"agateward/internal/result/code"
 	"agateward/internal/upstream/sse"
 	"agateward/ward"
@@ -81,10 +82,7 @@
 // request before the exit, so that no part of it is begun any more.
 func (c *call) outlastsStop() bool {
 	s := c.gate.shutdown.Load()
-	if s == nil || c.started || time.Now().Before(s.Late()) {
-		return false
-	}
-	return c.deadline.IsZero() || c.deadline.After(s.End())
+	return s != nil && !c.started && shutdown.Outlasts(c.deadline, s.Late(), s.End(), time.Now())
 }
 
 // relayTo passes the request on to another entry and reports whether it is finished.
--- a/internal/forward/schedule/choose.go
+++ b/internal/forward/schedule/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"agateward/internal/forward/shutdown"
 )
 
 // Costs of a choice, as multiples of the nominal time of the request.
@@ -84,7 +86,7 @@
 
 // unboundAtStop reports whether it is late in a stop and nothing ends j before the exit.
 func (s *Scheduler) unboundAtStop(j *Job, now time.Time) bool {
-	return !s.stopEnd.IsZero() && !now.Before(s.stopLate) && !j.Resumed && !j.endsBy(j.EndBy)
+	return !s.stopEnd.IsZero() && !j.Resumed && shutdown.Outlasts(j.Deadline, s.stopLate, j.EndBy, now)
 }
 
 // outlastsStop reports whether the entry stops before u is expected to end j.
--- a/internal/forward/schedule/job.go
+++ b/internal/forward/schedule/job.go
@@ -66,9 +66,6 @@
 	turnedLate bool
 }
 
-// endsBy reports whether j has ended by t however long its answer takes.
-func (j *Job) endsBy(t time.Time) bool { return !j.Deadline.IsZero() && !j.Deadline.After(t) }
-
 // Action is a decision on one job: a dispatch if Upstream is set, else a refusal.
 // Without a job it grants a free slot of Upstream to the peer GrantTo.
 type Action struct {
--- a/internal/forward/shutdown/shutdown.go
+++ b/internal/forward/shutdown/shutdown.go
@@ -13,6 +13,9 @@
 //
 //	s := shutdown.Shutdown{Begin: now, Grace: 8 * time.Second}
 //	scheduler.Stop(s.Late(), s.End())
+//	if shutdown.Outlasts(deadline, s.Late(), s.End(), now) {
+//		... // refuse the request
+//	}
 //	if s.Exit(now, running) {  // whenever requests end or time has passed
 //		...
 //	}
@@ -60,6 +63,12 @@
 	return s.Begin.Add(min(BalancerLag, time.Duration(maxLagFraction*float64(s.Grace))))
 }
 
+// Outlasts reports whether a request with a deadline, zero for none, is no longer begun at
+// now: it is late in a stop, and nothing ends the request before the end of it.
+func Outlasts(deadline, late, end, now time.Time) bool {
+	return !now.Before(late) && (deadline.IsZero() || deadline.After(end))
+}
+
 // Exit reports whether the process exits now, with a number of running requests.
 func (s Shutdown) Exit(now time.Time, running int) bool {
 	return !now.Before(s.End()) || running == 0 && !now.Before(s.Late())
