fix(gate): a request refused at the exit is told when another entry is back

What callers saw: at the exit of an entry Retry-After was 50 ms in any case, also while most entries stop, so that the one retry of a caller met another stopping one. Change: both use Scheduler.StoppingRetry, with its jitter; the second constant goes. TestReturnAfterStop checks it in its three cases, which could not be written before.

--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -99,6 +99,14 @@
 		c.fail(code.GraceUsedUp, errExit.Error())
 		return
 	}
+	c.refuseAtStop(errExit.Error())
+}
+
+// refuseAtStop refuses a request that was not sent, as this entry stops.
+func (c *call) refuseAtStop(reason string) {
 	c.refund()
-	c.respond(code.Stopping, otherEntryRetry, errExit.Error())
+	c.gate.mu.Lock()
+	retry := c.gate.sched.StoppingRetry(time.Now())
+	c.gate.mu.Unlock()
+	c.respond(code.Stopping, retry, reason)
 }
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -47,9 +47,6 @@
 // notReadyRetry is the retry delay that an entry without a configuration advises.
 const notReadyRetry = 500 * time.Millisecond
 
-// otherEntryRetry is the retry delay that an entry advises at its exit: another one serves.
-const otherEntryRetry = 50 * time.Millisecond
-
 // configWait is how long a request waits for the first configuration after a start.
 // The store usually answers within a few milliseconds.
 const configWait = 250 * time.Millisecond
@@ -406,8 +403,7 @@
 	g.Metrics.arrived(c.route)
 	// Other entries take what this one does not, so a stop begins nothing that they relay.
 	if g.ending.Err() != nil || c.from != "" && g.shutdown.Load() != nil {
-		c.refund()
-		c.respond(code.Stopping, otherEntryRetry, "this entry stops")
+		c.refuseAtStop("this entry stops")
 		return
 	}
 	if c.from != "" && g.hearsNone() {
--- a/internal/forward/schedule/refusal.go
+++ b/internal/forward/schedule/refusal.go
@@ -46,13 +46,20 @@
 		// Another entry answers, which the upstreams did not ask for a pause.
 		wait, pause = s.stoppingRetry(now), 0
 	}
-	// Jitter up to the same length keeps the retries from forming another burst.
-	wait += time.Duration(s.Rand.Float64() * float64(wait))
-	a := Action{Job: j, Reason: reason, RetryAfter: pause + min(wait, maxRetryAfter), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
+	a := Action{Job: j, Reason: reason, RetryAfter: pause + s.spread(wait), Waited: now.Sub(j.Arrived), Queued: len(v.queue)}
 	s.placeReturn(v, &a, now)
 	return a
 }
 
+// spread adds jitter up to the same length to a retry delay, which keeps the retries from
+// forming another burst.
+func (s *Scheduler) spread(wait time.Duration) time.Duration {
+	return min(wait+time.Duration(s.Rand.Float64()*float64(wait)), maxRetryAfter)
+}
+
+// StoppingRetry returns the retry delay of a request that is refused since this entry stops.
+func (s *Scheduler) StoppingRetry(now time.Time) time.Duration { return s.spread(s.stoppingRetry(now)) }
+
 // stoppingRetry returns the retry delay of a job that is refused since this entry
 // stops: none to speak of while most entries serve, else the time until the first
 // one that stops is back.
--- a/internal/forward/schedule/stop_test.go
+++ b/internal/forward/schedule/stop_test.go
@@ -151,6 +151,9 @@
 			if len(a) != 1 || a[0].RetryAfter < tt.least || a[0].RetryAfter > tt.most {
 				t.Errorf("actions %+v", a)
 			}
+			if d := s.StoppingRetry(start); d < tt.least || d > tt.most {
+				t.Errorf("at the exit: %v", d)
+			}
 		})
 	}
 }
