refactor(gate,rollout): one place notes a refused successor; parts of routes only while a roll-out runs

Cause: refusedSuccession noted a refusal at three places; the parts of a service's requests were summed up every 200 ms for orders that had ended, too; two tests had the same check. Change: one place each. No bound changes.

--- a/internal/forward/gate/successor.go
+++ b/internal/forward/gate/successor.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"agateward/internal/forward/backend"
@@ -84,32 +85,32 @@
 // the outcome of its attempt; "" if it does.
 func (c *call) refusedSuccession(o *offer, a schedule.Action, x *backend.Exchange) (string, schedule.Outcome) {
 	reply := c.gate.Dialect.Reply(x.Status, x.Header)
-	reason := c.mismatch(x, reply)
+	mismatch := c.mismatch(x, reply)
+	reason, outcome := mismatch, schedule.OutcomeFailed
 	switch {
-	case reason != "":
+	case mismatch != "":
 	case reply.NotRun && x.Status == http.StatusMisdirectedRequest:
-		c.noteRefusal(a, x, reply, reason)
-		return "another upstream has the address", schedule.OutcomeMoved
+		reason, outcome = "another upstream has the address", schedule.OutcomeMoved
 	case reply.NotRun:
-		c.noteRefusal(a, x, reply, reason)
-		return "the upstream has no capacity", schedule.OutcomeFull
+		reason, outcome = "the upstream has no capacity", schedule.OutcomeFull
 	case x.Status >= http.StatusInternalServerError || code.PromisesNotRun(x.Status):
-		reason = "status " + http.StatusText(x.Status)
+		reason = "status " + strconv.Itoa(x.Status)
 	default:
 		if err := checkResumed(o.begun, x); err != nil {
 			reason = err.Error()
 		}
 	}
 	if reason != "" {
-		c.noteRefusal(a, x, reply, reason)
+		c.noteRefusal(a, x, reply, mismatch)
 	}
-	return reason, schedule.OutcomeFailed
+	return reason, outcome
 }
 
-// noteRefusal records what the head of an answer says that is not used.
-func (c *call) noteRefusal(a schedule.Action, x *backend.Exchange, reply ward.ForwardReply, reason string) {
+// noteRefusal records what the head of an answer says that is not used. mismatch is why it
+// does not belong to the request, or "".
+func (c *call) noteRefusal(a schedule.Action, x *backend.Exchange, reply ward.ForwardReply, mismatch string) {
 	c.gate.Metrics.upstreamAnswered(x.Status, c.statement(reply))
-	c.noteStatements(a, x, reply, reason)
+	c.noteStatements(a, x, reply, mismatch)
 	if reply.NotRun {
 		x.Drain(maxRejection)
 	}
--- a/internal/forward/gate/successor_test.go
+++ b/internal/forward/gate/successor_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,17 +48,23 @@
 				return c.next(w, r, n)
 			}
 			s := newGate(t, newUpstream(t, serve), newUpstream(t, serve))
-			got := do(t, s, "POST", "/stream/x", nil)
-			if got.status != 200 || got.body != pieces(1, 4) || got.err != nil {
-				t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
-			}
-			if n := sends.Load(); n != 2 {
-				t.Errorf("the request was sent %d times, want twice", n)
-			}
+			wantWholeStream(t, s, &sends)
 		})
 	}
 }
 
+// wantWholeStream checks that a stream is whole after two sends.
+func wantWholeStream(t *testing.T, s *httptest.Server, sends *atomic.Int64) {
+	t.Helper()
+	got := do(t, s, "POST", "/stream/x", nil)
+	if got.status != 200 || got.body != pieces(1, 4) || got.err != nil {
+		t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
+	}
+	if n := sends.Load(); n != 2 {
+		t.Errorf("the request was sent %d times, want twice", n)
+	}
+}
+
 // Guards against a stream that ends with its upstream while another one is about to go on
 // with it, as the send to that one was given up.
 func TestSuccessorGoesOnAfterTheEnd(t *testing.T) {
@@ -83,13 +90,7 @@
 				return false
 			}
 			s := newGate(t, newUpstream(t, serve), newUpstream(t, serve))
-			got := do(t, s, "POST", "/stream/x", nil)
-			if got.status != 200 || got.body != pieces(1, 4) || got.err != nil {
-				t.Errorf("status %d, body %q, %v; want the whole answer", got.status, got.body, got.err)
-			}
-			if n := sends.Load(); n != 2 {
-				t.Errorf("the request was sent %d times, want twice", n)
-			}
+			wantWholeStream(t, s, &sends)
 			checkNoExchange(t, s)
 		})
 	}
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -125,7 +125,9 @@
 		r.Log.Info("rollout-planned", "service", o.Service, "from", from, "to", o.Target, "deadline", p.deadline(ward.MoveState{}), "revision", o.Revision, "routes", p.routes)
 	}
 	for service, p := range r.plans {
-		r.updateParts(p)
+		if !ended(r.states[service], p) {
+			r.updateParts(p)
+		}
 		if !ordered[service] {
 			delete(r.plans, service)
 			changed = true
