test(gate): requests of a test use the client of its own server

Cause: the test's client, not the gate. Tests that run in parallel all used http.DefaultClient, and httptest.Server.Close closes the idle connections of http.DefaultTransport. net/http marks a connection as idle before it hands an answer without a body to the caller; a close in between breaks the request.

Change: the requests use Server.Client, whose transport only the close of that server touches. No check, bound or case differs. Other packages that use the default client run no tests in parallel.

--- a/internal/forward/gate/endless_test.go
+++ b/internal/forward/gate/endless_test.go
@@ -135,7 +135,7 @@
 // checkNoExchange checks that no goroutine sends to an upstream or reads its answer.
 func checkNoExchange(t *testing.T, s *httptest.Server) {
 	t.Helper()
-	http.DefaultClient.CloseIdleConnections()
+	s.Client().CloseIdleConnections()
 	s.CloseClientConnections()
 	buf := make([]byte, 1<<20)
 	for end := time.Now().Add(endlessWait); ; time.Sleep(time.Millisecond) {
--- a/internal/forward/gate/gate_test.go
+++ b/internal/forward/gate/gate_test.go
@@ -92,6 +92,8 @@
 	err    error
 }
 
+// do sends a request to s, and returns the answer. Close of any httptest.Server breaks
+// requests of the default client, so the client is that of s.
 func do(t *testing.T, s *httptest.Server, method, path string, change func(r *http.Request)) answer {
 	t.Helper()
 	r, err := http.NewRequest(method, s.URL+path, strings.NewReader(strings.Repeat("b", 100)))
@@ -104,7 +106,7 @@
 	if change != nil {
 		change(r)
 	}
-	res, err := http.DefaultClient.Do(r)
+	res, err := s.Client().Do(r)
 	if err != nil {
 		return answer{err: err}
 	}
@@ -345,7 +347,7 @@
 	r.Host = "h"
 	r.Header.Set("Agateward-Request", "r1")
 	r.Header.Set("Authorization", "Bearer k2")
-	res, err := http.DefaultClient.Do(r)
+	res, err := s.Client().Do(r)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forward/gate/statement_test.go
+++ b/internal/forward/gate/statement_test.go
@@ -118,7 +118,7 @@
 	r.Host = "h"
 	r.Header.Set("Agateward-Request", "r1")
 	r.Header.Set("Authorization", "Bearer k1")
-	res, err := http.DefaultClient.Do(r)
+	res, err := s.Client().Do(r)
 	if err != nil {
 		t.Fatal(err)
 	}
