fix(gate): the ids of a stream's events only have to increase

Callers of a stream with ids 10, 20, 30 got the first event and a cut connection; callers that resumed one got 502 with code 3002.

Cause: the gate asked every event for the last id plus one. The check is meant for a resumed stream, in which another upstream may leave a gap.

Change: within a run each higher id is passed on. The first event of a resumed run has to follow by one only if all steps before were of one.

It works as a gap inside a run cannot come from the transport, and the case that can is still checked.

--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -82,6 +82,7 @@
 	// id of the last event that the caller has, -1 for none.
 	started   bool
 	lastEvent int64
+	steps     eventSteps
 	// begun is the answer whose head the caller has, nil before the first.
 	begun *backend.Exchange
 	// returned is the promise that the request uses, nil for none. returnChecked is true
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -118,6 +118,32 @@
 	return nil
 }
 
+// eventSteps notes how the ids of a stream's events grow. They only have to increase, so a
+// step of more than one is a gap only where a resumed stream had steps of one before.
+type eventSteps struct {
+	// run is the answer that brought the last event, nil before the first.
+	run *backend.Exchange
+	// one and more are true once an id was the last one plus one, or higher.
+	one, more bool
+}
+
+// note adds an event of run whose id follows last, the caller's last event or -1 for none.
+// It fails with errEventMissing at a gap.
+func (s *eventSteps) note(run *backend.Exchange, last, id int64) error {
+	begun, resumed := s.run != nil, s.run != run
+	s.run = run
+	switch {
+	case !begun:
+	case id == last+1:
+		s.one = true
+	case resumed && s.one && !s.more:
+		return errEventMissing
+	default:
+		s.more = true
+	}
+	return nil
+}
+
 // checkResumed reports whether an answer can be the rest of the stream whose head begun the
 // caller has. Any answer can be the beginning.
 func checkResumed(begun, x *backend.Exchange) error {
@@ -156,8 +182,8 @@
 			if id <= c.lastEvent {
 				return nil
 			}
-			if c.lastEvent >= 0 && id != c.lastEvent+1 {
-				return errEventMissing
+			if err := c.steps.note(x, c.lastEvent, id); err != nil {
+				return err
 			}
 			c.lastEvent = id
 		}
