feat(telemetry): ignored input is counted, and its lines are bounded

Seen: registrations, orders, news and relayed requests that cannot be used were logged without a count, and datagrams of strangers at the port for news wrote a line each, without a bound.

Change: ignored.Input counts each by its event, and writes at most 20 lines of an event in 10 s; the next line tells how many were left out. The revision in registration-ignored is written like in all other lines.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -36,6 +36,7 @@
 	"agateward/internal/forward/view"
 	"agateward/internal/move/split"
 	"agateward/internal/result/code"
+	"agateward/internal/telemetry/ignored"
 	"agateward/ward"
 
 	"github.com/go-logr/logr"
@@ -51,8 +52,8 @@
 // The store usually answers within a few milliseconds.
 const configWait = 250 * time.Millisecond
 
-// Gate serves callers. All fields but Metrics, Rollout, Relay and ProgressTimeout must be
-// set, and Prepare called.
+// Gate serves callers. All fields but Metrics, Rollout, Relay, Ignored and ProgressTimeout
+// must be set, and Prepare called.
 type Gate struct {
 	Dialect ward.Dialect
 	View    *view.View
@@ -89,6 +90,9 @@
 	// ReturnsChanged requests a message about promises to refused callers, unless it is
 	// nil. It must not block.
 	ReturnsChanged func()
+	// Ignored records what peers, upstreams and senders of relayed requests write that cannot
+	// be used. Nil only logs it.
+	Ignored *ignored.Input
 	// Start is a number that no earlier process of this entry had.
 	Start int64
 
--- a/internal/forward/gate/limits.go
+++ b/internal/forward/gate/limits.go
@@ -18,7 +18,7 @@
 	fault := r.Fault != "" && g.firstFault(id, "limit")
 	g.mu.Unlock()
 	if fault {
-		c.log.Info("upstream-limit-invalid", "upstream", id.ID, "value", r.Fault, "ignored", r.Unknown, "limited", r.Limited, "per-second", r.PerSecond)
+		g.Ignored.Note(c.log, "upstream-limit-invalid", "upstream", id.ID, "value", r.Fault, "ignored", r.Unknown, "limited", r.Limited, "per-second", r.PerSecond)
 	}
 	if !news {
 		return
--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -196,7 +196,7 @@
 func (g *Gate) ServeRelayed(w http.ResponseWriter, r *http.Request) {
 	e, err := relay.Open(r.Header)
 	if err != nil {
-		g.Log.Info("relayed-request-invalid", "from", r.RemoteAddr, "error", err.Error())
+		g.Ignored.Note(g.Log, "relayed-request-invalid", "from", r.RemoteAddr, "error", err.Error())
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -206,7 +206,7 @@
 // DenyRelayed refuses a request whose sender is not known as an entry: another entry may
 // know it.
 func (g *Gate) DenyRelayed(w http.ResponseWriter, r *http.Request) {
-	g.Log.Info("relayed-request-denied", "from", r.RemoteAddr)
+	g.Ignored.Note(g.Log, "relayed-request-denied", "from", r.RemoteAddr)
 	w.Header().Set(g.Dialect.RequestID(), r.Header.Get(g.Dialect.RequestID()))
 	w.Header().Set(relay.FieldRefused, strconv.Itoa(code.NotReady.Number))
 	w.WriteHeader(http.StatusForbidden)
--- a/internal/forward/gate/returns.go
+++ b/internal/forward/gate/returns.go
@@ -111,7 +111,7 @@
 	ignored := g.sched.LearnReturns(n, time.Now())
 	g.mu.Unlock()
 	if ignored > 0 {
-		g.Log.Info("return-news-invalid", "peer", from, "ignored", ignored, "promises", len(n.Given), "used", len(n.Used))
+		g.Ignored.Note(g.Log, "return-news-invalid", "peer", from, "ignored", ignored, "promises", len(n.Given), "used", len(n.Used))
 	}
 }
 
--- a/internal/forward/gate/statement.go
+++ b/internal/forward/gate/statement.go
@@ -107,7 +107,7 @@
 	}
 	g.mu.Unlock()
 	if fault != "" {
-		c.log.Info("retry-after-invalid", "upstream", id.ID, "value", fault, "used", reply.RetryAfter)
+		g.Ignored.Note(c.log, "retry-after-invalid", "upstream", id.ID, "value", fault, "used", reply.RetryAfter)
 	}
 	c.log.Info("upstream-pause", "upstream", id.ID, "born", id.Born, "seconds", reply.RetryAfter.Seconds(), "until", until.UTC().Format(time.RFC3339Nano), "source", sourceAnswer)
 	g.Metrics.upstreamPaused()
--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -152,7 +152,7 @@
 		}
 		m, err := peerstate.Decode(buf[:size])
 		if err != nil {
-			n.log.Info("news-ignored", "error", err.Error())
+			n.ignored.Note(n.log, "news-ignored", "error", err.Error())
 			continue
 		}
 		if n.receiveEvent(m) {
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -30,6 +30,7 @@
 	"agateward/internal/forward/view"
 	"agateward/internal/move/exposure"
 	"agateward/internal/result/code"
+	"agateward/internal/telemetry/ignored"
 	"agateward/ward"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -85,6 +86,7 @@
 	gate     *gate.Gate
 	rollout  *rollout.Rollout
 	set      *metrics.Set
+	ignored  *ignored.Input
 	start    int64
 
 	mu    sync.Mutex
@@ -113,7 +115,8 @@
 func New(s forwarding.Settings, p Parts) *Node {
 	n := &Node{settings: s, source: p.Source, log: p.Log, set: metrics.NewSet(), start: time.Now().UnixNano(), broadcastNow: make(chan struct{}, 1), announceNow: make(chan struct{}, 1), news: news{now: make(chan struct{}, 1)}, returnsNow: make(chan struct{}, 1)}
 	n.peers.Self = s.Name
-	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.onChange, FollowsStore: n.followsStore, Cells: n.hasCells, EraChanged: n.announceAgain}
+	n.ignored = &ignored.Input{Set: n.set}
+	n.view = &view.View{Source: p.Source, Log: p.Log, Changed: n.onChange, FollowsStore: n.followsStore, Cells: n.hasCells, EraChanged: n.announceAgain, Ignored: n.ignored}
 	pool := &backend.Pool{Dial: p.Dial, OnOpen: n.set.NewCounter("agateward_forward_connections_opened_total").Inc}
 	n.rollout = &rollout.Rollout{
 		Self: s.Name, Start: n.start, Source: p.Source, Log: p.Log, Orders: n.view.Rollouts, Upstreams: n.view.Upstreams,
@@ -124,7 +127,7 @@
 		Dialect: p.Dialect, View: n.view, Pool: pool, Log: p.Log, Rollout: n.rollout,
 		Metrics: &gate.Metrics{Set: n.set}, MaxBody: s.Limits.MaxBody, Start: n.start, SendGrant: n.sendGrant, TriggerBroadcast: n.triggerBroadcast,
 		Relay: n.newRelay(), Fleet: n.fleet, SendLending: n.sendLending, SuspectsChanged: n.suspectsChanged, LimitsChanged: n.limitsChanged,
-		ReturnsChanged: n.returnsChanged,
+		ReturnsChanged: n.returnsChanged, Ignored: n.ignored,
 	}
 	n.gate.Prepare(setup(s))
 	n.gate.SetEntries(initialEntries)
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -163,7 +163,7 @@
 	v.adoptRollouts(o.Rollouts, "store")
 	v.adoptEvacuations(o.Evacuations, "store")
 	for _, err := range o.Faults {
-		v.Log.Info("order-ignored", "error", err.Error())
+		v.Ignored.Note(v.Log, "order-ignored", "error", err.Error())
 	}
 }
 
@@ -240,7 +240,7 @@
 	}
 	if v.loggedFaults[r.Replica.ID] != r.Revision {
 		v.loggedFaults[r.Replica.ID] = r.Revision
-		v.Log.Info("registration-ignored", "upstream", r.Replica.ID, "revision", r.Revision, "fault", r.Fault)
+		v.Ignored.Note(v.Log, "registration-ignored", "upstream", r.Replica.ID, "revision", ward.RevisionText(r.Revision), "fault", r.Fault)
 	}
 	return false
 }
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -25,6 +25,7 @@
 	"agateward/internal/forward/orderlog"
 	"agateward/internal/forward/replicas"
 	"agateward/internal/forward/route"
+	"agateward/internal/telemetry/ignored"
 	"agateward/ward"
 
 	"github.com/go-logr/logr"
@@ -82,6 +83,8 @@
 	// EraChanged is called when the store has returned from an older copy, unless it
 	// is nil.
 	EraChanged func()
+	// Ignored records values of the store that cannot be used. Nil only logs them.
+	Ignored *ignored.Input
 
 	table atomic.Pointer[route.Table]
 
