--- a/internal/forward/dialect/dialect.go
+++ b/internal/forward/dialect/dialect.go
@@ -72,25 +72,21 @@
 	if v := h.Get(fieldTimeout); v != "" {
 		ms, err := strconv.ParseUint(v, 10, 31)
 		if err != nil || ms == 0 {
-			return head, fmt.Errorf("%w %s: %q is not a number of milliseconds", errField, fieldTimeout, v)
+			return head, fmt.Errorf("%w %s: %.40q is not a number of milliseconds", errField, fieldTimeout, v)
 		}
 		head.Timeout = time.Duration(ms) * time.Millisecond
 	}
 	if v := h.Get(fieldLastEvent); v != "" {
 		id, err := strconv.ParseUint(v, 10, 62)
 		if err != nil {
-			return head, fmt.Errorf("%w %s: %q is not an event", errField, fieldLastEvent, v)
+			return head, fmt.Errorf("%w %s: %.40q is not an event", errField, fieldLastEvent, v)
 		}
 		head.LastEvent = int64(id)
 	}
 	if v := h.Get(fieldTokens); v != "" {
-		in, out, _ := strings.Cut(v, ",")
-		a, errA := strconv.ParseUint(strings.TrimSpace(in), 10, 31)
-		b, errB := strconv.ParseUint(strings.TrimSpace(out), 10, 31)
-		if errA != nil || errB != nil {
-			return head, fmt.Errorf("%w %s: %q is not two numbers", errField, fieldTokens, v)
+		if head.PromptTokens, head.MaxOutput, head.HasTokens = header.Tokens(v); !head.HasTokens {
+			return head, fmt.Errorf("%w %s: %.40q is not two numbers below 2^31", errField, fieldTokens, v)
 		}
-		head.PromptTokens, head.MaxOutput, head.HasTokens = int(a), int(b), true
 	}
 	head.Parts, head.Prompt = header.SharedParts(h.Values(fieldParts)), strings.Join(h.Values(fieldParts), ",")
 	return head, nil
--- a/internal/upstream/header/parts.go
+++ b/internal/upstream/header/parts.go
@@ -7,6 +7,15 @@
 	"agateward/ward"
 )
 
+// Tokens reads the sizes of a request, PROMPT,OUTPUT in tokens. Each has to fit into 31 bits, so
+// that sums over requests fit into an int.
+func Tokens(value string) (prompt, output int, ok bool) {
+	in, out, _ := strings.Cut(value, ",")
+	a, errA := strconv.ParseUint(strings.TrimSpace(in), 10, 31)
+	b, errB := strconv.ParseUint(strings.TrimSpace(out), 10, 31)
+	return int(a), int(b), errA == nil && errB == nil
+}
+
 // SharedParts reads the parts of a prompt, ID:TOKENS with the ID in hexadecimal,
 // separated by commas. The last part belongs to the request alone and is left out. A part
 // that can't be read is left out too: parts never decide whether a request is valid.
