--- a/internal/forward/limit/limit.go
+++ b/internal/forward/limit/limit.go
@@ -47,6 +47,8 @@
 	// coldGrantTime is that time for a cold process. Permits that are used late arrive
 	// together with those of the next second, in which a bound holds.
 	coldGrantTime = 250 * time.Millisecond
+	// maxWait bounds the wait at a rate that is hardly more than 0.
+	maxWait = 24 * time.Hour
 )
 
 // tighter reports whether s allows fewer requests than o.
@@ -185,7 +187,7 @@
 	}
 	wait := time.Duration(math.MaxInt64)
 	if rate := l.rate(now); rate > 0 {
-		wait = time.Duration((1 - l.level) / rate * float64(time.Second))
+		wait = time.Duration(min((1-l.level)/rate, maxWait.Seconds()) * float64(time.Second))
 	}
 	if l.Cold(now) && !l.state.Limited {
 		wait = min(wait, l.coldUntil.Sub(now))
--- a/internal/forward/limit/limit_test.go
+++ b/internal/forward/limit/limit_test.go
@@ -100,3 +100,14 @@
 		})
 	}
 }
+
+// Guards against a rate that is hardly more than 0 and makes the wait overflow.
+func TestWaitAtLeastRate(t *testing.T) {
+	var l Limit
+	l.Observe(rate(1e-300), at(0), at(1))
+	l.SetPart(1e-300, at(1))
+	l.Take(at(2))
+	if wait, ok := l.Wait(at(2)); !ok || wait != maxWait {
+		t.Errorf("wait %v, %v, want %v", wait, ok, maxWait)
+	}
+}
--- a/internal/forward/quota/quota.go
+++ b/internal/forward/quota/quota.go
@@ -206,8 +206,7 @@
 		left := b.level - floor
 		left -= l.silentShare(b, left, now)
 		if left <= 0 {
-			wait := time.Duration((1 - left) / t.Rate * float64(time.Second))
-			return min(wait, maxWait), false
+			return time.Duration(min((1-left)/t.Rate, maxWait.Seconds()) * float64(time.Second)), false
 		}
 		b.charge(r.Size, now)
 	}
