fix(peerstate): a message states no more elements than it has

A datagram of 16 bytes to the port for news of entries took 3.5 GB, and with the highest length that can be stated it ends the process: no login is needed, so that any sender in the network could stop all entries.

Cause: msgpack's decoder allocates as many elements as the head of a list states. Messages between the product's own entries are checked before that, those of the forwarding surface were not; nor were stored records of runs.

Change: the check moves from peer/codec to peer/unpack, allows maps, and is used by all three. A panic of the library is an error there.

Evidence: before, TestHostileMessages allocated 3,489,718,328 and 9,663,735,904 bytes for lists of 16.8 million stated elements and 55,967,904 for such a map; seven other cases held. Now all are refused within 16 MB and a second each. FuzzReceive: 24,747 messages in 25 s without a finding. TestFullMessagePasses guards the other side.

--- a/internal/forward/node/exchange.go
+++ b/internal/forward/node/exchange.go
@@ -150,27 +150,32 @@
 		if err != nil {
 			continue // an ICMP error of an earlier send
 		}
-		m, err := peerstate.Decode(buf[:size])
-		if err != nil {
-			n.ignored.Note(n.log, "news-ignored", "error", err.Error())
-			continue
-		}
-		if n.receiveEvent(m) {
-			continue
-		}
-		now := time.Now()
-		own := n.view.Versions()
-		n.mu.Lock()
-		fresh := n.peers.Receive(m, now)
-		if fresh {
-			n.peers.TrackLag(m, own, now)
-		}
-		entries := max(n.peers.Entries(now), n.cell.FleetSize)
-		n.mu.Unlock()
-		if fresh {
-			n.gate.UpdatePeer(m, entries)
-			n.catchUp(ctx, m)
-		}
+		n.receive(ctx, buf[:size])
+	}
+}
+
+// receive handles one message of a peer, or what another sender wrote to the port.
+func (n *Node) receive(ctx context.Context, b []byte) {
+	m, err := peerstate.Decode(b)
+	if err != nil {
+		n.ignored.Note(n.log, "news-ignored", "error", err.Error())
+		return
+	}
+	if n.receiveEvent(m) {
+		return
+	}
+	now := time.Now()
+	own := n.view.Versions()
+	n.mu.Lock()
+	fresh := n.peers.Receive(m, now)
+	if fresh {
+		n.peers.TrackLag(m, own, now)
+	}
+	entries := max(n.peers.Entries(now), n.cell.FleetSize)
+	n.mu.Unlock()
+	if fresh {
+		n.gate.UpdatePeer(m, entries)
+		n.catchUp(ctx, m)
 	}
 }
 
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -16,13 +16,18 @@
 	"agateward/internal/forward/poison"
 	"agateward/internal/forward/returns"
 	"agateward/internal/forward/schedule"
+	"agateward/internal/peer/unpack"
 	"agateward/ward"
 
 	"github.com/vmihailenco/msgpack/v5"
 )
 
-// MaxSize bounds a message in bytes, so that it fits into one datagram.
-const MaxSize = 60 << 10
+const (
+	// MaxSize bounds a message in bytes, so that it fits into one datagram.
+	MaxSize = 60 << 10
+	// maxDepth bounds the nesting of a message's lists and maps.
+	maxDepth = 12
+)
 
 // Message is the state that an entry sends its peers. It is sent often, so a lost
 // one is not repeated: the next replaces it.
@@ -107,7 +112,7 @@
 // Decode reads a message and checks it.
 func Decode(b []byte) (Message, error) {
 	var m Message
-	if err := msgpack.Unmarshal(b, &m); err != nil {
+	if err := (unpack.Bounds{Depth: maxDepth, Maps: true}).Decode(b, &m); err != nil {
 		return Message{}, fmt.Errorf("%w: %w", errInvalidMessage, err)
 	}
 	if m.Name == "" || m.Listen == "" {
--- a/internal/peer/codec/codec.go
+++ b/internal/peer/codec/codec.go
@@ -15,13 +15,13 @@
 import (
 	"bytes"
 	"compress/flate"
-	"errors"
 	"fmt"
 	"io"
 	"sync"
 
+	"agateward/internal/peer/unpack"
+
 	"github.com/vmihailenco/msgpack/v5"
-	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // Limits of one encoded list of values, in bytes.
@@ -48,8 +48,8 @@
 // ErrTooLarge means that an encoding exceeds a limit, ErrFormat that it is
 // malformed.
 var (
-	ErrTooLarge = errors.New("message too large")
-	ErrFormat   = errors.New("message is not in the known format")
+	ErrTooLarge = unpack.ErrTooLarge
+	ErrFormat   = unpack.ErrFormat
 )
 
 var encoders = sync.Pool{New: func() any {
@@ -121,63 +121,8 @@
 	default:
 		return ErrFormat
 	}
-	left := maxElements
-	d := msgpack.NewDecoder(bytes.NewReader(body))
-	for range values {
-		if err := checkLimits(d, maxDepth, &left); err != nil {
-			return err
-		}
-	}
-	return decode(body, values)
+	return bounds.Decode(body, values...)
 }
 
-// checkLimits skips one value without allocating memory for it: the library
-// allocates as many elements as the head of a list states, before it reads them.
-func checkLimits(d *msgpack.Decoder, depth int, left *int) error {
-	c, err := d.PeekCode()
-	if err != nil {
-		return fmt.Errorf("decode message: %w", err)
-	}
-	switch {
-	case msgpcode.IsFixedMap(c), c == msgpcode.Map16, c == msgpcode.Map32:
-		return ErrFormat
-	case msgpcode.IsFixedArray(c), c == msgpcode.Array16, c == msgpcode.Array32:
-	default:
-		if err := d.Skip(); err != nil {
-			return fmt.Errorf("decode message: %w", err)
-		}
-		return nil
-	}
-	n, err := d.DecodeArrayLen()
-	if err != nil {
-		return fmt.Errorf("decode message: %w", err)
-	}
-	if *left -= n; *left < 0 || depth == 0 {
-		return ErrTooLarge
-	}
-	for range n {
-		if err := checkLimits(d, depth-1, left); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// decode decodes the values and turns a panic into an error: the library panics
-// for a nil in the place of a struct such as a time, and a message of a peer must
-// not end the process.
-func decode(body []byte, values []any) (err error) {
-	defer func() {
-		if p := recover(); p != nil {
-			err = fmt.Errorf("%w: %v", ErrFormat, p)
-		}
-	}()
-	d := msgpack.NewDecoder(bytes.NewReader(body))
-	d.SetCustomStructTag("json")
-	for _, v := range values {
-		if err := d.Decode(v); err != nil {
-			return fmt.Errorf("decode message: %w", err)
-		}
-	}
-	return nil
-}
+// bounds are those of a message after decompression.
+var bounds = unpack.Bounds{Elements: maxElements, Depth: maxDepth, Tag: "json"}
--- a/internal/run/record/archive.go
+++ b/internal/run/record/archive.go
@@ -1,15 +1,12 @@
 package record
 
 import (
-	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"reflect"
 	"slices"
 	"time"
-
-	"github.com/vmihailenco/msgpack/v5"
 )
 
 // Archive refers to an archive: a document of the store with older records of the
@@ -29,7 +26,7 @@
 // DecodeArchive reads an archive's records.
 func DecodeArchive(b []byte) ([]Record, error) {
 	var s stored
-	if err := msgpack.NewDecoder(bytes.NewReader(b)).Decode(&s); err != nil {
+	if err := bounds.Decode(b, &s); err != nil {
 		return nil, errors.Join(ErrFormat, err)
 	}
 	if s.Format != format {
--- a/internal/run/record/record.go
+++ b/internal/run/record/record.go
@@ -28,6 +28,7 @@
 	"slices"
 	"time"
 
+	"agateward/internal/peer/unpack"
 	"agateward/internal/result/code"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -154,6 +155,9 @@
 // format is the version of the stored form.
 const format = 1
 
+// bounds are those of a stored document or archive.
+var bounds = unpack.Bounds{Depth: 8, Maps: true}
+
 // stored is the stored form of a document.
 type stored struct {
 	Format   int
@@ -168,7 +172,7 @@
 		return doc, nil
 	}
 	var s stored
-	if err := msgpack.NewDecoder(bytes.NewReader(b)).Decode(&s); err != nil {
+	if err := bounds.Decode(b, &s); err != nil {
 		return nil, errors.Join(ErrFormat, err)
 	}
 	if s.Format != format {
