fix(peerstate): the use of a quota in a message is a number

A message that states NaN as what a team used lifted that team's quota at every entry that heard it: no comparison with the bucket's level held any more.

Cause: Ledger.UpdatePeer charges max(total-before, 0), which is NaN for NaN, and Decode checked loads, shares of teams and limits, but not quotas.

Change: Decode refuses a use and a level that are no finite number. A use a little below 0, as sums and refunds can leave, charges nothing as before.

Evidence: three new cases of TestHostileMessages were taken as valid before.

--- a/internal/forward/peerstate/hostile_test.go
+++ b/internal/forward/peerstate/hostile_test.go
@@ -1,6 +1,7 @@
 package peerstate
 
 import (
+	"math"
 	"runtime"
 	"testing"
 	"time"
@@ -20,8 +21,8 @@
 	return b
 }
 
-// Guards against a datagram of some bytes that ends the process: by a list that states
-// billions of elements, or by a nil in the place of a struct.
+// Guards against a datagram of some bytes that ends the process, by a list that states billions
+// of elements or a nil in the place of a struct, and against one that lifts a quota.
 func TestHostileMessages(t *testing.T) {
 	list := func(head ...byte) msgpack.RawMessage { return msgpack.RawMessage(head) }
 	many := list(0xdd, 0x00, 0xff, 0xff, 0xff)
@@ -43,6 +44,9 @@
 		{"list for a time", map[string]any{"n": "e", "l": "l", "m": map[string]any{"States": []any{map[string]any{"Given": []any{1, 2}}}}}},
 		{"text for a number", map[string]any{"n": "e", "l": "l", "b": "soon"}},
 		{"number for a struct", map[string]any{"n": "e", "l": "l", "q": 7}},
+		{"use of a quota that is no number", map[string]any{"n": "e", "l": "l", "t": map[string]any{"guests": math.NaN()}}},
+		{"use of a quota without an end", map[string]any{"n": "e", "l": "l", "t": map[string]any{"guests": math.Inf(1)}}},
+		{"level of a quota that is no number", map[string]any{"n": "e", "l": "l", "u": map[string]any{"guests": math.NaN()}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/forward/peerstate/peerstate.go
+++ b/internal/forward/peerstate/peerstate.go
@@ -123,6 +123,13 @@
 			return Message{}, fmt.Errorf("%w: load %d of upstream %q is below 0", errInvalidMessage, n, id)
 		}
 	}
+	for _, quotas := range []map[string]float64{m.Quota, m.QuotaLevels} {
+		for team, x := range quotas {
+			if math.IsNaN(x) || math.IsInf(x, 0) {
+				return Message{}, fmt.Errorf("%w: quota of team %.40q is %v", errInvalidMessage, team, x)
+			}
+		}
+	}
 	for _, r := range m.Requests.Teams {
 		if !r.Valid() {
 			return Message{}, fmt.Errorf("%w: sums of team %q are no times: asked %v, given %v, lacked %v, weight %v", errInvalidMessage, r.Team, r.Asked, r.Given, r.Lacked, r.Weight)
