fix(backend): the end of a request's write may be noticed late

Callers could get 502 (or a cut stream) for a whole answer: one whose body only the close of the connection ends, with a request of more than 2 KB, in a busy process.

Cause: after such a body the gate asks whether the request was written whole, as a reset may look like a regular end. It waited 20 ms for the answer, the time for draining bodies that nobody needs; a goroutine that gets no processor for that long counted as a broken write.

Change: the wait has a bound of its own, one second. A write that failed ends it at once, so half an answer is found as before.

Evidence: TestLateEndOfWrite/late failed before.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -53,6 +53,9 @@
 	maxInlineBody = 2 << 10
 	// drainTimeout bounds the wait for the rest of a body that nobody needs.
 	drainTimeout = 20 * time.Millisecond
+	// writeEndTimeout bounds the wait for the end of a request's write, once the upstream has
+	// closed the connection.
+	writeEndTimeout = time.Second
 	// maxHeadBytes bounds the head of an answer in bytes, with the interim heads before
 	// it.
 	maxHeadBytes = 64 << 10
@@ -263,7 +266,7 @@
 	case err := <-x.writeDone:
 		x.writeDone <- err
 		return err == nil
-	case <-time.After(drainTimeout):
+	case <-time.After(writeEndTimeout):
 		return false
 	}
 }
