fix(gate): the newest list of upstreams is set last

Callers could get 503 with code 2005 from an entry whose view knows upstreams, until the next change of them; or requests could follow an older version's list.

Cause: Refresh takes the upstreams from the view and locks the scheduler later. Of two at once (orders and upstreams are two feeds), the older list could be set last. One lock is held for a whole Refresh now; no callback of it calls Refresh.

--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -98,6 +98,10 @@
 
 	name string
 
+	// refreshMu is held for a whole Refresh, so that the newest list of upstreams is set last.
+	// It is locked before mu.
+	refreshMu sync.Mutex
+
 	mu    sync.Mutex
 	sched schedule.Scheduler
 	// concurrencyAt is when the learned limits were last looked at.
@@ -202,6 +206,8 @@
 
 // Refresh updates the upstreams from the view.
 func (g *Gate) Refresh() {
+	g.refreshMu.Lock()
+	defer g.refreshMu.Unlock()
 	list := g.View.Upstreams()
 	table := g.View.Table()
 	g.Rollout.Plan()
