fix(node): requests that arrive at the exit are refused, not dropped

What callers saw: a connection that was closed without an answer, and no log line, for a request of which the rest of the head arrived once the entry had begun its exit (from 2.6 s after SIGTERM on).

Cause: http.Server.Shutdown. Once it is called, net/http returns right after it has read a request (`if c.server.shuttingDown() { return }`), so a request that was read whole gets no answer. Connections that carry nothing held it for 5 s while the listener was closed already. And a request that began between the decision to exit (Running() == 0) and EndRequests was cancelled with 502 though most of the grace was left.

Change: the exit has steps, decided by shutdown.Next, which is pure. First new requests are refused as not run (503, Retry-After, Connection: close, a line), then those that began before run to their end or to shutdown.End, then what still runs is ended, then connections without a request are, and the servers are closed once none is open, or at shutdown.Close.

--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -99,13 +99,12 @@
 
 // accept validates the request, reads its body and charges the quota.
 func (c *call) accept() error {
-	var err error
 	if !c.gate.View.Await(c.r.Context(), configWait) {
 		return code.NotReady.New("no configuration is known yet")
 	}
 	c.table = c.gate.View.Table()
-	if c.head, err = c.gate.Dialect.Head(c.r.Header); err != nil {
-		return code.BadHeader.Wrap(err, "read the head")
+	if err := c.readHead(); err != nil {
+		return err
 	}
 	if c.from != "" {
 		c.head.LastEvent = c.envelope.LastEvent
@@ -115,7 +114,6 @@
 	}
 	c.lastEvent = c.head.LastEvent
 	c.parts = c.sharedParts()
-	c.log = c.log.WithValues("request", c.head.ID)
 	if c.route = c.table.Route(c.r.Host, c.r.URL.Path); c.route == nil {
 		return code.UnknownRoute.New("host %q, path %q at version %d", c.r.Host, c.r.URL.Path, c.table.Config.Version)
 	}
@@ -138,6 +136,16 @@
 	return c.takeQuota()
 }
 
+func (c *call) readHead() error {
+	var err error
+	c.head, err = c.gate.Dialect.Head(c.r.Header)
+	c.log = c.log.WithValues("request", c.head.ID)
+	if err != nil {
+		return code.BadHeader.Wrap(err, "read the head")
+	}
+	return nil
+}
+
 func (c *call) readBody() error {
 	limit := c.table.Config.Limits.MaxBody
 	if limit == 0 {
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -12,6 +12,10 @@
 	"agateward/ward"
 )
 
+// unreadBodyTime bounds the time for which the body of a refused request is read and dropped
+// after the answer.
+const unreadBodyTime = 500 * time.Millisecond
+
 // fail answers a request for which every attempt failed.
 func (c *call) fail(k code.Code, reason string) {
 	switch {
@@ -102,6 +106,17 @@
 	c.refuseAtStop(errExit.Error())
 }
 
+// refuseUnread refuses a request that came after the decision to exit. Its body is not read.
+func (c *call) refuseUnread() {
+	if err := c.readHead(); err != nil {
+		c.refuse(err)
+		return
+	}
+	// The server reads an unread body after the answer, so that the caller gets that.
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(unreadBodyTime))
+	c.refuseAtStop(errExit.Error())
+}
+
 // refuseAtStop refuses a request that was not sent, as this entry stops.
 func (c *call) refuseAtStop(reason string) {
 	c.refund()
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -126,6 +126,8 @@
 	shutdown    atomic.Pointer[shutdown.Shutdown]
 	ending      context.Context
 	endRequests context.CancelCauseFunc
+	// refusing is true once no request is begun any more.
+	refusing atomic.Bool
 	// running counts the requests that are being served.
 	running atomic.Int64
 	// maxBody replaces MaxBody after the settings were reloaded.
@@ -317,6 +319,10 @@
 	g.sched.Stop(s.Late(), s.End())
 }
 
+// Refuse ends what Stop still serves: requests that arrive from now on are refused as not run.
+// Those that have begun go on.
+func (g *Gate) Refuse() { g.refusing.Store(true) }
+
 // EndRequests answers the requests that still run at the exit of the entry: as not run, or as
 // failed if an upstream may have run them. An answer that has begun is cut. A request that
 // comes later is refused.
@@ -406,6 +412,10 @@
 	}
 	c.unboundWrite()
 	defer c.releaseHeld()
+	if g.refusing.Load() {
+		c.refuseUnread()
+		return
+	}
 	if err := c.accept(); err != nil {
 		c.refuse(err)
 		return
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -20,6 +20,7 @@
 
 	"agateward/internal/config/forwarding"
 	"agateward/internal/forward/backend"
+	"agateward/internal/forward/connections"
 	"agateward/internal/forward/gate"
 	"agateward/internal/forward/peers"
 	"agateward/internal/forward/quota"
@@ -47,11 +48,11 @@
 	idleTimeout   = 90 * time.Second
 	// maxHeader bounds the head of a request in bytes.
 	maxHeader = 64 << 10
-	// exitInterval is the interval at which a stopping entry checks whether it exits.
+	// exitInterval is the interval at which a stopping entry checks whether its next step has come.
 	exitInterval = 20 * time.Millisecond
-	// minCloseTime is the least time for the last answers, and for connections on which a
-	// request has just begun to arrive.
-	minCloseTime = 100 * time.Millisecond
+	// linesInterval is the interval at which an entry that has closed its connections checks
+	// whether all requests have ended.
+	linesInterval = 2 * time.Millisecond
 	// memoryLimitFraction is the fraction of the memory limit that is set as the soft
 	// limit of the runtime, from which the garbage collector works harder.
 	memoryLimitFraction = 0.75
@@ -108,6 +109,9 @@
 	// returnsNow requests a message about promises to refused callers.
 	returnsNow chan struct{}
 
+	// connections tracks those of callers and of entries that relay requests.
+	connections connections.Tracker
+
 	stopping context.Context
 }
 
@@ -178,11 +182,14 @@
 	defer end()
 	n.stopping = ctx
 	callers := &http.Server{
-		Handler: n.gate, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		Handler: n.gate, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ConnState: n.connections.StateChanged,
 		ErrorLog: slog.NewLogLogger(logr.ToSlogHandler(n.log), slog.LevelError),
 	}
 	readyServer := &http.Server{Handler: http.HandlerFunc(n.ready), ReadHeaderTimeout: headerTimeout}
-	relayServer := &http.Server{Handler: http.HandlerFunc(n.serveRelayed), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
+	relayServer := &http.Server{
+		Handler: http.HandlerFunc(n.serveRelayed), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		ConnState: n.connections.StateChanged,
+	}
 	metricsServer := &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	var wg conc.WaitGroup
 	wg.Go(func() { n.view.Run(work) })
@@ -196,8 +203,8 @@
 	wg.Go(func() { n.returnsLoop(work) })
 	wg.Go(func() { n.serveState(work, listeners.state) })
 	wg.Go(func() { n.serve(readyServer, listeners.ready) })
-	wg.Go(func() { n.serve(callers, listeners.callers) })
-	wg.Go(func() { n.serve(relayServer, listeners.relay) })
+	wg.Go(func() { n.serve(callers, n.connections.Listen(listeners.callers)) })
+	wg.Go(func() { n.serve(relayServer, n.connections.Listen(listeners.relay)) })
 	if listeners.metrics != nil {
 		wg.Go(func() { n.serve(metricsServer, listeners.metrics) })
 	}
@@ -215,8 +222,7 @@
 	return nil
 }
 
-// stop serves callers and other entries until this one may exit, ends the requests that
-// remain, and closes the connections.
+// stop carries out the steps of a planned stop and closes the servers.
 func (n *Node) stop(servers ...*http.Server) {
 	n.mu.Lock()
 	grace := n.settings.Stop.Grace.Std()
@@ -224,24 +230,35 @@
 	n.log.Info("stopping", "grace", grace)
 	s := shutdown.Shutdown{Begin: time.Now(), Grace: grace}
 	n.gate.Stop(s)
-	for !s.Exit(time.Now(), n.gate.Running()) {
-		time.Sleep(exitInterval)
+	for step := shutdown.Serving; step != shutdown.Closed; {
+		next := s.Next(time.Now(), step, n.gate.Running(), n.connections.Counts().Open())
+		if next == step {
+			time.Sleep(exitInterval)
+			continue
+		}
+		step = next
+		switch step {
+		case shutdown.Refusing:
+			n.gate.Refuse()
+			open := n.connections.Counts()
+			n.log.Info("exit-begun", "running", n.gate.Running(), "new", open.New, "idle", open.Idle, "head", open.Head, "request", open.Request)
+		case shutdown.Closing:
+			if running := n.gate.Running(); running > 0 {
+				n.log.Info("grace-used-up", "running", running)
+			}
+			n.gate.EndRequests()
+			n.connections.EndUnused()
+		}
 	}
-	if running := n.gate.Running(); running > 0 {
-		n.log.Info("grace-used-up", "running", running)
+	if open := n.connections.Counts(); open.Open() > 0 {
+		n.log.Info("connections-cut", "new", open.New, "idle", open.Idle, "head", open.Head, "request", open.Request)
 	}
-	n.gate.EndRequests()
-	ctx, cancel := context.WithTimeout(context.Background(), max(time.Until(s.Close()), minCloseTime))
-	defer cancel()
-	var wg conc.WaitGroup
 	for _, server := range servers {
-		wg.Go(func() {
-			if err := server.Shutdown(ctx); err != nil {
-				_ = server.Close() // the process ends
-			}
-		})
+		_ = server.Close() // the process ends
+	}
+	for n.gate.Running() > 0 && time.Now().Before(s.Lines()) {
+		time.Sleep(linesInterval)
 	}
-	wg.Wait()
 }
 
 type listeners struct {
@@ -292,7 +309,7 @@
 }
 
 func (n *Node) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		n.log.Error(err, "listener-ended", "address", l.Addr().String())
 	}
 }
--- a/internal/forward/shutdown/shutdown.go
+++ b/internal/forward/shutdown/shutdown.go
@@ -16,8 +16,9 @@
 //	if shutdown.Outlasts(deadline, s.Late(), s.End(), now) {
 //		... // refuse the request
 //	}
-//	if s.Exit(now, running) {  // whenever requests end or time has passed
-//		...
+//	for step := shutdown.Serving; step != shutdown.Closed; {
+//		step = s.Next(now, step, running, connections)  // whenever requests end or time has passed
+//		...                                             // what the step begins
 //	}
 //
 // It reads no clock and does no I/O.
@@ -35,6 +36,14 @@
 	// closeFraction is the fraction of the grace until which the answers of these requests
 	// are written.
 	closeFraction = 0.96
+	// minCloseTime is the least time for these answers and for the heads of requests that
+	// have begun to arrive.
+	minCloseTime = 100 * time.Millisecond
+	// linesFraction is the fraction of the grace until which the requests that the close has
+	// cut may write their log lines.
+	linesFraction = 0.98
+	// minLinesTime is the least time for these lines.
+	minLinesTime = 20 * time.Millisecond
 	// maxLagFraction bounds BalancerLag as a fraction of the grace.
 	maxLagFraction = 0.5
 )
@@ -54,7 +63,19 @@
 
 // Close returns when the connections of callers are closed that are still in use.
 func (s Shutdown) Close() time.Time {
-	return s.Begin.Add(time.Duration(closeFraction * float64(s.Grace)))
+	return latest(s.Begin.Add(time.Duration(closeFraction*float64(s.Grace))), s.End().Add(minCloseTime))
+}
+
+// Lines returns until when requests that the close has cut may write their log lines.
+func (s Shutdown) Lines() time.Time {
+	return latest(s.Begin.Add(time.Duration(linesFraction*float64(s.Grace))), s.Close().Add(minLinesTime))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Late returns the time from which requests are served only if their deadline is before
@@ -69,7 +90,39 @@
 	return !now.Before(late) && (deadline.IsZero() || deadline.After(end))
 }
 
-// Exit reports whether the process exits now, with a number of running requests.
-func (s Shutdown) Exit(now time.Time, running int) bool {
-	return !now.Before(s.End()) || running == 0 && !now.Before(s.Late())
+// Step is a step of a stop. The steps follow each other in this order.
+type Step int
+
+// The steps of a stop.
+const (
+	// Serving takes requests as Late and End say.
+	Serving Step = iota
+	// Refusing begins no request any more. Those that run go on.
+	Refusing
+	// Closing ends the requests that still run and the connections without a request. Heads
+	// that are arriving are waited for and refused.
+	Closing
+	// Closed closes what is still open. The process exits.
+	Closed
+)
+
+// Next returns the step that follows at now, or step itself, with a number of running requests
+// and of open connections of callers.
+func (s Shutdown) Next(now time.Time, step Step, running, connections int) Step {
+	switch step {
+	case Serving:
+		if !now.Before(s.End()) || running == 0 && !now.Before(s.Late()) {
+			return Refusing
+		}
+	case Refusing:
+		// A request may have begun since running was counted in the step before.
+		if !now.Before(s.End()) || running == 0 {
+			return Closing
+		}
+	case Closing:
+		if !now.Before(s.Close()) || running == 0 && connections == 0 {
+			return Closed
+		}
+	}
+	return step
 }
