fix(gate): a request whose body is on its way at the exit is refused

What callers saw: a closed connection, and `request-aborted ... use of closed network connection` as if they had broken off, for a request whose body was still being sent at the end of the grace. A refused request with a slow body (404, 401, 429, 503) got its answer only once the whole body had come, so at an exit none at all; in normal operation a stalled body held the connection without a bound.

Cause: nothing but the close of the connection ended the read of a body at the exit. And net/http reads up to 256 KB of an unread body before it writes the answer, without a deadline.

A refusal awaits the rest of a body that it does not use for 50 ms; if it has not come, the answer is sent with Connection: close and the rest is read for at most 500 ms more, so that the caller gets the answer. Any refusal after the begin of the stop closes its connection, also of a request that came before it. A caller's body that stops half-way keeps `request-aborted`.

--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -1,10 +1,12 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -37,6 +39,8 @@
 	// service, or of a version that is being rolled out.
 	group string
 	body  []byte
+	// bodyRead is true once the whole body was read.
+	bodyRead bool
 	// held is the number of bytes that the request has claimed of Gate.Buffers.
 	held int
 	size float64
@@ -95,6 +99,17 @@
 	fallback *bufferedAnswer
 }
 
+// Limits of the body of a request that is refused before it was read.
+const (
+	// unreadBodyWait is how long the rest of the body is awaited before the answer.
+	unreadBodyWait = 50 * time.Millisecond
+	// unreadBodyTime is how long it is read after the answer, as a caller that still sends
+	// may lose the answer with its connection.
+	unreadBodyTime = 500 * time.Millisecond
+	// maxUnreadBody bounds the bytes that are read for a connection to be kept.
+	maxUnreadBody = 256 << 10
+)
+
 var errBodyTruncated = errors.New("the request body was truncated")
 
 // accept validates the request, reads its body and charges the quota.
@@ -158,6 +173,7 @@
 		return nil
 	}
 	defer c.boundRead()()
+	defer context.AfterFunc(c.gate.ending, c.interruptRead)()
 	var err error
 	if n := c.r.ContentLength; n > 0 {
 		if !c.hold(int(n)) {
@@ -168,15 +184,42 @@
 	} else {
 		c.body, err = c.readHeld(c.r.Body, limit, c.hold)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.gate.ending.Err() != nil {
+		return code.Stopping.Wrap(errExit, "read the body")
+	}
 	if err != nil {
 		return bodyError(err)
 	}
 	if len(c.body) > limit {
 		return code.BodyTooLarge.New("more than %d bytes", limit)
 	}
+	c.bodyRead = true
 	return nil
 }
 
+// interruptRead ends the read of a body, as the entry exits.
+func (c *call) interruptRead() {
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
+}
+
+// dropBody reads the rest of a body that is not used, so that the caller gets the answer. The
+// server would wait for the rest before it answers, without a bound in time.
+func (c *call) dropBody() {
+	if c.bodyRead || c.r.ContentLength == 0 {
+		return
+	}
+	rc := http.NewResponseController(c.w)
+	if c.r.Header.Get("Expect") == "" { // a caller that expects 100 sends no body
+		_ = rc.SetReadDeadline(time.Now().Add(unreadBodyWait))
+		if _, err := io.CopyN(io.Discard, c.r.Body, maxUnreadBody); errors.Is(err, io.EOF) {
+			_ = rc.SetReadDeadline(time.Time{})
+			return
+		}
+	}
+	c.w.Header().Set("Connection", "close")
+	_ = rc.SetReadDeadline(time.Now().Add(unreadBodyTime))
+}
+
 // setDeadline sets the deadline from the caller's timeout and the route's. That of a relayed
 // request was set by the entry that relays it, under the configuration under which it came.
 func (c *call) setDeadline() {
@@ -240,6 +283,8 @@
 	case code.MemoryUsed.Number, code.CallerTooSlow.Number:
 		retry = bufferRetry
 		c.w.Header().Set("Connection", "close") // the body was not read
+	case code.Stopping.Number:
+		retry = c.stoppingRetry()
 	}
 	c.respond(k, retry, err.Error())
 }
@@ -257,7 +302,11 @@
 		c.gate.Metrics.returned(returnRefused)
 	}
 	c.gate.Metrics.notRunPromised(k.Status, sourceEntry, c.sends)
+	c.dropBody()
 	h := c.w.Header()
+	if c.gate.shutdown.Load() != nil {
+		h.Set("Connection", "close") // the stop may have begun after the request
+	}
 	if retry > 0 {
 		h.Set("Retry-After", c.gate.Dialect.RetryAfter(retry))
 	}
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -12,10 +12,6 @@
 	"agateward/ward"
 )
 
-// unreadBodyTime bounds the time for which the body of a refused request is read and dropped
-// after the answer.
-const unreadBodyTime = 500 * time.Millisecond
-
 // fail answers a request for which every attempt failed.
 func (c *call) fail(k code.Code, reason string) {
 	switch {
@@ -112,16 +108,18 @@
 		c.refuse(err)
 		return
 	}
-	// The server reads an unread body after the answer, so that the caller gets that.
-	_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(unreadBodyTime))
 	c.refuseAtStop(errExit.Error())
 }
 
 // refuseAtStop refuses a request that was not sent, as this entry stops.
 func (c *call) refuseAtStop(reason string) {
 	c.refund()
+	c.respond(code.Stopping, c.stoppingRetry(), reason)
+}
+
+// stoppingRetry returns the retry delay of a request that is refused as this entry stops.
+func (c *call) stoppingRetry() time.Duration {
 	c.gate.mu.Lock()
-	retry := c.gate.sched.StoppingRetry(time.Now())
-	c.gate.mu.Unlock()
-	c.respond(code.Stopping, retry, reason)
+	defer c.gate.mu.Unlock()
+	return c.gate.sched.StoppingRetry(time.Now())
 }
