fix(gate): every request ends with one line, also after a panic

What callers saw: after a panic in the code that serves a request, a closed connection without an answer; then 503 for all requests of the service, as each panic kept a slot of the upstream for ever. What operators saw: no line of such a request, none of requests that the end of the process cut, no id on the lines of requests refused before the head was checked, and at the end of the grace only how many requests ran, not what they waited for.

Cause: ServeHTTP left panics to net/http, which closes the connection; nothing kept track of the requests that run. Some sections locked the gate's mutex without a deferred unlock, so a panic in the scheduler would have stopped the whole entry.

Change: the gate keeps the running requests with their state (reading-body, queued, sent, answering). `stopped` tells how many requests were read and how many have their last line. The lines of last events go past those of dispatches (sink). Locks around the scheduler's calls are released by defer.

--- a/cmd/forward.go
+++ b/cmd/forward.go
@@ -10,6 +10,7 @@
 
 	"agateward/internal/config/forwarding"
 	"agateward/internal/forward/dialect"
+	"agateward/internal/forward/gate"
 	"agateward/internal/forward/node"
 	"agateward/internal/forward/static"
 	"agateward/internal/telemetry/log"
@@ -20,7 +21,8 @@
 	"github.com/urfave/cli/v3"
 )
 
-// maxLogLinesPerSecond is the maximum rate of log lines of one entry, in lines per second.
+// maxLogLinesPerSecond is the maximum rate of log lines of one entry, in lines per second. The
+// last lines of requests do not count.
 const maxLogLinesPerSecond = 400
 
 // forwardCommand runs one entry of the forwarding surface.
@@ -53,7 +55,7 @@
 }
 
 func runForward(ctx context.Context, file string, s forwarding.Settings, parts node.Parts) error {
-	out := sink.New(os.Stdout, maxLogLinesPerSecond)
+	out := sink.New(os.Stdout, maxLogLinesPerSecond, gate.EndEvents()...)
 	defer out.Close()
 	l, err := log.New(out, s.LogLevel)
 	if err != nil {
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -131,7 +131,7 @@
 	c.w.WriteHeader(b.status)
 	// A write error means that the caller has left; nothing else can be done.
 	_, _ = c.w.Write(b.body)
-	c.log.Info("request-answered", "upstream", b.upstream, "status", b.status, "bytes", len(b.body), "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.end("request-answered", "upstream", b.upstream, "status", b.status, "bytes", len(b.body), "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, b.status, time.Since(c.arrived))
 	c.gate.Metrics.notRunPromised(b.status, sourceUpstream, c.sends)
 }
--- a/internal/forward/gate/attempt.go
+++ b/internal/forward/gate/attempt.go
@@ -193,7 +193,9 @@
 // await submits the request to the scheduler and waits for its decision.
 func (c *call) await(ctx context.Context) (schedule.Action, error) {
 	c.checkReturn()
-	w := c.gate.enqueue(c.newJob(c.group, c.tried, c.started))
+	c.enter(StateQueued)
+	c.job = c.newJob(c.group, c.tried, c.started)
+	w := c.gate.enqueue(c.job)
 	select {
 	case a := <-w.action:
 		return a, nil
@@ -216,6 +218,7 @@
 		}
 		defer c.endTrial()
 	}
+	c.enter(StateSent)
 	c.countReturn()
 	c.firstAt, c.connected, c.strayAnswer, c.crashed, c.events = time.Time{}, false, false, false, 0
 	stall := c.watchSilence(request, a, cancel)
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -16,6 +16,7 @@
 	"agateward/internal/forward/relay"
 	"agateward/internal/forward/returns"
 	"agateward/internal/forward/route"
+	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
 	"agateward/ward"
 
@@ -29,6 +30,9 @@
 	r       *http.Request
 	log     logr.Logger
 	arrived time.Time
+	lifecycle
+	// job is what the scheduler last knew the request by, nil before it was queued.
+	job *schedule.Job
 
 	table   *route.Table
 	head    ward.ForwardHead
@@ -154,7 +158,6 @@
 func (c *call) readHead() error {
 	var err error
 	c.head, err = c.gate.Dialect.Head(c.r.Header)
-	c.log = c.log.WithValues("request", c.head.ID)
 	if err != nil {
 		return code.BadHeader.Wrap(err, "read the head")
 	}
@@ -269,7 +272,7 @@
 // refuse answers a request that was not accepted.
 func (c *call) refuse(err error) {
 	if errors.Is(err, errBodyTruncated) {
-		c.log.Info("request-aborted", "cause", err.Error())
+		c.end("request-aborted", "cause", err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	k, retry := code.Of(err), time.Duration(0)
@@ -295,7 +298,7 @@
 	if c.mayHaveRun && k.Run == ward.NotRun {
 		k, retry = code.UpstreamFailed, 0
 	}
-	c.log.Info("request-refused", "code", k.Number, "status", k.Status, "cause", reason, "retry-after", retry, "promise", c.promised,
+	c.end("request-refused", "code", k.Number, "status", k.Status, "cause", reason, "retry-after", retry, "promise", c.promised,
 		"elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.refused(k.Number)
 	if c.returned != nil {
--- a/internal/forward/gate/crash.go
+++ b/internal/forward/gate/crash.go
@@ -47,6 +47,7 @@
 	g, content := c.gate, c.crashContent()
 	var v poison.Verdict
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	versions := g.sched.Versions(c.group)
 	now := time.Now()
 	for _, version := range versions {
@@ -54,7 +55,6 @@
 			break
 		}
 	}
-	g.mu.Unlock()
 	return v
 }
 
--- a/internal/forward/gate/endless_test.go
+++ b/internal/forward/gate/endless_test.go
@@ -60,6 +60,12 @@
 	return strings.Contains(l.text.String(), `"`+event+`"`)
 }
 
+func (l *logLines) count(text string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Count(l.text.String(), text)
+}
+
 // endlessCase is a reply without end: head, in which %s is the request's id, and then
 // unit for ever. limit is the number of bytes that the gate reads at most.
 type endlessCase struct {
--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -16,7 +16,7 @@
 func (c *call) fail(k code.Code, reason string) {
 	switch {
 	case c.started:
-		c.log.Info("answer-cut", "cause", reason, "no-retry", c.noRetry, "sends", c.sends, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived),
+		c.end("answer-cut", "cause", reason, "no-retry", c.noRetry, "sends", c.sends, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived),
 			"config", c.table.Config.Version, "newest-config", c.gate.View.Table().Config.Version)
 		c.gate.Metrics.refused(code.AnswerCut.Number)
 		c.gate.Metrics.answerCut(c.noRetry)
@@ -79,7 +79,7 @@
 		return
 	}
 	if !errors.Is(cause, errDeadline) && !errors.Is(cause, errNoProgress) {
-		c.log.Info("caller-left", "elapsed", time.Since(c.arrived), "sends", c.sends, "last-event", c.lastEvent)
+		c.end("caller-left", "elapsed", time.Since(c.arrived), "sends", c.sends, "last-event", c.lastEvent)
 		c.gate.Metrics.refused(code.CallerGone.Number)
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -128,8 +128,7 @@
 	endRequests context.CancelCauseFunc
 	// refusing is true once no request is begun any more.
 	refusing atomic.Bool
-	// running counts the requests that are being served.
-	running atomic.Int64
+	calls    calls
 	// maxBody replaces MaxBody after the settings were reloaded.
 	maxBody atomic.Int64
 	wake    chan struct{}
@@ -196,10 +195,11 @@
 		case <-g.wake:
 		case <-t.C:
 		}
-		g.mu.Lock()
-		g.apply(g.sched.Tick(time.Now()))
-		waiting := g.sched.Waiting()
-		g.mu.Unlock()
+		waiting := 0
+		g.locked(func() {
+			g.apply(g.sched.Tick(time.Now()))
+			waiting = g.sched.Waiting()
+		})
 		if waiting > 0 {
 			t.Reset(tickInterval)
 		}
@@ -328,8 +328,12 @@
 // comes later is refused.
 func (g *Gate) EndRequests() { g.endRequests(errExit) }
 
-// Running returns the number of requests that are being served.
-func (g *Gate) Running() int { return int(g.running.Load()) }
+// locked calls f while it holds mu, which it releases also if f panics.
+func (g *Gate) locked(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f()
+}
 
 // apply delivers the actions to the waiting requests and grants to the peers. The
 // caller must hold mu.
@@ -354,14 +358,7 @@
 // enqueue submits a job to the scheduler. The decision comes on the waiter's channel.
 func (g *Gate) enqueue(j *schedule.Job) *waiter {
 	w := &waiter{job: j, action: make(chan schedule.Action, 1)}
-	g.mu.Lock()
-	g.lastID++
-	j.ID = g.lastID
-	g.waiters[j.ID] = w
-	g.apply(g.sched.Arrive(j, time.Now()))
-	waiting := g.waiters[j.ID] != nil
-	g.mu.Unlock()
-	if waiting {
+	if g.arrive(w) {
 		g.TriggerBroadcast()
 		select {
 		case g.wake <- struct{}{}:
@@ -371,20 +368,36 @@
 	return w
 }
 
+// arrive hands a waiter's job to the scheduler and reports whether it waits.
+func (g *Gate) arrive(w *waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lastID++
+	w.job.ID = g.lastID
+	g.waiters[w.job.ID] = w
+	g.apply(g.sched.Arrive(w.job, time.Now()))
+	return g.waiters[w.job.ID] != nil
+}
+
 // leaveQueue withdraws a job whose decision nobody waits for any more.
 func (g *Gate) leaveQueue(w *waiter) {
-	g.mu.Lock()
-	waiting := g.waiters[w.job.ID] != nil
-	if waiting {
-		delete(g.waiters, w.job.ID)
-		g.sched.Cancel(w.job)
-	}
-	g.mu.Unlock()
-	if !waiting {
+	if !g.withdrawJob(w) {
 		g.release(<-w.action) // the decision was made at the same time
 	}
 }
 
+// withdrawJob takes a job out of the queue and reports whether it was still there.
+func (g *Gate) withdrawJob(w *waiter) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.waiters[w.job.ID] == nil {
+		return false
+	}
+	delete(g.waiters, w.job.ID)
+	g.sched.Cancel(w.job)
+	return true
+}
+
 // release frees the slot of a dispatch that was not used.
 func (g *Gate) release(a schedule.Action) {
 	if a.Upstream != nil {
@@ -404,14 +417,21 @@
 	g.serve(&call{gate: g, w: w, r: r, arrived: time.Now(), log: g.Log})
 }
 
+// loggedID returns the id of a request for the log.
+func (g *Gate) loggedID(r *http.Request) string {
+	id := r.Header.Get(g.Dialect.RequestID())
+	return id[:min(len(id), maxLoggedID)]
+}
+
 func (g *Gate) serve(c *call) {
-	g.running.Add(1)
-	defer g.running.Add(-1)
+	c.log = c.log.WithValues("request", g.loggedID(c.r))
+	c.w = &answerWriter{ResponseWriter: c.w, call: &c.lifecycle}
+	g.calls.add(c)
+	defer g.finish(c)
 	if g.shutdown.Load() != nil {
 		c.w.Header().Set("Connection", "close")
 	}
 	c.unboundWrite()
-	defer c.releaseHeld()
 	if g.refusing.Load() {
 		c.refuseUnread()
 		return
--- a/internal/forward/gate/memory.go
+++ b/internal/forward/gate/memory.go
@@ -119,7 +119,7 @@
 // cutSlowCaller ends the request of a caller that takes nothing of its answer.
 func (c *call) cutSlowCaller(a schedule.Action) {
 	c.finishAttempt(a, schedule.OutcomeNeutral)
-	c.log.Info("caller-cut", "cause", "the caller took nothing of its answer", "bound", c.callerPatience(), "last-event", c.lastEvent, "elapsed", time.Since(c.arrived))
+	c.end("caller-cut", "cause", "the caller took nothing of its answer", "bound", c.callerPatience(), "last-event", c.lastEvent, "elapsed", time.Since(c.arrived))
 	c.gate.Metrics.callerCut()
 	panic(http.ErrAbortHandler)
 }
--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -51,9 +51,8 @@
 // Entries to which the body may not go are left out.
 func (c *call) relayTargets() []string {
 	g := c.gate
-	g.mu.Lock()
-	list := g.links.Connected(time.Now())
-	g.mu.Unlock()
+	var list []string
+	g.locked(func() { list = g.links.Connected(time.Now()) })
 	forbidden := func(address string) bool { return !c.mayRelayTo(address) }
 	if list = slices.DeleteFunc(list, forbidden); len(list) == 0 {
 		list = slices.DeleteFunc(g.Relay.Entries(), forbidden)
@@ -92,6 +91,7 @@
 	if !c.deadline.IsZero() {
 		e.Remaining = max(c.deadline.Sub(now), time.Millisecond)
 	}
+	c.enter(StateSent)
 	c.log.Info("request-relayed", "to", address, "route", c.route.Name, "sends", c.sends, "last-event", c.lastEvent)
 	x, err := g.Relay.Pool.Send(ctx, backend.Request{
 		ID: c.head.ID, Address: address, Method: c.r.Method, Target: c.requestTarget(), Host: c.r.Host, Header: e.Wrap(c.r.Header), Body: c.body,
@@ -186,7 +186,7 @@
 	}
 	c.startAnswer(x)
 	c.gate.Metrics.relayed(relayAnswered)
-	c.log.Info("request-answered", "upstream", address, "status", x.Status, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.end("request-answered", "upstream", address, "status", x.Status, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, x.Status, time.Since(c.arrived))
 	return true
 }
@@ -196,7 +196,7 @@
 func (g *Gate) ServeRelayed(w http.ResponseWriter, r *http.Request) {
 	e, err := relay.Open(r.Header)
 	if err != nil {
-		g.Ignored.Note(g.Log, "relayed-request-invalid", "from", r.RemoteAddr, "error", err.Error())
+		g.Ignored.Note(g.Log, "relayed-request-invalid", "request", g.loggedID(r), "from", r.RemoteAddr, "error", err.Error())
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -206,7 +206,7 @@
 // DenyRelayed refuses a request whose sender is not known as an entry: another entry may
 // know it.
 func (g *Gate) DenyRelayed(w http.ResponseWriter, r *http.Request) {
-	g.Ignored.Note(g.Log, "relayed-request-denied", "from", r.RemoteAddr)
+	g.Ignored.Note(g.Log, "relayed-request-denied", "request", g.loggedID(r), "from", r.RemoteAddr)
 	w.Header().Set(g.Dialect.RequestID(), r.Header.Get(g.Dialect.RequestID()))
 	w.Header().Set(relay.FieldRefused, strconv.Itoa(code.NotReady.Number))
 	w.WriteHeader(http.StatusForbidden)
--- a/internal/forward/gate/statement.go
+++ b/internal/forward/gate/statement.go
@@ -33,9 +33,8 @@
 // noteBrittle records that an upstream said that its service is brittle.
 func (c *call) noteBrittle(a schedule.Action, reply ward.ForwardReply) {
 	g := c.gate
-	g.mu.Lock()
-	news := g.sched.ObserveBrittle(a.Job.ID, time.Now())
-	g.mu.Unlock()
+	var news bool
+	g.locked(func() { news = g.sched.ObserveBrittle(a.Job.ID, time.Now()) })
 	if !news {
 		return
 	}
@@ -54,9 +53,8 @@
 
 func (c *call) noteLeaving(a schedule.Action) {
 	g := c.gate
-	g.mu.Lock()
-	news := g.sched.Leave(schedule.IdentityOf(a.Upstream), time.Now())
-	g.mu.Unlock()
+	var news bool
+	g.locked(func() { news = g.sched.Leave(schedule.IdentityOf(a.Upstream), time.Now()) })
 	if !news {
 		return
 	}
@@ -100,12 +98,13 @@
 func (c *call) notePause(a schedule.Action, reply ward.ForwardReply) {
 	g, now, id := c.gate, time.Now(), schedule.IdentityOf(a.Upstream)
 	fault := reply.RetryAfterFault
-	g.mu.Lock()
-	until := g.sched.Pause(id, reply.RetryAfter, now)
-	if fault != "" && !g.firstFault(id, "retry-after") {
-		fault = ""
-	}
-	g.mu.Unlock()
+	var until time.Time
+	g.locked(func() {
+		until = g.sched.Pause(id, reply.RetryAfter, now)
+		if fault != "" && !g.firstFault(id, "retry-after") {
+			fault = ""
+		}
+	})
 	if fault != "" {
 		g.Ignored.Note(c.log, "retry-after-invalid", "upstream", id.ID, "value", fault, "used", reply.RetryAfter)
 	}
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -59,9 +59,7 @@
 			c.recordFirst(a)
 			streamStart = arrived
 		} else if c.events%4 == 0 {
-			c.gate.mu.Lock()
-			c.gate.sched.Progress(a.Job.ID, time.Now())
-			c.gate.mu.Unlock()
+			c.gate.locked(func() { c.gate.sched.Progress(a.Job.ID, time.Now()) })
 		}
 		if c.events++; c.events == maxUnbegunEvents+1 {
 			c.answerBegun(a)
@@ -84,7 +82,7 @@
 	c.recordPace(a, c.events, time.Since(streamStart))
 	c.finishAttempt(a, schedule.OutcomeOK)
 	c.startAnswer(x)
-	c.log.Info("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "events", c.events, "last-event", c.lastEvent, "first", streamStart.Sub(c.arrived), "longest-gap", longest, "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.end("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "events", c.events, "last-event", c.lastEvent, "first", streamStart.Sub(c.arrived), "longest-gap", longest, "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, x.Status, time.Since(c.arrived))
 	return true
 }
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -218,7 +218,8 @@
 	listeners.state.Close()
 	_ = n.peerConn.Close()
 	wg.Wait()
-	n.log.Info("stopped", "name", n.settings.Name)
+	read, ended := n.gate.Counts()
+	n.log.Info("stopped", "name", n.settings.Name, "requests-read", read, "requests-ended", ended)
 	return nil
 }
 
@@ -244,7 +245,7 @@
 			n.log.Info("exit-begun", "running", n.gate.Running(), "new", open.New, "idle", open.Idle, "head", open.Head, "request", open.Request)
 		case shutdown.Closing:
 			if running := n.gate.Running(); running > 0 {
-				n.log.Info("grace-used-up", "running", running)
+				n.log.Info("grace-used-up", append([]any{"running", running}, n.gate.RunningByState()...)...)
 			}
 			n.gate.EndRequests()
 			n.connections.EndUnused()
@@ -259,6 +260,7 @@
 	for n.gate.Running() > 0 && time.Now().Before(s.Lines()) {
 		time.Sleep(linesInterval)
 	}
+	n.gate.LogUnfinished()
 }
 
 type listeners struct {
