--- a/internal/soak/process/process.go
+++ b/internal/soak/process/process.go
@@ -65,6 +65,16 @@
 	return p.starts
 }
 
+// Pid returns the id of the current process, 0 before the first start.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.p == nil {
+		return 0
+	}
+	return p.p.Pid
+}
+
 // Alive reports whether the process is running.
 func (p *Process) Alive() bool {
 	p.mu.Lock()
