fix(cmd): further signals do not end a stopping entry before its last lines

What operators saw: an entry that got a second SIGTERM or SIGINT right at the end of its stop was ended by it, with the signal as its exit status, before the last lines were written.

Cause: runForward stopped to catch signals before it closed the log's sink, so from then on they ended the process.

Change: the process catches both signals to its end. Further ones change nothing in a stop, as before.

--- a/cmd/forward.go
+++ b/cmd/forward.go
@@ -55,14 +55,16 @@
 }
 
 func runForward(ctx context.Context, file string, s forwarding.Settings, parts node.Parts) error {
+	// A further signal does not end the process before its last lines are written.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	out := sink.New(os.Stdout, maxLogLinesPerSecond, gate.EndEvents()...)
 	defer out.Close()
 	l, err := log.New(out, s.LogLevel)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
 	parts.Log = l
 	n := node.New(s, parts)
 	go reload(ctx, file, n, l)
