fix(gate): every answer after the begin of a stop closes its connection

What callers saw: an answer to a request that came before the SIGTERM and was sent after it kept its connection in use, and the next request on it crossed the close of the exit.

Cause: serve set Connection: close only if the stop had begun when the request came; respond set it again for refusals, the answers of upstreams and streams did not.

Change: answerWriter sets it as the head of any answer is written, in place of the two others.

--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -307,9 +307,6 @@
 	c.gate.Metrics.notRunPromised(k.Status, sourceEntry, c.sends)
 	c.dropBody()
 	h := c.w.Header()
-	if c.gate.shutdown.Load() != nil {
-		h.Set("Connection", "close") // the stop may have begun after the request
-	}
 	if retry > 0 {
 		h.Set("Retry-After", c.gate.Dialect.RetryAfter(retry))
 	}
--- a/internal/forward/gate/calls.go
+++ b/internal/forward/gate/calls.go
@@ -204,14 +204,19 @@
 	g.apply(g.sched.Done(c.job.ID, schedule.OutcomeNeutral, time.Now()))
 }
 
-// answerWriter notes when the answer to a request begins.
+// answerWriter notes when the answer to a request begins. After the begin of a stop it makes
+// the answer close its connection.
 type answerWriter struct {
 	http.ResponseWriter
+	gate *Gate
 	call *lifecycle
 }
 
 func (w *answerWriter) WriteHeader(status int) {
 	w.call.enter(StateAnswering)
+	if w.gate.shutdown.Load() != nil {
+		w.Header().Set("Connection", "close")
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -425,12 +425,9 @@
 
 func (g *Gate) serve(c *call) {
 	c.log = c.log.WithValues("request", g.loggedID(c.r))
-	c.w = &answerWriter{ResponseWriter: c.w, call: &c.lifecycle}
+	c.w = &answerWriter{ResponseWriter: c.w, gate: g, call: &c.lifecycle}
 	g.calls.add(c)
 	defer g.finish(c)
-	if g.shutdown.Load() != nil {
-		c.w.Header().Set("Connection", "close")
-	}
 	c.unboundWrite()
 	if g.refusing.Load() {
 		c.refuseUnread()
