fix(gate): the sum of what is held of answers has a bound

Seen: with limits.memory 284, upstreams that answered without end took an entry to 339 MB (250 callers, bodies) and 596 MB (500 callers, a chunk). A machine with that limit ends the process, and the requests of all other services with it.

Cause: each answer had a bound, their sum had none. An answer claimed its bytes "beyond the bound too", a stream's event and an answer relayed by another entry claimed none, and io.ReadAll and append held copies besides.

Change: answers and long events are claims in buffer.Budget, with the upstream as owner, within a fifth of the limit. Once that is used up, the upstream that holds most loses its largest unfinished answer, also if that is the one that asks for more: answers of others, and small ones of the same upstream, go on. Bytes of cut answers count until they are released; beyond a quarter more a claim waits for that. A stated length above the bound fails before a byte of the body is read, one within it is claimed whole and read into one slice; bodies without a length are read into blocks that are used again. Relayed answers go through the same two functions. Bodies of requests keep their bound of a quarter, which answers no longer use up.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -285,6 +285,10 @@
 	_ = x.conn.SetReadDeadline(time.Time{})
 }
 
+// Cut closes the connection, which ends a read of the body; any goroutine may call it before
+// Close.
+func (x *Exchange) Cut() { x.conn.Close() }
+
 // Close ends the exchange. A request whose answer was not read to its end is
 // cancelled.
 func (x *Exchange) Close() {
--- a/internal/forward/buffer/buffer_test.go
+++ b/internal/forward/buffer/buffer_test.go
@@ -14,7 +14,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		const total = 100
 		var b Budget
-		b.SetTotal(total)
+		b.SetTotal(total, 0)
 		var held []int
 		sum := 0
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
--- /dev/null
+++ b/internal/forward/buffer/claim.go
@@ -0,0 +1,143 @@
+package buffer
+
+// Claim counts the bytes that are held of one answer.
+type Claim struct {
+	budget *Budget
+	owner  string
+	cut    func()
+	number uint64
+	held   int64
+	isCut  bool
+}
+
+// Claim begins a claim for an answer of an upstream, the owner. It holds nothing yet. cut is
+// called at most once, and not after SetWhole(true) or Release, to end the reading of the
+// answer. It must neither block nor call the budget.
+func (b *Budget) Claim(owner string, cut func()) *Claim {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := &b.answers
+	if a.unfinished == nil {
+		a.unfinished = make(map[*Claim]bool)
+		a.released.L = &b.mu
+	}
+	a.last++
+	c := &Claim{budget: b, owner: owner, cut: cut, number: a.last}
+	a.unfinished[c] = true
+	return c
+}
+
+// Grow claims n bytes more. It fails with ErrCut once the answer was cut: the bytes that are
+// held count until Release. It waits while too many bytes of other answers that were cut are
+// not released yet.
+func (c *Claim) Grow(n int) error {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for a := &b.answers; ; a.released.Wait() {
+		a.makeRoom(c, int64(n))
+		switch {
+		case c.isCut:
+			return ErrCut
+		case a.fits(int64(n)):
+			a.used += int64(n)
+			c.held += int64(n)
+			return nil
+		}
+	}
+}
+
+// Shrink releases n of the bytes that are held.
+func (c *Claim) Shrink(n int) {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.release(min(int64(n), c.held))
+}
+
+// SetWhole tells whether what the claim holds is whole, and can't be cut any more, or still
+// grows.
+func (c *Claim) SetWhole(whole bool) {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if whole {
+		delete(b.answers.unfinished, c)
+	} else if !c.isCut {
+		b.answers.unfinished[c] = true
+	}
+}
+
+// Cut reports whether the answer was cut.
+func (c *Claim) Cut() bool {
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	return c.isCut
+}
+
+// Release ends the claim.
+func (c *Claim) Release() {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.answers.unfinished, c)
+	c.release(c.held)
+}
+
+// release returns n bytes. The caller must hold mu.
+func (c *Claim) release(n int64) {
+	a := &c.budget.answers
+	c.held -= n
+	a.used -= n
+	if c.isCut {
+		a.cutting -= n
+	}
+	a.released.Broadcast()
+}
+
+// fits reports whether n bytes more are within the bound and what may be held beyond it
+// meanwhile. An answer that is alone always fits.
+func (a *answers) fits(n int64) bool {
+	return a.total == 0 || a.used == 0 || a.used+n <= a.total+int64(overshootFraction*float64(a.total))
+}
+
+// makeRoom cuts answers until n bytes more of c are within the bound once the bytes of cut
+// answers are released, or c itself is cut.
+func (a *answers) makeRoom(c *Claim, n int64) {
+	for a.total > 0 && !c.isCut && a.used > a.cutting && a.used-a.cutting+n > a.total {
+		v := a.worst(c, n)
+		delete(a.unfinished, v)
+		v.isCut = true
+		a.cutting += v.held
+		a.cuts++
+		a.released.Broadcast()
+		if v.cut != nil {
+			v.cut()
+		}
+	}
+}
+
+// worst returns the largest unfinished claim of the owner that holds most, if c holds n bytes
+// more.
+func (a *answers) worst(c *Claim, n int64) *Claim {
+	size := func(o *Claim) int64 {
+		if o == c {
+			return o.held + n
+		}
+		return o.held
+	}
+	sums := make(map[string]int64)
+	for o := range a.unfinished {
+		sums[o.owner] += size(o)
+	}
+	worst := c
+	for o := range a.unfinished {
+		if o == worst {
+			continue
+		}
+		switch d, e := sums[o.owner]-sums[worst.owner], size(o)-size(worst); {
+		case d > 0, d == 0 && e > 0, d == 0 && e == 0 && o.number > worst.number:
+			worst = o
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/internal/forward/buffer/claim_test.go
@@ -0,0 +1,156 @@
+package buffer
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	"pgregory.net/rapid"
+)
+
+// model is what TestClaims knows of the answers.
+type model struct {
+	budget *Budget
+	claims []*modelClaim
+}
+
+type modelClaim struct {
+	*Claim
+	owner string
+	held  int
+	whole bool
+	cut   bool
+}
+
+// sum returns what the unfinished answers of an owner hold.
+func (m *model) sum(owner string) int {
+	n := 0
+	for _, c := range m.claims {
+		if c.owner == owner && !c.whole && !c.cut {
+			n += c.held
+		}
+	}
+	return n
+}
+
+func (m *model) held() int {
+	n := 0
+	for _, c := range m.claims {
+		n += c.held
+	}
+	return n
+}
+
+// TestClaims guards against answers that exceed the bound in sum, against bytes that stay
+// claimed, against a small answer that is cut while a larger one of an upstream that holds
+// more is not, and against one that is cut after it is whole.
+func TestClaims(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const total = 1000
+		m := model{budget: &Budget{}}
+		m.budget.SetTotal(0, total)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			if len(m.claims) == 0 || rapid.IntRange(0, 4).Draw(t, "begin") == 0 {
+				c := &modelClaim{owner: fmt.Sprint("u", rapid.IntRange(0, 3).Draw(t, "owner"))}
+				c.Claim = m.budget.Claim(c.owner, func() {
+					if c.whole || c.cut {
+						t.Fatalf("a claim of %s is cut, whole %v, cut before %v", c.owner, c.whole, c.cut)
+					}
+					c.cut = true
+				})
+				m.claims = append(m.claims, c)
+			}
+			i := rapid.IntRange(0, len(m.claims)-1).Draw(t, "which")
+			c := m.claims[i]
+			switch n := rapid.IntRange(0, 200).Draw(t, "bytes"); {
+			case c.cut || n < 20: // a cut answer is released before the next claim grows
+				c.Release()
+				m.claims = append(m.claims[:i], m.claims[i+1:]...)
+			case n < 40:
+				c.SetWhole(true)
+				c.whole = true
+			case !c.whole:
+				m.grow(t, c, n, total)
+			}
+			for i := len(m.claims) - 1; i >= 0; i-- {
+				if c := m.claims[i]; c.cut {
+					c.Release()
+					m.claims = append(m.claims[:i], m.claims[i+1:]...)
+				}
+			}
+			if got := m.budget.Used(); got != int64(m.held()) || got > total {
+				t.Fatalf("%d bytes are counted, %d are held, the bound is %d", got, m.held(), total)
+			}
+		}
+		for _, c := range m.claims {
+			c.Release()
+		}
+		if got := m.budget.Used(); got != 0 || len(m.budget.answers.unfinished) != 0 {
+			t.Fatalf("%d bytes and %d claims stay", got, len(m.budget.answers.unfinished))
+		}
+	})
+}
+
+// grow lets a claim grow, and checks which ones were cut for it.
+func (m *model) grow(t *rapid.T, c *modelClaim, n, total int) {
+	c.held += n // counted for the choice of those that are cut
+	before := make(map[*modelClaim]int)
+	for _, o := range m.claims {
+		before[o] = m.sum(o.owner)
+	}
+	err := c.Grow(n)
+	if err != nil {
+		c.held -= n
+	}
+	if errors.Is(err, ErrCut) != c.cut || err == nil && c.cut {
+		t.Fatalf("error %v, cut %v", err, c.cut)
+	}
+	for _, o := range m.claims {
+		for _, kept := range m.claims {
+			size := o.held
+			if o == c && err != nil {
+				size += n
+			}
+			if o.cut && !kept.cut && !kept.whole && m.sum(kept.owner) > before[o] && kept.held > size {
+				t.Fatalf("%d bytes of %s with %d in all were cut, not %d of %s with %d", size, o.owner, before[o], kept.held, kept.owner, m.sum(kept.owner))
+			}
+		}
+	}
+}
+
+// Guards against bytes beyond the bound and its overshoot while answers that were cut are not
+// released yet, and against an answer that then waits for ever.
+func TestGrowWaitsForRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 100
+		var b Budget
+		b.SetTotal(0, total)
+		faulty := b.Claim("faulty", nil)
+		if err := faulty.Grow(total); err != nil {
+			t.Fatal(err)
+		}
+		sound := b.Claim("sound", nil)
+		granted := 0
+		go func() {
+			for range 5 {
+				if err := sound.Grow(10); err != nil {
+					t.Errorf("the sound answer: %v", err)
+				}
+				granted += 10
+			}
+		}()
+		synctest.Wait()
+		if want := int(overshootFraction * total); !faulty.Cut() || granted > want || granted < want-10 {
+			t.Errorf("cut %v, %d bytes beyond the bound, want at most %d", faulty.Cut(), granted, want)
+		}
+		if err := faulty.Grow(1); !errors.Is(err, ErrCut) {
+			t.Errorf("the answer that was cut grows: %v", err)
+		}
+		faulty.Release()
+		synctest.Wait()
+		if granted != 50 || b.Used() != 50 {
+			t.Errorf("%d bytes granted, %d counted, want 50", granted, b.Used())
+		}
+	})
+}
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"agateward/internal/forward/backend"
+	"agateward/internal/forward/body"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
 	"agateward/internal/upstream/header"
@@ -29,7 +30,6 @@
 )
 
 var (
-	errAnswerTooLarge = errors.New("the answer exceeds the buffer limit")
 	errEventUnplaced  = errors.New("an event of the resumed stream has no id")
 	errOtherKind      = errors.New("the resumed stream was answered with something else")
 	errEventMissing   = errors.New("an event is missing from the stream")
@@ -122,16 +122,16 @@
 	upstream string
 	status   int
 	header   http.Header
-	body     []byte
+	body     *body.Body
 }
 
 func (b *bufferedAnswer) write(c *call) {
 	c.copyHeader(b.header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(b.body)))
+	c.w.Header().Set("Content-Length", strconv.Itoa(b.body.Len()))
 	c.w.WriteHeader(b.status)
 	// A write error means that the caller has left; nothing else can be done.
-	_, _ = c.w.Write(b.body)
-	c.log.Info("request-answered", "upstream", b.upstream, "status", b.status, "bytes", len(b.body), "elapsed", time.Since(c.arrived), "sends", c.sends)
+	_, _ = b.body.WriteTo(c.w)
+	c.log.Info("request-answered", "upstream", b.upstream, "status", b.status, "bytes", b.body.Len(), "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, b.status, time.Since(c.arrived))
 	c.gate.Metrics.notRunPromised(b.status, sourceUpstream, c.sends)
 }
@@ -153,13 +153,10 @@
 // is finished.
 func (c *call) relayBuffered(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	c.recordFirst(a)
-	body, err := c.readHeld(silenceReader{x.Body, stall}, maxBuffered, c.holdAnswer)
+	body, err := c.readAnswer(a.Upstream.ID, x, silenceReader{x.Body, stall})
 	if !stall.pause() && err != nil {
 		err = errMoved
 	}
-	if err == nil && len(body) > maxBuffered {
-		err = errAnswerTooLarge
-	}
 	if err != nil {
 		return c.handleTruncated(ctx, a, err, stall)
 	}
--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -37,9 +37,11 @@
 	// service, or of a version that is being rolled out.
 	group string
 	body  []byte
-	// held is the number of bytes that the request has claimed of Gate.Buffers.
-	held int
-	size float64
+	// held is the number of bytes of the body that are claimed of Gate.Buffers, answers holds
+	// the answers that were read whole.
+	held    int
+	answers []heldAnswer
+	size    float64
 	// digest identifies the request by its content, 0 until it is needed.
 	digest uint64
 	// deadline follows from the caller's timeout and the route's; zero means none.
@@ -158,7 +160,7 @@
 		c.body = make([]byte, n)
 		_, err = io.ReadFull(c.r.Body, c.body)
 	} else {
-		c.body, err = c.readHeld(c.r.Body, limit, c.hold)
+		c.body, err = c.readHeld(c.r.Body, limit)
 	}
 	if err != nil {
 		return bodyError(err)
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -163,7 +163,7 @@
 		g.Rollout = &rollout.Rollout{}
 	}
 	g.Metrics.limited(g.limited)
-	g.Buffers.SetTotal(int64(bufferFraction * float64(s.Memory)))
+	g.Buffers.SetTotal(bounds(s.Memory))
 	g.Metrics.buffers(&g.Buffers)
 	g.Metrics.evacuated(g.View.Evacuated)
 	g.Metrics.cold(g.coldUpstreams)
--- a/internal/forward/gate/memory.go
+++ b/internal/forward/gate/memory.go
@@ -8,23 +8,39 @@
 	"os"
 	"time"
 
+	"agateward/internal/forward/backend"
+	"agateward/internal/forward/body"
+	"agateward/internal/forward/buffer"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
+	"agateward/internal/upstream/sse"
 )
 
 const (
-	// bufferFraction is the fraction of the memory limit that bodies and answers may use.
-	bufferFraction = 0.25
-	// bufferStep is the number of bytes by which the claim for a body of unknown length
-	// grows while it is read.
-	bufferStep = 64 << 10
+	// bodyFraction and answerFraction are the fractions of the memory limit that bodies of
+	// requests and answers may use. Together with the overshoot of answers they leave a
+	// quarter of the limit below the one from which the garbage collector works harder.
+	bodyFraction   = 0.25
+	answerFraction = 0.2
+	// bodyStep is the number of bytes that are claimed first for a body of unknown length.
+	bodyStep = 4 << 10
 	// bufferRetry is the retry delay of a request that is refused for want of memory.
 	bufferRetry = time.Second
 	// defaultBodyTime bounds the time to read a body if neither caller nor route set one.
 	defaultBodyTime = 30 * time.Second
 )
 
-// hold claims n more bytes for this request and reports whether they are within the bound.
+// bounds returns the bounds of bodies and answers in bytes, for a process with a memory
+// limit in bytes; 0 means none.
+func bounds(memory int64) (bodies, answers int64) {
+	if memory <= 0 {
+		return 0, 0
+	}
+	// The largest answer fits in any case.
+	return int64(bodyFraction * float64(memory)), max(int64(answerFraction*float64(memory)), maxBuffered+1)
+}
+
+// hold claims n more bytes for the body of this request and reports whether they are within the bound.
 func (c *call) hold(n int) bool {
 	if !c.gate.Buffers.Take(n) {
 		c.log.Info("buffer-exhausted", "bytes", n, "held", c.held, "held-in-all", c.gate.Buffers.Used())
@@ -34,42 +50,36 @@
 	return true
 }
 
-// holdAnswer claims n more bytes for an answer. They are granted beyond the bound too: an
-// answer that an upstream has made is delivered.
-func (c *call) holdAnswer(n int) bool {
-	c.gate.Buffers.Add(n)
-	c.held += n
-	return true
-}
-
 // releaseHeld returns the bytes that the request has claimed.
 func (c *call) releaseHeld() {
 	c.gate.Buffers.Release(c.held)
 	c.held = 0
+	for _, h := range c.answers {
+		h.body.Free()
+		h.claim.Release()
+	}
+	c.answers = nil
 }
 
-// errNoMemory means that the bytes of a request or an answer exceed what the entry may
-// hold.
-var errNoMemory = errors.New("the entry holds too many bytes for slow callers and upstreams")
+// errNoMemory means that the bytes of a request exceed what the entry may hold.
+var errNoMemory = errors.New("the entry holds too many bytes for slow callers")
 
-// readHeld reads r to its end, at most limit bytes and one more, and claims what it holds.
-func (c *call) readHeld(r io.Reader, limit int, claim func(n int) bool) ([]byte, error) {
+// readHeld reads a body of unknown length to its end, at most limit bytes and one more, and
+// claims what it holds.
+func (c *call) readHeld(r io.Reader, limit int) ([]byte, error) {
 	var out []byte
 	for len(out) <= limit {
-		n := min(bufferStep, limit+1-len(out))
-		if !claim(n) {
-			return nil, errNoMemory
+		if len(out) == cap(out) {
+			size := min(max(2*cap(out), bodyStep), limit+1)
+			if !c.hold(size - cap(out)) {
+				return nil, errNoMemory
+			}
+			out = append(make([]byte, 0, size), out...)
 		}
-		part, err := io.ReadAll(io.LimitReader(r, int64(n)))
-		if out == nil {
-			out = part
-		} else {
-			out = append(out, part...)
-		}
-		if unused := n - len(part); unused > 0 {
-			c.gate.Buffers.Release(unused)
-			c.held -= unused
-			return out, err
+		n, err := r.Read(out[len(out):cap(out)])
+		out = out[:len(out)+n]
+		if errors.Is(err, io.EOF) {
+			return out, nil
 		}
 		if err != nil {
 			return out, err
@@ -78,6 +88,77 @@
 	return out, nil
 }
 
+// heldAnswer is the body of an answer with its claim.
+type heldAnswer struct {
+	body  *body.Body
+	claim *buffer.Claim
+}
+
+// readAnswer reads the body of an answer to its end through r. What it holds is claimed for
+// the upstream, or the other entry, that sends it, until the request ends.
+func (c *call) readAnswer(owner string, x *backend.Exchange, r io.Reader) (*body.Body, error) {
+	h := heldAnswer{&body.Body{}, c.gate.Buffers.Claim(owner, x.Cut)}
+	length := x.Length
+	if c.r.Method == http.MethodHead {
+		length = 0 // the stated length is that of another answer
+	}
+	err := h.body.Read(r, length, maxBuffered, h.claim.Grow)
+	if err == nil {
+		h.claim.SetWhole(true)
+		c.answers = append(c.answers, h)
+		return h.body, nil
+	}
+	if h.claim.Cut() {
+		err = buffer.ErrCut
+	}
+	h.body.Free()
+	h.claim.Release()
+	return nil, err
+}
+
+// eventReader reads the events of a stream and claims what the long ones hold.
+type eventReader struct {
+	sse.Reader
+	claim *buffer.Claim
+	// held is the number of bytes that are claimed.
+	held int
+}
+
+// readEvents returns a reader of the events of an answer. Its claim must be released before
+// the answer is closed.
+func (c *call) readEvents(owner string, x *backend.Exchange) *eventReader {
+	e := &eventReader{claim: c.gate.Buffers.Claim(owner, x.Cut)}
+	e.Reader = sse.Reader{R: x.Body, Max: maxEvent, Grow: e.grow, Shrink: e.shrink}
+	return e
+}
+
+func (e *eventReader) grow(n int) error {
+	err := e.claim.Grow(n)
+	if err == nil {
+		e.held += n
+	}
+	return err
+}
+
+// shrink is called when the next event begins.
+func (e *eventReader) shrink(n int) {
+	e.held -= n
+	e.claim.Shrink(n)
+	e.claim.SetWhole(false)
+}
+
+// Next returns the next event. Its bytes are not cut any more while it is written.
+func (e *eventReader) Next() (sse.Event, error) {
+	event, err := e.Reader.Next()
+	switch {
+	case err == nil && e.held > 0:
+		e.claim.SetWhole(true)
+	case err != nil && e.claim.Cut():
+		err = buffer.ErrCut
+	}
+	return event, err
+}
+
 // boundRead sets the time until which the caller has to send its body, and returns a
 // function that ends the bound.
 func (c *call) boundRead() (end func()) {
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -100,12 +100,13 @@
 // callerCut counts a caller that took nothing of its answer for too long.
 func (m *Metrics) callerCut() { m.count("agateward_forward_callers_cut_total") }
 
-// buffers registers the number of bytes that the entry holds, and of the claims that
-// exceeded the bound.
+// buffers registers the number of bytes that the entry holds, of the bodies that exceeded the
+// bound, and of the answers that were cut as their sum did.
 func (m *Metrics) buffers(b *buffer.Budget) {
 	if m != nil {
 		m.Set.GetOrCreateGauge("agateward_forward_buffered_bytes", func() float64 { return float64(b.Used()) })
 		m.Set.GetOrCreateGauge("agateward_forward_buffer_refusals_total", func() float64 { return float64(b.Refused()) })
+		m.Set.GetOrCreateGauge("agateward_forward_answers_cut_for_memory_total", func() float64 { return float64(b.Cuts()) })
 	}
 }
 
--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -15,7 +15,6 @@
 	"agateward/internal/forward/relay"
 	"agateward/internal/forward/shutdown"
 	"agateward/internal/result/code"
-	"agateward/internal/upstream/sse"
 	"agateward/ward"
 )
 
@@ -142,10 +141,7 @@
 	if c.route.Kind == ward.ForwardStream && x.Status < 300 {
 		return c.relayEvents(ctx, address, x)
 	}
-	body, err := io.ReadAll(io.LimitReader(x.Body, maxBuffered+1))
-	if err == nil && len(body) > maxBuffered {
-		err = errAnswerTooLarge
-	}
+	body, err := c.readAnswer(address, x, x.Body)
 	if err != nil {
 		return c.relayBroken(ctx, address, err)
 	}
@@ -170,7 +166,8 @@
 	if err := checkResumed(c.begun, x); err != nil {
 		return c.relayBroken(ctx, address, err)
 	}
-	events := sse.Reader{R: x.Body, Max: maxEvent}
+	events := c.readEvents(address, x)
+	defer events.claim.Release()
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -38,7 +38,8 @@
 	if err := checkResumed(c.begun, x); err != nil {
 		return c.handleTruncated(ctx, a, err, stall)
 	}
-	events := sse.Reader{R: x.Body, Max: maxEvent}
+	events := c.readEvents(a.Upstream.ID, x)
+	defer events.claim.Release()
 	progress := streamProgress{last: math.MinInt64, forward: c.noteProgress}
 	var streamStart, last time.Time
 	var longest time.Duration
--- a/internal/upstream/sse/sse.go
+++ b/internal/upstream/sse/sse.go
@@ -25,8 +25,12 @@
 // DefaultMax is the maximum size of an event in bytes if Reader.Max is 0.
 const DefaultMax = 256 << 10
 
-// readBuffer is the size in bytes of the buffer between connection and event.
-const readBuffer = 4 << 10
+const (
+	// readBuffer is the size in bytes of the buffer between connection and event.
+	readBuffer = 4 << 10
+	// freeSize is the number of bytes of an event that a reader holds without a call of Grow.
+	freeSize = 4 << 10
+)
 
 // Event is one event. Its slices are valid until the next call of Next.
 type Event struct {
@@ -44,10 +48,17 @@
 	// Max is the maximum size in bytes of an event with the blank lines before it, 0 for
 	// DefaultMax.
 	Max int
+	// Grow is called before the reader holds n bytes more than freeSize for an event, unless
+	// it is nil. Its error ends Next. Shrink is called when n of these bytes are no longer
+	// held, at the next call of Next.
+	Grow   func(n int) error
+	Shrink func(n int)
 
 	buf  *bufio.Reader
 	raw  []byte
 	data []byte
+	// grown is the number of bytes for which Grow was called.
+	grown int
 	// blank is the size in bytes of the blank lines before the event.
 	blank int
 }
@@ -61,9 +72,7 @@
 	if r.Max == 0 {
 		r.Max = DefaultMax
 	}
-	r.raw = r.raw[:0]
-	r.data = r.data[:0]
-	r.blank = 0
+	r.empty()
 	var e Event
 	fields := 0
 	for {
@@ -82,8 +91,46 @@
 			return e, nil
 		}
 		fields++
-		r.field(line, &e)
+		if err := r.field(line, &e); err != nil {
+			return Event{}, err
+		}
+	}
+}
+
+// empty drops the last event, and the memory of a long one.
+func (r *Reader) empty() {
+	r.blank = 0
+	r.raw, r.data = r.raw[:0], r.data[:0]
+	if r.grown > 0 {
+		r.raw, r.data = nil, nil
+		r.Shrink(r.grown)
+		r.grown = 0
+	}
+}
+
+// extend returns b with room for n bytes more. Its capacity is doubled, as append does, but
+// claimed before.
+func (r *Reader) extend(b []byte, n int) ([]byte, error) {
+	if len(b)+n <= cap(b) {
+		return b, nil
+	}
+	size := max(len(b)+n, min(2*cap(b), r.Max))
+	if err := r.claim(size - max(cap(b), freeSize)); err != nil {
+		return nil, err
+	}
+	return append(make([]byte, 0, size), b...), nil
+}
+
+// claim calls Grow for n bytes, if any.
+func (r *Reader) claim(n int) error {
+	if n <= 0 || r.Grow == nil {
+		return nil
 	}
+	if err := r.Grow(n); err != nil {
+		return err
+	}
+	r.grown += n
+	return nil
 }
 
 // line appends one line to raw and returns it without its line ending.
@@ -94,7 +141,11 @@
 		if r.blank+len(r.raw)+len(part) > r.Max {
 			return nil, ErrTooLarge
 		}
-		r.raw = append(r.raw, part...)
+		raw, full := r.extend(r.raw, len(part))
+		if full != nil {
+			return nil, full
+		}
+		r.raw = append(raw, part...)
 		switch {
 		case err == nil:
 			return bytes.TrimSuffix(bytes.TrimSuffix(r.raw[start:], []byte("\n")), []byte("\r")), nil
@@ -108,16 +159,24 @@
 }
 
 // field parses one field of an event. Comments and other fields are ignored.
-func (r *Reader) field(line []byte, e *Event) {
+func (r *Reader) field(line []byte, e *Event) error {
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
 	case "data":
-		if len(r.data) > 0 {
-			r.data = append(r.data, '\n')
+		data, err := r.extend(r.data, len(value)+1)
+		if err != nil {
+			return err
 		}
-		r.data = append(r.data, value...)
+		if len(data) > 0 {
+			data = append(data, '\n')
+		}
+		r.data = append(data, value...)
 	case "id":
+		if err := r.claim(len(value) - freeSize); err != nil {
+			return err
+		}
 		e.ID = string(value)
 	}
+	return nil
 }
