fix(schedule): upstreams whose answers exceed the bounds are paused

Seen: replicas that answer without end were asked until the end of a run (1,400 to 2,200 times in 10 s, all 502), and the entry's processor time went into their bytes: the sound service beside them got 2 to 120 answers a second of 600.

Cause: an answer that exceeded a bound was one failed answer among others. It marked the upstream as responsive, and a failure rate only makes a choice less likely where others are better.

Change: three such answers in a row, without one that ends within the bounds, pause the upstream at this entry: 0.5 s, doubled each time up to 8 s, then one request at a time. It is the pause that an upstream may ask for itself, but only whole answers raise the limit after it. Answers to requests from before a pause don't prolong it. While every upstream that a request may get is in that state, the request is refused at once with 503 and Retry-After, also one that waits. It is no crash of the request. One line, upstream-oversized, and one counter a pause.

Three in a row, and not one: a single request may ask a sound upstream for too much.

--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -204,6 +204,9 @@
 		err = errMoved
 		c.finishAttempt(a, schedule.OutcomeUnreachable)
 	} else {
+		if exceeds(err) {
+			c.noteExcess(a)
+		}
 		c.finishAttempt(a, schedule.OutcomeFailed)
 	}
 	c.log.Info("answer-broken", "upstream", a.Upstream.ID, "born", a.Upstream.Born, "error", err.Error(), "events", c.events, "digest", c.digestText(), "parts", partsText(c.head.Parts), "last-event", c.lastEvent, "elapsed", time.Since(c.arrived))
--- a/internal/forward/gate/limits.go
+++ b/internal/forward/gate/limits.go
@@ -56,12 +56,13 @@
 	return g.sched.Limited()
 }
 
-// withinLimits reports whether the limits of a group's upstreams let this entry send a
-// request now.
+// withinLimits reports whether the limits of a group's upstreams, and the pauses after answers
+// that exceeded the bounds, let this entry send a request now.
 func (g *Gate) withinLimits(group string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.sched.LimitAllows(group, time.Now())
+	now := time.Now()
+	return g.sched.LimitAllows(group, now) && !g.sched.Exceeds(group, now)
 }
 
 // limitsChanged records changes of upstreams' limits and has other entries told.
--- a/internal/forward/gate/memory.go
+++ b/internal/forward/gate/memory.go
@@ -159,6 +159,11 @@
 	return event, err
 }
 
+// exceeds reports whether an answer failed as it exceeded a bound of what is held for it.
+func exceeds(err error) bool {
+	return errors.Is(err, body.ErrTooLarge) || errors.Is(err, sse.ErrTooLarge) || errors.Is(err, errNoFurtherEvent) || errors.Is(err, buffer.ErrCut)
+}
+
 // boundRead sets the time until which the caller has to send its body, and returns a
 // function that ends the bound.
 func (c *call) boundRead() (end func()) {
--- a/internal/forward/gate/metrics.go
+++ b/internal/forward/gate/metrics.go
@@ -76,6 +76,10 @@
 // upstreamPaused counts an answer by which an upstream asked for a pause.
 func (m *Metrics) upstreamPaused() { m.count("agateward_forward_upstream_pauses_total") }
 
+// upstreamOversized counts a pause of an upstream whose answers exceeded what is held for
+// them.
+func (m *Metrics) upstreamOversized() { m.count("agateward_forward_upstreams_oversized_total") }
+
 // serviceBrittle counts a service of which this entry learned that it is brittle.
 func (m *Metrics) serviceBrittle(source string) {
 	m.count("agateward_forward_services_brittle_total{source=%q}", source)
--- a/internal/forward/gate/statement.go
+++ b/internal/forward/gate/statement.go
@@ -113,6 +113,19 @@
 	g.Metrics.upstreamPaused()
 }
 
+// noteExcess records that an answer exceeded a bound of what this entry holds for it.
+func (c *call) noteExcess(a schedule.Action) {
+	g, now, id := c.gate, time.Now(), schedule.IdentityOf(a.Upstream)
+	g.mu.Lock()
+	until, paused := g.sched.ObserveExcess(a.Job.ID, now)
+	g.mu.Unlock()
+	if !paused {
+		return
+	}
+	c.log.Info("upstream-oversized", "upstream", id.ID, "born", id.Born, "pause", until.Sub(now), "until", until.UTC().Format(time.RFC3339Nano), "held-in-all", g.Buffers.Used())
+	g.Metrics.upstreamOversized()
+}
+
 // notRunDelay is the retry delay of a request that upstreams turned away.
 const notRunDelay = 500 * time.Millisecond
 
--- a/internal/forward/schedule/outcome.go
+++ b/internal/forward/schedule/outcome.go
@@ -38,7 +38,9 @@
 		return
 	}
 	r.started = true
-	s.answered(r)
+	if r.pause != nil && !r.pause.whole {
+		s.answered(r)
+	}
 	ratio := now.Sub(r.sent).Seconds() / r.nominal
 	r.upstream.observeLatency(ratio)
 	if r.job.Prompt > 0 {
@@ -87,9 +89,7 @@
 	if r.pause != nil {
 		r.pause.open--
 	}
-	if o == OutcomeOK && !r.started {
-		s.answered(r)
-	}
+	s.endAnswer(r, o)
 	u := r.upstream
 	u.ownLoad = max(u.ownLoad-1, 0)
 	if r.loan != nil {
--- a/internal/forward/schedule/pause.go
+++ b/internal/forward/schedule/pause.go
@@ -10,12 +10,15 @@
 	returnGrowth    = 2
 )
 
-// pause is a pause that a process of an upstream asked for, and its return from it.
+// pause is a pause that a process of an upstream asked for, or got as its answers exceeded
+// the bounds, and its return from it.
 type pause struct {
 	until time.Time
 	// limit bounds the requests sent after the pause that are running, which open
 	// counts.
 	limit, open int
+	// whole is true if only whole answers raise the limit, not those that have begun.
+	whole bool
 }
 
 // Pause records that a process of an upstream asked to get no requests for d, and
--- a/internal/forward/schedule/queue.go
+++ b/internal/forward/schedule/queue.go
@@ -112,6 +112,8 @@
 		return v.noUpstreamReason(now)
 	case now.After(j.Expires):
 		return ReasonTooLate
+	case !j.Resumed && s.allExceed(list, j, now):
+		return ReasonPaused
 	case s.outlastsStop(v, j, now):
 		return ReasonStopping
 	case j.Resumed || j.Returned:
--- a/internal/forward/schedule/refusal.go
+++ b/internal/forward/schedule/refusal.go
@@ -14,7 +14,7 @@
 	// ReasonEvacuated means that the service has upstreams in evacuated data centres alone.
 	ReasonEvacuated = "evacuated"
 	// ReasonPaused means that every upstream of the service asked for a pause, which
-	// the job cannot wait for.
+	// the job cannot wait for, or got one as its answers exceeded the bounds.
 	ReasonPaused = "paused"
 	// ReasonLimited means that the job would wait too long, as every upstream of the
 	// service has named a limit.
--- a/internal/forward/schedule/schedule.go
+++ b/internal/forward/schedule/schedule.go
@@ -130,6 +130,8 @@
 	sent     time.Time
 	// started is true after the first event.
 	started bool
+	// exceeded is true once its answer exceeded a bound.
+	exceeded bool
 	// pause is the pause after which the upstream was returning, nil if it was not.
 	pause *pause
 	// loan is the slot of a brittle upstream that a peer lent for it, nil for an own one.
@@ -295,6 +297,10 @@
 			out = append(out, s.refuse(v, j, ReasonStopping, now))
 			continue
 		}
+		if !j.Resumed && s.allExceed(s.upstreamsFor(v, j), j, now) {
+			out = append(out, s.refuse(v, j, ReasonPaused, now))
+			continue
+		}
 		if !j.Resumed && now.After(j.Expires.Add(-s.minTimeToFirst(v, j, now))) || now.After(j.Expires) {
 			out = append(out, s.refuse(v, j, s.expiryReason(v, now), now))
 			continue
--- a/internal/forward/schedule/statement.go
+++ b/internal/forward/schedule/statement.go
@@ -28,7 +28,7 @@
 // some kilobytes.
 const maxDepartures = 100
 
-// statement is what a process of an upstream said of itself in its answers. It is kept
+// statement is what a process of an upstream said of itself, or showed, in its answers. It is kept
 // apart from the registrations, which may be older, be missing for a while or come
 // back.
 type statement struct {
@@ -36,6 +36,8 @@
 	leaving bool
 	// pause is the last pause that it asked for, nil once it has returned from it.
 	pause *pause
+	// excess counts its answers that exceeded the bounds.
+	excess excess
 	// limit is the rate at which it takes requests.
 	limit limit.Limit
 	// number orders the statements by age.
