--- a/internal/forward/gate/failure.go
+++ b/internal/forward/gate/failure.go
@@ -16,7 +16,7 @@
 func (c *call) fail(k code.Code, reason string) {
 	switch {
 	case c.started:
-		c.log.Info("answer-cut", "cause", reason, "no-retry", c.noRetry, "sends", c.sends, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived),
+		c.end("answer-cut", "cause", reason, "no-retry", c.noRetry, "sends", c.sends, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived),
 			"config", c.table.Config.Version, "newest-config", c.gate.View.Table().Config.Version)
 		c.gate.Metrics.refused(code.AnswerCut.Number)
 		c.gate.Metrics.answerCut(c.noRetry)
@@ -79,7 +79,7 @@
 		return
 	}
 	if !errors.Is(cause, errDeadline) && !errors.Is(cause, errNoProgress) {
-		c.log.Info("caller-left", "elapsed", time.Since(c.arrived), "sends", c.sends, "last-event", c.lastEvent)
+		c.end("caller-left", "elapsed", time.Since(c.arrived), "sends", c.sends, "last-event", c.lastEvent)
 		c.gate.Metrics.refused(code.CallerGone.Number)
 		panic(http.ErrAbortHandler)
 	}
@@ -102,11 +102,24 @@
 	c.refuseAtStop(errExit.Error())
 }
 
+// refuseUnread refuses a request that came after the decision to exit. Its body is not read.
+func (c *call) refuseUnread() {
+	if err := c.readHead(); err != nil {
+		c.refuse(err)
+		return
+	}
+	c.refuseAtStop(errExit.Error())
+}
+
 // refuseAtStop refuses a request that was not sent, as this entry stops.
 func (c *call) refuseAtStop(reason string) {
 	c.refund()
+	c.respond(code.Stopping, c.stoppingRetry(), reason)
+}
+
+// stoppingRetry returns the retry delay of a request that is refused as this entry stops.
+func (c *call) stoppingRetry() time.Duration {
 	c.gate.mu.Lock()
-	retry := c.gate.sched.StoppingRetry(time.Now())
-	c.gate.mu.Unlock()
-	c.respond(code.Stopping, retry, reason)
+	defer c.gate.mu.Unlock()
+	return c.gate.sched.StoppingRetry(time.Now())
 }
