fix(node): heads of requests are bounded in sum

Cause: a head has a bound of 64 KB and 10 s, but nothing bounds their sum, and the map of fields takes up to sixteen times the bytes.

Change: heads.Guard counts what the heads on the connections of callers and relaying entries hold (twice the bytes and 96 bytes a line, above 16 KB each), until their requests end, within a tenth of the limit. Beyond it the host that holds most loses the connection with the largest head that is not whole, by the account of answers. One line (head-cut, limited) and counters.

--- a/internal/forward/connections/connections.go
+++ b/internal/forward/connections/connections.go
@@ -240,6 +240,9 @@
 	return n, err
 }
 
+// NetConn returns the connection of the listener.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite sends what was written and the end of the stream, if the connection can.
 func (c *conn) CloseWrite() error {
 	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -22,6 +22,7 @@
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/connections"
 	"agateward/internal/forward/gate"
+	"agateward/internal/forward/heads"
 	"agateward/internal/forward/peers"
 	"agateward/internal/forward/quota"
 	"agateward/internal/forward/retry"
@@ -56,6 +57,8 @@
 	// memoryLimitFraction is the fraction of the memory limit that is set as the soft
 	// limit of the runtime, from which the garbage collector works harder.
 	memoryLimitFraction = 0.75
+	// headsFraction is the fraction of the memory limit that heads of requests may use.
+	headsFraction = 0.1
 	// sweepInterval is the interval of the checks for lapsed registrations.
 	sweepInterval = 100 * time.Millisecond
 	// announceInterval is the interval at which the announcement in the store is
@@ -111,6 +114,8 @@
 
 	// connections tracks those of callers and of entries that relay requests.
 	connections connections.Tracker
+	// heads bounds what the heads of requests on them hold.
+	heads heads.Guard
 
 	stopping context.Context
 }
@@ -133,6 +138,8 @@
 		Relay: n.newRelay(), Fleet: n.fleet, SendLending: n.sendLending, SuspectsChanged: n.suspectsChanged, LimitsChanged: n.limitsChanged,
 		ReturnsChanged: n.returnsChanged, Ignored: n.ignored,
 	}
+	n.set.NewGauge("agateward_forward_head_bytes", func() float64 { return float64(n.heads.Used()) })
+	n.set.NewGauge("agateward_forward_heads_cut_total", func() float64 { return float64(n.heads.Cuts()) })
 	n.gate.Prepare(setup(s))
 	n.gate.SetEntries(initialEntries)
 	return n
@@ -190,6 +197,10 @@
 		Handler: http.HandlerFunc(n.serveRelayed), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 		ConnState: n.connections.StateChanged,
 	}
+	n.heads.SetTotal(int64(headsFraction * float64(n.settings.Limits.Memory<<20)))
+	n.heads.OnCut = func(from string, bytes int) { n.ignored.Note(n.log, "head-cut", "from", from, "bytes", bytes) }
+	n.heads.Guard(callers)
+	n.heads.Guard(relayServer)
 	metricsServer := &http.Server{Handler: n.metricsHandler(), ReadHeaderTimeout: headerTimeout}
 	var wg conc.WaitGroup
 	wg.Go(func() { n.view.Run(work) })
@@ -203,8 +214,8 @@
 	wg.Go(func() { n.returnsLoop(work) })
 	wg.Go(func() { n.serveState(work, listeners.state) })
 	wg.Go(func() { n.serve(readyServer, listeners.ready) })
-	wg.Go(func() { n.serve(callers, n.connections.Listen(listeners.callers)) })
-	wg.Go(func() { n.serve(relayServer, n.connections.Listen(listeners.relay)) })
+	wg.Go(func() { n.serve(callers, n.connections.Listen(n.heads.Listener(listeners.callers))) })
+	wg.Go(func() { n.serve(relayServer, n.connections.Listen(n.heads.Listener(listeners.relay))) })
 	if listeners.metrics != nil {
 		wg.Go(func() { n.serve(metricsServer, listeners.metrics) })
 	}
