fix(gate): callers that take nothing of a whole answer do not hold it for ever

Seen (test): three callers that read nothing of an answer of 4 MB hold 12.6 MB of the entry until they close; nothing ends that. With a bound for all answers, some callers could keep it used up, so that the answers of sound upstreams are cut and these upstreams paused.

Cause: only streams had a bound for the time in which their caller takes what is written.

Change: a caller has to take each 32 KB of an answer that was read whole within 10 s, else its connection is closed (caller-cut). An answer that is cut while more than half of the bound is whole answers says nothing of its upstream: buffer.ErrFull instead of ErrCut, which is no reason for a pause.

--- a/internal/forward/buffer/buffer.go
+++ b/internal/forward/buffer/buffer.go
@@ -30,9 +30,15 @@
 	"sync"
 )
 
-// ErrCut means that an answer was cut, as its upstream sent most of what the entry holds of
-// answers and that is too much.
-var ErrCut = errors.New("the entry holds too many bytes of answers, and most of this upstream")
+// Causes for which an answer is cut.
+var (
+	// ErrCut means that what the entry holds of answers that are not whole is too much, and its
+	// upstream sent most of it.
+	ErrCut = errors.New("the entry holds too many bytes of answers, and most of this upstream")
+	// ErrFull means that more than half of what the entry may hold is whole answers, which
+	// callers have not taken. It says nothing of the upstream.
+	ErrFull = errors.New("the entry holds too many bytes of answers for slow callers")
+)
 
 // overshootFraction is the fraction of the bound of answers that may be held beyond it, until
 // the bytes of answers that were cut are released.
@@ -53,8 +59,8 @@
 // answers counts the bytes of answers.
 type answers struct {
 	// total is the bound, 0 for none. used counts all bytes that are held, cutting those of
-	// answers that were cut.
-	total, used, cutting int64
+	// answers that were cut, whole those of whole answers.
+	total, used, cutting, whole int64
 	// unfinished holds the claims that may be cut.
 	unfinished map[*Claim]bool
 	// last is the number of the newest claim.
--- a/internal/forward/buffer/claim.go
+++ b/internal/forward/buffer/claim.go
@@ -7,7 +7,9 @@
 	cut    func()
 	number uint64
 	held   int64
-	isCut  bool
+	whole  bool
+	// cause is why the answer was cut, nil if it was not.
+	cause error
 }
 
 // Claim begins a claim for an answer of an upstream, the owner. It holds nothing yet. cut is
@@ -27,8 +29,8 @@
 	return c
 }
 
-// Grow claims n bytes more. It fails with ErrCut once the answer was cut: the bytes that are
-// held count until Release. It waits while too many bytes of other answers that were cut are
+// Grow claims n bytes more. It fails with ErrCut or ErrFull once the answer was cut: the bytes
+// that are held count until Release. It waits while too many bytes of other answers that were cut are
 // not released yet.
 func (c *Claim) Grow(n int) error {
 	b := c.budget
@@ -37,8 +39,8 @@
 	for a := &b.answers; ; a.released.Wait() {
 		a.makeRoom(c, int64(n))
 		switch {
-		case c.isCut:
-			return ErrCut
+		case c.cause != nil:
+			return c.cause
 		case a.fits(int64(n)):
 			a.used += int64(n)
 			c.held += int64(n)
@@ -60,18 +62,24 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if c.cause != nil || c.whole == whole {
+		return
+	}
+	c.whole = whole
 	if whole {
 		delete(b.answers.unfinished, c)
-	} else if !c.isCut {
+		b.answers.whole += c.held
+	} else {
 		b.answers.unfinished[c] = true
+		b.answers.whole -= c.held
 	}
 }
 
-// Cut reports whether the answer was cut.
-func (c *Claim) Cut() bool {
+// Cut returns ErrCut or ErrFull if the answer was cut, else nil.
+func (c *Claim) Cut() error {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	return c.isCut
+	return c.cause
 }
 
 // Release ends the claim.
@@ -88,9 +96,12 @@
 	a := &c.budget.answers
 	c.held -= n
 	a.used -= n
-	if c.isCut {
+	if c.cause != nil {
 		a.cutting -= n
 	}
+	if c.whole {
+		a.whole -= n
+	}
 	a.released.Broadcast()
 }
 
@@ -103,10 +114,13 @@
 // makeRoom cuts answers until n bytes more of c are within the bound once the bytes of cut
 // answers are released, or c itself is cut.
 func (a *answers) makeRoom(c *Claim, n int64) {
-	for a.total > 0 && !c.isCut && a.used > a.cutting && a.used-a.cutting+n > a.total {
+	for a.total > 0 && c.cause == nil && a.used > a.cutting && a.used-a.cutting+n > a.total {
 		v := a.worst(c, n)
 		delete(a.unfinished, v)
-		v.isCut = true
+		v.cause = ErrCut
+		if a.whole > a.total/2 {
+			v.cause = ErrFull
+		}
 		a.cutting += v.held
 		a.cuts++
 		a.released.Broadcast()
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -129,8 +130,12 @@
 	c.copyHeader(b.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(b.body.Len()))
 	c.w.WriteHeader(b.status)
-	// A write error means that the caller has left; nothing else can be done.
-	_, _ = b.body.WriteTo(c.w)
+	if _, err := b.body.WriteTo(wholeWriter{c}); errors.Is(err, os.ErrDeadlineExceeded) {
+		c.end("caller-cut", "cause", "the caller took nothing of its answer", "bound", c.gate.takeTimeout(), "bytes", b.body.Len(), "elapsed", time.Since(c.arrived))
+		c.gate.Metrics.callerCut()
+		panic(http.ErrAbortHandler)
+	}
+	// Another write error means that the caller has left; nothing else can be done.
 	c.end("request-answered", "upstream", b.upstream, "status", b.status, "bytes", b.body.Len(), "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, b.status, time.Since(c.arrived))
 	c.gate.Metrics.notRunPromised(b.status, sourceUpstream, c.sends)
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -52,8 +52,8 @@
 // The store usually answers within a few milliseconds.
 const configWait = 250 * time.Millisecond
 
-// Gate serves callers. All fields but Metrics, Rollout, Relay, Ignored and ProgressTimeout
-// must be set, and Prepare called.
+// Gate serves callers. All fields but Metrics, Rollout, Relay, Ignored, ProgressTimeout
+// and TakeTimeout must be set, and Prepare called.
 type Gate struct {
 	Dialect ward.Dialect
 	View    *view.View
@@ -67,6 +67,9 @@
 	// ProgressTimeout bounds the time until the answer, or the next event, of a request
 	// without a timeout of the caller or the route; 0 means DefaultProgressTimeout.
 	ProgressTimeout time.Duration
+	// TakeTimeout bounds the time in which a caller takes the next part of an answer that was
+	// read whole; 0 means DefaultTakeTimeout.
+	TakeTimeout time.Duration
 	// SendGrant grants a slot of an upstream to a peer. It must not block.
 	SendGrant func(a schedule.Action)
 	// SendLending sends a message about lent slots to an entry of another cell, nil if
--- a/internal/forward/gate/memory.go
+++ b/internal/forward/gate/memory.go
@@ -26,6 +26,11 @@
 	bodyStep = 4 << 10
 	// bufferRetry is the retry delay of a request that is refused for want of memory.
 	bufferRetry = time.Second
+	// DefaultTakeTimeout is the Gate.TakeTimeout of a gate that sets none.
+	DefaultTakeTimeout = 10 * time.Second
+	// takePart is the number of bytes of an answer that was read whole which a caller has to
+	// take within that time.
+	takePart = 32 << 10
 	// defaultBodyTime bounds the time to read a body if neither caller nor route set one.
 	defaultBodyTime = 30 * time.Second
 )
@@ -108,8 +113,8 @@
 		c.answers = append(c.answers, h)
 		return h.body, nil
 	}
-	if h.claim.Cut() {
-		err = buffer.ErrCut
+	if cause := h.claim.Cut(); cause != nil {
+		err = cause
 	}
 	h.body.Free()
 	h.claim.Release()
@@ -150,11 +155,14 @@
 // Next returns the next event. Its bytes are not cut any more while it is written.
 func (e *eventReader) Next() (sse.Event, error) {
 	event, err := e.Reader.Next()
-	switch {
-	case err == nil && e.held > 0:
-		e.claim.SetWhole(true)
-	case err != nil && e.claim.Cut():
-		err = buffer.ErrCut
+	if err == nil {
+		if e.held > 0 {
+			e.claim.SetWhole(true)
+		}
+		return event, nil
+	}
+	if cause := e.claim.Cut(); cause != nil {
+		err = cause
 	}
 	return event, err
 }
@@ -202,6 +210,28 @@
 	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Time{})
 }
 
+func (g *Gate) takeTimeout() time.Duration {
+	if g.TakeTimeout > 0 {
+		return g.TakeTimeout
+	}
+	return DefaultTakeTimeout
+}
+
+// wholeWriter writes an answer that was read whole to the caller, which has to take each part
+// within the gate's time.
+type wholeWriter struct{ c *call }
+
+// Write writes b in parts.
+func (w wholeWriter) Write(b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		_ = http.NewResponseController(w.c.w).SetWriteDeadline(time.Now().Add(w.c.gate.takeTimeout()))
+		var k int
+		k, err = w.c.w.Write(b[n:min(len(b), n+takePart)])
+		n += k
+	}
+	return n, err
+}
+
 // cutSlowCaller ends the request of a caller that takes nothing of its answer.
 func (c *call) cutSlowCaller(a schedule.Action) {
 	c.finishAttempt(a, schedule.OutcomeNeutral)
--- a/internal/forward/gate/memory_test.go
+++ b/internal/forward/gate/memory_test.go
@@ -62,3 +62,33 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against callers that take nothing of an answer which was read whole: it must not be
+// held for ever.
+func TestCallerThatTakesNothingOfAWholeAnswer(t *testing.T) {
+	const size = 4 << 20
+	u := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool { return ok(w, r, strings.Repeat("b", size)) })
+	var g *gate.Gate
+	var log logLines
+	s := newGateWith(t, func(made *gate.Gate) { g = made; g.TakeTimeout = 200 * time.Millisecond; log.collect(g) }, u)
+	for range 3 { // more than the sockets hold
+		conn := openRequest(t, s.Listener.Addr().String(), "/unsafe/x", 0)
+		_ = conn.(*net.TCPConn).SetReadBuffer(4 << 10)
+	}
+	for end := time.Now().Add(5 * time.Second); g.Buffers.Used() < size; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes are held", g.Buffers.Used())
+		}
+	}
+	for end := time.Now().Add(5 * time.Second); g.Buffers.Used() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d bytes stay claimed", g.Buffers.Used())
+		}
+	}
+	if !log.has("caller-cut") {
+		t.Error("the cut is not logged")
+	}
+	if got := do(t, s, http.MethodPost, "/unsafe/x", nil); got.status != http.StatusOK || len(got.body) != size {
+		t.Errorf("a caller that takes its answer: status %d, %d bytes, %v", got.status, len(got.body), got.err)
+	}
+}
--- a/internal/forward/heads/heads.go
+++ b/internal/forward/heads/heads.go
@@ -187,7 +187,7 @@
 	err := c.Conn.Close()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.closed && c.claim != nil && c.claim.Cut() && c.guard.OnCut != nil {
+	if !c.closed && c.claim != nil && c.claim.Cut() != nil && c.guard.OnCut != nil {
 		c.guard.OnCut(c.RemoteAddr().String(), c.cost)
 	}
 	c.closed = true
