fix(buffer): large answers of slow callers are cut before small ones of others

What callers saw: while some callers read nothing of large answers, small answers of the same sound upstreams were cut and answered with 502, until the slow callers had been cut after 10 s.

Cause: whole answers count against the bound of answers until they are taken, and only answers that are still read could be cut.

Change: an answer whose caller takes it can be cut too, by the end of its write. If more than half of the bound is whole answers, the largest of these goes before a smaller one that is still read; its caller is logged with caller-cut and the cause.

--- a/internal/forward/buffer/buffer.go
+++ b/internal/forward/buffer/buffer.go
@@ -61,8 +61,9 @@
 	// total is the bound, 0 for none. used counts all bytes that are held, cutting those of
 	// answers that were cut, whole those of whole answers.
 	total, used, cutting, whole int64
-	// unfinished holds the claims that may be cut.
-	unfinished map[*Claim]bool
+	// unfinished holds the claims of answers that are read and may be cut, taken those of whole
+	// ones that callers take.
+	unfinished, taken map[*Claim]bool
 	// last is the number of the newest claim.
 	last uint64
 	// cuts counts the answers that were cut.
--- a/internal/forward/buffer/claim.go
+++ b/internal/forward/buffer/claim.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// SetTaken tells that the answer is whole and that its caller takes it now. If most of what is
+// held is whole answers, the largest that is being taken is cut rather than a smaller answer
+// that is still read. cut is called at most once, and not after Release, to end the writing; it
+// must neither block nor call the budget.
+func (c *Claim) SetTaken(cut func()) {
+	c.SetWhole(true)
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.cause != nil {
+		return
+	}
+	c.cut = cut
+	if b.answers.taken == nil {
+		b.answers.taken = make(map[*Claim]bool)
+	}
+	b.answers.taken[c] = true
+}
+
 // Cut returns ErrCut or ErrFull if the answer was cut, else nil.
 func (c *Claim) Cut() error {
 	c.budget.mu.Lock()
@@ -88,6 +107,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.answers.unfinished, c)
+	delete(b.answers.taken, c)
 	c.release(c.held)
 }
 
@@ -115,13 +135,18 @@
 // answers are released, or c itself is cut.
 func (a *answers) makeRoom(c *Claim, n int64) {
 	for a.total > 0 && c.cause == nil && a.used > a.cutting && a.used-a.cutting+n > a.total {
-		v := a.worst(c, n)
-		delete(a.unfinished, v)
-		v.cause = ErrCut
+		v, cause := a.worst(c, n), ErrCut
 		if a.whole > a.total/2 {
-			v.cause = ErrFull
+			v, cause = a.largestTaken(v, a.size(v, c, n)), ErrFull
 		}
+		v.cause = cause
+		delete(a.unfinished, v)
+		delete(a.taken, v)
 		a.cutting += v.held
+		if v.whole {
+			v.whole = false
+			a.whole -= v.held
+		}
 		a.cuts++
 		a.released.Broadcast()
 		if v.cut != nil {
@@ -133,12 +158,7 @@
 // worst returns the largest unfinished claim of the owner that holds most, if c holds n bytes
 // more.
 func (a *answers) worst(c *Claim, n int64) *Claim {
-	size := func(o *Claim) int64 {
-		if o == c {
-			return o.held + n
-		}
-		return o.held
-	}
+	size := func(o *Claim) int64 { return a.size(o, c, n) }
 	sums := make(map[string]int64)
 	for o := range a.unfinished {
 		sums[o.owner] += size(o)
@@ -155,3 +175,22 @@
 	}
 	return worst
 }
+
+// size returns what a claim holds, if c holds n bytes more.
+func (*answers) size(o, c *Claim, n int64) int64 {
+	if o == c {
+		return o.held + n
+	}
+	return o.held
+}
+
+// largestTaken returns the largest whole answer that a caller is taking, or v if none is larger
+// than the given size.
+func (a *answers) largestTaken(v *Claim, size int64) *Claim {
+	for o := range a.taken {
+		if o.held > size || o.held == size && a.taken[v] && o.number < v.number {
+			v, size = o, o.held
+		}
+	}
+	return v
+}
--- a/internal/forward/buffer/claim_test.go
+++ b/internal/forward/buffer/claim_test.go
@@ -174,3 +174,46 @@
 		}
 	}
 }
+
+// Guards against small answers that are cut, as callers take large ones too slowly and these use
+// up the bound.
+func TestLargeAnswersOfSlowCallersAreCutFirst(t *testing.T) {
+	const total = 100
+	tests := []struct {
+		name string
+		// taken holds the sizes of whole answers that callers take, grow the bytes of another one.
+		taken []int
+		grow  int
+		// cut is the index of the taken one that is cut, -1 for the one that grows.
+		cut int
+	}{
+		{"the largest is cut", []int{30, 50, 20}, 5, 1},
+		{"the first of equal ones is cut", []int{50, 50}, 5, 0},
+		{"no taken one is larger", []int{20, 20, 20, 20, 20}, 30, -1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var b Budget
+			b.SetTotal(0, total)
+			cuts := make([]bool, len(tt.taken))
+			for i, n := range tt.taken {
+				c := b.Claim("upstream-1", nil)
+				if err := c.Grow(n); err != nil {
+					t.Fatal(err)
+				}
+				c.SetTaken(func() { cuts[i] = true })
+				defer c.Release()
+			}
+			c := b.Claim("upstream-2", nil)
+			defer c.Release()
+			if err := c.Grow(tt.grow); (err != nil) != (tt.cut < 0) || err != nil && !errors.Is(err, ErrFull) {
+				t.Errorf("error %v of the answer that grows", err)
+			}
+			for i, cut := range cuts {
+				if cut != (i == tt.cut) {
+					t.Errorf("taken answer %d: cut %v", i, cut)
+				}
+			}
+		})
+	}
+}
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -11,6 +11,7 @@
 
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/body"
+	"agateward/internal/forward/buffer"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
 	"agateward/internal/upstream/header"
@@ -130,8 +131,9 @@
 	c.copyHeader(b.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(b.body.Len()))
 	c.w.WriteHeader(b.status)
-	if _, err := b.body.WriteTo(wholeWriter{c}); errors.Is(err, os.ErrDeadlineExceeded) {
-		c.end("caller-cut", "cause", "the caller took nothing of its answer", "bound", c.gate.takeTimeout(), "bytes", b.body.Len(), "elapsed", time.Since(c.arrived))
+	_, err := b.body.WriteTo(c.newWholeWriter(b.body))
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, buffer.ErrFull) {
+		c.end("caller-cut", "cause", "the caller took nothing of its answer: "+err.Error(), "bound", c.gate.takeTimeout(), "bytes", b.body.Len(), "elapsed", time.Since(c.arrived))
 		c.gate.Metrics.callerCut()
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/forward/gate/memory.go
+++ b/internal/forward/gate/memory.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"agateward/internal/forward/backend"
@@ -219,16 +220,36 @@
 
 // wholeWriter writes an answer that was read whole to the caller, which has to take each part
 // within the gate's time.
-type wholeWriter struct{ c *call }
+type wholeWriter struct {
+	c     *call
+	claim *buffer.Claim
+}
 
-// Write writes b in parts.
+// newWholeWriter returns the writer of a body that readAnswer has read.
+func (c *call) newWholeWriter(b *body.Body) wholeWriter {
+	i := slices.IndexFunc(c.answers, func(h heldAnswer) bool { return h.body == b })
+	w := wholeWriter{c, c.answers[i].claim}
+	w.claim.SetTaken(func() { w.setDeadline(time.Unix(1, 0)) })
+	return w
+}
+
+func (w wholeWriter) setDeadline(t time.Time) {
+	_ = http.NewResponseController(w.c.w).SetWriteDeadline(t) // a writer without a connection, as in tests
+}
+
+// Write writes b in parts. It fails with the cause for which the claim was cut.
 func (w wholeWriter) Write(b []byte) (n int, err error) {
 	for n < len(b) && err == nil {
-		_ = http.NewResponseController(w.c.w).SetWriteDeadline(time.Now().Add(w.c.gate.takeTimeout()))
+		w.setDeadline(time.Now().Add(w.c.gate.takeTimeout()))
 		var k int
-		k, err = w.c.w.Write(b[n:min(len(b), n+takePart)])
+		if err = w.claim.Cut(); err == nil {
+			k, err = w.c.w.Write(b[n:min(len(b), n+takePart)])
+		}
 		n += k
 	}
+	if cause := w.claim.Cut(); err != nil && cause != nil {
+		err = cause
+	}
 	return n, err
 }
 
