fix(gate): a panic after the last line of its request is logged

What operators saw: no line of a panic that came after the request's last line, while the caller got another answer than that line tells.

Cause: failInternal writes through call.end, which writes one line at most.

Change: panic-after-end tells of it.

--- a/internal/forward/gate/calls.go
+++ b/internal/forward/gate/calls.go
@@ -177,8 +177,11 @@
 	if p != nil {
 		cause = fmt.Sprintf("panic: %.200v", p)
 	}
-	c.end("request-failed", "state", state.String(), "elapsed", time.Since(c.arrived), "sends", c.sends,
-		"error", cause, "stack", fmt.Sprintf("%.*s", maxPanicText, debug.Stack()))
+	kv := []any{"state", state.String(), "elapsed", time.Since(c.arrived), "sends", c.sends, "error", cause, "stack", fmt.Sprintf("%.*s", maxPanicText, debug.Stack())}
+	if c.ended.Load() {
+		c.log.Info("panic-after-end", kv...) // the last line may tell of another answer
+	}
+	c.end("request-failed", kv...)
 	g.Metrics.refused(code.Internal.Number)
 	if state == StateAnswering {
 		panic(http.ErrAbortHandler)
--- a/internal/forward/gate/calls_test.go
+++ b/internal/forward/gate/calls_test.go
@@ -142,3 +142,23 @@
 		t.Error("a second last line")
 	}
 }
+
+// faultyRetry is a dialect that panics as it writes the retry delay of a refusal.
+type faultyRetry struct{ dialect.Native }
+
+func (faultyRetry) RetryAfter(time.Duration) string { panic("fault at the retry delay") }
+
+// Guards against a panic that leaves no trace, as the last line of its request was written before
+// it: the line then tells of another answer than the caller got.
+func TestPanicAfterTheLastLineIsLogged(t *testing.T) {
+	var log logLines
+	s := newGateWith(t, func(g *gate.Gate) {
+		g.Dialect = faultyRetry{}
+		log.collect(g)
+		g.Refuse()
+	}, newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool { return ok(w, r, "fine") }))
+	got := do(t, s, "POST", "/unsafe/x", nil)
+	if n := log.count("fault at the retry delay"); n != 1 {
+		t.Errorf("%d lines of the panic; the caller got %d, %v; %d lines of a refusal with 503", n, got.status, got.err, log.count(`"status"=503`))
+	}
+}
