fix(sink): a log line has a bound

Seen (by reading, and a test): paths and ids of callers' requests and replies of upstreams that are no HTTP go into log lines whole, up to some hundred kilobytes quoted; 1,024 lines wait for an output that takes none.

Change: a line is cut at 8 KB and says so (cut=true), so that the queue holds 8 MB at most.

sink.TestLongLineIsCut failed before (lines of 65536 bytes).

--- a/internal/telemetry/sink/sink.go
+++ b/internal/telemetry/sink/sink.go
@@ -26,10 +26,16 @@
 	// preferredFactor is the rate of the lines of preferred events as a multiple of that of
 	// the others.
 	preferredFactor = 5
+	// maxLine bounds a line in bytes. Paths and ids of requests, and replies of upstreams that are
+	// no HTTP, may be as long as a head.
+	maxLine = 8 << 10
 	// closeTime is the time for which Close waits for the output.
 	closeTime = 200 * time.Millisecond
 )
 
+// cutMark ends a line that was cut.
+const cutMark = " cut=true\n"
+
 // Sink is a rate-limited writer of lines. It is safe for concurrent use.
 type Sink struct {
 	events map[string]bool
@@ -105,7 +111,13 @@
 		class.dropped++
 		return len(b), nil
 	}
-	s.lines <- append(s.report(), b...) // does not block: nothing else writes to it
+	line := s.report()
+	if len(b) > maxLine {
+		line = append(append(line, b[:maxLine-len(cutMark)]...), cutMark...)
+	} else {
+		line = append(line, b...)
+	}
+	s.lines <- line // does not block: nothing else writes to it
 	return len(b), nil
 }
 
--- a/internal/telemetry/sink/sink_test.go
+++ b/internal/telemetry/sink/sink_test.go
@@ -37,6 +37,23 @@
 	})
 }
 
+// Guards against lines that take the memory of the process while the output is slow: strangers
+// write parts of them.
+func TestLongLineIsCut(t *testing.T) {
+	for _, size := range []int{maxLine, maxLine + 1, 64 << 10} {
+		var b strings.Builder
+		s := New(&b, 3)
+		line := "level=INFO event=e cause=" + strings.Repeat("x", size-26) + "\n"
+		if n, err := s.Write([]byte(line)); n != size || err != nil {
+			t.Errorf("%d bytes: %d, %v", size, n, err)
+		}
+		s.Close()
+		if got := b.String(); len(got) != maxLine || strings.HasSuffix(got, cutMark) != (size > maxLine) {
+			t.Errorf("%d bytes: a line of %d bytes that ends in %q", size, len(got), got[len(got)-12:])
+		}
+	}
+}
+
 func TestReportsDroppedLines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var b strings.Builder
