fix(quota): levels of teams that no configuration names are bounded

Seen (by reading, and a test): the levels that a peer's message states are taken over for any name, and stay until the process ends; a message of 64 KB names some thousand teams.

Change: levels of new teams are taken over up to 16,384 teams.

quota.TestInventedTeamsAreBounded failed before (40000 teams).

--- a/internal/forward/quota/quota.go
+++ b/internal/forward/quota/quota.go
@@ -149,6 +149,10 @@
 	return levels
 }
 
+// maxInherited bounds the teams of which a peer's levels are taken over, to several times the
+// teams of a large configuration: a peer may name any.
+const maxInherited = 16 << 10
+
 // Inherit applies the levels of a peer's buckets after a restart. A peer that ran
 // before knows what was used; without it, a bucket starts with a part of the slack
 // alone. A level is taken once, and only if it is higher.
@@ -162,6 +166,7 @@
 	for team, level := range levels {
 		b := l.buckets[team]
 		switch {
+		case b == nil && len(l.buckets) >= maxInherited:
 		case b == nil:
 			l.buckets[team] = &bucket{level: level, created: now, updated: now, inherited: true}
 		case !b.inherited && now.Sub(b.created) < handoverTime:
--- a/internal/forward/quota/quota_test.go
+++ b/internal/forward/quota/quota_test.go
@@ -290,3 +290,18 @@
 		t.Errorf("%.0f tokens passed in 1 s, limit %.0f", sum, limit)
 	}
 }
+
+// Guards against memory that grows with the names of teams that a peer invents.
+func TestInventedTeamsAreBounded(t *testing.T) {
+	var l Ledger
+	for i := range 40 {
+		levels := make(map[string]float64)
+		for k := range 1000 {
+			levels[fmt.Sprint("team-", i, "-", k)] = 1
+		}
+		l.Inherit(levels, time.Unix(int64(i), 0))
+	}
+	if n := len(l.buckets); n > maxInherited {
+		t.Errorf("%d teams are kept, want at most %d", n, maxInherited)
+	}
+}
