fix(path): a second idle moment of a stopping entry does not panic

Cause: Path counts open requests and closes the channel idle whenever the count falls to 0 while it is stopping. A request that is refused later takes the count to 1 and to 0 again, so that idle was closed twice.

Change: idle is closed once, by checkIdle, which Stop and unregister share.

--- a/internal/entry/path/path.go
+++ b/internal/entry/path/path.go
@@ -65,11 +65,12 @@
 
 	mu    sync.Mutex
 	calls map[string]*call
-	// open counts requests between Open and Close. idle is closed when it falls to 0
-	// while the entry is stopping.
+	// open counts requests between Open and Close. idle is closed when it first is 0
+	// while the entry is stopping; requests that are refused later are counted too.
 	open     int
 	stopping bool
 	idle     chan struct{}
+	idleOnce sync.Once
 	detached conc.WaitGroup
 }
 
@@ -177,8 +178,14 @@
 	_ = p.withdraw(c)
 	delete(p.calls, q.ID)
 	p.open--
+	p.checkIdle()
+}
+
+// checkIdle closes idle if the entry is stopping and no request is open. It must be called
+// with mu held.
+func (p *Path) checkIdle() {
 	if p.stopping && p.open == 0 {
-		close(p.idle)
+		p.idleOnce.Do(func() { close(p.idle) })
 	}
 }
 
@@ -225,12 +232,8 @@
 func (p *Path) Stop(ctx context.Context) error {
 	p.mu.Lock()
 	p.Scheduler.Stop(p.Clock.Now())
-	if !p.stopping {
-		p.stopping = true
-		if p.open == 0 {
-			close(p.idle)
-		}
-	}
+	p.stopping = true
+	p.checkIdle()
 	p.mu.Unlock()
 	select {
 	case <-p.idle:
