fix(program): requests that arrive at a planned stop are refused, not dropped

What callers saw: a connection that was closed without an answer, for a request to agateward entry of which half the head had arrived at the end of the balancer's lag, on a new connection or on a kept one.

Cause: Program.stop called SetKeepAlivesEnabled(false), which closes kept connections without a request even if half a head has arrived, and http.Server.Shutdown, after which net/http returns without an answer once it has read a request whole.

Change: the callers' listener and connections are tracked by forward/connections. Once the lag is over, new requests are refused by the scheduler as before (503, code 2008, not run; a key that ran gets its recorded answer), and answers announce that their connection ends. Once no request is open the outcomes are written, then connections without a request end, and the stop waits until those that carry one are answered, or the grace is over (`connections-cut`). Outcomes are written before this wait, as a body that does not arrive must not take the time for them. limitedListener passes on the deadline that netutil.LimitListener hides, so that the listener takes what waits before it closes.

What is refused did not run.

--- a/internal/caller/surface/surface.go
+++ b/internal/caller/surface/surface.go
@@ -47,7 +47,10 @@
 	// Config returns the current configuration, nil while there is none.
 	Config func() *ward.Config
 	// Open runs a request and returns its answer.
-	Open    func(ctx context.Context, q *ward.Request) (ward.Answer, error)
+	Open func(ctx context.Context, q *ward.Request) (ward.Answer, error)
+	// Ending reports whether connections end after their answers, as they do when the entry
+	// exits. They do not if it is nil.
+	Ending  func() bool
 	Clock   ward.Clock
 	Log     logr.Logger
 	Metrics *metric.Set
@@ -94,9 +97,17 @@
 		s.Log.Error(nil, "request-panic", "value", v, "stack", string(debug.Stack()))
 		panic(http.ErrAbortHandler)
 	}()
+	s.announceEnd(w)
 	s.router.ServeHTTP(w, r)
 }
 
+// announceEnd tells the caller that its connection ends after the answer, if it does.
+func (s *Surface) announceEnd(w http.ResponseWriter) {
+	if s.Ending != nil && s.Ending() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func (s *Surface) refuseHandler(c code.Code, text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		refusal.Of(c.New("%s", text), "").Write(w)
@@ -124,6 +135,7 @@
 	if err != nil {
 		s.Metrics.Refused(code.Of(err), 0)
 		s.Log.V(log.LevelDebug).Info("request-refused", "code", code.Of(err).Number, "text", code.Text(err))
+		s.announceEnd(w)
 		refusal.Of(err, "").Write(w)
 		return
 	}
@@ -136,7 +148,7 @@
 	s.Explain.Add(q.ID, explain.Hop{At: q.Arrived, Name: "arrive", Text: "team " + q.Team + ", route " + q.Route})
 	w.Header().Set(HeaderRequest, q.ID)
 
-	out := &writer{w: w, rc: http.NewResponseController(w), timeout: s.WriteTimeout, clock: s.Clock, stream: q.Stream}
+	out := &writer{w: w, rc: http.NewResponseController(w), timeout: s.WriteTimeout, clock: s.Clock, stream: q.Stream, beforeHead: s.announceEnd}
 	err = s.answer(ctx, q, out)
 	s.finish(q, out, err)
 }
@@ -202,6 +214,7 @@
 	switch {
 	case !out.begun:
 		out.extendDeadline()
+		s.announceEnd(out.w)
 		f.Write(out.w)
 	case q.Stream && c.Number != code.CallerGone.Number:
 		out.extendDeadline()
--- a/internal/caller/surface/writer.go
+++ b/internal/caller/surface/writer.go
@@ -18,6 +18,8 @@
 	timeout time.Duration
 	clock   ward.Clock
 	stream  bool
+	// beforeHead may add fields to the head of the answer before it is written.
+	beforeHead func(w http.ResponseWriter)
 	// status and header are the head of the answer, buffered the body so far of an
 	// answer that is not a stream.
 	status   int
@@ -80,6 +82,7 @@
 	if !w.begun {
 		w.begun = true
 		maps.Copy(w.w.Header(), w.header)
+		w.beforeHead(w.w)
 		w.w.WriteHeader(w.status)
 	}
 	if len(b) == 0 {
--- a/internal/entry/program/compose.go
+++ b/internal/entry/program/compose.go
@@ -69,10 +69,28 @@
 		}
 		*l.at = listener
 	}
-	p.listeners.callers = netutil.LimitListener(p.listeners.callers, p.settings.Callers.MaxConnections)
+	p.listeners.callers = p.connections.Listen(&limitedListener{
+		Listener: netutil.LimitListener(p.listeners.callers, p.settings.Callers.MaxConnections),
+		all:      p.listeners.callers,
+	})
 	return nil
 }
 
+// limitedListener limits the number of open connections. The listener of netutil has no
+// deadline, which the connections tracker needs.
+type limitedListener struct {
+	net.Listener
+	all net.Listener
+}
+
+// SetDeadline bounds the wait for connections.
+func (l *limitedListener) SetDeadline(t time.Time) error {
+	if d, ok := l.all.(interface{ SetDeadline(t time.Time) error }); ok {
+		return d.SetDeadline(t)
+	}
+	return errors.ErrUnsupported
+}
+
 func (p *Program) closeListeners() {
 	for _, l := range []net.Listener{p.listeners.callers, p.listeners.operators, p.listeners.peers} {
 		if l != nil {
@@ -121,8 +139,10 @@
 			Entry: s.Name, DefaultDeadline: s.Requests.DefaultDeadline.Std(), MaxDeadline: s.Requests.MaxDeadline.Std(),
 		},
 		MaxBody: s.Callers.MaxBody, WriteTimeout: s.Callers.WriteTimeout.Std(), Config: p.holder.Current, Open: p.path.Open,
-		Clock: p.clock, Log: p.log, Metrics: p.metrics, Trace: p.trace, Explain: p.explain,
+		Ending: p.exiting.Load,
+		Clock:  p.clock, Log: p.log, Metrics: p.metrics, Trace: p.trace, Explain: p.explain,
 	}))
+	p.callers.ConnState = p.connections.StateChanged
 	p.operators = p.server(operators.New(operators.Deps{
 		Key: access.New(s.Operators.Key),
 		Acceptance: &acceptance.Acceptance{
@@ -179,6 +199,15 @@
 	return err
 }
 
+// ignoreExit returns nil when err means that the server was closed or that its listener ended
+// at the exit, or else err.
+func (p *Program) ignoreExit(err error) error {
+	if p.exiting.Load() && errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return ignoreServerClosed(err)
+}
+
 // ready returns nil when the entry accepts requests.
 func (p *Program) ready() error {
 	if p.stopping.Load() {
--- a/internal/entry/program/program.go
+++ b/internal/entry/program/program.go
@@ -22,6 +22,7 @@
 
 	"agateward/internal/config/settings"
 	"agateward/internal/entry/path"
+	"agateward/internal/forward/connections"
 	"agateward/internal/move/split"
 	"agateward/internal/operator/notice"
 	"agateward/internal/platform/client"
@@ -64,11 +65,15 @@
 	lastSplits []ward.Split
 
 	listeners listeners
-	callers   *http.Server
-	operators *http.Server
-
-	started     time.Time
-	stopping    atomic.Bool
+	// connections are those of callers.
+	connections connections.Tracker
+	callers     *http.Server
+	operators   *http.Server
+
+	started  time.Time
+	stopping atomic.Bool
+	// exiting is true once requests that arrive are refused.
+	exiting     atomic.Bool
 	incarnation ward.Incarnation
 	killed      chan struct{}
 	killOnce    sync.Once
@@ -126,7 +131,7 @@
 		{"reports", p.reports.Run},
 		{"moves", p.mover.Run},
 		{"state", p.runExchange},
-		{"callers", func(context.Context) error { return ignoreServerClosed(p.callers.Serve(p.listeners.callers)) }},
+		{"callers", func(context.Context) error { return p.ignoreExit(p.callers.Serve(p.listeners.callers)) }},
 		{"operators", func(context.Context) error { return ignoreServerClosed(p.operators.Serve(p.listeners.operators)) }},
 	}
 }
