feat(soak): planned work alone, with lost requests as the rule counts them

What callers saw: requests lost around planned stops that no soak showed. Cause: failures come every 0.7 s in a soak, and each excuses lost requests from 4 s before them on; only one entry stopped at a time; SIGHUP never came during a stop; late requests had no body and came on connections in use.

A reload also reaches an entry that stops. Each stop gets eight late requests: half of them on connections opened up to 1.5 s before, a third with a body in up to three parts. The balancer uses all entries once fewer than half are in rotation. The ledger also finds requests that were closed without an answer later than LossSlack (200 ms, the platform's bound) after their last byte, though no upstream ran them.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -29,6 +29,7 @@
 			&cli.DurationFlag{Name: "length", Value: 30 * time.Second, Usage: "`TIME` that one seed runs"},
 			&cli.IntFlag{Name: "entries", Value: 5, Usage: "`NUMBER` of entries"},
 			&cli.IntFlag{Name: "callers", Value: 24, Usage: "`NUMBER` of callers"},
+			&cli.BoolFlag{Name: "planned", Usage: "only planned work and silences of upstreams: no request may be lost"},
 			&cli.StringFlag{Name: "dir", Required: true, Usage: "`DIRECTORY` for settings and logs"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -41,7 +42,7 @@
 				s := run.Soak{
 					Program: program, Dir: filepath.Join(c.String("dir"), fmt.Sprint("seed-", c.Uint64("seed")+i)), Seed: c.Uint64("seed") + i,
 					Length: c.Duration("length"), Entries: c.Int("entries"), Callers: c.Int("callers"),
-					Store: &standin.Store{}, Dialect: standin.Headers{},
+					Planned: c.Bool("planned"), Store: &standin.Store{}, Dialect: standin.Headers{},
 				}
 				found, err := soakSeed(ctx, c, &s)
 				if err != nil {
--- a/cmd/soak_test.go
+++ b/cmd/soak_test.go
@@ -42,3 +42,16 @@
 		t.Errorf("exit code %d, logs %v", got, logs)
 	}
 }
+
+// Guards against requests that are lost around planned work: the faults of the other soaks excuse
+// most of them, so that these show none.
+func TestPlannedSoak(t *testing.T) {
+	t.Setenv(runAsProgramEnv, "1")
+	dir := t.TempDir()
+	got := Run(context.Background(), []string{"agateward", "soak", "--planned", "--seed", "1", "--length", "16s", "--entries", "4", "--callers", "16", "--dir", dir})
+	if got == ExitOK {
+		return
+	}
+	b, err := os.ReadFile(filepath.Join(dir, "seed-1", "soak.log"))
+	t.Errorf("exit code %d (%v):\n%s", got, err, b)
+}
--- a/internal/soak/caller/caller.go
+++ b/internal/soak/caller/caller.go
@@ -10,6 +10,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -44,6 +45,8 @@
 	Key        string
 	// Parts lists the shared parts of the prompt, none without a prompt.
 	Parts []ward.PromptPart
+	// Pauses come before the parts of its body, none for a request without a body.
+	Pauses []time.Duration
 	// LeaveAfter is when the caller closes the connection, 0 for never.
 	LeaveAfter time.Duration
 }
@@ -96,6 +99,29 @@
 	c.send(client, second)
 }
 
+// SendLater opens a connection, calls wait, and sends one request on it. It sends nothing if
+// there is no connection.
+func (c *Caller) SendLater(req Request, wait func()) {
+	conn, err := net.DialTimeout("tcp", req.Address, dialTimeout)
+	if err != nil {
+		return // the entry has exited
+	}
+	wait()
+	client := newClient()
+	defer client.CloseIdleConnections()
+	opened := false
+	client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
+		if opened {
+			return nil, errOneConnection
+		}
+		opened = true
+		return conn, nil
+	}
+	c.send(client, req)
+}
+
+var errOneConnection = errors.New("the request has one connection")
+
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		DialContext:        (&net.Dialer{Timeout: dialTimeout}).DialContext,
@@ -103,9 +129,24 @@
 	}}
 }
 
+// partedBody is a body that is read in parts, each after a pause.
+type partedBody struct{ pauses []time.Duration }
+
+func (b *partedBody) Read(p []byte) (int, error) {
+	if len(b.pauses) == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(b.pauses[0])
+	b.pauses = b.pauses[1:]
+	return copy(p, "part"), nil
+}
+
 // send sends a request, and records it and its answer in the ledger.
 func (c *Caller) send(client *http.Client, req Request) (ledger.Answer, time.Duration) {
 	req.Sent = time.Now()
+	for _, d := range req.Pauses {
+		req.BodyTime += d
+	}
 	c.Ledger.Sent(req.Request)
 	a, after := c.exchange(client, req)
 	c.Ledger.Answered(req.ID, a, time.Now())
@@ -123,7 +164,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	// The transport never retries a POST without a body.
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+req.Address+req.Path, nil)
+	var body io.Reader
+	if req.Pauses != nil {
+		body = &partedBody{req.Pauses}
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+req.Address+req.Path, body)
 	if err != nil {
 		return ledger.Answer{Fault: err.Error()}, 0
 	}
--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -42,6 +42,8 @@
 	Entry string
 	Start int
 	Sent  time.Time
+	// BodyTime is the time over which its body is sent.
+	BodyTime time.Duration
 	// Timeout is the time-out of the route.
 	Timeout time.Duration
 	// Version is the only configuration version that has the route, or 0 when all
@@ -237,9 +239,7 @@
 	if code.PromisesNotRun(a.Status) && len(r.runs) > 0 {
 		l.addFinding(r.refusalPromise(), id, now, "status %d promises that it has not run, but it has", a.Status)
 	}
-	if !a.Complete && !r.MayLeave && len(r.runs) > 0 && l.undisturbed(r.Sent, now) && now.Sub(r.Sent) < r.Timeout && !l.outlasted(r, now) {
-		l.addFinding("planned-stop", id, now, "status %d and no complete answer from %s, with no disturbance other than planned stops", a.Status, r.Entry)
-	}
+	l.checkLoss(r, a, now)
 	if r.silent != "" && !a.Complete && !r.MayLeave && now.Sub(r.Sent) < r.Timeout && !l.interrupted(r, now) {
 		l.addFinding("silence", id, now, "status %d, complete %v, from %s %s after it was sent; ran at %v, where %s was silent and went on", a.Status, a.Complete, r.Entry, now.Sub(r.Sent), r.upstreams, r.silent)
 	}
@@ -251,6 +251,19 @@
 	}
 }
 
+// checkLoss checks a request without a complete answer beside planned disturbances only.
+func (l *Ledger) checkLoss(r *record, a Answer, now time.Time) {
+	since := now.Sub(r.Sent)
+	if a.Complete || r.MayLeave || since >= r.Timeout || !l.undisturbed(r.Sent, now) || l.outlasted(r, now) {
+		return
+	}
+	if len(r.runs) > 0 {
+		l.addFinding("planned-stop", r.ID, now, "status %d and no complete answer from %s, with no disturbance other than planned stops", a.Status, r.Entry)
+	} else if late := since - r.BodyTime; a.Status == 0 && late > l.Bounds.LossSlack {
+		l.addFinding("unanswered", r.ID, now, "%s closed the connection without an answer, %s after the last byte, with no disturbance other than planned stops", r.Entry, late)
+	}
+}
+
 // checkVersion checks a request on a route that only one configuration version has.
 func (l *Ledger) checkVersion(r *record, a Answer, now time.Time) {
 	if l.disturbed(r.Sent, now, func(d disturbance) bool { return d.target == r.Entry }) {
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -134,6 +134,18 @@
 			l.Ran("r", "i-1", "t", at(3.2))
 			l.Answered("r", Answer{Status: 200}, at(3.6))
 		}, "planned-stop"},
+		{"closed without an answer long after its last byte", func(l *Ledger) {
+			r := request(ward.ForwardSafe, 0)
+			r.BodyTime = 500 * time.Millisecond
+			l.Sent(r)
+			l.Answered("r", Answer{}, at(0.8))
+		}, "unanswered"},
+		{"closed without an answer right after its last byte", func(l *Ledger) {
+			r := request(ward.ForwardSafe, 0)
+			r.BodyTime = 700 * time.Millisecond
+			l.Sent(r)
+			l.Answered("r", Answer{}, at(0.8))
+		}, ""},
 		{"interrupted by a kill", func(l *Ledger) {
 			l.Disturb("entry-1", false, at(0.3))
 			l.Sent(request(ward.ForwardSafe, 0.1))
--- a/internal/soak/ledger/window.go
+++ b/internal/soak/ledger/window.go
@@ -19,6 +19,9 @@
 	// has to stop, if its request was sent no later than EarlyRequest after the signal. No
 	// stop may if Grace is 0.
 	Grace, EarlyRequest time.Duration
+	// LossSlack is how long after its last byte a request that did not run may lose its
+	// connection: it may not have been read.
+	LossSlack time.Duration
 	// Quotas are the quotas by team. Over QuotaWindow a team may exceed its quota by
 	// the share QuotaOvershoot and QuotaSlack requests.
 	Quotas         map[string]Quota
@@ -51,7 +54,7 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		Recovery: 4 * time.Second, Config: 3 * time.Second, StaleConfig: 250 * time.Millisecond,
-		Drain: 3 * time.Second, LateAnswer: 500 * time.Millisecond, EarlyRequest: 3 * time.Second,
+		Drain: 3 * time.Second, LateAnswer: 500 * time.Millisecond, EarlyRequest: 3 * time.Second, LossSlack: 200 * time.Millisecond,
 		QuotaWindow: 8 * time.Second, QuotaOvershoot: 0.1,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second,
 		Contact: 3 * time.Second, Crashes: 5, RequestCrashes: 3, CrashRequests: 3, SoundShare: 0.5, SoundRequests: 20,
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -18,12 +18,15 @@
 // Kinds of fault.
 const (
 	// EntryStop, EntryKill and EntryPause stop, kill and pause one entry by a signal.
-	// EntryReload makes it read its settings again. AllKill kills all entries at once.
+	// EntryReload makes it read its settings again, also while it stops. AllKill kills all
+	// entries at once.
 	EntryStop   Kind = "entry-stop"
 	EntryKill   Kind = "entry-kill"
 	EntryPause  Kind = "entry-pause"
 	EntryReload Kind = "entry-reload"
 	AllKill     Kind = "all-kill"
+	// EntriesStop stops most entries, within Duration of each other.
+	EntriesStop Kind = "entries-stop"
 	// StoreFault injects the fault Variant into the store. StoreCompact drops its
 	// history. StoreLink disturbs the connections of one entry to it, as Variant.
 	StoreFault   Kind = "store-fault"
@@ -111,6 +114,12 @@
 	meanLimitInterval = 8 * time.Second
 	minLimitTime      = 5 * time.Second
 	maxLimitTime      = 9 * time.Second
+	// meanStopsInterval, meanReloadInterval and meanChangeInterval are the mean times between
+	// stops of most entries, reloads of one and changes of the configuration in a plan without
+	// failures.
+	meanStopsInterval  = 3 * time.Second
+	meanReloadInterval = 300 * time.Millisecond
+	meanChangeInterval = 1500 * time.Millisecond
 	// settleTime is the time without faults at the beginning, for the start, and at the
 	// end, for the recovery.
 	settleTime = 3 * time.Second
@@ -193,6 +202,26 @@
 	return list
 }
 
+// Planned draws only planned work: stops of most entries, reloads and new configurations, beside
+// silences of sound upstreams. No answer may be lost under it, whereas failures, which New draws
+// too, excuse most of them.
+func Planned(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 10))
+	list := append(silences(seed, length), engineSilences(seed, length)...)
+	for _, w := range []struct {
+		kind Kind
+		mean time.Duration
+	}{{EntriesStop, meanStopsInterval}, {EntryReload, meanReloadInterval}, {Configure, meanChangeInterval}} {
+		for at := settleTime; at < length-settleTime; at += minDuration + time.Duration(r.ExpFloat64()*float64(w.mean)) {
+			f := newFault(r, at)
+			f.Kind = w.kind
+			list = append(list, f)
+		}
+	}
+	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
+	return list
+}
+
 // newFault returns a fault without a kind at the given time.
 func newFault(r *rand.Rand, at time.Duration) Fault {
 	return Fault{At: at, Target: r.IntN(1 << 16), Duration: minDuration + time.Duration(r.Float64()*float64(maxDuration-minDuration))}
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -42,6 +42,20 @@
 	}
 }
 
+// Guards against failures in a plan of planned work: they excuse lost requests.
+func TestPlanned(t *testing.T) {
+	kinds := make(map[Kind]bool)
+	for seed := range uint64(20) {
+		for _, f := range Planned(seed, 20*time.Second) {
+			kinds[f.Kind] = true
+		}
+	}
+	want := map[Kind]bool{EntriesStop: true, EntryReload: true, Configure: true, UpstreamSilence: true, EnginesSilence: true}
+	if !reflect.DeepEqual(kinds, want) {
+		t.Errorf("kinds %v, want %v", kinds, want)
+	}
+}
+
 func isOfAnswers(f Fault) bool {
 	switch f.Kind {
 	case UpstreamRanRefused, UpstreamRepeat, EnginesRefuse, UpstreamLeave, UpstreamPause:
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -37,9 +37,11 @@
 	Length       time.Duration
 	// Entries and Callers are the numbers of entries and callers.
 	Entries, Callers int
-	Store            ward.StandinStore
-	Dialect          ward.StandinDialect
-	Log              logr.Logger
+	// Planned leaves out failures: there is only planned work, and silences of upstreams.
+	Planned bool
+	Store   ward.StandinStore
+	Dialect ward.StandinDialect
+	Log     logr.Logger
 
 	ledger   ledger.Ledger
 	server   *http.Server
@@ -88,6 +90,9 @@
 	ctx, stop := context.WithTimeout(ctx, s.Length)
 	defer stop()
 	faults := plan.New(s.Seed, s.Length, s.Store.Faults())
+	if s.Planned {
+		faults = plan.Planned(s.Seed, s.Length)
+	}
 	var wg conc.WaitGroup
 	for range s.Callers {
 		wg.Go(func() {
@@ -195,8 +200,8 @@
 	}
 }
 
-// drawEntry returns an entry to which a balancer would send a new connection. The caller
-// must hold mu.
+// drawEntry returns an entry to which a balancer would send a new connection: any, if it
+// would use fewer than half of them. The caller must hold mu.
 func (s *Soak) drawEntry(r *rand.Rand) *entry {
 	var open []*entry
 	for _, e := range s.entries {
@@ -204,7 +209,7 @@
 			open = append(open, e)
 		}
 	}
-	if len(open) == 0 {
+	if 2*len(open) < len(s.entries) {
 		open = s.entries
 	}
 	return open[r.IntN(len(open))]
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -27,8 +27,14 @@
 	drainTime = 4 * time.Second
 	// graceSlack is how long after its grace period a process may end.
 	graceSlack = time.Second
-	// lateRequests is the number of requests on kept connections to an entry that stops.
-	lateRequests = 4
+	// lateRequests is the number of requests to an entry that stops, at any time of its grace.
+	lateRequests = 8
+	// maxUnused is the longest time for which a new connection carries nothing before such a
+	// request. A third of the requests have a body in up to maxParts parts, each at most
+	// maxPartInterval after the one before.
+	maxUnused       = 1500 * time.Millisecond
+	maxParts        = 3
+	maxPartInterval = 300 * time.Millisecond
 )
 
 // injectFault injects one fault and removes it after its duration.
@@ -57,12 +63,10 @@
 				s.release(&e.busy)
 			}
 		}
+	case plan.EntriesStop:
+		s.stopEntries(ctx, f)
 	case plan.EntryStop, plan.EntryKill, plan.EntryPause, plan.EntryReload, plan.StoreLink:
-		e := s.entries[f.Target%len(s.entries)]
-		if s.tryAcquire(&e.busy) {
-			s.injectEntryFault(ctx, e, f)
-			s.release(&e.busy)
-		}
+		s.injectEntryFault(ctx, s.entries[f.Target%len(s.entries)], f)
 	case plan.UpstreamRanRefused, plan.UpstreamRepeat, plan.UpstreamPause, plan.UpstreamLimit:
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
 	case plan.UpstreamSilence:
@@ -82,7 +86,15 @@
 	}
 }
 
+// injectEntryFault injects a fault of one entry, unless another one affects it.
 func (s *Soak) injectEntryFault(ctx context.Context, e *entry, f plan.Fault) {
+	if !s.tryAcquire(&e.busy) {
+		if f.Kind == plan.EntryReload {
+			s.reloadStopping(e)
+		}
+		return
+	}
+	defer s.release(&e.busy)
 	switch f.Kind {
 	case plan.EntryKill:
 		s.restart(ctx, e, f.Duration)
@@ -102,35 +114,87 @@
 		e.link.Set(proxy.Pass)
 		end(time.Now())
 	case plan.EntryStop:
-		defer s.askLate(e, f).Wait()
-		end := s.ledger.Disturb(e.name, true, time.Now())
-		e.Signal(syscall.SIGTERM)
-		noticed := time.AfterFunc(balancerNotice, func() { s.setInRotation(e, false) })
-		if !e.Await(grace + graceSlack) {
-			s.ledger.Report("grace", e.name, time.Now(), "is still running %s after the signal to stop", grace+graceSlack)
-			e.Kill()
-		}
-		noticed.Stop()
-		s.logError(e.Start())
-		s.setInRotation(e, true)
-		end(time.Now())
+		s.stopEntry(e, f)
 	}
 }
 
-// askLate keeps connections to an entry that is about to be stopped, and sends requests on
-// them later in its grace.
+// stopEntry stops an entry as planned and starts it again.
+func (s *Soak) stopEntry(e *entry, f plan.Fault) {
+	defer s.askLate(e, f).Wait()
+	end := s.ledger.Disturb(e.name, true, time.Now())
+	e.Signal(syscall.SIGTERM)
+	s.setStopping(e, true)
+	noticed := time.AfterFunc(balancerNotice, func() { s.setInRotation(e, false) })
+	if !e.Await(grace + graceSlack) {
+		s.ledger.Report("grace", e.name, time.Now(), "is still running %s after the signal to stop", grace+graceSlack)
+		e.Kill()
+	}
+	noticed.Stop()
+	s.setStopping(e, false)
+	s.logError(e.Start())
+	s.setInRotation(e, true)
+	end(time.Now())
+}
+
+// stopEntries stops all entries but one, within the duration of f of each other.
+func (s *Soak) stopEntries(ctx context.Context, f plan.Fault) {
+	r := rand.New(rand.NewPCG(s.Seed, uint64(f.At)))
+	var wg conc.WaitGroup
+	for i := range len(s.entries) - 1 {
+		e, after := s.entries[(f.Target+i)%len(s.entries)], time.Duration(r.Float64()*float64(f.Duration))
+		wg.Go(func() {
+			sleep(ctx, after)
+			if s.tryAcquire(&e.busy) {
+				s.stopEntry(e, plan.Fault{At: f.At + after})
+				s.release(&e.busy)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// reloadStopping makes an entry read its settings again if it stops.
+func (s *Soak) reloadStopping(e *entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.stopping {
+		e.Signal(syscall.SIGHUP)
+	}
+}
+
+func (s *Soak) setStopping(e *entry, stopping bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.stopping = stopping
+}
+
+// askLate opens connections to an entry that is about to be stopped, and sends requests on
+// them and on later ones in its grace. Bodies may come in parts.
 func (s *Soak) askLate(e *entry, f plan.Fault) *conc.WaitGroup {
 	r := rand.New(rand.NewPCG(s.Seed, uint64(f.At)))
 	var wg conc.WaitGroup
 	var kept sync.WaitGroup
-	for range lateRequests {
+	for i := range lateRequests {
 		at := time.Now().Add(time.Duration(r.Float64() * float64(grace)))
-		first, late := s.newRequest(e), s.newRequest(e)
+		late, c := s.newRequest(e), caller.Caller{Dialect: s.Dialect, Ledger: &s.ledger}
+		if r.IntN(3) == 0 {
+			for range 1 + r.IntN(maxParts) {
+				late.Pauses = append(late.Pauses, time.Duration(r.Float64()*float64(maxPartInterval)))
+			}
+		}
+		if i%2 == 0 {
+			open := at.Add(-time.Duration(r.Float64() * float64(maxUnused)))
+			wg.Go(func() {
+				time.Sleep(time.Until(open))
+				c.SendLater(late, func() { time.Sleep(time.Until(at)) })
+			})
+			continue
+		}
+		first := s.newRequest(e)
 		first.Path, first.Kind, first.Resumable, first.Service, first.Timeout = "/stock/x", ward.ForwardSafe, false, orders, restTimeout
 		first.Version, first.MayLeave, first.LeaveAfter = 0, false, 0
 		kept.Add(1)
 		wg.Go(func() {
-			c := caller.Caller{Dialect: s.Dialect, Ledger: &s.ledger}
 			c.SendTwice(first, late, func() {
 				kept.Done()
 				time.Sleep(time.Until(at))
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -57,6 +57,8 @@
 	// inRotation is set while a balancer would send new connections to the entry.
 	inRotation bool
 	busy       bool
+	// stopping is set from the signal to stop to the exit of the process.
+	stopping bool
 }
 
 // replica is one replica of a service. Its upstream is replaced over time.
