--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -45,9 +45,11 @@
 	body  []byte
 	// bodyRead is true once the whole body was read.
 	bodyRead bool
-	// held is the number of bytes that the request has claimed of Gate.Buffers.
-	held int
-	size float64
+	// held is the number of bytes of the body that are claimed of Gate.Buffers, answers holds
+	// the answers that were read whole.
+	held    int
+	answers []heldAnswer
+	size    float64
 	// digest identifies the request by its content, 0 until it is needed.
 	digest uint64
 	// deadline follows from the caller's timeout and the route's; zero means none.
@@ -185,7 +187,7 @@
 		c.body = make([]byte, n)
 		_, err = io.ReadFull(c.r.Body, c.body)
 	} else {
-		c.body, err = c.readHeld(c.r.Body, limit, c.hold)
+		c.body, err = c.readHeld(c.r.Body, limit)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.gate.ending.Err() != nil {
 		return code.Stopping.Wrap(errExit, "read the body")
@@ -307,9 +309,6 @@
 	c.gate.Metrics.notRunPromised(k.Status, sourceEntry, c.sends)
 	c.dropBody()
 	h := c.w.Header()
-	if c.gate.shutdown.Load() != nil {
-		h.Set("Connection", "close") // the stop may have begun after the request
-	}
 	if retry > 0 {
 		h.Set("Retry-After", c.gate.Dialect.RetryAfter(retry))
 	}
--- a/internal/forward/gate/calls.go
+++ b/internal/forward/gate/calls.go
@@ -177,8 +177,11 @@
 	if p != nil {
 		cause = fmt.Sprintf("panic: %.200v", p)
 	}
-	c.end("request-failed", "state", state.String(), "elapsed", time.Since(c.arrived), "sends", c.sends,
-		"error", cause, "stack", fmt.Sprintf("%.*s", maxPanicText, debug.Stack()))
+	kv := []any{"state", state.String(), "elapsed", time.Since(c.arrived), "sends", c.sends, "error", cause, "stack", fmt.Sprintf("%.*s", maxPanicText, debug.Stack())}
+	if c.ended.Load() {
+		c.log.Info("panic-after-end", kv...) // the last line may tell of another answer
+	}
+	c.end("request-failed", kv...)
 	g.Metrics.refused(code.Internal.Number)
 	if state == StateAnswering {
 		panic(http.ErrAbortHandler)
@@ -204,14 +207,19 @@
 	g.apply(g.sched.Done(c.job.ID, schedule.OutcomeNeutral, time.Now()))
 }
 
-// answerWriter notes when the answer to a request begins.
+// answerWriter notes when the answer to a request begins. After the begin of a stop it makes
+// the answer close its connection.
 type answerWriter struct {
 	http.ResponseWriter
+	gate *Gate
 	call *lifecycle
 }
 
 func (w *answerWriter) WriteHeader(status int) {
 	w.call.enter(StateAnswering)
+	if w.gate.shutdown.Load() != nil {
+		w.Header().Set("Connection", "close")
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
--- a/internal/forward/gate/gate.go
+++ b/internal/forward/gate/gate.go
@@ -52,8 +52,8 @@
 // The store usually answers within a few milliseconds.
 const configWait = 250 * time.Millisecond
 
-// Gate serves callers. All fields but Metrics, Rollout, Relay, Ignored and ProgressTimeout
-// must be set, and Prepare called.
+// Gate serves callers. All fields but Metrics, Rollout, Relay, Ignored, ProgressTimeout
+// and TakeTimeout must be set, and Prepare called.
 type Gate struct {
 	Dialect ward.Dialect
 	View    *view.View
@@ -67,6 +67,9 @@
 	// ProgressTimeout bounds the time until the answer, or the next event, of a request
 	// without a timeout of the caller or the route; 0 means DefaultProgressTimeout.
 	ProgressTimeout time.Duration
+	// TakeTimeout bounds the time in which a caller takes the next part of an answer that was
+	// read whole; 0 means DefaultTakeTimeout.
+	TakeTimeout time.Duration
 	// SendGrant grants a slot of an upstream to a peer. It must not block.
 	SendGrant func(a schedule.Action)
 	// SendLending sends a message about lent slots to an entry of another cell, nil if
@@ -164,7 +167,7 @@
 		g.Rollout = &rollout.Rollout{}
 	}
 	g.Metrics.limited(g.limited)
-	g.Buffers.SetTotal(int64(bufferFraction * float64(s.Memory)))
+	g.Buffers.SetTotal(bounds(s.Memory))
 	g.Metrics.buffers(&g.Buffers)
 	g.Metrics.evacuated(g.View.Evacuated)
 	g.Metrics.cold(g.coldUpstreams)
@@ -425,12 +428,9 @@
 
 func (g *Gate) serve(c *call) {
 	c.log = c.log.WithValues("request", g.loggedID(c.r))
-	c.w = &answerWriter{ResponseWriter: c.w, call: &c.lifecycle}
+	c.w = &answerWriter{ResponseWriter: c.w, gate: g, call: &c.lifecycle}
 	g.calls.add(c)
 	defer g.finish(c)
-	if g.shutdown.Load() != nil {
-		c.w.Header().Set("Connection", "close")
-	}
 	c.unboundWrite()
 	if g.refusing.Load() {
 		c.refuseUnread()
