--- a/internal/soak/process/process.go
+++ b/internal/soak/process/process.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +41,10 @@
 		return fmt.Errorf("open the log of a process: %w", err)
 	}
 	defer func() { _ = log.Close() }() // the process has its own handle
+	// While this process handles SIGHUP, the new one does not inherit that nohup ignores it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	proc, err := os.StartProcess(p.Program, append([]string{p.Program}, p.Args...), &os.ProcAttr{
 		Env: os.Environ(), Files: []*os.File{nil, log, log},
 	})
