test(soak): upstreams that answer without end, and the memory of entries

A new kind of fault, upstream-endless: for 0.5 to 1.5 s, every 8 s on average, every second answer of an upstream is a body or an event without end. It has random numbers of its own, so that the other faults of a seed stay. It excuses answers that are cut, as a disturbed link does. Entries run with limits.memory 284; one whose peak is above it at the end is a finding (promise memory).

--- a/cmd/endless_test.go
+++ b/cmd/endless_test.go
@@ -127,7 +127,6 @@
 
 // entryProcess is an entry that runs as a process of its own.
 type entryProcess struct {
-	t       *testing.T
 	process process.Process
 	address string
 }
@@ -165,7 +164,7 @@
 	}
 	t.Setenv(runAsProgramEnv, "1")
 	args := []string{"forward", "--settings", file("settings.jsonc", settings), "--routes", file("routes.jsonc", routes)}
-	e := &entryProcess{t: t, address: ports[0], process: process.Process{Program: os.Args[0], Args: args, Log: file("log", "")}}
+	e := &entryProcess{address: ports[0], process: process.Process{Program: os.Args[0], Args: args, Log: file("log", "")}}
 	if err := e.process.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -198,20 +197,6 @@
 	return list
 }
 
-// peakMemory returns the highest resident size of the process so far, in megabytes.
-func (e *entryProcess) peakMemory() int {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", e.process.Pid()))
-	if err != nil {
-		e.t.Fatal(err)
-	}
-	_, rest, _ := strings.Cut(string(b), "VmHWM:")
-	var kilobytes int
-	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
-		e.t.Fatalf("no peak memory in %q: the process has ended", b)
-	}
-	return kilobytes >> 10
-}
-
 // ask keeps n callers asking for a path for some time, each again after an interval, and
 // returns the number of answers with status 200.
 func (e *entryProcess) ask(path string, n int, interval, d time.Duration) int {
@@ -270,7 +255,10 @@
 			wg.Go(func() { fine = e.ask("/faulty/x", c.callers, askInterval, *endlessTime) })
 			beside := e.ask("/sound/x", soundCallers, 0, *endlessTime)
 			wg.Wait()
-			peak := e.peakMemory()
+			peak, err := e.process.PeakMemory()
+			if err != nil {
+				t.Fatal(err)
+			}
 			perSecond := func(n int, d time.Duration) float64 { return float64(n) / d.Seconds() }
 			t.Logf("%d callers: peak %d MB; the sound service answers %.0f a second, alone %.0f; faulty replicas were asked %d times, their service answered %d",
 				c.callers, peak, perSecond(beside, *endlessTime), perSecond(alone, aloneTime), asked.Load(), fine)
--- a/internal/soak/plan/plan.go
+++ b/internal/soak/plan/plan.go
@@ -65,6 +65,9 @@
 	// UpstreamLimit makes an upstream state in its answers that it takes only Variant
 	// requests a second from all entries together.
 	UpstreamLimit Kind = "upstream-limit"
+	// UpstreamEndless makes an upstream answer some requests without end: bytes of a body, or
+	// of one event.
+	UpstreamEndless Kind = "upstream-endless"
 	// Configure puts a new version of the configuration in force.
 	Configure Kind = "configure"
 	// Rollout rolls out a version to a service, which is good or bad as Variant.
@@ -111,6 +114,11 @@
 	meanLimitInterval = 8 * time.Second
 	minLimitTime      = 5 * time.Second
 	maxLimitTime      = 9 * time.Second
+	// meanEndlessInterval is the mean time between two times of answers without end, which last
+	// minEndless to maxEndless: they excuse answers that are cut.
+	meanEndlessInterval = 8 * time.Second
+	minEndless          = 500 * time.Millisecond
+	maxEndless          = 1500 * time.Millisecond
 	// settleTime is the time without faults at the beginning, for the start, and at the
 	// end, for the recovery.
 	settleTime = 3 * time.Second
@@ -189,6 +197,7 @@
 	list = append(list, promptCrashes(seed, length)...)
 	list = append(list, requestCrashes(seed, length)...)
 	list = append(list, upstreamLimits(seed, length)...)
+	list = append(list, endlessAnswers(seed, length)...)
 	sort.SliceStable(list, func(i, j int) bool { return list[i].At < list[j].At })
 	return list
 }
@@ -289,6 +298,19 @@
 	return []Fault{f}
 }
 
+// endlessAnswers draws the times of answers without end, also with random numbers of their own.
+func endlessAnswers(seed uint64, length time.Duration) []Fault {
+	r := rand.New(rand.NewPCG(seed, 10))
+	var list []Fault
+	next := func() time.Duration { return time.Duration(r.ExpFloat64() * float64(meanEndlessInterval)) }
+	for at := settleTime + next(); at < length-settleTime; at += next() {
+		f := newFault(r, at)
+		f.Kind, f.Duration = UpstreamEndless, minEndless+time.Duration(r.Float64()*float64(maxEndless-minEndless))
+		list = append(list, f)
+	}
+	return list
+}
+
 // upstreamLimits draws the limits of upstreams, also with random numbers of their own. The
 // first one comes at once: few would be long enough in a short soak.
 func upstreamLimits(seed uint64, length time.Duration) []Fault {
--- a/internal/soak/plan/plan_test.go
+++ b/internal/soak/plan/plan_test.go
@@ -37,7 +37,7 @@
 			}
 		}
 	}
-	if want := len(weights) + len(answerKinds) + 8; len(kinds) != want || !overlap {
+	if want := len(weights) + len(answerKinds) + 9; len(kinds) != want || !overlap {
 		t.Errorf("%d kinds of %d, overlapping %v", len(kinds), want, overlap)
 	}
 }
@@ -54,7 +54,7 @@
 // upstreams nor crashes under requests.
 func withoutUpstreamEvents(list []Fault) []Fault {
 	return slices.DeleteFunc(list, func(f Fault) bool {
-		return f.Kind == UpstreamSilence || f.Kind == EnginesSilence || f.Kind == UpstreamLimit || f.Kind == PromptCrash || f.Kind == RequestCrash
+		return f.Kind == UpstreamSilence || f.Kind == EnginesSilence || f.Kind == UpstreamLimit || f.Kind == PromptCrash || f.Kind == RequestCrash || f.Kind == UpstreamEndless
 	})
 }
 
--- a/internal/soak/process/process.go
+++ b/internal/soak/process/process.go
@@ -12,6 +12,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -65,14 +66,24 @@
 	return p.starts
 }
 
-// Pid returns the id of the current process, 0 before the first start.
-func (p *Process) Pid() int {
+// PeakMemory returns the highest resident size of the current process so far, in megabytes. It
+// fails if the process has exited.
+func (p *Process) PeakMemory() (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.p == nil {
-		return 0
+		return 0, os.ErrProcessDone
 	}
-	return p.p.Pid
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.p.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("read the peak memory: %w", err)
+	}
+	_, rest, _ := strings.Cut(string(b), "VmHWM:")
+	var kilobytes int
+	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
+		return 0, fmt.Errorf("no peak memory in %q: %w", b, os.ErrProcessDone)
+	}
+	return kilobytes >> 10, nil
 }
 
 // Alive reports whether the process is running.
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -106,11 +106,24 @@
 		})
 	}
 	wg.Wait()
+	s.checkMemory()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Result{Asked: s.asked, Served: s.served, Refused: s.refused, Faults: len(faults), Findings: s.ledger.Findings()}, nil
 }
 
+// checkMemory reports the entries that have held more than their limit since their last start.
+func (s *Soak) checkMemory() {
+	for _, e := range s.entries {
+		if !e.Alive() {
+			continue
+		}
+		if peak, err := e.PeakMemory(); err != nil || peak >= entryMemory {
+			s.ledger.Report("memory", e.name, time.Now(), "held %d MB at its peak, the limit is %d MB (%v)", peak, entryMemory, err)
+		}
+	}
+}
+
 func (s *Soak) start() error {
 	store, err := s.serveStore()
 	if err != nil {
--- a/internal/soak/run/strike.go
+++ b/internal/soak/run/strike.go
@@ -65,6 +65,8 @@
 		}
 	case plan.UpstreamRanRefused, plan.UpstreamRepeat, plan.UpstreamPause, plan.UpstreamLimit:
 		s.injectAnswerFault(ctx, s.replicas[f.Target%len(s.replicas)], f)
+	case plan.UpstreamEndless:
+		s.injectEndless(ctx, s.replicas[f.Target%len(s.replicas)], f.Duration)
 	case plan.UpstreamSilence:
 		s.injectSilence(ctx, s.replicas[f.Target%len(s.replicas)], f.Duration)
 	case plan.EnginesSilence:
@@ -221,6 +223,18 @@
 	}
 }
 
+// injectEndless makes answers of a replica go on without end for d.
+func (s *Soak) injectEndless(ctx context.Context, r *replica, d time.Duration) {
+	s.mu.Lock()
+	answers, id := r.answers, r.server.ID
+	s.mu.Unlock()
+	end := s.ledger.Disturb(id, false, time.Now())
+	answers.Endless.Store(true)
+	sleep(ctx, d)
+	answers.Endless.Store(false)
+	end(time.Now())
+}
+
 // injectSilence makes a replica send nothing for d, also while another fault affects it,
 // but not while it is silent already: the silence would get longer. It is no disturbance
 // either.
--- a/internal/soak/run/world.go
+++ b/internal/soak/run/world.go
@@ -42,6 +42,8 @@
 	// bound retries as in the deployments of the users.
 	quotaSlack             = 20.0
 	retryRatio, retrySlack = 0.2, 60.0
+	// entryMemory is the limit of the memory of an entry in megabytes.
+	entryMemory = 284
 	// grace is the time limit of a graceful stop of an entry.
 	grace = 4 * time.Second
 	// firstHost is the last byte of the loopback address of the first entry.
@@ -131,6 +133,7 @@
 		"stop":    map[string]any{"grace": grace.String()},
 		"retries": map[string]any{"ratio": retryRatio, "slack": retrySlack},
 		"quotas":  map[string]any{"slack": quotaSlack},
+		"limits":  map[string]any{"memory": entryMemory},
 	}
 	b, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
--- a/internal/soak/upstream/upstream.go
+++ b/internal/soak/upstream/upstream.go
@@ -100,6 +100,8 @@
 	Pause atomic.Int64
 	// Limit is 0 or the limit that answers state, in thousandths of a request a second.
 	Limit atomic.Int64
+	// Endless makes every second answer go on without end, until the connection is closed.
+	Endless atomic.Bool
 	// SilentUntil is 0 or the Unix time in nanoseconds until which nothing more is sent, of
 	// any answer. The work goes on afterwards.
 	SilentUntil atomic.Int64
@@ -217,9 +219,7 @@
 		x.crash()
 		return
 	}
-	if status := int(u.Answers.RanRefused.Load()); status > 0 && n%2 == 0 {
-		time.Sleep(workTime)
-		x.answer(status)
+	if n%2 == 0 && x.answerByFault() {
 		return
 	}
 	if u.Engine {
@@ -240,6 +240,37 @@
 	x.writeBody()
 }
 
+// answerByFault answers a request that has run wrongly if Answers selects that, and reports
+// whether it did.
+func (x *exchange) answerByFault() bool {
+	if status := int(x.u.Answers.RanRefused.Load()); status > 0 {
+		time.Sleep(workTime)
+		x.answer(status)
+		return true
+	}
+	endless := x.u.Answers.Endless.Load()
+	if endless {
+		x.answerWithoutEnd()
+	}
+	return endless
+}
+
+// endlessBlock is the number of bytes of one write of an answer without end.
+const endlessBlock = 32 << 10
+
+// answerWithoutEnd sends a body, or the first event of a stream, until the request is cancelled.
+func (x *exchange) answerWithoutEnd() {
+	if x.u.Engine {
+		x.w.Header().Set("Content-Type", "text/event-stream")
+	}
+	x.answer(http.StatusOK)
+	_, err := io.WriteString(x.w, "id: 1\ndata: ")
+	block := bytes.Repeat([]byte("x"), endlessBlock)
+	for err == nil && x.ctx.Err() == nil {
+		_, err = x.w.Write(block)
+	}
+}
+
 func (u *Upstream) reportArrival(id string) {
 	if u.OnArrive != nil {
 		u.OnArrive(id, u.ID)
