--- a/internal/forward/gate/call.go
+++ b/internal/forward/gate/call.go
@@ -1,10 +1,12 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -14,6 +16,7 @@
 	"agateward/internal/forward/relay"
 	"agateward/internal/forward/returns"
 	"agateward/internal/forward/route"
+	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
 	"agateward/ward"
 
@@ -27,6 +30,9 @@
 	r       *http.Request
 	log     logr.Logger
 	arrived time.Time
+	lifecycle
+	// job is what the scheduler last knew the request by, nil before it was queued.
+	job *schedule.Job
 
 	table   *route.Table
 	head    ward.ForwardHead
@@ -37,9 +43,13 @@
 	// service, or of a version that is being rolled out.
 	group string
 	body  []byte
-	// held is the number of bytes that the request has claimed of Gate.Buffers.
-	held int
-	size float64
+	// bodyRead is true once the whole body was read.
+	bodyRead bool
+	// held is the number of bytes of the body that are claimed of Gate.Buffers, answers holds
+	// the answers that were read whole.
+	held    int
+	answers []heldAnswer
+	size    float64
 	// digest identifies the request by its content, 0 until it is needed.
 	digest uint64
 	// deadline follows from the caller's timeout and the route's; zero means none.
@@ -95,17 +105,27 @@
 	fallback *bufferedAnswer
 }
 
+// Limits of the body of a request that is refused before it was read.
+const (
+	// unreadBodyWait is how long the rest of the body is awaited before the answer.
+	unreadBodyWait = 50 * time.Millisecond
+	// unreadBodyTime is how long it is read after the answer, as a caller that still sends
+	// may lose the answer with its connection.
+	unreadBodyTime = 500 * time.Millisecond
+	// maxUnreadBody bounds the bytes that are read for a connection to be kept.
+	maxUnreadBody = 256 << 10
+)
+
 var errBodyTruncated = errors.New("the request body was truncated")
 
 // accept validates the request, reads its body and charges the quota.
 func (c *call) accept() error {
-	var err error
 	if !c.gate.View.Await(c.r.Context(), configWait) {
 		return code.NotReady.New("no configuration is known yet")
 	}
 	c.table = c.gate.View.Table()
-	if c.head, err = c.gate.Dialect.Head(c.r.Header); err != nil {
-		return code.BadHeader.Wrap(err, "read the head")
+	if err := c.readHead(); err != nil {
+		return err
 	}
 	if c.from != "" {
 		c.head.LastEvent = c.envelope.LastEvent
@@ -115,7 +135,6 @@
 	}
 	c.lastEvent = c.head.LastEvent
 	c.parts = c.sharedParts()
-	c.log = c.log.WithValues("request", c.head.ID)
 	if c.route = c.table.Route(c.r.Host, c.r.URL.Path); c.route == nil {
 		return code.UnknownRoute.New("host %q, path %q at version %d", c.r.Host, c.r.URL.Path, c.table.Config.Version)
 	}
@@ -138,6 +157,15 @@
 	return c.takeQuota()
 }
 
+func (c *call) readHead() error {
+	var err error
+	c.head, err = c.gate.Dialect.Head(c.r.Header)
+	if err != nil {
+		return code.BadHeader.Wrap(err, "read the head")
+	}
+	return nil
+}
+
 func (c *call) readBody() error {
 	limit := c.table.Config.Limits.MaxBody
 	if limit == 0 {
@@ -150,6 +178,7 @@
 		return nil
 	}
 	defer c.boundRead()()
+	defer context.AfterFunc(c.gate.ending, c.interruptRead)()
 	var err error
 	if n := c.r.ContentLength; n > 0 {
 		if !c.hold(int(n)) {
@@ -158,7 +187,10 @@
 		c.body = make([]byte, n)
 		_, err = io.ReadFull(c.r.Body, c.body)
 	} else {
-		c.body, err = c.readHeld(c.r.Body, limit, c.hold)
+		c.body, err = c.readHeld(c.r.Body, limit)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.gate.ending.Err() != nil {
+		return code.Stopping.Wrap(errExit, "read the body")
 	}
 	if err != nil {
 		return bodyError(err)
@@ -166,9 +198,33 @@
 	if len(c.body) > limit {
 		return code.BodyTooLarge.New("more than %d bytes", limit)
 	}
+	c.bodyRead = true
 	return nil
 }
 
+// interruptRead ends the read of a body, as the entry exits.
+func (c *call) interruptRead() {
+	_ = http.NewResponseController(c.w).SetReadDeadline(time.Unix(1, 0))
+}
+
+// dropBody reads the rest of a body that is not used, so that the caller gets the answer. The
+// server would wait for the rest before it answers, without a bound in time.
+func (c *call) dropBody() {
+	if c.bodyRead || c.r.ContentLength == 0 {
+		return
+	}
+	rc := http.NewResponseController(c.w)
+	if c.r.Header.Get("Expect") == "" { // a caller that expects 100 sends no body
+		_ = rc.SetReadDeadline(time.Now().Add(unreadBodyWait))
+		if _, err := io.CopyN(io.Discard, c.r.Body, maxUnreadBody); errors.Is(err, io.EOF) {
+			_ = rc.SetReadDeadline(time.Time{})
+			return
+		}
+	}
+	c.w.Header().Set("Connection", "close")
+	_ = rc.SetReadDeadline(time.Now().Add(unreadBodyTime))
+}
+
 // setDeadline sets the deadline from the caller's timeout and the route's. That of a relayed
 // request was set by the entry that relays it, under the configuration under which it came.
 func (c *call) setDeadline() {
@@ -218,7 +274,7 @@
 // refuse answers a request that was not accepted.
 func (c *call) refuse(err error) {
 	if errors.Is(err, errBodyTruncated) {
-		c.log.Info("request-aborted", "cause", err.Error())
+		c.end("request-aborted", "cause", err.Error())
 		panic(http.ErrAbortHandler)
 	}
 	k, retry := code.Of(err), time.Duration(0)
@@ -232,6 +288,8 @@
 	case code.MemoryUsed.Number, code.CallerTooSlow.Number:
 		retry = bufferRetry
 		c.w.Header().Set("Connection", "close") // the body was not read
+	case code.Stopping.Number:
+		retry = c.stoppingRetry()
 	}
 	c.respond(k, retry, err.Error())
 }
@@ -242,13 +300,14 @@
 	if c.mayHaveRun && k.Run == ward.NotRun {
 		k, retry = code.UpstreamFailed, 0
 	}
-	c.log.Info("request-refused", "code", k.Number, "status", k.Status, "cause", reason, "retry-after", retry, "promise", c.promised,
+	c.end("request-refused", "code", k.Number, "status", k.Status, "cause", reason, "retry-after", retry, "promise", c.promised,
 		"elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.refused(k.Number)
 	if c.returned != nil {
 		c.gate.Metrics.returned(returnRefused)
 	}
 	c.gate.Metrics.notRunPromised(k.Status, sourceEntry, c.sends)
+	c.dropBody()
 	h := c.w.Header()
 	if retry > 0 {
 		h.Set("Retry-After", c.gate.Dialect.RetryAfter(retry))
