--- a/internal/forward/buffer/claim.go
+++ b/internal/forward/buffer/claim.go
@@ -7,7 +7,9 @@
 	cut    func()
 	number uint64
 	held   int64
-	isCut  bool
+	whole  bool
+	// cause is why the answer was cut, nil if it was not.
+	cause error
 }
 
 // Claim begins a claim for an answer of an upstream, the owner. It holds nothing yet. cut is
@@ -27,8 +29,8 @@
 	return c
 }
 
-// Grow claims n bytes more. It fails with ErrCut once the answer was cut: the bytes that are
-// held count until Release. It waits while too many bytes of other answers that were cut are
+// Grow claims n bytes more. It fails with ErrCut or ErrFull once the answer was cut: the bytes
+// that are held count until Release. It waits while too many bytes of other answers that were cut are
 // not released yet.
 func (c *Claim) Grow(n int) error {
 	b := c.budget
@@ -37,8 +39,8 @@
 	for a := &b.answers; ; a.released.Wait() {
 		a.makeRoom(c, int64(n))
 		switch {
-		case c.isCut:
-			return ErrCut
+		case c.cause != nil:
+			return c.cause
 		case a.fits(int64(n)):
 			a.used += int64(n)
 			c.held += int64(n)
@@ -60,18 +62,43 @@
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if c.cause != nil || c.whole == whole {
+		return
+	}
+	c.whole = whole
 	if whole {
 		delete(b.answers.unfinished, c)
-	} else if !c.isCut {
+		b.answers.whole += c.held
+	} else {
 		b.answers.unfinished[c] = true
+		b.answers.whole -= c.held
+	}
+}
+
+// SetTaken tells that the answer is whole and that its caller takes it now. If most of what is
+// held is whole answers, the largest that is being taken is cut rather than a smaller answer
+// that is still read. cut is called at most once, and not after Release, to end the writing; it
+// must neither block nor call the budget.
+func (c *Claim) SetTaken(cut func()) {
+	c.SetWhole(true)
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.cause != nil {
+		return
+	}
+	c.cut = cut
+	if b.answers.taken == nil {
+		b.answers.taken = make(map[*Claim]bool)
 	}
+	b.answers.taken[c] = true
 }
 
-// Cut reports whether the answer was cut.
-func (c *Claim) Cut() bool {
+// Cut returns ErrCut or ErrFull if the answer was cut, else nil.
+func (c *Claim) Cut() error {
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	return c.isCut
+	return c.cause
 }
 
 // Release ends the claim.
@@ -80,6 +107,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.answers.unfinished, c)
+	delete(b.answers.taken, c)
 	c.release(c.held)
 }
 
@@ -88,9 +116,12 @@
 	a := &c.budget.answers
 	c.held -= n
 	a.used -= n
-	if c.isCut {
+	if c.cause != nil {
 		a.cutting -= n
 	}
+	if c.whole {
+		a.whole -= n
+	}
 	a.released.Broadcast()
 }
 
@@ -103,11 +134,19 @@
 // makeRoom cuts answers until n bytes more of c are within the bound once the bytes of cut
 // answers are released, or c itself is cut.
 func (a *answers) makeRoom(c *Claim, n int64) {
-	for a.total > 0 && !c.isCut && a.used > a.cutting && a.used-a.cutting+n > a.total {
-		v := a.worst(c, n)
+	for a.total > 0 && c.cause == nil && a.used > a.cutting && a.used-a.cutting+n > a.total {
+		v, cause := a.worst(c, n), ErrCut
+		if a.whole > a.total/2 {
+			v, cause = a.largestTaken(v, a.size(v, c, n)), ErrFull
+		}
+		v.cause = cause
 		delete(a.unfinished, v)
-		v.isCut = true
+		delete(a.taken, v)
 		a.cutting += v.held
+		if v.whole {
+			v.whole = false
+			a.whole -= v.held
+		}
 		a.cuts++
 		a.released.Broadcast()
 		if v.cut != nil {
@@ -119,12 +158,7 @@
 // worst returns the largest unfinished claim of the owner that holds most, if c holds n bytes
 // more.
 func (a *answers) worst(c *Claim, n int64) *Claim {
-	size := func(o *Claim) int64 {
-		if o == c {
-			return o.held + n
-		}
-		return o.held
-	}
+	size := func(o *Claim) int64 { return a.size(o, c, n) }
 	sums := make(map[string]int64)
 	for o := range a.unfinished {
 		sums[o.owner] += size(o)
@@ -141,3 +175,22 @@
 	}
 	return worst
 }
+
+// size returns what a claim holds, if c holds n bytes more.
+func (*answers) size(o, c *Claim, n int64) int64 {
+	if o == c {
+		return o.held + n
+	}
+	return o.held
+}
+
+// largestTaken returns the largest whole answer that a caller is taking, or v if none is larger
+// than the given size.
+func (a *answers) largestTaken(v *Claim, size int64) *Claim {
+	for o := range a.taken {
+		if o.held > size || o.held == size && a.taken[v] && o.number < v.number {
+			v, size = o, o.held
+		}
+	}
+	return v
+}
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -5,11 +5,13 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
 	"agateward/internal/forward/backend"
 	"agateward/internal/forward/body"
+	"agateward/internal/forward/buffer"
 	"agateward/internal/forward/schedule"
 	"agateward/internal/result/code"
 	"agateward/internal/upstream/header"
@@ -129,8 +131,13 @@
 	c.copyHeader(b.header)
 	c.w.Header().Set("Content-Length", strconv.Itoa(b.body.Len()))
 	c.w.WriteHeader(b.status)
-	// A write error means that the caller has left; nothing else can be done.
-	_, _ = b.body.WriteTo(c.w)
+	_, err := b.body.WriteTo(c.newWholeWriter(b.body))
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, buffer.ErrFull) {
+		c.end("caller-cut", "cause", "the caller took nothing of its answer: "+err.Error(), "bound", c.gate.takeTimeout(), "bytes", b.body.Len(), "elapsed", time.Since(c.arrived))
+		c.gate.Metrics.callerCut()
+		panic(http.ErrAbortHandler)
+	}
+	// Another write error means that the caller has left; nothing else can be done.
 	c.end("request-answered", "upstream", b.upstream, "status", b.status, "bytes", b.body.Len(), "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, b.status, time.Since(c.arrived))
 	c.gate.Metrics.notRunPromised(b.status, sourceUpstream, c.sends)
