fix(node): the exit waits for what is at its listeners

Read in the code, not shown by a run: EndUnused gives connections that wait at a listener 10 ms to be accepted, but with no connection open the step after it came at once, and the close reset them.

Change: each step of a stop lasts for its interval of 20 ms at least.

--- a/internal/forward/node/node.go
+++ b/internal/forward/node/node.go
@@ -242,10 +242,10 @@
 	n.log.Info("stopping", "grace", grace)
 	s := shutdown.Shutdown{Begin: time.Now(), Grace: grace}
 	n.gate.Stop(s)
-	for step := shutdown.Serving; step != shutdown.Closed; {
+	// Each step gets the interval at least: what waits at the listeners is accepted in that time.
+	for step := shutdown.Serving; step != shutdown.Closed; time.Sleep(exitInterval) {
 		next := s.Next(time.Now(), step, n.gate.Running(), n.connections.Counts().Open())
 		if next == step {
-			time.Sleep(exitInterval)
 			continue
 		}
 		step = next
