fix(buffer): answers of a stated length wait for memory, and are not cut

What callers saw: while many large answers of sound upstreams were on their way at once, most were cut and answered with 502, and the upstreams were paused, so that the rest was refused with 503.

Cause: an answer of a stated length claimed it whole, and once the sum exceeded the bound the one of the upstream that held most was cut, which counted as an answer beyond the bounds.

Change: Claim.Reserve waits for room until the request ends, and what it holds is not cut: its size is known and bounded, and TCP holds the upstream back meanwhile. An answer of up to 64 KB does not wait while the overshoot has room. An upstream whose answers of unknown length hold more than half of the bound loses the largest of these for it.

--- a/internal/forward/buffer/claim.go
+++ b/internal/forward/buffer/claim.go
@@ -1,5 +1,7 @@
 package buffer
 
+import "context"
+
 // Claim counts the bytes that are held of one answer.
 type Claim struct {
 	budget *Budget
@@ -49,6 +51,66 @@
 	}
 }
 
+// smallAnswer is the size in bytes up to which an answer of a stated length need not wait.
+const smallAnswer = 64 << 10
+
+// Reserve claims the n bytes of an answer of a stated length, which is not cut from then on. It
+// waits until they are within the bound, or ctx ends, as an answer that is on its way is worth
+// more than a failure. An upstream whose answers of unknown length hold more than half of the
+// bound loses the largest of these for it. A small answer does not wait while what may be held
+// beyond the bound is enough for it.
+func (c *Claim) Reserve(ctx context.Context, n int) error {
+	b := c.budget
+	a := &b.answers
+	defer context.AfterFunc(ctx, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		a.released.Broadcast()
+	})()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(a.unfinished, c)
+	for !a.hasRoom(int64(n)) {
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		if v := a.dominant(); v != nil && a.used-a.cutting+int64(n) > a.total {
+			a.cutClaim(v, ErrCut)
+			continue
+		}
+		a.released.Wait()
+	}
+	a.used += int64(n)
+	c.held += int64(n)
+	c.whole = true
+	a.whole += int64(n)
+	return nil
+}
+
+// hasRoom reports whether an answer of n bytes fits besides what is not cut.
+func (a *answers) hasRoom(n int64) bool {
+	if n <= smallAnswer && a.fits(n) {
+		return true
+	}
+	return a.total == 0 || a.used == 0 || a.used+n <= a.total
+}
+
+// dominant returns the largest unfinished claim of the owner that holds most, if that is more
+// than half of the bound, else nil.
+func (a *answers) dominant() *Claim {
+	sums := make(map[string]int64)
+	var worst *Claim
+	for o := range a.unfinished {
+		sums[o.owner] += o.held
+	}
+	for o := range a.unfinished {
+		if sums[o.owner] > a.total/2 && (worst == nil || o.held > worst.held || o.held == worst.held && o.number > worst.number) {
+			worst = o
+		}
+	}
+	return worst
+}
+
 // Shrink releases n of the bytes that are held.
 func (c *Claim) Shrink(n int) {
 	c.budget.mu.Lock()
@@ -139,19 +201,24 @@
 		if a.whole > a.total/2 {
 			v, cause = a.largestTaken(v, a.size(v, c, n)), ErrFull
 		}
-		v.cause = cause
-		delete(a.unfinished, v)
-		delete(a.taken, v)
-		a.cutting += v.held
-		if v.whole {
-			v.whole = false
-			a.whole -= v.held
-		}
-		a.cuts++
-		a.released.Broadcast()
-		if v.cut != nil {
-			v.cut()
-		}
+		a.cutClaim(v, cause)
+	}
+}
+
+// cutClaim cuts an answer.
+func (a *answers) cutClaim(v *Claim, cause error) {
+	v.cause = cause
+	delete(a.unfinished, v)
+	delete(a.taken, v)
+	a.cutting += v.held
+	if v.whole {
+		v.whole = false
+		a.whole -= v.held
+	}
+	a.cuts++
+	a.released.Broadcast()
+	if v.cut != nil {
+		v.cut()
 	}
 }
 
--- a/internal/forward/buffer/claim_test.go
+++ b/internal/forward/buffer/claim_test.go
@@ -1,10 +1,12 @@
 package buffer
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -217,3 +219,56 @@
 		})
 	}
 }
+
+// Guards against sound answers of a stated length that are cut, or never read, as the bound is
+// used up.
+func TestReserveWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const total = 4 * smallAnswer
+		var b Budget
+		b.SetTotal(0, total)
+		first := b.Claim("upstream-1", func() { t.Error("an answer of a stated length is cut") })
+		if err := first.Reserve(t.Context(), total); err != nil {
+			t.Fatal(err)
+		}
+		small := b.Claim("upstream-2", nil)
+		if err := small.Reserve(t.Context(), smallAnswer); err != nil {
+			t.Errorf("small answer: %v", err)
+		}
+		small.Release()
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		late := b.Claim("upstream-1", nil)
+		if err := late.Reserve(ctx, smallAnswer+1); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("error %v at the deadline", err)
+		}
+		late.Release()
+		next := b.Claim("upstream-1", nil)
+		done := make(chan error, 1)
+		go func() { done <- next.Reserve(t.Context(), total) }()
+		synctest.Wait()
+		first.Release()
+		if err := <-done; err != nil || b.Used() != total {
+			t.Errorf("error %v after the release, %d bytes held", err, b.Used())
+		}
+		next.Release()
+		endless := b.Claim("upstream-2", func() {})
+		if err := endless.Grow(total); err != nil {
+			t.Fatal(err)
+		}
+		sound := b.Claim("upstream-1", nil)
+		go func() { done <- sound.Reserve(t.Context(), total/2) }()
+		synctest.Wait()
+		if !errors.Is(endless.Cut(), ErrCut) {
+			t.Error("an upstream that sends without end keeps the bound")
+		}
+		endless.Release()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		sound.Release()
+		if b.Used() != 0 {
+			t.Errorf("%d bytes stay claimed", b.Used())
+		}
+	})
+}
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -160,7 +160,7 @@
 // is finished.
 func (c *call) relayBuffered(ctx context.Context, a schedule.Action, x *backend.Exchange, stall *silence) bool {
 	c.recordFirst(a)
-	body, err := c.readAnswer(a.Upstream.ID, x, silenceReader{x.Body, stall})
+	body, err := c.readAnswer(ctx, a.Upstream.ID, x, silenceReader{x.Body, stall})
 	if !stall.pause() && err != nil {
 		err = errMoved
 	}
--- a/internal/forward/gate/memory.go
+++ b/internal/forward/gate/memory.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -102,13 +103,16 @@
 
 // readAnswer reads the body of an answer to its end through r. What it holds is claimed for
 // the upstream, or the other entry, that sends it, until the request ends.
-func (c *call) readAnswer(owner string, x *backend.Exchange, r io.Reader) (*body.Body, error) {
+func (c *call) readAnswer(ctx context.Context, owner string, x *backend.Exchange, r io.Reader) (*body.Body, error) {
 	h := heldAnswer{&body.Body{}, c.gate.Buffers.Claim(owner, x.Cut)}
-	length := x.Length
+	length, grow := x.Length, h.claim.Grow
 	if c.r.Method == http.MethodHead {
 		length = 0 // the stated length is that of another answer
 	}
-	err := h.body.Read(r, length, maxBuffered, h.claim.Grow)
+	if length >= 0 {
+		grow = func(n int) error { return h.claim.Reserve(ctx, n) }
+	}
+	err := h.body.Read(r, length, maxBuffered, grow)
 	if err == nil {
 		h.claim.SetWhole(true)
 		c.answers = append(c.answers, h)
--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -141,7 +141,7 @@
 	if c.route.Kind == ward.ForwardStream && x.Status < 300 {
 		return c.relayEvents(ctx, address, x)
 	}
-	body, err := c.readAnswer(address, x, x.Body)
+	body, err := c.readAnswer(ctx, address, x, x.Body)
 	if err != nil {
 		return c.relayBroken(ctx, address, err)
 	}
