fix(soak): stalls of the soak itself are no late closes

The log of the soak shows no event between 11.289 and 11.681 s, and faults that were due at 10.77 and 10.94 s came at 11.285 s: it did not run itself for that time. The entry had read 333 requests and ended 333, and had exited at 11.283 s.

Change: the soak checks each 10 ms that it runs, logs `soak-stalled`, and the ledger takes such times off before it compares with LossSlack. The check moves to the end of the run, as a stall is known after it. The bound stays 200 ms.

--- a/internal/soak/ledger/ledger.go
+++ b/internal/soak/ledger/ledger.go
@@ -112,6 +112,7 @@
 	requests      map[string]*record
 	order         []*record
 	disturbances  []disturbance
+	stalls        []disturbance
 	acknowledged  map[uint64]time.Time
 	drainingSince map[string]time.Time
 	leavingSince  map[string]time.Time
@@ -259,11 +260,49 @@
 	}
 	if len(r.runs) > 0 {
 		l.addFinding("planned-stop", r.ID, now, "status %d and no complete answer from %s, with no disturbance other than planned stops", a.Status, r.Entry)
-	} else if late := since - r.BodyTime; a.Status == 0 && late > l.Bounds.LossSlack {
-		l.addFinding("unanswered", r.ID, now, "%s closed the connection without an answer, %s after the last byte, with no disturbance other than planned stops", r.Entry, late)
 	}
 }
 
+// unansweredFindings checks requests that no upstream ran and whose connection was closed
+// without an answer, beside planned disturbances only.
+func (l *Ledger) unansweredFindings() []Finding {
+	var out []Finding
+	for _, r := range l.order {
+		since := r.end.Sub(r.Sent)
+		if r.end.IsZero() || r.answer.Status != 0 || r.MayLeave || len(r.runs) > 0 || since >= r.Timeout {
+			continue
+		}
+		if late := since - r.BodyTime - l.stalled(r.Sent, r.end); late > l.Bounds.LossSlack && l.undisturbed(r.Sent, r.end) && !l.outlasted(r, r.end) {
+			out = append(out, Finding{Promise: "unanswered", ID: r.ID, At: r.end, What: fmt.Sprintf("%s closed the connection without an answer, %s after the last byte, with no disturbance other than planned stops", r.Entry, late)})
+		}
+	}
+	return out
+}
+
+// Stalled records that the soak itself did not run from one time to another: callers saw late
+// what happened then.
+func (l *Ledger) Stalled(from, to time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stalls = append(l.stalls, disturbance{from: from, to: to})
+}
+
+// stalled returns for how long the soak did not run between two times.
+func (l *Ledger) stalled(from, to time.Time) time.Duration {
+	var sum time.Duration
+	for _, d := range l.stalls {
+		begin, end := d.from, d.to
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		sum += max(end.Sub(begin), 0)
+	}
+	return sum
+}
+
 // checkVersion checks a request on a route that only one configuration version has.
 func (l *Ledger) checkVersion(r *record, a Answer, now time.Time) {
 	if l.disturbed(r.Sent, now, func(d disturbance) bool { return d.target == r.Entry }) {
@@ -353,6 +392,7 @@
 	out = append(out, l.crashFindings()...)
 	out = append(out, l.soundFindings()...)
 	out = append(out, l.limitFindings()...)
+	out = append(out, l.unansweredFindings()...)
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At.Before(out[j].At) })
 	return out
 }
--- a/internal/soak/ledger/ledger_test.go
+++ b/internal/soak/ledger/ledger_test.go
@@ -140,6 +140,11 @@
 			l.Sent(r)
 			l.Answered("r", Answer{}, at(0.8))
 		}, "unanswered"},
+		{"closed without an answer while the soak itself did not run", func(l *Ledger) {
+			l.Sent(request(ward.ForwardSafe, 0))
+			l.Answered("r", Answer{}, at(0.4))
+			l.Stalled(at(-0.1), at(0.3))
+		}, ""},
 		{"closed without an answer right after its last byte", func(l *Ledger) {
 			r := request(ward.ForwardSafe, 0)
 			r.BodyTime = 700 * time.Millisecond
--- a/internal/soak/run/run.go
+++ b/internal/soak/run/run.go
@@ -100,6 +100,7 @@
 		})
 	}
 	wg.Go(func() { s.restartCrashed(ctx) })
+	wg.Go(func() { s.watchStalls(ctx) })
 	start := time.Now()
 	for _, f := range faults {
 		wg.Go(func() {
@@ -116,6 +117,26 @@
 	return Result{Asked: s.asked, Served: s.served, Refused: s.refused, Faults: len(faults), Findings: s.ledger.Findings()}, nil
 }
 
+const (
+	// stallInterval is the interval at which the soak checks that it runs itself; a check that is
+	// later than minStall is a stall.
+	stallInterval = 10 * time.Millisecond
+	minStall      = 30 * time.Millisecond
+)
+
+// watchStalls tells the ledger of times in which the soak itself did not run.
+func (s *Soak) watchStalls(ctx context.Context) {
+	for last := time.Now(); ctx.Err() == nil; {
+		sleep(ctx, stallInterval)
+		now := time.Now()
+		if late := now.Sub(last) - stallInterval; late > minStall {
+			s.ledger.Stalled(now.Add(-late), now)
+			s.Log.Info("soak-stalled", "for", late)
+		}
+		last = now
+	}
+}
+
 func (s *Soak) start() error {
 	store, err := s.serveStore()
 	if err != nil {
