--- a/internal/soak/process/process.go
+++ b/internal/soak/process/process.go
@@ -12,6 +12,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -40,6 +42,10 @@
 		return fmt.Errorf("open the log of a process: %w", err)
 	}
 	defer func() { _ = log.Close() }() // the process has its own handle
+	// While this process handles SIGHUP, the new one does not inherit that nohup ignores it.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
 	proc, err := os.StartProcess(p.Program, append([]string{p.Program}, p.Args...), &os.ProcAttr{
 		Env: os.Environ(), Files: []*os.File{nil, log, log},
 	})
@@ -65,14 +71,24 @@
 	return p.starts
 }
 
-// Pid returns the id of the current process, 0 before the first start.
-func (p *Process) Pid() int {
+// PeakMemory returns the highest resident size of the current process so far, in megabytes. It
+// fails if the process has exited.
+func (p *Process) PeakMemory() (int, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.p == nil {
-		return 0
+		return 0, os.ErrProcessDone
 	}
-	return p.p.Pid
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.p.Pid))
+	if err != nil {
+		return 0, fmt.Errorf("read the peak memory: %w", err)
+	}
+	_, rest, _ := strings.Cut(string(b), "VmHWM:")
+	var kilobytes int
+	if _, err := fmt.Sscan(rest, &kilobytes); err != nil {
+		return 0, fmt.Errorf("no peak memory in %q: %w", b, os.ErrProcessDone)
+	}
+	return kilobytes >> 10, nil
 }
 
 // Alive reports whether the process is running.
