--- /dev/null
+++ b/cmd/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package cmd
+
+func init() { raceDetector = true }
