--- a/internal/forward/buffer/buffer.go
+++ b/internal/forward/buffer/buffer.go
@@ -3,10 +3,10 @@
 // streams. They may come and go slowly, so what is held does not follow from the rate of
 // requests alone.
 //
-// Bodies and answers have a bound each. A body beyond it is refused unread. An answer is read
-// already when it turns out to be too much; then the upstream that holds most loses its
-// largest unfinished answer, so that an upstream that sends without end takes nothing from
-// the others.
+// Bodies and answers have a bound each. A body beyond it is refused unread. An answer of a stated
+// length waits for room. One of unknown length is read already when it turns out to be too much;
+// then the upstream that holds most loses its largest unfinished answer, so that an upstream that
+// sends without end takes nothing from the others.
 //
 // # Usage
 //
@@ -35,8 +35,8 @@
 	// ErrCut means that what the entry holds of answers that are not whole is too much, and its
 	// upstream sent most of it.
 	ErrCut = errors.New("the entry holds too many bytes of answers, and most of this upstream")
-	// ErrFull means that more than half of what the entry may hold is whole answers, which
-	// callers have not taken. It says nothing of the upstream.
+	// ErrFull means that more than half of what the entry may hold is answers that callers have
+	// not taken, and answers of a stated length. It says nothing of the upstream.
 	ErrFull = errors.New("the entry holds too many bytes of answers for slow callers")
 )
 
--- a/internal/forward/buffer/claim.go
+++ b/internal/forward/buffer/claim.go
@@ -9,7 +9,8 @@
 	cut    func()
 	number uint64
 	held   int64
-	whole  bool
+	// whole is true when what is held does not grow any more.
+	whole bool
 	// cause is why the answer was cut, nil if it was not.
 	cause error
 }
