--- a/internal/forward/gate/stop_test.go
+++ b/internal/forward/gate/stop_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,3 +35,30 @@
 		})
 	}
 }
+
+// Guards against a request that begins after the decision to exit, and is cut a moment later, and
+// against one that began before it and is not finished.
+func TestRequestsAfterTheDecisionToExitAreRefused(t *testing.T) {
+	release := make(chan struct{})
+	var runs atomic.Int64
+	u := newUpstream(t, func(w io.Writer, r *http.Request, _ int64) bool {
+		runs.Add(1)
+		<-release
+		return ok(w, r, "fine")
+	})
+	var g *gate.Gate
+	s := newGateWith(t, func(made *gate.Gate) { g = made }, u)
+	first := make(chan answer, 1)
+	go func() { first <- do(t, s, "POST", "/unsafe/x", nil) }()
+	for runs.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	g.Refuse()
+	if got := do(t, s, "POST", "/unsafe/x", nil); got.status != http.StatusServiceUnavailable || got.header.Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q after the decision", got.status, got.header.Get("Retry-After"))
+	}
+	close(release)
+	if got := <-first; got.status != http.StatusOK || runs.Load() != 1 {
+		t.Errorf("status %d of the request before it, %d runs", got.status, runs.Load())
+	}
+}
