--- a/internal/forward/gate/sound_answers_test.go
+++ b/internal/forward/gate/sound_answers_test.go
@@ -44,7 +44,7 @@
 		})
 	}
 	wg.Wait()
-	paused := strings.Count(log.text.String(), "upstream-oversized")
+	paused := log.count("upstream-oversized")
 	t.Logf("%d answered, %d cut, %d refused, sound upstreams paused %d times", fine.Load(), cut.Load(), refused.Load(), paused)
 	if paused > 0 || cut.Load() > 0 {
 		t.Errorf("%d sound answers were cut, sound upstreams paused %d times", cut.Load(), paused)
