fix(gate): a refusal after a send beside a silent upstream is truthful

What callers saw: 503, which promises that the request has not run, for a repeatable stream that an engine had run.

Cause: a silent attempt goes on while the request is sent to another upstream beside it. That send was counted, but not that its upstream may run the request. When the silent one then answered "not run", the request was refused as not run.

Change: a send beside that was written, and was not answered with "not run", marks the request as one that may have run, also while it is still under way.

--- a/internal/forward/gate/silence.go
+++ b/internal/forward/gate/silence.go
@@ -51,6 +51,8 @@
 	// counts those beside it, tried lists their upstreams.
 	left, sends int
 	tried       []string
+	// mayHaveRun is true when an upstream of such a send may have run the request.
+	mayHaveRun bool
 
 	// first is the silence before the head of the answer after which the request may
 	// move, 0 if it must not.
@@ -193,10 +195,12 @@
 		s.mu.Lock()
 	}
 	s.ended = true
+	sent := s.offer != nil && s.offer.sent
 	s.withdraw()
 	if s.timer != nil {
 		s.timer.Stop()
 	}
+	c.mayHaveRun = c.mayHaveRun || s.mayHaveRun || sent
 	c.sends += s.sends
 	c.tried = append(c.tried, s.tried...)
 	if s.next != nil {
--- a/internal/forward/gate/successor.go
+++ b/internal/forward/gate/successor.go
@@ -132,6 +132,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	unsent := errors.Is(err, ward.ErrNotConnected) || errors.Is(err, backend.ErrWithdrawn)
+	notRun := outcome == schedule.OutcomeFull || outcome == schedule.OutcomeMoved
+	s.mayHaveRun = s.mayHaveRun || !unsent && !notRun
 	current := s.offer == o
 	if current && reason == "" {
 		c.log.Info("attempt-silent", "upstream", s.action.Upstream.ID, "limit", s.watch.Limit(), "moved-to", a.Upstream.ID, "elapsed", time.Since(c.arrived))
@@ -151,7 +154,7 @@
 	if outcome == schedule.OutcomeUnreachable {
 		c.gate.linkFailed(a.Upstream.ID)
 	}
-	if errors.Is(err, ward.ErrNotConnected) || errors.Is(err, backend.ErrWithdrawn) {
+	if unsent {
 		s.forget()
 	}
 	s.avoid = append(s.avoid, a.Upstream.ID)
--- a/internal/forward/gate/successor_test.go
+++ b/internal/forward/gate/successor_test.go
@@ -142,3 +142,35 @@
 		t.Errorf("%d sends, want 2", sends.Load())
 	}
 }
+
+// Guards against a refusal that says that a request has not run, as its silent upstream says so
+// in the end, while the upstream that got it meanwhile may have run it.
+func TestRefusalAfterASendBesideIsTruthful(t *testing.T) {
+	const notRun = "HTTP/1.1 503 Full\r\nAgateward-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	cases := []struct {
+		name   string
+		beside reply
+		want   int
+	}{
+		{"the other one runs it", func(io.Writer, *http.Request, int64) bool { time.Sleep(3 * time.Second); return false }, http.StatusBadGateway},
+		{"the other one rejects it", func(w io.Writer, _ *http.Request, _ int64) bool { io.WriteString(w, notRun); return false }, http.StatusServiceUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			var sends atomic.Int64
+			serve := func(w io.Writer, r *http.Request, n int64) bool {
+				if sends.Add(1) > 1 {
+					return c.beside(w, r, n)
+				}
+				time.Sleep(2600 * time.Millisecond)
+				io.WriteString(w, notRun)
+				return false
+			}
+			got := do(t, newGate(t, newUpstream(t, serve), newUpstream(t, serve)), "POST", "/stream/x", nil)
+			if got.status != c.want || sends.Load() != 2 {
+				t.Errorf("status %d, %v, %d sends; want %d after two", got.status, got.err, sends.Load(), c.want)
+			}
+		})
+	}
+}
