--- a/cmd/endless_test.go
+++ b/cmd/endless_test.go
@@ -156,7 +156,7 @@
 	add("sound", soundUpstream(t))
 	list, _ := json.Marshal(upstreams)
 	routes := fmt.Sprintf(`{"version": 1, "services": [{"name": "faulty"}, {"name": "sound"}], "upstreams": %s, "routes": [
-		{"name": "f", "host": "h", "prefix": "/faulty/", "kind": %q, "timeout": "2s", "target-latency": "500ms", "attempts": 2, "split": [{"service": "faulty", "weight": 1}]},
+		{"name": "f", "host": "h", "prefix": "/faulty/", "kind": %q, "timeout": "5s", "target-latency": "500ms", "attempts": 2, "split": [{"service": "faulty", "weight": 1}]},
 		{"name": "s", "host": "h", "prefix": "/sound/", "kind": "safe", "timeout": "5s", "target-latency": "500ms", "attempts": 2, "split": [{"service": "sound", "weight": 1}]}]}`, list, c.kind)
 	file := func(name, content string) string {
 		path := filepath.Join(dir, name)
