--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -21,7 +21,8 @@
 // cases maps the name of a case to the function that plays it and returns the breaks of the
 // rule.
 var cases = map[string]func(w *world) (broken int, err error){
-	"reset": playReset,
+	"reset":  playReset,
+	"status": playStatus,
 }
 
 func main() {
--- a/review/_standin-2/replica.go
+++ b/review/_standin-2/replica.go
@@ -14,6 +14,7 @@
 type replica struct {
 	id      string
 	address string
+	version string
 	// serve answers one request and reports whether the connection stays.
 	serve func(c net.Conn, r *http.Request) bool
 
--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -33,11 +33,12 @@
 	trouble bool
 	begin   time.Time
 	store   *standin.Store
-	// handler serves the store's calls; a case may replace it before the entries start.
-	handler http.Handler
-	address string
 	ports   ports
 	entries []*entry
+	// zones holds the zone of each machine; without it, all are in cpt-a.
+	zones []string
+	// written is called after an entry's conditional write was answered, unless it is nil.
+	written func(e *entry, body []byte)
 
 	mu     sync.Mutex
 	record *os.File
@@ -49,9 +50,11 @@
 
 // entry is one process of the program under test.
 type entry struct {
-	name, host string
-	front      string
-	cmd        *exec.Cmd
+	name, host, zone string
+	front            string
+	// path is the entry's network path to the platform's store.
+	path *path
+	cmd  *exec.Cmd
 	// ended is closed once the process has ended, as state says.
 	ended chan struct{}
 	state string
@@ -74,16 +77,7 @@
 		return nil, err
 	}
 	w := &world{program: program, dir: dir, begin: time.Now(), store: &standin.Store{}, record: f}
-	w.handler = w.store
 	w.closer = append(w.closer, func() { _ = os.RemoveAll(dir) })
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	w.address = l.Addr().String()
-	server := &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) { w.handler.ServeHTTP(rw, r) })}
-	go func() { _ = server.Serve(l) }()
-	w.closer = append(w.closer, func() { _ = server.Close() })
 	w.ports, err = freePorts(hostOf(0))
 	return w, err
 }
@@ -150,7 +144,14 @@
 
 func (w *world) startEntry(i int) error {
 	host := hostOf(i)
-	e := &entry{name: fmt.Sprintf("front-cpt-a-%d", i+1), host: host, front: fmt.Sprintf("%s:%d", host, w.ports.front), ended: make(chan struct{})}
+	zone := "cpt-a"
+	if i < len(w.zones) {
+		zone = w.zones[i]
+	}
+	e := &entry{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, host: host, front: fmt.Sprintf("%s:%d", host, w.ports.front), ended: make(chan struct{})}
+	if err := w.openPath(e); err != nil {
+		return err
+	}
 	file := filepath.Join(w.dir, e.name+".jsonc")
 	if err := os.WriteFile(file, []byte(w.settings(e)), 0o600); err != nil {
 		return err
@@ -181,14 +182,14 @@
 	p := w.ports
 	at := func(host string, port int) string { return fmt.Sprintf("%q", fmt.Sprintf("%s:%d", host, port)) }
 	return strings.Join([]string{
-		`{ "name": "` + e.name + `", "data-centre": "cpt-a",`,
+		`{ "name": "` + e.name + `", "data-centre": "` + e.zone + `",`,
 		`"listen": { "callers": ` + at(e.host, p.front) + `, "ready": ` + at(e.host, p.ready) + `, "state": ` + at(e.host, p.control) + `, "metrics": ` + at(e.host, p.last) + ` },`,
-		`"store": "` + w.address + `", "seeds": [` + at(hostOf(0), p.control) + `], "news-port": ` + fmt.Sprint(p.first) + `,`,
+		`"store": "` + e.path.address + `", "seeds": [` + at(hostOf(0), p.control) + `], "news-port": ` + fmt.Sprint(p.first) + `,`,
 		`"stop": { "grace": "` + fmt.Sprint(graceS) + `s" },`,
 		`"retries": { "ratio": 0.2, "slack": 52, "window": "10s" }, "quotas": { "slack": 190000 },`,
 		`"roll-outs": { "expose-share": 0.1, "expose-requests": 50 }, "first-start": true, "limits": { "memory": 284 },`,
 		`"scheduling": { "fair-teams": true, "prefer-returns": false, "lend-slots": true, "protect-streams": true, "learn-concurrency": false },`,
-		`"regions": {"cpt-a": "cpt"}, "log-level": "info" }`,
+		`"regions": {"cpt-a": "cpt", "cpt-b": "cpt", "cpt-c": "cpt", "cpt-d": "cpt", "cpt-e": "cpt"}, "log-level": "info" }`,
 	}, "\n")
 }
 
@@ -256,3 +257,10 @@
 	w.store.Put(platform.ReplicaPrefix+id, b)
 	return nil
 }
+
+// setWritten sets the function that is called after an entry's conditional write was answered.
+func (w *world) setWritten(f func(e *entry, body []byte)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.written = f
+}
