--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -21,8 +21,9 @@
 // cases maps the name of a case to the function that plays it and returns the breaks of the
 // rule.
 var cases = map[string]func(w *world) (broken int, err error){
-	"reset":  playReset,
-	"status": playStatus,
+	"exposure": playExposure,
+	"reset":    playReset,
+	"status":   playStatus,
 }
 
 func main() {
--- a/review/_standin-2/world.go
+++ b/review/_standin-2/world.go
@@ -248,7 +248,7 @@
 // register writes a registration as a replica does.
 func (w *world) register(id, service, address, version string) error {
 	b, err := json.Marshal(map[string]any{
-		"Service": service, "Address": address, "Zone": "cpt-a", "Version": version, "Slots": 64, "State": "ready",
+		"Service": service, "Address": address, "Zone": "cpt-a", "Version": version, "Slots": 6, "State": "ready",
 		"ColdRemainingMs": 0, "Seq": 1, "born": time.Now().UnixMilli(),
 	})
 	if err != nil {
