--- a/review/_standin-2/client.go
+++ b/review/_standin-2/client.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -56,6 +55,3 @@
 	a.endAt = time.Now()
 	return a
 }
-
-// gaveUp reports whether the client's own deadline ended the request.
-func (a answer) gaveUp() bool { return errors.Is(a.err, context.DeadlineExceeded) }
--- a/review/_standin-2/exposure.go
+++ b/review/_standin-2/exposure.go
@@ -84,47 +84,53 @@
 	return n
 }
 
+// exposure is one play of the case exposure.
+type exposure struct {
+	*world
+	arrivals
+	replicas map[string][]*replica
+	// second is when the second order was given, state what came of it.
+	second time.Time
+	state  ward.RolloutState
+}
+
 // playExposure orders a roll-out to a bad version, and after it was rolled back one to another
 // bad version. A replica of the version in use is lost for good before that.
 func playExposure(w *world) (int, error) {
-	a := &arrivals{at: make(map[string][]time.Time), bad: make(map[string][]time.Time)}
-	serve := func(r *replica, c net.Conn, q *http.Request) bool {
-		a.add(a.at, r.version)
-		work, status := time.Duration(10+rand.Intn(10))*time.Millisecond, "200 OK"
-		switch bad := rand.Float64(); {
-		case r.version == "v2" && bad < slowPart:
-			work *= slowFactor
-			a.add(a.bad, r.version)
-		case r.version == "v3" && bad < errorPart:
-			status = "500 Internal Server Error"
-			a.add(a.bad, r.version)
-		}
-		time.Sleep(work)
-		body := strings.Repeat("b", 800)
-		_, err := fmt.Fprintf(c, signed(q, status)+"Content-Length: %d\r\n\r\n%s", len(body), body)
-		return err == nil
+	x := &exposure{world: w, arrivals: arrivals{at: make(map[string][]time.Time), bad: make(map[string][]time.Time)}, replicas: make(map[string][]*replica)}
+	if err := x.prepare(); err != nil {
+		return 0, err
+	}
+	if err := w.start(3); err != nil {
+		return 0, err
+	}
+	stop := w.callSteadily()
+	defer stop()
+	time.Sleep(4 * time.Second) // the machines find each other
+	if err := x.rollOutFirst(); err != nil {
+		return 0, err
+	}
+	if err := x.rollOutSecond(); err != nil {
+		return 0, err
 	}
-	replicas := make(map[string][]*replica)
+	time.Sleep(time.Until(x.second.Add(secondTime + laterTime)))
+	return x.breaks(), nil
+}
+
+// prepare starts the replicas and writes the first configuration.
+func (x *exposure) prepare() error {
 	for _, version := range []string{"v1", "v2", "v3"} {
 		for i := range 3 {
-			r, err := newReplica(fmt.Sprintf("i-%s-%d", version, i), serve)
+			r, err := newReplica(fmt.Sprintf("i-%s-%d", version, i), x.serve)
 			if err != nil {
-				return 0, err
-			}
-			r.version = version
-			replicas[version] = append(replicas[version], r)
-		}
-	}
-	register := func(version string) error {
-		for _, r := range replicas[version] {
-			if err := w.register(r.id, exposureService, r.address, version); err != nil {
 				return err
 			}
+			r.version = version
+			x.replicas[version] = append(x.replicas[version], r)
 		}
-		return nil
 	}
-	if err := register("v1"); err != nil {
-		return 0, err
+	if err := x.registerAll("v1"); err != nil {
+		return err
 	}
 	var routes []map[string]any
 	for _, kind := range []string{"unsafe", "safe"} {
@@ -133,65 +139,95 @@
 			"Priority": 2, "Service": exposureService, "MaxAttempts": 2,
 		})
 	}
-	if err := w.configure(3, routes, []string{exposureService}); err != nil {
-		return 0, err
-	}
-	if err := w.start(3); err != nil {
-		return 0, err
+	return x.configure(3, routes, []string{exposureService})
+}
+
+// registerAll registers the replicas of a version.
+func (x *exposure) registerAll(version string) error {
+	for _, r := range x.replicas[version] {
+		if err := x.register(r.id, exposureService, r.address, version); err != nil {
+			return err
+		}
 	}
-	stop := w.callSteadily()
-	defer stop()
-	time.Sleep(4 * time.Second)
+	return nil
+}
 
-	if err := w.order("v2", firstTime, func() error { return register("v2") }); err != nil {
-		return 0, err
+// serve answers one request: v2 is slow at times, v3 fails at times.
+func (x *exposure) serve(r *replica, c net.Conn, q *http.Request) bool {
+	x.add(x.at, r.version)
+	work, status := time.Duration(10+rand.Intn(10))*time.Millisecond, "200 OK"
+	switch bad := rand.Float64(); {
+	case r.version == "v2" && bad < slowPart:
+		work *= slowFactor
+		x.add(x.bad, r.version)
+	case r.version == "v3" && bad < errorPart:
+		status = "500 Internal Server Error"
+		x.add(x.bad, r.version)
 	}
+	time.Sleep(work)
+	body := strings.Repeat("b", 800)
+	_, err := fmt.Fprintf(c, signed(q, status)+"Content-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
+
+// rollOutFirst orders the first bad version and waits until it was rolled back.
+func (x *exposure) rollOutFirst() error {
 	begin := time.Now()
-	if w.trouble {
-		lost := replicas["v1"][0]
+	if err := x.order("v2", firstTime, func() error { return x.registerAll("v2") }); err != nil {
+		return err
+	}
+	if x.trouble {
+		lost := x.replicas["v1"][0]
 		time.AfterFunc(lostAfter, func() {
 			lost.crash()
-			w.note("replica %s (v1) is lost for good", lost.id)
+			x.note("replica %s (v1) is lost for good", lost.id)
 		})
-		time.AfterFunc(lostAfter+lapseAfter, func() { w.store.Delete(platform.ReplicaPrefix + lost.id) })
+		time.AfterFunc(lostAfter+lapseAfter, func() { x.store.Delete(platform.ReplicaPrefix + lost.id) })
 	}
-	if state := w.awaitOutcome("v2", begin.Add(firstTime)); state != ward.RolloutRolledBack {
-		return 0, fmt.Errorf("the first bad version was not rolled back: %s", state)
+	if state := x.awaitOutcome("v2", begin.Add(firstTime)); state != ward.RolloutRolledBack {
+		return fmt.Errorf("the first bad version was not rolled back: %s", state)
 	}
-	time.AfterFunc(drainAfter, func() { w.drain(replicas["v2"]) })
+	time.AfterFunc(drainAfter, func() { x.drain(x.replicas["v2"]) })
+	return nil
+}
+
+// rollOutSecond orders the second bad version and waits for what comes of it.
+func (x *exposure) rollOutSecond() error {
 	time.Sleep(orderAfter)
-	second := time.Now()
-	if err := w.order("v3", secondTime, func() error { return register("v3") }); err != nil {
-		return 0, err
+	x.second = time.Now()
+	if err := x.order("v3", secondTime, func() error { return x.registerAll("v3") }); err != nil {
+		return err
 	}
-	state := w.awaitOutcome("v3", second.Add(secondTime))
-	if state == ward.RolloutCompleted {
-		w.note("the old replicas stop")
-		for _, r := range replicas["v1"] {
-			r.crash()
-			w.store.Delete(platform.ReplicaPrefix + r.id)
-		}
+	if x.state = x.awaitOutcome("v3", x.second.Add(secondTime)); x.state != ward.RolloutCompleted {
+		return nil
 	}
-	time.Sleep(time.Until(second.Add(secondTime + laterTime)))
+	x.note("the old replicas stop")
+	for _, r := range x.replicas["v1"] {
+		r.crash()
+		x.store.Delete(platform.ReplicaPrefix + r.id)
+	}
+	return nil
+}
 
-	end := second.Add(secondTime)
-	bad, all := a.between("v3", second, end), 0
-	for version := range replicas {
-		all += a.between(version, second, end)
+// breaks returns the number of requests at v3 beyond the bounds of the rule.
+func (x *exposure) breaks() int {
+	end := x.second.Add(secondTime)
+	got, all := x.between("v3", x.second, end), 0
+	for version := range x.replicas {
+		all += x.between(version, x.second, end)
 	}
-	allowed := int(exposeShare*float64(all)) + exposeSlack
-	w.note("v3 got %d of %d requests in the time of its roll-out, %d allowed; its state: %s; %d of its answers were bad", bad, all, allowed, state, len(a.bad["v3"]))
-	late := a.later("v3")
-	w.note("v3 got %d requests that were sent later than %v after its %dth bad answer", late, rollbackTime, badAnswers)
-	w.note("v2 got %d requests after it was rolled back and the next version was ordered", a.between("v2", second, end))
-	for _, e := range w.entries {
+	allowed, late := int(exposeShare*float64(all))+exposeSlack, x.later("v3")
+	x.note("v3 got %d of %d requests in the time of its roll-out, %d allowed; its state: %s", got, all, allowed, x.state)
+	x.note("v3 got %d requests that were sent later than %v after its %dth bad answer", late, rollbackTime, badAnswers)
+	x.note("v2 got %d requests after it was rolled back and the next version was ordered", x.between("v2", x.second, end))
+	for _, e := range x.entries {
 		for _, text := range []string{"event=rollout-planned", "event=rollout-reported", "event=move-state"} {
-			for _, line := range w.log(e, text) {
-				w.note("log of %s: %s", e.name, line)
+			for _, line := range x.log(e, text) {
+				x.note("log of %s: %s", e.name, line)
 			}
 		}
 	}
-	return max(bad-allowed, 0) + late, nil
+	return max(got-allowed, 0) + late
 }
 
 // order orders a roll-out and starts the replicas of its target.
--- a/review/_standin-2/replica.go
+++ b/review/_standin-2/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -98,12 +97,6 @@
 	}
 }
 
-func (r *replica) ranCount(id string) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.runs[id]
-}
-
 func requestID(q *http.Request) string { return q.Header.Get("X-Agateward-Request-Id") }
 
 // signed returns the header lines that a replica's answer begins with.
@@ -111,9 +104,6 @@
 	return "HTTP/1.1 " + status + "\r\nX-Agateward-Request-Id: " + requestID(q) + "\r\nX-Agateward-Response-Signature: s." + requestID(q) + "\r\n"
 }
 
-// errStopped is the error of an answer that the replica did not finish.
-var errStopped = errors.New("the replica stopped")
-
 // sleepUnlessClosed waits, and reports whether the replica still runs.
 func (r *replica) sleepUnlessClosed(d time.Duration) bool {
 	time.Sleep(d)
