--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -1,10 +1,10 @@
-// Command review-standin-2 plays the cases 6 and up of the review: it starts the program
+// Command review-standin-2 plays cases and a trial of the review: it starts the program
 // under test as separate processes, and plays its clients, its replicas and the platform's
 // store on loopback addresses.
 //
 // # Usage
 //
-//	review-standin-2 --case hup --program target/agateward --record review/6/record.txt
+//	review-standin-2 --case reset --program target/agateward --record review/6/record.txt
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 // TROUBLE=0 in the environment leaves the disruption out.
@@ -14,8 +14,10 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
 	"strings"
+	"syscall"
 )
 
 // cases maps the name of a case to the function that plays it and returns the breaks of the
@@ -46,6 +48,13 @@
 		return 2
 	}
 	defer w.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stopped
+		w.close()
+		os.Exit(2)
+	}()
 	w.trouble = os.Getenv("TROUBLE") != "0"
 	w.note("case %s, trouble %v", *name, w.trouble)
 	broken, err := play(w)
