fix(backend): the probe for unread bytes leaves a reset to the reader

Cause: Linux reports the error of a socket once, to the first call that receives, peeks or writes. The stall timer probed with MSG_PEEK beside the goroutine that reads; that one then read 0 bytes, the end of a body without a length. A reader that reads again after the reset also got an end.

Change: the probe asks for the number of unread bytes (FIONREAD), which takes nothing. A connection keeps the end that it read. request-answered says what ended the body.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -134,6 +134,8 @@
 	// earlier request would have been read as that of the next, and refused.
 	lastID string
 	head   headLimit
+	// end is the error with which the reads of the connection ended, nil before.
+	end error
 }
 
 // Exchange is a sent request with the answer that is being received.
@@ -153,6 +155,7 @@
 	conn       *conn
 	res        *http.Response
 	bodyRead   bool
+	received   int64
 	writeDone  chan error
 	stopCancel func() bool
 }
@@ -244,6 +247,7 @@
 
 func (r eofReader) Read(b []byte) (int, error) {
 	n, err := r.x.res.Body.Read(b)
+	r.x.received += int64(n)
 	if errors.Is(err, io.EOF) && !r.x.bodyRead {
 		if r.x.endsWithConnection() && !r.x.written() {
 			return n, errSendBroken
@@ -258,6 +262,15 @@
 	return x.Length < 0 && len(x.res.TransferEncoding) == 0
 }
 
+// EndedBy returns what has ended the body, for logs: "framing", or "connection" with what the
+// socket reported last and the bytes of the body. It must not be called beside a read.
+func (x *Exchange) EndedBy() string {
+	if !x.endsWithConnection() {
+		return "framing"
+	}
+	return fmt.Sprintf("connection (%v after %d bytes)", x.conn.end, x.received)
+}
+
 // written reports whether the request was sent completely, after the upstream has closed
 // the connection. A reset that fails a write is not seen by the reads beside it, which
 // see a regular end.
--- a/internal/forward/backend/backend_test.go
+++ b/internal/forward/backend/backend_test.go
@@ -8,10 +8,13 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"agateward/internal/forward/backend"
+
+	"golang.org/x/sys/unix"
 )
 
 // Guards against an upstream that counts as silent although its bytes have arrived:
@@ -61,6 +64,102 @@
 	}
 }
 
+// Guards against half an answer that looks complete: the probe for unread bytes took the reset
+// of the connection from the goroutine that reads the answer.
+func TestProbeLeavesTheEndToTheReader(t *testing.T) {
+	cases := []struct {
+		name  string
+		more  string
+		reset bool
+		want  error
+	}{
+		{"end", "", false, nil},
+		{"bytes and end", " and more", false, nil},
+		{"reset", "", true, syscall.ECONNRESET},
+		{"bytes and reset", " and more", true, syscall.ECONNRESET},
+	}
+	for _, c := range cases {
+		for _, probes := range []int{0, 1, 3} {
+			t.Run(fmt.Sprintf("%s/%d probes", c.name, probes), func(t *testing.T) {
+				finish := make(chan struct{})
+				address := serveOnce(t, "HTTP/1.1 200 OK\r\n\r\nbody", finish, c.more, c.reset)
+				var raw net.Conn
+				p := backend.Pool{Dial: func(ctx context.Context, address string) (conn net.Conn, err error) {
+					raw, err = (&net.Dialer{}).DialContext(ctx, "tcp", address)
+					return raw, err
+				}}
+				x, err := p.Send(t.Context(), backend.Request{Address: address, Method: "GET", Target: "/", Host: "h"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer x.Close()
+				first := make([]byte, len("body"))
+				if _, err := io.ReadFull(x.Body, first); err != nil {
+					t.Fatal(err)
+				}
+				close(finish)
+				awaitEnd(t, raw)
+				for range probes {
+					if got, want := x.Unread(), c.more != ""; got != want {
+						t.Errorf("unread %v, want %v", got, want)
+					}
+				}
+				for range 2 {
+					rest, err := io.ReadAll(x.Body)
+					if string(rest) != c.more || !errors.Is(err, c.want) || (err == nil) != (c.want == nil) {
+						t.Errorf("read %q, %v; want %q, %v", rest, err, c.more, c.want)
+					}
+					c.more = "" // read once, the end again and again
+				}
+			})
+		}
+	}
+}
+
+// serveOnce returns the address of a server that answers one request with text, and once finish
+// is closed with more, and then ends or resets the connection.
+func serveOnce(t *testing.T, text string, finish <-chan struct{}, more string, reset bool) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		fmt.Fprint(c, text)
+		<-finish
+		fmt.Fprint(c, more)
+		if reset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	}()
+	return l.Addr().String()
+}
+
+// awaitEnd waits until the peer has ended or reset a connection, and takes nothing from its
+// socket.
+func awaitEnd(t *testing.T, c net.Conn) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var n int
+	var polled error
+	err = raw.Control(func(fd uintptr) {
+		n, polled = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}, 5000)
+	})
+	if n != 1 || err != nil || polled != nil {
+		t.Fatalf("the connection has not ended: %v, %v", err, polled)
+	}
+}
+
 // Guards against a request without a deadline that is held for ever: the upstream sends
 // a head one byte at a time, or interim heads at long intervals.
 func TestHeadThatDoesNotEndIsCut(t *testing.T) {
--- a/internal/forward/backend/head.go
+++ b/internal/forward/backend/head.go
@@ -47,9 +47,7 @@
 func (c *conn) Read(b []byte) (int, error) {
 	h := &c.head
 	if !h.reading {
-		n, err := c.Conn.Read(b)
-		c.noteRead(n)
-		return n, err
+		return c.readSocket(b)
 	}
 	if h.left == 0 {
 		return 0, errHeadTooLarge
@@ -60,9 +58,8 @@
 		}
 		h.bounded = true
 	}
-	n, err := c.Conn.Read(b[:min(len(b), h.left)])
+	n, err := c.readSocket(b[:min(len(b), h.left)])
 	h.left -= n
-	c.noteRead(n)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errHeadLate
 	}
--- a/internal/forward/backend/pool.go
+++ b/internal/forward/backend/pool.go
@@ -5,11 +5,14 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // acquire returns an idle connection that is still open, and whose last request had
@@ -78,10 +81,20 @@
 
 func (p *Pool) noteHeard() { p.heard.Store(max(int64(time.Since(processStart)), 1)) }
 
-func (c *conn) noteRead(n int) {
+// readSocket reads from the socket, and returns the end of the connection again once it was
+// read: the socket reports a reset only once, and then a regular end.
+func (c *conn) readSocket(b []byte) (int, error) {
+	if c.end != nil {
+		return 0, c.end
+	}
+	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.pool.noteHeard()
 	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.end = err
+	}
+	return n, err
 }
 
 // Connect makes sure that there is an open connection to an address, which the next
@@ -105,28 +118,42 @@
 	return c.br.Buffered() == 0 && errors.Is(err, syscall.EAGAIN)
 }
 
-// unread reports whether the socket holds bytes that were not read.
+// unread reports whether the socket holds bytes that were not read; any goroutine may call
+// it. It asks for their number: a receive, a peek too, would take the error of a connection
+// that was reset, and the goroutine that reads would see a regular end.
 func (c *conn) unread() bool {
-	n, err := c.peek()
+	n := 0
+	err := c.control(func(fd int) (err error) {
+		n, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
+		return err
+	})
 	return n > 0 && err == nil
 }
 
-// peek looks at the next byte of the socket without waiting for it.
+// peek looks at the next byte of the socket without waiting for it. It takes the socket's
+// error, so nothing else may read meanwhile, and after an error nothing may read again.
 func (c *conn) peek() (n int, err error) {
+	err = c.control(func(fd int) (err error) {
+		var b [1]byte
+		n, _, err = syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err
+	})
+	return n, err
+}
+
+// control calls f with the socket's file descriptor.
+func (c *conn) control(f func(fd int) error) error {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return 0, errors.ErrUnsupported
+		return errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return 0, err
+		return err
 	}
-	var peeked error
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, peeked = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n, errors.Join(err, peeked)
+	var called error
+	err = raw.Control(func(fd uintptr) { called = f(int(fd)) })
+	return errors.Join(err, called)
 }
 
 func (p *Pool) putIdle(c *conn, field string) {
--- a/internal/forward/gate/answer.go
+++ b/internal/forward/gate/answer.go
@@ -123,8 +123,10 @@
 type bufferedAnswer struct {
 	upstream string
 	status   int
-	header   http.Header
-	body     *body.Body
+	// endedBy is Exchange.EndedBy.
+	endedBy string
+	header  http.Header
+	body    *body.Body
 }
 
 func (b *bufferedAnswer) write(c *call) {
@@ -138,7 +140,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	// Another write error means that the caller has left; nothing else can be done.
-	c.end("request-answered", "upstream", b.upstream, "status", b.status, "bytes", b.body.Len(), "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.end("request-answered", "upstream", b.upstream, "status", b.status, "ended-by", b.endedBy, "bytes", b.body.Len(), "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, b.status, time.Since(c.arrived))
 	c.gate.Metrics.notRunPromised(b.status, sourceUpstream, c.sends)
 }
@@ -176,7 +178,7 @@
 	}
 	c.endSilence(stall, false)
 	c.finishAttempt(a, o)
-	out := &bufferedAnswer{upstream: a.Upstream.ID, status: x.Status, header: x.Header, body: body}
+	out := &bufferedAnswer{upstream: a.Upstream.ID, status: x.Status, endedBy: x.EndedBy(), header: x.Header, body: body}
 	if failed && !c.started {
 		if !unconfirmed {
 			c.fallback = out
--- a/internal/forward/gate/relay.go
+++ b/internal/forward/gate/relay.go
@@ -156,7 +156,7 @@
 	case c.mayHaveRun && notRun:
 		c.fail(code.UpstreamFailed, "another entry refused the request with "+strconv.Itoa(x.Status))
 	default:
-		(&bufferedAnswer{upstream: address, status: x.Status, header: x.Header, body: body}).write(c)
+		(&bufferedAnswer{upstream: address, status: x.Status, endedBy: x.EndedBy(), header: x.Header, body: body}).write(c)
 	}
 	return true
 }
@@ -183,7 +183,7 @@
 	}
 	c.startAnswer(x)
 	c.gate.Metrics.relayed(relayAnswered)
-	c.end("request-answered", "upstream", address, "status", x.Status, "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.end("request-answered", "upstream", address, "status", x.Status, "ended-by", x.EndedBy(), "last-event", c.lastEvent, "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, x.Status, time.Since(c.arrived))
 	return true
 }
--- a/internal/forward/gate/stream.go
+++ b/internal/forward/gate/stream.go
@@ -83,7 +83,7 @@
 	c.recordPace(a, c.events, time.Since(streamStart))
 	c.finishAttempt(a, schedule.OutcomeOK)
 	c.startAnswer(x)
-	c.end("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "events", c.events, "last-event", c.lastEvent, "first", streamStart.Sub(c.arrived), "longest-gap", longest, "elapsed", time.Since(c.arrived), "sends", c.sends)
+	c.end("request-answered", "upstream", a.Upstream.ID, "status", x.Status, "ended-by", x.EndedBy(), "events", c.events, "last-event", c.lastEvent, "first", streamStart.Sub(c.arrived), "longest-gap", longest, "elapsed", time.Since(c.arrived), "sends", c.sends)
 	c.gate.Metrics.answered(c.route, x.Status, time.Since(c.arrived))
 	return true
 }
