fix(rollout): the outcome of the last roll-out decides which version is in use

Cause: an order took the registered version with most upstreams for the one in use. The upstreams of the version that was rolled back still stood, so the new version was compared with one that got no requests, and the service counted as one without traffic.

Change: package baseline decides by the record of the last run, which the holder of the lease reads before it writes the next one; what is registered counts only without a record or after releases. The record lists the versions that were not accepted; they get no requests. An order for the version in use is completed at once. All versions but the target count as the old one. The record is read within 0.2 s of a start. rollout-planned and rollout-start-adopted say what was decided and by what; rollout-target-alone when no other version is left.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -191,7 +191,7 @@
 	s := m.states[x.Name]
 	in := machine.Input{
 		Now: m.Clock.Now(), Move: x, Holder: m.Self, Fence: l.lease.Fence,
-		Loaded: order.Loaded(x, s.Orders), Evidence: func() []ward.Counts { return m.evidenceOf(c, x) },
+		Replicas: m.replicas(x), Loaded: order.Loaded(x, s.Orders), Evidence: func() []ward.Counts { return m.evidenceOf(c, x) },
 	}
 	m.judge(c, x, s.Step, entries, &in)
 	l.suspicion = in.Suspicion
@@ -216,6 +216,14 @@
 	return next, changed
 }
 
+// replicas returns the registered upstreams of a move's service, nil if they are not known.
+func (m *Mover) replicas(x ward.Move) []ward.Replica {
+	if m.Replicas == nil {
+		return nil
+	}
+	return m.Replicas(x.Serves)
+}
+
 // judge sets what the last evaluation found, in a fleet of a number of entries.
 func (m *Mover) judge(c *ward.Config, x ward.Move, step int, entries uint64, in *machine.Input) {
 	name := evidence.RunName(x.Name, x.Ticket)
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -87,6 +87,9 @@
 	// Ticket returns the ticket by which the configuration knows that of a state, and
 	// whether this entry knows it. Nil means that each ticket has one number.
 	Ticket func(s ward.MoveState) (ticket uint64, known bool)
+	// Replicas returns the registered upstreams of a service; nil means that Move.From is the
+	// version in use.
+	Replicas func(service string) []ward.Replica
 	// Publish is called when there is new state to send to peers soon.
 	Publish func()
 	// LeaseTTL is the time to live of the lease on a move; 0 means order.LeaseTTL, which
--- a/internal/forward/rollout/choose.go
+++ b/internal/forward/rollout/choose.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"agateward/internal/entry/mover"
@@ -8,24 +9,29 @@
 )
 
 // Group returns the scheduler's group of an upstream: its service, or a separate
-// group for the version of a roll-out that is not in use: first the target, later the
-// previous version. Versions that no order names belong to the service, as a release
-// may introduce them at any time.
+// group for a version of a roll-out that is not in use: first the target, later the
+// previous version, and those that earlier orders have not accepted. Versions that no order
+// names belong to the service, as a release may introduce them at any time.
 func (r *Rollout) Group(u ward.Replica) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.plans[u.Service]
-	if p == nil || p.from == "" {
-		return u.Service
+	if p != nil && (slices.Contains(p.rejected, u.Version) || !p.over && u.Version == r.unused(p)) {
+		return groupName(u.Service, u.Version)
 	}
-	unused := p.Target
-	if r.splits[u.Service].Version == p.Target {
-		unused = p.from
-	}
-	if u.Version != unused {
-		return u.Service
+	return u.Service
+}
+
+// unused returns the version of an order that is not in use: its target until it is completed, and
+// then the previous version. It is "" if the target was in use before. The caller must hold mu.
+func (r *Rollout) unused(p *plan) string {
+	switch {
+	case p.from == p.Target:
+		return ""
+	case r.splits[p.Service].Version == p.Target:
+		return p.from
 	}
-	return groupName(u.Service, u.Version)
+	return p.Target
 }
 
 func groupName(service, version string) string { return service + "@" + version }
@@ -88,34 +94,39 @@
 // Sent records that a request on a route is sent to a version of a service; at is the time
 // from which its Outcome.Total counts.
 func (r *Rollout) Sent(route, service, version string, at time.Time) {
-	if name, m, active := r.evaluated(route, service); active {
-		m.Sent(name, version, at)
+	if name, counted, m, active := r.evaluated(route, service, version); active {
+		m.Sent(name, counted, at)
 	}
 }
 
-// evaluated returns the mover and the name under which it counts the outcomes of a route,
-// and whether a roll-out is in progress. The mover is nil before Run.
-func (r *Rollout) evaluated(route, service string) (name string, m *mover.Mover, active bool) {
+// evaluated returns the mover, the names under which it counts the outcomes of a route and of a
+// version, and whether they count for a roll-out in progress. All versions but the target count
+// as the one in use, since releases may replace it meanwhile; rejected ones do not count. The mover
+// is nil before Run.
+func (r *Rollout) evaluated(route, service, version string) (name, counted string, m *mover.Mover, active bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := r.plans[service]
-	if p == nil || r.mover == nil || ended(r.states[service], p) {
-		return "", r.mover, false
+	if p == nil || r.mover == nil || ended(r.states[service], p) || slices.Contains(p.rejected, version) {
+		return "", version, r.mover, false
+	}
+	if version != p.Target {
+		version = p.from
 	}
-	return p.key(route), r.mover, true
+	return p.key(route), version, r.mover, true
 }
 
 // Observe records the outcome of one attempt of a request on a route. Without a
 // roll-out in progress it teaches the expected time of the route.
 func (r *Rollout) Observe(route, service string, o ward.Outcome) {
-	name, m, active := r.evaluated(route, service)
+	name, counted, m, active := r.evaluated(route, service, o.Version)
 	if m == nil {
 		return
 	}
 	o.Sizing = route + "/" + service
 	switch {
 	case active:
-		o.Route = name
+		o.Route, o.Version = name, counted
 		m.Observe(o)
 	case r.inUse(service, o.Version):
 		m.Learn(o)
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"agateward/internal/move/baseline"
 	"agateward/internal/move/exposure"
 	"agateward/internal/move/split"
 	"agateward/ward"
@@ -27,8 +28,15 @@
 // plan is a roll-out order as this entry executes it.
 type plan struct {
 	ward.Rollout
-	// from is the version in use when the order arrived, "" once it does not matter.
-	from string
+	// from is the version in use when the order arrived, "" while it is not known. rejected lists
+	// the versions that earlier orders have not accepted. Both are a guess until the record of the
+	// move names them.
+	from     string
+	rejected []string
+	// over is set once the order no longer affects any version.
+	over bool
+	// alone is true while no upstream of another version accepts requests.
+	alone bool
 	// orderedAt is when the order was issued, as far as this entry knows.
 	orderedAt time.Time
 	// routes lists the routes that are evaluated separately; otherRoutes in it stands
@@ -39,8 +47,14 @@
 	parts map[string]float64
 	// use is what this entry has used of the bound on the target's exposure.
 	use exposure.Use
-	// recordRead is set once this process has read the records of the move.
+	// adopted is set once the record of the move has named what the roll-out starts from; basis
+	// is the revision of the earlier record that the guess follows from.
+	adopted bool
+	basis   uint64
+	// recordRead is set once this process has read the records of the move, which it tries from
+	// readAt on.
 	recordRead bool
+	readAt     time.Time
 }
 
 // deadline returns when the roll-out must have ended. An entry that started after the
@@ -112,17 +126,18 @@
 		if p := r.plans[o.Service]; p != nil && p.Revision == o.Revision {
 			continue
 		}
-		from, known := r.currentVersion(o)
-		if !known {
+		replicas := r.replicas(o.Service)
+		if len(replicas) == 0 {
 			continue // no upstream of the service is known yet
 		}
-		p := &plan{Rollout: o, from: from, orderedAt: now.Add(-o.Age), routes: r.evaluatedRoutes(o.Service), use: exposure.Use{Late: now.Sub(r.started) < startTime}}
+		d := r.baseline(o, replicas)
+		p := &plan{Rollout: o, from: d.Version, rejected: d.Rejected, basis: r.states[o.Service].Revision, orderedAt: now.Add(-o.Age), routes: r.evaluatedRoutes(o.Service), use: exposure.Use{Late: now.Sub(r.started) < startTime}}
 		if r.plans == nil {
 			r.plans = make(map[string]*plan)
 		}
 		r.plans[o.Service] = p
 		changed = true
-		r.Log.Info("rollout-planned", "service", o.Service, "from", from, "to", o.Target, "deadline", p.deadline(ward.MoveState{}), "revision", o.Revision, "routes", p.routes)
+		r.Log.Info("rollout-planned", "service", o.Service, "from", p.from, "source", d.Source, "rejected", p.rejected, "to", o.Target, "deadline", p.deadline(ward.MoveState{}), "revision", o.Revision, "routes", p.routes)
 	}
 	for service, p := range r.plans {
 		if !ended(r.states[service], p) {
@@ -136,16 +151,68 @@
 		}
 		// After the old upstreams are gone, the order no longer affects their version. Without
 		// upstreams of the target it is over too: releases have replaced them.
-		if s := r.states[service]; ended(s, p) && s.State == split.Done && (!r.registered(service, p.from) || !r.registered(service, p.Target)) {
-			changed = changed || p.from != ""
-			p.from = ""
+		if s := r.states[service]; !p.over && ended(s, p) && s.State == split.Done && (!r.registered(service, p.from) || !r.registered(service, p.Target)) {
+			changed, p.over = true, true
 		}
+		changed = r.dropRejected(p) || changed
+		r.noteAlone(p)
 	}
 	return changed
 }
 
-// adopt takes the routes that are evaluated, and the version that was in use at the order,
-// from the record of the move, and reports whether Group may return other groups since. An
+// baseline returns what the roll-out of an order starts from, as far as this entry knows: the record
+// of the service's last roll-out may not have been read. The caller must hold mu.
+func (r *Rollout) baseline(o ward.Rollout, replicas []ward.Replica) baseline.Decision {
+	last := r.states[o.Service]
+	if last.Ticket == o.Revision && last.From != "" {
+		return baseline.Decision{Version: last.From, Rejected: last.Rejected, Source: baseline.FromRecord}
+	}
+	d := baseline.Service{Last: last, Replicas: replicas}.Decide(o.Target)
+	if d.Source == baseline.OnlyTarget {
+		d.Version = "" // another version may have been in use
+	}
+	return d
+}
+
+// adopt takes what the roll-out of a plan starts from from the record of its move, or until that is
+// written, from a record of an earlier one that was not known before. It reports whether Group may
+// return other groups since. The caller must hold mu.
+func (r *Rollout) adopt(p *plan) bool {
+	s := r.states[p.Service]
+	changed := p.adopt(s)
+	if !p.adopted && s.Ticket != p.Revision && s.Revision > p.basis {
+		d := r.baseline(p.Rollout, r.replicas(p.Service))
+		changed = p.from != d.Version || !slices.Equal(p.rejected, d.Rejected)
+		p.from, p.rejected, p.basis = d.Version, d.Rejected, s.Revision
+	}
+	if changed {
+		r.Log.Info("rollout-start-adopted", "service", p.Service, "from", p.from, "rejected", p.rejected, "to", p.Target, "revision", p.Revision, "of-this-order", p.adopted)
+	}
+	return changed
+}
+
+// dropRejected forgets the rejected versions of which no upstream is left, as a release may
+// introduce them again, and reports whether there was one. The caller must hold mu.
+func (r *Rollout) dropRejected(p *plan) bool {
+	n := len(p.rejected)
+	p.rejected = slices.DeleteFunc(p.rejected, func(v string) bool { return !r.registered(p.Service, v) })
+	return len(p.rejected) < n
+}
+
+// noteAlone logs when an unproven version becomes the only one whose upstreams accept requests, and
+// when it no longer is. Its bound holds all the same. The caller must hold mu.
+func (r *Rollout) noteAlone(p *plan) {
+	// An order stays after its end, so the upstreams are not searched then.
+	alone := !ended(r.states[p.Service], p) && !slices.ContainsFunc(r.replicas(p.Service), func(u ward.Replica) bool {
+		return !u.Draining && u.Version != p.Target && !slices.Contains(p.rejected, u.Version)
+	})
+	if alone != p.alone {
+		p.alone = alone
+		r.Log.Info("rollout-target-alone", "service", p.Service, "target", p.Target, "from", p.from, "alone", alone, "revision", p.Revision)
+	}
+}
+
+// adopt takes the routes that are evaluated, and what the roll-out starts from, from the record of the move, and reports whether Group may return other groups since. An
 // entry that starts after releases knows neither.
 func (p *plan) adopt(s ward.MoveState) (changed bool) {
 	if s.Ticket != p.Revision {
@@ -154,11 +221,13 @@
 	if len(s.Evaluated) > 0 {
 		p.routes = s.Evaluated
 	}
-	if s.From == "" || p.from == "" || p.from == s.From {
+	if s.From == "" || p.adopted {
 		return false
 	}
-	p.from = s.From
-	return true
+	p.adopted = true
+	changed = p.from != s.From || !slices.Equal(p.rejected, s.Rejected)
+	p.from, p.rejected = s.From, slices.Clone(s.Rejected)
+	return changed
 }
 
 // updateUse updates what the bound on the exposure depends on besides the requests.
@@ -168,32 +237,20 @@
 	p.use.Final = !s.Begin.IsZero() && now.Sub(s.Begin) >= time.Duration(exposure.FinalPart*float64(window))
 }
 
-// registered reports whether an upstream of the version is known.
-func (r *Rollout) registered(service, version string) bool {
-	return slices.ContainsFunc(r.Upstreams(), func(u ward.Replica) bool { return u.Service == service && u.Version == version })
-}
-
-// currentVersion returns the most frequent version of the service's upstreams other
-// than the target, and whether any upstream is known.
-func (r *Rollout) currentVersion(o ward.Rollout) (string, bool) {
-	n := make(map[string]int)
-	known := false
+// replicas returns the registered upstreams of a service.
+func (r *Rollout) replicas(service string) []ward.Replica {
+	var list []ward.Replica
 	for _, u := range r.Upstreams() {
-		if u.Service != o.Service {
-			continue
-		}
-		known = true
-		if u.Version != o.Target {
-			n[u.Version]++
+		if u.Service == service {
+			list = append(list, u)
 		}
 	}
-	best := ""
-	for version, count := range n {
-		if best == "" || count > n[best] || count == n[best] && version < best {
-			best = version
-		}
-	}
-	return best, known
+	return list
+}
+
+// registered reports whether an upstream of the version is known.
+func (r *Rollout) registered(service, version string) bool {
+	return slices.ContainsFunc(r.Upstreams(), func(u ward.Replica) bool { return u.Service == service && u.Version == version })
 }
 
 // evaluatedRoutes returns the routes by which the requests of a service are evaluated:
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -40,7 +40,8 @@
 	// at which the state of roll-outs in progress is broadcast.
 	reconcileInterval = 200 * time.Millisecond
 	// recordInterval is the interval at which the records of roll-outs are read in a
-	// fleet of several cells, as entries of different cells exchange no messages.
+	// fleet of several cells, as entries of different cells exchange no messages, and at which
+	// a failed read is repeated.
 	recordInterval = time.Second
 	// leaseTTL is the time to live of the lease on a roll-out. It lets another entry
 	// take over well within the shortest roll-outs.
@@ -111,7 +112,7 @@
 	}
 	m := mover.New(mover.Deps{
 		Self: r.Self, Incarnation: ward.Incarnation(r.Start), Store: store, Clock: ward.SystemClock{}, Notifier: r,
-		Log: r.Log, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL, Era: r.Era, Ticket: r.ticketOf,
+		Log: r.Log, Replicas: r.replicas, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL, Era: r.Era, Ticket: r.ticketOf,
 	})
 	r.mu.Lock()
 	r.mover, r.started = m, time.Now()
@@ -119,7 +120,7 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = m.Run(ctx) }) // ends with ctx
 	wg.Go(func() { r.loop(ctx, reconcileInterval, r.reconcile) })
-	wg.Go(func() { r.loop(ctx, recordInterval, r.readRecords) })
+	wg.Go(func() { r.loop(ctx, reconcileInterval, r.readRecords) })
 	wg.Wait()
 }
 
@@ -160,7 +161,7 @@
 	changed, active := planned || len(r.splits) != len(r.plans), r.peerOutdated
 	r.peerOutdated = false
 	for service, p := range r.plans {
-		changed = p.adopt(r.states[service]) || changed
+		changed = r.adopt(p) || changed
 		p.updateUse(r.states[service], entries, doubted[service], now)
 		s := splitFor(list, p)
 		old := r.splits[service]
@@ -216,7 +217,8 @@
 	r.mu.Lock()
 	var services []string
 	for service, p := range r.plans {
-		if (cells || p.use.Late && !p.recordRead) && !ended(r.states[service], p) {
+		if now := time.Now(); (cells || p.use.Late && !p.recordRead) && !ended(r.states[service], p) && !now.Before(p.readAt) {
+			p.readAt = now.Add(recordInterval)
 			services = append(services, service)
 		}
 	}
--- a/internal/forward/rollout/rollout_test.go
+++ b/internal/forward/rollout/rollout_test.go
@@ -143,6 +143,77 @@
 	}
 }
 
+// Guards against EXPOSURE: an order right after a roll-back took the version that was rolled back for
+// the one in use, or sent it requests.
+func TestOrderAfterRollBack(t *testing.T) {
+	orders := []ward.Rollout{{Service: "s", Target: "v3", Within: time.Minute, Revision: 12}}
+	last := ward.MoveState{Move: "s", Ticket: 9, From: "v1", To: "v2", State: split.RolledBack, Revision: 11}
+	cases := []struct {
+		name string
+		// known is the record that the entry knows at the order, later the one that it learns of
+		// afterwards.
+		known, later ward.MoveState
+	}{
+		{"knows the roll-back", last, last},
+		{"learns of the roll-back later", ward.MoveState{}, last},
+		{"learns of the new run only", ward.MoveState{}, ward.MoveState{Move: "s", Ticket: 12, From: "v1", To: "v3", Rejected: []string{"v2"}, State: split.Canary, Revision: 14}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := Rollout{Log: logr.Discard(), Upstreams: upstreams("v1", "v2", "v2", "v3"), Orders: func() []ward.Rollout { return orders }}
+			r.states = map[string]ward.MoveState{"s": c.known}
+			r.updatePlans(time.Unix(1000, 0))
+			r.states["s"] = c.later
+			r.adopt(r.plans["s"])
+			r.splits = map[string]ward.Split{"s": {Version: r.plans["s"].from}}
+			for version, want := range map[string]string{"v1": "s", "v2": "s@v2", "v3": "s@v3"} {
+				if got := r.Group(ward.Replica{Service: "s", Version: version}); got != want {
+					t.Errorf("%s is in group %q, want %q", version, got, want)
+				}
+			}
+			if got := r.plans["s"].from; got != "v1" {
+				t.Errorf("the roll-out starts from %q, want v1", got)
+			}
+			r.Upstreams = upstreams("v1", "v3")
+			r.updatePlans(time.Unix(1001, 0))
+			if got := r.Group(ward.Replica{Service: "s", Version: "v2"}); got != "s" {
+				t.Errorf("once v2 was gone and is released again it is in group %q", got)
+			}
+		})
+	}
+}
+
+// Guards against EXPOSURE: a process that starts while only upstreams of the target are left sent
+// them all requests, as it knew no version in use.
+func TestTargetAloneKeepsItsBound(t *testing.T) {
+	r := Rollout{Log: logr.Discard(), Upstreams: upstreams("v2", "v2"), Orders: func() []ward.Rollout {
+		return []ward.Rollout{{Service: "s", Target: "v2", Within: time.Minute, Revision: 9}}
+	}}
+	record := ward.MoveState{Move: "s", Ticket: 9, From: "v1", To: "v2", State: split.Canary, Step: 1, Share: 0.045, Revision: 11}
+	r.updatePlans(time.Now())
+	exposed, all := 0, 0
+	for _, known := range []ward.MoveState{{}, record} {
+		r.states = map[string]ward.MoveState{"s": known}
+		r.adopt(r.plans["s"])
+		r.splits = map[string]ward.Split{"s": {Version: r.plans["s"].from, Next: "v2", Share: known.Share}}
+		if got := r.Group(ward.Replica{Service: "s", Version: "v2"}); got != "s@v2" {
+			t.Errorf("record %q: the target is in group %q", known.State, got)
+		}
+		for i := range 1000 {
+			if group, done := r.Choose("r", "s", float64(i%100)/100); group != "s" {
+				exposed++
+				done()
+			}
+		}
+		if all += 1000; exposed > all/10+exposure.DefaultRequests {
+			t.Errorf("record %q: %d of %d requests at the target", known.State, exposed, all)
+		}
+	}
+	if got := r.plans["s"].from; got != "v1" {
+		t.Errorf("the roll-out starts from %q, want v1", got)
+	}
+}
+
 // TestChoose checks that requests and upstreams are grouped by the current split.
 func TestChoose(t *testing.T) {
 	planned := &plan{Rollout: ward.Rollout{Service: "s", Target: "v2"}, from: "v1"}
@@ -160,7 +231,7 @@
 		{"below the share", planned, ward.Split{Version: "v1", Next: "v2", Share: 0.1}, 0.05, "s@v2", [3]string{"s", "s@v2", "s"}},
 		{"above the share", planned, ward.Split{Version: "v1", Next: "v2", Share: 0.1}, 0.15, "s", [3]string{"s", "s@v2", "s"}},
 		{"completed", planned, ward.Split{Version: "v2"}, 0, "s", [3]string{"s@v1", "s", "s"}},
-		{"known after its end", &plan{Rollout: planned.Rollout}, ward.Split{}, 0, "s", [3]string{"s", "s", "s"}},
+		{"known after its end", &plan{Rollout: planned.Rollout, over: true}, ward.Split{}, 0, "s", [3]string{"s", "s", "s"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/move/machine/machine.go
+++ b/internal/move/machine/machine.go
@@ -25,6 +25,7 @@
 	"slices"
 	"time"
 
+	"agateward/internal/move/baseline"
 	"agateward/internal/move/chart"
 	"agateward/internal/move/plan"
 	"agateward/ward"
@@ -65,6 +66,9 @@
 	// Holder and Fence belong to the lease that the caller holds.
 	Holder string
 	Fence  uint64
+	// Replicas are the registered upstreams of the service; if they are known, a new run starts
+	// from what the record and they say, and not from Move.From.
+	Replicas []ward.Replica
 	// Evidence returns the counts to attach to an outcome event; nil attaches none.
 	Evidence func() []ward.Counts
 }
@@ -81,6 +85,7 @@
 var guards = map[string]func(ev *evaluation) bool{
 	"cancelled":       func(ev *evaluation) bool { return ev.Move.Cancelled },
 	"no-time-left":    func(ev *evaluation) bool { return !ev.Now.Before(ev.Move.Deadline) },
+	"in-use":          func(ev *evaluation) bool { return ev.state.From != "" && ev.state.From == ev.state.To },
 	"started":         func(ev *evaluation) bool { return !ev.Now.Before(ev.Move.Start) },
 	"harmed":          func(ev *evaluation) bool { return ev.Quarantined },
 	"loaded":          func(ev *evaluation) bool { return ev.Loaded },
@@ -96,6 +101,7 @@
 
 var actions = map[string]func(ev *evaluation){
 	"reason-cancelled":  func(ev *evaluation) { ev.state.Reason = "cancelled by the operator" },
+	"reason-in-use":     func(ev *evaluation) { ev.state.Reason = ev.state.To + " was in use at the order" },
 	"reason-no-time":    func(ev *evaluation) { ev.state.Reason = "the deadline had passed before the first step" },
 	"reason-not-loaded": func(ev *evaluation) { ev.state.Reason = "the engines did not load the version in time" },
 	"reason-harm":       func(ev *evaluation) { ev.state.Reason = ev.QuarantineReason },
@@ -160,6 +166,11 @@
 	if ev.state.Ticket == ev.Move.Ticket || ev.Move.Cancelled && ev.state.State != "" {
 		return false
 	}
+	from, rejected := ev.Move.From, []string(nil)
+	if len(ev.Replicas) > 0 {
+		d := baseline.Service{Last: ev.state, Seen: from, Replicas: ev.Replicas}.Decide(ev.Move.To)
+		from, rejected = d.Version, d.Rejected
+	}
 	if ev.state.State != "" && !moveChart.Final(ev.state.State) {
 		ev.state.Reason = fmt.Sprintf("replaced by ticket %d", ev.Move.Ticket)
 		ev.state.Share = 0
@@ -169,7 +180,8 @@
 		Move:          ev.Move.Name,
 		Ticket:        ev.Move.Ticket,
 		To:            ev.Move.To,
-		From:          ev.Move.From,
+		From:          from,
+		Rejected:      rejected,
 		Evaluated:     ev.Move.Evaluated,
 		Revision:      ev.state.Revision,
 		State:         moveChart.Initial,
@@ -228,6 +240,9 @@
 }
 
 func (ev *evaluation) doneText() string {
+	if ev.state.Reason != "" {
+		return ev.state.Reason
+	}
 	if ev.lastStep.After(ev.Move.Deadline) {
 		return fmt.Sprintf("done, late: the store let no step be made in time; the whole traffic is on %s since %s",
 			ev.Move.To, ev.lastStep.UTC().Format(time.RFC3339))
--- a/ward/config.go
+++ b/ward/config.go
@@ -204,6 +204,9 @@
 	// began, "" in records of builds that did not write it.
 	To   string `json:"to,omitempty" msgpack:",omitempty"`
 	From string `json:"from,omitempty" msgpack:",omitempty"`
+	// Rejected lists the versions that earlier runs had not accepted and that were registered
+	// when this one began.
+	Rejected []string `json:"rejected,omitempty" msgpack:",omitempty"`
 	// Revision is the store's revision of the move's record.
 	Revision uint64 `json:"revision"`
 	// State is a state of the move's state chart, Step the number of completed
