fix(mover): requests that no upstream took count as traffic

Where the old version has no upstream the others are refused and count neither.

Change: the rate of a move is at least that of the requests that reach the entry for the service, times the entries.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -243,6 +243,9 @@
 	in.Approved = analysis.Approved(r.approvals, plan.Plan{Begin: r.begin, Deadline: x.Deadline}.Final(in.Now))
 	// Peers may be silent, so that their requests are missing.
 	in.Requests = max(in.Requests-min(r.before, in.Requests), m.ownRequests(name)*entries)
+	// Those that no upstream took count too: a version does not pass for one without traffic.
+	arrived := m.arrivals(x.Name)
+	in.Requests = max(in.Requests, (arrived-min(arrived, r.arrivedBefore))*entries)
 	in.Observed = in.Now.Sub(r.steps[0].at)
 }
 
--- a/internal/entry/mover/evaluate.go
+++ b/internal/entry/mover/evaluate.go
@@ -115,7 +115,7 @@
 	if r == nil {
 		r = &run{seen: map[string]uint64{}, analyses: map[string]*analysis.Analysis{}, verdicts: map[string]analysis.Verdict{}}
 		m.runs[name] = r
-		r.before = m.requests(name)
+		r.before, r.arrivedBefore = m.requests(name), m.arrivals(x.Name)
 	}
 	r.begin = s.Begin
 	routes := routesOf(c, x)
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -90,6 +90,9 @@
 	// Replicas returns the registered upstreams of a service; nil means that Move.From is the
 	// version in use.
 	Replicas func(service string) []ward.Replica
+	// Arrivals returns the number of requests for a move's service that have reached this entry,
+	// sent or not; nil means that only those that were sent are known.
+	Arrivals func(move string) uint64
 	// Publish is called when there is new state to send to peers soon.
 	Publish func()
 	// LeaseTTL is the time to live of the lease on a move; 0 means order.LeaseTTL, which
@@ -147,8 +150,9 @@
 	// them speaks against the version.
 	approvals []analysis.Approval
 	doubted   bool
-	// before is the number of requests of the run before this entry learned of it.
-	before uint64
+	// before is the number of requests of the run before this entry learned of it, and
+	// arrivedBefore Deps.Arrivals at that time.
+	before, arrivedBefore uint64
 }
 
 // stepStart records when a step was put in force at this entry.
@@ -288,6 +292,14 @@
 	return m.recorder.Counts()
 }
 
+// arrivals returns the requests for a move's service that have reached this entry.
+func (m *Mover) arrivals(move string) uint64 {
+	if m.Arrivals == nil {
+		return 0
+	}
+	return m.Arrivals(move)
+}
+
 // Quarantines returns the quarantines in force.
 func (m *Mover) Quarantines() []ward.Quarantine {
 	m.mu.Lock()
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -248,6 +248,16 @@
 	return list
 }
 
+// arrivals returns the number of requests for a service that have reached this entry since the order.
+func (r *Rollout) arrivals(service string) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.plans[service]; p != nil {
+		return uint64(p.use.All)
+	}
+	return 0
+}
+
 // registered reports whether an upstream of the version is known.
 func (r *Rollout) registered(service, version string) bool {
 	return slices.ContainsFunc(r.Upstreams(), func(u ward.Replica) bool { return u.Service == service && u.Version == version })
