fix(rollout): a process that starts late has none of the final requests

Cause: each process spends the requests that are kept for the end, also one whose predecessor had spent them.

Change: a process that starts after that time has none of them.

--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -230,11 +230,13 @@
 	return changed
 }
 
-// updateUse updates what the bound on the exposure depends on besides the requests.
-func (p *plan) updateUse(s ward.MoveState, entries int, doubted bool, now time.Time) {
+// updateUse updates what the bound on the exposure depends on besides the requests. started is when
+// this process did: one that starts towards the end of the roll-out has none of the final requests, as
+// an earlier one may have spent them.
+func (p *plan) updateUse(s ward.MoveState, entries int, doubted bool, started, now time.Time) {
 	p.use.Entries, p.use.Doubted = entries, doubted
-	window := p.deadline(s).Sub(s.Begin)
-	p.use.Final = !s.Begin.IsZero() && now.Sub(s.Begin) >= time.Duration(exposure.FinalPart*float64(window))
+	final := s.Begin.Add(time.Duration(exposure.FinalPart * float64(p.deadline(s).Sub(s.Begin))))
+	p.use.Final = !s.Begin.IsZero() && !now.Before(final) && started.Before(final)
 }
 
 // replicas returns the registered upstreams of a service.
