fix(mover): expected times outlast a restart of all entries

Cause: latencies are counted against the times expected of the old version, which each process learned anew. Without answers of that version there were none, so no slowness showed after the approval.

Change: the record of a move holds the fits of its routes beside the counts; a process that has learned none takes them.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -210,7 +210,7 @@
 		changed = true
 	}
 	if running := !next.Begin.IsZero() && !m.machine.Final(next); running && (changed || m.countsDue(x, next, in.Now, l)) {
-		next.Counts = m.recordCounts(x)
+		next.Counts, next.Expected = m.recordCounts(x), m.recordExpected(c, x)
 		changed = changed || sumOf(next.Counts) > l.written
 	}
 	return next, changed
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -63,6 +63,8 @@
 	// maxRecordCounts bounds the counts in it.
 	countsInterval  = time.Second
 	maxRecordCounts = 1000
+	// maxRecordExpected bounds the expected times in a record.
+	maxRecordExpected = 64
 	// maxPending bounds the queue of events that are not in a move's record.
 	maxPending = 64
 )
--- a/internal/entry/mover/peers.go
+++ b/internal/entry/mover/peers.go
@@ -59,7 +59,10 @@
 	for _, c := range s.Counts {
 		m.mergeCounts(c)
 	}
-	s.Counts = nil
+	for _, e := range s.Expected[:min(len(s.Expected), maxRecordExpected)] {
+		m.recorder.AdoptExpected(e)
+	}
+	s.Counts, s.Expected = nil, nil
 	known := false
 	if s.Ticket, known = m.ticket(s); !known {
 		return false
--- a/internal/entry/mover/totals.go
+++ b/internal/entry/mover/totals.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"agateward/internal/move/analysis"
@@ -75,6 +76,14 @@
 	return list
 }
 
+// recordExpected returns the expected times of the routes of a move.
+func (m *Mover) recordExpected(c *ward.Config, x ward.Move) []ward.ExpectedTime {
+	routes := routesOf(c, x)
+	return m.recorder.Expected(func(sizing string) bool {
+		return strings.HasSuffix(sizing, "/"+x.Serves) || slices.ContainsFunc(routes, func(r ward.Route) bool { return r.Name == sizing })
+	}, maxRecordExpected)
+}
+
 // sumOf returns the sum of all counts, which grows with each of them.
 func sumOf(list []ward.Counts) (n uint64) {
 	for _, c := range list {
--- a/internal/move/evidence/evidence.go
+++ b/internal/move/evidence/evidence.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -210,6 +211,28 @@
 	return c
 }
 
+// Expected returns the expected times that are usable and whose sizing include accepts, at most limit
+// of them, sorted.
+func (r *Recorder) Expected(include func(sizing string) bool, limit int) []ward.ExpectedTime {
+	var list []ward.ExpectedTime
+	for _, name := range slices.Sorted(maps.Keys(r.fits)) {
+		if f := r.fits[name]; include(name) && f.weight >= minPlainWeight && len(list) < limit {
+			list = append(list, ward.ExpectedTime{Sizing: name, Weight: f.weight, A: f.a, B: f.b})
+		}
+	}
+	return list
+}
+
+// AdoptExpected takes an expected time of another process where this one has learned none.
+func (r *Recorder) AdoptExpected(e ward.ExpectedTime) {
+	f := r.fit(ward.Outcome{Sizing: e.Sizing}, "")
+	if f.weight >= minPlainWeight || !(e.Weight > f.weight) {
+		return
+	}
+	*f = fit{weight: min(e.Weight, 1/(1-decayFactor)), a: e.A, b: e.B}
+	f.solve()
+}
+
 // fit returns the expected time for an outcome on a route.
 func (r *Recorder) fit(o ward.Outcome, route string) *fit {
 	if r.fits == nil {
--- a/ward/config.go
+++ b/ward/config.go
@@ -228,13 +228,26 @@
 	// Counts are the counts that the holder knew when it wrote the record, so that entries
 	// that start later have the evidence. Peers exchange counts without it.
 	Counts []Counts `json:"counts,omitempty" msgpack:"-"`
-	Reason string   `json:"reason,omitempty"`
+	// Expected are the times that the holder expected of the old version's answers then.
+	Expected []ExpectedTime `json:"expected,omitempty" msgpack:"-"`
+	Reason   string         `json:"reason,omitempty"`
 	// PendingEvents lists the events that have not been sent to operators yet.
 	PendingEvents []Event `json:"untold,omitempty" msgpack:"Untold"`
 	// Orders lists the orders of the move that may have been sent.
 	Orders []OrderRecord `json:"orders,omitempty"`
 }
 
+// ExpectedTime is the time that answers of a version in use take by the sizes of their requests: the
+// state of a least-squares fit, whose coefficients follow from it.
+type ExpectedTime struct {
+	// Sizing names the requests, as Outcome.Sizing or Outcome.Route does.
+	Sizing string `json:"sizing"`
+	// Weight is the decayed number of answers, A and B are the normal equations.
+	Weight float64       `json:"weight"`
+	A      [3][3]float64 `json:"a"`
+	B      [3]float64    `json:"b"`
+}
+
 // OrderRecord is the store's record of one order to an engine.
 type OrderRecord struct {
 	ID       string `json:"id"`
