fix(analysis): the last rates of the old version stand in once its instances are gone

Cause: a comparison weighs both versions by their outcomes, so without outcomes of the old one the new one's say nothing.

Change: while no instance of another version accepts requests, its last known rates with the tolerance of the last step count. Two disturbances more in TestBadVersionStaysWithinBounds: the old version is lost, and with it all entries are killed.

--- a/internal/entry/mover/evaluate.go
+++ b/internal/entry/mover/evaluate.go
@@ -118,7 +118,7 @@
 		r.before, r.arrivedBefore = m.requests(name), m.arrivals(x.Name)
 	}
 	r.begin = s.Begin
-	routes := routesOf(c, x)
+	routes, silent := routesOf(c, x), m.baseSilent(x, s)
 	stepped := len(r.steps) == 0 || r.steps[len(r.steps)-1].step != s.Step
 	if stepped {
 		m.logEvidence(x, r, routes)
@@ -136,6 +136,7 @@
 			a.Step(n, p.Share(n)) // also the steps before this entry started
 		}
 		list, outcomes := m.samples(name, route, x, s.Step)
+		list[len(list)-1].Silent = silent
 		if outcomes == r.seen[route.Name] && !stepped {
 			continue
 		}
@@ -149,6 +150,15 @@
 	return nil
 }
 
+// baseSilent reports whether no upstream but those of a move's target accepts requests of its
+// service.
+func (m *Mover) baseSilent(x ward.Move, s ward.MoveState) bool {
+	list := m.replicas(x)
+	return len(list) > 0 && !slices.ContainsFunc(list, func(u ward.Replica) bool {
+		return !u.Draining && u.Version != x.To && !slices.Contains(s.Rejected, u.Version)
+	})
+}
+
 // assess updates the approvals of a run.
 func (m *Mover) assess(r *run, name string, routes []ward.Route, x ward.Move, step int) {
 	r.approvals, r.doubted = r.approvals[:0], false
--- a/internal/forward/rollout/exposure_test.go
+++ b/internal/forward/rollout/exposure_test.go
@@ -54,6 +54,8 @@
 	turnedAt, turnedTo time.Duration
 	// killed is when all entries are killed; 0 is never.
 	killed time.Duration
+	// lost is when all upstreams of the old version are gone; 0 is never.
+	lost time.Duration
 	// failed is the fraction of requests that fail at both versions from failedAt on.
 	failed   float64
 	failedAt time.Duration
@@ -177,11 +179,16 @@
 			}
 			return []ward.Rollout{{Service: "s", Target: "v2", Within: orderTime, Revision: 9, Age: time.Since(e.known)}}
 		},
-		Upstreams: upstreams("v1", "v1", "v1", "v2", "v2", "v2"),
-		Fleet:     func() split.Fleet { return split.Fleet{Entries: s.entries, Index: i} },
-		Cells:     func() bool { return false },
-		Changed:   func() {},
-		Exposure:  exposure.Bound{Share: exposeShare, Requests: exposeRequests},
+		Upstreams: func() []ward.Replica {
+			if s.oldLost() {
+				return upstreams("v2", "v2", "v2")()
+			}
+			return upstreams("v1", "v1", "v1", "v2", "v2", "v2")()
+		},
+		Fleet:    func() split.Fleet { return split.Fleet{Entries: s.entries, Index: i} },
+		Cells:    func() bool { return false },
+		Changed:  func() {},
+		Exposure: exposure.Bound{Share: exposeShare, Requests: exposeRequests},
 	}
 	e.Publish = func(m peerstate.Moves) {
 		time.AfterFunc(20*time.Millisecond, func() {
@@ -229,7 +236,10 @@
 	if t := s.trouble; t.failed > 0 && since >= t.failedAt && troubled < t.failed {
 		o.OK = false
 	}
-	s.count(o.Version, since, bad)
+	s.count(o.Version, since)
+	if o.Version == "v1" && s.oldLost() {
+		return // refused: the group of the service has no upstream
+	}
 	e.Sent(route, "s", o.Version, now)
 
 	time.AfterFunc(o.Total, func() {
@@ -258,7 +268,12 @@
 	return s.state == ward.RolloutCompleted
 }
 
-func (s *site) count(version string, since time.Duration, bad bool) {
+// oldLost reports whether the upstreams of the old version are gone.
+func (s *site) oldLost() bool {
+	return s.trouble.lost > 0 && time.Since(s.ordered) >= s.trouble.lost
+}
+
+func (s *site) count(version string, since time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if since < 0 {
@@ -377,7 +392,7 @@
 	trouble
 	// good is the least number of good versions that complete, of exposureSeeds: all if only
 	// the store is disturbed, half if the evidence is lost or both versions fail alike, and
-	// none if the store leaves no time for evidence.
+	// none if the store leaves no time for evidence or the old version is lost.
 	good int
 }{
 	{"undisturbed", trouble{}, exposureSeeds},
@@ -386,6 +401,8 @@
 	{"the store is away at first", trouble{turned: 7, turnedAt: time.Millisecond, turnedTo: 9 * time.Second}, 0},
 	{"all are killed early", trouble{killed: 4 * time.Second}, exposureSeeds / 2},
 	{"all are killed late", trouble{killed: 8 * time.Second}, exposureSeeds / 2},
+	{"the old version is lost", trouble{lost: 3 * time.Second}, 0},
+	{"the old version is lost, all are killed", trouble{lost: 3 * time.Second, killed: 4 * time.Second}, 0},
 	{"both versions fail", trouble{failed: 0.3, failedAt: 4 * time.Second}, exposureSeeds / 2},
 }
 
--- a/internal/move/analysis/analysis.go
+++ b/internal/move/analysis/analysis.go
@@ -12,8 +12,8 @@
 // factors is 1, and a geometric mean is at most the arithmetic one. So counts alone
 // carry no evidence: a version that has few outcomes, since its requests were sent
 // later or an entry learned of the step late, is not suspect for that. At a share of
-// 1 the old version has no traffic to compare with, so its last known rates with a
-// tolerance are used.
+// 1, or once its instances are gone, the old version has no traffic to compare with, so
+// its last known rates with a tolerance are used.
 //
 // The estimate of the old version is renewed between segments of a step. Within a
 // segment the e-value depends on the totals alone, however they are batched.
@@ -128,6 +128,9 @@
 type Sample struct {
 	Step      int
 	Old, Next Totals
+	// Silent reports whether the old version gets no requests any more, so that its last known
+	// rates stand in.
+	Silent bool
 }
 
 // Analysis is the analysis of one route in one run of a move. Begin and Window
@@ -196,7 +199,8 @@
 func (a *Analysis) addBlock(now time.Time, st *stratum, b block, current bool) {
 	w := a.onsetWeight(now)
 	a.lastBlock = now
-	if st.pacer.due() {
+	switched := st.segment.outcomes() > 0 && st.segment.nextOnly != b.nextOnly
+	if st.pacer.due() || switched {
 		st.startSegment(a.failure.buildTable(), a.latency.buildTable())
 	}
 	f, l := st.extend(b)
--- a/internal/move/analysis/stratum.go
+++ b/internal/move/analysis/stratum.go
@@ -33,8 +33,8 @@
 
 // advance returns the outcomes that a sample adds to the previous one.
 func (st *stratum) advance(s *Sample) block {
-	b := block{old: minus(s.Old, st.old), next: minus(s.Next, st.next), nextOnly: st.nextOnly}
-	if st.nextOnly {
+	b := block{old: minus(s.Old, st.old), next: minus(s.Next, st.next), nextOnly: st.nextOnly || s.Silent}
+	if b.nextOnly {
 		b.old = Totals{}
 	}
 	if b.outcomes() > 0 {
