fix(mover,platform): only the holder of the lease reports the outcome of a roll-out

Cause: an entry reported the pending events of each record that named it as the holder, whether or not it still held the lease, and the report was written on top of whatever status stood.

Change: events of a record are sent only under the lease by whose number the record was written, which is asked again before each one.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -73,7 +73,9 @@
 		l = &leaseState{}
 		m.leases[x.Name] = l
 	}
-	if !m.holdLease(ctx, x.Name, l) {
+	held := m.holdLease(ctx, x.Name, l)
+	m.noteHeld(x.Name, l)
+	if !held {
 		return
 	}
 	m.noteReturn(x, l)
@@ -96,6 +98,17 @@
 	}
 }
 
+// noteHeld keeps the lease on a move for NotifyOperators, while it is held.
+func (m *Mover) noteHeld(move string, l *leaseState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l.held {
+		m.held[move] = l.lease
+	} else {
+		delete(m.held, move)
+	}
+}
+
 // holdLease acquires or renews the lease on a move and reports whether it is held.
 func (m *Mover) holdLease(ctx context.Context, move string, l *leaseState) bool {
 	now := m.Clock.Now()
@@ -300,6 +313,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	l.held = false
+	m.noteHeld(move, l)
 	if err := m.Store.Release(ctx, l.lease); err != nil {
 		m.Log.V(1).Info("move-lease-kept", "move", move, "error", err.Error())
 	}
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -127,6 +127,8 @@
 	pending        []ward.Event
 	// notified holds the IDs of the events that were sent, with the store's era.
 	notified map[string]uint64
+	// held holds the leases on moves that this entry holds, by move.
+	held map[string]ward.Lease
 	// leases is used only by the goroutine that calls Advance.
 	leases map[string]*leaseState
 }
@@ -188,6 +190,7 @@
 		ownCounted: map[evidence.Key]ward.Counts{},
 		runs:       map[string]*run{},
 		notified:   map[string]uint64{},
+		held:       map[string]ward.Lease{},
 		leases:     map[string]*leaseState{},
 	}
 }
--- a/internal/entry/mover/mover_test.go
+++ b/internal/entry/mover/mover_test.go
@@ -214,3 +214,34 @@
 	m.Evaluate()
 	want("resumed, after the delay", 0.1)
 }
+
+// Guards against an outcome that is overwritten: an entry reported a move whose lease it had lost, as
+// the store had turned it away.
+func TestFormerHolderDoesNotNotify(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, told := &memory.Platform{Seed: 1}, &recordingNotifier{events: map[string]ward.Event{}}
+		cfg := &ward.Config{
+			Routes: []ward.Route{{Name: "r", Serves: "m", Version: "v1"}},
+			Moves:  []ward.Move{{Name: "x", Ticket: 1, Serves: "m", From: "v1", To: "v2", Deadline: time.Now().Add(time.Hour)}},
+		}
+		m := mover.New(mover.Deps{
+			Self: "entry-0", Incarnation: 1, Store: store, Clock: ward.SystemClock{}, Notifier: told, Log: logr.Discard(),
+			Config: func() *ward.Config { return cfg }, Fleet: func() split.Fleet { return split.Fleet{Entries: 1} }, LeaseTTL: 4 * time.Second,
+		})
+		m.Advance(t.Context())
+		m.Advance(t.Context())
+		if s := m.States(); len(s) != 1 || len(s[0].PendingEvents) == 0 {
+			t.Fatalf("no event to report: %+v", s)
+		}
+		time.Sleep(5 * time.Second)
+		m.NotifyOperators(t.Context())
+		if len(told.events) > 0 {
+			t.Errorf("reported without the lease: %v", told.events)
+		}
+		m.Advance(t.Context()) // acquires the lease again
+		m.Advance(t.Context())
+		if m.NotifyOperators(t.Context()); len(told.events) == 0 {
+			t.Error("nothing reported with the lease")
+		}
+	})
+}
--- a/internal/entry/mover/notify.go
+++ b/internal/entry/mover/notify.go
@@ -42,7 +42,7 @@
 	events := m.pending
 	m.pending = nil
 	for _, s := range m.states {
-		if s.Holder != m.Self {
+		if !m.mayReport(s) {
 			continue
 		}
 		for _, e := range s.PendingEvents {
@@ -57,8 +57,26 @@
 	}
 }
 
+// mayReport reports whether this entry still holds the lease under which it has written a state. The
+// caller must hold mu.
+func (m *Mover) mayReport(s ward.MoveState) bool {
+	l, held := m.held[s.Move]
+	return held && s.Holder == m.Self && l.Fence == s.Fence && m.Clock.Now().Before(l.Expires)
+}
+
+// mayNotify reports whether an event may be sent: that of a quarantine by each entry, others by the
+// holder of the lease.
+func (m *Mover) mayNotify(e ward.Event) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return e.Kind == ward.EventVersionQuarantined || m.mayReport(m.states[e.Move])
+}
+
 // notify sends one event. The event of a quarantine is queued again when this fails.
 func (m *Mover) notify(ctx context.Context, e ward.Event) {
+	if !m.mayNotify(e) {
+		return // the lease was lost while an earlier event was sent
+	}
 	ctx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
 	era := m.era()
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -278,7 +278,7 @@
 	if p == nil || p.Revision != e.Ticket {
 		return nil // the order was replaced
 	}
-	status := ward.RolloutStatus{Service: p.Service, Target: p.Target, State: ward.RolloutRunning}
+	status := ward.RolloutStatus{Service: p.Service, Target: p.Target, State: ward.RolloutRunning, Order: p.Revision}
 	switch e.Kind {
 	case ward.EventVersionQuarantined:
 		return r.writeQuarantine(ctx, ward.Quarantine{Serves: p.Service, Version: p.Target, Move: p.Service, Ticket: p.Revision, Reason: e.Text, By: e.Entry, At: e.At})
@@ -291,10 +291,20 @@
 		return nil
 	}
 	err := r.Source.Report(ctx, status)
-	r.Log.Info("rollout-reported", "service", p.Service, "target", p.Target, "state", status.State, "text", e.Text, "ok", err == nil)
+	r.Log.Info("rollout-reported", "service", p.Service, "target", p.Target, "state", status.State, "text", e.Text, "ok", err == nil, "error", errorText(err))
+	if errors.Is(err, ward.ErrOutdated) {
+		return nil // nothing is left to report
+	}
 	return err
 }
 
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
 func (r *Rollout) writeQuarantine(ctx context.Context, q ward.Quarantine) error {
 	value, err := json.Marshal(q)
 	if err != nil {
--- a/ward/forwarding.go
+++ b/ward/forwarding.go
@@ -321,8 +321,13 @@
 type RolloutStatus struct {
 	Service, Target string
 	State           RolloutState
+	// Order is the revision of the order that the status is of.
+	Order uint64
 }
 
+// ErrOutdated is returned for a write by an entry that no longer decides on its matter.
+var ErrOutdated = errors.New("a later status was written")
+
 // DocumentVersions are the versions of the documents of an entry: the version of
 // the configuration, and the store's revisions of the newest change to an upstream
 // and of the newest order of a roll-out.
