fix(rollout): a process that starts reads the record of an order at once

Change: a plan that is made right after the start wakes the loop that reads records, and a record that was read wakes the one that applies it. Guesses keep a version that was seen in use before.

TestCompletedTargetIsUsedSoonAfterAStart guards it in virtual time.

--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -51,10 +51,8 @@
 	// is the revision of the earlier record that the guess follows from.
 	adopted bool
 	basis   uint64
-	// recordRead is set once this process has read the records of the move, which it tries from
-	// readAt on.
+	// recordRead is set once this process has read the records of the move.
 	recordRead bool
-	readAt     time.Time
 }
 
 // deadline returns when the roll-out must have ended. An entry that started after the
@@ -130,13 +128,14 @@
 		if len(replicas) == 0 {
 			continue // no upstream of the service is known yet
 		}
-		d := r.baseline(o, replicas)
+		d := r.baseline(o, "", replicas)
 		p := &plan{Rollout: o, from: d.Version, rejected: d.Rejected, basis: r.states[o.Service].Revision, orderedAt: now.Add(-o.Age), routes: r.evaluatedRoutes(o.Service), use: exposure.Use{Late: now.Sub(r.started) < startTime}}
 		if r.plans == nil {
 			r.plans = make(map[string]*plan)
 		}
 		r.plans[o.Service] = p
 		changed = true
+		signal(r.unread)
 		r.Log.Info("rollout-planned", "service", o.Service, "from", p.from, "source", d.Source, "rejected", p.rejected, "to", o.Target, "deadline", p.deadline(ward.MoveState{}), "revision", o.Revision, "routes", p.routes)
 	}
 	for service, p := range r.plans {
@@ -161,13 +160,14 @@
 }
 
 // baseline returns what the roll-out of an order starts from, as far as this entry knows: the record
-// of the service's last roll-out may not have been read. The caller must hold mu.
-func (r *Rollout) baseline(o ward.Rollout, replicas []ward.Replica) baseline.Decision {
+// of the service's last roll-out may not have been read. seen is a version that was seen in use before, ""
+// for none. The caller must hold mu.
+func (r *Rollout) baseline(o ward.Rollout, seen string, replicas []ward.Replica) baseline.Decision {
 	last := r.states[o.Service]
 	if last.Ticket == o.Revision && last.From != "" {
 		return baseline.Decision{Version: last.From, Rejected: last.Rejected, Source: baseline.FromRecord}
 	}
-	d := baseline.Service{Last: last, Replicas: replicas}.Decide(o.Target)
+	d := baseline.Service{Last: last, Seen: seen, Replicas: replicas}.Decide(o.Target)
 	if d.Source == baseline.OnlyTarget {
 		d.Version = "" // another version may have been in use
 	}
@@ -181,7 +181,7 @@
 	s := r.states[p.Service]
 	changed := p.adopt(s)
 	if !p.adopted && s.Ticket != p.Revision && s.Revision > p.basis {
-		d := r.baseline(p.Rollout, r.replicas(p.Service))
+		d := r.baseline(p.Rollout, p.from, r.replicas(p.Service))
 		changed = p.from != d.Version || !slices.Equal(p.rejected, d.Rejected)
 		p.from, p.rejected, p.basis = d.Version, d.Rejected, s.Revision
 	}
@@ -212,8 +212,9 @@
 	}
 }
 
-// adopt takes the routes that are evaluated, and what the roll-out starts from, from the record of the move, and reports whether Group may return other groups since. An
-// entry that starts after releases knows neither.
+// adopt takes the routes that are evaluated, and what the roll-out starts from, from the record
+// of the move, and reports whether Group may return other groups since. An entry that starts
+// after releases knows neither.
 func (p *plan) adopt(s ward.MoveState) (changed bool) {
 	if s.Ticket != p.Revision {
 		return false
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -40,8 +40,8 @@
 	// at which the state of roll-outs in progress is broadcast.
 	reconcileInterval = 200 * time.Millisecond
 	// recordInterval is the interval at which the records of roll-outs are read in a
-	// fleet of several cells, as entries of different cells exchange no messages, and at which
-	// a failed read is repeated.
+	// fleet of several cells, as entries of different cells exchange no messages. A process that
+	// starts reads them at once, and at this interval after a failure.
 	recordInterval = time.Second
 	// leaseTTL is the time to live of the lease on a roll-out. It lets another entry
 	// take over well within the shortest roll-outs.
@@ -95,6 +95,8 @@
 	// peerOutdated is set when a peer sent the state of a move from an earlier era of
 	// the store.
 	peerOutdated bool
+	// unread signals that the record of a plan has to be read, merged that records were.
+	unread, merged chan struct{}
 	// requests counts the requests by route and service.
 	requests map[routeKey]int
 	// inFlight counts the running requests on a version that is not in use, by service.
@@ -116,15 +118,17 @@
 	})
 	r.mu.Lock()
 	r.mover, r.started = m, time.Now()
+	r.unread, r.merged = make(chan struct{}, 1), make(chan struct{}, 1)
 	r.mu.Unlock()
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = m.Run(ctx) }) // ends with ctx
-	wg.Go(func() { r.loop(ctx, reconcileInterval, r.reconcile) })
-	wg.Go(func() { r.loop(ctx, reconcileInterval, r.readRecords) })
+	wg.Go(func() { loop(ctx, reconcileInterval, r.merged, r.reconcile) })
+	wg.Go(func() { loop(ctx, recordInterval, r.unread, r.readRecords) })
 	wg.Wait()
 }
 
-func (r *Rollout) loop(ctx context.Context, d time.Duration, f func(context.Context)) {
+// loop calls f at each interval and at each signal, until ctx ends.
+func loop(ctx context.Context, d time.Duration, signals <-chan struct{}, f func(context.Context)) {
 	t := time.NewTicker(d)
 	defer t.Stop()
 	for {
@@ -132,8 +136,17 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			f(ctx)
+		case <-signals:
 		}
+		f(ctx)
+	}
+}
+
+// signal wakes a loop. It does not block, and has no effect on a channel that is nil.
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
 	}
 }
 
@@ -217,8 +230,7 @@
 	r.mu.Lock()
 	var services []string
 	for service, p := range r.plans {
-		if now := time.Now(); (cells || p.use.Late && !p.recordRead) && !ended(r.states[service], p) && !now.Before(p.readAt) {
-			p.readAt = now.Add(recordInterval)
+		if (cells || p.use.Late && !p.recordRead) && !ended(r.states[service], p) {
 			services = append(services, service)
 		}
 	}
@@ -230,6 +242,7 @@
 				p.recordRead = true
 			}
 			r.mu.Unlock()
+			signal(r.merged)
 		}
 	}
 }
--- a/internal/forward/rollout/rollout_test.go
+++ b/internal/forward/rollout/rollout_test.go
@@ -1,7 +1,10 @@
 package rollout
 
 import (
+	"context"
+	"encoding/json"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"agateward/internal/entry/mover"
@@ -9,6 +12,7 @@
 	"agateward/internal/move/exposure"
 	"agateward/internal/move/split"
 	"agateward/internal/platform/memory"
+	"agateward/internal/ticket/acceptance"
 	"agateward/ward"
 
 	"github.com/go-logr/logr"
@@ -316,3 +320,44 @@
 		}
 	}
 }
+
+// Guards against requests that are refused after a restart: a process that starts once the old
+// version is gone waited for its next look at the record before it used the completed one.
+func TestCompletedTargetIsUsedSoonAfterAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		store := &memory.Platform{Seed: 1}
+		record, err := json.Marshal(ward.MoveState{Move: "s", Ticket: 9, From: "v1", To: "v2", State: split.Done, Holder: "entry-2"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := store.CompareAndSwap(ctx, acceptance.KeyMove("s"), 0, record); err != nil {
+			t.Fatal(err)
+		}
+		changed := make(chan struct{}, 100)
+		r := &Rollout{
+			Self: "entry-1", Start: 1, Source: &reports{store: store}, Log: logr.Discard(), Upstreams: upstreams("v2"),
+			Orders: func() []ward.Rollout {
+				return []ward.Rollout{{Service: "s", Target: "v2", Within: time.Minute, Revision: 9}}
+			},
+			Fleet: func() split.Fleet { return split.Fleet{Entries: 1} }, Cells: func() bool { return false },
+			Changed: func() { changed <- struct{}{} }, Publish: func(peerstate.Moves) {},
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			r.Run(ctx)
+		}()
+		synctest.Wait()
+		r.Plan()
+		began := time.Now()
+		for r.Group(ward.Replica{Service: "s", Version: "v2"}) != "s" && time.Since(began) < 10*time.Second {
+			<-changed
+		}
+		if d := time.Since(began); d > 50*time.Millisecond {
+			t.Errorf("the completed version got no requests for %v", d)
+		}
+		cancel()
+		<-done
+	})
+}
