--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -129,13 +129,16 @@
 			continue // no upstream of the service is known yet
 		}
 		d := r.baseline(o, "", replicas)
-		p := &plan{Rollout: o, from: d.Version, rejected: d.Rejected, basis: r.states[o.Service].Revision, orderedAt: now.Add(-o.Age), routes: r.evaluatedRoutes(o.Service), use: exposure.Use{Late: now.Sub(r.started) < startTime}}
+		p := &plan{
+			Rollout: o, from: d.Version, rejected: d.Rejected, basis: r.states[o.Service].Revision, orderedAt: now.Add(-o.Age),
+			routes: r.evaluatedRoutes(o.Service), use: exposure.Use{Late: now.Sub(r.started) < startTime},
+		}
 		if r.plans == nil {
 			r.plans = make(map[string]*plan)
 		}
 		r.plans[o.Service] = p
 		changed = true
-		signal(r.unread)
+		signal(r.readDue)
 		r.Log.Info("rollout-planned", "service", o.Service, "from", p.from, "source", d.Source, "rejected", p.rejected, "to", o.Target, "deadline", p.deadline(ward.MoveState{}), "revision", o.Revision, "routes", p.routes)
 	}
 	for service, p := range r.plans {
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -95,8 +95,9 @@
 	// peerOutdated is set when a peer sent the state of a move from an earlier era of
 	// the store.
 	peerOutdated bool
-	// unread signals that the record of a plan has to be read, merged that records were.
-	unread, merged chan struct{}
+	// readDue signals that the record of a new plan has to be read, merged that records were
+	// read. Both are nil before Run.
+	readDue, merged chan struct{}
 	// requests counts the requests by route and service.
 	requests map[routeKey]int
 	// inFlight counts the running requests on a version that is not in use, by service.
@@ -118,12 +119,12 @@
 	})
 	r.mu.Lock()
 	r.mover, r.started = m, time.Now()
-	r.unread, r.merged = make(chan struct{}, 1), make(chan struct{}, 1)
+	r.readDue, r.merged = make(chan struct{}, 1), make(chan struct{}, 1)
 	r.mu.Unlock()
 	var wg conc.WaitGroup
 	wg.Go(func() { _ = m.Run(ctx) }) // ends with ctx
 	wg.Go(func() { loop(ctx, reconcileInterval, r.merged, r.reconcile) })
-	wg.Go(func() { loop(ctx, recordInterval, r.unread, r.readRecords) })
+	wg.Go(func() { loop(ctx, recordInterval, r.readDue, r.readRecords) })
 	wg.Wait()
 }
 
