fix(rollout): a process that has just started does not rely on an approval by others

Cause: the processes that started again took an approved version for sound and sent it the share of its step, a quarter, before they had evidence of their own.

--- a/internal/forward/rollout/choose.go
+++ b/internal/forward/rollout/choose.go
@@ -64,14 +64,21 @@
 }
 
 // takesNext reports whether a request on a route goes to the new version, given a random number
-// u: by the share of the step, or while the version is unproven, by the bound on its exposure.
+// u: by the share of the step, or while the version is unproven, by the bound on its exposure. A
+// process that has just started takes an approved version for unproven, unless no other is left.
 func (r *Rollout) takesNext(s ward.Split, p *plan, route string, u float64) bool {
-	if p == nil || s.Share <= 0 || r.states[p.Service].Approved {
+	if p == nil || s.Share <= 0 || r.states[p.Service].Approved && (p.alone || !r.justStarted(p, time.Now())) {
 		return u < s.Share
 	}
 	return u < p.canaryShare(route) && r.Exposure.Allows(p.use)
 }
 
+// justStarted reports whether this process started after an order and so lately that it may have missed
+// harm that began before: it has no evidence of its own for an approval yet. The caller must hold mu.
+func (r *Rollout) justStarted(p *plan, now time.Time) bool {
+	return p.use.Late && now.Sub(r.started) < cautiousTime
+}
+
 func (r *Rollout) countRequest(k routeKey) {
 	if r.requests == nil {
 		r.requests = make(map[routeKey]int)
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -23,6 +23,9 @@
 	otherRoutes   = "*"
 	// startTime is the time in which a process that starts learns of earlier orders.
 	startTime = 5 * time.Second
+	// cautiousTime is the time after its start in which a process does not rely on an approval by
+	// others.
+	cautiousTime = 3 * time.Second
 )
 
 // plan is a roll-out order as this entry executes it.
