review: a bad version is completed while few requests come

Cause: with under 50 requests expected in the window a roll-out needs no approval and goes to the whole traffic by the clock. Ports below those of outgoing connections.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/agateward ] && [ -x target/review-3 ] || exit 2
-exec target/review-3 large-configuration-storm review/12/record.txt
+exec target/review-3 silent-store-drain review/12/record.txt
--- a/review/_standin-3/entry.go
+++ b/review/_standin-3/entry.go
@@ -3,11 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -41,17 +43,13 @@
 // ports are those that all entries use, at addresses of their own.
 type ports struct{ callers, ready, state, news, metrics int }
 
-// freePorts returns ports that are free at all addresses.
+// freePorts returns ports that are free at all addresses, below those that the kernel gives to
+// outgoing connections.
 func freePorts(ips []string) ports {
 	var list []int
-	for range 200 {
-		l, err := net.Listen("tcp", ips[0]+":0")
-		if err != nil {
-			fatal("find a free port: %v", err)
-		}
-		port := l.Addr().(*net.TCPAddr).Port
-		l.Close()
-		free := true
+	for range 1000 {
+		port := 12000 + rand.IntN(20000)
+		free := !slices.Contains(list, port)
 		for _, ip := range ips {
 			a := fmt.Sprintf("%s:%d", ip, port)
 			t, err := net.Listen("tcp", a)
@@ -107,7 +105,8 @@
 	setup(f.store)
 	var ips []string
 	for i := range n {
-		ips = append(ips, fmt.Sprintf("127.0.7.%d", i+1))
+		// Cases that run at the same time use addresses of their own.
+		ips = append(ips, fmt.Sprintf("127.7.%d.%d", os.Getpid()%250, i+1))
 	}
 	p := freePorts(ips)
 	var seeds []string
--- a/review/_standin-3/main.go
+++ b/review/_standin-3/main.go
@@ -19,6 +19,8 @@
 var cases = map[string]func(rec *record, trouble bool) (broken bool){
 	"silent-store-drain":        silentStoreDrain,
 	"large-configuration-storm": largeConfigurationStorm,
+	"bad-version-few-requests":  badVersionFewRequests,
+	"bad-version-thin-route":    badVersionThinRoute,
 }
 
 func main() {
--- a/review/_standin-3/replica.go
+++ b/review/_standin-3/replica.go
@@ -3,9 +3,11 @@
 import (
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,32 @@
 	ended                     string
 }
 
+// faults spreads the failures of a version evenly over its answers.
+type faults struct {
+	// portions are those of the answers that are failures, by the prefix of the path.
+	portions map[string]float64
+
+	mu      sync.Mutex
+	answers map[string]int
+}
+
+// next reports whether the version's next answer on a path is a failure.
+func (f *faults) next(path string) bool {
+	if f == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for prefix, portion := range f.portions {
+		if strings.HasPrefix(path, prefix) {
+			f.answers[prefix]++
+			n := float64(f.answers[prefix])
+			return math.Floor(n*portion) > math.Floor((n-1)*portion)
+		}
+	}
+	return false
+}
+
 // replica is a stand-in of a sound replica of a plain service.
 type replica struct {
 	id, service, zone, version string
@@ -25,6 +53,8 @@
 	work                       time.Duration
 	rec                        *record
 	leaving                    atomic.Bool
+	// faults decides which of its answers are failures, nil for none.
+	faults *faults
 
 	server *http.Server
 	mu     sync.Mutex
@@ -89,12 +119,16 @@
 		end("cut, its connection closed")
 		return
 	}
-	out := fmt.Sprintf("%s %d %s", p.id, len(body), id)
+	out, status := fmt.Sprintf("%s %d %s", p.id, len(body), id), http.StatusOK
+	if p.faults.next(r.URL.Path) {
+		status = http.StatusInternalServerError
+	}
 	w.Header().Set("X-Agateward-Request-Id", id)
 	w.Header().Set("X-Agateward-Response-Signature", "sig-"+p.id+"-"+id)
 	w.Header().Set("Content-Type", "text/plain")
 	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
-	end("200")
+	end(strconv.Itoa(status))
+	w.WriteHeader(status)
 	_, _ = io.WriteString(w, out)
 }
 
