--- a/review/_standin-3/client.go
+++ b/review/_standin-3/client.go
@@ -61,6 +61,7 @@
 		if res, a.err = http.ReadResponse(c.br, &http.Request{Method: method}); a.err == nil {
 			var b []byte
 			b, a.err = io.ReadAll(res.Body)
+			_ = res.Body.Close()
 			a.status, a.body, a.signed = res.StatusCode, string(b), res.Header.Get("X-Agateward-Response-Signature") != ""
 		}
 	}
--- a/review/_standin-3/entry.go
+++ b/review/_standin-3/entry.go
@@ -58,7 +58,7 @@
 			}
 			u, uerr := net.ListenPacket("udp", a)
 			if uerr == nil {
-				u.Close()
+				_ = u.Close()
 			}
 			free = free && err == nil && uerr == nil
 		}
@@ -163,7 +163,7 @@
 	if err := e.cmd.Start(); err != nil {
 		fatal("start %s: %v", e.name, err)
 	}
-	out.Close()
+	_ = out.Close() // the process has a descriptor of its own
 	startedMu.Lock()
 	started = append(started, e)
 	startedMu.Unlock()
--- a/review/_standin-3/silent.go
+++ b/review/_standin-3/silent.go
@@ -94,6 +94,11 @@
 	for a := range answers {
 		sent[a.id] = a
 	}
+	return judgeDrain(rec, f, gone, left, sent)
+}
+
+// judgeDrain reports whether requests have reached a replica later than drainTime after it left.
+func judgeDrain(rec *record, f *fleet, gone *replica, left time.Time, sent map[string]answer) bool {
 	late, lost := 0, 0
 	for _, n := range gone.all() {
 		a, ok := sent[n.id]
