--- a/review/_standin-3/exposure.go
+++ b/review/_standin-3/exposure.go
@@ -36,14 +36,16 @@
 	old     []*replica
 	fresh   []*replica
 
+	// next counts the requests by the prefix of the path.
+	next map[string]int
+
 	mu     sync.Mutex
 	sent   map[string]answer
-	next   int
 	status string
 }
 
 func newRollout(rec *record, trouble bool, portions map[string]float64, routes map[string]string) *rollout {
-	r := &rollout{rec: rec, sent: map[string]answer{}}
+	r := &rollout{rec: rec, next: map[string]int{}, sent: map[string]answer{}}
 	if trouble {
 		r.faults = &faults{portions: portions, answers: map[string]int{}}
 	}
@@ -64,10 +66,10 @@
 	return r
 }
 
-// send sends a request to the next entry on a new connection.
+// send sends a request to the next entry in turn, on a new connection.
 func (r *rollout) send(prefix string) {
-	e := r.f.entries[r.next%len(r.f.entries)]
-	r.next++
+	e := r.f.entries[r.next[prefix]%len(r.f.entries)]
+	r.next[prefix]++
 	r.wg.Go(func() {
 		c := dial(e.callers)
 		defer c.nc.Close()
