fix(platform): a time-out of the store closes the idle connections

When the open connections to the store fall silent, each feed has its own connection and more are idle. A watch ends after its time-out, and the next call took the next silent connection from the pool: 1.7 s more for a watch, 1 s for each other call.

A call that runs into its time limit now closes the idle connections, so the next one opens a new connection.

--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -144,8 +144,15 @@
 	if r.closed.Load() {
 		return result{}, fmt.Errorf("the client is closed: %w", ward.ErrUnavailable)
 	}
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, r.timeout+c.wait)
 	defer cancel()
+	defer func() {
+		// The connections that were open beside a silent one may be silent too.
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) && caller.Err() == nil {
+			r.http.CloseIdleConnections()
+		}
+	}()
 	u := url.URL{Scheme: "http", Host: r.address, Path: c.path, RawQuery: c.query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, c.method, u.String(), bytes.NewReader(c.body))
 	if err != nil {
--- a/internal/platform/client/client_test.go
+++ b/internal/platform/client/client_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"agateward/internal/platform/memory"
 	"agateward/internal/platform/server"
+	"agateward/internal/soak/proxy"
 	"agateward/ward"
 )
 
@@ -122,3 +124,37 @@
 		t.Errorf("Instances() = %v, %v", list, err)
 	}
 }
+
+// TestSilentConnectionsCostOneCall lets the open connections fall silent. Once a call has
+// run into its time limit, none of the others may be used again.
+func TestSilentConnectionsCostOneCall(t *testing.T) {
+	_, direct, _ := platform(t)
+	p := &proxy.Proxy{Target: direct.raw.address}
+	if err := p.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	c := New(Settings{Address: p.Address(), Timeout: 300 * time.Millisecond})
+	t.Cleanup(c.Close)
+	ctx, s := t.Context(), c.Store()
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() {
+			if _, err := s.Watch(ctx, "config", 0, 100*time.Millisecond); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	if n := p.SilenceOpen(); n < 2 {
+		t.Fatalf("%d open connections, want several", n)
+	}
+	if _, err := s.Get(ctx, "config"); err == nil {
+		t.Error("a call on a silent connection was answered")
+	}
+	for range 3 {
+		if _, err := s.Get(ctx, "config"); err != nil {
+			t.Errorf("call after it: %v", err)
+		}
+	}
+}
--- a/internal/soak/proxy/proxy.go
+++ b/internal/soak/proxy/proxy.go
@@ -7,12 +7,14 @@
 //	err := p.Listen()
 //	p.Set(proxy.HoldAnswers)
 //	p.Set(proxy.Pass)
+//	p.SilenceOpen() // the open connections; new ones pass
 package proxy
 
 import (
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -46,8 +48,19 @@
 	mode    Mode
 	changed chan struct{}
 	conns   map[net.Conn]bool
+	// links are the connections that SilenceOpen silences.
+	links map[*link]bool
 }
 
+// link is a connection of a client with the one to the target.
+type link struct {
+	end    chan struct{}
+	once   sync.Once
+	silent atomic.Bool
+}
+
+func (l *link) stop() { l.once.Do(func() { close(l.end) }) }
+
 // Listen starts the proxy on a free port of the loopback address.
 func (p *Proxy) Listen() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -55,6 +68,7 @@
 		return fmt.Errorf("proxy to %s: %w", p.Target, err)
 	}
 	p.l, p.mode, p.changed, p.conns = l, Pass, make(chan struct{}), make(map[net.Conn]bool)
+	p.links = make(map[*link]bool)
 	go p.accept()
 	return nil
 }
@@ -74,6 +88,19 @@
 	}
 }
 
+// SilenceOpen makes the open connections pass nothing more, not even their end, and
+// returns their number. New ones pass.
+func (p *Proxy) SilenceOpen() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.links)
+	for l := range p.links {
+		l.silent.Store(true)
+		delete(p.links, l)
+	}
+	return n
+}
+
 // Close stops the proxy and resets its connections.
 func (p *Proxy) Close() {
 	p.l.Close()
@@ -109,17 +136,17 @@
 		abort(c)
 		return
 	}
+	l := &link{end: make(chan struct{})}
 	p.mu.Lock()
 	p.conns[c], p.conns[out] = true, true
+	p.links[l] = true
 	p.mu.Unlock()
-	end := make(chan struct{})
-	var once sync.Once
-	stop := func() { once.Do(func() { close(end) }) }
-	go p.forward(out, c, false, end, stop)
-	p.forward(c, out, true, end, stop)
+	go p.forward(out, c, false, l)
+	p.forward(c, out, true, l)
 	c.Close()
 	out.Close()
 	p.mu.Lock()
+	delete(p.links, l)
 	delete(p.conns, c)
 	delete(p.conns, out)
 	p.mu.Unlock()
@@ -133,8 +160,8 @@
 
 // forward copies data until one side closes. back is set for the direction of the
 // answers.
-func (p *Proxy) forward(to, from net.Conn, back bool, end chan struct{}, stop func()) {
-	defer stop()
+func (p *Proxy) forward(to, from net.Conn, back bool, l *link) {
+	defer l.stop()
 	defer to.Close()
 	buf := make([]byte, 32<<10)
 	for {
@@ -145,7 +172,7 @@
 				select {
 				case <-changed:
 					continue
-				case <-end:
+				case <-l.end:
 					return
 				}
 			}
@@ -154,6 +181,15 @@
 			}
 			break
 		}
+		if l.silent.Load() {
+			if err == nil {
+				continue
+			}
+			if back {
+				<-l.end // the client does not see that the target has closed
+			}
+			return
+		}
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
--- a/internal/soak/proxy/proxy_test.go
+++ b/internal/soak/proxy/proxy_test.go
@@ -94,3 +94,45 @@
 		})
 	}
 }
+
+// TestSilencedConnectionsStaySilent checks that only the connections that were open fall
+// silent, and that they do not end.
+func TestSilencedConnectionsStaySilent(t *testing.T) {
+	p := &Proxy{Target: echo(t)}
+	if err := p.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	defer p.Close()
+	ask := func(c net.Conn) error {
+		c.SetDeadline(time.Now().Add(200 * time.Millisecond))
+		if _, err := c.Write([]byte("ping\n")); err != nil {
+			return err
+		}
+		_, err := bufio.NewReader(c).ReadString('\n')
+		return err
+	}
+	conns := make([]net.Conn, 2)
+	for i := range conns {
+		c, err := net.Dial("tcp", p.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns[i] = c
+		if err := ask(c); err != nil {
+			t.Fatal(err)
+		}
+		if i == 0 {
+			if n := p.SilenceOpen(); n != 1 {
+				t.Fatalf("%d connections fell silent, want 1", n)
+			}
+		}
+	}
+	var timeout net.Error
+	if err := ask(conns[0]); !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Errorf("the silent connection: %v, want a time-out", err)
+	}
+	if err := ask(conns[1]); err != nil {
+		t.Errorf("the new connection: %v", err)
+	}
+}
--- a/ward/store.go
+++ b/ward/store.go
@@ -16,6 +16,9 @@
 	// ErrOutcomeUnknown means that the call may or may not have had an effect. The
 	// caller finds out by looking for its own attempt id in the store.
 	ErrOutcomeUnknown = errors.New("outcome of the store call unknown")
+	// ErrConnectionLost means that an open connection to the store ended or fell silent
+	// before the answer. The store may be sound: a call on a new connection shows it.
+	ErrConnectionLost = errors.New("connection to the store lost")
 	// ErrOverBudget means that the local limit on store calls refused the call
 	// before it was sent.
 	ErrOverBudget = errors.New("store call budget used up")
