fix(view): a removal after a lost connection is no lapse

Cause: after any failed call, removals in the first answer, and in those of the next 2 s, were kept for MissingGrace, as registrations lapse while the store is away and return soon after. The store of the case is never away: one watch ran into its time limit on a silent connection. With the removal 0.4 s after the silence and the first answer 1.9 s after it, the upstream was used for 3.5 s after the acknowledgement; DrainMs is 2 s.

outage.Tracker tells the two apart: one call that had a connection and no answer, followed by an answer on a new connection, is no outage. A refusal, a failed connect or two failed calls in a row are one. Registrations lapse three heartbeats after their last renewal, so an outage of 2.4 s at least; one call and the next take 1.9 s (2.2 s in a divided fleet). store-regained states which it was; upstreams-missing names the upstreams that are kept.

--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -6,19 +6,26 @@
 	"math/rand/v2"
 	"time"
 
+	"agateward/internal/forward/outage"
 	"agateward/internal/forward/replicas"
 	"agateward/ward"
 )
 
+// Feeds of the store, as logs name them.
+const (
+	feedOrders    = "orders"
+	feedUpstreams = "upstreams"
+)
+
 // Run follows the store until ctx ends.
 func (v *View) Run(ctx context.Context) {
 	sleep(ctx, time.Duration(rand.Float64()*float64(maxStartJitter)))
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		v.follow(ctx, "orders", feed{list: v.listOrders, watch: v.watchOrders})
+		v.follow(ctx, feedOrders, feed{list: v.listOrders, watch: v.watchOrders})
 	}()
-	v.follow(ctx, "upstreams", feed{list: v.listReplicas, watch: v.watchReplicas, peerRevision: v.replicasRevision, pause: v.upstreamsPause})
+	v.follow(ctx, feedUpstreams, feed{list: v.listReplicas, watch: v.watchReplicas, peerRevision: v.replicasRevision, pause: v.upstreamsPause})
 	<-done
 }
 
@@ -93,27 +100,49 @@
 	}
 }
 
+// outage returns the tracker of a feed. The caller holds v.mu.
+func (v *View) outage(kind string) *outage.Tracker {
+	if v.outages == nil {
+		v.outages = make(map[string]*outage.Tracker)
+	}
+	if v.outages[kind] == nil {
+		v.outages[kind] = &outage.Tracker{}
+	}
+	return v.outages[kind]
+}
+
 func (v *View) noteFailure(kind string, err error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.down == nil {
-		v.down = make(map[string]bool)
-	}
-	if !v.down[kind] {
-		v.down[kind] = true
+	t := v.outage(kind)
+	if !t.Failing() {
 		v.Log.Info("store-lost", "of", kind, "error", err.Error())
 	}
+	t.Failed(errors.Is(err, ward.ErrConnectionLost))
 }
 
 func (v *View) noteAnswer(kind string, revision uint64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	before := v.answered
 	v.answered = time.Now()
-	if v.down[kind] {
-		v.down[kind] = false
+	t := v.outage(kind)
+	failing, ended := t.Failing(), t.Answered()
+	if ended {
 		v.recovered = v.answered
-		v.Log.Info("store-regained", "of", kind, "revision", ward.RevisionText(revision))
 	}
+	if failing {
+		v.Log.Info("store-regained", "of", kind, "revision", ward.RevisionText(revision), "outage", ended, "last-answer", v.answered.Sub(before))
+	}
+}
+
+// lapseTime returns since when a registration whose removal is read now may only have
+// lapsed in an outage of the store, and whether it may. The caller holds v.mu.
+func (v *View) lapseTime(now time.Time) (time.Time, bool) {
+	if v.outage(feedUpstreams).Ongoing() {
+		return now, true // the first answer after an outage
+	}
+	return v.recovered, now.Sub(v.recovered) < replicas.MissingGrace
 }
 
 // noteRevision notes a revision of the store. A later era means that the store has
@@ -199,21 +228,25 @@
 	}
 	now := time.Now()
 	v.mu.Lock()
+	since, lapse := v.lapseTime(now)
 	changed := false
+	var missing []string
 	for _, r := range regs {
 		switch {
 		case !r.Removed && v.usable(r):
 			changed = v.set.Put(r.Replica, r.Revision, now) || changed
-		case v.down["upstreams"]:
-			v.set.MarkMissing(r.Replica.ID, r.Revision, now) // the first answer after an outage
-		case now.Sub(v.recovered) < replicas.MissingGrace:
-			v.set.MarkMissing(r.Replica.ID, r.Revision, v.recovered)
+		case lapse:
+			v.set.MarkMissing(r.Replica.ID, r.Revision, since)
+			missing = append(missing, r.Replica.ID)
 		default:
 			changed = v.set.Remove(r.Replica.ID, r.Revision) || changed
 		}
 	}
 	n := v.set.Len()
 	v.mu.Unlock()
+	if len(missing) > 0 {
+		v.Log.Info("upstreams-missing", "upstreams", missing, "revision", ward.RevisionText(rev), "recovered", now.Sub(since), "kept", replicas.MissingGrace-now.Sub(since))
+	}
 	if changed {
 		v.Log.Info("upstreams-changed", "source", "store", "revision", ward.RevisionText(rev), "count", n, "events", len(regs))
 		v.Changed()
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -23,6 +23,7 @@
 	"agateward/internal/forward/document"
 	"agateward/internal/forward/evacuation"
 	"agateward/internal/forward/orderlog"
+	"agateward/internal/forward/outage"
 	"agateward/internal/forward/replicas"
 	"agateward/internal/forward/route"
 	"agateward/internal/telemetry/ignored"
@@ -91,7 +92,7 @@
 	mu     sync.Mutex
 	set    replicas.Set
 	listed bool
-	// recovered is when the store answered again after a failed call.
+	// recovered is when the store answered again after an outage.
 	recovered time.Time
 	// answered is when the store last answered.
 	answered time.Time
@@ -100,7 +101,8 @@
 	loggedFaults map[string]uint64
 	// loggedNotes holds the notes on registrations that were logged, by upstream.
 	loggedNotes map[string]string
-	down        map[string]bool
+	// outages follows the calls of each feed.
+	outages map[string]*outage.Tracker
 	// rollouts are the writes of orders by service.
 	rollouts    map[string]*orderlog.Log
 	evacuations evacuation.Set
--- a/internal/forward/view/view_test.go
+++ b/internal/forward/view/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -82,6 +83,48 @@
 	}
 }
 
+// TestRemovalAfterFailedCalls reads a removal after calls of the store have failed. Only one
+// that may be a lapse of an outage keeps the upstream for MissingGrace: an upstream that has
+// left got requests until it exited, after a connection to a sound store had fallen silent.
+func TestRemovalAfterFailedCalls(t *testing.T) {
+	lost := fmt.Errorf("%w: %w", ward.ErrOutcomeUnknown, ward.ErrConnectionLost)
+	cases := []struct {
+		name     string
+		feed     string
+		failures []error
+		kept     bool
+	}{
+		{"no call failed", feedUpstreams, nil, false},
+		{"a connection was lost", feedUpstreams, []error{lost}, false},
+		{"a connection of the orders was lost", feedOrders, []error{lost}, false},
+		{"a new connection was lost too", feedUpstreams, []error{lost, lost}, true},
+		{"the store refused a call", feedUpstreams, []error{ward.ErrUnavailable}, true},
+		{"the store could not be reached", feedUpstreams, []error{ward.ErrOutcomeUnknown}, true},
+		{"the store refused a call of the orders", feedOrders, []error{ward.ErrUnavailable}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := &View{Source: source{}, Log: logr.Discard(), Changed: func() {}}
+			v.Merge("peer", State{Revision: 11, Replicas: []replicas.Entry{{Replica: upstream("i-2"), Revision: 6}}})
+			for _, err := range c.failures {
+				v.noteFailure(c.feed, err)
+			}
+			if c.feed == feedOrders && len(c.failures) > 0 {
+				v.noteAnswer(feedOrders, 11)
+			}
+			if _, err := v.watchReplicas(t.Context(), 11); err != nil {
+				t.Fatal(err)
+			}
+			if kept := len(v.Upstreams()) == 1; kept != c.kept {
+				t.Errorf("the upstream is kept: %t, want %t", kept, c.kept)
+			}
+			if v.Sweep(time.Now().Add(replicas.MissingGrace)); len(v.Upstreams()) != 0 {
+				t.Errorf("kept for more than %s", replicas.MissingGrace)
+			}
+		})
+	}
+}
+
 // TestResumesFromPeerRevision starts to follow the store at an entry that got the
 // upstreams from peers. A watch from their revision reports a later removal, which
 // takes effect at once; in a list, a removal looks like a lapse.
