fix(backend): a request without an answer closes the connections idle meanwhile

When the connections to an upstream fall silent for good, each idle one was used by a later request, which ran into its time limit: up to 32 requests for each upstream, and those that may not be sent twice were lost.

A request that is given up 0.5 s or more after it was sent, without a byte of an answer, now closes the idle connections to its address on which nothing has arrived since then. A request whose caller leaves sooner says nothing of the connection.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -53,6 +53,9 @@
 	maxInlineBody = 2 << 10
 	// drainTimeout bounds the wait for the rest of a body that nobody needs.
 	drainTimeout = 20 * time.Millisecond
+	// silentTime is the time without a byte of an answer from which the connection may have
+	// fallen silent, and with it those that were idle meanwhile.
+	silentTime = 500 * time.Millisecond
 	// writeEndTimeout bounds the wait for the end of a request's write, once the upstream has
 	// closed the connection.
 	writeEndTimeout = time.Second
@@ -134,6 +137,8 @@
 	// earlier request would have been read as that of the next, and refused.
 	lastID string
 	head   headLimit
+	// heard is when bytes last arrived, or when the connection was opened.
+	heard time.Time
 	// end is the error with which the reads of the connection ended, nil before.
 	end error
 }
@@ -156,6 +161,7 @@
 	res        *http.Response
 	bodyRead   bool
 	received   int64
+	sent       time.Time
 	writeDone  chan error
 	stopCancel func() bool
 }
@@ -178,7 +184,7 @@
 		r.Connected(c.unread)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	x := &Exchange{pool: p, conn: c, Reused: c.reused, writeDone: make(chan error, 1), stopCancel: stop}
+	x := &Exchange{pool: p, conn: c, Reused: c.reused, sent: time.Now(), writeDone: make(chan error, 1), stopCancel: stop}
 	head := r.head()
 	if len(r.Body) <= maxInlineBody {
 		_, err := c.Write(append(head, r.Body...))
@@ -331,4 +337,7 @@
 func (x *Exchange) discard() {
 	x.stopCancel()
 	x.conn.Close()
+	if x.conn.heard.Before(x.sent) && time.Since(x.sent) >= silentTime {
+		x.pool.closeUnheard(x.conn.address, x.sent)
+	}
 }
--- a/internal/forward/backend/pool.go
+++ b/internal/forward/backend/pool.go
@@ -39,7 +39,7 @@
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	c := &conn{Conn: raw, pool: p, address: address}
+	c := &conn{Conn: raw, pool: p, address: address, heard: time.Now()}
 	c.br = bufio.NewReaderSize(c, bufferSize)
 	return c, nil
 }
@@ -89,6 +89,7 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n > 0 {
+		c.heard = time.Now()
 		c.pool.noteHeard()
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -186,6 +187,27 @@
 	p.idle[c.address] = append(p.idle[c.address], c)
 }
 
+// closeUnheard closes the idle connections to an address on which nothing has arrived since a
+// time. Connections that fall silent without an end do so together, and each would cost a
+// request.
+func (p *Pool) closeUnheard(address string, since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[address][:0]
+	for _, c := range p.idle[address] {
+		if c.heard.Before(since) {
+			c.Close()
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	if len(kept) == 0 {
+		delete(p.idle, address)
+		return
+	}
+	p.idle[address] = kept
+}
+
 // Retain closes the idle connections that have expired or whose address is not in
 // use.
 func (p *Pool) Retain(inUse map[string]bool) {
