fix(view): an upstream that a list of a steady store lacks has left

When the store no longer has the history, the upstreams are listed anew, and one that the list lacks was kept for MissingGrace, 2 s, as if the store had been away. An upstream that had left without reporting that it drains was used for all of DrainMs and longer.

A list is believed at once if the store has answered all the while: no outage (outage.Tracker), no 2.2 s without an answer, for 2 s at least, and no later era. An entry that has just started, or follows the store since a moment ago, cannot know that, and keeps the upstream as before.

--- a/internal/forward/replicas/replicas.go
+++ b/internal/forward/replicas/replicas.go
@@ -156,6 +156,18 @@
 	}
 }
 
+// RemoveMissing removes the upstreams that a list of the given revision lacks, and reports
+// whether there were any. It is for a list of a store that was not away.
+func (s *Set) RemoveMissing(revision uint64) bool {
+	changed := false
+	for id, e := range s.entries {
+		if !e.missingSince.IsZero() {
+			changed = s.Remove(id, revision) || changed
+		}
+	}
+	return changed
+}
+
 // Merge merges the set of a peer, whose newest change has the given revision, and
 // reports whether anything changed. An upstream that only this set holds is
 // removed if the peer's revision is newer than this set's and not older than the
--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -131,11 +131,25 @@
 	if ended {
 		v.recovered = v.answered
 	}
+	if ended || v.answered.Sub(before) >= minLapse {
+		v.steadySince = v.answered
+	}
 	if failing {
 		v.Log.Info("store-regained", "of", kind, "revision", ward.RevisionText(revision), "outage", ended, "last-answer", v.answered.Sub(before))
 	}
 }
 
+// steady reports whether no registration can have lapsed that the upstreams' list of
+// revision lacks: the store has answered all the while, and is no older copy. The caller
+// holds v.mu.
+func (v *View) steady(revision uint64, now time.Time) bool {
+	if _, lapse := v.lapseTime(now); lapse {
+		return false
+	}
+	return now.Sub(v.answered) < minLapse && now.Sub(v.steadySince) >= replicas.MissingGrace &&
+		!ward.LaterEra(revision, v.set.Revision)
+}
+
 // lapseTime returns since when a registration whose removal is read now may only have
 // lapsed in an outage of the store, and whether it may. The caller holds v.mu.
 func (v *View) lapseTime(now time.Time) (time.Time, bool) {
@@ -209,13 +223,17 @@
 			list = append(list, replicas.Entry{Replica: r.Replica, Revision: r.Revision})
 		}
 	}
+	steady := v.steady(rev, now)
 	changed := v.set.ApplyList(list, rev, now)
+	if steady {
+		changed = v.set.RemoveMissing(rev) || changed
+	}
 	first := !v.listed
 	v.listed = true
 	n := v.set.Len()
 	v.mu.Unlock()
 	if changed || first {
-		v.Log.Info("upstreams-changed", "source", "list of the store", "revision", ward.RevisionText(rev), "count", n)
+		v.Log.Info("upstreams-changed", "source", "list of the store", "revision", ward.RevisionText(rev), "count", n, "steady", steady)
 		v.Changed()
 	}
 	return rev, nil
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -44,6 +44,9 @@
 	// cells, where registrations change several times a second. An upstream that leaves
 	// has to be excluded within some seconds.
 	cellCoalesceDelay = 400 * time.Millisecond
+	// minLapse is a time without an answer in which no registration lapses: a lapse takes
+	// three heartbeats, of 1.2 s, after the last one.
+	minLapse = 2200 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the pause after a failed call.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
@@ -94,8 +97,9 @@
 	listed bool
 	// recovered is when the store answered again after an outage.
 	recovered time.Time
-	// answered is when the store last answered.
-	answered time.Time
+	// answered is when the store last answered, steadySince since when it has answered
+	// without a pause of minLapse or an outage.
+	answered, steadySince time.Time
 	// revision is the newest revision of the store that this entry or a peer has seen.
 	revision     uint64
 	loggedFaults map[string]uint64
--- a/internal/forward/view/view_test.go
+++ b/internal/forward/view/view_test.go
@@ -18,6 +18,8 @@
 type source struct {
 	ward.ForwardSource
 	compacted bool
+	// era is the era of its lists.
+	era uint64
 }
 
 func upstream(id string) ward.Replica {
@@ -33,8 +35,8 @@
 	return ward.Orders{}, revision, nil
 }
 
-func (source) Replicas(context.Context) ([]ward.Registration, uint64, error) {
-	return []ward.Registration{{Replica: upstream("i-1"), Revision: 5}}, 12, nil
+func (s source) Replicas(context.Context) ([]ward.Registration, uint64, error) {
+	return []ward.Registration{{Replica: upstream("i-1"), Revision: ward.StampRevision(s.era, 5)}}, ward.StampRevision(s.era, 12), nil
 }
 
 func (s source) WatchReplicas(ctx context.Context, revision uint64, wait time.Duration) ([]ward.Registration, uint64, error) {
@@ -125,6 +127,46 @@
 	}
 }
 
+// TestListWithoutAnUpstream lists the upstreams anew, as the store no longer had the history.
+// An upstream that the list lacks has left, unless its registration may have lapsed: it got
+// requests for MissingGrace longer.
+func TestListWithoutAnUpstream(t *testing.T) {
+	cases := []struct {
+		name string
+		// steady is for how long the store has answered, ago the time since the last answer.
+		steady, ago time.Duration
+		era         uint64
+		failure     error
+		kept        bool
+	}{
+		{"the store answered all the while", replicas.MissingGrace, 100 * time.Millisecond, 0, nil, false},
+		{"one connection was lost", time.Minute, 1900 * time.Millisecond, 0, ward.ErrConnectionLost, false},
+		{"the store refused a call", time.Minute, 100 * time.Millisecond, 0, ward.ErrUnavailable, true},
+		{"the store answers since a moment ago", 100 * time.Millisecond, 50 * time.Millisecond, 0, nil, true},
+		{"it has not answered for long", time.Minute, minLapse, 0, nil, true},
+		{"it returned from an older copy", time.Minute, 100 * time.Millisecond, 1, nil, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Now()
+			v := &View{Source: source{era: c.era}, Log: logr.Discard(), Changed: func() {}, answered: now.Add(-c.ago), steadySince: now.Add(-c.steady)}
+			v.Merge("peer", State{Revision: 11, Replicas: []replicas.Entry{{Replica: upstream("i-2"), Revision: 6}}})
+			if c.failure != nil {
+				v.noteFailure(feedUpstreams, c.failure)
+			}
+			if _, err := v.listReplicas(t.Context(), 0); err != nil {
+				t.Fatal(err)
+			}
+			if kept := len(v.Upstreams()) == 2; kept != c.kept {
+				t.Errorf("the upstream is kept: %t, want %t", kept, c.kept)
+			}
+			if v.Sweep(time.Now().Add(replicas.MissingGrace)); len(v.Upstreams()) != 1 {
+				t.Errorf("kept for more than %s", replicas.MissingGrace)
+			}
+		})
+	}
+}
+
 // TestResumesFromPeerRevision starts to follow the store at an entry that got the
 // upstreams from peers. A watch from their revision reports a later removal, which
 // takes effect at once; in a list, a removal looks like a lapse.
