fix(move): few requests that speak against a version stop its roll-out

Cause: with fewer than 50 requests in the window a move needs no approval, and the clock made all steps whatever the few outcomes said (2 of 5 failed against 0 of 15); only evidence of e^4 of a sequential test, which takes more answers than there are, stopped it. The version got 5 requests in the first half of the window, of 25 that the bound keeps for then.

Up to half of the requests go to it then, within the same bound, and chance cannot leave it without any. From 50 to 100 requests 10 outcomes that do not speak against it replace an approval, which few sound versions reached. The report says how little was known.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -34,6 +34,8 @@
 	written uint64
 	// suspicion is the result of the analysis from which the last state followed.
 	suspicion float64
+	// opposed reports whether the outcomes spoke against the version then.
+	opposed bool
 	// again is set when the store has returned from an older copy, until the record has
 	// been written again.
 	again bool
@@ -207,7 +209,7 @@
 		Replicas: m.replicas(x), Loaded: order.Loaded(x, s.Orders), Evidence: func() []ward.Counts { return m.evidenceOf(c, x) },
 	}
 	m.judge(c, x, s.Step, entries, &in)
-	l.suspicion = in.Suspicion
+	l.suspicion, l.opposed = in.Suspicion, in.Opposed
 	in.Quarantined, in.QuarantineReason = m.quarantined(c, x)
 	next, changed := m.machine.Next(s, in)
 	if !changed && next.Fence != l.lease.Fence {
@@ -252,6 +254,11 @@
 	}
 	for _, a := range r.approvals {
 		in.Requests += a.Requests
+		in.Opposed, in.Unclear = in.Opposed || a.Opposes(), in.Unclear || a.Unclear()
+		in.Answered, in.Failed = in.Answered+a.Answered, in.Failed+a.Failed
+		if a.Answered > 0 && (in.Answered == a.Answered || max(a.AnsweredFailures, a.Slowness) > max(in.Failures, in.Slowness)) {
+			in.Failures, in.Slowness = a.AnsweredFailures, a.Slowness
+		}
 	}
 	in.Approved = analysis.Approved(r.approvals, plan.Plan{Begin: r.begin, Deadline: x.Deadline}.Final(in.Now))
 	// Peers may be silent, so that their requests are missing.
@@ -302,7 +309,7 @@
 	m.mu.Unlock()
 	if before.State != s.State || before.Step != s.Step {
 		m.Log.Info("move-state", "move", s.Move, "ticket", s.Ticket, "state", s.State, "step", s.Step, "share", s.Share, "fence", s.Fence, "reason", s.Reason,
-			"approved", s.Approved, "suspicion", l.suspicion)
+			"approved", s.Approved, "suspicion", l.suspicion, "opposed", l.opposed)
 	}
 	m.publish()
 	return true
--- a/internal/forward/rollout/choose.go
+++ b/internal/forward/rollout/choose.go
@@ -70,7 +70,7 @@
 	if p == nil || s.Share <= 0 || r.states[p.Service].Approved && (p.alone || !r.justStarted(p, time.Now())) {
 		return u < s.Share
 	}
-	return u < p.canaryShare(route) && r.Exposure.Allows(p.use)
+	return p.takesCanary(route, u) && r.Exposure.Allows(p.use)
 }
 
 // justStarted reports whether this process started after an order and so lately that it may have missed
--- a/internal/forward/rollout/exposure_test.go
+++ b/internal/forward/rollout/exposure_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -35,12 +36,12 @@
 
 // badness is how a version is worse than the one in use. Its zero value is a good one.
 type badness struct {
-	// failed is the fraction of failures, slow that of answers that take slowFactor times
-	// as long. route limits both to one route, after to requests later than that after
+	// failed is the fraction of failures, slow that of answers that take factor times as
+	// long, 0 for slowFactor times. route limits both to one route, after to requests later than that after
 	// the order.
-	failed, slow float64
-	route        string
-	after        time.Duration
+	failed, slow, factor float64
+	route                string
+	after                time.Duration
 	// silent is set if no request is answered.
 	silent bool
 }
@@ -112,6 +113,7 @@
 type site struct {
 	routes  map[string]float64 // requests a second by route
 	entries int
+	warm    time.Duration // from the start of the entries to the order; 0 means warmUp
 	bad     badness
 	trouble trouble
 	rng     *rand.Rand
@@ -230,7 +232,7 @@
 		case hit && failed < s.bad.failed:
 			o.OK, bad = false, true
 		case hit && slow < s.bad.slow:
-			o.Total, bad = slowFactor*o.Total, true
+			o.Total, bad = time.Duration(cmp.Or(s.bad.factor, slowFactor)*float64(o.Total)), true
 		}
 	}
 	if t := s.trouble; t.failed > 0 && since >= t.failedAt && troubled < t.failed {
@@ -295,7 +297,8 @@
 func (s *site) run(ctx context.Context, seed uint64) {
 	s.rng, s.store = rand.New(rand.NewPCG(seed, 2)), &memory.Platform{Seed: seed}
 	begin := time.Now()
-	s.ordered = begin.Add(warmUp)
+	warm := cmp.Or(s.warm, warmUp)
+	s.ordered = begin.Add(warm)
 	for i := range s.entries {
 		e := s.start(ctx, i, 1)
 		s.mu.Lock()
@@ -304,7 +307,7 @@
 	}
 	at := func(d time.Duration, f func()) {
 		if d > 0 {
-			time.AfterFunc(warmUp+d, f)
+			time.AfterFunc(warm+d, f)
 		}
 	}
 	at(s.trouble.turnedAt, func() { s.turn(true) })
@@ -327,7 +330,7 @@
 		})
 	}
 	next := map[string]time.Time{}
-	for end := begin.Add(warmUp + 2*orderTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	for end := begin.Add(warm + 2*orderTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		for _, route := range []string{"confirm", "check"} {
 			if now := time.Now(); !now.Before(next[route]) {
 				next[route] = now.Add(time.Duration(s.rng.ExpFloat64() / s.routes[route] * float64(time.Second)))
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -21,6 +21,8 @@
 	// they reach that fraction.
 	minRouteShare = 0.05
 	otherRoutes   = "*"
+	// minCounted is the time after which an entry knows how many requests of a service come.
+	minCounted = time.Second
 	// startTime is the time in which a process that starts learns of earlier orders.
 	startTime = 5 * time.Second
 	// cautiousTime is the time after its start in which a process does not rely on an approval by
@@ -40,14 +42,21 @@
 	over bool
 	// alone is true while no upstream of another version accepts requests.
 	alone bool
-	// orderedAt is when the order was issued, as far as this entry knows.
-	orderedAt time.Time
+	// orderedAt is when the order was issued, as far as this entry knows; countedSince is since
+	// when this entry counts requests in use.
+	orderedAt, countedSince time.Time
 	// routes lists the routes that are evaluated separately; otherRoutes in it stands
 	// for all others.
 	routes []string
 	// parts holds the fraction of the service's requests by the name under which the
 	// outcomes of a route are counted, as of the last update.
 	parts map[string]float64
+	// share is the fraction of the requests that the unproven version gets, by how many come; 0
+	// means exposure.MaxShare.
+	share float64
+	// owed holds the requests that the unproven version is still to get for its share, by the
+	// same name.
+	owed map[string]float64
 	// use is what this entry has used of the bound on the target's exposure.
 	use exposure.Use
 	// adopted is set once the record of the move has named what the roll-out starts from; basis
@@ -84,11 +93,33 @@
 // higher for a route with few requests, so that their outcomes are as many as those of the
 // others: a version that fails on that route alone would pass by chance.
 func (p *plan) canaryShare(route string) float64 {
+	share := max(p.share, exposure.MaxShare)
 	part := p.parts[p.key(route)]
 	if part == 0 {
-		return exposure.MaxShare
+		return share
 	}
-	return exposure.MaxShare * min(maxCanaryFactor, 1/(float64(len(p.routes))*part))
+	return min(share*min(maxCanaryFactor, 1/(float64(len(p.parts))*part)), exposure.ThinShare)
+}
+
+// takesCanary reports whether a request on a route goes to the unproven version, given a random
+// number u. Where few requests come, independent choices could leave the version without any by
+// chance, so what it did not get of its share is made up for.
+func (p *plan) takesCanary(route string, u float64) bool {
+	share := p.canaryShare(route)
+	if p.share <= exposure.MaxShare {
+		return u < share
+	}
+	if p.owed == nil {
+		p.owed = make(map[string]float64)
+	}
+	key := p.key(route)
+	owed := min(p.owed[key]+share, 1)
+	taken := u < owed
+	if taken {
+		owed--
+	}
+	p.owed[key] = owed
+	return taken
 }
 
 // updateParts updates the fractions of the service's requests. The caller must hold mu.
@@ -133,7 +164,7 @@
 		}
 		d := r.baseline(o, "", replicas)
 		p := &plan{
-			Rollout: o, from: d.Version, rejected: d.Rejected, basis: r.states[o.Service].Revision, orderedAt: now.Add(-o.Age),
+			Rollout: o, from: d.Version, rejected: d.Rejected, basis: r.states[o.Service].Revision, orderedAt: now.Add(-o.Age), countedSince: now,
 			routes: r.evaluatedRoutes(o.Service), use: exposure.Use{Late: now.Sub(r.started) < startTime},
 		}
 		if r.plans == nil {
@@ -240,8 +271,12 @@
 // updateUse updates what the bound on the exposure depends on besides the requests. started is when
 // this process did: one that starts towards the end of the roll-out has none of the final requests, as
 // an earlier one may have spent them.
-func (p *plan) updateUse(s ward.MoveState, entries int, doubted bool, started, now time.Time) {
+func (p *plan) updateUse(s ward.MoveState, bound exposure.Bound, entries int, doubted bool, started, now time.Time) {
 	p.use.Entries, p.use.Doubted = entries, doubted
+	if counted := now.Sub(p.countedSince); counted >= minCounted {
+		early := exposure.EarlyPart * float64(p.deadline(s).Sub(p.orderedAt))
+		p.share = bound.CanaryShare(float64(p.use.All*max(entries, 1)) * early / float64(counted))
+	}
 	final := s.Begin.Add(time.Duration(exposure.FinalPart * float64(p.deadline(s).Sub(s.Begin))))
 	p.use.Final = !s.Begin.IsZero() && !now.Before(final) && started.Before(final)
 }
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -176,7 +176,7 @@
 	r.peerOutdated = false
 	for service, p := range r.plans {
 		changed = r.adopt(p) || changed
-		p.updateUse(r.states[service], entries, doubted[service], r.started, now)
+		p.updateUse(r.states[service], r.Exposure, entries, doubted[service], r.started, now)
 		s := splitFor(list, p)
 		old := r.splits[service]
 		changed = changed || old.Version != s.Version || old.Next != s.Next || old.Share != s.Share
--- a/internal/measure/moves/control.go
+++ b/internal/measure/moves/control.go
@@ -183,6 +183,8 @@
 		before, current := e.known.samples(r, e.state.Step)
 		a := analysis.Assess([]analysis.Sample{before, current}, 1)
 		in.Requests += a.Requests
+		in.Opposed, in.Unclear = in.Opposed || a.Opposes(), in.Unclear || a.Unclear()
+		in.Answered, in.Failed = in.Answered+a.Answered, in.Failed+a.Failed
 		approvals = append(approvals, a)
 		in.Suspicion = max(in.Suspicion, v.Suspicion)
 	}
--- a/internal/move/analysis/approval.go
+++ b/internal/move/analysis/approval.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"agateward/ward"
 )
@@ -16,6 +17,10 @@
 	// doubtLog is the natural logarithm of the same likelihoods at which a version is in
 	// doubt.
 	doubtLog = 6.0
+	// opposingSlowness is the natural logarithm of the likelihood of the latencies from which
+	// on they speak against a version that is not approved. Few answers that are slow by
+	// chance stay below it.
+	opposingSlowness = 4.0
 	// majorParts is the number of equal routes of which each one needs approvalLog by
 	// itself. A smaller route needs a part of it.
 	majorParts = 2.0
@@ -36,6 +41,11 @@
 	// under the harm that explains them best, against no harm. Slowness is 0 without
 	// latencies.
 	Failures, Slowness float64
+	// AnsweredFailures is Failures by the requests that have an outcome.
+	AnsweredFailures float64
+	// Answered is the number of outcomes of the new version, Failed that of the failures
+	// among them.
+	Answered, Failed uint64
 	// Requests is the number of requests of both versions.
 	Requests uint64
 }
@@ -51,10 +61,33 @@
 		}
 	}
 	return Approval{
-		Failures: failuresAgainst(samples, since, old), Slowness: slownessAgainst(old, next), Requests: old.Requests() + next.Requests(),
+		Failures: failuresAgainst(samples, since, old), AnsweredFailures: failuresAgainst(answered(samples), since, answeredTotals(old)),
+		Slowness: slownessAgainst(old, next), Requests: old.Requests() + next.Requests(),
+		Answered: next.Outcomes(), Failed: next.Failed,
 	}
 }
 
+// answered returns the samples without the requests that have no outcome yet.
+func answered(samples []Sample) []Sample {
+	list := slices.Clone(samples)
+	for i := range list {
+		list[i].Old, list[i].Next = answeredTotals(list[i].Old), answeredTotals(list[i].Next)
+	}
+	return list
+}
+
+func answeredTotals(t Totals) Totals {
+	t.Sent, t.Void = 0, 0
+	return t
+}
+
+// Opposes reports whether the outcomes on the route speak against the version, by however
+// little. It decides on a version that gets too few requests to be approved.
+func (a Approval) Opposes() bool { return a.AnsweredFailures > 0 || a.Slowness > opposingSlowness }
+
+// Unclear reports whether they would, if all requests without an outcome failed.
+func (a Approval) Unclear() bool { return a.Failures > 0 || a.Opposes() }
+
 // Worse reports whether the outcomes on the route speak for harm as clearly as those of an
 // approved version speak against it.
 func (a Approval) Worse() bool { return max(a.Failures, a.Slowness) > -approvalLog }
--- a/internal/move/exposure/exposure.go
+++ b/internal/move/exposure/exposure.go
@@ -28,8 +28,12 @@
 	// FinalPart is the fraction of the window of a move after which Use.Final is set.
 	FinalPart = 0.55
 	// MaxShare is the greatest fraction of the requests that an unproven version gets at
-	// any time.
-	MaxShare = 0.25
+	// any time, ThinShare that where few requests come.
+	MaxShare  = 0.25
+	ThinShare = 0.5
+	// EarlyPart is the fraction of the window of a move in which the early requests are to
+	// be spent where few requests come.
+	EarlyPart = 0.5
 )
 
 // Defaults of a Bound.
@@ -62,11 +66,23 @@
 	Doubted bool
 }
 
-// Allows reports whether the entry may send the version another request.
-func (b Bound) Allows(u Use) bool {
+// CanaryShare returns the fraction of the requests that an unproven version gets, given the
+// number of requests of the service that are expected in EarlyPart of the window. It exceeds
+// MaxShare if the early requests would not be spent by then.
+func (b Bound) CanaryShare(expected float64) float64 {
+	return min(max(earlyRequests*b.withDefaults().Requests/max(expected, 1), MaxShare), ThinShare)
+}
+
+func (b Bound) withDefaults() Bound {
 	if b == (Bound{}) {
-		b = Bound{Share: DefaultShare, Requests: DefaultRequests}
+		return Bound{Share: DefaultShare, Requests: DefaultRequests}
 	}
+	return b
+}
+
+// Allows reports whether the entry may send the version another request.
+func (b Bound) Allows(u Use) bool {
+	b = b.withDefaults()
 	if u.Doubted {
 		return float64(u.Exposed+1) <= doubtedShare*b.Share*float64(u.All)
 	}
--- a/internal/move/machine/machine.go
+++ b/internal/move/machine/machine.go
@@ -57,6 +57,14 @@
 	Suspicion float64
 	// Worse reports whether the outcomes since the version was approved speak against it.
 	Worse bool
+	// Opposed and Unclear are those of plan.Evidence.
+	Opposed, Unclear bool
+	// Answered is the number of outcomes of the new version, Failed that of the failures
+	// among them.
+	Answered, Failed uint64
+	// Failures and Slowness are the evidence of the route that speaks against it most, by
+	// the outcomes (analysis.Approval).
+	Failures, Slowness float64
 	// Requests is the number of requests that were sent to both versions in the last
 	// Observed.
 	Requests uint64
@@ -93,6 +101,7 @@
 	"step-due":        func(ev *evaluation) bool { return ev.stepDue() },
 	"unproven":        func(ev *evaluation) bool { return ev.unproven() },
 	"doubtful":        func(ev *evaluation) bool { return ev.doubtful() },
+	"opposed":         func(ev *evaluation) bool { return ev.Opposed && !ev.state.Approved },
 	"out-of-time":     func(ev *evaluation) bool { return !ev.Now.Before(ev.Move.Deadline) },
 	"all-steps-made":  func(ev *evaluation) bool { return ev.state.Step >= plan.Steps },
 	"deadline-passed": func(ev *evaluation) bool { return ev.plan.Settled(ev.state.Since, ev.Now) },
@@ -107,6 +116,7 @@
 	"reason-harm":       func(ev *evaluation) { ev.state.Reason = ev.QuarantineReason },
 	"reason-unproven":   func(ev *evaluation) { ev.state.Reason = ev.unprovenText() },
 	"reason-doubt":      func(ev *evaluation) { ev.state.Reason = ev.doubtText() },
+	"reason-opposed":    func(ev *evaluation) { ev.state.Reason = ev.opposedText() },
 	"begin":             func(ev *evaluation) { ev.state.Begin = ev.Now },
 	"step-up":           func(ev *evaluation) { ev.stepUp() },
 	"drop-share":        func(ev *evaluation) { ev.state.Share = 0 },
@@ -219,21 +229,37 @@
 }
 
 func (ev *evaluation) evidence() plan.Evidence {
-	return plan.Evidence{Approved: ev.state.Approved && !ev.Worse, Suspected: ev.Suspicion >= suspicionThreshold, Requests: ev.Requests, Observed: ev.Observed}
+	return plan.Evidence{
+		Approved: ev.state.Approved && !ev.Worse, Suspected: ev.Suspicion >= suspicionThreshold,
+		Opposed: ev.Opposed, Unclear: ev.Unclear, Outcomes: ev.Answered, Requests: ev.Requests, Observed: ev.Observed,
+	}
 }
 
 // doubtful reports whether the evidence for harm forbids further steps.
 func (ev *evaluation) doubtful() bool { return ev.Suspicion >= doubtThreshold }
 
 func (ev *evaluation) unprovenText() string {
-	return fmt.Sprintf("no evidence in time that %s is no worse: %d requests of both versions in %v, evidence for harm e^%.1f",
-		ev.Move.To, ev.Requests, ev.Observed.Round(time.Millisecond), ev.Suspicion)
+	if ev.plan.Few(ev.evidence()) {
+		return ev.opposedText()
+	}
+	return fmt.Sprintf("no evidence in time that %s is no worse: %d requests of both versions in %v, evidence for harm e^%.1f; %s",
+		ev.Move.To, ev.Requests, ev.Observed.Round(time.Millisecond), ev.Suspicion, ev.outcomesText())
 }
 
 func (ev *evaluation) doubtText() string {
 	return fmt.Sprintf("%s is in doubt at the deadline: evidence for harm e^%.1f", ev.Move.To, ev.Suspicion)
 }
 
+func (ev *evaluation) opposedText() string {
+	return fmt.Sprintf("too few requests to approve %s, and they speak against it: %s", ev.Move.To, ev.outcomesText())
+}
+
+// outcomesText describes what is known of the new version.
+func (ev *evaluation) outcomesText() string {
+	return fmt.Sprintf("%d outcomes, %d of them failures; on the worst route e^%.1f for failures and e^%.1f for slowness",
+		ev.Answered, ev.Failed, ev.Failures, ev.Slowness)
+}
+
 func (ev *evaluation) stepUp() {
 	ev.state.Step++
 	ev.state.Share = ev.plan.Share(ev.state.Step)
@@ -247,6 +273,9 @@
 		return fmt.Sprintf("done, late: the store let no step be made in time; the whole traffic is on %s since %s",
 			ev.Move.To, ev.lastStep.UTC().Format(time.RFC3339))
 	}
+	if !ev.state.Approved {
+		return fmt.Sprintf("done by the clock: the whole traffic is on %s, too few requests came to approve it: %s", ev.Move.To, ev.outcomesText())
+	}
 	return "done: the whole traffic is on " + ev.Move.To
 }
 
--- a/internal/move/machine/progress_test.go
+++ b/internal/move/machine/progress_test.go
@@ -25,6 +25,8 @@
 		in.Now = in.Now.Add(time.Duration(rapid.IntRange(0, 20).Draw(rt, "seconds")) * time.Second)
 		in.Approved = rapid.Bool().Draw(rt, "approved")
 		in.Worse = rapid.Bool().Draw(rt, "worse")
+		in.Opposed = rapid.Bool().Draw(rt, "opposed")
+		in.Unclear = in.Opposed || rapid.Bool().Draw(rt, "unclear")
 		in.Observed = time.Duration(rapid.IntRange(0, 100).Draw(rt, "observed")) * time.Second
 		in.Quarantined = in.Quarantined || rapid.IntRange(0, 9).Draw(rt, "harm") == 0
 		next, changed := machine.Machine{}.Next(s, in)
--- a/internal/move/plan/plan.go
+++ b/internal/move/plan/plan.go
@@ -54,9 +54,14 @@
 	// that there is decides.
 	finalPart = 0.75
 	// fewRequests is the number of requests in the whole window from which on they can
-	// tell a bad version. A move with fewer is made by the clock, if the window is long
-	// enough to know.
+	// approve a version. A move with fewer needs no approval, if the window is long enough
+	// to know: it is made by the clock unless the outcomes speak against the version.
 	fewRequests = 50
+	// thinRequests is the number of requests up to which a version with leastOutcomes
+	// outcomes that do not speak against it needs no approval either: too few come for
+	// one on each route.
+	thinRequests  = 100
+	leastOutcomes = 10
 	// leastObserved is the time after which the number of requests in a window is known,
 	// as a fraction of the window, but at least PropagationTime.
 	leastObserved = 0.15
@@ -96,6 +101,12 @@
 	// Approved reports whether the outcomes speak for the version, Suspected whether they
 	// speak against it.
 	Approved, Suspected bool
+	// Opposed reports whether the outcomes speak against it by however little, Unclear
+	// whether they would if the requests without an outcome failed. They count where few
+	// requests come.
+	Opposed, Unclear bool
+	// Outcomes is the number of outcomes of the new version.
+	Outcomes uint64
 	// Requests is the number of requests of both versions in the last Observed.
 	Requests uint64
 	Observed time.Duration
@@ -107,7 +118,7 @@
 	if made >= Steps || now.Sub(since) < p.fraction(minDwell) {
 		return false
 	}
-	if made >= UnprovenSteps && !p.approved(e) && !p.few(e) {
+	if made >= UnprovenSteps && !p.approved(e) && (!p.Few(e) || e.Unclear) {
 		return false
 	}
 	next := steps[max(made, 0)]
@@ -122,9 +133,13 @@
 }
 
 // ApprovalOverdue reports whether an approval would come too late for the steps that
-// need it.
+// need it. Where few requests come, none is needed, but what speaks against the version
+// has to be refuted by then, or by the deadline if it may be by requests that still run.
 func (p Plan) ApprovalOverdue(now time.Time, e Evidence) bool {
-	return !e.Approved && !p.few(e) && !now.Before(p.Begin.Add(p.fraction(approvalEnd)))
+	if e.Approved || now.Before(p.Begin.Add(p.fraction(approvalEnd))) {
+		return false
+	}
+	return !p.Few(e) || e.Opposed || e.Unclear && !now.Before(p.Deadline)
 }
 
 // Final reports whether the time for an approval is nearly up.
@@ -136,10 +151,14 @@
 	return e.Approved && e.Observed >= min(p.fraction(leastObserved), PropagationTime)
 }
 
-// few reports whether the window has too few requests to tell a bad version. It is
+// Few reports whether the window has too few requests to approve a version. It is
 // false while that is not known.
-func (p Plan) few(e Evidence) bool {
-	return e.Observed >= max(p.fraction(leastObserved), PropagationTime) && float64(e.Requests)*float64(p.Window()) < fewRequests*float64(e.Observed)
+func (p Plan) Few(e Evidence) bool {
+	limit := fewRequests
+	if e.Outcomes >= leastOutcomes {
+		limit = thinRequests
+	}
+	return e.Observed >= max(p.fraction(leastObserved), PropagationTime) && float64(e.Requests)*float64(p.Window()) < float64(limit)*float64(e.Observed)
 }
 
 // Settled reports whether the new version, with the whole traffic since since,
