fix(backend): a status outside the protocol is a failed attempt

Callers of an upstream that answered with status 000 to 099 or 101 got 504 at their route's time-out, as the head counted as an interim one and the next was awaited; 600 to 999 reached them as an answer.

Interim heads have a status of 100 to 199 but 101, answers one of 200 to 599.

--- a/internal/forward/backend/backend.go
+++ b/internal/forward/backend/backend.go
@@ -62,6 +62,9 @@
 	// maxHeadBytes bounds the head of an answer in bytes, with the interim heads before
 	// it.
 	maxHeadBytes = 64 << 10
+	// minInterimStatus, minFinalStatus and maxStatus are the bounds of the statuses of
+	// interim heads and of answers.
+	minInterimStatus, minFinalStatus, maxStatus = 100, 200, 599
 	// maxInterimHeads bounds the interim heads (status 1xx) before the head of an answer.
 	maxInterimHeads = 32
 	// DefaultHeadTimeout is the Pool.HeadTimeout of a pool that sets none.
@@ -238,7 +241,10 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrBadAnswer, err)
 		}
-		if res.StatusCode >= 200 {
+		if !isStatus(res.StatusCode) {
+			return fmt.Errorf("%w: status %q", ErrBadAnswer, res.Status)
+		}
+		if res.StatusCode >= minFinalStatus {
 			x.res = res
 			x.Status, x.Header, x.Length = res.StatusCode, res.Header, res.ContentLength
 			x.Body = eofReader{x}
@@ -248,6 +254,12 @@
 	return fmt.Errorf("%w: %w", ErrBadAnswer, errTooManyInterim)
 }
 
+// isStatus reports whether a number is the status of an answer, or of an interim head that
+// needs no request. The upstream may wait for its caller after a protocol switch.
+func isStatus(n int) bool {
+	return n >= minInterimStatus && n <= maxStatus && n != http.StatusSwitchingProtocols
+}
+
 // eofReader sets bodyRead once the body was read to its end.
 type eofReader struct{ x *Exchange }
 
--- a/internal/upstream/transport/transport.go
+++ b/internal/upstream/transport/transport.go
@@ -39,6 +39,9 @@
 // NoResume is the Call.Resume of a request without a resume offset.
 const NoResume = -1
 
+// maxStatus is the greatest status of an answer.
+const maxStatus = 599
+
 // Call is one request to an upstream.
 type Call struct {
 	// Address is an IP address and port.
@@ -123,6 +126,12 @@
 		cancel(err)
 		return nil, err
 	}
+	if res.StatusCode < http.StatusOK || res.StatusCode > maxStatus {
+		err = code.UpstreamFailed.New("upstream %s answered with status %q", c.Address, clip(res.Status))
+		cancel(err)
+		res.Body.Close()
+		return nil, err
+	}
 	if got := res.Header.Get(header.RequestID); got != c.ID {
 		err = code.AnswerMismatch.New("upstream %s answered request %q to request %q", c.Address, clip(got), c.ID)
 		cancel(err)
--- a/internal/upstream/transport/transport_test.go
+++ b/internal/upstream/transport/transport_test.go
@@ -197,6 +197,9 @@
 		{"bad escape", &fakeNetwork{refuse: true}, "/x%zz", code.UnknownRoute, false},
 		{"another id", &fakeNetwork{budget: -1, answer: strings.Replace(okAnswer, "%s", "b%.0s", 1)}, "/x", code.AnswerMismatch, false},
 		{"no id", &fakeNetwork{budget: -1, answer: "HTTP/1.1 200 OK\r\nContent-Length: 2%.0s\r\n\r\nok"}, "/x", code.AnswerMismatch, false},
+		{"status 000", &fakeNetwork{budget: -1, answer: strings.Replace(okAnswer, "200 OK", "000 Trouble", 1)}, "/x", code.UpstreamFailed, false},
+		{"status 600", &fakeNetwork{budget: -1, answer: strings.Replace(okAnswer, "200 OK", "600 Trouble", 1)}, "/x", code.UpstreamFailed, false},
+		{"protocol switch", &fakeNetwork{budget: -1, answer: strings.Replace(okAnswer, "200 OK", "101 Switching Protocols", 1)}, "/x", code.UpstreamFailed, false},
 		{"no HTTP", &fakeNetwork{budget: -1, answer: "%s hello\r\n\r\n"}, "/x", code.UpstreamFailed, false},
 	}
 	for _, c := range cases {
