fix(rollout): routes with little traffic are evaluated together, always

Cause: routes below 5 in 100 of the requests are counted together under "*", which was no route of the move unless they had 5 in 100 together, so that nobody counted their outcomes.

"*" is always evaluated now, chance cannot leave it without a request of the version's share, and at the end a route with fewer than 10 outcomes counts as slow from e^4 on, as few latencies scatter.

--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -17,8 +17,7 @@
 	minMargin      = 2 * time.Second
 	marginFraction = 0.1
 	// minRouteShare is the fraction of a service's requests from which a route is
-	// evaluated separately. The others are evaluated together under otherRoutes, if
-	// they reach that fraction.
+	// evaluated separately. The others are evaluated together under otherRoutes.
 	minRouteShare = 0.05
 	otherRoutes   = "*"
 	// minCounted is the time after which an entry knows how many requests of a service come.
@@ -102,11 +101,11 @@
 }
 
 // takesCanary reports whether a request on a route goes to the unproven version, given a random
-// number u. Where few requests come, independent choices could leave the version without any by
+// number u. Where few requests come, in all or on the route, independent choices could leave the version without any by
 // chance, so what it did not get of its share is made up for.
 func (p *plan) takesCanary(route string, u float64) bool {
 	share := p.canaryShare(route)
-	if p.share <= exposure.MaxShare {
+	if p.share <= exposure.MaxShare && share < exposure.ThinShare {
 		return u < share
 	}
 	if p.owed == nil {
@@ -308,7 +307,8 @@
 }
 
 // evaluatedRoutes returns the routes by which the requests of a service are evaluated:
-// those that get at least minRouteShare of them, and otherRoutes.
+// those that get at least minRouteShare of them, and otherRoutes, however few requests those
+// get: a version may fail on such a route alone.
 func (r *Rollout) evaluatedRoutes(service string) []string {
 	all := 0
 	for k, n := range r.requests {
@@ -316,17 +316,12 @@
 			all += n
 		}
 	}
-	var list []string
-	others := all
+	list := []string{otherRoutes}
 	for k, n := range r.requests {
 		if k.service == service && float64(n) >= minRouteShare*float64(all) {
 			list = append(list, k.route)
-			others -= n
 		}
 	}
-	if len(list) == 0 || float64(others) >= minRouteShare*float64(all) {
-		list = append(list, otherRoutes)
-	}
 	slices.Sort(list)
 	return list
 }
--- a/internal/move/analysis/approval.go
+++ b/internal/move/analysis/approval.go
@@ -21,6 +21,9 @@
 	// on they speak against a version that is not approved. Few answers that are slow by
 	// chance stay below it.
 	opposingSlowness = 4.0
+	// fewOutcomes is the number of outcomes of the new version up to which opposingSlowness
+	// holds for a route at the end.
+	fewOutcomes = 10
 	// majorParts is the number of equal routes of which each one needs approvalLog by
 	// itself. A smaller route needs a part of it.
 	majorParts = 2.0
@@ -98,7 +101,8 @@
 
 // Approved reports whether a version is approved by its approvals on all routes. Each route
 // has to speak for the version according to its part of the requests; if the time is up, it
-// is enough that none speaks against it and that all together do.
+// is enough that none speaks against it and that all together do. A few answers that are slow
+// by chance do not speak against it then.
 func Approved(routes []Approval, timeUp bool) bool {
 	var all Approval
 	for _, a := range routes {
@@ -111,10 +115,14 @@
 	}
 	for _, a := range routes {
 		limit := approvalLog * min(1, majorParts*float64(a.Requests)/float64(all.Requests))
+		slowness := limit
 		if timeUp {
-			limit = 0
+			limit, slowness = 0, 0
+			if a.Answered < fewOutcomes {
+				slowness = opposingSlowness
+			}
 		}
-		if max(a.Failures, a.Slowness) > limit {
+		if a.Failures > limit || a.Slowness > slowness {
 			return false
 		}
 	}
