fix(platform): a watch whose answer cannot be used is not repeated

A watch answers all versions since the last one read; after a storm of 25 versions of 0.73 MB, in which the connections fell silent, these are more than the 16 MiB that the client takes. The entry repeated the same watch until the store dropped the history.

--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -79,8 +79,12 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ward.ErrHistoryGone):
-			v.Log.Info("store-history-gone", "of", kind, "revision", ward.RevisionText(revision))
+			v.Log.Info("store-history-gone", "of", kind, "revision", ward.RevisionText(revision), "cause", err.Error())
 			next = list
+			if errors.Is(err, ward.ErrOutcomeUnknown) {
+				// The answer could not be used, and the next one may be of the same kind.
+				sleep(ctx, coalesceDelay)
+			}
 		case err != nil:
 			v.noteFailure(kind, err)
 			sleep(ctx, wait/2+time.Duration(rand.Float64()*float64(wait)))
