fix(view): a time without an answer counts as an outage, not a number of calls

Found by reading again. An entry that was stopped while the store was away sees one lost connection when it goes on, and took the lapses of the outage for final: sound upstreams got no requests until they registered again. And two lost calls of one feed counted as an outage although the other feed was answered between.

The wait of the answered call itself does not count.

--- a/internal/forward/view/follow.go
+++ b/internal/forward/view/follow.go
@@ -74,6 +74,7 @@
 				next = watch
 			}
 		}
+		begun := time.Now()
 		to, err := next(ctx, revision)
 		switch {
 		case ctx.Err() != nil:
@@ -93,7 +94,7 @@
 				next = list
 			}
 		default:
-			v.noteAnswer(kind, to)
+			v.noteAnswer(kind, to, begun)
 			v.noteRevision(to, "store")
 			changed := to != revision && revision > 0
 			revision, next, wait = to, watch, minRetryDelay
@@ -125,39 +126,42 @@
 	t.Failed(errors.Is(err, ward.ErrConnectionLost))
 }
 
-func (v *View) noteAnswer(kind string, revision uint64) {
+// noteAnswer notes the answer to a call that has begun at a time. The store did not fail
+// while it waited to answer.
+func (v *View) noteAnswer(kind string, revision uint64, begun time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	before := v.answered
-	v.answered = time.Now()
 	t := v.outage(kind)
-	failing, ended := t.Failing(), t.Answered()
+	gap, failing := begun.Sub(v.answered), t.Failing()
+	v.answered = time.Now()
+	ended := t.Answered(gap)
 	if ended {
 		v.recovered = v.answered
 	}
-	if ended || v.answered.Sub(before) >= minLapse {
+	if ended || gap >= outage.MinLapse {
 		v.steadySince = v.answered
 	}
 	if failing {
-		v.Log.Info("store-regained", "of", kind, "revision", ward.RevisionText(revision), "outage", ended, "last-answer", v.answered.Sub(before))
+		v.Log.Info("store-regained", "of", kind, "revision", ward.RevisionText(revision), "outage", ended, "last-answer", gap)
 	}
 }
 
 // steady reports whether no registration can have lapsed that the upstreams' list of
-// revision lacks: the store has answered all the while, and is no older copy. The caller
-// holds v.mu.
-func (v *View) steady(revision uint64, now time.Time) bool {
-	if _, lapse := v.lapseTime(now); lapse {
+// revision lacks: the store has answered all the while, and is no older copy. The call has
+// begun at a time. The caller holds v.mu.
+func (v *View) steady(revision uint64, begun, now time.Time) bool {
+	if _, lapse := v.lapseTime(begun, now); lapse {
 		return false
 	}
-	return now.Sub(v.answered) < minLapse && now.Sub(v.steadySince) >= replicas.MissingGrace &&
+	return begun.Sub(v.answered) < outage.MinLapse && now.Sub(v.steadySince) >= replicas.MissingGrace &&
 		!ward.LaterEra(revision, v.set.Revision)
 }
 
-// lapseTime returns since when a registration whose removal is read now may only have
-// lapsed in an outage of the store, and whether it may. The caller holds v.mu.
-func (v *View) lapseTime(now time.Time) (time.Time, bool) {
-	if v.outage(feedUpstreams).Ongoing() {
+// lapseTime returns since when a registration whose removal is read now, by a call that has
+// begun at a time, may only have lapsed in an outage of the store, and whether it may. The
+// caller holds v.mu.
+func (v *View) lapseTime(begun, now time.Time) (time.Time, bool) {
+	if v.outage(feedUpstreams).Ongoing(begun.Sub(v.answered)) {
 		return now, true // the first answer after an outage
 	}
 	return v.recovered, now.Sub(v.recovered) < replicas.MissingGrace
@@ -215,6 +219,7 @@
 }
 
 func (v *View) listReplicas(ctx context.Context, _ uint64) (uint64, error) {
+	begun := time.Now()
 	regs, rev, err := v.Source.Replicas(ctx)
 	if err != nil {
 		return 0, err
@@ -227,7 +232,7 @@
 			list = append(list, replicas.Entry{Replica: r.Replica, Revision: r.Revision})
 		}
 	}
-	steady := v.steady(rev, now)
+	steady := v.steady(rev, begun, now)
 	changed := v.set.ApplyList(list, rev, now)
 	if steady {
 		changed = v.set.RemoveMissing(rev) || changed
@@ -244,13 +249,14 @@
 }
 
 func (v *View) watchReplicas(ctx context.Context, revision uint64) (uint64, error) {
+	begun := time.Now()
 	regs, rev, err := v.Source.WatchReplicas(ctx, revision, watchWait)
 	if err != nil {
 		return revision, err
 	}
 	now := time.Now()
 	v.mu.Lock()
-	since, lapse := v.lapseTime(now)
+	since, lapse := v.lapseTime(begun, now)
 	changed := false
 	var missing []string
 	for _, r := range regs {
--- a/internal/forward/view/view.go
+++ b/internal/forward/view/view.go
@@ -44,9 +44,6 @@
 	// cells, where registrations change several times a second. An upstream that leaves
 	// has to be excluded within some seconds.
 	cellCoalesceDelay = 400 * time.Millisecond
-	// minLapse is a time without an answer in which no registration lapses: a lapse takes
-	// three heartbeats, of 1.2 s, after the last one.
-	minLapse = 2200 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the pause after a failed call.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond
@@ -98,7 +95,7 @@
 	// recovered is when the store answered again after an outage.
 	recovered time.Time
 	// answered is when the store last answered, steadySince since when it has answered
-	// without a pause of minLapse or an outage.
+	// without a pause of outage.MinLapse or an outage.
 	answered, steadySince time.Time
 	// revision is the newest revision of the store that this entry or a peer has seen.
 	revision     uint64
--- a/internal/forward/view/view_test.go
+++ b/internal/forward/view/view_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"agateward/internal/forward/outage"
 	"agateward/internal/forward/replicas"
 	"agateward/ward"
 
@@ -95,24 +96,29 @@
 		feed     string
 		failures []error
 		kept     bool
+		// ago is the time since the store's last answer.
+		ago time.Duration
 	}{
-		{"no call failed", feedUpstreams, nil, false},
-		{"a connection was lost", feedUpstreams, []error{lost}, false},
-		{"a connection of the orders was lost", feedOrders, []error{lost}, false},
-		{"a new connection was lost too", feedUpstreams, []error{lost, lost}, true},
-		{"the store refused a call", feedUpstreams, []error{ward.ErrUnavailable}, true},
-		{"the store could not be reached", feedUpstreams, []error{ward.ErrOutcomeUnknown}, true},
-		{"the store refused a call of the orders", feedOrders, []error{ward.ErrUnavailable}, true},
+		{"no call failed", feedUpstreams, nil, false, time.Second},
+		{"a connection was lost", feedUpstreams, []error{lost}, false, time.Second},
+		{"a connection of the orders was lost", feedOrders, []error{lost}, false, time.Second},
+		{"a new connection was lost too", feedUpstreams, []error{lost, lost}, true, 3500 * time.Millisecond},
+		{"two were lost, the orders were answered between", feedUpstreams, []error{lost, lost}, false, time.Second},
+		{"the store refused a call", feedUpstreams, []error{ward.ErrUnavailable}, true, time.Second},
+		{"the store could not be reached", feedUpstreams, []error{ward.ErrOutcomeUnknown}, true, time.Second},
+		{"the store refused a call of the orders", feedOrders, []error{ward.ErrUnavailable}, true, time.Second},
+		{"a connection was lost while this entry was stopped", feedUpstreams, []error{lost}, true, outage.MinLapse},
+		{"a connection of the orders was lost while it was stopped", feedOrders, []error{lost}, true, outage.MinLapse},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			v := &View{Source: source{}, Log: logr.Discard(), Changed: func() {}}
+			v := &View{Source: source{}, Log: logr.Discard(), Changed: func() {}, answered: time.Now().Add(-c.ago)}
 			v.Merge("peer", State{Revision: 11, Replicas: []replicas.Entry{{Replica: upstream("i-2"), Revision: 6}}})
 			for _, err := range c.failures {
 				v.noteFailure(c.feed, err)
 			}
 			if c.feed == feedOrders && len(c.failures) > 0 {
-				v.noteAnswer(feedOrders, 11)
+				v.noteAnswer(feedOrders, 11, time.Now())
 			}
 			if _, err := v.watchReplicas(t.Context(), 11); err != nil {
 				t.Fatal(err)
@@ -143,7 +149,7 @@
 		{"one connection was lost", time.Minute, 1900 * time.Millisecond, 0, ward.ErrConnectionLost, false},
 		{"the store refused a call", time.Minute, 100 * time.Millisecond, 0, ward.ErrUnavailable, true},
 		{"the store answers since a moment ago", 100 * time.Millisecond, 50 * time.Millisecond, 0, nil, true},
-		{"it has not answered for long", time.Minute, minLapse, 0, nil, true},
+		{"it has not answered for long", time.Minute, outage.MinLapse, 0, nil, true},
 		{"it returned from an older copy", time.Minute, 100 * time.Millisecond, 1, nil, true},
 	}
 	for _, c := range cases {
--- a/internal/move/exposure/exposure.go
+++ b/internal/move/exposure/exposure.go
@@ -28,8 +28,9 @@
 	// FinalPart is the fraction of the window of a move after which Use.Final is set.
 	FinalPart = 0.55
 	// MaxShare is the greatest fraction of the requests that an unproven version gets at
-	// any time, ThinShare that where few requests come.
-	MaxShare  = 0.25
+	// any time.
+	MaxShare = 0.25
+	// ThinShare replaces MaxShare where few requests come.
 	ThinShare = 0.5
 	// EarlyPart is the fraction of the window of a move in which the early requests are to
 	// be spent where few requests come.
