fix(rollout): no early approval without an outcome on each route in use

Before the last quarter of the window a version is not approved while it has no outcome on a route on which requests came, also before the order (analysis.Approval.Expected). At the end the rule is as before, so that a route without requests in the window hinders nothing.

--- a/internal/entry/mover/advance.go
+++ b/internal/entry/mover/advance.go
@@ -256,10 +256,9 @@
 		in.Requests += a.Requests
 		in.Opposed, in.Unclear = in.Opposed || a.Opposes(), in.Unclear || a.Unclear()
 		in.Answered, in.Failed = in.Answered+a.Answered, in.Failed+a.Failed
-		if a.Answered > 0 && (in.Answered == a.Answered || max(a.AnsweredFailures, a.Slowness) > max(in.Failures, in.Slowness)) {
-			in.Failures, in.Slowness = a.AnsweredFailures, a.Slowness
-		}
 	}
+	worst := analysis.Worst(r.approvals)
+	in.Failures, in.Slowness = worst.AnsweredFailures, worst.Slowness
 	in.Approved = analysis.Approved(r.approvals, plan.Plan{Begin: r.begin, Deadline: x.Deadline}.Final(in.Now))
 	// Peers may be silent, so that their requests are missing.
 	in.Requests = max(in.Requests-min(r.before, in.Requests), m.ownRequests(name)*entries)
--- a/internal/entry/mover/evaluate.go
+++ b/internal/entry/mover/evaluate.go
@@ -165,6 +165,7 @@
 	for _, route := range routes {
 		samples, _ := m.samples(name, route, x, step)
 		a := analysis.Assess(samples, 1)
+		a.Expected = m.Expected != nil && m.Expected(x.Name, route.Name)
 		r.approvals = append(r.approvals, a)
 		r.doubted = r.doubted || a.Doubtful()
 	}
--- a/internal/entry/mover/mover.go
+++ b/internal/entry/mover/mover.go
@@ -95,6 +95,9 @@
 	// Arrivals returns the number of requests for a move's service that have reached this entry,
 	// sent or not; nil means that only those that were sent are known.
 	Arrivals func(move string) uint64
+	// Expected reports whether requests are known to come on a route of a move; nil means that
+	// it is known of none.
+	Expected func(move, route string) bool
 	// Publish is called when there is new state to send to peers soon.
 	Publish func()
 	// LeaseTTL is the time to live of the lease on a move; 0 means order.LeaseTTL, which
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -41,8 +41,8 @@
 	over bool
 	// alone is true while no upstream of another version accepts requests.
 	alone bool
-	// orderedAt is when the order was issued, as far as this entry knows; countedSince is since
-	// when this entry counts requests in use.
+	// orderedAt is when the order was issued, as far as this entry knows, countedSince the
+	// time from which use.All counts.
 	orderedAt, countedSince time.Time
 	// routes lists the routes that are evaluated separately; otherRoutes in it stands
 	// for all others.
@@ -101,8 +101,8 @@
 }
 
 // takesCanary reports whether a request on a route goes to the unproven version, given a random
-// number u. Where few requests come, in all or on the route, independent choices could leave the version without any by
-// chance, so what it did not get of its share is made up for.
+// number u. Where few requests come, in all or on the route, independent choices could leave the
+// version without any, so what it did not get of its share is made up for.
 func (p *plan) takesCanary(route string, u float64) bool {
 	share := p.canaryShare(route)
 	if p.share <= exposure.MaxShare && share < exposure.ThinShare {
@@ -301,6 +301,15 @@
 	return 0
 }
 
+// expected reports whether requests of the service have come on the routes that are counted under
+// a name, also before the order.
+func (r *Rollout) expected(service, key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.plans[service]
+	return p != nil && p.parts[key] > 0
+}
+
 // registered reports whether an upstream of the version is known.
 func (r *Rollout) registered(service, version string) bool {
 	return slices.ContainsFunc(r.Upstreams(), func(u ward.Replica) bool { return u.Service == service && u.Version == version })
--- a/internal/forward/rollout/rollout.go
+++ b/internal/forward/rollout/rollout.go
@@ -115,7 +115,7 @@
 	}
 	m := mover.New(mover.Deps{
 		Self: r.Self, Incarnation: ward.Incarnation(r.Start), Store: store, Clock: ward.SystemClock{}, Notifier: r,
-		Log: r.Log, Replicas: r.replicas, Arrivals: r.arrivals, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL, Era: r.Era, Ticket: r.ticketOf,
+		Log: r.Log, Replicas: r.replicas, Arrivals: r.arrivals, Expected: r.expected, Config: r.config, Fleet: r.Fleet, Publish: r.publish, LeaseTTL: leaseTTL, Era: r.Era, Ticket: r.ticketOf,
 	})
 	r.mu.Lock()
 	r.mover, r.started = m, time.Now()
--- a/internal/move/analysis/approval.go
+++ b/internal/move/analysis/approval.go
@@ -49,6 +49,8 @@
 	// Answered is the number of outcomes of the new version, Failed that of the failures
 	// among them.
 	Answered, Failed uint64
+	// Expected is true if requests are known to come on the route.
+	Expected bool
 	// Requests is the number of requests of both versions.
 	Requests uint64
 }
@@ -99,10 +101,22 @@
 // requests.
 func (a Approval) Doubtful() bool { return max(a.Failures, a.Slowness) > doubtLog }
 
+// Worst returns the approval of the route whose outcomes speak against the version most, the
+// zero value without outcomes.
+func Worst(routes []Approval) Approval {
+	worst, against := Approval{}, math.Inf(-1)
+	for _, a := range routes {
+		if e := max(a.AnsweredFailures, a.Slowness); a.Answered > 0 && e > against {
+			worst, against = a, e
+		}
+	}
+	return worst
+}
+
 // Approved reports whether a version is approved by its approvals on all routes. Each route
-// has to speak for the version according to its part of the requests; if the time is up, it
-// is enough that none speaks against it and that all together do. A few answers that are slow
-// by chance do not speak against it then.
+// has to speak for the version according to its part of the requests, and by at least one
+// outcome where requests are expected. If the time is up, it is enough that none speaks against
+// it and that all together do; a few answers that are slow by chance do not speak against it.
 func Approved(routes []Approval, timeUp bool) bool {
 	var all Approval
 	for _, a := range routes {
@@ -116,6 +130,9 @@
 	for _, a := range routes {
 		limit := approvalLog * min(1, majorParts*float64(a.Requests)/float64(all.Requests))
 		slowness := limit
+		if !timeUp && a.Expected && a.Answered == 0 {
+			return false
+		}
 		if timeUp {
 			limit, slowness = 0, 0
 			if a.Answered < fewOutcomes {
