test(view): histories with disruptions at any time

The case with disruptions apart judges from the end of an outage on, not from the return of the lapsed registrations, and holds.

--- a/internal/forward/view/history_test.go
+++ b/internal/forward/view/history_test.go
@@ -155,6 +155,13 @@
 // drops its history or is away, and registrations lapse and return. An upstream that has left is
 // out in time, and one that is sound is never out.
 func TestHistories(t *testing.T) {
+	t.Run("disruptions apart", func(t *testing.T) { playHistories(t, false) })
+	t.Run("disruptions at any time", func(t *testing.T) { playHistories(t, true) })
+}
+
+// playHistories plays 150 histories. Unless anyTime is set, connections do not fall silent within
+// contactTime of another disruption, and what left right before an outage is not judged.
+func playHistories(t *testing.T, anyTime bool) {
 	const length = 60 * time.Second
 	for seed := range uint64(150) {
 		synctest.Test(t, func(t *testing.T) {
@@ -174,8 +181,6 @@
 			// store was stable; gone all that left. outageEnd and touched are when the last outage,
 			// and the last disruption of any kind, ended.
 			left, gone := map[string]time.Time{}, map[string]bool{}
-			// A silence soon after another disruption, so that two calls in a row get no answer, cannot
-			// be told from an outage.
 			var outageEnd, touched time.Time
 			log := ""
 			note := func(what string) { log += fmt.Sprintf(" %v %s;", time.Since(begin), what) }
@@ -204,7 +209,10 @@
 			breakDown := func() {
 				refuses, d := rng.IntN(2) == 0, time.Duration(300+rng.IntN(7000))*time.Millisecond
 				note(fmt.Sprint("away for ", d, ", refuses ", refuses))
-				clear(left) // the bound of those that left just before is not judged
+				if !anyTime {
+					clear(left)
+				}
+				touched = time.Now().Add(d) // an entry is not in touch during an outage
 				h.set(func() { h.away, h.refuses = true, refuses })
 				var lapsed []string
 				if d < outage.MinLapse {
@@ -222,13 +230,12 @@
 				}
 				h.set(func() { h.away = false })
 				note("back")
-				outageEnd = time.Now()
+				outageEnd, touched = time.Now(), time.Now()
 				pass(time.Duration(rng.IntN(1000)) * time.Millisecond)
 				for _, id := range lapsed {
 					pass(time.Duration(rng.IntN(60)) * time.Millisecond)
 					h.write(id, false)
 				}
-				touched = time.Now()
 			}
 			for time.Since(begin) < length {
 				pass(time.Duration(50+rng.IntN(2500)) * time.Millisecond)
@@ -247,7 +254,7 @@
 						left[id] = time.Now()
 					}
 					h.write(id, true)
-				case n < 7 && time.Since(touched) > contactTime:
+				case n < 7 && (anyTime || time.Since(touched) > contactTime):
 					note("silence")
 					touched = time.Now()
 					h.set(func() {
