refactor: one clock reading for a read, one way to play a site

Cause: readSocket read the clock twice for each read of an upstream, as added a second time of the same event; Assess copied all totals with their latencies on each evaluation, to count failures without the requests that have no outcome; three tests had their own copy of the loop that plays a site.

Change: the pool takes the time that was read; failuresAgainst is told which requests without an outcome count; site.play and site.overExposed.

--- a/internal/forward/backend/pool.go
+++ b/internal/forward/backend/pool.go
@@ -35,11 +35,12 @@
 	if err != nil {
 		return nil, err
 	}
-	p.noteHeard()
+	opened := time.Now()
+	p.noteHeard(opened)
 	if p.OnOpen != nil {
 		p.OnOpen()
 	}
-	c := &conn{Conn: raw, pool: p, address: address, heard: time.Now()}
+	c := &conn{Conn: raw, pool: p, address: address, heard: opened}
 	c.br = bufio.NewReaderSize(c, bufferSize)
 	return c, nil
 }
@@ -79,7 +80,7 @@
 // processStart is the base of Pool.heard, with a monotonic clock reading.
 var processStart = time.Now()
 
-func (p *Pool) noteHeard() { p.heard.Store(max(int64(time.Since(processStart)), 1)) }
+func (p *Pool) noteHeard(now time.Time) { p.heard.Store(max(int64(now.Sub(processStart)), 1)) }
 
 // readSocket reads from the socket, and returns the end of the connection again once it was
 // read: the socket reports a reset only once, and then a regular end.
@@ -90,7 +91,7 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.heard = time.Now()
-		c.pool.noteHeard()
+		c.pool.noteHeard(c.heard)
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.end = err
--- a/internal/forward/rollout/exposure_test.go
+++ b/internal/forward/rollout/exposure_test.go
@@ -369,6 +369,12 @@
 // play plays one seed and returns the site as it ended.
 func play(t *testing.T, seed uint64, bad badness, with trouble) *site {
 	s := &site{routes: map[string]float64{"confirm": 22.5, "check": 9}, entries: 6, bad: bad, trouble: with}
+	s.play(t, seed)
+	return s
+}
+
+// play plays one seed on virtual time.
+func (s *site) play(t *testing.T, seed uint64) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s.run(ctx, seed)
@@ -376,7 +382,11 @@
 		s.wg.Wait()
 		s.why = s.reason()
 	})
-	return s
+}
+
+// overExposed reports whether the new version got more requests than its bound.
+func (s *site) overExposed() bool {
+	return float64(s.exposed) > exposeShare*float64(s.requests)+exposeRequests
 }
 
 var badVersions = []struct {
--- a/internal/forward/rollout/few_test.go
+++ b/internal/forward/rollout/few_test.go
@@ -1,10 +1,8 @@
 package rollout
 
 import (
-	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"agateward/ward"
@@ -19,13 +17,7 @@
 	const window = orderTime - minMargin
 	rate := requests / window.Seconds()
 	s := &site{routes: map[string]float64{"confirm": 2 * rate / 3, "check": rate / 3}, entries: 3, warm: time.Minute, bad: bad, trouble: with}
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		s.run(ctx, seed)
-		cancel()
-		s.wg.Wait()
-		s.why = s.reason()
-	})
+	s.play(t, seed)
 	return s
 }
 
@@ -67,8 +59,8 @@
 			completed, late := 0, 0
 			for seed := range uint64(fewSeeds) {
 				s := playFew(t, seed, c.requests, c.bad, c.with)
-				if limit := exposeShare*float64(s.requests) + exposeRequests; float64(s.exposed) > limit {
-					t.Errorf("seed %d: %d of %d requests at the bad version, %.0f allowed", seed, s.exposed, s.requests, limit)
+				if s.overExposed() {
+					t.Errorf("seed %d: %d of %d requests at the bad version", seed, s.exposed, s.requests)
 				}
 				if s.state == ward.RolloutCompleted {
 					completed++
--- a/internal/forward/rollout/thin_route_test.go
+++ b/internal/forward/rollout/thin_route_test.go
@@ -1,9 +1,7 @@
 package rollout
 
 import (
-	"context"
 	"testing"
-	"testing/synctest"
 
 	"agateward/ward"
 )
@@ -31,20 +29,14 @@
 			completed := 0
 			for seed := range uint64(fewSeeds) {
 				s := &site{routes: map[string]float64{"confirm": 22.5, "check": 9, "cancel": c.cancel}, entries: 3, bad: c.bad}
-				synctest.Test(t, func(t *testing.T) {
-					ctx, cancel := context.WithCancel(t.Context())
-					s.run(ctx, seed)
-					cancel()
-					s.wg.Wait()
-					s.why = s.reason()
-				})
+				s.play(t, seed)
 				if s.state == ward.RolloutCompleted {
 					completed++
 				} else {
 					t.Logf("seed %d: %q, %d of %d requests: %s", seed, s.state, s.exposed, s.requests, s.why)
 				}
-				if limit := exposeShare*float64(s.requests) + exposeRequests; c.most < fewSeeds && s.state != ward.RolloutCompleted && float64(s.exposed) > limit {
-					t.Errorf("seed %d: %d of %d requests at the bad version, %.0f allowed", seed, s.exposed, s.requests, limit)
+				if c.most < fewSeeds && s.state != ward.RolloutCompleted && s.overExposed() {
+					t.Errorf("seed %d: %d of %d requests at the bad version", seed, s.exposed, s.requests)
 				}
 			}
 			if t.Logf("%s: %d of %d completed", c.name, completed, fewSeeds); completed < c.least || completed > c.most {
--- a/internal/move/analysis/approval.go
+++ b/internal/move/analysis/approval.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 
 	"agateward/ward"
 )
@@ -66,25 +65,14 @@
 		}
 	}
 	return Approval{
-		Failures: failuresAgainst(samples, since, old), AnsweredFailures: failuresAgainst(answered(samples), since, answeredTotals(old)),
+		Failures: failuresAgainst(samples, since, old, Totals.unanswered), AnsweredFailures: failuresAgainst(samples, since, old, none),
 		Slowness: slownessAgainst(old, next), Requests: old.Requests() + next.Requests(),
 		Answered: next.Outcomes(), Failed: next.Failed,
 	}
 }
 
-// answered returns the samples without the requests that have no outcome yet.
-func answered(samples []Sample) []Sample {
-	list := slices.Clone(samples)
-	for i := range list {
-		list[i].Old, list[i].Next = answeredTotals(list[i].Old), answeredTotals(list[i].Next)
-	}
-	return list
-}
-
-func answeredTotals(t Totals) Totals {
-	t.Sent, t.Void = 0, 0
-	return t
-}
+// none counts no request without an outcome.
+func none(Totals) uint64 { return 0 }
 
 // Opposes reports whether the outcomes on the route speak against the version, by however
 // little. It decides on a version that gets too few requests to be approved.
@@ -147,16 +135,17 @@
 }
 
 // failuresAgainst returns the logarithm for the failures. The old version's rate is that
-// of each step, so that a disturbance of both versions is none of the new one.
-func failuresAgainst(samples []Sample, since int, old Totals) float64 {
-	common := rate(old, priorFailures/priorOutcomes)
+// of each step, so that a disturbance of both versions is none of the new one. Of the requests
+// without an outcome those that pending returns count as failed.
+func failuresAgainst(samples []Sample, since int, old Totals, pending func(Totals) uint64) float64 {
+	common := rate(old, pending(old), priorFailures/priorOutcomes)
 	sum := 0.0
 	for _, s := range samples {
 		if s.Step < since {
 			continue
 		}
-		p := rate(s.Old, common)
-		bad := float64(s.Next.Failed + s.Next.unanswered())
+		p := rate(s.Old, pending(s.Old), common)
+		bad := float64(s.Next.Failed + pending(s.Next))
 		ok := float64(s.Next.Succeeded)
 		if bad+ok == 0 {
 			continue
@@ -170,9 +159,10 @@
 	return sum
 }
 
-// rate returns the fraction of requests without a good answer, given an earlier estimate.
-func rate(t Totals, earlier float64) float64 {
-	bad := float64(t.Failed + t.unanswered())
+// rate returns the fraction of requests without a good answer, given the number of those that
+// have none yet and an earlier estimate.
+func rate(t Totals, pending uint64, earlier float64) float64 {
+	bad := float64(t.Failed + pending)
 	return min((bad+earlier*priorOutcomes)/(bad+float64(t.Succeeded)+priorOutcomes), maxFailureRate)
 }
 
