fix(rollout): busy routes do not spend what a thin one needs of the bound

An entry keeps one request of its part of the bound for each route in use of which the version has got none, the first request on a thin route goes to the version, and what the bound turns away is still owed.

--- a/internal/forward/rollout/choose.go
+++ b/internal/forward/rollout/choose.go
@@ -51,6 +51,7 @@
 	}
 	if p != nil {
 		p.use.Exposed++
+		p.noteReached(route)
 	}
 	if r.inFlight == nil {
 		r.inFlight = make(map[string]int)
@@ -70,7 +71,9 @@
 	if p == nil || s.Share <= 0 || r.states[p.Service].Approved && (p.alone || !r.justStarted(p, time.Now())) {
 		return u < s.Share
 	}
-	return p.takesCanary(route, u) && r.Exposure.Allows(p.use)
+	use := p.use
+	use.Exposed += p.reservedBeside(route)
+	return r.Exposure.Allows(use) && p.takesCanary(route, u)
 }
 
 // justStarted reports whether this process started after an order and so lately that it may have missed
--- a/internal/forward/rollout/plans.go
+++ b/internal/forward/rollout/plans.go
@@ -56,6 +56,8 @@
 	// owed holds the requests that the unproven version is still to get for its share, by the
 	// same name.
 	owed map[string]float64
+	// reached holds the same names of the routes on which the unproven version has got a request.
+	reached map[string]bool
 	// use is what this entry has used of the bound on the target's exposure.
 	use exposure.Use
 	// adopted is set once the record of the move has named what the roll-out starts from; basis
@@ -102,17 +104,20 @@
 
 // takesCanary reports whether a request on a route goes to the unproven version, given a random
 // number u. Where few requests come, in all or on the route, independent choices could leave the
-// version without any, so what it did not get of its share is made up for.
+// version without any, so it gets the first one, and what it did not get of its share is made up
+// for.
 func (p *plan) takesCanary(route string, u float64) bool {
-	share := p.canaryShare(route)
-	if p.share <= exposure.MaxShare && share < exposure.ThinShare {
+	share, key := p.canaryShare(route), p.key(route)
+	if p.share <= exposure.MaxShare && p.parts[key] >= minRouteShare {
 		return u < share
 	}
 	if p.owed == nil {
 		p.owed = make(map[string]float64)
 	}
-	key := p.key(route)
-	owed := min(p.owed[key]+share, 1)
+	owed := 1.0
+	if before, ok := p.owed[key]; ok {
+		owed = min(before+share, 1)
+	}
 	taken := u < owed
 	if taken {
 		owed--
@@ -121,6 +126,26 @@
 	return taken
 }
 
+// reservedBeside returns the number of requests of the bound that are kept for the other routes in
+// use of which the unproven version has not got any here: busy routes would spend all of it.
+func (p *plan) reservedBeside(route string) int {
+	n, own := 0, p.key(route)
+	for key := range p.parts {
+		if key != own && !p.reached[key] {
+			n++
+		}
+	}
+	return n
+}
+
+// noteReached notes that the unproven version gets a request on a route.
+func (p *plan) noteReached(route string) {
+	if p.reached == nil {
+		p.reached = make(map[string]bool)
+	}
+	p.reached[p.key(route)] = true
+}
+
 // updateParts updates the fractions of the service's requests. The caller must hold mu.
 func (r *Rollout) updateParts(p *plan) {
 	all, counts := 0, make(map[string]int, len(p.routes))
